--- /dev/null
+++ b/src/main/java/hopglade/Decide.java
@@ -0,0 +1,917 @@
+package hopglade;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+
+/**
+ * Every decision of hopglade; its events, actions and types stand in Router.java beside this file.
+ *
+ * <p>A read goes to the less busy of its key's two top cache nodes by rendezvous hash; on a miss it draws a
+ * token and fetches from the origin. A write draws on arrival. One hysteresis level, stepped once an interval
+ * from the outcomes of our own fetches, sets how fast the token bank refills; an empty bank refuses at once
+ * and its last token is kept for higher worth. Everything else below is health, time and the rules.
+ */
+public final class Decide implements Router {
+
+    /** Length of a control interval: long enough for a sample, short against an overload of seconds. */
+    static final double INTERVAL_MS = 1000;
+    /** Shares of bad fetches above which the level rises and below which it falls. */
+    static final double RISE = 0.10;
+    static final double FALL = 0.05;
+    /** Fewer outcomes than this in an interval are a thin sample. */
+    static final int THIN = 4;
+    /** Intervals that a thin sample with a bad fetch waits to grow where balancers outnumber nodes. */
+    static final int SPAN = 6;
+    /** Refill rates of levels 1 and up, as multiples of the base. */
+    static final double[] LADDER = {1.25, 1.0, 0.8, 0.6, 0.45, 0.3};
+    /** Tokens the bank holds: a few, so that a pause buys no burst. */
+    static final double BANK = 4;
+    /** What is left of the base after an interval at level 0 that did not reach it. */
+    static final double BASE_DECAY = 0.98;
+    /**
+     * Growth of the base in an interval that could go to level 0 but in which the bank still refused: level 0
+     * would let all that in at once and throttle again. Could harm where the origin recovers at a bound.
+     */
+    static final double BASE_GROWTH = 1.15;
+    /** Smoothing of the rate whose peak the base is: one interval's peak is mostly luck. */
+    static final double RATE_SMOOTH = 0.3;
+    /** No base is lower, in fetches a second: a balancer that saw little must still try. */
+    static final double BASE_FLOOR = 1;
+    /** Weight of a new value in running means; faster at nodes that are paced. */
+    static final double SMOOTH = 0.1;
+    static final double PACED_SMOOTH = 0.3;
+    /** Failures in a row before a node is spared, and how long, doubling up to the last. */
+    static final int STRIKES = 2;
+    /** Part of the usual aim that a node's queue may take. */
+    static final double CROWD = 0.6;
+    /** Power of their number by which balancers share a node's queue; over a half, as jams must end. */
+    static final double OTHERS = 0.58;
+    /** How long a refused key is taken to be still missing, and how many such keys are kept. */
+    static final double MISSING_MS = 3000;
+    static final int MISSING_KEYS = 1024;
+    /** How far from the middle a listed size may go, and a model's learned weight. */
+    static final double SIZE_SPAN = 4;
+    static final double MODEL_SPAN = 2;
+    /** Part of its aim that a read may wait for a place at a crowded pair. */
+    static final double PATIENCE = 0.25;
+    /** A new node is taken to need this part of the shortest aim for a request until it has answered some. */
+    static final double FIRST_GUESS = 0.2;
+    static final double SPARE_MS = 500;
+    static final double SPARE_MOST_MS = 4000;
+    /** Of a cache attempt's remaining time, the part it may use while another attempt is still possible. */
+    static final double FIRST_TRY = 0.6;
+    /** Open connections a node that cost the held price. */
+    static final double PRICED_TABLE = 100;
+    /** Keys of the latest requests, ours or told by peers, that are remembered, to tell a hot key. */
+    static final int LATELY = 64;
+    static final int LATELY_TOLD = 256;
+    /** How many peers hear of a request's key on average: a sample of all requests, at a bounded price. */
+    static final double HEARD_BY = 24;
+    /** Keys told at once, as each message has a price of its own. */
+    static final int KEYS_TOLD = 4;
+    /**
+     * Sends to cache nodes, as a multiple of those answered, beyond which requests are turned away, and how
+     * steeply. Prevents collapse, where time-outs bring repeats that bring time-outs; failed connections do
+     * not count. Could harm where a few nodes alone answer nothing for long: all pay a little.
+     */
+    static final double PUSH = 1.1;
+    static final double PUSH_POWER = 3;
+    /** Answers a second that are taken for granted, so that a fleet that answers none is tried again. */
+    static final double TRIAL_PER_S = 0.05;
+    /** Part of its due that a cold node gets, for what the stated warm-up and our view leave out. */
+    static final double COLD_CARE = 0.7;
+    /** Times a key that we did not see is taken to have come, as it may be hot for others, at a cold node. */
+    static final double UNSEEN = 0.25;
+    /** Pairs a hot key is given, for each node's worth of our requests that ask for it. */
+    static final double HOT_SPREAD = 2;
+
+    private final Settings settings;
+    private final SplittableRandom random;
+    private final Map<String, ServiceClass> classes = new HashMap<>();
+    private final Map<String, Meter> tenants = new HashMap<>();
+    private final Map<String, Double> quotas = new HashMap<>();
+    private final Map<String, NodeView> nodes = new LinkedHashMap<>();
+    private final Map<Long, List<Held>> fetching = new HashMap<>();
+    private final Map<String, Held> requests = new LinkedHashMap<>();
+    private final Map<Long, Double> missing = new LinkedHashMap<>();
+    private final Control control = new Control();
+    private final Bank bank = new Bank();
+    private final double guardMs;
+    private final double shortestAim;
+    private final ServiceClass unknown;
+    private final boolean hasOrigin;
+    private List<NodeView> caches = List.of();
+    private NodeView origin;
+    private List<Held> room = new ArrayList<>();
+    private double intervalEnd;
+    private double meanWorth;
+    /** Running mean of 1 / aim over requests: the usual aim is harmonic, as short aims suffer first. */
+    private double urgency;
+    private final int[] lately;
+    private final boolean peers;
+    /**
+     * Whether a connection from each balancer would cost a node more than opening one for each request: gaps
+     * between uses have no memory, so then none is worth holding. Prevents full tables, which refuse, and the
+     * work that they take; could harm where opening is far dearer than its price.
+     */
+    private final boolean closesIdle;
+    private final ByteBuffer news;
+    private final Meter cacheSends = new Meter();
+    private final Meter cacheAnswers = new Meter();
+    private final Meter asked = new Meter();
+    private double answeredShare = 1, goOn = 1, totalShare = 1, coldChance = COLD_CARE;
+    private boolean subscribed;
+    private int seen, refusedCalls;
+
+    public Decide(Settings settings, long seed) {
+        this.settings = settings;
+        this.random = new SplittableRandom(seed);
+        Connections c = settings.connections();
+        this.closesIdle = c.heldPrice() * settings.proxies() > c.openingPrice() * PRICED_TABLE;
+        this.peers = settings.limits().peers() && settings.proxies() > 1;
+        this.news = ByteBuffer.allocate((peers ? KEYS_TOLD : 1) * Integer.BYTES);
+        this.lately = new int[peers ? LATELY_TOLD : LATELY];
+        this.hasOrigin = settings.originModel() != null;
+        this.guardMs = 2 * settings.tickMs();
+        this.shortestAim = settings.classes().stream().mapToDouble(ServiceClass::aimMs).min().orElse(1);
+        this.urgency = 1 / Math.max(1, shortestAim);
+        double soonest = settings.classes().stream().mapToDouble(ServiceClass::deadlineMs).min().orElse(1);
+        // A class that the settings do not name is taken to be worth little and never safe to repeat.
+        this.unknown = new ServiceClass("", soonest, 0, soonest, 0, 0, Effect.UNSAFE, Group.ALL, 0, false);
+        settings.classes().forEach(s -> classes.put(s.name(), s));
+        int proxies = Math.max(1, settings.proxies());
+        settings.tenants().forEach(t -> quotas.put(t.name(), t.quotaPerS() / proxies));
+    }
+
+    @Override
+    public void started(double now, Actions out) {
+        intervalEnd = now + INTERVAL_MS;
+        out.timer(intervalEnd, "step");
+        if (settings.mustSubscribe()) {
+            out.timer(now + random.nextDouble() * INTERVAL_MS, "subscribe");
+        }
+    }
+
+    @Override
+    public void nodes(double now, ListKind kind, long version, List<Node> entries, Actions out) {
+        if (kind == ListKind.REFUSED) {
+            subscribed = false;
+            refusedCalls++;
+            double wait = INTERVAL_MS * Math.min(8, 1 << Math.min(3, refusedCalls));
+            out.timer(now + wait * (0.5 + random.nextDouble()), "subscribe");
+            return;
+        }
+        refusedCalls = kind == ListKind.REMEMBERED ? refusedCalls : 0;
+        if (kind != ListKind.CHANGES) {
+            nodes.values().forEach(n -> n.listed = false);
+        }
+        for (Node entry : entries) {
+            nodes.computeIfAbsent(entry.id(), id -> new NodeView(entry)).learn(entry);
+        }
+        relist();
+    }
+
+    @Override
+    public void request(double now, Request in, Actions out) {
+        Held r = new Held(in, classes.getOrDefault(in.service(), unknown), now, guardMs);
+        requests.put(in.id(), r);
+        heat(r, out);
+        asked.add(now, 1);
+        r.worth = worth(now, in, r.service);
+        meanWorth = meanWorth == 0 ? r.worth : meanWorth + SMOOTH / 10 * (r.worth - meanWorth);
+        r.low = r.worth < meanWorth;
+        urgency += SMOOTH / 10 * (1 / Math.max(1, r.service.aimMs()) - urgency);
+        out.timer(r.guard, "r" + in.id());
+        if (!hasTime(now, r)) {
+            // A try may come with no time left at all: a timer would answer it too late.
+            end(now, r, out);
+        } else if (knownMissing(now, r) && !hold(r) && !draw(now, r)) {
+            end(now, r, out);
+        } else if (r.heldOnce) {
+            return;
+        } else if (in.write() && hasOrigin) {
+            fetch(now, r, out);
+        } else if (r.draw > goOn || in.write() && !bank.draw(now, r.low)) {
+            end(now, r, out);
+        } else {
+            lookUp(now, r, out);
+        }
+    }
+
+    @Override
+    public void streamStarted(double now, String request, int attempt, String node, Actions out) {
+        Held r = requests.get(request);
+        if (r != null) {
+            r.streaming = true;
+        }
+    }
+
+    @Override
+    public void attemptEnded(double now, AttemptEnd end, Actions out) {
+        NodeView node = nodes.get(end.node());
+        Held r = requests.get(end.request());
+        boolean fetched = node != null && node.isOrigin();
+        if (node != null) {
+            node.ended(now, end, caches);
+            if (closesIdle && node.inFlight == 0) {
+                out.close(end.node());
+            }
+            if (!fetched && (end.outcome() == Outcome.OK || end.outcome() == Outcome.MISS)) {
+                cacheAnswers.add(now, 1);
+            } else if (!fetched && end.outcome() == Outcome.CONNECT_FAILED) {
+                cacheSends.add(now, -1);
+            }
+        }
+        if (fetched || !hasOrigin && end.note() > 1) {
+            double aim = r == null ? INTERVAL_MS : r.service.aimMs();
+            boolean called = end.outcome() == Outcome.CANCELLED || end.outcome() == Outcome.NEVER_SENT;
+            if (!called && (r == null || !r.overdue)) {
+                control.count(end.outcome() == Outcome.OK && end.elapsedMs() <= aim);
+            }
+        }
+        if (r == null) {
+            return;
+        }
+        r.out = false;
+        r.proven &= end.outcome().provesNotRun();
+        List<Held> waiting = fetched && r.fetches ? fetching.remove(r.in.key()) : null;
+        r.fetches = false;
+        if (end.finished()) {
+            requests.remove(r.in.id());
+        } else if (fetched) {
+            afterFetch(now, r, end.outcome(), out);
+        } else {
+            afterLookUp(now, r, node, end.outcome(), out);
+        }
+        if (fetched && end.outcome() == Outcome.OK) {
+            missing.remove(r.in.key());
+        }
+        release(now, waiting, end.outcome() == Outcome.OK, out);
+    }
+
+    @Override
+    public void clientGone(double now, String request, Actions out) {
+        Held r = requests.remove(request);
+        if (r != null) {
+            letGo(now, r, out);
+        }
+    }
+
+    @Override
+    public void timer(double now, String token, Actions out) {
+        if (token.equals("step")) {
+            step(now);
+            out.timer(intervalEnd, "step");
+        } else if (token.equals("room")) {
+            recallRoom(now, out);
+        } else if (token.equals("subscribe")) {
+            if (!subscribed) {
+                subscribed = true;
+                out.subscribe();
+            }
+        } else if (token.startsWith("r")) {
+            Held r = requests.get(token.substring(1));
+            if (r != null && !r.streaming) {
+                end(now, r, out);
+            }
+        }
+    }
+
+    @Override
+    public void probed(double now, String node, Outcome outcome, double elapsedMs, Map<String, Double> load,
+                       Actions out) { }
+
+    @Override
+    public void peerMessage(double now, int from, byte[] contents, Actions out) {
+        learn(ByteBuffer.wrap(contents));
+    }
+
+    /** Takes in told keys; a message that is no whole number of keys loses its rest. */
+    private void learn(ByteBuffer keys) {
+        for (keys.rewind(); keys.remaining() >= Integer.BYTES;) {
+            lately[seen++ % lately.length] = keys.getInt();
+        }
+        keys.rewind();
+    }
+
+    /** Sends a read to the less busy of its two top nodes, or holds it while we fetch its key. */
+    private void lookUp(double now, Held r, Actions out) {
+        if (hold(r)) {
+            return;
+        }
+        NodeView node = pick(now, r);
+        if (node != null) {
+            double left = r.guard - now;
+            boolean more = r.attempts + 2 < settings.limits().maxAttempts() && r.in.key() >= 0;
+            send(now, r, node, more ? left * FIRST_TRY : left, out);
+        } else if (!r.missed.isEmpty() && hasOrigin) {
+            fetch(now, r, out);
+        } else if (r.crowded && now < r.patience) {
+            if (room.isEmpty()) {
+                out.timer(now + guardMs, "room");
+            }
+            room.add(r);
+        } else {
+            end(now, r, out);
+        }
+    }
+
+    /**
+     * Reads that found their pair crowded wait here for a small part of their aim; higher worth first, then
+     * newest. Prevents refusals while nodes idle between bursts; a lasting overload costs each read the wait.
+     */
+    private void recallRoom(double now, Actions out) {
+        List<Held> waiting = room;
+        room = new ArrayList<>();
+        waiting.sort(Comparator.comparingDouble((Held r) -> -r.worth).thenComparingDouble(r -> -r.patience));
+        for (Held r : waiting) {
+            if (requests.get(r.in.id()) == r) {
+                lookUp(now, r, out);
+            }
+        }
+    }
+
+    private void afterLookUp(double now, Held r, NodeView node, Outcome outcome, Actions out) {
+        r.tried.add(node);
+        if (outcome == Outcome.MISS && node != null) {
+            r.missed.add(node);
+            if (r.missed.size() == 1 && r.pickedSecond) {
+                lookUp(now, r, out);
+            } else {
+                fetch(now, r, out);
+            }
+        } else if (mayRepeat(now, r) && r.tried.size() < 2
+                && (outcome != Outcome.TIMEOUT || r.draw < 2 * answeredShare - 1)) {
+            lookUp(now, r, out);
+        } else {
+            end(now, r, out);
+        }
+    }
+
+    /** Fetches from the origin if a token is had; joins a fetch of ours that is out for the same key. */
+    private void fetch(double now, Held r, Actions out) {
+        if (origin == null || !origin.listed || !hasTime(now, r)) {
+            end(now, r, out);
+        } else if (!r.in.write() && hold(r)) {
+            return;
+        } else if (!draw(now, r)) {
+            missing.put(r.in.key(), now);
+            if (missing.size() > MISSING_KEYS) {
+                missing.remove(missing.keySet().iterator().next());
+            }
+            end(now, r, out);
+        } else {
+            r.hasToken = false;
+            if (!r.in.write() && r.in.key() >= 0 && !fetching.containsKey(r.in.key())) {
+                fetching.put(r.in.key(), new ArrayList<>());
+                r.fetches = true;
+            }
+            send(now, r, origin, r.guard - now, out);
+        }
+    }
+
+    private boolean draw(double now, Held r) {
+        r.hasToken = r.hasToken || control.level == 0 || bank.draw(now, r.low);
+        return r.hasToken;
+    }
+
+    /**
+     * Whether a read is all but sure to need a fetch: while throttled, its key was refused lately. It draws
+     * on arrival, so that clients' retries cost no further misses. Could harm where another has filled it.
+     */
+    private boolean knownMissing(double now, Held r) {
+        Double at = r.in.write() || r.in.key() < 0 || control.level == 0 ? null : missing.get(r.in.key());
+        return at != null && now - at < MISSING_MS;
+    }
+
+    private void afterFetch(double now, Held r, Outcome outcome, Actions out) {
+        boolean again = outcome != Outcome.OK && outcome != Outcome.TIMEOUT && outcome != Outcome.REJECTED;
+        if (again && control.level == 0 && r.fetchTries++ == 0 && mayRepeat(now, r)) {
+            fetch(now, r, out);
+        } else {
+            end(now, r, out);
+        }
+    }
+
+    private boolean hold(Held r) {
+        List<Held> waiting = r.in.key() < 0 || r.in.write() ? null : fetching.get(r.in.key());
+        if (waiting == null || r.heldOnce) {
+            return false;
+        }
+        r.heldOnce = true;
+        waiting.add(r);
+        return true;
+    }
+
+    /** After a fetch, those held for it go to the filled node, or on as if they had come just now. */
+    private void release(double now, List<Held> waiting, boolean filled, Actions out) {
+        for (Held r : waiting == null ? List.<Held>of() : waiting) {
+            if (requests.get(r.in.id()) == r && !r.out) {
+                if (filled) {
+                    r.tried.clear();
+                    r.missed.clear();
+                } else {
+                    r.heldOnce = false;
+                }
+                if (filled || r.missed.isEmpty()) {
+                    lookUp(now, r, out);
+                } else {
+                    fetch(now, r, out);
+                }
+            }
+        }
+    }
+
+    private NodeView pick(double now, Held r) {
+        NodeView first = null;
+        NodeView second = null;
+        double firstScore = 0;
+        double secondScore = 0;
+        for (NodeView n : caches) {
+            double score = n.usable(now) ? n.score(r.place, n.share(now)) : 0;
+            if (score > firstScore && n.admits(now, r)) {
+                second = first;
+                secondScore = firstScore;
+                first = n;
+                firstScore = score;
+            } else if (score > secondScore && score <= firstScore && n.admits(now, r)) {
+                second = n;
+                secondScore = score;
+            }
+        }
+        boolean canFirst = first != null && !r.tried.contains(first) && first.open(now, r.low);
+        boolean canSecond = second != null && !r.tried.contains(second) && second.open(now, r.low);
+        r.pickedSecond = canSecond && (!canFirst || second.inFlight < first.inFlight);
+        r.crowded = first != null && !r.tried.contains(first) || second != null && !r.tried.contains(second);
+        return r.pickedSecond ? second : canFirst ? first : null;
+    }
+
+    /**
+     * A key that came again within our latest requests is hot: it counts as several keys, each with a pair of
+     * its own, as many as keep each node's part of it under a part of its usual work. Prevents jams where one
+     * key needs more than a pair and no balancer has enough in flight to see it. Could harm where a key comes
+     * again by luck: it costs a miss for each pair.
+     */
+    private void heat(Held r, Actions out) {
+        int key = (int) mix(r.in.key());
+        int known = Math.min(seen, lately.length);
+        int same = 0;
+        for (int i = 0; i < known; i++) {
+            same += lately[i] == key ? 1 : 0;
+        }
+        news.putInt(key);
+        if (!peers) {
+            learn(news);
+        } else if (!news.hasRemaining()) {
+            if (random.nextDouble() * settings.proxies() < HEARD_BY) {
+                out.tell(news.array());
+                learn(news);
+            }
+            news.clear();
+        }
+        r.heat = Math.max(same, UNSEEN) / Math.max(known, 1);
+        if (same > 0 && r.in.key() >= 0) {
+            double share = same / Math.max(known, LATELY / 2.0);
+            double most = HOT_SPREAD * Math.min(caches.size(), settings.proxies());
+            r.variants = 1 + (int) Math.min(caches.size() / 2.0, share * most);
+            int variant = (int) (unit(r.place ^ Double.doubleToLongBits(r.draw)) * r.variants);
+            r.place = variant == 0 ? r.place : mix(r.place + variant);
+        }
+    }
+
+    private void send(double now, Held r, NodeView node, double timeoutMs, Actions out) {
+        if (r.attempts >= settings.limits().maxAttempts() || !hasTime(now, r)) {
+            end(now, r, out);
+            return;
+        }
+        r.attempts++;
+        r.out = true;
+        r.at = node;
+        r.overdue = false;
+        r.sentAt = now;
+        if (r.proven) {
+            r.firstSent = now;
+        }
+        node.inFlight++;
+        if (!node.isOrigin()) {
+            cacheSends.add(now, 1);
+        }
+        out.send(r.in.id(), node.entry.id(), Math.max(1, timeoutMs));
+    }
+
+    /** The one final answer that we give: a refusal where it is a true promise, else a failure. */
+    private void end(double now, Held r, Actions out) {
+        requests.remove(r.in.id());
+        letGo(now, r, out);
+        boolean harmless = switch (r.service.effect()) {
+            case SAFE -> true;
+            case KEYED -> r.proven && !r.out || r.service.group() == Group.ALL;
+            case UNSAFE -> r.proven && !r.out;
+        };
+        if (harmless) {
+            double wait = control.level == 0 || !settings.limits().retryAfter() ? 0 : 1000 / bank.ratePerS;
+            out.refuse(r.in.id(), Math.min(wait, settings.limits().maxRetryAfterMs()));
+        } else {
+            out.fail(r.in.id());
+        }
+    }
+
+    /** Stops what is still out for a request that is over, and lets others fetch its key. */
+    private void letGo(double now, Held r, Actions out) {
+        if (r.out && settings.limits().cancel()) {
+            out.cancel(r.in.id(), r.attempts - 1);
+        }
+        if (r.fetches) {
+            r.fetches = false;
+            release(now, fetching.remove(r.in.key()), false, out);
+        }
+    }
+
+    private boolean mayRepeat(double now, Held r) {
+        return hasTime(now, r) && switch (r.service.effect()) {
+            case SAFE -> true;
+            case UNSAFE -> r.proven;
+            case KEYED -> r.proven || r.service.group() == Group.ALL
+                    && now - r.firstSent < r.service.repeatWindowMs() - guardMs;
+        };
+    }
+
+    private boolean hasTime(double now, Held r) {
+        return r.guard - now > guardMs;
+    }
+
+    private void step(double now) {
+        if (now < intervalEnd) {
+            return;
+        }
+        countOverdue(now);
+        control.floor = BASE_FLOOR * Math.min(1, caches.size() / (double) settings.proxies());
+        control.step(INTERVAL_MS, bank.refusals);
+        bank.rate(now, control.rate());
+        weighModels();
+        double answered = cacheAnswers.perS(now) + TRIAL_PER_S;
+        // Young attempts tell nothing yet; a balancer with few requests would refuse on their account.
+        double young = requests.values().stream().filter(r -> r.young(now)).count() * 1000 / Meter.MEMORY_MS;
+        answeredShare = Math.min(1, answered / Math.max(1e-9, cacheSends.perS(now) - young));
+        goOn = Math.pow(PUSH * answeredShare, PUSH_POWER);
+        coldChance = COLD_CARE * Math.min(answeredShare, answered / asked.perS(now));
+        totalShare = caches.stream().mapToDouble(n -> n.share(now)).sum();
+        intervalEnd = now + INTERVAL_MS;
+    }
+
+    /**
+     * A fetch that is out past its aim is bad already; waiting for its end would tell of a full origin only
+     * once its queue has been as long as the clients' patience. Also tells of an origin that has stopped.
+     */
+    private void countOverdue(double now) {
+        for (Held r : requests.values()) {
+            if (r.out && !r.overdue && r.at == origin && now - r.sentAt > r.service.aimMs()) {
+                r.overdue = true;
+                control.count(false);
+            }
+        }
+    }
+
+    /**
+     * Where the list tells no sizes, nodes of a model that answers slower get fewer keys. By model and
+     * slowly, so that all balancers come to nearly the same weights and keys keep their nodes. Prevents slow
+     * models from being crowded while fast ones idle; could harm where a model is slow for a short while.
+     */
+    private void weighModels() {
+        if (settings.weights() == Weights.SIZE) {
+            return;
+        }
+        Map<String, double[]> models = new LinkedHashMap<>();
+        double all = caches.stream().mapToDouble(n -> n.eachMs).average().orElse(1);
+        for (NodeView n : caches) {
+            double[] sum = models.computeIfAbsent(String.valueOf(n.entry.model()), m -> new double[2]);
+            sum[0] += n.eachMs;
+            sum[1]++;
+        }
+        for (NodeView n : caches) {
+            double[] sum = models.get(String.valueOf(n.entry.model()));
+            double target = Math.min(MODEL_SPAN, Math.max(1 / MODEL_SPAN, all * sum[1] / sum[0]));
+            n.weight += SMOOTH * (target - n.weight);
+        }
+    }
+
+    /** Class gain, by work where value is, cut for what a tenant sends beyond its quota. */
+    private double worth(double now, Request in, ServiceClass service) {
+        double worth = service.gain();
+        worth *= settings.worthByWork() && in.workMs() > 0 ? in.workMs() : 1;
+        Double quota = quotas.get(in.tenant());
+        if (quota != null) {
+            Meter meter = tenants.computeIfAbsent(in.tenant(), t -> new Meter());
+            meter.add(now, 1);
+            worth *= meter.perS(now) > quota ? settings.overShareWorth() : 1;
+        }
+        return worth;
+    }
+
+    private void relist() {
+        List<NodeView> list = new ArrayList<>();
+        origin = null;
+        for (NodeView n : nodes.values()) {
+            if (n.listed && n.isOrigin()) {
+                origin = n;
+            } else if (n.listed) {
+                list.add(n);
+            }
+        }
+        list.sort(Comparator.comparing(n -> n.entry.id()));
+        caches = list;
+        if (settings.weights() == Weights.SIZE) {
+            takeSizes();
+        }
+    }
+
+    /** Listed sizes, kept within a span of their median, so that an absurd one shuts no node out. */
+    private void takeSizes() {
+        double[] sizes = caches.stream().mapToDouble(n -> n.entry.weight())
+                .filter(w -> w > 0 && w < Double.POSITIVE_INFINITY).sorted().toArray();
+        double median = sizes.length == 0 ? 1 : sizes[sizes.length / 2];
+        for (NodeView n : caches) {
+            double size = n.entry.weight() > 0 ? n.entry.weight() / median : 1;
+            n.weight = Math.min(SIZE_SPAN, Math.max(1 / SIZE_SPAN, size));
+        }
+    }
+
+    /** A request that we owe an answer. */
+    private static final class Held {
+        final Request in;
+        final ServiceClass service;
+        final double guard;
+        final double patience;
+        final double draw;
+        /** What a rendezvous is held for: the key, or for a hot one, one of the keys that it counts as. */
+        long place;
+        double heat;
+        int variants = 1;
+        final List<NodeView> tried = new ArrayList<>(2);
+        final List<NodeView> missed = new ArrayList<>(2);
+        NodeView at;
+        double worth, sentAt, firstSent;
+        int attempts;
+        int fetchTries;
+        boolean proven = true;
+        boolean low, out, overdue, streaming, pickedSecond, crowded, heldOnce, hasToken, fetches;
+
+        Held(Request in, ServiceClass service, double now, double guardMs) {
+            this.in = in;
+            this.service = service;
+            double budget = in.budgetMs() >= 0 ? in.budgetMs() : service.deadlineMs();
+            this.draw = unit(hashText(in.id()));
+            this.place = in.key() >= 0 ? in.key() : hashText(in.id());
+            this.guard = now + Math.max(0, budget - guardMs);
+            this.patience = now + PATIENCE * Math.min(service.aimMs(), budget);
+        }
+
+        boolean young(double now) {
+            return out && !at.isOrigin() && 2 * (now - sentAt) < service.aimMs();
+        }
+    }
+
+    /** The hysteresis level and the base its rates are multiples of. */
+    static final class Control {
+        int level;
+        double floor = BASE_FLOOR;
+        double base = BASE_FLOOR;
+        private double rate = -1;
+        private int good, bad, spans;
+
+        void count(boolean wasGood) {
+            good += wasGood ? 1 : 0;
+            bad += wasGood ? 0 : 1;
+        }
+
+        void step(double intervalMs, int refusals) {
+            int all = good + bad;
+            if (level == 0) {
+                double perS = good * 1000 / intervalMs;
+                rate = rate < 0 ? perS : rate + RATE_SMOOTH * (perS - rate);
+                base = Math.max(floor, Math.max(base * BASE_DECAY, rate));
+            }
+            if (floor < BASE_FLOOR && all < THIN && bad > 0 && ++spans < SPAN) {
+                return;
+            }
+            spans = 0;
+            if (all >= THIN && bad > RISE * all) {
+                level = Math.min(level + 1, LADDER.length);
+            } else if (all < THIN || bad < FALL * all) {
+                if (level == 1 && refusals > 0) {
+                    base *= BASE_GROWTH;
+                } else {
+                    level = Math.max(level - 1, 0);
+                }
+            }
+            good = 0;
+            bad = 0;
+        }
+
+        double rate() {
+            return level == 0 ? Double.POSITIVE_INFINITY : base * LADDER[level - 1];
+        }
+    }
+
+    static final class Bank {
+        double tokens = BANK;
+        double ratePerS = Double.POSITIVE_INFINITY;
+        private double filledAt;
+        private int refusals;
+
+        void rate(double now, double perS) {
+            fill(now);
+            ratePerS = perS;
+            refusals = 0;
+        }
+
+        /** Takes a token; low worth only while more than one is there. */
+        boolean draw(double now, boolean low) {
+            fill(now);
+            if (tokens < (low ? 2 : 1)) {
+                refusals++;
+                return false;
+            }
+            tokens--;
+            return true;
+        }
+
+        private void fill(double now) {
+            double gained = ratePerS == Double.POSITIVE_INFINITY ? BANK : (now - filledAt) * ratePerS / 1000;
+            tokens = Math.min(BANK, tokens + gained);
+            filledAt = now;
+        }
+    }
+
+    /** An exponentially forgetting rate. */
+    private static final class Meter {
+        private static final double MEMORY_MS = 3000;
+        private double since = -1, sum, at;
+
+        void add(double now, int amount) {
+            perS(now);
+            sum = Math.max(0, sum + amount);
+        }
+
+        double perS(double now) {
+            sum *= Math.exp(-(now - at) / MEMORY_MS);
+            at = now;
+            since = since < 0 ? now : since;
+            return sum / MEMORY_MS * 1000 / (1 - Math.exp(-Math.max(500, now - since) / MEMORY_MS));
+        }
+    }
+
+    /** What we know of a node. */
+    private final class NodeView {
+        final long hash;
+        Node entry;
+        boolean listed;
+        double weight = 1;
+        int inFlight, strikes;
+        double eachMs;
+        double lastEnd = Double.NEGATIVE_INFINITY;
+        boolean onTrial;
+        double sparedUntil;
+        double coldSince = Double.NEGATIVE_INFINITY;
+
+        NodeView(Node entry) {
+            this.entry = entry;
+            this.hash = mix(hashText(entry.id()));
+            this.eachMs = FIRST_GUESS * shortestAim;
+        }
+
+        void learn(Node e) {
+            if (e.startedAtMs() > Math.max(0, coldSince)) {
+                strikes = 0;
+                onTrial = false;
+                sparedUntil = 0;
+                coldSince = e.startedAtMs();
+            }
+            entry = e;
+            listed = e.availability() == Availability.UP;
+        }
+
+        boolean isOrigin() {
+            return hasOrigin && settings.originModel().equals(entry.model());
+        }
+
+        boolean usable(double now) {
+            return now >= sparedUntil && (!onTrial || inFlight == 0);
+        }
+
+        /**
+         * Whether it may take one more of ours now. Prevents jams: a node that holds too many turns slow and
+         * stays so. A queue most of the usual aim long is shared among the balancers by a power of their
+         * number, as their bursts seldom meet. Less than one place means a pause after each: a jammed node
+         * gets its rest also from many balancers that each send little. Low worth leaves the last of
+         * several places free. Could harm where one balancer carries nearly all traffic: it then refuses
+         * sooner than the node needs.
+         */
+        boolean open(double now, boolean low) {
+            double places = low ? Math.max(places() - 1, Math.min(places(), 1)) : places();
+            return places >= 1 ? inFlight < places
+                    : inFlight == 0 && now - lastEnd >= eachMs * (1 / places - 1);
+        }
+
+        private double places() {
+            double p = Math.max(1, settings.proxies());
+            return CROWD / urgency / Math.max(1, eachMs) / Math.pow(p, OTHERS);
+        }
+
+        double share(double now) {
+            double age = now - coldSince;
+            double coldMs = settings.rules().coldMs();
+            if (age >= coldMs) {
+                return weight;
+            }
+            double from = settings.rules().coldFrom();
+            return weight * (from + (1 - from) * Math.max(0, age) / coldMs);
+        }
+
+        /**
+         * Whether a cold node may take this request. Its cut weight already bounds the chance that a key is
+         * sent there; this bounds it for what a weight cannot: a key hotter than the node's part of all keys,
+         * and a crowd of requests and repeats that the fleet does not answer and that all see a free place at
+         * once. A chance and not a count, as counts round up and the balancers are many; drawn from the
+         * request's id, so that waiting buys no second draw. A key that none of our requests named may still
+         * be hot; fewer of those known, less of it goes here. Could harm where keys look hot by luck.
+         */
+        boolean admits(double now, Held r) {
+            if (now - coldSince >= settings.rules().coldMs()) {
+                return true;
+            }
+            double due = share(now) / totalShare * r.variants;
+            return r.draw < coldChance * Math.min(1, due / r.heat);
+        }
+
+        double score(long key, double share) {
+            return -share / Math.log(unit(hash ^ mix(key)));
+        }
+
+        void ended(double now, AttemptEnd end, List<NodeView> peers) {
+            inFlight = Math.max(0, inFlight - 1);
+            lastEnd = now;
+            switch (end.outcome()) {
+                case OK, MISS -> {
+                    onTrial = false;
+                    strikes = 0;
+                    timed(end.elapsedMs());
+                }
+                case CONNECT_FAILED, RESET, REJECTED -> strike(now, peers);
+                case TIMEOUT -> {
+                    timed(Math.max(end.elapsedMs(), eachMs * (inFlight + 1)));
+                    strike(now, peers);
+                }
+                default -> { }
+            }
+        }
+
+        /** Learns from an attempt's time; faster while paced, as few attempts are left to learn from. */
+        private void timed(double elapsedMs) {
+            double each = elapsedMs >= 0 ? elapsedMs / (inFlight + 1) : eachMs;
+            eachMs += (places() < 1 ? PACED_SMOOTH : SMOOTH) * (each - eachMs);
+        }
+
+        /**
+         * Spares a node after failures in a row, whatever their kind: silent, cut off, full or stalled, while
+         * the list still calls it fine. Never more than half of the nodes, or those left would be overrun.
+         * Could harm where time-outs come from the requests and not the node.
+         */
+        private void strike(double now, List<NodeView> peers) {
+            strikes++;
+            if (isOrigin() || strikes < STRIKES) {
+                return;
+            }
+            long spared = peers.stream().filter(n -> now < n.sparedUntil).count();
+            if (2 * (spared + 1) <= peers.size()) {
+                sparedUntil = now + Math.min(SPARE_MOST_MS, SPARE_MS * Math.pow(2, strikes - STRIKES));
+                onTrial = true;
+            }
+        }
+    }
+
+    private static long hashText(String text) {
+        long h = 0xcbf29ce484222325L;
+        for (int i = 0; i < text.length(); i++) {
+            h = (h ^ text.charAt(i)) * 0x100000001b3L;
+        }
+        return h;
+    }
+
+    /** A number in (0, 1] that depends on {@code z} alone. */
+    private static double unit(long z) {
+        return ((mix(z) >>> 11) + 1) * 0x1.0p-53;
+    }
+
+    private static long mix(long z) {
+        z = (z ^ (z >>> 33)) * 0xff51afd7ed558ccdL;
+        z = (z ^ (z >>> 33)) * 0xc4ceb9fe1a85ec53L;
+        return z ^ (z >>> 33);
+    }
+}
--- /dev/null
+++ b/src/main/java/hopglade/Router.java
@@ -0,0 +1,187 @@
+package hopglade;
+
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What a proxy tells its router, and what the router asks of its proxy. One router serves one proxy; a call
+ * reports one event, and everything the router wants done goes to the {@link Actions} sink before it returns.
+ * Routers keep no clock and no threads: {@code now} is the proxy's clock in milliseconds and never runs back.
+ */
+public interface Router {
+
+    /** What repeating a request does. */
+    enum Effect {
+        /** May be repeated and refused freely. */
+        SAFE,
+        /** Carries a key by which a group of nodes discards repeats for a while. */
+        KEYED,
+        /** Must never run twice. */
+        UNSAFE
+    }
+
+    /** Which nodes discard each other's repeats of a keyed request. */
+    enum Group { ALL, ZONE, CELL }
+
+    /** What the server list says of a node. */
+    enum Availability { UP, DRAINING, GONE }
+
+    /** What a delivery of the server list holds. */
+    enum ListKind {
+        /** Only entries that changed. */
+        CHANGES,
+        /** Every node; one that is not named is gone. */
+        FULL,
+        /** Every node as this proxy last knew them before a restart; may be stale. */
+        REMEMBERED,
+        /** A call to discovery failed or the subscription broke; no entries. */
+        REFUSED
+    }
+
+    /** How a node's weight is meant. */
+    enum Weights { NONE, SIZE, LIVE }
+
+    /** How an attempt ended. */
+    enum Outcome {
+        OK(false), ERROR(false), REJECTED(true), TIMEOUT(false), CONNECT_FAILED(true), RESET(false),
+        CANCELLED(false), NEVER_SENT(true), MISS(true);
+
+        private final boolean provesNotRun;
+
+        Outcome(boolean provesNotRun) {
+            this.provesNotRun = provesNotRun;
+        }
+
+        /** Whether this outcome shows that the request had no effect at the node. */
+        public boolean provesNotRun() {
+            return provesNotRun;
+        }
+    }
+
+    /** A request class: its aim, the time its clients wait, its worth and what repeating it does. */
+    record ServiceClass(String name, double aimMs, double aimStretch, double deadlineMs, double gain,
+                        double lateShare, Effect effect, Group group, double repeatWindowMs, boolean stream) { }
+
+    /** A tenant and the request rate, over all proxies, that stays inside its share. */
+    record Tenant(String name, double quotaPerS) { }
+
+    /** What the site permits. */
+    record Limits(int maxAttempts, boolean cancel, boolean probes, boolean peers, boolean retryAfter,
+                  double maxRetryAfterMs, boolean secondCopies, double connectTimeoutMs) { }
+
+    /** The figures behind the rules. */
+    record Rules(double drainGraceMs, double coldFrom, double coldMs, double fallMultiple, double fallMs,
+                 double answerSlackMs, double askWithinMs) { }
+
+    /**
+     * Connections: after how long idle ones close by themselves, the price of 100 open ones a node all day,
+     * and the price of opening one for every request.
+     */
+    record Connections(double idleMs, double heldPrice, double openingPrice) {
+
+        /** Idle ones stay and none has a price. */
+        public static final Connections FREE = new Connections(Double.POSITIVE_INFINITY, 0, 0);
+    }
+
+    /** What a router is told before its first event. {@code originModel} is null where no node is the origin. */
+    record Settings(int index, int proxies, String zone, double tickMs, List<ServiceClass> classes,
+                    List<Tenant> tenants, double overShareWorth, boolean worthByWork, Limits limits,
+                    Rules rules, boolean mustSubscribe, Weights weights, String originModel,
+                    Connections connections) {
+
+        /** Settings of a site where connections have no price. */
+        public Settings(int index, int proxies, String zone, double tickMs, List<ServiceClass> classes,
+                        List<Tenant> tenants, double overShareWorth, boolean worthByWork, Limits limits,
+                        Rules rules, boolean mustSubscribe, Weights weights, String originModel) {
+            this(index, proxies, zone, tickMs, classes, tenants, overShareWorth, worthByWork, limits, rules,
+                    mustSubscribe, weights, originModel, Connections.FREE);
+        }
+
+        /** Refuses settings without which nothing can be decided, naming the field. */
+        public Settings {
+            if (classes == null || classes.isEmpty()) {
+                throw new IllegalArgumentException("settings: classes: at least one is needed");
+            }
+            for (ServiceClass c : classes) {
+                if (!(c.deadlineMs() > 0)) {
+                    throw new IllegalArgumentException("settings: classes: " + c.name() + ": deadlineMs > 0 needed");
+                }
+            }
+            classes = List.copyOf(classes);
+            tenants = tenants == null ? List.of() : List.copyOf(tenants);
+        }
+    }
+
+    /** One entry of the server list; {@code startedAtMs} is 0 for a node that started long ago. */
+    record Node(String id, String model, String zone, int cell, double weight, double startedAtMs,
+                Availability availability) { }
+
+    /**
+     * A client's request. {@code key} is negative where it names none; {@code workMs} is 0 without a hint;
+     * {@code budgetMs}, the time until the client gives up this try, is negative where only the class tells.
+     */
+    record Request(String id, String service, String tenant, long key, double workMs, double budgetMs,
+                   boolean write, boolean repeat) { }
+
+    /** How an attempt ended. {@code finished} says that the request has its final answer already. */
+    record AttemptEnd(String request, int attempt, String node, Outcome outcome, double elapsedMs,
+                      boolean finished, int note, Map<String, Double> load) { }
+
+    /** Where a router's wishes go. */
+    interface Actions {
+
+        /** Starts the request's next attempt. */
+        void send(String request, String node, double timeoutMs);
+
+        /** Stops waiting for an attempt. */
+        void cancel(String request, int attempt);
+
+        /** Final answer: turned away, harmless to try again; 0 gives no advice on when. */
+        void refuse(String request, double retryAfterMs);
+
+        /** Final answer: failed, with no promise about its effect. */
+        void fail(String request);
+
+        /** Asks for {@link Router#timer} at a clock time. */
+        void timer(double atMs, String token);
+
+        /** Asks discovery to send changes from now on. */
+        void subscribe();
+
+        /** Asks a node for its load. */
+        void probe(String node);
+
+        /** Sends a short message to every other proxy; it may be lost. */
+        void tell(byte[] contents);
+
+        /** Closes this proxy's idle connections to a node. */
+        void close(String node);
+    }
+
+    /** The proxy has started; comes first. */
+    void started(double now, Actions out);
+
+    /** The server list, or news of it. */
+    void nodes(double now, ListKind kind, long version, List<Node> entries, Actions out);
+
+    /** A request came in; exactly one final answer is owed from here on. */
+    void request(double now, Request request, Actions out);
+
+    /** The first part of a streamed answer has reached the client. */
+    void streamStarted(double now, String request, int attempt, String node, Actions out);
+
+    /** An attempt ended. */
+    void attemptEnded(double now, AttemptEnd end, Actions out);
+
+    /** The client is gone; nothing is owed any more. */
+    void clientGone(double now, String request, Actions out);
+
+    /** A timer that was asked for is due. */
+    void timer(double now, String token, Actions out);
+
+    /** A probe's result. */
+    void probed(double now, String node, Outcome outcome, double elapsedMs, Map<String, Double> load, Actions out);
+
+    /** A message from another proxy. */
+    void peerMessage(double now, int from, byte[] contents, Actions out);
+}
--- /dev/null
+++ b/src/main/java/hopglade/benchlink/WireException.java
@@ -0,0 +1,11 @@
+package hopglade.benchlink;
+
+/** A line that does not follow the wire's rules. */
+final class WireException extends RuntimeException {
+
+    private static final long serialVersionUID = 1L;
+
+    WireException(String message) {
+        super(message);
+    }
+}
