Add the real proxy round the decision module

One program on Netty sockets, one event loop: clients, cache nodes and origin, discovery's watch, peers.

--- /dev/null
+++ b/src/main/java/hopglade/Main.java
@@ -0,0 +1,44 @@
+package hopglade;
+
+import hopglade.proxy.Config;
+import hopglade.proxy.ConfigException;
+import hopglade.proxy.Service;
+import java.io.IOException;
+
+/** Starts the program: {@code serve} is one real proxy, {@code benchlink} the same decisions on the bench's wire. */
+public final class Main {
+
+    private static final int EXIT_FAILED = 1;
+    private static final int EXIT_CONFIG = 2;
+    private static final int EXIT_USAGE = 64;
+
+    private Main() { }
+
+    public static void main(String[] args) throws IOException, InterruptedException {
+        switch (args.length == 1 ? args[0] : "") {
+            case "serve" -> serve();
+            case "benchlink" -> hopglade.benchlink.Main.main(args);
+            default -> {
+                System.err.println("usage: java -jar hopglade.jar serve|benchlink");
+                System.exit(EXIT_USAGE);
+            }
+        }
+    }
+
+    private static void serve() throws InterruptedException {
+        Service service = null;
+        try {
+            service = Service.start(Config.fromEnvironment(System.getenv()));
+        } catch (ConfigException e) {
+            System.err.println("hopglade: configuration: " + e.getMessage());
+            System.exit(EXIT_CONFIG);
+        } catch (IOException e) {
+            System.err.println("hopglade: " + e.getMessage());
+            System.exit(EXIT_FAILED);
+        }
+        // SIGTERM runs this hook; the process ends when the hook does, so it waits until nothing is owed.
+        Service running = service;
+        Runtime.getRuntime().addShutdownHook(new Thread(running::drain, "drain"));
+        running.awaitEnd();
+    }
+}
--- a/src/main/java/hopglade/benchlink/SettingsReader.java
+++ b/src/main/java/hopglade/benchlink/SettingsReader.java
@@ -18,20 +18,29 @@
 import java.util.List;
 
 /** Turns the settings of the wire into the module's; unknown keys are skipped, absent ones get a default. */
-final class SettingsReader {
+public final class SettingsReader {
 
     private SettingsReader() { }
 
     static Settings read(String json) {
         try {
-            return read(JsonParser.parseString(json).getAsJsonObject());
+            return read(JsonParser.parseString(json));
+        } catch (JsonParseException e) {
+            throw new WireException("settings: " + e.getMessage());
+        }
+    }
+
+    /** Reads settings that stand inside a larger document, such as a proxy's configuration. */
+    public static Settings read(JsonElement json) {
+        try {
+            return settings(json.getAsJsonObject());
         } catch (JsonParseException | IllegalStateException | UnsupportedOperationException
-                | NumberFormatException e) {
+                | ClassCastException | NumberFormatException e) {
             throw new WireException("settings: " + e.getMessage());
         }
     }
 
-    private static Settings read(JsonObject o) {
+    private static Settings settings(JsonObject o) {
         return new Settings((int) number(o, "rank", 0), (int) number(o, "balancers", 1), text(o, "zone", ""),
                 number(o, "tick_ms", 1), classes(array(o, "services")), tenants(array(o, "customers")),
                 number(o, "over_share_worth", 1), text(o, "value_by", "request").equals("work"),
--- a/src/main/java/hopglade/benchlink/WireException.java
+++ b/src/main/java/hopglade/benchlink/WireException.java
@@ -1,7 +1,7 @@
 package hopglade.benchlink;
 
 /** A line that does not follow the wire's rules. */
-final class WireException extends RuntimeException {
+public final class WireException extends RuntimeException {
 
     private static final long serialVersionUID = 1L;
 
--- /dev/null
+++ b/src/main/java/hopglade/proxy/Clock.java
@@ -0,0 +1,31 @@
+package hopglade.proxy;
+
+import java.time.Instant;
+
+/**
+ * Unix time in milliseconds that never runs back: read once from the wall clock and carried on by the monotonic one.
+ * Start times in the host list are Unix times, so they compare with it as they are, and a step of the wall clock
+ * moves no deadline.
+ */
+final class Clock {
+
+    private static final double NANOS_PER_MS = 1e6;
+    private static final double MS_PER_S = 1e3;
+
+    private final long originNanos = System.nanoTime();
+    private final double originMs;
+
+    Clock() {
+        Instant now = Instant.now();
+        originMs = now.getEpochSecond() * MS_PER_S + now.getNano() / NANOS_PER_MS;
+    }
+
+    double now() {
+        return originMs + (System.nanoTime() - originNanos) / NANOS_PER_MS;
+    }
+
+    /** Nanoseconds until a time of this clock, rounded up so that a timer never fires early; 0 if it has passed. */
+    long nanosUntil(double atMs) {
+        return Math.max(0, (long) Math.ceil((atMs - now()) * NANOS_PER_MS));
+    }
+}
--- /dev/null
+++ b/src/main/java/hopglade/proxy/Discovery.java
@@ -0,0 +1,160 @@
+package hopglade.proxy;
+
+import com.google.gson.JsonParser;
+import hopglade.Router.ListKind;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LineBasedFrameDecoder;
+import io.netty.handler.codec.MessageToMessageDecoder;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.timeout.ReadTimeoutHandler;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The watch on the list of hosts. Where lists are pushed it is kept up from the start; where discovery is asked, each
+ * call of {@link #subscribe} is one try, and the module decides on the next.
+ */
+final class Discovery {
+
+    /** Three missed heartbeats: the other side has vanished without a word, and its news with it. */
+    private static final int SILENCE_S = 7;
+    private static final int MAX_LINE = 1 << 20;
+    private static final int CONNECT_TIMEOUT_MS = 1000;
+    private static final long FIRST_BACKOFF_MS = 50;
+    private static final long LAST_BACKOFF_MS = 1000;
+
+    private final EventLoop loop;
+    private final InetSocketAddress address;
+    private final Proxy proxy;
+    private final boolean pushed;
+    private final Runnable heard;
+    private final Log log = new Log();
+    private long version;
+    private long backoffMs = FIRST_BACKOFF_MS;
+    private Channel watch;
+
+    /** {@code heard} runs at every sign of life. */
+    Discovery(EventLoop loop, InetSocketAddress address, Proxy proxy, HostList known, boolean pushed, Runnable heard) {
+        this.loop = loop;
+        this.address = address;
+        this.proxy = proxy;
+        this.pushed = pushed;
+        this.heard = heard;
+        this.version = known == null ? 0 : known.version();
+    }
+
+    void start() {
+        if (pushed) {
+            subscribe();
+        }
+    }
+
+    /** Opens the watch from the last version seen; an older watch of ours is dropped. */
+    void subscribe() {
+        Channel old = watch;
+        watch = null;
+        if (old != null) {
+            old.close();
+        }
+        ChannelFuture connecting = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+                .handler(new ChannelInitializer<>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline().addLast(new ReadTimeoutHandler(SILENCE_S), new HttpClientCodec(),
+                                new Body(), new LineBasedFrameDecoder(MAX_LINE), new Lines());
+                    }
+                }).connect(address);
+        Channel opened = connecting.channel();
+        watch = opened;
+        opened.closeFuture().addListener(f -> ended(opened));
+        connecting.addListener(f -> {
+            if (f.isSuccess()) {
+                var request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
+                        "/discovery/hosts?watch=1&from=" + version);
+                request.headers().set(HttpHeaderNames.HOST, "discovery.internal");
+                opened.writeAndFlush(request);
+            } else {
+                opened.close();
+            }
+        });
+    }
+
+    private void ended(Channel channel) {
+        if (watch != channel) {
+            return;
+        }
+        watch = null;
+        if (pushed) {
+            loop.schedule(this::subscribe, backoffMs, TimeUnit.MILLISECONDS);
+            backoffMs = Math.min(LAST_BACKOFF_MS, 2 * backoffMs);
+        } else {
+            proxy.discoveryRefused();
+        }
+    }
+
+    private void line(String line) {
+        backoffMs = FIRST_BACKOFF_MS;
+        if (!line.isBlank()) {
+            try {
+                HostList list = HostList.parse(JsonParser.parseString(line).getAsJsonObject());
+                version = list.version();
+                proxy.hosts(list.whole() ? ListKind.FULL : ListKind.CHANGES, list);
+            } catch (RuntimeException e) {
+                log.odd("a line of discovery was dropped: " + e.getMessage());
+            }
+        }
+        heard.run();
+    }
+
+    /** Passes on what a good answer's body holds; any other answer ends the try. */
+    private static final class Body extends MessageToMessageDecoder<HttpObject> {
+        Body() {
+            super(HttpObject.class);
+        }
+
+        @Override
+        protected void decode(ChannelHandlerContext ctx, HttpObject part, List<Object> out) {
+            boolean refused = part instanceof HttpResponse head && !head.status().equals(HttpResponseStatus.OK);
+            if (refused || part.decoderResult().isFailure()) {
+                ctx.close();
+            } else if (part instanceof HttpContent content) {
+                out.add(content.content().retain());
+            }
+        }
+    }
+
+    private final class Lines extends SimpleChannelInboundHandler<ByteBuf> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, ByteBuf line) {
+            if (ctx.channel() == watch) {
+                line(line.toString(StandardCharsets.UTF_8));
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            log.odd("the watch on discovery broke: " + cause);
+            ctx.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/hopglade/proxy/HostList.java
@@ -0,0 +1,71 @@
+package hopglade.proxy;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import hopglade.Router.Availability;
+import hopglade.Router.Node;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+
+/** One message of discovery: the whole list of hosts, or those that changed. */
+public record HostList(long version, boolean whole, List<Host> hosts) {
+
+    /** A host and where this proxy reaches it. */
+    record Host(Node node, InetSocketAddress dial) { }
+
+    public HostList {
+        hosts = List.copyOf(hosts);
+    }
+
+    List<Node> nodes() {
+        return hosts.stream().map(Host::node).toList();
+    }
+
+    /** Parses all of it or throws, so that a bad entry never leaves half a list applied. */
+    static HostList parse(JsonObject o) {
+        try {
+            List<Host> hosts = new ArrayList<>();
+            JsonArray entries = o.getAsJsonArray("hosts");
+            for (JsonElement entry : entries == null ? new JsonArray() : entries) {
+                hosts.add(host(entry.getAsJsonObject()));
+            }
+            return new HostList(field(o, "seq").getAsLong(), field(o, "whole").getAsBoolean(), hosts);
+        } catch (IllegalStateException | UnsupportedOperationException | ClassCastException e) {
+            throw new IllegalArgumentException("host list: " + e.getMessage());
+        }
+    }
+
+    private static Host host(JsonObject o) {
+        Availability availability = switch (field(o, "health").getAsString()) {
+            case "up" -> Availability.UP;
+            case "draining" -> Availability.DRAINING;
+            case "removed" -> Availability.GONE;
+            default -> throw new IllegalArgumentException("host list: unknown health " + o.get("health"));
+        };
+        boolean dialled = availability != Availability.GONE || o.has("dial") && !o.get("dial").isJsonNull();
+        InetSocketAddress dial = dialled ? Addresses.parse(field(o, "dial").getAsString()) : null;
+        Node node = new Node(field(o, "host").getAsString(), text(o, "class", null), text(o, "site", ""),
+                (int) number(o, "block", 0), number(o, "share", 1), number(o, "born_ms", 0), availability);
+        return new Host(node, dial);
+    }
+
+    private static JsonElement field(JsonObject o, String name) {
+        JsonElement value = o.get(name);
+        if (value == null || value.isJsonNull()) {
+            throw new IllegalArgumentException("host list: " + name + " is missing");
+        }
+        return value;
+    }
+
+    private static String text(JsonObject o, String name, String absent) {
+        JsonElement value = o.get(name);
+        return value == null || value.isJsonNull() ? absent : value.getAsString();
+    }
+
+    private static double number(JsonObject o, String name, double absent) {
+        JsonElement value = o.get(name);
+        return value == null || value.isJsonNull() ? absent : value.getAsDouble();
+    }
+}
--- /dev/null
+++ b/src/main/java/hopglade/proxy/NodePool.java
@@ -0,0 +1,341 @@
+package hopglade.proxy;
+
+import hopglade.Router.Availability;
+import hopglade.Router.Outcome;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.util.concurrent.Future;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import java.util.stream.Collectors;
+
+/**
+ * Connections to the cache nodes and the origin. Each carries one exchange at a time; the newest idle one is used
+ * first, so that the rest age and close. Nothing is ever sent a second time from here: every exchange ends once, with
+ * the outcome that its own connection showed.
+ */
+final class NodePool {
+
+    /** Idle connections close at this part of the node's own limit: one that it closes first loses a request. */
+    private static final double IDLE_PART = 0.75;
+
+    /** Takes how an exchange ended; {@code response} is null where no whole answer came and is released afterwards. */
+    interface Done {
+        void ended(Exchange exchange, Outcome outcome, FullHttpResponse response);
+    }
+
+    private final EventLoop loop;
+    private final Bootstrap bootstrap;
+    private final double idleMs;
+    private final int maxConnections;
+    private final Map<String, Target> targets = new HashMap<>();
+    private int connections;
+
+    NodePool(EventLoop loop, double connectTimeoutMs, double idleMs, int maxConnections) {
+        this.loop = loop;
+        this.idleMs = idleMs * IDLE_PART;
+        this.maxConnections = maxConnections;
+        this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, Math.max(1, (int) connectTimeoutMs));
+    }
+
+    /** Takes in the list. Idle connections to a host that drains, left, moved or started anew are of no use. */
+    void list(HostList list) {
+        if (list.whole()) {
+            Set<String> named = list.hosts().stream().map(h -> h.node().id()).collect(Collectors.toSet());
+            List.copyOf(targets.keySet()).stream().filter(id -> !named.contains(id)).forEach(this::forget);
+        }
+        for (HostList.Host host : list.hosts()) {
+            Target known = targets.get(host.node().id());
+            if (host.node().availability() == Availability.GONE) {
+                forget(host.node().id());
+            } else if (known == null || !known.dial.equals(host.dial()) || known.bornMs != host.node().startedAtMs()) {
+                forget(host.node().id());
+                targets.put(host.node().id(), new Target(host.dial(), host.node().startedAtMs()));
+            } else if (host.node().availability() == Availability.DRAINING) {
+                known.closeIdle();
+            }
+        }
+    }
+
+    private void forget(String node) {
+        Target target = targets.remove(node);
+        if (target != null) {
+            target.closeIdle();
+            target.current = false;
+        }
+    }
+
+    void closeIdle(String node) {
+        Target target = targets.get(node);
+        if (target != null) {
+            target.closeIdle();
+        }
+    }
+
+    int connections() {
+        return connections;
+    }
+
+    /**
+     * Starts an exchange that is given up after {@code timeoutMs}. The request is made when a connection is there to
+     * write it to, so that the budget it names is what is left then.
+     */
+    Exchange send(String node, Supplier<FullHttpRequest> request, double timeoutMs, Done done) {
+        Exchange exchange = new Exchange(request, done);
+        exchange.timer = loop.schedule(exchange::timedOut, (long) (timeoutMs * 1e6), TimeUnit.NANOSECONDS);
+        Target target = targets.get(node);
+        if (target == null) {
+            exchange.end(Outcome.CONNECT_FAILED, null);
+            return exchange;
+        }
+        Connection idle = target.newestIdle();
+        if (idle != null) {
+            idle.write(exchange);
+        } else if (connections < maxConnections || closeOldestIdle()) {
+            connect(target, exchange);
+        } else {
+            // Out of descriptors: opening one more could leave none for a client that is being accepted.
+            exchange.end(Outcome.CONNECT_FAILED, null);
+        }
+        return exchange;
+    }
+
+    private void connect(Target target, Exchange exchange) {
+        Connection connection = new Connection(target);
+        connections++;
+        ChannelFuture connecting = bootstrap.clone().handler(new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(ClientServer.MAX_BODY),
+                        connection);
+            }
+        }).connect(target.dial);
+        exchange.channel = connecting.channel();
+        connecting.channel().closeFuture().addListener(f -> connections--);
+        connecting.addListener(f -> {
+            if (!f.isSuccess()) {
+                connecting.channel().close();
+                exchange.end(Outcome.CONNECT_FAILED, null);
+            } else if (exchange.over) {
+                connecting.channel().close();
+            } else {
+                connection.write(exchange);
+            }
+        });
+    }
+
+    /** Makes room for a connection that is needed now; false if every one is busy. */
+    private boolean closeOldestIdle() {
+        Connection oldest = null;
+        for (Target target : targets.values()) {
+            Connection candidate = target.idle.peekLast();
+            if (candidate != null && (oldest == null || candidate.idleSince - oldest.idleSince < 0)) {
+                oldest = candidate;
+            }
+        }
+        if (oldest != null) {
+            oldest.target.idle.remove(oldest);
+            oldest.context.close();
+        }
+        return oldest != null;
+    }
+
+    /** A host's address and its idle connections, newest first. */
+    private static final class Target {
+        final InetSocketAddress dial;
+        final double bornMs;
+        final Deque<Connection> idle = new ArrayDeque<>();
+        /** False once the list has moved on: connections that come free then must not wait for a use. */
+        boolean current = true;
+
+        Target(InetSocketAddress dial, double bornMs) {
+            this.dial = dial;
+            this.bornMs = bornMs;
+        }
+
+        Connection newestIdle() {
+            for (Connection c = idle.pollFirst(); c != null; c = idle.pollFirst()) {
+                if (c.context.channel().isActive()) {
+                    return c;
+                }
+            }
+            return null;
+        }
+
+        void closeIdle() {
+            List<Connection> all = new ArrayList<>(idle);
+            idle.clear();
+            all.forEach(c -> c.context.close());
+        }
+    }
+
+    /** One request to one node and its one outcome. */
+    final class Exchange {
+        private final Supplier<FullHttpRequest> request;
+        private final Done done;
+        private Channel channel;
+        private Future<?> timer;
+        private boolean written;
+        private boolean over;
+
+        private Exchange(Supplier<FullHttpRequest> request, Done done) {
+            this.request = request;
+            this.done = done;
+        }
+
+        /** Gives it up. The connection goes too: its answer may still come and would be taken for another's. */
+        void cancel() {
+            abandon(Outcome.CANCELLED);
+        }
+
+        private void timedOut() {
+            // Before its last byte was written the node cannot have begun it.
+            abandon(written ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED);
+        }
+
+        private void broken() {
+            end(written ? Outcome.RESET : Outcome.CONNECT_FAILED, null);
+        }
+
+        private void abandon(Outcome outcome) {
+            if (!over) {
+                end(outcome, null);
+                if (channel != null) {
+                    channel.close();
+                }
+            }
+        }
+
+        private void end(Outcome outcome, FullHttpResponse response) {
+            if (!over) {
+                over = true;
+                timer.cancel(false);
+                done.ended(this, outcome, response);
+            }
+        }
+    }
+
+    /** One connection to a host. */
+    private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
+        private final Target target;
+        private ChannelHandlerContext context;
+        private Exchange current;
+        private Future<?> idleTimer;
+        private long idleSince;
+
+        Connection(Target target) {
+            this.target = target;
+        }
+
+        @Override
+        public void handlerAdded(ChannelHandlerContext ctx) {
+            context = ctx;
+        }
+
+        void write(Exchange exchange) {
+            if (idleTimer != null) {
+                idleTimer.cancel(false);
+            }
+            current = exchange;
+            exchange.channel = context.channel();
+            // The promise covers head and body: it fails if the connection breaks before the last byte is written.
+            context.writeAndFlush(exchange.request.get()).addListener(f -> {
+                if (f.isSuccess()) {
+                    exchange.written = true;
+                } else {
+                    context.close();
+                }
+            });
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
+            Exchange exchange = current;
+            if (exchange == null || exchange.over) {
+                ctx.close();
+                return;
+            }
+            if (response.decoderResult().isFailure()) {
+                ctx.close();
+                exchange.end(Outcome.ERROR, null);
+                return;
+            }
+            if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+                return;
+            }
+            current = null;
+            if (exchange.written && HttpUtil.isKeepAlive(response) && target.current) {
+                rest();
+            } else {
+                ctx.close();
+            }
+            exchange.end(outcome(response), response);
+        }
+
+        private void rest() {
+            target.idle.addFirst(this);
+            idleSince = System.nanoTime();
+            if (idleMs < Long.MAX_VALUE / 1e6) {
+                idleTimer = loop.schedule(() -> {
+                    target.idle.remove(this);
+                    context.close();
+                }, (long) (idleMs * 1e6), TimeUnit.NANOSECONDS);
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            target.idle.remove(this);
+            if (idleTimer != null) {
+                idleTimer.cancel(false);
+            }
+            if (current != null) {
+                current.broken();
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            // A broken connection ends as its inactivity shows; anything else is an answer that makes no sense.
+            if (!(cause instanceof IOException) && current != null) {
+                current.end(Outcome.ERROR, null);
+            }
+            ctx.close();
+        }
+    }
+
+    private static Outcome outcome(FullHttpResponse response) {
+        HttpResponseStatus status = response.status();
+        return switch (status.code()) {
+            case 200 -> Outcome.OK;
+            case 404 -> Outcome.MISS;
+            case 503, 504 -> "1".equals(response.headers().get("X-Rejected")) ? Outcome.REJECTED : Outcome.ERROR;
+            default -> Outcome.ERROR;
+        };
+    }
+}
--- /dev/null
+++ b/src/main/java/hopglade/proxy/Peers.java
@@ -0,0 +1,80 @@
+package hopglade.proxy;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import java.net.InetSocketAddress;
+import java.util.List;
+
+/** Short messages between proxies, over UDP: late, lost, or from strangers. */
+final class Peers {
+
+    static final int MAX_MESSAGE = 256;
+
+    private final EventLoop loop;
+    private final Config config;
+    private final Proxy proxy;
+    private final int self;
+    private final Log log = new Log();
+    private Channel channel;
+
+    Peers(EventLoop loop, Config config, Proxy proxy) {
+        this.loop = loop;
+        this.config = config;
+        this.proxy = proxy;
+        this.self = config.settings().index();
+    }
+
+    ChannelFuture listen() {
+        ChannelFuture bound = new Bootstrap().group(loop).channel(NioDatagramChannel.class).handler(new Inbox())
+                .bind(config.peerListen());
+        channel = bound.channel();
+        return bound;
+    }
+
+    /** Sends to every other proxy. */
+    void tell(byte[] contents) {
+        if (channel == null || contents.length > MAX_MESSAGE) {
+            log.odd("a message to peers was not sent: " + contents.length + " bytes");
+        } else if (config.peersAll() != null) {
+            send(contents, config.peersAll());
+        } else {
+            List<InetSocketAddress> peers = config.peers();
+            for (int i = 0; i < peers.size(); i++) {
+                if (i != self) {
+                    send(contents, peers.get(i));
+                }
+            }
+        }
+    }
+
+    private void send(byte[] contents, InetSocketAddress to) {
+        channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(contents), to));
+    }
+
+    private final class Inbox extends SimpleChannelInboundHandler<DatagramPacket> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
+            int from = config.peers().indexOf(packet.sender());
+            int length = packet.content().readableBytes();
+            if (from < 0 || length > MAX_MESSAGE) {
+                log.odd("a datagram was dropped: " + length + " bytes from " + packet.sender());
+            } else if (from != self) {
+                proxy.peerMessage(from, ByteBufUtil.getBytes(packet.content()));
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            // An unreachable peer shows as an error on this socket; the socket itself is fine.
+            log.odd("peer socket: " + cause);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/hopglade/proxy/Service.java
@@ -0,0 +1,140 @@
+package hopglade.proxy;
+
+import hopglade.Decide;
+import hopglade.Router;
+import hopglade.Router.Outcome;
+import hopglade.Router.Settings;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.Arrays;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+
+/** One running proxy: puts the parts together on one event loop, and takes them down without losing a request. */
+public final class Service {
+
+    /** Descriptors for the listener, the watch, peers, the selector and the Java machine's own files. */
+    private static final int RESERVED_SOCKETS = 96;
+    /** Part of the other descriptors that is for clients; each of their requests has one attempt out at most. */
+    private static final double CLIENT_PART = 0.5;
+    /** New connections still come for 0.4 s after SIGTERM; requests on them for a little longer. */
+    private static final long LINGER_MS = 600;
+    private static final long DRAIN_POLL_MS = 10;
+    /** How long readiness waits for discovery: a list from the configuration serves if it says nothing. */
+    private static final long FIRST_NEWS_MS = 2000;
+    private static final long TALLY_S = 10;
+
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final CountDownLatch ended = new CountDownLatch(1);
+    private final EventLoop loop = group.next();
+    private final Config config;
+    private final Proxy proxy;
+    private final NodePool pool;
+    private final ClientServer clients;
+    private final Discovery discovery;
+    private final Peers peers;
+    private InetSocketAddress listening;
+
+    private Service(Config config, Router router) {
+        this.config = config;
+        Settings settings = config.settings();
+        int sockets = Math.max(2, config.sockets() - RESERVED_SOCKETS);
+        int clientSockets = Math.max(1, (int) (sockets * CLIENT_PART));
+        pool = new NodePool(loop, settings.limits().connectTimeoutMs(), settings.connections().idleMs(),
+                Math.max(1, sockets - clientSockets));
+        proxy = new Proxy(loop, new Clock(), settings, router, pool, config.maxOpen());
+        clients = new ClientServer(loop, proxy, settings, clientSockets);
+        discovery = new Discovery(loop, config.discovery(), proxy, config.known(), !settings.mustSubscribe(),
+                clients::ready);
+        peers = config.peerListen() == null ? null : new Peers(loop, config, proxy);
+        proxy.wire(discovery::subscribe, peers == null ? contents -> { } : peers::tell);
+    }
+
+    /** Starts a proxy with the project's decisions. */
+    public static Service start(Config config) throws IOException, InterruptedException {
+        return start(config, new Decide(config.settings(), config.seed()));
+    }
+
+    static Service start(Config config, Router router) throws IOException, InterruptedException {
+        Service service = new Service(config, router);
+        try {
+            service.open();
+        } catch (IOException e) {
+            service.group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+            throw e;
+        }
+        return service;
+    }
+
+    private void open() throws IOException, InterruptedException {
+        if (peers != null) {
+            bound(peers.listen(), config.peerListen());
+        }
+        // The module knows its list before the first client can come.
+        loop.submit(() -> proxy.start(config.known())).sync();
+        listening = (InetSocketAddress) bound(clients.listen(config.listen()), config.listen()).channel().localAddress();
+        loop.execute(discovery::start);
+        long patience = config.settings().mustSubscribe() ? 0 : FIRST_NEWS_MS;
+        loop.schedule(clients::ready, patience, TimeUnit.MILLISECONDS);
+        loop.scheduleAtFixedRate(this::logTally, TALLY_S, TALLY_S, TimeUnit.SECONDS);
+    }
+
+    private static ChannelFuture bound(ChannelFuture bound, InetSocketAddress address)
+            throws IOException, InterruptedException {
+        bound.await();
+        if (!bound.isSuccess()) {
+            throw new IOException("cannot listen on " + address + ": " + bound.cause().getMessage());
+        }
+        return bound;
+    }
+
+    InetSocketAddress listening() {
+        return listening;
+    }
+
+    /** Ends the service once nothing is owed, and returns then. */
+    public void drain() {
+        Log.info("draining");
+        loop.execute(() -> {
+            clients.drain();
+            loop.schedule(() -> {
+                clients.stop();
+                finish();
+            }, LINGER_MS, TimeUnit.MILLISECONDS);
+        });
+        try {
+            ended.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Waits for the last answers to be written; a client's connection closes once its own has been. */
+    private void finish() {
+        if (proxy.owed() > 0 || clients.connections() > 0) {
+            loop.schedule(this::finish, DRAIN_POLL_MS, TimeUnit.MILLISECONDS);
+        } else {
+            logTally();
+            group.shutdownGracefully(0, 1, TimeUnit.SECONDS).addListener(f -> ended.countDown());
+        }
+    }
+
+    /** Waits until the service has ended. */
+    public void awaitEnd() throws InterruptedException {
+        ended.await();
+    }
+
+    private void logTally() {
+        Proxy.Tally t = proxy.tally();
+        String outcomes = Arrays.stream(Outcome.values()).filter(o -> t.outcomes[o.ordinal()] > 0)
+                .map(o -> o + "=" + t.outcomes[o.ordinal()]).collect(Collectors.joining(" "));
+        Log.info("requests=" + t.requests + " served=" + t.served + " refused=" + t.refused + " failed=" + t.failed
+                + " gone=" + t.gone + " owed=" + proxy.owed() + " clients=" + clients.connections() + " nodes="
+                + pool.connections() + " attempts: " + outcomes);
+    }
+}
