Log through slf4j-simple; tell of discovery that is out of reach

Seen: after SIGTERM the log held the first line and no closing tally. A failed write now also ends its exchange at once and not only by the connection's close.

--- a/src/main/java/hopglade/proxy/Discovery.java
+++ b/src/main/java/hopglade/proxy/Discovery.java
@@ -104,6 +104,7 @@
             return;
         }
         watch = null;
+        log.odd("no watch on discovery; the list stays as of version " + version);
         if (pushed) {
             loop.schedule(this::subscribe, backoffMs, TimeUnit.MILLISECONDS);
             backoffMs = Math.min(LAST_BACKOFF_MS, 2 * backoffMs);
@@ -118,6 +119,8 @@
             try {
                 HostList list = HostList.parse(JsonParser.parseString(line).getAsJsonObject());
                 version = list.version();
+                list.hosts().forEach(h -> Log.info("list " + version + ": " + h.node().id() + " "
+                        + h.node().availability() + " at " + h.dial()));
                 proxy.hosts(list.whole() ? ListKind.FULL : ListKind.CHANGES, list);
             } catch (RuntimeException e) {
                 log.odd("a line of discovery was dropped: " + e.getMessage());
--- a/src/main/java/hopglade/proxy/Log.java
+++ b/src/main/java/hopglade/proxy/Log.java
@@ -1,12 +1,13 @@
 package hopglade.proxy;
 
-import java.lang.System.Logger.Level;
 import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** The log, with a brake for what strangers can cause at any rate: a flood of bad input must not become a flood of lines. */
 final class Log {
 
-    private static final System.Logger LOGGER = System.getLogger("hopglade");
+    private static final Logger LOGGER = LoggerFactory.getLogger("hopglade");
     private static final long WINDOW_NANOS = TimeUnit.SECONDS.toNanos(10);
     private static final int LINES_A_WINDOW = 20;
 
@@ -15,12 +16,12 @@
     private int dropped;
 
     static void info(String text) {
-        LOGGER.log(Level.INFO, text);
+        LOGGER.info(text);
     }
 
     /** A fault of our own; never held back. */
     static void error(String text, Throwable cause) {
-        LOGGER.log(Level.ERROR, text, cause);
+        LOGGER.error(text, cause);
     }
 
     /** Something odd from outside; past a few lines each ten seconds they are only counted. */
@@ -28,14 +29,14 @@
         long now = System.nanoTime();
         if (now - windowStart > WINDOW_NANOS) {
             if (dropped > 0) {
-                LOGGER.log(Level.WARNING, dropped + " more such lines were left out");
+                LOGGER.warn("{} more such lines were left out", dropped);
             }
             windowStart = now;
             lines = 0;
             dropped = 0;
         }
         if (lines++ < LINES_A_WINDOW) {
-            LOGGER.log(Level.WARNING, text);
+            LOGGER.warn(text);
         } else {
             dropped++;
         }
--- a/src/main/java/hopglade/proxy/NodePool.java
+++ b/src/main/java/hopglade/proxy/NodePool.java
@@ -270,6 +270,7 @@
                     exchange.written = true;
                 } else {
                     context.close();
+                    exchange.broken();
                 }
             });
         }
