--- a/src/main/java/hopglade/proxy/ClientServer.java
+++ b/src/main/java/hopglade/proxy/ClientServer.java
@@ -59,6 +59,7 @@
     private final Set<Connection> connections = new LinkedHashSet<>();
     private Channel listener;
     private boolean ready;
+    private boolean full;
     private boolean draining;
 
     ClientServer(EventLoop loop, Proxy proxy, Settings settings, int maxConnections) {
@@ -107,18 +108,21 @@
 
     /**
      * Keeps below the descriptors that are ours: the connection that has waited longest goes, and if every one is
-     * busy the next clients wait in the listener's backlog. Accepting past the limit would fail for all.
+     * busy the next clients wait in the listener's backlog until one has its answer. Accepting past the limit would
+     * fail for all.
      */
     private void makeRoom() {
         if (connections.size() + 1 >= maxConnections) {
             connections.stream().filter(Connection::idle).findFirst().ifPresent(Connection::closeIfIdle);
+            full = true;
             listener.config().setAutoRead(false);
         }
     }
 
     private void closed(Connection connection) {
         connections.remove(connection);
-        if (connections.size() + 1 < maxConnections) {
+        if (full && connections.size() < maxConnections) {
+            full = false;
             listener.config().setAutoRead(true);
         }
     }
@@ -243,7 +247,8 @@
 
         private void answer(FullHttpResponse answer) {
             HttpUtil.setContentLength(answer, answer.content().readableBytes());
-            boolean last = draining || !keepAlive;
+            // While clients wait to be accepted, a connection that is kept would keep one of them out.
+            boolean last = draining || full || !keepAlive;
             if (last) {
                 answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             }
--- a/src/main/java/hopglade/proxy/Config.java
+++ b/src/main/java/hopglade/proxy/Config.java
@@ -55,8 +55,7 @@
                     required(o, "listen", environment.get("BALANCER_LISTEN")),
                     required(o, "discovery", environment.get("BALANCER_DISCOVERY")), seed(o), sockets(o),
                     optional(o, "peer_listen"), peers(o), optional(o, "peers_all"),
-                    o.has("known") ? HostList.parse(o.getAsJsonObject("known")) : null,
-                    SettingsReader.read(settings), maxOpen(settings));
+                    known(o), SettingsReader.read(settings), maxOpen(settings));
         } catch (RuntimeException e) {
             // Gson and the settings' own checks report what is wrong by several unchecked types.
             throw new ConfigException(String.valueOf(e.getMessage()).lines().findFirst().orElse("malformed"));
@@ -92,6 +91,11 @@
         return peers;
     }
 
+    private static HostList known(JsonObject o) {
+        JsonElement known = o.get("known");
+        return known == null || known.isJsonNull() ? null : HostList.parse(known.getAsJsonObject());
+    }
+
     private static long seed(JsonObject o) {
         String seed = text(o, "seed", null);
         return seed == null ? System.nanoTime() : Long.parseUnsignedLong(seed, HEX);
--- a/src/main/java/hopglade/proxy/Proxy.java
+++ b/src/main/java/hopglade/proxy/Proxy.java
@@ -23,6 +23,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -166,22 +167,19 @@
             settle(call);
             call.client.served(response);
         }
-        report(call.in.id(), call, attempt, node, outcome, clock.now() - sentAt);
+        report(call.in.id(), call, attempt, node, outcome, clock.now() - sentAt, note(response));
     }
 
-    private void report(String id, Call call, int attempt, String node, Outcome outcome, double elapsedMs) {
+    private void report(String id, Call call, int attempt, String node, Outcome outcome, double elapsedMs,
+                        int note) {
         boolean finished = call == null || call.over;
         if (call != null) {
             forgetIfDone(call);
         }
-        AttemptEnd end = new AttemptEnd(id, attempt, node, outcome, elapsedMs, finished, note(call), Map.of());
+        AttemptEnd end = new AttemptEnd(id, attempt, node, outcome, elapsedMs, finished, note, Map.of());
         tell(now -> router.attemptEnded(now, end, this), call == null ? () -> { } : () -> answerInstead(call));
     }
 
-    private static int note(Call call) {
-        return call == null ? 0 : call.note;
-    }
-
     // The module's calls, one at a time.
 
     /**
@@ -342,22 +340,18 @@
         if (call == null || call.over || call.out != null || wait <= 0
                 || attempt >= settings.limits().maxAttempts()) {
             tally.outcomes[Outcome.NEVER_SENT.ordinal()]++;
-            report(request, call, attempt, node, Outcome.NEVER_SENT, 0);
+            report(request, call, attempt, node, Outcome.NEVER_SENT, 0, 0);
             return;
         }
-        call.note = 0;
         double giveUp = now + wait;
         Attempt out = new Attempt();
         call.out = out;
-        out.exchange = pool.send(node, () -> call.toNode(giveUp - clock.now()), wait, (exchange, outcome, response) -> {
-            call.note = response == null ? 0 : note(response);
-            ended(call, attempt, node, now, outcome, response);
-        });
+        out.exchange = pool.send(node, () -> call.toNode(giveUp - clock.now()), wait,
+                (exchange, outcome, response) -> ended(call, attempt, node, now, outcome, response));
     }
 
     private static int note(FullHttpResponse response) {
-        String hit = response.headers().get("X-Hit", "");
-        return switch (hit) {
+        return switch (response == null ? "" : response.headers().get("X-Hit", "")) {
             case "hit" -> 1;
             case "miss" -> 2;
             case "pending" -> 3;
@@ -391,10 +385,9 @@
         final Payload payload;
         final Client client;
         final double deadline;
-        java.util.concurrent.Future<?> backstop;
+        Future<?> backstop;
         Attempt out;
         int attempts;
-        int note;
         boolean proven = true;
         boolean over;
 
--- a/src/main/java/hopglade/proxy/Service.java
+++ b/src/main/java/hopglade/proxy/Service.java
@@ -19,7 +19,7 @@
 public final class Service {
 
     /** Descriptors for the listener, the watch, peers, the selector and the Java machine's own files. */
-    private static final int RESERVED_SOCKETS = 48;
+    static final int RESERVED_SOCKETS = 48;
     /** Part of the other descriptors that is for clients; each of their requests has one attempt out at most. */
     private static final double CLIENT_PART = 0.5;
     /** New connections still come for 0.4 s after SIGTERM; requests on them for a little longer. */
--- a/src/test/java/hopglade/proxy/ClientTest.java
+++ b/src/test/java/hopglade/proxy/ClientTest.java
@@ -6,32 +6,15 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import hopglade.Router.Outcome;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
 /** What clients send, well-formed or not, and that each request gets its one answer. */
-class ClientTest {
+class ClientTest extends WithSite {
 
     private static final String GOOD = "X-Call-Id: a1|X-Call-Class: read|X-Budget: 60";
 
-    private Site site;
-    private Peer.Wire client;
-
-    @BeforeEach
-    void start() throws Exception {
-        site = Site.started();
-        client = site.client();
-    }
-
-    @AfterEach
-    void stop() throws Exception {
-        client.close();
-        site.close();
-    }
-
     @ParameterizedTest
     @CsvSource({
         "GET, /api/k, X-Call-Class: read|X-Budget: 1, 400",
--- /dev/null
+++ b/src/test/java/hopglade/proxy/DescriptorsTest.java
@@ -0,0 +1,66 @@
+package hopglade.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** With room for three clients, more than three are all served in the end. */
+class DescriptorsTest {
+
+    private static final int CLIENTS = 3;
+    private static final String UP = "GET /up HTTP/1.1\r\nHost: s\r\n\r\n";
+
+    private final Deque<Peer.Wire> clients = new ArrayDeque<>();
+    private Site site;
+
+    @BeforeEach
+    void start() throws Exception {
+        site = new Site();
+        site.sockets = Service.RESERVED_SOCKETS + 2 * CLIENTS;
+        site.start("automatic", "60000", "");
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        for (Peer.Wire client : clients) {
+            client.close();
+        }
+        site.close();
+    }
+
+    private Peer.Wire connect() throws Exception {
+        clients.add(site.client());
+        return clients.getLast();
+    }
+
+    @Test
+    void idleClientsMakeRoomForNewOnes() throws Exception {
+        for (int i = 0; i < 3 * CLIENTS; i++) {
+            Peer.Wire client = connect();
+            client.write(UP);
+            Site.status(client.read());
+        }
+        assertNull(clients.getFirst().read(), "the one that waited longest was let go");
+    }
+
+    @Test
+    void aBusyClientsEndLetsTheNextOneIn() throws Exception {
+        Deque<Peer.Wire> nodes = new ArrayDeque<>();
+        for (int i = 0; i < CLIENTS; i++) {
+            connect().write(site.get(Site.LONG_S));
+            nodes.add(site.node.next().wire());
+        }
+        Peer.Wire next = connect();
+        next.write(site.get(Site.LONG_S));
+        nodes.getFirst().answer(200, "first");
+        assertEquals(200, Site.status(clients.getFirst().read()));
+        Peer.Message waited = site.node.next();
+        waited.wire().answer(200, "next");
+        assertEquals(200, Site.status(next.read()));
+    }
+}
--- a/src/test/java/hopglade/proxy/OutcomeTest.java
+++ b/src/test/java/hopglade/proxy/OutcomeTest.java
@@ -7,29 +7,12 @@
 
 import hopglade.Router.AttemptEnd;
 import hopglade.Router.Outcome;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
 /** What a node's connection shows becomes the outcome that the protocol names, and the pool stays clean. */
-class OutcomeTest {
-
-    private Site site;
-    private Peer.Wire client;
-
-    @BeforeEach
-    void start() throws Exception {
-        site = Site.started();
-        client = site.client();
-    }
-
-    @AfterEach
-    void stop() throws Exception {
-        client.close();
-        site.close();
-    }
+class OutcomeTest extends WithSite {
 
     @ParameterizedTest
     @CsvSource({"200, X-Other: 1, OK", "404, X-Other: 1, MISS", "500, X-Other: 1, ERROR", "503, X-Rejected: 1, REJECTED",
--- a/src/test/java/hopglade/proxy/Site.java
+++ b/src/test/java/hopglade/proxy/Site.java
@@ -20,6 +20,7 @@
     final Peer discovery = new Peer();
     final Scripted router = new Scripted();
     Service service;
+    int sockets = 256;
     private int calls;
 
     Site() throws IOException { }
@@ -36,7 +37,7 @@
 
     Config config(String mode, String idleMs, String more) throws ConfigException {
         return Config.parse("{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"" + discovery.dial() + "\","
-                + "\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":256}," + more
+                + "\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":" + sockets + "}," + more
                 + "\"known\":" + list(7, true, host("c0", node.dial(), "up", 0)) + ",\"settings\":"
                 + SETTINGS.formatted(mode, idleMs) + "}", Map.of());
     }
