Warm up before readiness; let the level rise only once the base is learned

At fault: classes loaded and compiled under the first clients; Control.step, which rises from a base that has seen nothing. Now a throwaway proxy runs 3000 requests over in-process channels, no sockets, before the listener opens (1 s of CPU), and the level waits for four intervals with a sample.

--- a/src/main/java/hopglade/Decide.java
+++ b/src/main/java/hopglade/Decide.java
@@ -39,6 +39,12 @@
      * would let all that in at once and throttle again. Could harm where the origin recovers at a bound.
      */
     static final double BASE_GROWTH = 1.15;
+    /**
+     * Intervals with a sample that the base is learned from before the level may rise for the first time. A
+     * base that has seen little is far too low: a start with a few late fetches then refused most misses for
+     * half a minute. Could harm where a balancer starts while the origin is slow.
+     */
+    static final int LEARNED = 4;
     /** Smoothing of the rate whose peak the base is: one interval's peak is mostly luck. */
     static final double RATE_SMOOTH = 0.3;
     /** No base is lower, in fetches a second: a balancer that saw little must still try. */
@@ -688,7 +694,7 @@
         double floor = BASE_FLOOR;
         double base = BASE_FLOOR;
         private double rate = -1;
-        private int good, bad, spans;
+        private int good, bad, spans, learned;
 
         void count(boolean wasGood) {
             good += wasGood ? 1 : 0;
@@ -701,12 +707,13 @@
                 double perS = good * 1000 / intervalMs;
                 rate = rate < 0 ? perS : rate + RATE_SMOOTH * (perS - rate);
                 base = Math.max(floor, Math.max(base * BASE_DECAY, rate));
+                learned += all >= THIN ? 1 : 0;
             }
             if (floor < BASE_FLOOR && all < THIN && bad > 0 && ++spans < SPAN) {
                 return;
             }
             spans = 0;
-            if (all >= THIN && bad > RISE * all) {
+            if (all >= THIN && bad > RISE * all && (level > 0 || learned >= LEARNED)) {
                 level = Math.min(level + 1, LADDER.length);
             } else if (all < THIN || bad < FALL * all) {
                 if (level == 1 && refusals > 0) {
--- a/src/main/java/hopglade/proxy/ClientServer.java
+++ b/src/main/java/hopglade/proxy/ClientServer.java
@@ -4,7 +4,6 @@
 import hopglade.Router.Request;
 import hopglade.Router.ServiceClass;
 import hopglade.Router.Settings;
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
@@ -14,11 +13,9 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DuplexChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -35,7 +32,7 @@
 import io.netty.handler.codec.http.TooLongHttpContentException;
 import io.netty.util.ReferenceCountUtil;
 import java.math.BigDecimal;
-import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.util.ArrayDeque;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -52,7 +49,6 @@
 final class ClientServer {
 
     static final int MAX_BODY = 64 * 1024;
-    private static final int BACKLOG = 1024;
     private static final String API = "/api/";
     private static final Pattern ID = Pattern.compile("[0-9A-Za-z_-]{1,64}");
     /** A budget past this is a mistake, and as a timer would outlive the process. */
@@ -90,10 +86,8 @@
         settings.classes().forEach(c -> classes.put(c.name(), c));
     }
 
-    ChannelFuture listen(InetSocketAddress address) {
-        ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
-                .childOption(ChannelOption.TCP_NODELAY, true)
+    ChannelFuture listen(Transport transport, SocketAddress address) {
+        ChannelFuture bound = transport.server(loop)
                 .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel channel) {
@@ -368,7 +362,11 @@
             dropWaiting();
             channel.config().setAutoRead(true);
             written = channel.writeAndFlush(answer);
-            written.addListener(f -> ((DuplexChannel) channel).shutdownOutput());
+            written.addListener(f -> {
+                if (channel instanceof DuplexChannel halves) {
+                    halves.shutdownOutput();
+                }
+            });
         }
 
         private void next() {
--- a/src/main/java/hopglade/proxy/HostList.java
+++ b/src/main/java/hopglade/proxy/HostList.java
@@ -6,6 +6,7 @@
 import hopglade.Router.Availability;
 import hopglade.Router.Node;
 import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -13,7 +14,7 @@
 public record HostList(long version, boolean whole, List<Host> hosts) {
 
     /** A host and where this proxy reaches it. */
-    record Host(Node node, InetSocketAddress dial) { }
+    record Host(Node node, SocketAddress dial) { }
 
     public HostList {
         hosts = List.copyOf(hosts);
--- a/src/main/java/hopglade/proxy/NodePool.java
+++ b/src/main/java/hopglade/proxy/NodePool.java
@@ -12,7 +12,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -24,7 +23,7 @@
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
-import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -69,12 +68,11 @@
     private boolean restsWatched;
     private int connections;
 
-    NodePool(EventLoop loop, double connectTimeoutMs, double idleMs, int maxConnections) {
+    NodePool(EventLoop loop, Transport transport, double connectTimeoutMs, double idleMs, int maxConnections) {
         this.loop = loop;
         this.idleMs = idleMs * IDLE_PART;
         this.maxConnections = maxConnections;
-        this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                .option(ChannelOption.TCP_NODELAY, true)
+        this.bootstrap = transport.client(loop)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, Math.max(1, (int) connectTimeoutMs));
     }
 
@@ -192,13 +190,13 @@
 
     /** A host's address and its idle connections, newest first. */
     private static final class Target {
-        final InetSocketAddress dial;
+        final SocketAddress dial;
         final double bornMs;
         final Deque<Connection> idle = new ArrayDeque<>();
         /** False once the list has moved on: connections that come free then must not wait for a use. */
         boolean current = true;
 
-        Target(InetSocketAddress dial, double bornMs) {
+        Target(SocketAddress dial, double bornMs) {
             this.dial = dial;
             this.bornMs = bornMs;
         }
--- a/src/main/java/hopglade/proxy/Service.java
+++ b/src/main/java/hopglade/proxy/Service.java
@@ -47,7 +47,7 @@
         Settings settings = config.settings();
         int sockets = Math.max(2, config.sockets() - RESERVED_SOCKETS);
         int clientSockets = Math.max(1, (int) (sockets * CLIENT_PART));
-        pool = new NodePool(loop, settings.limits().connectTimeoutMs(), settings.connections().idleMs(),
+        pool = new NodePool(loop, Transport.TCP, settings.limits().connectTimeoutMs(), settings.connections().idleMs(),
                 Math.max(1, sockets - clientSockets));
         proxy = new Proxy(loop, new Clock(), settings, router, pool, config.maxOpen());
         clients = new ClientServer(loop, proxy, settings, clientSockets);
@@ -59,6 +59,7 @@
 
     /** Starts a proxy with the project's decisions. */
     public static Service start(Config config) throws IOException, InterruptedException {
+        Warmup.run(config.settings());
         return start(config, new Decide(config.settings(), config.seed()));
     }
 
@@ -79,7 +80,7 @@
         }
         // The module knows its list before the first client can come.
         loop.submit(() -> proxy.start(config.known())).sync();
-        listening = (InetSocketAddress) bound(clients.listen(config.listen()), config.listen()).channel().localAddress();
+        listening = (InetSocketAddress) bound(clients.listen(Transport.TCP, config.listen()), config.listen()).channel().localAddress();
         loop.execute(discovery::start);
         long patience = config.settings().mustSubscribe() ? 0 : FIRST_NEWS_MS;
         loop.schedule(clients::ready, patience, TimeUnit.MILLISECONDS);
--- /dev/null
+++ b/src/main/java/hopglade/proxy/Warmup.java
@@ -0,0 +1,172 @@
+package hopglade.proxy;
+
+import hopglade.Decide;
+import hopglade.Router.Availability;
+import hopglade.Router.ListKind;
+import hopglade.Router.Node;
+import hopglade.Router.Settings;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.local.LocalAddress;
+import io.netty.channel.local.LocalIoHandler;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Runs the proxy's own path before clients come, with a proxy of its own and nothing that leaves the process. On part of
+ * a core the Java machine needs seconds to load and compile it; requests that came meanwhile were all too late, and
+ * what the module then learned of nodes and origin was learned of us.
+ */
+final class Warmup {
+
+    static final int REQUESTS = 3000;
+    private static final long PATIENCE_MS = 4000;
+    private static final int AT_ONCE = 4;
+    private static final int NODES = 4;
+    /** One of so many requests is a miss at its cache node. */
+    private static final int MISS = 4;
+    private static final double CONNECT_MS = 1000;
+
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, LocalIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private final CountDownLatch done = new CountDownLatch(1);
+    private final Settings settings;
+    private int sent;
+    private volatile int served;
+
+    private Warmup(Settings settings) {
+        this.settings = settings;
+    }
+
+    /** Returns how many requests were answered, when it has run long enough; a fault in it costs its gain alone. */
+    static int run(Settings settings) throws InterruptedException {
+        Warmup warmup = new Warmup(settings);
+        try {
+            warmup.start();
+            warmup.done.await(PATIENCE_MS, TimeUnit.MILLISECONDS);
+            Log.info("warmed up with " + warmup.served + " requests");
+            return warmup.served;
+        } finally {
+            warmup.group.shutdownGracefully(0, 0, TimeUnit.SECONDS).await(1, TimeUnit.SECONDS);
+        }
+    }
+
+    private void start() throws InterruptedException {
+        NodePool pool = new NodePool(loop, Transport.IN_PROCESS, CONNECT_MS, settings.connections().idleMs(), NODES * AT_ONCE);
+        Proxy proxy = new Proxy(loop, new Clock(), settings, new Decide(settings, 0), pool, AT_ONCE + 1);
+        ClientServer clients = new ClientServer(loop, proxy, settings, 2 * AT_ONCE);
+        LocalAddress front = new LocalAddress("warm-up");
+        List<HostList.Host> hosts = new ArrayList<>();
+        for (int i = 0; i <= NODES; i++) {
+            LocalAddress address = new LocalAddress("warm-up-" + i);
+            boolean origin = i == NODES && settings.originModel() != null;
+            node(address, origin);
+            hosts.add(new HostList.Host(new Node("warm-up-" + i, origin ? settings.originModel() : "", settings.zone(), 0,
+                    1, 0, Availability.UP), address));
+        }
+        loop.submit(() -> {
+            proxy.start(null);
+            proxy.hosts(ListKind.FULL, new HostList(1, true, hosts));
+        }).sync();
+        clients.listen(Transport.IN_PROCESS, front).sync();
+        for (int i = 0; i < AT_ONCE; i++) {
+            client(front);
+        }
+    }
+
+    private void node(LocalAddress address, boolean origin) throws InterruptedException {
+        Transport.IN_PROCESS.server(loop)
+                .childHandler(new ChannelInitializer<>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(ClientServer.MAX_BODY),
+                                new Answers(origin));
+                    }
+                }).bind(address).sync();
+    }
+
+    private void answered() {
+        // Written by the loop alone.
+        int next = served + 1;
+        served = next;
+    }
+
+    private void client(LocalAddress front) {
+        Transport.IN_PROCESS.client(loop).handler(new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(ClientServer.MAX_BODY),
+                        new Asks());
+            }
+        }).connect(front);
+    }
+
+    /** A node that has most keys, or the origin, which has all. */
+    private static final class Answers extends SimpleChannelInboundHandler<FullHttpRequest> {
+        private static final byte[] BODY = new byte[1000];
+        private final boolean origin;
+
+        Answers(boolean origin) {
+            this.origin = origin;
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+            boolean miss = !origin && request.uri().hashCode() % MISS == 0;
+            FullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+                    miss ? HttpResponseStatus.NOT_FOUND : HttpResponseStatus.OK,
+                    miss ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(BODY));
+            answer.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, answer.content().readableBytes())
+                    .set("X-Hit", miss ? "miss" : "hit");
+            ctx.writeAndFlush(answer);
+        }
+    }
+
+    /** A client that asks again as soon as it has its answer, and comes back on a new connection if need be. */
+    private final class Asks extends SimpleChannelInboundHandler<FullHttpResponse> {
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) {
+            ask(ctx);
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse answer) {
+            if (answer.status().equals(HttpResponseStatus.OK)) {
+                answered();
+            }
+            if (sent < REQUESTS) {
+                ask(ctx);
+            } else {
+                done.countDown();
+            }
+        }
+
+        private void ask(ChannelHandlerContext ctx) {
+            int number = sent++;
+            FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
+                    "/api/warm-up-" + number % 512);
+            request.headers().set(HttpHeaderNames.HOST, "service.internal").set("X-Call-Id", "warm-up-" + number)
+                    .set("X-Call-Class", settings.classes().get(number % settings.classes().size()).name())
+                    .set("X-Caller", "warm-up").set("X-Budget", "10.000");
+            ctx.writeAndFlush(request);
+        }
+    }
+}
--- a/src/test/java/hopglade/proxy/DescriptorsTest.java
+++ b/src/test/java/hopglade/proxy/DescriptorsTest.java
@@ -60,6 +60,10 @@
         nodes.getFirst().answer(200, "first");
         assertEquals(200, Site.status(clients.getFirst().read()));
         Peer.Message waited = site.node.next();
+        while (waited.text() == null) {
+            // A connection at rest made room for the one that is needed.
+            waited = site.node.next();
+        }
         waited.wire().answer(200, "next");
         assertEquals(200, Site.status(next.read()));
     }
--- a/src/test/java/hopglade/proxy/Site.java
+++ b/src/test/java/hopglade/proxy/Site.java
@@ -75,6 +75,8 @@
         // Without its peers nothing that is still out can hold the service up.
         node.close();
         discovery.close();
-        service.kill();
+        if (service != null) {
+            service.kill();
+        }
     }
 }
