--- a/src/main/java/hopglade/proxy/Warmup.java
+++ b/src/main/java/hopglade/proxy/Warmup.java
@@ -151,7 +151,8 @@
                     miss ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(BODY));
             answer.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, answer.content().readableBytes())
                     .set("X-Hit", miss ? "miss" : "hit");
-            ctx.writeAndFlush(answer);
+            // Not from within the read: the answer would overtake the end of the write that asked for it.
+            ctx.executor().execute(() -> ctx.writeAndFlush(answer));
         }
     }
 
@@ -180,7 +181,7 @@
                     "/api/warm-up-" + number % 512);
             request.headers().set(HttpHeaderNames.HOST, "service.internal").set("X-Call-Id", "warm-up-" + number)
                     .set("X-Call-Class", settings.classes().get(number % settings.classes().size()).name())
-                    .set("X-Caller", "warm-up").set("X-Budget", "10.000");
+                    .set("X-Caller", "warm-up").set("X-Budget", "1.000");
             ctx.writeAndFlush(request);
         }
     }
