--- a/src/main/java/hopglade/Decide.java
+++ b/src/main/java/hopglade/Decide.java
@@ -26,6 +26,8 @@
     static final double FALL = 0.05;
     /** Fewer outcomes than this in an interval are a thin sample. */
     static final int THIN = 4;
+    /** Standard deviations by which broken fetches may exceed what breaks elsewhere. */
+    static final double CHANCE = 2;
     /** Intervals that a thin sample with a bad fetch waits to grow where balancers outnumber nodes. */
     static final int SPAN = 6;
     /** Refill rates of levels 1 and up, as multiples of the base. */
@@ -61,6 +63,12 @@
      */
     static final double SPOILING = 0.35;
     static final double SPOILT_SMOOTH = 0.1;
+    /** Weight of an attempt in a node's running share of broken connections: about two seconds' worth. */
+    static final double BROKEN_SMOOTH = 0.02;
+    /** Share of connections that break at the median cache node from which on the network is at fault. */
+    static final double BREAKING = 0.01;
+    /** How unlikely a run of broken connections must be by the fleet's usual share to tell of its node. */
+    static final double LUCK = 1e-5;
     /** Part of the usual aim that a node's queue may take. */
     static final double CROWD = 0.6;
     /** Power of their number by which balancers share a node's queue; over a half, as jams must end. */
@@ -144,6 +152,13 @@
     private final Meter cacheAnswers = new Meter();
     private final Meter asked = new Meter();
     private double answeredShare = 1, goOn = 1, totalShare = 1, coldChance = COLD_CARE;
+    /**
+     * Share of attempts whose connection breaks at the median cache node. What breaks everywhere is the
+     * network's doing (short idle times, a lossy middlebox, resets) and tells nothing of a node or of the
+     * origin's load, so neither is judged by it; a node or an origin that breaks more than that still is.
+     * Could harm where one cause overruns all nodes at once and they cut connections instead of waiting.
+     */
+    private double usualBreaks;
     private boolean subscribed;
     private int seen, refusedCalls;
 
@@ -247,15 +262,16 @@
             if (!fetched && answered) {
                 // An error too is an answer: a node that spoils some of its own is no fleet that is overrun.
                 cacheAnswers.add(now, 1);
-            } else if (!fetched && (end.outcome() == Outcome.CONNECT_FAILED
-                    || end.outcome() == Outcome.NEVER_SENT)) {
+            } else if (!fetched && (broke(end.outcome()) || end.outcome() == Outcome.NEVER_SENT)) {
                 cacheSends.add(now, -1);
             }
         }
         if (fetched || !hasOrigin && end.note() > 1) {
             double aim = r == null ? INTERVAL_MS : r.service.aimMs();
             boolean called = end.outcome() == Outcome.CANCELLED || end.outcome() == Outcome.NEVER_SENT;
-            if (!called && (r == null || !r.overdue)) {
+            if (!called && (r == null || !r.overdue) && broke(end.outcome())) {
+                control.countBroken();
+            } else if (!called && (r == null || !r.overdue)) {
                 control.count(end.outcome() == Outcome.OK && end.elapsedMs() <= aim);
             }
         }
@@ -362,6 +378,12 @@
     }
 
     private void afterLookUp(double now, Held r, NodeView node, Outcome outcome, Actions out) {
+        boolean network = broke(outcome) && usualBreaks > BREAKING;
+        if (network && node != null && node.usable(now) && mayRepeat(now, r) && r.samePlace++ == 0) {
+            // The node is fine and may hold the key: another would miss, and a miss is one more fetch.
+            lookUp(now, r, out);
+            return;
+        }
         r.tried.add(node);
         if (outcome == Outcome.MISS && node != null) {
             r.missed.add(node);
@@ -416,7 +438,9 @@
 
     private void afterFetch(double now, Held r, Outcome outcome, Actions out) {
         boolean again = outcome != Outcome.OK && outcome != Outcome.TIMEOUT && outcome != Outcome.REJECTED;
-        if (again && control.level == 0 && r.fetchTries++ == 0 && mayRepeat(now, r)) {
+        // What the network breaks is repeated while throttled too: the token that it draws bounds the load.
+        boolean may = control.level == 0 || broke(outcome) && usualBreaks > BREAKING;
+        if (again && may && r.fetchTries++ == 0 && mayRepeat(now, r)) {
             fetch(now, r, out);
         } else {
             end(now, r, out);
@@ -576,6 +600,9 @@
         }
         countOverdue(now);
         control.floor = BASE_FLOOR * Math.min(1, caches.size() / (double) settings.proxies());
+        double[] broken = caches.stream().mapToDouble(n -> n.broken).sorted().toArray();
+        usualBreaks = broken.length == 0 ? 0 : broken[(broken.length - 1) / 2];
+        control.judgeBroken(usualBreaks);
         control.step(INTERVAL_MS, bank.refusals);
         bank.rate(now, control.rate());
         weighModels();
@@ -685,6 +712,7 @@
         double worth, sentAt, firstSent;
         int attempts;
         int fetchTries;
+        int samePlace;
         boolean proven = true;
         boolean low, out, overdue, streaming, pickedSecond, crowded, heldOnce, hasToken, fetches;
 
@@ -709,13 +737,29 @@
         double floor = BASE_FLOOR;
         double base = BASE_FLOOR;
         private double rate = -1;
-        private int good, bad, spans, learned;
+        private int good, bad, broken, spans, learned;
 
         void count(boolean wasGood) {
             good += wasGood ? 1 : 0;
             bad += wasGood ? 0 : 1;
         }
 
+        void countBroken() {
+            broken++;
+        }
+
+        /**
+         * Of broken fetches only those count, as bad, that neither the share which breaks at the cache nodes
+         * too nor chance explains: a network that breaks connections says nothing of the
+         * origin's load, while an origin that cuts off what it can't take must still be throttled. Could
+         * harm where origin and caches are overrun alike: late answers and time-outs alone then throttle.
+         */
+        void judgeBroken(double usualBreaks) {
+            double expected = usualBreaks * (good + bad + broken);
+            bad += (int) Math.ceil(Math.max(0, broken - expected - CHANCE * Math.sqrt(expected)));
+            broken = 0;
+        }
+
         void step(double intervalMs, int refusals) {
             int all = good + bad;
             if (level == 0) {
@@ -800,8 +844,9 @@
         Node entry;
         boolean listed;
         double weight = 1;
-        int inFlight, strikes;
-        double eachMs, spoilt;
+        int inFlight;
+        double strikes;
+        double eachMs, spoilt, broken;
         int ejections;
         double lastEnd = Double.NEGATIVE_INFINITY;
         boolean onTrial;
@@ -885,6 +930,9 @@
         void ended(double now, AttemptEnd end, List<NodeView> peers) {
             inFlight = Math.max(0, inFlight - 1);
             lastEnd = now;
+            if (end.outcome() != Outcome.CANCELLED && end.outcome() != Outcome.NEVER_SENT) {
+                broken += BROKEN_SMOOTH * ((broke(end.outcome()) ? 1 : 0) - broken);
+            }
             switch (end.outcome()) {
                 case OK, MISS -> {
                     onTrial = false;
@@ -893,10 +941,11 @@
                     ejections = spoilt < SPOILT_SMOOTH ? 0 : ejections;
                     timed(end.elapsedMs());
                 }
-                case CONNECT_FAILED, RESET, REJECTED -> strike(now, peers);
+                case CONNECT_FAILED, RESET -> strike(now, peers, STRIKES / runOfBreaks());
+                case REJECTED -> strike(now, peers, 1);
                 case TIMEOUT -> {
                     timed(Math.max(end.elapsedMs(), eachMs * (inFlight + 1)));
-                    strike(now, peers);
+                    strike(now, peers, 1);
                 }
                 case ERROR -> {
                     spoilt += SPOILT_SMOOTH * (1 - spoilt);
@@ -919,13 +968,23 @@
          * the list still calls it fine. Never more than half of the nodes, or those left would be overrun.
          * Could harm where time-outs come from the requests and not the node.
          */
-        private void strike(double now, List<NodeView> peers) {
-            strikes++;
+        private void strike(double now, List<NodeView> peers, double weight) {
+            strikes += weight;
             if (strikes >= STRIKES) {
-                spare(now, peers, strikes - STRIKES);
+                spare(now, peers, (int) strikes - STRIKES);
             }
         }
 
+        /**
+         * Broken connections in a row that tell of this node and not of luck. Where a twelfth of all
+         * breaks, a fleet sees two in a row every second, and sparing for them moves keys to where they miss.
+         * Could harm where a node dies while the network breaks: a few more attempts then break at once.
+         */
+        private double runOfBreaks() {
+            return usualBreaks <= 0 ? STRIKES
+                    : Math.max(STRIKES, Math.ceil(Math.log(LUCK) / Math.log(Math.min(0.5, usualBreaks))));
+        }
+
         private void spare(double now, List<NodeView> peers, int times) {
             if (isOrigin()) {
                 return;
@@ -938,6 +997,10 @@
         }
     }
 
+    private static boolean broke(Outcome outcome) {
+        return outcome == Outcome.RESET || outcome == Outcome.CONNECT_FAILED;
+    }
+
     private static long hashText(String text) {
         long h = 0xcbf29ce484222325L;
         for (int i = 0; i < text.length(); i++) {
--- a/src/test/java/hopglade/proxy/Peer.java
+++ b/src/test/java/hopglade/proxy/Peer.java
@@ -99,6 +99,11 @@
         return message;
     }
 
+    /** The next message, whenever it comes. */
+    Message await() throws InterruptedException {
+        return messages.take();
+    }
+
     boolean heardNothing() {
         return messages.isEmpty();
     }
