--- /dev/null
+++ b/src/main/java/hopglade/proxy/IdleAges.java
@@ -0,0 +1,74 @@
+package hopglade.proxy;
+
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Learns at what idle age kept connections turn out to be dead. Hosts and middleboxes close them long before the time
+ * that is stated, and the news of it crosses the next request, which then ends as a reset. An age at which connections
+ * break clearly more often than new ones do is too old. Also guards against hosts that restart unseen and address
+ * translators that forget. Could do harm where a request and not its connection is what breaks, at one age by chance: it
+ * costs handshakes, so ages under a floor are never too old, and what was learned fades.
+ */
+final class IdleAges {
+
+    private static final double FIRST_MS = 10;
+    private static final double STEP = 1.4;
+    private static final int AGES = 32;
+    /** No younger connection is too old: each handshake costs more than a reset now and then. */
+    private static final double FLOOR_MS = 40;
+    /** Uses that every age is taken to have had and to have gone well, so that one break proves nothing. */
+    private static final double PRIOR = 10;
+    /** By how much a kept connection may break more often than a new one, for the handshake that it saves. */
+    private static final double MARGIN = 0.1;
+    private static final double MEMORY_MS = 20_000;
+
+    /** Uses and breaks by age; the first place is for new connections. */
+    private final double[] uses = new double[AGES + 1];
+    private final double[] breaks = new double[AGES + 1];
+    private double limitMs = Double.POSITIVE_INFINITY;
+    private long updated;
+
+    /** An exchange on a connection that had been idle for so long, or 0 on a new one, ended. */
+    void used(double idleMs, boolean broke, long nowNanos) {
+        fade(nowNanos);
+        int age = idleMs <= 0 ? 0 : ageOf(idleMs);
+        uses[age]++;
+        breaks[age] += broke ? 1 : 0;
+    }
+
+    /** The idle time from which on a connection is not used any more. */
+    double limitMs(long nowNanos) {
+        if (nowNanos - updated > TimeUnit.MILLISECONDS.toNanos(100)) {
+            fade(nowNanos);
+        }
+        return limitMs;
+    }
+
+    private void fade(long nowNanos) {
+        double kept = Math.exp(-Math.max(0, nowNanos - updated) / 1e6 / MEMORY_MS);
+        updated = nowNanos;
+        for (int i = 0; i < uses.length; i++) {
+            uses[i] *= kept;
+            breaks[i] *= kept;
+        }
+        limitMs = Double.POSITIVE_INFINITY;
+        for (int i = AGES; i > 0 && boundMs(i) >= FLOOR_MS; i--) {
+            if (share(i) > share(0) + MARGIN) {
+                limitMs = boundMs(i);
+            }
+        }
+    }
+
+    private double share(int age) {
+        return breaks[age] / (uses[age] + PRIOR);
+    }
+
+    private static int ageOf(double idleMs) {
+        return (int) Math.max(1, Math.min(AGES, 2 + Math.floor(Math.log(idleMs / FIRST_MS) / Math.log(STEP))));
+    }
+
+    /** The shortest idle time of an age. */
+    private static double boundMs(int age) {
+        return age == 1 ? 0 : FIRST_MS * Math.pow(STEP, age - 2);
+    }
+}
--- a/src/main/java/hopglade/proxy/NodePool.java
+++ b/src/main/java/hopglade/proxy/NodePool.java
@@ -33,6 +33,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 
@@ -50,6 +51,9 @@
      * taken for the next one's. Counted by timers, which run after all that has arrived was read, also after a pause.
      */
     private static final long REST_MS = 4;
+    /** Idle connections are looked through so often in the time that they may stand, and at least each second. */
+    private static final double IDLE_SWEEPS = 10;
+    private static final double SWEEP_MS = 1000;
     /** An answer that has begun and does not end in this time is spoilt: nodes write theirs in one go. */
     private static final long STALL_MS = 200;
     private static final byte[] START = "HTTP/1.".getBytes(StandardCharsets.US_ASCII);
@@ -65,11 +69,21 @@
     private final int maxConnections;
     private final Map<String, Target> targets = new HashMap<>();
     private final Deque<Connection> resting = new ArrayDeque<>();
+    private final IdleAges ages = new IdleAges();
+    private final LongSupplier nanos;
     private boolean restsWatched;
+    private boolean idleWatched;
     private int connections;
 
     NodePool(EventLoop loop, Transport transport, double connectTimeoutMs, double idleMs, int maxConnections) {
+        this(loop, transport, connectTimeoutMs, idleMs, maxConnections, System::nanoTime);
+    }
+
+    /** {@code nanos} is the clock that idle times are read from. */
+    NodePool(EventLoop loop, Transport transport, double connectTimeoutMs, double idleMs, int maxConnections,
+             LongSupplier nanos) {
         this.loop = loop;
+        this.nanos = nanos;
         this.idleMs = idleMs * IDLE_PART;
         this.maxConnections = maxConnections;
         this.bootstrap = transport.client(loop)
@@ -122,6 +136,11 @@
         return connections;
     }
 
+    /** Whether no connection is in the pause that follows an answer. */
+    boolean isRested() {
+        return resting.isEmpty();
+    }
+
     /**
      * Starts an exchange that is given up after {@code timeoutMs}. The request is made when a connection is there to
      * write it to, so that the budget it names is what is left then.
@@ -134,7 +153,7 @@
             exchange.end(Outcome.CONNECT_FAILED, null);
             return exchange;
         }
-        Connection idle = target.newestIdle();
+        Connection idle = newestIdle(target);
         if (idle != null) {
             idle.write(exchange);
         } else if (connections < maxConnections || closeOldestIdle()) {
@@ -147,6 +166,44 @@
         return exchange;
     }
 
+    private Connection newestIdle(Target target) {
+        long now = nanos.getAsLong();
+        double limit = Math.min(idleMs, ages.limitMs(now));
+        for (Connection c = target.idle.pollFirst(); c != null; c = target.idle.pollFirst()) {
+            if (c.idleMs(now) >= limit) {
+                c.context.close();
+            } else if (c.context.channel().isActive()) {
+                return c;
+            }
+        }
+        return null;
+    }
+
+    /** Closes what has been idle for too long; runs as long as something is idle. */
+    private void watchIdle() {
+        if (!idleWatched && idleMs < Long.MAX_VALUE / 1e6) {
+            idleWatched = true;
+            loop.schedule(this::closeAged, (long) (Math.min(idleMs / IDLE_SWEEPS, SWEEP_MS) * 1e6), TimeUnit.NANOSECONDS);
+        }
+    }
+
+    private void closeAged() {
+        long now = nanos.getAsLong();
+        double limit = Math.min(idleMs, ages.limitMs(now));
+        boolean left = false;
+        for (Target target : targets.values()) {
+            for (Connection c = target.idle.peekLast(); c != null && c.idleMs(now) >= limit; c = target.idle.peekLast()) {
+                target.idle.removeLast();
+                c.context.close();
+            }
+            left |= !target.idle.isEmpty();
+        }
+        idleWatched = false;
+        if (left) {
+            watchIdle();
+        }
+    }
+
     private void connect(Target target, Exchange exchange) {
         Connection connection = new Connection(target);
         connections++;
@@ -200,15 +257,6 @@
             this.dial = dial;
             this.bornMs = bornMs;
         }
-
-        Connection newestIdle() {
-            for (Connection c = idle.pollFirst(); c != null; c = idle.pollFirst()) {
-                if (c.context.channel().isActive()) {
-                    return c;
-                }
-            }
-            return null;
-        }
     }
 
     /** One request to one node and its one outcome. */
@@ -219,6 +267,9 @@
         private Future<?> timer;
         private boolean written;
         private boolean over;
+        /** How long its connection had been idle, 0 for a new one; and whether bytes of an answer have come. */
+        private double idleMs;
+        private boolean answering;
 
         private Exchange(Supplier<FullHttpRequest> request, Done done) {
             this.request = request;
@@ -252,6 +303,10 @@
             if (!over) {
                 over = true;
                 timer.cancel(false);
+                boolean broke = outcome == Outcome.RESET || outcome == Outcome.CONNECT_FAILED;
+                if (outcome != Outcome.CANCELLED && outcome != Outcome.NEVER_SENT) {
+                    ages.used(idleMs, broke && !answering, nanos.getAsLong());
+                }
                 done.ended(this, outcome, response);
             }
         }
@@ -259,7 +314,7 @@
 
     /** Hands connections back whose rest is over; runs as long as some are left. */
     private void endRests() {
-        long now = System.nanoTime();
+        long now = nanos.getAsLong();
         while (!resting.isEmpty() && now - resting.peekFirst().idleSince >= TimeUnit.MILLISECONDS.toNanos(REST_MS)) {
             resting.removeFirst().rested();
         }
@@ -286,8 +341,8 @@
         private boolean more;
         private int begun;
         private Future<?> stallTimer;
-        private Future<?> idleTimer;
         private long idleSince;
+        private boolean used;
 
         Connection(Target target) {
             this.target = target;
@@ -299,11 +354,10 @@
         }
 
         void write(Exchange exchange) {
-            if (idleTimer != null) {
-                idleTimer.cancel(false);
-            }
             current = exchange;
             begun = 0;
+            exchange.idleMs = used ? idleMs(nanos.getAsLong()) : 0;
+            used = true;
             exchange.channel = context.channel();
             // The promise covers head and body: it fails if the connection breaks before the last byte is written.
             context.writeAndFlush(exchange.request.get()).addListener(f -> {
@@ -316,6 +370,10 @@
             });
         }
 
+        double idleMs(long now) {
+            return Math.max(1, now - idleSince) / 1e6;
+        }
+
         /** Whether bytes that have come can belong to the answer that is awaited. */
         private boolean expected(ByteBuf in) {
             if (current == null || current.over || !current.written) {
@@ -326,6 +384,7 @@
                     return false;
                 }
             }
+            current.answering = true;
             return true;
         }
 
@@ -383,7 +442,7 @@
         }
 
         private void rest() {
-            idleSince = System.nanoTime();
+            idleSince = nanos.getAsLong();
             resting.addLast(this);
             watchRests();
         }
@@ -394,21 +453,13 @@
                 return;
             }
             target.idle.addFirst(this);
-            if (idleMs < Long.MAX_VALUE / 1e6) {
-                idleTimer = loop.schedule(() -> {
-                    target.idle.remove(this);
-                    context.close();
-                }, (long) (idleMs * 1e6), TimeUnit.NANOSECONDS);
-            }
+            watchIdle();
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             target.idle.remove(this);
             resting.remove(this);
-            if (idleTimer != null) {
-                idleTimer.cancel(false);
-            }
             if (answer != null) {
                 finish();
             } else if (current != null) {
--- a/src/main/java/hopglade/proxy/Warmup.java
+++ b/src/main/java/hopglade/proxy/Warmup.java
@@ -43,9 +43,9 @@
  */
 final class Warmup {
 
-    static final int REQUESTS = 3000;
+    static final int REQUESTS = 2000;
     /** It may take no longer: at a rolling restart the next proxy goes down 3 s after this one did. */
-    private static final long PATIENCE_MS = 2000;
+    private static final long PATIENCE_MS = 4000;
     private static final int AT_ONCE = 4;
     private static final int NODES = 4;
     /** One of so many requests is a miss at its cache node. */
--- /dev/null
+++ b/src/test/java/hopglade/proxy/IdleAgesTest.java
@@ -0,0 +1,108 @@
+package hopglade.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import hopglade.Router.Availability;
+import hopglade.Router.Node;
+import hopglade.Router.Outcome;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** A node that says 60 s and drops kept connections after 200 ms; idle time passes on a clock of the test's own. */
+class IdleAgesTest {
+
+    private static final long DROPPED_MS = 200;
+    private static final long OLD_MS = 500;
+    private static final long YOUNG_MS = 50;
+    private static final int ROUNDS = 60;
+
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final AtomicLong nanos = new AtomicLong();
+    private final BlockingQueue<Outcome> outcomes = new LinkedBlockingQueue<>();
+    private final Set<Integer> known = new HashSet<>();
+    private Peer node;
+    private NodePool pool;
+    private EventLoop loop;
+
+    @BeforeEach
+    void start() throws Exception {
+        node = new Peer();
+        loop = group.next();
+        pool = new NodePool(loop, Transport.TCP, 5000, 60_000, 100, nanos::get);
+        Node named = new Node("c0", "std", "a", 0, 1, 0, Availability.UP);
+        loop.submit(() -> pool.list(new HostList(1, true, List.of(new HostList.Host(named, node.address()))))).get();
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        node.close();
+        group.shutdownGracefully(0, 0, TimeUnit.SECONDS).await();
+    }
+
+    /** One exchange after so long an idle time; whether its connection was a kept one, and how it ended. */
+    private record Use(boolean kept, Outcome outcome) { }
+
+    private Use use(long idleMs) throws Exception {
+        nanos.addAndGet(TimeUnit.MILLISECONDS.toNanos(idleMs));
+        loop.execute(() -> pool.send("c0",
+                () -> new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/api/k1"), 60_000,
+                (exchange, outcome, response) -> outcomes.add(outcome)));
+        Peer.Message request = node.next();
+        while (request.text() == null) {
+            request = node.next();
+        }
+        boolean kept = !known.add(request.wire().number());
+        if (kept && idleMs >= DROPPED_MS) {
+            request.wire().close();
+        } else {
+            request.wire().answer(200, "v");
+        }
+        Outcome outcome = outcomes.poll(Peer.PATIENCE_S, TimeUnit.SECONDS);
+        assertNotNull(outcome);
+        if (outcome == Outcome.OK) {
+            rested();
+        }
+        return new Use(kept, outcome);
+    }
+
+    /** Waits until the connection's rest is over, which its clock and a timer of the loop end. */
+    private void rested() throws Exception {
+        nanos.addAndGet(TimeUnit.MILLISECONDS.toNanos(5));
+        while (!loop.submit(pool::isRested).get()) {
+            loop.schedule(() -> { }, 1, TimeUnit.MILLISECONDS).get();
+        }
+    }
+
+    @Test
+    void connectionsAreNotUsedAtAnAgeAtWhichTheyBreak() throws Exception {
+        int early = 0;
+        int late = 0;
+        for (int i = 0; i < ROUNDS; i++) {
+            Use use = use(OLD_MS);
+            assertEquals(use.kept() ? Outcome.RESET : Outcome.OK, use.outcome());
+            early += i < ROUNDS / 2 && use.kept() ? 1 : 0;
+            late += i >= ROUNDS / 2 && use.kept() ? 1 : 0;
+        }
+        assertTrue(early > 0, "the stated time is believed at first");
+        // What was learned fades over 20 s of this clock, so an age is tried again now and then.
+        assertTrue(late <= ROUNDS / 10, late + " of the last " + ROUNDS / 2 + " requests went to a dead connection");
+        use(YOUNG_MS);
+        assertEquals(new Use(true, Outcome.OK), use(YOUNG_MS), "younger ones are kept");
+    }
+}
