--- a/src/main/java/hopglade/Decide.java
+++ b/src/main/java/hopglade/Decide.java
@@ -87,6 +87,14 @@
     static final double SPARE_MOST_MS = 4000;
     /** Of a cache attempt's remaining time, the part it may use while another attempt is still possible. */
     static final double FIRST_TRY = 0.6;
+    /** Part of the aim after which a request is taken for lost, where answers come sooner but for losses. */
+    static final double SOONEST = 0.4;
+    /** Mean deviations by which an answer may be late and still be usual, as in TCP. */
+    static final double DEVIATIONS = 4;
+    /** Weight of an attempt in a node's running share of silence; shares that count as losses and as dead. */
+    static final double SILENT_SMOOTH = 0.2;
+    static final double SILENT = 0.5;
+    static final double LOSING = 0.05;
     /** Open connections a node that cost the held price. */
     static final double PRICED_TABLE = 100;
     /** Keys of the latest requests, ours or told by peers, that are remembered, to tell a hot key. */
@@ -349,7 +357,10 @@
         if (node != null) {
             double left = r.guard - now;
             boolean more = r.attempts + 2 < settings.limits().maxAttempts() && r.in.key() >= 0;
-            send(now, r, node, more ? left * FIRST_TRY : left, out);
+            double first = node.loses(r.service.aimMs()) && !r.hurried
+                    ? Math.min(SOONEST * r.service.aimMs(), left * FIRST_TRY) : left * FIRST_TRY;
+            r.hurried = true;
+            send(now, r, node, more ? first : left, out);
         } else if (!r.missed.isEmpty() && hasOrigin) {
             fetch(now, r, out);
         } else if (r.crowded && now < r.patience) {
@@ -715,6 +726,8 @@
         int samePlace;
         boolean proven = true;
         boolean low, out, overdue, streaming, pickedSecond, crowded, heldOnce, hasToken, fetches;
+        /** Had an attempt with the short time: the next one gets the usual, as many may be slow at once. */
+        boolean hurried;
 
         Held(Request in, ServiceClass service, double now, double guardMs) {
             this.in = in;
@@ -846,7 +859,9 @@
         double weight = 1;
         int inFlight;
         double strikes;
-        double eachMs, spoilt, broken;
+        double eachMs, spoilt, broken, silent;
+        /** Usual time of an answered attempt and its mean deviation. */
+        double usualMs, deviationMs;
         int ejections;
         double lastEnd = Double.NEGATIVE_INFINITY;
         boolean onTrial;
@@ -938,6 +953,8 @@
                     onTrial = false;
                     strikes = 0;
                     spoilt -= SPOILT_SMOOTH * spoilt;
+                    silent -= SILENT_SMOOTH * silent;
+                    answered(end.elapsedMs());
                     ejections = spoilt < SPOILT_SMOOTH ? 0 : ejections;
                     timed(end.elapsedMs());
                 }
@@ -945,7 +962,9 @@
                 case REJECTED -> strike(now, peers, 1);
                 case TIMEOUT -> {
                     timed(Math.max(end.elapsedMs(), eachMs * (inFlight + 1)));
-                    strike(now, peers, 1);
+                    silent += SILENT_SMOOTH * (1 - silent);
+                    // A node that drops one request in four often drops two in a row and is of use.
+                    strike(now, peers, silent > SILENT ? 1 : 0);
                 }
                 case ERROR -> {
                     spoilt += SPOILT_SMOOTH * (1 - spoilt);
@@ -957,6 +976,23 @@
             }
         }
 
+        private void answered(double elapsedMs) {
+            if (elapsedMs >= 0) {
+                deviationMs += SMOOTH * (Math.abs(elapsedMs - usualMs) - deviationMs);
+                usualMs += SMOOTH * (elapsedMs - usualMs);
+            }
+        }
+
+        /**
+         * Whether it answers quickly or not at all: then silence means that the request is lost, and it is
+         * repeated elsewhere within its aim. Guards against machines and links that drop some of what they
+         * are sent while the list calls them fine. A node that is slow answers late before it falls silent,
+         * and keeps its time. Could harm where a few requests take far longer than all others.
+         */
+        boolean loses(double aimMs) {
+            return silent > LOSING && usualMs + DEVIATIONS * deviationMs < SOONEST * aimMs;
+        }
+
         /** Learns from an attempt's time; faster while paced, as few attempts are left to learn from. */
         private void timed(double elapsedMs) {
             double each = elapsedMs >= 0 ? elapsedMs / (inFlight + 1) : eachMs;
--- a/src/test/java/hopglade/proxy/Fleet.java
+++ b/src/test/java/hopglade/proxy/Fleet.java
@@ -21,9 +21,9 @@
                         "max_retry_after_ms": 750, "retry_after": true, "try_limit": 6},
              "obligations": {"answer_slack_ms": 20}, "kinds": ["std", "origin"],
              "domain": {"mode": "aside", "origin_kind": 1},
-             "services": [{"name": "read", "effect": "retryable", "deadline_ms": 60000},
+             "services": [{"name": "read", "effect": "retryable", "objective_ms": %s, "deadline_ms": 60000},
                           {"name": "pay", "effect": "dedup", "deadline_ms": 60000, "repeat_window_ms": 30000}]}""";
-    private static final String HEAD = " HTTP/1.1\r\nHost: s\r\nX-Caller: acme\r\nX-Budget: 60\r\nX-Call-Id: ";
+    private static final String HEAD = " HTTP/1.1\r\nHost: s\r\nX-Caller: acme\r\nX-Call-Id: ";
     static final int KEYS = 100;
 
     /** What a node does with its nth request, counted from 0. */
@@ -41,6 +41,9 @@
 
     /** Where each request was sent to, in order. */
     final Map<String, List<String>> nodesOf = new ConcurrentHashMap<>();
+    /** What each node was last told of the time that the proxy waits, in seconds. */
+    final Map<String, Double> lastBudget = new ConcurrentHashMap<>();
+    private final int budgetS;
     private final BlockingQueue<String> steps = new LinkedBlockingQueue<>();
     private final List<Peer> peers = new ArrayList<>();
     private final Peer discovery = new Peer();
@@ -49,6 +52,12 @@
     private int calls;
 
     Fleet(int caches, Script cache, Script origin) throws Exception {
+        this(caches, cache, origin, 60, 60_000);
+    }
+
+    /** {@code budgetS} is how long the client waits, {@code aimMs} the aim of reads. */
+    Fleet(int caches, Script cache, Script origin, int budgetS, int aimMs) throws Exception {
+        this.budgetS = budgetS;
         List<String> hosts = new ArrayList<>();
         for (int i = 0; i < caches; i++) {
             hosts.add(Site.host("c" + i, peer(cache), "up", 0));
@@ -56,7 +65,7 @@
         hosts.add(Site.host("db", peer(origin), "up", 0).replace("\"std\"", "\"origin\""));
         Config config = Config.parse("{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"" + discovery.dial()
                 + "\",\"limits\":{\"sockets\":256},\"known\":" + Site.list(7, true, hosts.toArray(String[]::new))
-                + ",\"settings\":" + SETTINGS + "}", Map.of());
+                + ",\"settings\":" + SETTINGS.formatted(aimMs) + "}", Map.of());
         service = Service.start(config, new Watched(new Decide(config.settings(), 7)));
         client = Peer.connect(service.listening());
     }
@@ -77,6 +86,7 @@
                 if (message.text() != null) {
                     nodesOf.computeIfAbsent(message.header("X-Call-Id"), id -> new CopyOnWriteArrayList<>())
                             .add(peer.dial());
+                    lastBudget.put(peer.dial(), Double.valueOf(message.header("X-Budget")));
                     script.play(message, n++);
                 }
             } catch (IOException e) {
@@ -89,11 +99,11 @@
 
     /** Asks for the next of some keys; the id under which {@link #nodesOf} lists what it was sent to. */
     int read() throws IOException {
-        return ask("GET /api/k" + calls % KEYS + HEAD + calls + "\r\nX-Call-Class: read\r\n\r\n");
+        return ask("GET /api/k" + calls % KEYS + HEAD + calls + "\r\nX-Budget: " + budgetS + "\r\nX-Call-Class: read\r\n\r\n");
     }
 
     int write() throws IOException {
-        return ask("PUT /api/w" + calls + HEAD + calls + "\r\nX-Call-Class: pay\r\nIdempotency-Key: " + calls
+        return ask("PUT /api/w" + calls + HEAD + calls + "\r\nX-Budget: " + budgetS + "\r\nX-Call-Class: pay\r\nIdempotency-Key: " + calls
                 + "\r\nContent-Length: 1\r\n\r\nv");
     }
 
