--- a/src/main/java/hopglade/proxy/ClientServer.java
+++ b/src/main/java/hopglade/proxy/ClientServer.java
@@ -65,6 +65,13 @@
     /** How long, and for how many bytes, input is read on after an error: unread input would reset the error away. */
     private static final long LINGER_MS = 1000;
     private static final long LINGER_BYTES = 1 << 20;
+    /**
+     * Part of the connections that may be kept for a next request. Past it each answer is its connection's last and idle
+     * ones go sooner: clients that ask once and stay would else use up the connections that clients may hold, and all
+     * others would find none. Could do harm where that many clients do ask again: each request then opens a connection.
+     */
+    private static final int KEPT_PART = 4;
+    private static final long CROWDED_IDLE_MS = 2000;
     /** Part of the connections that may have no request and never had a good one. */
     private static final int UNPROVEN_PART = 4;
     private static final long KEY_BITS = (1L << 53) - 1;
@@ -77,6 +84,7 @@
     private Channel listener;
     private boolean ready;
     private boolean full;
+    private int idle;
     private boolean draining;
 
     ClientServer(EventLoop loop, Proxy proxy, Settings settings, int maxConnections) {
@@ -148,6 +156,10 @@
         }
     }
 
+    private boolean crowded() {
+        return idle >= Math.max(1, maxConnections / KEPT_PART);
+    }
+
     private void closed(Connection connection) {
         connections.remove(connection);
         if (full && connections.size() < maxConnections) {
@@ -198,6 +210,7 @@
         }
 
         private void enter(Phase next) {
+            idle += (next == Phase.IDLE ? 1 : 0) - (phase == Phase.IDLE ? 1 : 0);
             phase = next;
             since = System.nanoTime();
         }
@@ -217,7 +230,8 @@
             long ms = TimeUnit.NANOSECONDS.toMillis(now - since);
             switch (phase) {
                 case SILENT -> closeAfter(ms, SILENT_MS);
-                case IDLE -> closeAfter(ms, written != null && !written.isDone() ? UNREAD_MS : IDLE_MS);
+                case IDLE -> closeAfter(ms, written != null && !written.isDone() ? UNREAD_MS
+                        : crowded() ? CROWDED_IDLE_MS : IDLE_MS);
                 case CLOSING -> closeAfter(ms, written != null && !written.isDone() ? UNREAD_MS : LINGER_MS);
                 case READING -> {
                     if (ms >= READING_MS) {
@@ -332,7 +346,7 @@
         private void answer(FullHttpResponse answer) {
             HttpUtil.setContentLength(answer, answer.content().readableBytes());
             // While clients wait to be accepted, a connection that is kept would keep one of them out.
-            boolean last = draining || full || !keepAlive;
+            boolean last = draining || full || crowded() || !keepAlive;
             if (last) {
                 answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             }
@@ -389,6 +403,7 @@
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
+            enter(Phase.CLOSING);
             closed(this);
             dropWaiting();
             if (open != null) {
