--- a/src/main/java/hopglade/proxy/Service.java
+++ b/src/main/java/hopglade/proxy/Service.java
@@ -61,9 +61,9 @@
 
     /** Runs what a start runs, without a configuration: the build archives the classes that this loads. */
     public static void rehearse() throws IOException, InterruptedException {
-        Warmup.run(Warmup.anySettings());
         InetAddress loopback = InetAddress.getLoopbackAddress();
         InetSocketAddress any = new InetSocketAddress(loopback, 0);
+        Warmup.run(Warmup.anySettings(), any);
         Config config = new Config("rehearsal", any, any, 0, 0, null, List.of(), null, null, Warmup.anySettings(), 1);
         Service service = start(config, new Decide(config.settings(), 0));
         service.kill();
@@ -71,7 +71,7 @@
 
     /** Starts a proxy with the project's decisions. */
     public static Service start(Config config) throws IOException, InterruptedException {
-        Warmup.run(config.settings());
+        Warmup.run(config.settings(), config.peerListen());
         return start(config, new Decide(config.settings(), config.seed()));
     }
 
--- a/src/main/java/hopglade/proxy/Warmup.java
+++ b/src/main/java/hopglade/proxy/Warmup.java
@@ -31,6 +31,8 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
@@ -44,8 +46,10 @@
 final class Warmup {
 
     static final int REQUESTS = 2000;
-    /** It may take no longer: at a rolling restart the next proxy goes down 3 s after this one did. */
-    private static final long PATIENCE_MS = 4000;
+    /** It may take no longer while peers serve: at a rolling restart the next proxy goes down 3 s after this one did. */
+    private static final long PATIENCE_MS = 2000;
+    /** And so much longer where none is heard: at the first start of all nobody waits for us. */
+    private static final long ALONE_MS = 2000;
     private static final int AT_ONCE = 4;
     private static final int NODES = 4;
     /** One of so many requests is a miss at its cache node. */
@@ -64,11 +68,13 @@
     }
 
     /** Returns how many requests were answered, when it has run long enough; a fault in it costs its gain alone. */
-    static int run(Settings settings) throws InterruptedException {
+    static int run(Settings settings, InetSocketAddress peerListen) throws IOException, InterruptedException {
         Warmup warmup = new Warmup(settings);
-        try {
+        try (PeerEar ear = new PeerEar(peerListen)) {
             warmup.start();
-            warmup.done.await(PATIENCE_MS, TimeUnit.MILLISECONDS);
+            if (!warmup.done.await(PATIENCE_MS, TimeUnit.MILLISECONDS) && peerListen != null && !ear.heard(0)) {
+                warmup.done.await(ALONE_MS, TimeUnit.MILLISECONDS);
+            }
             Log.info("warmed up with " + warmup.served + " requests");
             return warmup.served;
         } finally {
--- /dev/null
+++ b/src/test/java/hopglade/proxy/PeerEarTest.java
@@ -0,0 +1,40 @@
+package hopglade.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+/** A start hears whether peers are at work, and leaves the address free for the proxy. */
+class PeerEarTest {
+
+    @Test
+    void aPeersMessageIsHeardAndTheAddressIsFreeAfterwards() throws Exception {
+        InetSocketAddress address;
+        try (PeerEar ear = new PeerEar(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+                DatagramSocket peer = new DatagramSocket()) {
+            address = ear.address();
+            assertFalse(ear.heard(0));
+            peer.send(new DatagramPacket(new byte[] {1}, 1, address));
+            assertTrue(ear.heard(TimeUnit.SECONDS.toMillis(Peer.PATIENCE_S)));
+            assertTrue(ear.heard(0), "what was heard stays heard");
+        }
+        try (PeerEar next = new PeerEar(address)) {
+            assertFalse(next.heard(0));
+        }
+    }
+
+    @Test
+    void withoutAnAddressNothingIsHeard() throws Exception {
+        try (PeerEar ear = new PeerEar(null)) {
+            assertNull(ear.address());
+            assertFalse(ear.heard(0));
+        }
+    }
+}
