--- a/src/main/java/hopglade/Decide.java
+++ b/src/main/java/hopglade/Decide.java
@@ -83,6 +83,12 @@
     static final double PATIENCE = 0.25;
     /** A new node is taken to need this part of the shortest aim for a request until it has answered some. */
     static final double FIRST_GUESS = 0.2;
+    /**
+     * One of so many nodes may be spared at once. With half of them spared the others took twice their load,
+     * turned slow and stayed so, while some of the spared still answered most of what they got. Could harm
+     * where more nodes than that are dead: requests go on trying them.
+     */
+    static final int SPARED_PART = 3;
     static final double SPARE_MS = 500;
     static final double SPARE_MOST_MS = 4000;
     /** Of a cache attempt's remaining time, the part it may use while another attempt is still possible. */
@@ -1001,7 +1007,7 @@
 
         /**
          * Spares a node after failures in a row, whatever their kind: silent, cut off, full or stalled, while
-         * the list still calls it fine. Never more than half of the nodes, or those left would be overrun.
+         * the list still calls it fine. Never more than a part of the nodes, or those left would be overrun.
          * Could harm where time-outs come from the requests and not the node.
          */
         private void strike(double now, List<NodeView> peers, double weight) {
@@ -1026,7 +1032,7 @@
                 return;
             }
             long spared = peers.stream().filter(n -> now < n.sparedUntil).count();
-            if (2 * (spared + 1) <= peers.size()) {
+            if (SPARED_PART * (spared + 1) <= peers.size()) {
                 sparedUntil = now + Math.min(SPARE_MOST_MS, SPARE_MS * Math.pow(2, times));
                 onTrial = true;
             }
--- /dev/null
+++ b/src/test/java/hopglade/SparingTest.java
@@ -0,0 +1,35 @@
+package hopglade;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import hopglade.Router.Outcome;
+import java.util.HashSet;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** However many nodes fail, those that are left must not be overrun: only a part is spared at once. */
+class SparingTest {
+
+    private static final int CACHES = 6;
+
+    @Test
+    void atMostAThirdOfTheNodesIsSparedAtOnce() {
+        Bench b = Bench.withCaches(CACHES);
+        Set<String> asked = new HashSet<>();
+        for (int i = 0; i < 600; i++) {
+            if (i == 300) {
+                asked.clear();
+            }
+            String id = b.ask("dear", 1000 + i);
+            while (b.out.answers(id) == 0) {
+                String node = b.nodeOf(id);
+                asked.add(node);
+                b.end(id, node.compareTo("c3") < 0 ? Outcome.REJECTED : Outcome.OK);
+                if (b.out.answers(id) == 0 && node.compareTo("c3") >= 0) {
+                    break;
+                }
+            }
+        }
+        assertEquals(CACHES - CACHES / 3, asked.size(), asked.toString());
+    }
+}
