Move to a multi-module build under the name ridgemill

Need: what follows must be built in modules of its own; there was one module under the old name hopglade. Change, mechanical: core (package ridgemill.policy: Decide, Router) and gateway (ridgemill.gateway, ridgemill.benchlink), files moved with git mv, names and imports changed by script, nothing else.

--- a/src/main/java/hopglade/Decide.java
+++ b/core/src/main/java/ridgemill/policy/Decide.java
@@ -1,4 +1,4 @@
-package hopglade;
+package ridgemill.policy;
 
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
@@ -10,7 +10,7 @@
 import java.util.SplittableRandom;
 
 /**
- * Every decision of hopglade; its events, actions and types stand in Router.java beside this file.
+ * Every decision of ridgemill; its events, actions and types stand in Router.java beside this file.
  *
  * <p>A read goes to the less busy of its key's two top cache nodes by rendezvous hash; on a miss it draws a
  * token and fetches from the origin. A write draws on arrival. One hysteresis level, stepped once an interval
--- a/src/main/java/hopglade/Router.java
+++ b/core/src/main/java/ridgemill/policy/Router.java
@@ -1,4 +1,4 @@
-package hopglade;
+package ridgemill.policy;
 
 import java.util.List;
 import java.util.Map;
--- a/src/test/java/hopglade/AdmissionTest.java
+++ b/core/src/test/java/ridgemill/policy/AdmissionTest.java
@@ -1,12 +1,12 @@
-package hopglade;
+package ridgemill.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import hopglade.Router.Outcome;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import ridgemill.policy.Router.Outcome;
 
 /** The level, the base, the bank. */
 class AdmissionTest {
--- a/src/test/java/hopglade/BadInputTest.java
+++ b/core/src/test/java/ridgemill/policy/BadInputTest.java
@@ -1,16 +1,16 @@
-package hopglade;
+package ridgemill.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import hopglade.Router.AttemptEnd;
-import hopglade.Router.Availability;
-import hopglade.Router.ListKind;
-import hopglade.Router.Node;
-import hopglade.Router.Outcome;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
+import ridgemill.policy.Router.AttemptEnd;
+import ridgemill.policy.Router.Availability;
+import ridgemill.policy.Router.ListKind;
+import ridgemill.policy.Router.Node;
+import ridgemill.policy.Router.Outcome;
 
 /** Odd input neither breaks a rule nor the module. */
 class BadInputTest {
--- a/src/test/java/hopglade/Bench.java
+++ b/core/src/test/java/ridgemill/policy/Bench.java
@@ -1,19 +1,19 @@
-package hopglade;
-
-import hopglade.Router.AttemptEnd;
-import hopglade.Router.Availability;
-import hopglade.Router.Effect;
-import hopglade.Router.Group;
-import hopglade.Router.ListKind;
-import hopglade.Router.Node;
-import hopglade.Router.Outcome;
-import hopglade.Router.Request;
-import hopglade.Router.ServiceClass;
-import hopglade.Router.Settings;
+package ridgemill.policy;
+
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import ridgemill.policy.Router.AttemptEnd;
+import ridgemill.policy.Router.Availability;
+import ridgemill.policy.Router.Effect;
+import ridgemill.policy.Router.Group;
+import ridgemill.policy.Router.ListKind;
+import ridgemill.policy.Router.Node;
+import ridgemill.policy.Router.Outcome;
+import ridgemill.policy.Router.Request;
+import ridgemill.policy.Router.ServiceClass;
+import ridgemill.policy.Router.Settings;
 
 /** One router with a fake sink, told events one by one; time moves only when a test says so. */
 final class Bench {
--- a/src/test/java/hopglade/LimitsTest.java
+++ b/core/src/test/java/ridgemill/policy/LimitsTest.java
@@ -1,4 +1,4 @@
-package hopglade;
+package ridgemill.policy;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -11,7 +11,7 @@
 /** Whoever is on call must be able to read the module at night. */
 class LimitsTest {
 
-    private static final Path MODULE = Path.of("src/main/java/hopglade/Decide.java");
+    private static final Path MODULE = Path.of("src/main/java/ridgemill/policy/Decide.java");
 
     @Test
     void moduleStaysShort() throws IOException {
--- a/src/test/java/hopglade/ManyProxiesTest.java
+++ b/core/src/test/java/ridgemill/policy/ManyProxiesTest.java
@@ -1,18 +1,18 @@
-package hopglade;
+package ridgemill.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import hopglade.Router.Availability;
-import hopglade.Router.ListKind;
-import hopglade.Router.Node;
-import hopglade.Router.Outcome;
-import hopglade.Router.Settings;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeSet;
 import org.junit.jupiter.api.Test;
+import ridgemill.policy.Router.Availability;
+import ridgemill.policy.Router.ListKind;
+import ridgemill.policy.Router.Node;
+import ridgemill.policy.Router.Outcome;
+import ridgemill.policy.Router.Settings;
 
 /** What changes when one router is one of hundreds, each with a few requests a second. */
 class ManyProxiesTest {
--- a/src/test/java/hopglade/PathTest.java
+++ b/core/src/test/java/ridgemill/policy/PathTest.java
@@ -1,15 +1,15 @@
-package hopglade;
+package ridgemill.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import hopglade.Router.Availability;
-import hopglade.Router.Outcome;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.TreeSet;
 import org.junit.jupiter.api.Test;
+import ridgemill.policy.Router.Availability;
+import ridgemill.policy.Router.Outcome;
 
 /** Picks, holds, health and sameness. */
 class PathTest {
--- a/src/test/java/hopglade/RulesTest.java
+++ b/core/src/test/java/ridgemill/policy/RulesTest.java
@@ -1,15 +1,15 @@
-package hopglade;
+package ridgemill.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import hopglade.Router.Availability;
-import hopglade.Router.ListKind;
-import hopglade.Router.Outcome;
-import hopglade.Router.Settings;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import ridgemill.policy.Router.Availability;
+import ridgemill.policy.Router.ListKind;
+import ridgemill.policy.Router.Outcome;
+import ridgemill.policy.Router.Settings;
 
 /** The four rules, kept by one router alone. */
 class RulesTest {
--- a/src/test/java/hopglade/Sink.java
+++ b/core/src/test/java/ridgemill/policy/Sink.java
@@ -1,4 +1,4 @@
-package hopglade;
+package ridgemill.policy;
 
 import java.util.ArrayList;
 import java.util.Arrays;
--- a/src/test/java/hopglade/SparingTest.java
+++ b/core/src/test/java/ridgemill/policy/SparingTest.java
@@ -1,11 +1,11 @@
-package hopglade;
+package ridgemill.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import hopglade.Router.Outcome;
 import java.util.HashSet;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import ridgemill.policy.Router.Outcome;
 
 /** However many nodes fail, those that are left must not be overrun: only a part is spared at once. */
 class SparingTest {
--- a/src/test/java/hopglade/SpoilingTest.java
+++ b/core/src/test/java/ridgemill/policy/SpoilingTest.java
@@ -1,11 +1,11 @@
-package hopglade;
+package ridgemill.policy;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import hopglade.Router.Outcome;
 import java.util.HashMap;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
+import ridgemill.policy.Router.Outcome;
 
 /** A node that spoils every second answer never fails twice in a row; it is spared all the same. */
 class SpoilingTest {
--- a/src/main/java/hopglade/Main.java
+++ b/gateway/src/main/java/ridgemill/Main.java
@@ -1,12 +1,12 @@
-package hopglade;
+package ridgemill;
 
-import hopglade.proxy.Config;
-import hopglade.proxy.ConfigException;
-import hopglade.proxy.Hangup;
-import hopglade.proxy.Service;
 import java.io.IOException;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import ridgemill.gateway.Config;
+import ridgemill.gateway.ConfigException;
+import ridgemill.gateway.Hangup;
+import ridgemill.gateway.Service;
 
 /** Starts the program: {@code serve} is one real proxy, {@code benchlink} the same decisions on the bench's wire,
  * {@code rehearse} a start that ends at once. */
@@ -22,9 +22,9 @@
         switch (args.length == 1 ? args[0] : "") {
             case "serve" -> serve();
             case "rehearse" -> Service.rehearse();
-            case "benchlink" -> hopglade.benchlink.Main.main(args);
+            case "benchlink" -> ridgemill.benchlink.Main.main(args);
             default -> {
-                System.err.println("usage: java -jar hopglade.jar serve|benchlink|rehearse");
+                System.err.println("usage: java -jar ridgemill.jar serve|benchlink|rehearse");
                 System.exit(EXIT_USAGE);
             }
         }
@@ -39,10 +39,10 @@
         try {
             service = Service.start(Config.fromEnvironment(environment));
         } catch (ConfigException e) {
-            System.err.println("hopglade: configuration: " + e.getMessage());
+            System.err.println("ridgemill: configuration: " + e.getMessage());
             System.exit(EXIT_CONFIG);
         } catch (IOException e) {
-            System.err.println("hopglade: " + e.getMessage());
+            System.err.println("ridgemill: " + e.getMessage());
             System.exit(EXIT_FAILED);
         }
         // SIGTERM runs this hook; the process ends when the hook does, so it waits until nothing is owed.
--- a/src/main/java/hopglade/benchlink/Fields.java
+++ b/gateway/src/main/java/ridgemill/benchlink/Fields.java
@@ -1,4 +1,4 @@
-package hopglade.benchlink;
+package ridgemill.benchlink;
 
 import java.util.LinkedHashMap;
 import java.util.Map;
--- a/src/main/java/hopglade/benchlink/Link.java
+++ b/gateway/src/main/java/ridgemill/benchlink/Link.java
@@ -1,13 +1,5 @@
-package hopglade.benchlink;
-
-import hopglade.Decide;
-import hopglade.Router;
-import hopglade.Router.AttemptEnd;
-import hopglade.Router.Availability;
-import hopglade.Router.ListKind;
-import hopglade.Router.Node;
-import hopglade.Router.Outcome;
-import hopglade.Router.Request;
+package ridgemill.benchlink;
+
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.Writer;
@@ -16,6 +8,14 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import ridgemill.policy.Decide;
+import ridgemill.policy.Router;
+import ridgemill.policy.Router.AttemptEnd;
+import ridgemill.policy.Router.Availability;
+import ridgemill.policy.Router.ListKind;
+import ridgemill.policy.Router.Node;
+import ridgemill.policy.Router.Outcome;
+import ridgemill.policy.Router.Request;
 
 /** Hosts the instances: reads batches of events, hands them to the routers, writes the replies. */
 final class Link {
--- a/src/main/java/hopglade/benchlink/Main.java
+++ b/gateway/src/main/java/ridgemill/benchlink/Main.java
@@ -1,4 +1,4 @@
-package hopglade.benchlink;
+package ridgemill.benchlink;
 
 import java.io.BufferedReader;
 import java.io.FileDescriptor;
@@ -19,7 +19,7 @@
     /** Serves the wire until standard input ends; a malformed line ends it with exit code 2. */
     public static void main(String[] args) throws IOException {
         if (args.length != 1 || !args[0].equals("benchlink")) {
-            System.err.println("usage: java -jar hopglade.jar benchlink");
+            System.err.println("usage: java -jar ridgemill.jar benchlink");
             System.exit(64);
         }
         var in = new BufferedReader(new InputStreamReader(new FileInputStream(FileDescriptor.in),
@@ -28,7 +28,7 @@
         try {
             new Link(in, out).run();
         } catch (WireException e) {
-            System.err.println("hopglade: " + e.getMessage());
+            System.err.println("ridgemill: " + e.getMessage());
             System.exit(2);
         }
     }
--- a/src/main/java/hopglade/benchlink/Reply.java
+++ b/gateway/src/main/java/ridgemill/benchlink/Reply.java
@@ -1,7 +1,7 @@
-package hopglade.benchlink;
+package ridgemill.benchlink;
 
-import hopglade.Router.Actions;
 import java.util.Base64;
+import ridgemill.policy.Router.Actions;
 
 /** Writes one instance's actions as lines of the reply. */
 final class Reply implements Actions {
--- a/src/main/java/hopglade/benchlink/SettingsReader.java
+++ b/gateway/src/main/java/ridgemill/benchlink/SettingsReader.java
@@ -1,21 +1,21 @@
-package hopglade.benchlink;
+package ridgemill.benchlink;
 
 import com.google.gson.JsonArray;
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParseException;
 import com.google.gson.JsonParser;
-import hopglade.Router.Connections;
-import hopglade.Router.Effect;
-import hopglade.Router.Group;
-import hopglade.Router.Limits;
-import hopglade.Router.Rules;
-import hopglade.Router.ServiceClass;
-import hopglade.Router.Settings;
-import hopglade.Router.Tenant;
-import hopglade.Router.Weights;
 import java.util.ArrayList;
 import java.util.List;
+import ridgemill.policy.Router.Connections;
+import ridgemill.policy.Router.Effect;
+import ridgemill.policy.Router.Group;
+import ridgemill.policy.Router.Limits;
+import ridgemill.policy.Router.Rules;
+import ridgemill.policy.Router.ServiceClass;
+import ridgemill.policy.Router.Settings;
+import ridgemill.policy.Router.Tenant;
+import ridgemill.policy.Router.Weights;
 
 /** Turns the settings of the wire into the module's; unknown keys are skipped, absent ones get a default. */
 public final class SettingsReader {
--- a/src/main/java/hopglade/benchlink/WireException.java
+++ b/gateway/src/main/java/ridgemill/benchlink/WireException.java
@@ -1,4 +1,4 @@
-package hopglade.benchlink;
+package ridgemill.benchlink;
 
 /** A line that does not follow the wire's rules. */
 public final class WireException extends RuntimeException {
--- a/src/main/java/hopglade/proxy/Addresses.java
+++ b/gateway/src/main/java/ridgemill/gateway/Addresses.java
@@ -1,4 +1,4 @@
-package hopglade.proxy;
+package ridgemill.gateway;
 
 import io.netty.util.NetUtil;
 import java.net.InetAddress;
--- a/src/main/java/hopglade/proxy/ClientServer.java
+++ b/gateway/src/main/java/ridgemill/gateway/ClientServer.java
@@ -1,9 +1,5 @@
-package hopglade.proxy;
+package ridgemill.gateway;
 
-import hopglade.Router.Effect;
-import hopglade.Router.Request;
-import hopglade.Router.ServiceClass;
-import hopglade.Router.Settings;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
@@ -22,9 +18,9 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
-import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
@@ -44,6 +40,10 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Pattern;
+import ridgemill.policy.Router.Effect;
+import ridgemill.policy.Router.Request;
+import ridgemill.policy.Router.ServiceClass;
+import ridgemill.policy.Router.Settings;
 
 /** Takes clients' requests in and their answers out. What no node could make sense of is answered here. */
 final class ClientServer {
--- a/src/main/java/hopglade/proxy/Clock.java
+++ b/gateway/src/main/java/ridgemill/gateway/Clock.java
@@ -1,4 +1,4 @@
-package hopglade.proxy;
+package ridgemill.gateway;
 
 import java.time.Instant;
 
--- a/src/main/java/hopglade/proxy/Config.java
+++ b/gateway/src/main/java/ridgemill/gateway/Config.java
@@ -1,10 +1,8 @@
-package hopglade.proxy;
+package ridgemill.gateway;
 
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
-import hopglade.Router.Settings;
-import hopglade.benchlink.SettingsReader;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
@@ -14,6 +12,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import ridgemill.benchlink.SettingsReader;
+import ridgemill.policy.Router.Settings;
 
 /**
  * What the deployment tells a proxy. {@code peerListen} and {@code peersAll} are null and {@code peers} empty where
--- a/src/main/java/hopglade/proxy/ConfigException.java
+++ b/gateway/src/main/java/ridgemill/gateway/ConfigException.java
@@ -1,4 +1,4 @@
-package hopglade.proxy;
+package ridgemill.gateway;
 
 /** A configuration that nothing can be started from; the message is for the operator. */
 public final class ConfigException extends Exception {
--- a/src/main/java/hopglade/proxy/Discovery.java
+++ b/gateway/src/main/java/ridgemill/gateway/Discovery.java
@@ -1,7 +1,6 @@
-package hopglade.proxy;
+package ridgemill.gateway;
 
 import com.google.gson.JsonParser;
-import hopglade.Router.ListKind;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
@@ -28,6 +27,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import ridgemill.policy.Router.ListKind;
 
 /**
  * The watch on the list of hosts. Where lists are pushed it is kept up from the start; where discovery is asked, each
--- a/src/main/java/hopglade/proxy/Hangup.java
+++ b/gateway/src/main/java/ridgemill/gateway/Hangup.java
@@ -1,4 +1,4 @@
-package hopglade.proxy;
+package ridgemill.gateway;
 
 import java.lang.invoke.MethodHandle;
 import java.lang.invoke.MethodHandleProxies;
--- a/src/main/java/hopglade/proxy/HostList.java
+++ b/gateway/src/main/java/ridgemill/gateway/HostList.java
@@ -1,14 +1,14 @@
-package hopglade.proxy;
+package ridgemill.gateway;
 
 import com.google.gson.JsonArray;
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
-import hopglade.Router.Availability;
-import hopglade.Router.Node;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import ridgemill.policy.Router.Availability;
+import ridgemill.policy.Router.Node;
 
 /** One message of discovery: the whole list of hosts, or those that changed. */
 public record HostList(long version, boolean whole, List<Host> hosts) {
--- a/src/main/java/hopglade/proxy/Log.java
+++ b/gateway/src/main/java/ridgemill/gateway/Log.java
@@ -1,4 +1,4 @@
-package hopglade.proxy;
+package ridgemill.gateway;
 
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
@@ -7,7 +7,7 @@
 /** The log, with a brake for what strangers can cause at any rate: a flood of bad input must not become a flood of lines. */
 final class Log {
 
-    private static final Logger LOGGER = LoggerFactory.getLogger("hopglade");
+    private static final Logger LOGGER = LoggerFactory.getLogger("ridgemill");
     private static final long WINDOW_NANOS = TimeUnit.SECONDS.toNanos(10);
     private static final int LINES_A_WINDOW = 20;
 
--- a/src/main/java/hopglade/proxy/NodePool.java
+++ b/gateway/src/main/java/ridgemill/gateway/NodePool.java
@@ -1,7 +1,5 @@
-package hopglade.proxy;
+package ridgemill.gateway;
 
-import hopglade.Router.Availability;
-import hopglade.Router.Outcome;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
@@ -36,6 +34,8 @@
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
+import ridgemill.policy.Router.Availability;
+import ridgemill.policy.Router.Outcome;
 
 /**
  * Connections to the cache nodes and the origin. Each carries one exchange at a time; the newest idle one is used
--- a/src/main/java/hopglade/proxy/Proxy.java
+++ b/gateway/src/main/java/ridgemill/gateway/Proxy.java
@@ -1,12 +1,5 @@
-package hopglade.proxy;
-
-import hopglade.Router;
-import hopglade.Router.Actions;
-import hopglade.Router.AttemptEnd;
-import hopglade.Router.ListKind;
-import hopglade.Router.Outcome;
-import hopglade.Router.Request;
-import hopglade.Router.Settings;
+package ridgemill.gateway;
+
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -26,6 +19,13 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import ridgemill.policy.Router;
+import ridgemill.policy.Router.Actions;
+import ridgemill.policy.Router.AttemptEnd;
+import ridgemill.policy.Router.ListKind;
+import ridgemill.policy.Router.Outcome;
+import ridgemill.policy.Router.Request;
+import ridgemill.policy.Router.Settings;
 
 /**
  * Joins the decision module to the sockets: every event becomes one call of the module, and what the module asks for
--- a/src/main/java/hopglade/proxy/Service.java
+++ b/gateway/src/main/java/ridgemill/gateway/Service.java
@@ -1,9 +1,5 @@
-package hopglade.proxy;
+package ridgemill.gateway;
 
-import hopglade.Decide;
-import hopglade.Router;
-import hopglade.Router.Outcome;
-import hopglade.Router.Settings;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -18,6 +14,10 @@
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
+import ridgemill.policy.Decide;
+import ridgemill.policy.Router;
+import ridgemill.policy.Router.Outcome;
+import ridgemill.policy.Router.Settings;
 
 /** One running proxy: puts the parts together on one event loop, and takes them down without losing a request. */
 public final class Service {
--- a/src/main/java/hopglade/proxy/StrictHttp.java
+++ b/gateway/src/main/java/ridgemill/gateway/StrictHttp.java
@@ -1,4 +1,4 @@
-package hopglade.proxy;
+package ridgemill.gateway;
 
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
--- a/src/main/java/hopglade/proxy/Transport.java
+++ b/gateway/src/main/java/ridgemill/gateway/Transport.java
@@ -1,4 +1,4 @@
-package hopglade.proxy;
+package ridgemill.gateway;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
--- a/src/main/java/hopglade/proxy/Warmup.java
+++ b/gateway/src/main/java/ridgemill/gateway/Warmup.java
@@ -1,16 +1,5 @@
-package hopglade.proxy;
-
-import hopglade.Decide;
-import hopglade.Router.Availability;
-import hopglade.Router.Effect;
-import hopglade.Router.Group;
-import hopglade.Router.Limits;
-import hopglade.Router.ListKind;
-import hopglade.Router.Node;
-import hopglade.Router.Rules;
-import hopglade.Router.ServiceClass;
-import hopglade.Router.Settings;
-import hopglade.Router.Weights;
+package ridgemill.gateway;
+
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -37,6 +26,17 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import ridgemill.policy.Decide;
+import ridgemill.policy.Router.Availability;
+import ridgemill.policy.Router.Effect;
+import ridgemill.policy.Router.Group;
+import ridgemill.policy.Router.Limits;
+import ridgemill.policy.Router.ListKind;
+import ridgemill.policy.Router.Node;
+import ridgemill.policy.Router.Rules;
+import ridgemill.policy.Router.ServiceClass;
+import ridgemill.policy.Router.Settings;
+import ridgemill.policy.Router.Weights;
 
 /**
  * Runs the proxy's own path before clients come, with a proxy of its own and nothing that leaves the process. On part of
--- a/src/test/java/hopglade/benchlink/LinkTest.java
+++ b/gateway/src/test/java/ridgemill/benchlink/LinkTest.java
@@ -1,4 +1,4 @@
-package hopglade.benchlink;
+package ridgemill.benchlink;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
--- a/src/test/java/hopglade/proxy/ClientTest.java
+++ b/gateway/src/test/java/ridgemill/gateway/ClientTest.java
@@ -1,14 +1,14 @@
-package hopglade.proxy;
+package ridgemill.gateway;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import hopglade.Router.Outcome;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import ridgemill.policy.Router.Outcome;
 
 /** What clients send, well-formed or not, and that each request gets its one answer. */
 class ClientTest extends WithSite {
--- a/src/test/java/hopglade/proxy/DiscoveryTest.java
+++ b/gateway/src/test/java/ridgemill/gateway/DiscoveryTest.java
@@ -1,15 +1,15 @@
-package hopglade.proxy;
+package ridgemill.gateway;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import hopglade.Router.Availability;
-import hopglade.Router.ListKind;
 import java.io.IOException;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import ridgemill.policy.Router.Availability;
+import ridgemill.policy.Router.ListKind;
 
 /** The watch: what it tells is applied line by line, and it comes back from where it broke. */
 class DiscoveryTest {
--- a/src/test/java/hopglade/proxy/Fleet.java
+++ b/gateway/src/test/java/ridgemill/gateway/Fleet.java
@@ -1,7 +1,5 @@
-package hopglade.proxy;
+package ridgemill.gateway;
 
-import hopglade.Decide;
-import hopglade.Router;
 import java.io.Closeable;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -11,6 +9,8 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.LinkedBlockingQueue;
+import ridgemill.policy.Decide;
+import ridgemill.policy.Router;
 
 /** A proxy with the project's own decisions, cache nodes and an origin that answer by a script, and one client. */
 final class Fleet implements Closeable {
--- a/src/test/java/hopglade/proxy/IdleAgesTest.java
+++ b/gateway/src/test/java/ridgemill/gateway/IdleAgesTest.java
@@ -1,12 +1,9 @@
-package hopglade.proxy;
+package ridgemill.gateway;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import hopglade.Router.Availability;
-import hopglade.Router.Node;
-import hopglade.Router.Outcome;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -23,6 +20,9 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import ridgemill.policy.Router.Availability;
+import ridgemill.policy.Router.Node;
+import ridgemill.policy.Router.Outcome;
 
 /** A node that says 60 s and drops kept connections after 200 ms; idle time passes on a clock of the test's own. */
 class IdleAgesTest {
--- a/src/test/java/hopglade/proxy/MixedAnswersTest.java
+++ b/gateway/src/test/java/ridgemill/gateway/MixedAnswersTest.java
@@ -1,13 +1,13 @@
-package hopglade.proxy;
+package ridgemill.gateway;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 
-import hopglade.Router.Outcome;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import ridgemill.policy.Router.Outcome;
 
 /** Nodes answer with more, or other, than was asked for; no request may get what was made for another. */
 class MixedAnswersTest extends WithSite {
--- a/src/test/java/hopglade/proxy/OutcomeTest.java
+++ b/gateway/src/test/java/ridgemill/gateway/OutcomeTest.java
@@ -1,17 +1,17 @@
-package hopglade.proxy;
+package ridgemill.gateway;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import hopglade.Router.AttemptEnd;
-import hopglade.Router.Outcome;
 import java.util.HashSet;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import ridgemill.policy.Router.AttemptEnd;
+import ridgemill.policy.Router.Outcome;
 
 /** What a node's connection shows becomes the outcome that the protocol names, and the pool stays clean. */
 class OutcomeTest extends WithSite {
--- a/src/test/java/hopglade/proxy/ReloadTest.java
+++ b/gateway/src/test/java/ridgemill/gateway/ReloadTest.java
@@ -1,10 +1,9 @@
-package hopglade.proxy;
+package ridgemill.gateway;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import hopglade.Router.ListKind;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
@@ -14,6 +13,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import ridgemill.policy.Router.ListKind;
 
 /** SIGHUP: discovery moves, and what can't be read changes nothing. */
 class ReloadTest {
--- a/src/test/java/hopglade/proxy/Scripted.java
+++ b/gateway/src/test/java/ridgemill/gateway/Scripted.java
@@ -1,6 +1,5 @@
-package hopglade.proxy;
+package ridgemill.gateway;
 
-import hopglade.Router;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -8,6 +7,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import ridgemill.policy.Router;
 
 /** A router that does what a test says, and keeps what it was told. */
 final class Scripted implements Router {
--- a/src/test/java/hopglade/proxy/WarmupTest.java
+++ b/gateway/src/test/java/ridgemill/gateway/WarmupTest.java
@@ -1,4 +1,4 @@
-package hopglade.proxy;
+package ridgemill.gateway;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
--- a/src/test/java/hopglade/proxy/WithSite.java
+++ b/gateway/src/test/java/ridgemill/gateway/WithSite.java
@@ -1,4 +1,4 @@
-package hopglade.proxy;
+package ridgemill.gateway;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
