--- /dev/null
+++ b/core/src/main/java/ridgemill/core/Back.java
@@ -0,0 +1,33 @@
+package ridgemill.core;
+
+import ridgemill.policy.Router.Outcome;
+
+/**
+ * Carries attempts to nodes. A back sends nothing a second time by itself: each exchange ends once, with the outcome
+ * that its own connection showed.
+ */
+public interface Back<C> {
+
+    /** Takes how an exchange ended. It may be called before {@link Back#send} returns. */
+    interface Done<C> {
+
+        /** {@code answer} is null where no whole answer came. */
+        void ended(Outcome outcome, Answer<C> answer);
+    }
+
+    /** An attempt that is out. */
+    interface Exchange {
+
+        /** Gives it up: ends it as cancelled unless it has ended. */
+        void cancel();
+    }
+
+    /** Starts an exchange with a node that is given up after {@code timeoutMs}. */
+    Exchange send(String node, Attempt<C> attempt, double timeoutMs, Done<C> done);
+
+    /** Asks a node whether it lives; {@code done} gets no answer with the outcome. */
+    void probe(String node, double timeoutMs, Done<C> done);
+
+    /** Closes the idle connections to a node. */
+    void closeIdle(String node);
+}
--- /dev/null
+++ b/core/src/main/java/ridgemill/core/Client.java
@@ -0,0 +1,18 @@
+package ridgemill.core;
+
+/** The side of a front that waits for one request's final answer: exactly one of these is called, once. */
+public interface Client<C> {
+
+    /** Served with the answer that a node made for this request; its content holds until this returns. */
+    void served(Answer<C> answer);
+
+    /**
+     * Refused: trying again is harmless.
+     *
+     * @param retryAfterMs when to come back, in milliseconds; 0 gives no advice
+     */
+    void refused(double retryAfterMs);
+
+    /** Failed, with no promise about its effect. */
+    void failed();
+}
--- a/gateway/src/main/java/ridgemill/gateway/Proxy.java
+++ b/core/src/main/java/ridgemill/core/Dispatcher.java
@@ -1,14 +1,5 @@
-package ridgemill.gateway;
-
-import io.netty.buffer.Unpooled;
-import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpVersion;
-import java.math.BigDecimal;
+package ridgemill.core;
+
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -16,49 +7,33 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
-import java.util.concurrent.Future;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import ridgemill.policy.Router;
 import ridgemill.policy.Router.Actions;
 import ridgemill.policy.Router.AttemptEnd;
 import ridgemill.policy.Router.ListKind;
+import ridgemill.policy.Router.Node;
 import ridgemill.policy.Router.Outcome;
 import ridgemill.policy.Router.Request;
 import ridgemill.policy.Router.Settings;
 
 /**
- * Joins the decision module to the sockets: every event becomes one call of the module, and what the module asks for
- * is done in order once that call has returned. All of it runs on the one event loop, so there are no locks.
+ * Joins the decision module to fronts and backs: every event becomes one call of the module, and what the module asks
+ * for is done in order once that call has returned. It keeps what no module may break, whatever it asks for: one final
+ * answer for each request, one attempt out at a time, none past the attempts allowed or the client's time.
+ *
+ * <p>Not safe for use by several threads: whoever owns it calls it from one.
+ *
+ * @param <C> the type of contents that fronts and backs share
  */
-final class Proxy implements Actions {
+public final class Dispatcher<C> implements Actions {
 
     /** A time that the module gives to an attempt when it names none. */
     private static final double UNTIL_DEADLINE = 0;
     /** When a timer whose handling failed is tried again: without it one fault would end all later intervals. */
     private static final double RETRY_TIMER_MS = 1000;
-
-    /** The client's side of one request. */
-    interface Client {
-        void served(FullHttpResponse response);
-
-        void refused(double retryAfterMs);
-
-        void failed();
-    }
-
-    /** A request as it goes on to nodes. {@code key} and {@code contentType} are null where it has none. */
-    record Payload(HttpMethod method, String uri, byte[] body, String key, String contentType) { }
-
-    /** Counts for the log. */
-    static final class Tally {
-        final int[] outcomes = new int[Outcome.values().length];
-        int requests;
-        int served;
-        int refused;
-        int failed;
-        int gone;
-    }
+    /** A node is given so many times the time that a connection may take, to answer a probe. */
+    private static final double PROBE_CONNECTS = 2;
 
     private interface Event {
         void tell(double now);
@@ -66,74 +41,74 @@
 
     private record Pending(Event event, Runnable rescue) { }
 
-    private final EventLoop loop;
-    private final Clock clock;
+    private final Timers timers;
     private final Settings settings;
     private final Router router;
-    private final NodePool pool;
+    private final Back<C> back;
+    private final Faults faults;
     private final int maxOpen;
-    private final Map<String, Call> calls = new HashMap<>();
+    private final Map<String, Call<C>> calls = new HashMap<>();
     private final Queue<Pending> events = new ArrayDeque<>();
     private final List<Runnable> actions = new ArrayList<>();
-    private final Log log = new Log();
     private final Tally tally = new Tally();
     private Runnable subscribe = () -> { };
     private Consumer<byte[]> tell = contents -> { };
     private boolean telling;
     private int owed;
 
-    Proxy(EventLoop loop, Clock clock, Settings settings, Router router, NodePool pool, int maxOpen) {
-        this.loop = loop;
-        this.clock = clock;
+    /** {@code maxOpen} is how many requests may be open; the next are refused without asking the module. */
+    public Dispatcher(Timers timers, Settings settings, Router router, Back<C> back, Faults faults, int maxOpen) {
+        this.timers = timers;
         this.settings = settings;
         this.router = router;
-        this.pool = pool;
+        this.back = back;
+        this.faults = faults;
         this.maxOpen = maxOpen;
     }
 
-    /** Names what asks discovery and what tells peers; both need this proxy to be made first. */
-    void wire(Runnable asksDiscovery, Consumer<byte[]> tellsPeers) {
+    /** Names what asks discovery and what tells peers; both may need this dispatcher to be made first. */
+    public void wire(Runnable asksDiscovery, Consumer<byte[]> tellsPeers) {
         subscribe = asksDiscovery;
         tell = tellsPeers;
     }
 
-    void start(HostList known) {
+    /** Comes first: tells the module that it has started. */
+    public void start() {
         tell(now -> router.started(now, this), () -> { });
-        if (known != null) {
-            hosts(ListKind.REMEMBERED, known);
-        }
     }
 
     /** Requests that have no final answer yet. */
-    int owed() {
+    public int owed() {
         return owed;
     }
 
-    Tally tally() {
+    public Tally tally() {
         return tally;
     }
 
-    // Events from the sockets.
+    // Events from fronts, backs and the outside.
 
-    void hosts(ListKind kind, HostList list) {
-        pool.list(list);
-        tell(now -> router.nodes(now, kind, list.version(), list.nodes(), this), () -> { });
+    /** The node list, or news of it; the back must know the nodes before the module may choose one. */
+    public void nodes(ListKind kind, long version, List<Node> nodes) {
+        tell(now -> router.nodes(now, kind, version, nodes, this), () -> { });
     }
 
-    void discoveryRefused() {
-        tell(now -> router.nodes(now, ListKind.REFUSED, 0, List.of(), this), () -> { });
+    /** A call to discovery failed, or the subscription broke. */
+    public void discoveryRefused() {
+        nodes(ListKind.REFUSED, 0, List.of());
     }
 
-    void peerMessage(int from, byte[] contents) {
+    public void peerMessage(int from, byte[] contents) {
         tell(now -> router.peerMessage(now, from, contents, this), () -> { });
     }
 
     /** Whether a request with this id is open: its answer and another's could not be told apart. */
-    boolean isOpen(String id) {
+    public boolean isOpen(String id) {
         return calls.containsKey(id);
     }
 
-    void request(Request in, Payload payload, Client client) {
+    /** Takes a request, whose id must not be open; {@code client} gets its one final answer, maybe before this returns. */
+    public void request(Request in, Command<C> command, Client<C> client) {
         tally.requests++;
         if (calls.size() >= maxOpen) {
             // Beyond what the settings allow the module is not asked; nothing ran, so this promise is true.
@@ -141,16 +116,16 @@
             client.refused(0);
             return;
         }
-        Call call = new Call(in, payload, client, clock.now() + in.budgetMs());
+        Call<C> call = new Call<>(in, command, client, timers.now() + in.budgetMs());
         calls.put(in.id(), call);
         owed++;
-        call.backstop = loop.schedule(() -> overdue(call),
-                clock.nanosUntil(call.deadline + settings.rules().answerSlackMs()), TimeUnit.NANOSECONDS);
+        call.backstop = timers.at(call.deadline + settings.rules().answerSlackMs(), () -> overdue(call));
         tell(now -> router.request(now, in, this), () -> answerInstead(call));
     }
 
-    void clientGone(String id) {
-        Call call = calls.get(id);
+    /** The client of an open request has left; nothing is owed any more. */
+    public void clientGone(String id) {
+        Call<C> call = calls.get(id);
         if (call != null && !call.over) {
             tally.gone++;
             settle(call);
@@ -158,19 +133,20 @@
         }
     }
 
-    private void ended(Call call, int attempt, String node, double sentAt, Outcome outcome, FullHttpResponse response) {
+    private void ended(Call<C> call, int attempt, String node, double sentAt, Outcome outcome, Answer<C> answer) {
         call.out = null;
         call.proven &= outcome.provesNotRun();
-        tally.outcomes[outcome.ordinal()]++;
+        tally.count(outcome);
         if (outcome == Outcome.OK && !call.over) {
             tally.served++;
             settle(call);
-            call.client.served(response);
+            call.client.served(answer);
         }
-        report(call.in.id(), call, attempt, node, outcome, clock.now() - sentAt, note(response));
+        report(call.in.id(), call, attempt, node, outcome, timers.now() - sentAt,
+                answer == null ? Answer.NO_NOTE : answer.note());
     }
 
-    private void report(String id, Call call, int attempt, String node, Outcome outcome, double elapsedMs,
+    private void report(String id, Call<C> call, int attempt, String node, Outcome outcome, double elapsedMs,
                         int note) {
         boolean finished = call == null || call.over;
         if (call != null) {
@@ -194,7 +170,7 @@
         telling = true;
         while (!events.isEmpty()) {
             Pending next = events.remove();
-            boolean failed = !guarded(() -> next.event().tell(clock.now()));
+            boolean failed = !guarded(() -> next.event().tell(timers.now()));
             actions.forEach(this::guarded);
             actions.clear();
             if (failed) {
@@ -210,13 +186,13 @@
             action.run();
             return true;
         } catch (RuntimeException | StackOverflowError | AssertionError e) {
-            Log.error("a decision or its execution failed", e);
+            faults.fault("a decision or its execution failed", e);
             return false;
         }
     }
 
     /** Answers for a module that failed: a refusal only where provably nothing ran, as it promises just that. */
-    private void answerInstead(Call call) {
+    private void answerInstead(Call<C> call) {
         if (call.over || call.out != null) {
             return;
         }
@@ -229,9 +205,9 @@
     }
 
     /** The module owes an answer before this; without one the request would be lost. */
-    private void overdue(Call call) {
+    private void overdue(Call<C> call) {
         if (!call.over) {
-            log.odd("no answer was decided in time for " + call.in.id());
+            faults.odd("no answer was decided in time for " + call.in.id());
             if (call.out != null) {
                 call.out.cancel();
             }
@@ -249,7 +225,7 @@
     @Override
     public void cancel(String request, int attempt) {
         actions.add(() -> {
-            Call call = calls.get(request);
+            Call<C> call = calls.get(request);
             if (call != null && call.out != null && call.attempts - 1 == attempt) {
                 call.out.cancel();
             }
@@ -290,129 +266,124 @@
 
     @Override
     public void close(String node) {
-        actions.add(() -> pool.closeIdle(node));
+        actions.add(() -> back.closeIdle(node));
     }
 
-    private void ifOpen(String request, Consumer<Call> action) {
-        Call call = calls.get(request);
+    private void ifOpen(String request, Consumer<Call<C>> action) {
+        Call<C> call = calls.get(request);
         if (call != null && !call.over) {
             action.accept(call);
         }
     }
 
-    private void refuseNow(Call call, double retryAfterMs) {
+    private void refuseNow(Call<C> call, double retryAfterMs) {
         tally.refused++;
         settle(call);
         call.client.refused(retryAfterMs);
     }
 
-    private void failNow(Call call) {
+    private void failNow(Call<C> call) {
         tally.failed++;
         settle(call);
         call.client.failed();
     }
 
-    private void settle(Call call) {
+    private void settle(Call<C> call) {
         call.over = true;
         owed--;
-        call.backstop.cancel(false);
+        call.backstop.cancel();
         forgetIfDone(call);
     }
 
-    private void forgetIfDone(Call call) {
+    private void forgetIfDone(Call<C> call) {
         if (call.over && call.out == null) {
             calls.remove(call.in.id(), call);
         }
     }
 
     private void timerNow(double atMs, String token) {
-        loop.schedule(() -> tell(now -> router.timer(now, token, this),
-                () -> timerNow(clock.now() + RETRY_TIMER_MS, token)), clock.nanosUntil(atMs), TimeUnit.NANOSECONDS);
+        timers.at(atMs, () -> tell(now -> router.timer(now, token, this),
+                () -> timerNow(timers.now() + RETRY_TIMER_MS, token)));
     }
 
     private void sendNow(String request, String node, double timeoutMs) {
-        Call call = calls.get(request);
+        Call<C> call = calls.get(request);
         int attempt = call == null ? 0 : call.attempts++;
-        double now = clock.now();
+        double now = timers.now();
         double left = call == null ? 0 : call.deadline - now;
         double wait = timeoutMs == UNTIL_DEADLINE ? left : Math.min(timeoutMs, left);
         // Nothing goes out for a request that is over or late, past the attempts allowed, or beside another of its own.
         if (call == null || call.over || call.out != null || wait <= 0
                 || attempt >= settings.limits().maxAttempts()) {
-            tally.outcomes[Outcome.NEVER_SENT.ordinal()]++;
-            report(request, call, attempt, node, Outcome.NEVER_SENT, 0, 0);
+            tally.count(Outcome.NEVER_SENT);
+            report(request, call, attempt, node, Outcome.NEVER_SENT, 0, Answer.NO_NOTE);
             return;
         }
-        double giveUp = now + wait;
-        Attempt out = new Attempt();
-        call.out = out;
-        out.exchange = pool.send(node, () -> call.toNode(giveUp - clock.now()), wait,
-                (exchange, outcome, response) -> ended(call, attempt, node, now, outcome, response));
-    }
-
-    private static int note(FullHttpResponse response) {
-        return switch (response == null ? "" : response.headers().get("X-Hit", "")) {
-            case "hit" -> 1;
-            case "miss" -> 2;
-            case "pending" -> 3;
-            default -> 0;
-        };
+        Sent<C> sent = new Sent<>(call, now + wait, timers);
+        call.out = sent;
+        sent.exchange = back.send(node, sent, wait, (outcome, answer) -> ended(call, attempt, node, now, outcome, answer));
     }
 
     private void probeNow(String node) {
-        double now = clock.now();
-        pool.send(node, () -> new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/alive"),
-                settings.limits().connectTimeoutMs() * 2, (exchange, outcome, response) -> {
-                    double elapsed = clock.now() - now;
-                    tell(at -> router.probed(at, node, outcome, elapsed, Map.of(), this), () -> { });
-                });
+        double now = timers.now();
+        back.probe(node, settings.limits().connectTimeoutMs() * PROBE_CONNECTS, (outcome, answer) -> {
+            double elapsed = timers.now() - now;
+            tell(at -> router.probed(at, node, outcome, elapsed, Map.of(), this), () -> { });
+        });
     }
 
-    /** The attempt that is out; the pool may end it before it has handed the exchange over. */
-    private static final class Attempt {
-        private NodePool.Exchange exchange;
+    /** The attempt that is out; the back may end it before it has handed the exchange over. */
+    private static final class Sent<C> implements Attempt<C> {
+        private final Call<C> call;
+        private final double giveUpMs;
+        private final Timers timers;
+        private Back.Exchange exchange;
+
+        Sent(Call<C> call, double giveUpMs, Timers timers) {
+            this.call = call;
+            this.giveUpMs = giveUpMs;
+            this.timers = timers;
+        }
 
         void cancel() {
             if (exchange != null) {
                 exchange.cancel();
             }
         }
+
+        @Override
+        public String requestId() {
+            return call.in.id();
+        }
+
+        @Override
+        public Command<C> command() {
+            return call.command;
+        }
+
+        @Override
+        public double remainingMs() {
+            return giveUpMs - timers.now();
+        }
     }
 
     /** A request in the table: open until its final answer, kept on until its last attempt has ended. */
-    private static final class Call {
+    private static final class Call<C> {
         final Request in;
-        final Payload payload;
-        final Client client;
+        final Command<C> command;
+        final Client<C> client;
         final double deadline;
-        Future<?> backstop;
-        Attempt out;
+        Timers.Timer backstop;
+        Sent<C> out;
         int attempts;
         boolean proven = true;
         boolean over;
 
-        Call(Request in, Payload payload, Client client, double deadline) {
+        Call(Request in, Command<C> command, Client<C> client, double deadline) {
             this.in = in;
-            this.payload = payload;
+            this.command = command;
             this.client = client;
             this.deadline = deadline;
         }
-
-        FullHttpRequest toNode(double budgetMs) {
-            FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, payload.method(),
-                    payload.uri(), Unpooled.wrappedBuffer(payload.body()));
-            request.headers().set(HttpHeaderNames.HOST, "service.internal").set("X-Call-Id", in.id())
-                    .set("X-Budget", BigDecimal.valueOf(Math.max(1, Math.round(budgetMs)), 3).toPlainString());
-            if (payload.key() != null) {
-                request.headers().set("Idempotency-Key", payload.key());
-            }
-            if (payload.contentType() != null) {
-                request.headers().set(HttpHeaderNames.CONTENT_TYPE, payload.contentType());
-            }
-            if (payload.body().length > 0 || payload.method().equals(HttpMethod.PUT)) {
-                request.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, payload.body().length);
-            }
-            return request;
-        }
     }
 }
--- /dev/null
+++ b/core/src/main/java/ridgemill/core/Tally.java
@@ -0,0 +1,54 @@
+package ridgemill.core;
+
+import java.util.Arrays;
+import java.util.stream.Collectors;
+import ridgemill.policy.Router.Outcome;
+
+/** Counts since the start, for the log and for whoever watches. */
+public final class Tally {
+
+    private final long[] outcomes = new long[Outcome.values().length];
+    long requests;
+    long served;
+    long refused;
+    long failed;
+    long gone;
+
+    void count(Outcome outcome) {
+        outcomes[outcome.ordinal()]++;
+    }
+
+    /** Requests taken, whatever became of them. */
+    public long requests() {
+        return requests;
+    }
+
+    public long served() {
+        return served;
+    }
+
+    public long refused() {
+        return refused;
+    }
+
+    public long failed() {
+        return failed;
+    }
+
+    /** Requests whose client left before its answer. */
+    public long gone() {
+        return gone;
+    }
+
+    /** Attempts that ended so. */
+    public long attempts(Outcome outcome) {
+        return outcomes[outcome.ordinal()];
+    }
+
+    @Override
+    public String toString() {
+        return "requests=" + requests + " served=" + served + " refused=" + refused + " failed=" + failed + " gone="
+                + gone + " attempts: " + Arrays.stream(Outcome.values()).filter(o -> attempts(o) > 0)
+                .map(o -> o + "=" + attempts(o)).collect(Collectors.joining(" "));
+    }
+}
--- a/gateway/src/main/java/ridgemill/gateway/Config.java
+++ b/gateway/src/main/java/ridgemill/gateway/Config.java
@@ -13,6 +13,8 @@
 import java.util.List;
 import java.util.Map;
 import ridgemill.benchlink.SettingsReader;
+import ridgemill.gateway.membership.HostList;
+import ridgemill.gateway.net.Addresses;
 import ridgemill.policy.Router.Settings;
 
 /**
--- a/gateway/src/main/java/ridgemill/gateway/PeerEar.java
+++ b/gateway/src/main/java/ridgemill/gateway/PeerEar.java
@@ -6,6 +6,7 @@
 import java.nio.channels.DatagramChannel;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
+import ridgemill.gateway.net.Log;
 
 /**
  * Listens where peers' messages arrive before the proxy itself does. Peers speak only while they serve clients, so
--- a/gateway/src/main/java/ridgemill/gateway/Peers.java
+++ b/gateway/src/main/java/ridgemill/gateway/Peers.java
@@ -12,6 +12,9 @@
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import java.net.InetSocketAddress;
 import java.util.List;
+import ridgemill.core.Dispatcher;
+import ridgemill.gateway.net.Content;
+import ridgemill.gateway.net.Log;
 
 /** Short messages between proxies, over UDP: late, lost, or from strangers. */
 final class Peers {
@@ -20,15 +23,15 @@
 
     private final EventLoop loop;
     private final Config config;
-    private final Proxy proxy;
+    private final Dispatcher<Content> dispatcher;
     private final int self;
     private final Log log = new Log();
     private Channel channel;
 
-    Peers(EventLoop loop, Config config, Proxy proxy) {
+    Peers(EventLoop loop, Config config, Dispatcher<Content> dispatcher) {
         this.loop = loop;
         this.config = config;
-        this.proxy = proxy;
+        this.dispatcher = dispatcher;
         this.self = config.settings().index();
     }
 
@@ -71,7 +74,7 @@
             if (from < 0 || length > MAX_MESSAGE) {
                 log.odd("a datagram was dropped: " + length + " bytes from " + packet.sender());
             } else if (from != self) {
-                proxy.peerMessage(from, ByteBufUtil.getBytes(packet.content()));
+                dispatcher.peerMessage(from, ByteBufUtil.getBytes(packet.content()));
             }
         }
 
--- a/gateway/src/main/java/ridgemill/gateway/Service.java
+++ b/gateway/src/main/java/ridgemill/gateway/Service.java
@@ -7,16 +7,26 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Collectors;
+import ridgemill.core.Dispatcher;
+import ridgemill.gateway.back.NodePool;
+import ridgemill.gateway.back.http.HttpNodeConnection;
+import ridgemill.gateway.front.http.HttpFront;
+import ridgemill.gateway.membership.Discovery;
+import ridgemill.gateway.membership.HostList;
+import ridgemill.gateway.net.Clock;
+import ridgemill.gateway.net.Content;
+import ridgemill.gateway.net.Log;
+import ridgemill.gateway.net.LogFaults;
+import ridgemill.gateway.net.LoopTimers;
+import ridgemill.gateway.net.Transport;
 import ridgemill.policy.Decide;
 import ridgemill.policy.Router;
-import ridgemill.policy.Router.Outcome;
+import ridgemill.policy.Router.ListKind;
 import ridgemill.policy.Router.Settings;
 
 /** One running proxy: puts the parts together on one event loop, and takes them down without losing a request. */
@@ -37,9 +47,9 @@
     private final CountDownLatch ended = new CountDownLatch(1);
     private final EventLoop loop = group.next();
     private final Config config;
-    private final Proxy proxy;
+    private final Dispatcher<Content> dispatcher;
     private final NodePool pool;
-    private final ClientServer clients;
+    private final HttpFront front;
     private final Discovery discovery;
     private final Peers peers;
     private InetSocketAddress listening;
@@ -49,14 +59,14 @@
         Settings settings = config.settings();
         int sockets = Math.max(2, config.sockets() - RESERVED_SOCKETS);
         int clientSockets = Math.max(1, (int) (sockets * CLIENT_PART));
-        pool = new NodePool(loop, Transport.TCP, settings.limits().connectTimeoutMs(), settings.connections().idleMs(),
-                Math.max(1, sockets - clientSockets));
-        proxy = new Proxy(loop, new Clock(), settings, router, pool, config.maxOpen());
-        clients = new ClientServer(loop, proxy, settings, clientSockets);
-        discovery = new Discovery(loop, config.discovery(), proxy, config.known(), !settings.mustSubscribe(),
-                clients::ready);
-        peers = config.peerListen() == null ? null : new Peers(loop, config, proxy);
-        proxy.wire(discovery::subscribe, peers == null ? contents -> { } : peers::tell);
+        pool = new NodePool(loop, Transport.TCP, HttpNodeConnection::new, settings.limits().connectTimeoutMs(),
+                settings.connections().idleMs(), Math.max(1, sockets - clientSockets));
+        dispatcher = new Dispatcher<>(new LoopTimers(loop, new Clock()), settings, router, pool, new LogFaults(),
+                config.maxOpen());
+        front = new HttpFront(loop, dispatcher, settings, clientSockets);
+        discovery = new Discovery(loop, config.discovery(), config.known(), !settings.mustSubscribe(), new Told());
+        peers = config.peerListen() == null ? null : new Peers(loop, config, dispatcher);
+        dispatcher.wire(discovery::subscribe, peers == null ? contents -> { } : peers::tell);
     }
 
     /** Runs what a start runs, without a configuration: the build archives the classes that this loads. */
@@ -91,11 +101,11 @@
             bound(peers.listen(), config.peerListen());
         }
         // The module knows its list before the first client can come.
-        loop.submit(() -> proxy.start(config.known())).sync();
-        listening = (InetSocketAddress) bound(clients.listen(Transport.TCP, config.listen()), config.listen()).channel().localAddress();
+        loop.submit(this::tellStart).sync();
+        listening = (InetSocketAddress) bound(front.listen(Transport.TCP, config.listen()), config.listen()).channel().localAddress();
         loop.execute(discovery::start);
         long patience = config.settings().mustSubscribe() ? 0 : FIRST_NEWS_MS;
-        loop.schedule(clients::ready, patience, TimeUnit.MILLISECONDS);
+        loop.schedule(front::ready, patience, TimeUnit.MILLISECONDS);
         loop.scheduleAtFixedRate(this::logTally, TALLY_S, TALLY_S, TimeUnit.SECONDS);
     }
 
@@ -152,13 +162,13 @@
     /** Still serves whoever comes, but each for the last time. */
     void beginDrain() {
         Log.info("draining");
-        loop.execute(clients::drain);
+        loop.execute(front::drain);
     }
 
     /** Takes no more, and ends when all that was taken is answered. */
     void endDrain() {
         loop.execute(() -> {
-            clients.stop();
+            front.stop();
             finish();
         });
     }
@@ -170,7 +180,7 @@
 
     /** Waits for the last answers to be written; a client's connection closes once its own has been. */
     private void finish() {
-        if (proxy.owed() > 0 || clients.connections() > 0) {
+        if (dispatcher.owed() > 0 || front.connections() > 0) {
             loop.schedule(this::finish, DRAIN_POLL_MS, TimeUnit.MILLISECONDS);
         } else {
             logTally();
@@ -184,11 +194,38 @@
     }
 
     private void logTally() {
-        Proxy.Tally t = proxy.tally();
-        String outcomes = Arrays.stream(Outcome.values()).filter(o -> t.outcomes[o.ordinal()] > 0)
-                .map(o -> o + "=" + t.outcomes[o.ordinal()]).collect(Collectors.joining(" "));
-        Log.info("requests=" + t.requests + " served=" + t.served + " refused=" + t.refused + " failed=" + t.failed
-                + " gone=" + t.gone + " owed=" + proxy.owed() + " clients=" + clients.connections() + " nodes="
-                + pool.connections() + " attempts: " + outcomes);
+        Log.info(dispatcher.tally() + " owed=" + dispatcher.owed() + " clients=" + front.connections() + " nodes="
+                + pool.connections());
+    }
+
+    private void tellStart() {
+        dispatcher.start();
+        if (config.known() != null) {
+            tellHosts(ListKind.REMEMBERED, config.known());
+        }
+    }
+
+    /** The back first: it must know a node before the module may choose it. */
+    private void tellHosts(ListKind kind, HostList list) {
+        pool.list(list);
+        dispatcher.nodes(kind, list.version(), list.nodes());
+    }
+
+    /** Passes on what discovery tells. */
+    private final class Told implements Discovery.Listener {
+        @Override
+        public void hosts(ListKind kind, HostList list) {
+            tellHosts(kind, list);
+        }
+
+        @Override
+        public void refused() {
+            dispatcher.discoveryRefused();
+        }
+
+        @Override
+        public void heard() {
+            front.ready();
+        }
     }
 }
--- a/gateway/src/main/java/ridgemill/gateway/Warmup.java
+++ b/gateway/src/main/java/ridgemill/gateway/Warmup.java
@@ -26,6 +26,17 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import ridgemill.core.Dispatcher;
+import ridgemill.gateway.back.NodePool;
+import ridgemill.gateway.back.http.HttpNodeConnection;
+import ridgemill.gateway.front.http.HttpFront;
+import ridgemill.gateway.membership.HostList;
+import ridgemill.gateway.net.Clock;
+import ridgemill.gateway.net.Content;
+import ridgemill.gateway.net.Log;
+import ridgemill.gateway.net.LogFaults;
+import ridgemill.gateway.net.LoopTimers;
+import ridgemill.gateway.net.Transport;
 import ridgemill.policy.Decide;
 import ridgemill.policy.Router.Availability;
 import ridgemill.policy.Router.Effect;
@@ -91,9 +102,11 @@
     }
 
     private void start() throws InterruptedException {
-        NodePool pool = new NodePool(loop, Transport.IN_PROCESS, CONNECT_MS, settings.connections().idleMs(), NODES * AT_ONCE);
-        Proxy proxy = new Proxy(loop, new Clock(), settings, new Decide(settings, 0), pool, AT_ONCE + 1);
-        ClientServer clients = new ClientServer(loop, proxy, settings, 2 * AT_ONCE);
+        NodePool pool = new NodePool(loop, Transport.IN_PROCESS, HttpNodeConnection::new, CONNECT_MS,
+                settings.connections().idleMs(), NODES * AT_ONCE);
+        Dispatcher<Content> dispatcher = new Dispatcher<>(new LoopTimers(loop, new Clock()), settings,
+                new Decide(settings, 0), pool, new LogFaults(), AT_ONCE + 1);
+        HttpFront clients = new HttpFront(loop, dispatcher, settings, 2 * AT_ONCE);
         LocalAddress front = new LocalAddress("warm-up");
         List<HostList.Host> hosts = new ArrayList<>();
         for (int i = 0; i <= NODES; i++) {
@@ -104,8 +117,10 @@
                     1, 0, Availability.UP), address));
         }
         loop.submit(() -> {
-            proxy.start(null);
-            proxy.hosts(ListKind.FULL, new HostList(1, true, hosts));
+            HostList list = new HostList(1, true, hosts);
+            dispatcher.start();
+            pool.list(list);
+            dispatcher.nodes(ListKind.FULL, list.version(), list.nodes());
         }).sync();
         clients.listen(Transport.IN_PROCESS, front).sync();
         for (int i = 0; i < AT_ONCE; i++) {
@@ -118,7 +133,7 @@
                 .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(ClientServer.MAX_BODY),
+                        channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(Content.MAX_BYTES),
                                 new Answers(origin));
                     }
                 }).bind(address).sync();
@@ -134,7 +149,7 @@
         Transport.IN_PROCESS.client(loop).handler(new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel channel) {
-                channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(ClientServer.MAX_BODY),
+                channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(Content.MAX_BYTES),
                         new Asks());
             }
         }).connect(front);
--- a/gateway/src/main/java/ridgemill/gateway/IdleAges.java
+++ b/gateway/src/main/java/ridgemill/gateway/back/IdleAges.java
@@ -1,4 +1,4 @@
-package ridgemill.gateway;
+package ridgemill.gateway.back;
 
 import java.util.concurrent.TimeUnit;
 
--- /dev/null
+++ b/gateway/src/main/java/ridgemill/gateway/back/NodeConnection.java
@@ -0,0 +1,117 @@
+package ridgemill.gateway.back;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelPipeline;
+import ridgemill.core.Answer;
+import ridgemill.gateway.net.Content;
+import ridgemill.policy.Router.Outcome;
+
+/**
+ * One connection to a node, which carries one exchange at a time: what all protocols have in common. A protocol's own
+ * class reads and writes its messages and tells from here how the exchange ended.
+ */
+public abstract class NodeConnection extends ChannelInboundHandlerAdapter {
+
+    private NodePool pool;
+    NodePool.Target target;
+    private ChannelHandlerContext context;
+    private NodeExchange current;
+    long idleSince;
+    private boolean used;
+
+    /** Adds the protocol's codec and this handler, the last, to a new connection. */
+    protected abstract void install(ChannelPipeline pipeline);
+
+    /** The message to write for an exchange; called when the connection is there to write it to. */
+    protected abstract Object message(NodeExchange exchange);
+
+    /** What was kept of the last exchange is of no use any more. */
+    protected void begin() { }
+
+    /** The connection has ended; a whole answer that waits may still be given by {@link #finish}. */
+    protected abstract void ended();
+
+    void join(NodePool pool, NodePool.Target target) {
+        this.pool = pool;
+        this.target = target;
+    }
+
+    /** The exchange that waits for its answer; null between two. */
+    protected final NodeExchange current() {
+        return current;
+    }
+
+    protected final ChannelHandlerContext context() {
+        return context;
+    }
+
+    /** Ends the exchange with an answer; the connection is kept if {@code clean}. */
+    protected final void finish(Outcome outcome, Answer<Content> answer, boolean clean) {
+        NodeExchange exchange = current;
+        current = null;
+        if (clean && target.current) {
+            pool.rest(this);
+        } else {
+            context.close();
+        }
+        exchange.end(outcome, answer);
+    }
+
+    /** Ends the exchange, if there is one, as the connection's own end. */
+    protected final void broken() {
+        if (current != null) {
+            current.broken();
+        }
+    }
+
+    /** What came makes no sense: the request may have run, and the connection is of no further use. */
+    protected final void spoilt() {
+        if (current != null && current.isWritten()) {
+            current.end(Outcome.ERROR, null);
+        } else {
+            broken();
+        }
+        context.close();
+    }
+
+    final void write(NodeExchange exchange) {
+        current = exchange;
+        begin();
+        exchange.idleMs = used ? idleMs(pool.nanos()) : 0;
+        used = true;
+        exchange.channel = context.channel();
+        // The promise covers the whole message: it fails if the connection breaks before the last byte is written.
+        context.writeAndFlush(message(exchange)).addListener(f -> {
+            if (f.isSuccess()) {
+                exchange.written = true;
+            } else {
+                context.close();
+                exchange.broken();
+            }
+        });
+    }
+
+    final double idleMs(long nowNanos) {
+        return Math.max(1, nowNanos - idleSince) / 1e6;
+    }
+
+    final boolean isActive() {
+        return context.channel().isActive();
+    }
+
+    final void close() {
+        context.close();
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext ctx) {
+        context = ctx;
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        pool.forget(this);
+        ended();
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/ridgemill/gateway/back/NodeExchange.java
@@ -0,0 +1,83 @@
+package ridgemill.gateway.back;
+
+import io.netty.channel.Channel;
+import io.netty.util.concurrent.Future;
+import ridgemill.core.Answer;
+import ridgemill.core.Attempt;
+import ridgemill.core.Back;
+import ridgemill.gateway.net.Content;
+import ridgemill.policy.Router.Outcome;
+
+/** One attempt or probe on its way to a node, and its one outcome. */
+public final class NodeExchange implements Back.Exchange {
+
+    private final Attempt<Content> attempt;
+    private final Back.Done<Content> done;
+    private final NodePool pool;
+    Channel channel;
+    Future<?> timer;
+    boolean written;
+    private boolean over;
+    /** How long its connection had been idle, 0 for a new one; and whether bytes of an answer have come. */
+    double idleMs;
+    private boolean answering;
+
+    NodeExchange(NodePool pool, Attempt<Content> attempt, Back.Done<Content> done) {
+        this.pool = pool;
+        this.attempt = attempt;
+        this.done = done;
+    }
+
+    /** The attempt to write; null for a probe. */
+    public Attempt<Content> attempt() {
+        return attempt;
+    }
+
+    /** Whether it has its outcome. */
+    public boolean isOver() {
+        return over;
+    }
+
+    /** Whether its last byte is written, from when on the node may run it. */
+    public boolean isWritten() {
+        return written;
+    }
+
+    /** The first bytes of an answer have come: a break from here on is not one of an old connection. */
+    public void answering() {
+        answering = true;
+    }
+
+    /** Gives it up. The connection goes too: its answer may still come and would be taken for another's. */
+    @Override
+    public void cancel() {
+        abandon(Outcome.CANCELLED);
+    }
+
+    void timedOut() {
+        // Before its last byte was written the node cannot have begun it.
+        abandon(written ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED);
+    }
+
+    void broken() {
+        end(written ? Outcome.RESET : Outcome.CONNECT_FAILED, null);
+    }
+
+    private void abandon(Outcome outcome) {
+        if (!over) {
+            end(outcome, null);
+            if (channel != null) {
+                channel.close();
+            }
+        }
+    }
+
+    void end(Outcome outcome, Answer<Content> answer) {
+        if (!over) {
+            over = true;
+            timer.cancel(false);
+            pool.used(idleMs, outcome, answering);
+            done.ended(outcome, answer);
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/ridgemill/gateway/back/NodePool.java
@@ -0,0 +1,311 @@
+package ridgemill.gateway.back;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import java.net.SocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import java.util.stream.Collectors;
+import ridgemill.core.Attempt;
+import ridgemill.core.Back;
+import ridgemill.gateway.membership.HostList;
+import ridgemill.gateway.net.Content;
+import ridgemill.gateway.net.Transport;
+import ridgemill.policy.Router.Availability;
+import ridgemill.policy.Router.Outcome;
+
+/**
+ * Connections to the cache nodes and the origin. Each carries one exchange at a time; the newest idle one is used
+ * first, so that the rest age and close. Nothing is ever sent a second time from here: every exchange ends once, with
+ * the outcome that its own connection showed.
+ */
+public final class NodePool implements Back<Content> {
+
+    /** Idle connections close at this part of the node's own limit: one that it closes first loses a request. */
+    private static final double IDLE_PART = 0.75;
+    /**
+     * How long a connection rests between two exchanges: a second copy of the answer that comes a moment late would be
+     * taken for the next one's. Counted by timers, which run after all that has arrived was read, also after a pause.
+     */
+    private static final long REST_MS = 4;
+    /** Idle connections are looked through so often in the time that they may stand, and at least each second. */
+    private static final double IDLE_SWEEPS = 10;
+    private static final double SWEEP_MS = 1000;
+
+    private final EventLoop loop;
+    private final Bootstrap bootstrap;
+    private final Supplier<NodeConnection> protocol;
+    private final double idleMs;
+    private final int maxConnections;
+    private final Map<String, Target> targets = new HashMap<>();
+    private final Deque<NodeConnection> resting = new ArrayDeque<>();
+    private final IdleAges ages = new IdleAges();
+    private final LongSupplier nanos;
+    private boolean restsWatched;
+    private boolean idleWatched;
+    private int connections;
+
+    /**
+     * A pool without connections.
+     *
+     * @param protocol makes the connection to a node in the nodes' protocol
+     * @param connectTimeoutMs how long a connection may take to come up, in milliseconds
+     * @param idleMs after how long nodes close idle connections, in milliseconds; may be infinite
+     * @param maxConnections how many may be open or opening at a time
+     */
+    public NodePool(EventLoop loop, Transport transport, Supplier<NodeConnection> protocol, double connectTimeoutMs,
+                    double idleMs, int maxConnections) {
+        this(loop, transport, protocol, connectTimeoutMs, idleMs, maxConnections, System::nanoTime);
+    }
+
+    /** {@code nanos} is the clock that idle times are read from. */
+    public NodePool(EventLoop loop, Transport transport, Supplier<NodeConnection> protocol, double connectTimeoutMs,
+                    double idleMs, int maxConnections, LongSupplier nanos) {
+        this.loop = loop;
+        this.protocol = protocol;
+        this.nanos = nanos;
+        this.idleMs = idleMs * IDLE_PART;
+        this.maxConnections = maxConnections;
+        this.bootstrap = transport.client(loop)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, Math.max(1, (int) connectTimeoutMs));
+    }
+
+    /** Takes in the list. Idle connections to a host that drains, left, moved or started anew are of no use. */
+    public void list(HostList list) {
+        if (list.whole()) {
+            Set<String> named = list.hosts().stream().map(h -> h.node().id()).collect(Collectors.toSet());
+            List.copyOf(targets.keySet()).stream().filter(id -> !named.contains(id)).forEach(this::forget);
+        }
+        for (HostList.Host host : list.hosts()) {
+            Target known = targets.get(host.node().id());
+            if (host.node().availability() == Availability.GONE) {
+                forget(host.node().id());
+            } else if (known == null || !known.dial.equals(host.dial()) || known.bornMs != host.node().startedAtMs()) {
+                forget(host.node().id());
+                targets.put(host.node().id(), new Target(host.dial(), host.node().startedAtMs()));
+            } else if (host.node().availability() == Availability.DRAINING) {
+                closeIdle(known);
+            }
+        }
+    }
+
+    private void forget(String node) {
+        Target target = targets.remove(node);
+        if (target != null) {
+            closeIdle(target);
+            target.current = false;
+        }
+    }
+
+    @Override
+    public void closeIdle(String node) {
+        Target target = targets.get(node);
+        if (target != null) {
+            closeIdle(target);
+        }
+    }
+
+    private void closeIdle(Target target) {
+        List<NodeConnection> all = new ArrayList<>(target.idle);
+        target.idle.clear();
+        resting.stream().filter(c -> c.target == target).forEach(all::add);
+        resting.removeAll(all);
+        all.forEach(c -> c.close());
+    }
+
+    /** Connections that are open or opening. */
+    public int connections() {
+        return connections;
+    }
+
+    /** Whether no connection is in the pause that follows an answer. */
+    public boolean isRested() {
+        return resting.isEmpty();
+    }
+
+    /**
+     * Starts an exchange that is given up after {@code timeoutMs}. The message is made when a connection is there to
+     * write it to, so that the time it names is what is left then.
+     */
+    @Override
+    public NodeExchange send(String node, Attempt<Content> attempt, double timeoutMs, Done<Content> done) {
+        NodeExchange exchange = new NodeExchange(this, attempt, done);
+        exchange.timer = loop.schedule(exchange::timedOut, (long) (timeoutMs * 1e6), TimeUnit.NANOSECONDS);
+        Target target = targets.get(node);
+        if (target == null) {
+            exchange.end(Outcome.CONNECT_FAILED, null);
+            return exchange;
+        }
+        NodeConnection idle = newestIdle(target);
+        if (idle != null) {
+            idle.write(exchange);
+        } else if (connections < maxConnections || closeOldestIdle()) {
+            connect(target, exchange);
+        } else {
+            // Out of descriptors: opening one more could leave none for a client that is being accepted. The node is
+            // not to blame, so this must not look like a failure of its own.
+            exchange.end(Outcome.NEVER_SENT, null);
+        }
+        return exchange;
+    }
+
+    @Override
+    public void probe(String node, double timeoutMs, Done<Content> done) {
+        send(node, null, timeoutMs, (outcome, answer) -> done.ended(outcome, null));
+    }
+
+    private NodeConnection newestIdle(Target target) {
+        long now = nanos.getAsLong();
+        double limit = Math.min(idleMs, ages.limitMs(now));
+        for (NodeConnection c = target.idle.pollFirst(); c != null; c = target.idle.pollFirst()) {
+            if (c.idleMs(now) >= limit) {
+                c.close();
+            } else if (c.isActive()) {
+                return c;
+            }
+        }
+        return null;
+    }
+
+    /** Closes what has been idle for too long; runs as long as something is idle. */
+    private void watchIdle() {
+        if (!idleWatched && idleMs < Long.MAX_VALUE / 1e6) {
+            idleWatched = true;
+            loop.schedule(this::closeAged, (long) (Math.min(idleMs / IDLE_SWEEPS, SWEEP_MS) * 1e6), TimeUnit.NANOSECONDS);
+        }
+    }
+
+    private void closeAged() {
+        long now = nanos.getAsLong();
+        double limit = Math.min(idleMs, ages.limitMs(now));
+        boolean left = false;
+        for (Target target : targets.values()) {
+            for (NodeConnection c = target.idle.peekLast(); c != null && c.idleMs(now) >= limit; c = target.idle.peekLast()) {
+                target.idle.removeLast();
+                c.close();
+            }
+            left |= !target.idle.isEmpty();
+        }
+        idleWatched = false;
+        if (left) {
+            watchIdle();
+        }
+    }
+
+    private void connect(Target target, NodeExchange exchange) {
+        NodeConnection connection = protocol.get();
+        connection.join(this, target);
+        connections++;
+        ChannelFuture connecting = bootstrap.clone().handler(new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                connection.install(channel.pipeline());
+            }
+        }).connect(target.dial);
+        exchange.channel = connecting.channel();
+        connecting.channel().closeFuture().addListener(f -> connections--);
+        connecting.addListener(f -> {
+            if (!f.isSuccess()) {
+                connecting.channel().close();
+                exchange.end(Outcome.CONNECT_FAILED, null);
+            } else if (exchange.isOver()) {
+                connecting.channel().close();
+            } else {
+                connection.write(exchange);
+            }
+        });
+    }
+
+    /** Makes room for a connection that is needed now; false if every one is busy. */
+    private boolean closeOldestIdle() {
+        NodeConnection oldest = resting.peekFirst();
+        for (Target target : targets.values()) {
+            NodeConnection candidate = target.idle.peekLast();
+            if (candidate != null && (oldest == null || candidate.idleSince - oldest.idleSince < 0)) {
+                oldest = candidate;
+            }
+        }
+        if (oldest != null) {
+            resting.remove(oldest);
+            oldest.target.idle.remove(oldest);
+            oldest.close();
+        }
+        return oldest != null;
+    }
+
+    /** A host's address and its idle connections, newest first. */
+    static final class Target {
+        final SocketAddress dial;
+        final double bornMs;
+        final Deque<NodeConnection> idle = new ArrayDeque<>();
+        /** False once the list has moved on: connections that come free then must not wait for a use. */
+        boolean current = true;
+
+        Target(SocketAddress dial, double bornMs) {
+            this.dial = dial;
+            this.bornMs = bornMs;
+        }
+    }
+
+    long nanos() {
+        return nanos.getAsLong();
+    }
+
+    /** Takes note of how an exchange on a connection of that idle age ended; {@code answering} if bytes came back. */
+    void used(double idle, Outcome outcome, boolean answering) {
+        boolean broke = outcome == Outcome.RESET || outcome == Outcome.CONNECT_FAILED;
+        if (outcome != Outcome.CANCELLED && outcome != Outcome.NEVER_SENT) {
+            ages.used(idle, broke && !answering, nanos.getAsLong());
+        }
+    }
+
+    /** Takes a connection back whose exchange ended well. */
+    void rest(NodeConnection connection) {
+        connection.idleSince = nanos.getAsLong();
+        resting.addLast(connection);
+        watchRests();
+    }
+
+    void forget(NodeConnection connection) {
+        connection.target.idle.remove(connection);
+        resting.remove(connection);
+    }
+
+    private void rested(NodeConnection connection) {
+        if (!connection.isActive() || !connection.target.current) {
+            connection.close();
+        } else {
+            connection.target.idle.addFirst(connection);
+            watchIdle();
+        }
+    }
+
+    /** Hands connections back whose rest is over; runs as long as some are left. */
+    private void endRests() {
+        long now = nanos.getAsLong();
+        while (!resting.isEmpty() && now - resting.peekFirst().idleSince >= TimeUnit.MILLISECONDS.toNanos(REST_MS)) {
+            rested(resting.removeFirst());
+        }
+        restsWatched = false;
+        watchRests();
+    }
+
+    private void watchRests() {
+        if (!restsWatched && !resting.isEmpty()) {
+            restsWatched = true;
+            loop.schedule(this::endRests, REST_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/ridgemill/gateway/back/http/HttpNodeConnection.java
@@ -0,0 +1,221 @@
+package ridgemill.gateway.back.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelPipeline;
+import io.netty.handler.codec.PrematureChannelClosureException;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.Future;
+import java.io.IOException;
+import java.math.BigDecimal;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+import ridgemill.core.Answer;
+import ridgemill.core.Attempt;
+import ridgemill.core.Command;
+import ridgemill.gateway.back.NodeConnection;
+import ridgemill.gateway.back.NodeExchange;
+import ridgemill.gateway.net.Content;
+import ridgemill.gateway.net.StrictHttp;
+import ridgemill.policy.Router.Outcome;
+
+/** An HTTP/1.1 connection to a node (RFC 9112), one request at a time. */
+public final class HttpNodeConnection extends NodeConnection {
+
+    /** An answer that has begun and does not end in this time is spoilt: nodes write theirs in one go. */
+    private static final long STALL_MS = 200;
+    private static final byte[] START = "HTTP/1.".getBytes(StandardCharsets.US_ASCII);
+
+    private final StrictHttp.Responses decoder = new StrictHttp.Responses();
+    /** The whole answer, until the read that brought it is over and shows whether more came with it. */
+    private FullHttpResponse answer;
+    private boolean more;
+    private int begun;
+    private Future<?> stallTimer;
+
+    @Override
+    protected void install(ChannelPipeline pipeline) {
+        pipeline.addLast(new HttpRequestEncoder(), new Bytes(), decoder, new HttpObjectAggregator(Content.MAX_BYTES),
+                this);
+    }
+
+    @Override
+    protected void begin() {
+        begun = 0;
+    }
+
+    @Override
+    protected Object message(NodeExchange exchange) {
+        Attempt<Content> attempt = exchange.attempt();
+        return attempt == null ? new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/alive")
+                : request(attempt);
+    }
+
+    private static FullHttpRequest request(Attempt<Content> attempt) {
+        Command<Content> command = attempt.command();
+        Content content = command.content();
+        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1,
+                command.write() ? HttpMethod.PUT : HttpMethod.GET, command.target(), content.bytes().retainedDuplicate());
+        request.headers().set(HttpHeaderNames.HOST, "service.internal").set("X-Call-Id", attempt.requestId())
+                .set("X-Budget", BigDecimal.valueOf(Math.max(1, Math.round(attempt.remainingMs())), 3).toPlainString());
+        if (command.idempotencyKey() != null) {
+            request.headers().set("Idempotency-Key", command.idempotencyKey());
+        }
+        if (content.mediaType() != null) {
+            request.headers().set(HttpHeaderNames.CONTENT_TYPE, content.mediaType());
+        }
+        if (content.bytes().isReadable() || command.write()) {
+            request.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, content.bytes().readableBytes());
+        }
+        return request;
+    }
+
+    /** Whether bytes that have come can belong to the answer that is awaited. */
+    private boolean expected(ByteBuf in) {
+        NodeExchange current = current();
+        if (current == null || current.isOver() || !current.isWritten()) {
+            return false;
+        }
+        for (int i = in.readerIndex(); begun < START.length && i < in.writerIndex(); i++, begun++) {
+            if (in.getByte(i) != START[begun]) {
+                return false;
+            }
+        }
+        current.answering();
+        return true;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
+        try {
+            read(ctx, (FullHttpResponse) message);
+        } finally {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    private void read(ChannelHandlerContext ctx, FullHttpResponse response) {
+        if (current() == null || answer != null) {
+            more = true;
+        } else if (response.decoderResult().isFailure()) {
+            fail(response.decoderResult().cause());
+        } else if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+            begun = 0;
+        } else if (!ctx.channel().isActive()) {
+            // Nothing but the end of the connection ended it, so nobody can tell whether it is whole.
+            broken();
+        } else {
+            answer = response.retain();
+        }
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        if (answer != null) {
+            finish();
+        } else if (current() != null && begun > 0 && stallTimer == null) {
+            NodeExchange stalled = current();
+            stallTimer = ctx.executor().schedule(() -> {
+                stallTimer = null;
+                if (current() == stalled && begun > 0) {
+                    spoilt();
+                }
+            }, STALL_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Ends the exchange with its answer. What came behind it would be taken for the next one's. */
+    private void finish() {
+        FullHttpResponse response = answer;
+        answer = null;
+        if (stallTimer != null) {
+            stallTimer.cancel(false);
+            stallTimer = null;
+        }
+        try {
+            finish(outcome(response), new Answer<>(new Content(response.content(),
+                    response.headers().get(HttpHeaderNames.CONTENT_TYPE)), note(response)),
+                    !more && !decoder.leftOver() && HttpUtil.isKeepAlive(response));
+        } finally {
+            response.release();
+        }
+    }
+
+    @Override
+    protected void ended() {
+        if (answer != null) {
+            finish();
+        } else {
+            broken();
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        fail(cause);
+    }
+
+    /** A connection that broke ends its exchange as such, also inside an answer; else the answer makes no sense. */
+    private void fail(Throwable cause) {
+        if (answer != null) {
+            more = true;
+            finish();
+            context().close();
+        } else if (cause instanceof IOException || cause instanceof PrematureChannelClosureException) {
+            broken();
+            context().close();
+        } else {
+            spoilt();
+        }
+    }
+
+    private static Outcome outcome(FullHttpResponse response) {
+        HttpResponseStatus status = response.status();
+        return switch (status.code()) {
+            case 200 -> Outcome.OK;
+            case 404 -> Outcome.MISS;
+            case 503, 504 -> "1".equals(response.headers().get("X-Rejected")) ? Outcome.REJECTED : Outcome.ERROR;
+            default -> Outcome.ERROR;
+        };
+    }
+
+    private static int note(FullHttpResponse response) {
+        return switch (response.headers().get("X-Hit", "")) {
+            case "hit" -> Answer.HIT;
+            case "miss" -> Answer.MISS;
+            case "pending" -> Answer.PENDING;
+            default -> Answer.NO_NOTE;
+        };
+    }
+
+    /**
+     * Sees bytes before they are decoded. Those that come while nothing is awaited, or before the request is out,
+     * belong to an older one, and those that start no answer would only be seen as such at the end of a line.
+     */
+    private final class Bytes extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object message) {
+            if (answer != null) {
+                more = true;
+                ReferenceCountUtil.release(message);
+            } else if (message instanceof ByteBuf in && !expected(in)) {
+                in.release();
+                spoilt();
+            } else {
+                ctx.fireChannelRead(message);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/ridgemill/gateway/front/ClientConnection.java
@@ -0,0 +1,130 @@
+package ridgemill.gateway.front;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import java.util.concurrent.TimeUnit;
+
+/** One client's connection and what it is doing: what all protocols have in common, which is their limits in time. */
+public abstract class ClientConnection extends ChannelInboundHandlerAdapter {
+
+    /** What a connection is doing; the limits in time go by it. */
+    protected enum Phase { SILENT, READING, BUSY, IDLE, CLOSING }
+
+    /** How long a connection may say nothing at first, take for one request, or leave its answer unread. */
+    private static final long SILENT_MS = 2000;
+    private static final long READING_MS = 2000;
+    private static final long UNREAD_MS = 3000;
+    /** How long one that was served is kept for its next request: some clients ask once and stay for good. */
+    private static final long IDLE_MS = 4000;
+    private static final long CROWDED_IDLE_MS = 2000;
+    /** How long input is read on after an error: unread input would reset the error away. */
+    private static final long LINGER_MS = 1000;
+
+    private final Channel channel;
+    private final ClientTable table;
+    private Phase phase = Phase.SILENT;
+    private long since = System.nanoTime();
+    private ChannelFuture written;
+    private boolean proven;
+
+    protected ClientConnection(Channel channel, ClientTable table) {
+        this.channel = channel;
+        this.table = table;
+    }
+
+    /** The client has taken too long over a request: it is owed an error. */
+    protected abstract void tooSlow();
+
+    /** The connection has ended. */
+    protected abstract void left();
+
+    protected final Channel channel() {
+        return channel;
+    }
+
+    protected final Phase phase() {
+        return phase;
+    }
+
+    protected final void enter(Phase next) {
+        table.idle += (next == Phase.IDLE ? 1 : 0) - (phase == Phase.IDLE ? 1 : 0);
+        phase = next;
+        since = System.nanoTime();
+    }
+
+    /** A request was taken: this is a client that asks for something. */
+    protected final void busy() {
+        enter(Phase.BUSY);
+        proven = true;
+    }
+
+    /** The last bytes that the client is to read are on their way. */
+    protected final void writing(ChannelFuture last) {
+        written = last;
+    }
+
+    /** Whether the answer that comes now must be the connection's last. */
+    protected final boolean mustClose() {
+        return table.keepsNone();
+    }
+
+    /** Moves the connection behind all that were used before it. */
+    protected final void used() {
+        table.used(this);
+    }
+
+    final boolean isBusy() {
+        return phase == Phase.BUSY;
+    }
+
+    /** Whether it ever had a request that could be taken. */
+    final boolean isProven() {
+        return proven;
+    }
+
+    final long since() {
+        return since;
+    }
+
+    final void close() {
+        channel.close();
+    }
+
+    final void closeIfIdle() {
+        if (!isBusy() && phase != Phase.CLOSING) {
+            channel.close();
+        }
+    }
+
+    /** A client that sends no end, reads no answer or just stays would hold its descriptor for good. */
+    final void sweep(long now) {
+        long ms = TimeUnit.NANOSECONDS.toMillis(now - since);
+        boolean unread = written != null && !written.isDone();
+        switch (phase) {
+            case SILENT -> closeAfter(ms, SILENT_MS);
+            case IDLE -> closeAfter(ms, unread ? UNREAD_MS : table.crowded() ? CROWDED_IDLE_MS : IDLE_MS);
+            case CLOSING -> closeAfter(ms, unread ? UNREAD_MS : LINGER_MS);
+            case READING -> {
+                if (ms >= READING_MS) {
+                    tooSlow();
+                }
+            }
+            case BUSY -> { }
+        }
+    }
+
+    private void closeAfter(long ms, long limit) {
+        if (ms >= limit) {
+            channel.close();
+        }
+    }
+
+    @Override
+    public final void channelInactive(ChannelHandlerContext ctx) {
+        enter(Phase.CLOSING);
+        table.closed(this);
+        left();
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/ridgemill/gateway/front/ClientTable.java
@@ -0,0 +1,116 @@
+package ridgemill.gateway.front;
+
+import java.util.Comparator;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/**
+ * The clients' connections of one front, held below the descriptors that are theirs. It says which one goes when
+ * another comes, and when none may be kept for a next request.
+ */
+public final class ClientTable {
+
+    /**
+     * Part of the connections that may be kept for a next request. Past it each answer is its connection's last and idle
+     * ones go sooner: clients that ask once and stay would else use up the connections that clients may hold, and all
+     * others would find none. Could do harm where that many clients do ask again: each request then opens a connection.
+     */
+    private static final int KEPT_PART = 4;
+    /** Part of the connections that may have no request and never had a good one. */
+    private static final int UNPROVEN_PART = 4;
+
+    private final Set<ClientConnection> connections = new LinkedHashSet<>();
+    private final int maxConnections;
+    private Consumer<Boolean> accepting = accept -> { };
+    private boolean full;
+    private boolean draining;
+    int idle;
+
+    /** A table for so many connections. */
+    public ClientTable(int maxConnections) {
+        this.maxConnections = maxConnections;
+    }
+
+    /** Names what makes the listener accept or stop accepting. */
+    public void onRoom(Consumer<Boolean> accepts) {
+        accepting = accepts;
+    }
+
+    /** Makes room for a connection and takes it in. */
+    public void add(ClientConnection connection) {
+        makeRoom();
+        connections.add(connection);
+    }
+
+    /** Connections that are open. */
+    public int size() {
+        return connections.size();
+    }
+
+    /** From now on each answer is its connection's last. */
+    public void drain() {
+        draining = true;
+    }
+
+    /** Whether each answer is its connection's last because the proxy goes down. */
+    public boolean isDraining() {
+        return draining;
+    }
+
+    /** Closes all that have no request. */
+    public void closeIdle() {
+        List.copyOf(connections).forEach(ClientConnection::closeIfIdle);
+    }
+
+    /** Holds each connection to the limits in time. */
+    public void sweep(long nowNanos) {
+        List.copyOf(connections).forEach(c -> c.sweep(nowNanos));
+    }
+
+    /** Whether no connection may be kept: while clients wait to be accepted, one that is kept keeps one of them out. */
+    boolean keepsNone() {
+        return draining || full || crowded();
+    }
+
+    boolean crowded() {
+        return idle >= Math.max(1, maxConnections / KEPT_PART);
+    }
+
+    /** To the end of those that may be closed for room: it was the last to be used. */
+    void used(ClientConnection connection) {
+        if (connections.remove(connection)) {
+            connections.add(connection);
+        }
+    }
+
+    void closed(ClientConnection connection) {
+        connections.remove(connection);
+        if (full && connections.size() < maxConnections) {
+            full = false;
+            accepting.accept(true);
+        }
+    }
+
+    /**
+     * Of those that never had a good request a part may stay, so that a crowd that says nothing takes no usual client's
+     * place; then the one that has waited longest goes. If every one is busy the next clients wait in the listener's
+     * backlog until one has its answer: accepting past the limit would fail for all.
+     */
+    private void makeRoom() {
+        List<ClientConnection> unproven = connections.stream().filter(c -> !c.isProven() && !c.isBusy()).toList();
+        boolean crowded = connections.size() + 1 >= maxConnections;
+        if (!unproven.isEmpty() && (crowded || unproven.size() >= Math.max(1, maxConnections / UNPROVEN_PART))) {
+            unproven.stream().min(Comparator.comparingLong(ClientConnection::since)).ifPresent(ClientConnection::close);
+        } else if (crowded) {
+            Optional<ClientConnection> waiting = connections.stream().filter(c -> !c.isBusy()).findFirst();
+            waiting.ifPresent(ClientConnection::close);
+        }
+        if (crowded) {
+            full = true;
+            accepting.accept(false);
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/ridgemill/gateway/front/http/HttpClientConnection.java
@@ -0,0 +1,241 @@
+package ridgemill.gateway.front.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.DuplexChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.TooLongHttpContentException;
+import io.netty.util.ReferenceCountUtil;
+import java.math.BigDecimal;
+import java.util.ArrayDeque;
+import java.util.Queue;
+import java.util.concurrent.TimeUnit;
+import ridgemill.core.Answer;
+import ridgemill.core.Client;
+import ridgemill.gateway.front.ClientConnection;
+import ridgemill.gateway.net.Content;
+
+/** One client's HTTP/1.1 connection: its requests are answered one at a time, in their order (RFC 9112, section 9.3). */
+final class HttpClientConnection extends ClientConnection implements Client<Content> {
+
+    private static final int MAX_WAITING = 16;
+    /** For how many bytes input is read on after an error: unread input would reset the error away. */
+    private static final long LINGER_BYTES = 1 << 20;
+
+    private final HttpFront front;
+    private final Bytes bytes = new Bytes();
+    private final Queue<Waiting> waiting = new ArrayDeque<>();
+    private String open;
+    private boolean keepAlive;
+
+    HttpClientConnection(Channel channel, HttpFront front) {
+        super(channel, front.table());
+        this.front = front;
+    }
+
+    Bytes bytes() {
+        return bytes;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
+        FullHttpRequest request = (FullHttpRequest) message;
+        try {
+            if (phase() == Phase.CLOSING) {
+                return;
+            }
+            if (phase() != Phase.BUSY) {
+                handle(request, System.nanoTime());
+                return;
+            }
+            waiting.add(new Waiting(request.retain(), System.nanoTime()));
+            if (waiting.size() >= MAX_WAITING) {
+                // What it sends further waits on its side of the connection.
+                channel().config().setAutoRead(false);
+            }
+        } finally {
+            request.release();
+        }
+    }
+
+    private void handle(FullHttpRequest in, long arrived) {
+        keepAlive = HttpUtil.isKeepAlive(in);
+        // A request that came behind another has waited here already.
+        double waitedMs = TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - arrived) / 1e3;
+        HttpRequests.Read read = front.requests().read(in, waitedMs, front.dispatcher()::isOpen);
+        if (read instanceof HttpRequests.Call call) {
+            busy();
+            open = call.request().id();
+            front.dispatcher().request(call.request(), call.command(), this);
+        } else if (read instanceof HttpRequests.Bad bad) {
+            reject(bad.status());
+        } else {
+            answer(front.isUp() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE);
+        }
+    }
+
+    @Override
+    public void served(Answer<Content> answer) {
+        FullHttpResponse response = response(HttpResponseStatus.OK, answer.content().bytes().retain());
+        if (answer.content().mediaType() != null) {
+            response.headers().set(HttpHeaderNames.CONTENT_TYPE, answer.content().mediaType());
+        }
+        answer(response);
+    }
+
+    @Override
+    public void refused(double retryAfterMs) {
+        FullHttpResponse response = response(HttpResponseStatus.SERVICE_UNAVAILABLE, Unpooled.EMPTY_BUFFER);
+        if (retryAfterMs > 0) {
+            response.headers().set(HttpHeaderNames.RETRY_AFTER,
+                    BigDecimal.valueOf((long) Math.ceil(retryAfterMs), 3).toPlainString());
+        }
+        answer(response);
+    }
+
+    @Override
+    public void failed() {
+        answer(HttpResponseStatus.BAD_GATEWAY);
+    }
+
+    private void answer(HttpResponseStatus status) {
+        answer(response(status, Unpooled.EMPTY_BUFFER));
+    }
+
+    private static FullHttpResponse response(HttpResponseStatus status, ByteBuf body) {
+        return new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body);
+    }
+
+    private void answer(FullHttpResponse answer) {
+        HttpUtil.setContentLength(answer, answer.content().readableBytes());
+        boolean last = mustClose() || !keepAlive;
+        if (last) {
+            answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        }
+        open = null;
+        enter(last ? Phase.CLOSING : Phase.IDLE);
+        ChannelFuture written = channel().writeAndFlush(answer);
+        writing(written);
+        if (last) {
+            written.addListener(ChannelFutureListener.CLOSE);
+        } else {
+            used();
+            next();
+        }
+    }
+
+    /**
+     * Answers what makes no sense and closes. Only our half at first: closing on input that is still coming would
+     * reset the connection before the client has read why.
+     */
+    private void reject(HttpResponseStatus status) {
+        FullHttpResponse answer = response(status, Unpooled.EMPTY_BUFFER);
+        HttpUtil.setContentLength(answer, 0);
+        answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        enter(Phase.CLOSING);
+        dropWaiting();
+        channel().config().setAutoRead(true);
+        ChannelFuture written = channel().writeAndFlush(answer);
+        writing(written);
+        written.addListener(f -> {
+            if (channel() instanceof DuplexChannel halves) {
+                halves.shutdownOutput();
+            }
+        });
+    }
+
+    private void next() {
+        Waiting request = waiting.poll();
+        if (request == null) {
+            return;
+        }
+        channel().config().setAutoRead(true);
+        try {
+            handle(request.request(), request.arrived());
+        } finally {
+            request.request().release();
+        }
+    }
+
+    private void dropWaiting() {
+        waiting.forEach(w -> w.request().release());
+        waiting.clear();
+    }
+
+    @Override
+    protected void tooSlow() {
+        reject(HttpResponseStatus.REQUEST_TIMEOUT);
+    }
+
+    @Override
+    protected void left() {
+        dropWaiting();
+        if (open != null) {
+            String gone = open;
+            open = null;
+            front.dispatcher().clientGone(gone);
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        if (!(cause instanceof TooLongHttpContentException)) {
+            ctx.close();
+        } else if (phase() != Phase.BUSY && phase() != Phase.CLOSING) {
+            reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+        } else {
+            // Behind a request that is open: that one has its answer first, and it is the last.
+            keepAlive = false;
+        }
+    }
+
+    /** A request that came while another was open on its connection, and when, as its time runs from then. */
+    private record Waiting(FullHttpRequest request, long arrived) { }
+
+    /** Puts requests together; one whose body is too long is told of by an exception, and its rest is dropped. */
+    static final class Bodies extends HttpObjectAggregator {
+        Bodies() {
+            super(Content.MAX_BYTES);
+        }
+
+        @Override
+        protected void handleOversizedMessage(ChannelHandlerContext ctx, HttpMessage oversized) {
+            ctx.fireExceptionCaught(new TooLongHttpContentException("body over " + Content.MAX_BYTES + " bytes"));
+        }
+    }
+
+    /** Sees bytes before they are decoded: the clock for a request runs from its first. */
+    final class Bytes extends ChannelInboundHandlerAdapter {
+        private long dropped;
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object message) {
+            if (phase() == Phase.CLOSING) {
+                dropped += message instanceof ByteBuf in ? in.readableBytes() : 0;
+                ReferenceCountUtil.release(message);
+                if (dropped > LINGER_BYTES) {
+                    channel().config().setAutoRead(false);
+                }
+                return;
+            }
+            if (phase() == Phase.SILENT || phase() == Phase.IDLE) {
+                enter(Phase.READING);
+            }
+            ctx.fireChannelRead(message);
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/ridgemill/gateway/front/http/HttpRequests.java
@@ -0,0 +1,113 @@
+package ridgemill.gateway.front.http;
+
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.math.BigDecimal;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Predicate;
+import java.util.regex.Pattern;
+import ridgemill.core.Command;
+import ridgemill.gateway.net.Content;
+import ridgemill.gateway.net.StrictHttp;
+import ridgemill.policy.Router.Effect;
+import ridgemill.policy.Router.Request;
+import ridgemill.policy.Router.ServiceClass;
+import ridgemill.policy.Router.Settings;
+
+/** Reads what an HTTP request asks for: a call, a look at whether the proxy is up, or nothing that can be made sense of. */
+final class HttpRequests {
+
+    private static final String API = "/api/";
+    private static final String UP = "/up";
+    private static final Pattern ID = Pattern.compile("[0-9A-Za-z_-]{1,64}");
+    /** A budget past this is a mistake, and as a timer would outlive the process. */
+    private static final double MAX_BUDGET_S = 3600;
+    private static final long KEY_BITS = (1L << 53) - 1;
+
+    /** What a request turned out to be. */
+    sealed interface Read { }
+
+    /** A request for the decision module. */
+    record Call(Request request, Command<Content> command) implements Read { }
+
+    /** A look at whether the proxy is up. */
+    record Up() implements Read { }
+
+    /** Something that is answered with an error. */
+    record Bad(HttpResponseStatus status) implements Read { }
+
+    private final Map<String, ServiceClass> classes = new HashMap<>();
+
+    HttpRequests(Settings settings) {
+        settings.classes().forEach(c -> classes.put(c.name(), c));
+    }
+
+    /** Reads a request that has waited here for so long; {@code isOpen} knows the ids that are in use. */
+    Read read(FullHttpRequest in, double waitedMs, Predicate<String> isOpen) {
+        if (in.decoderResult().isFailure() || StrictHttp.oddCoding(in)) {
+            return new Bad(HttpResponseStatus.BAD_REQUEST);
+        }
+        String path = path(in.uri());
+        HttpMethod method = in.method();
+        boolean api = path.startsWith(API) && path.length() > API.length();
+        if (!api && !path.equals(UP)) {
+            return new Bad(HttpResponseStatus.NOT_FOUND);
+        }
+        if (!method.equals(HttpMethod.GET) && !(api && method.equals(HttpMethod.PUT))) {
+            return new Bad(HttpResponseStatus.METHOD_NOT_ALLOWED);
+        }
+        return api ? call(in, path, waitedMs, isOpen) : new Up();
+    }
+
+    private Read call(FullHttpRequest in, String path, double waitedMs, Predicate<String> isOpen) {
+        HttpHeaders headers = in.headers();
+        String id = headers.get("X-Call-Id", "");
+        ServiceClass service = classes.get(headers.get("X-Call-Class", ""));
+        double budgetS = number(headers.get("X-Budget"), -1);
+        boolean write = in.method().equals(HttpMethod.PUT);
+        boolean unkeyed = write && service != null && service.effect() == Effect.KEYED
+                && headers.get("Idempotency-Key", "").isEmpty();
+        // Without its key a keyed write's repeat would not be dropped, and it may be sent again.
+        if (!ID.matcher(id).matches() || service == null || unkeyed || isOpen.test(id)
+                || !(budgetS >= 0 && budgetS <= MAX_BUDGET_S)) {
+            return new Bad(HttpResponseStatus.BAD_REQUEST);
+        }
+        Request request = new Request(id, service.name(), headers.get("X-Caller"), key(path),
+                Math.max(0, number(headers.get("X-Call-Cost"), 0)) / 1000, Math.max(0, budgetS * 1000 - waitedMs),
+                write, "1".equals(headers.get("X-Again")));
+        Content content = new Content(Unpooled.wrappedBuffer(ByteBufUtil.getBytes(in.content())),
+                headers.get(HttpHeaderNames.CONTENT_TYPE));
+        return new Call(request, new Command<>(write, in.uri(), headers.get("Idempotency-Key"), content));
+    }
+
+    /** Hashes the key's text as all proxies do, so that a key goes to the same nodes whichever proxy has it. */
+    static long key(String path) {
+        long hash = 0xcbf29ce484222325L;
+        for (int i = path.lastIndexOf('/') + 1; i < path.length(); i++) {
+            hash = (hash ^ path.charAt(i)) * 0x100000001b3L;
+        }
+        return (hash ^ hash >>> 32) & KEY_BITS;
+    }
+
+    private static String path(String uri) {
+        int query = uri.indexOf('?');
+        return query < 0 ? uri : uri.substring(0, query);
+    }
+
+    private static double number(String text, double absent) {
+        if (text == null) {
+            return absent;
+        }
+        try {
+            return new BigDecimal(text.trim()).doubleValue();
+        } catch (NumberFormatException e) {
+            return absent;
+        }
+    }
+}
--- a/gateway/src/main/java/ridgemill/gateway/Discovery.java
+++ b/gateway/src/main/java/ridgemill/gateway/membership/Discovery.java
@@ -1,4 +1,4 @@
-package ridgemill.gateway;
+package ridgemill.gateway.membership;
 
 import com.google.gson.JsonParser;
 import io.netty.bootstrap.Bootstrap;
@@ -27,13 +27,27 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import ridgemill.gateway.net.Log;
 import ridgemill.policy.Router.ListKind;
 
 /**
  * The watch on the list of hosts. Where lists are pushed it is kept up from the start; where discovery is asked, each
  * call of {@link #subscribe} is one try, and the module decides on the next.
  */
-final class Discovery {
+public final class Discovery {
+
+    /** Takes what discovery tells. */
+    public interface Listener {
+
+        /** The whole list, or what changed. */
+        void hosts(ListKind kind, HostList list);
+
+        /** A call failed, or the watch broke, where discovery is asked. */
+        void refused();
+
+        /** A sign of life. */
+        void heard();
+    }
 
     /** Three missed heartbeats: the other side has vanished without a word, and its news with it. */
     private static final int SILENCE_S = 7;
@@ -44,25 +58,24 @@
 
     private final EventLoop loop;
     private InetSocketAddress address;
-    private final Proxy proxy;
+    private final Listener listener;
     private final boolean pushed;
-    private final Runnable heard;
     private final Log log = new Log();
     private long version;
     private long backoffMs = FIRST_BACKOFF_MS;
     private Channel watch;
 
-    /** {@code heard} runs at every sign of life. */
-    Discovery(EventLoop loop, InetSocketAddress address, Proxy proxy, HostList known, boolean pushed, Runnable heard) {
+    /** {@code known} is the list as the proxy last had it, or null; {@code pushed} whether lists come unasked. */
+    public Discovery(EventLoop loop, InetSocketAddress address, HostList known, boolean pushed, Listener listener) {
         this.loop = loop;
         this.address = address;
-        this.proxy = proxy;
         this.pushed = pushed;
-        this.heard = heard;
+        this.listener = listener;
         this.version = known == null ? 0 : known.version();
     }
 
-    void start() {
+    /** Opens the watch where lists come unasked. */
+    public void start() {
         if (pushed) {
             subscribe();
         }
@@ -72,7 +85,7 @@
      * Goes on at another address, from nothing: what the old one numbered may mean something else there. The module
      * keeps its list until the new one has told its own; nothing more of the old watch is heard.
      */
-    void moveTo(InetSocketAddress next) {
+    public void moveTo(InetSocketAddress next) {
         if (next.equals(address)) {
             return;
         }
@@ -83,7 +96,7 @@
     }
 
     /** Opens the watch from the last version seen; an older watch of ours is dropped. */
-    void subscribe() {
+    public void subscribe() {
         Channel old = watch;
         watch = null;
         if (old != null) {
@@ -128,7 +141,7 @@
             }, backoffMs, TimeUnit.MILLISECONDS);
             backoffMs = Math.min(LAST_BACKOFF_MS, 2 * backoffMs);
         } else {
-            proxy.discoveryRefused();
+            listener.refused();
         }
     }
 
@@ -140,12 +153,12 @@
                 version = list.version();
                 list.hosts().forEach(h -> Log.info("list " + version + ": " + h.node().id() + " "
                         + h.node().availability() + " at " + h.dial()));
-                proxy.hosts(list.whole() ? ListKind.FULL : ListKind.CHANGES, list);
+                listener.hosts(list.whole() ? ListKind.FULL : ListKind.CHANGES, list);
             } catch (RuntimeException e) {
                 log.odd("a line of discovery was dropped: " + e.getMessage());
             }
         }
-        heard.run();
+        listener.heard();
     }
 
     /** Passes on what a good answer's body holds; any other answer ends the try. */
--- a/gateway/src/main/java/ridgemill/gateway/HostList.java
+++ b/gateway/src/main/java/ridgemill/gateway/membership/HostList.java
@@ -1,4 +1,4 @@
-package ridgemill.gateway;
+package ridgemill.gateway.membership;
 
 import com.google.gson.JsonArray;
 import com.google.gson.JsonElement;
@@ -7,6 +7,7 @@
 import java.net.SocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import ridgemill.gateway.net.Addresses;
 import ridgemill.policy.Router.Availability;
 import ridgemill.policy.Router.Node;
 
@@ -14,18 +15,19 @@
 public record HostList(long version, boolean whole, List<Host> hosts) {
 
     /** A host and where this proxy reaches it. */
-    record Host(Node node, SocketAddress dial) { }
+    public record Host(Node node, SocketAddress dial) { }
 
     public HostList {
         hosts = List.copyOf(hosts);
     }
 
-    List<Node> nodes() {
+    /** The nodes as the decision module sees them. */
+    public List<Node> nodes() {
         return hosts.stream().map(Host::node).toList();
     }
 
     /** Parses all of it or throws, so that a bad entry never leaves half a list applied. */
-    static HostList parse(JsonObject o) {
+    public static HostList parse(JsonObject o) {
         try {
             List<Host> hosts = new ArrayList<>();
             JsonArray entries = o.getAsJsonArray("hosts");
--- a/gateway/src/main/java/ridgemill/gateway/Addresses.java
+++ b/gateway/src/main/java/ridgemill/gateway/net/Addresses.java
@@ -1,17 +1,17 @@
-package ridgemill.gateway;
+package ridgemill.gateway.net;
 
 import io.netty.util.NetUtil;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 
 /** Numeric socket addresses. There is no DNS here, and a look-up would block the event loop. */
-final class Addresses {
+public final class Addresses {
 
     private static final int MAX_PORT = 65535;
 
     private Addresses() { }
 
-    static InetSocketAddress parse(String text) {
+    public static InetSocketAddress parse(String text) {
         int colon = text.lastIndexOf(':');
         InetAddress host = colon < 0 ? null : NetUtil.createInetAddressFromIpAddressString(text.substring(0, colon));
         if (host == null) {
--- a/gateway/src/main/java/ridgemill/gateway/Clock.java
+++ b/gateway/src/main/java/ridgemill/gateway/net/Clock.java
@@ -1,4 +1,4 @@
-package ridgemill.gateway;
+package ridgemill.gateway.net;
 
 import java.time.Instant;
 
@@ -7,7 +7,7 @@
  * Start times in the host list are Unix times, so they compare with it as they are, and a step of the wall clock
  * moves no deadline.
  */
-final class Clock {
+public final class Clock {
 
     private static final double NANOS_PER_MS = 1e6;
     private static final double MS_PER_S = 1e3;
@@ -15,17 +15,17 @@
     private final long originNanos = System.nanoTime();
     private final double originMs;
 
-    Clock() {
+    public Clock() {
         Instant now = Instant.now();
         originMs = now.getEpochSecond() * MS_PER_S + now.getNano() / NANOS_PER_MS;
     }
 
-    double now() {
+    public double now() {
         return originMs + (System.nanoTime() - originNanos) / NANOS_PER_MS;
     }
 
     /** Nanoseconds until a time of this clock, rounded up so that a timer never fires early; 0 if it has passed. */
-    long nanosUntil(double atMs) {
+    public long nanosUntil(double atMs) {
         return Math.max(0, (long) Math.ceil((atMs - now()) * NANOS_PER_MS));
     }
 }
--- a/gateway/src/main/java/ridgemill/gateway/Log.java
+++ b/gateway/src/main/java/ridgemill/gateway/net/Log.java
@@ -1,11 +1,11 @@
-package ridgemill.gateway;
+package ridgemill.gateway.net;
 
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /** The log, with a brake for what strangers can cause at any rate: a flood of bad input must not become a flood of lines. */
-final class Log {
+public final class Log {
 
     private static final Logger LOGGER = LoggerFactory.getLogger("ridgemill");
     private static final long WINDOW_NANOS = TimeUnit.SECONDS.toNanos(10);
@@ -15,17 +15,17 @@
     private int lines;
     private int dropped;
 
-    static void info(String text) {
+    public static void info(String text) {
         LOGGER.info(text);
     }
 
     /** A fault of our own; never held back. */
-    static void error(String text, Throwable cause) {
+    public static void error(String text, Throwable cause) {
         LOGGER.error(text, cause);
     }
 
     /** Something odd from outside; past a few lines each ten seconds they are only counted. */
-    void odd(String text) {
+    public void odd(String text) {
         long now = System.nanoTime();
         if (now - windowStart > WINDOW_NANOS) {
             if (dropped > 0) {
--- a/gateway/src/main/java/ridgemill/gateway/StrictHttp.java
+++ b/gateway/src/main/java/ridgemill/gateway/net/StrictHttp.java
@@ -1,4 +1,4 @@
-package ridgemill.gateway;
+package ridgemill.gateway.net;
 
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -10,15 +10,15 @@
 import java.util.List;
 
 /** HTTP/1.1 decoders that fail on framing which Netty's own would mend: two readers could see two different messages. */
-final class StrictHttp {
+public final class StrictHttp {
 
     private static final int MAX_HEAD = 8192;
 
     private StrictHttp() { }
 
     /** Reads requests. One with both lengths may hide another in its body, which a node would carry out. */
-    static final class Requests extends HttpRequestDecoder {
-        Requests() {
+    public static final class Requests extends HttpRequestDecoder {
+        public Requests() {
             super(config());
         }
 
@@ -34,8 +34,8 @@
     }
 
     /** Reads answers, and tells whether bytes have come that no answer has used. */
-    static final class Responses extends HttpResponseDecoder {
-        Responses() {
+    public static final class Responses extends HttpResponseDecoder {
+        public Responses() {
             super(config());
         }
 
@@ -49,13 +49,13 @@
             return super.splitHeaderName(line, start, checked(line, start, length));
         }
 
-        boolean leftOver() {
+        public boolean leftOver() {
             return actualReadableBytes() > 0;
         }
     }
 
     /** Whether a coding is named that Netty leaves alone, and with it the message's length open. */
-    static boolean oddCoding(HttpMessage message) {
+    public static boolean oddCoding(HttpMessage message) {
         List<String> codings = message.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
         return !codings.isEmpty()
                 && (codings.size() > 1 || !HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.get(0).trim()));
--- a/gateway/src/main/java/ridgemill/gateway/Transport.java
+++ b/gateway/src/main/java/ridgemill/gateway/net/Transport.java
@@ -1,4 +1,4 @@
-package ridgemill.gateway;
+package ridgemill.gateway.net;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
@@ -10,35 +10,35 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 
 /** What connections are made of: sockets, or for the warm-up, which may open none, queues inside the process. */
-enum Transport {
+public enum Transport {
     TCP {
         @Override
-        ServerBootstrap server(EventLoop loop) {
+        public ServerBootstrap server(EventLoop loop) {
             return new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
                     .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
                     .childOption(ChannelOption.TCP_NODELAY, true);
         }
 
         @Override
-        Bootstrap client(EventLoop loop) {
+        public Bootstrap client(EventLoop loop) {
             return new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true);
         }
     },
     IN_PROCESS {
         @Override
-        ServerBootstrap server(EventLoop loop) {
+        public ServerBootstrap server(EventLoop loop) {
             return new ServerBootstrap().group(loop).channel(LocalServerChannel.class);
         }
 
         @Override
-        Bootstrap client(EventLoop loop) {
+        public Bootstrap client(EventLoop loop) {
             return new Bootstrap().group(loop).channel(LocalChannel.class);
         }
     };
 
     private static final int BACKLOG = 1024;
 
-    abstract ServerBootstrap server(EventLoop loop);
+    public abstract ServerBootstrap server(EventLoop loop);
 
-    abstract Bootstrap client(EventLoop loop);
+    public abstract Bootstrap client(EventLoop loop);
 }
--- a/gateway/src/test/java/ridgemill/gateway/IdleAgesTest.java
+++ b/gateway/src/test/java/ridgemill/gateway/IdleAgesTest.java
@@ -7,9 +7,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpVersion;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -20,6 +17,13 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import ridgemill.core.Attempt;
+import ridgemill.core.Command;
+import ridgemill.gateway.back.NodePool;
+import ridgemill.gateway.back.http.HttpNodeConnection;
+import ridgemill.gateway.membership.HostList;
+import ridgemill.gateway.net.Content;
+import ridgemill.gateway.net.Transport;
 import ridgemill.policy.Router.Availability;
 import ridgemill.policy.Router.Node;
 import ridgemill.policy.Router.Outcome;
@@ -44,7 +48,7 @@
     void start() throws Exception {
         node = new Peer();
         loop = group.next();
-        pool = new NodePool(loop, Transport.TCP, 5000, 60_000, 100, nanos::get);
+        pool = new NodePool(loop, Transport.TCP, HttpNodeConnection::new, 5000, 60_000, 100, nanos::get);
         Node named = new Node("c0", "std", "a", 0, 1, 0, Availability.UP);
         loop.submit(() -> pool.list(new HostList(1, true, List.of(new HostList.Host(named, node.address()))))).get();
     }
@@ -58,11 +62,26 @@
     /** One exchange after so long an idle time; whether its connection was a kept one, and how it ended. */
     private record Use(boolean kept, Outcome outcome) { }
 
+    private record Read() implements Attempt<Content> {
+        @Override
+        public String requestId() {
+            return "a1";
+        }
+
+        @Override
+        public Command<Content> command() {
+            return new Command<>(false, "/api/k1", null, Content.EMPTY);
+        }
+
+        @Override
+        public double remainingMs() {
+            return 60_000;
+        }
+    }
+
     private Use use(long idleMs) throws Exception {
         nanos.addAndGet(TimeUnit.MILLISECONDS.toNanos(idleMs));
-        loop.execute(() -> pool.send("c0",
-                () -> new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/api/k1"), 60_000,
-                (exchange, outcome, response) -> outcomes.add(outcome)));
+        loop.execute(() -> pool.send("c0", new Read(), 60_000, (outcome, answer) -> outcomes.add(outcome)));
         Peer.Message request = node.next();
         while (request.text() == null) {
             request = node.next();
--- a/gateway/src/test/java/ridgemill/gateway/OutcomeTest.java
+++ b/gateway/src/test/java/ridgemill/gateway/OutcomeTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import ridgemill.gateway.net.Content;
 import ridgemill.policy.Router.AttemptEnd;
 import ridgemill.policy.Router.Outcome;
 
@@ -56,7 +57,7 @@
     @Test
     void anAnswerOverTheLimitIsAnError() throws Exception {
         client.write(site.get(Site.LONG_S));
-        site.node.next().wire().answer(200, "v".repeat(ClientServer.MAX_BODY + 1));
+        site.node.next().wire().answer(200, "v".repeat(Content.MAX_BYTES + 1));
         assertEquals(Outcome.ERROR, Scripted.next(site.router.ends).outcome());
     }
 
