Testbed: stand-ins that fail on purpose, links, ledgers and an auditor that names the request

Change: module testbed. Cache nodes and a store on virtual cores (queue, cold start that falls over, drain, connection cap, handshake, idle close, repeat guard, spoilt answers, silence, resets, slow reading and writing), discovery per proxy (late, silent, stale, nonsense), datagrams with loss, links with delay, loss of whole messages, stall, cut both ways or one, bandwidth and reset; clients with a log of their own; a ledger each; an auditor for the four rules and the one final answer.

--- /dev/null
+++ b/testbed/src/main/java/ridgemill/testbed/ledger/Ledger.java
@@ -0,0 +1,72 @@
+package ridgemill.testbed.ledger;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.concurrent.ConcurrentLinkedQueue;
+
+/** What all stand-ins and clients of one testbed saw, from the first to the last moment. */
+public final class Ledger {
+
+    /** Discovery wrote to a proxy that a node has this health. */
+    public record Told(String proxy, String node, String health, double at) { }
+
+    /** A cold node was sent more than it can do for too long, and fell over; {@code request} was the last it took. */
+    public record FellOver(String node, String request, double at) { }
+
+    /** A proxy's process was killed; what it held is its clients' to retry. */
+    public record Killed(String proxy, double at) { }
+
+    private final long origin = System.nanoTime();
+    private final Collection<NodeEntry> nodes = new ConcurrentLinkedQueue<>();
+    private final Collection<ClientEntry> clients = new ConcurrentLinkedQueue<>();
+    private final Collection<Told> told = new ConcurrentLinkedQueue<>();
+    private final Collection<FellOver> fallen = new ConcurrentLinkedQueue<>();
+    private final Collection<Killed> killed = new ConcurrentLinkedQueue<>();
+
+    /** The testbed's clock: milliseconds since it began. */
+    public double now() {
+        return (System.nanoTime() - origin) / 1e6;
+    }
+
+    public NodeEntry add(NodeEntry entry) {
+        nodes.add(entry);
+        return entry;
+    }
+
+    public ClientEntry add(ClientEntry entry) {
+        clients.add(entry);
+        return entry;
+    }
+
+    public void told(String proxy, String node, String health) {
+        told.add(new Told(proxy, node, health, now()));
+    }
+
+    public void fellOver(String node, String request) {
+        fallen.add(new FellOver(node, request, now()));
+    }
+
+    public void killed(String proxy) {
+        killed.add(new Killed(proxy, now()));
+    }
+
+    public List<NodeEntry> nodes() {
+        return List.copyOf(nodes);
+    }
+
+    public List<ClientEntry> clients() {
+        return List.copyOf(clients);
+    }
+
+    public List<Told> told() {
+        return List.copyOf(told);
+    }
+
+    public List<FellOver> fallen() {
+        return List.copyOf(fallen);
+    }
+
+    public List<Killed> killed() {
+        return List.copyOf(killed);
+    }
+}
--- /dev/null
+++ b/testbed/src/main/java/ridgemill/testbed/ledger/NodeEntry.java
@@ -0,0 +1,126 @@
+package ridgemill.testbed.ledger;
+
+/**
+ * One request as a stand-in had it. Written by the stand-in's own thread while it works; read when it has stopped.
+ * Times are milliseconds on the testbed's clock; 0 means that it did not happen.
+ */
+public final class NodeEntry {
+
+    private final String node;
+    private final long connection;
+    private final double firstByteAt;
+    private volatile String id = "";
+    private volatile String key = "";
+    private volatile String idempotencyKey;
+    private volatile boolean write;
+    private volatile double begunAt;
+    private volatile double answeredAt;
+    private volatile double endedAt;
+    private volatile Fate fate = Fate.OPEN;
+    private volatile boolean ran;
+    private volatile boolean recorded;
+    private volatile String body;
+
+    public NodeEntry(String node, long connection, double firstByteAt) {
+        this.node = node;
+        this.connection = connection;
+        this.firstByteAt = firstByteAt;
+    }
+
+    /** Its last byte has come, and this is what it asks for. */
+    public void begun(double at, String requestId, String requestKey, boolean isWrite, String idempotency) {
+        begunAt = at;
+        id = requestId;
+        key = requestKey;
+        write = isWrite;
+        idempotencyKey = idempotency;
+    }
+
+    /** It ran; {@code effect} if that recorded something. */
+    public void ran(boolean effect) {
+        ran = true;
+        recorded |= effect;
+    }
+
+    /** Its answer's last byte was written. */
+    public void answered(double at, Fate how, String answer) {
+        answeredAt = at;
+        body = answer;
+        ended(at, how);
+    }
+
+    /** Nothing more comes of it; the first end counts. */
+    public void ended(double at, Fate how) {
+        if (endedAt == 0) {
+            endedAt = at;
+            fate = how;
+        }
+    }
+
+    public String node() {
+        return node;
+    }
+
+    public long connection() {
+        return connection;
+    }
+
+    public double firstByteAt() {
+        return firstByteAt;
+    }
+
+    /** When its last byte came, from when on it may run; 0 if it never did. */
+    public double begunAt() {
+        return begunAt;
+    }
+
+    public double answeredAt() {
+        return answeredAt;
+    }
+
+    /** When it was answered, or its connection ended, or the stand-in gave it up. */
+    public double endedAt() {
+        return endedAt;
+    }
+
+    public String id() {
+        return id;
+    }
+
+    public String key() {
+        return key;
+    }
+
+    public String idempotencyKey() {
+        return idempotencyKey;
+    }
+
+    public boolean isWrite() {
+        return write;
+    }
+
+    public Fate fate() {
+        return fate;
+    }
+
+    /** Whether it ran here, whatever the other side was told. */
+    public boolean hasRun() {
+        return ran;
+    }
+
+    /** Whether it recorded an effect here. */
+    public boolean hasRecorded() {
+        return recorded;
+    }
+
+    /** The answer's body; null where none was given. */
+    public String body() {
+        return body;
+    }
+
+    @Override
+    public String toString() {
+        return "%s at %s [%.1f to %.1f] %s%s%s".formatted(id, node, begunAt, endedAt, fate, ran ? " ran" : "",
+                recorded ? " recorded" : "");
+    }
+}
--- /dev/null
+++ b/testbed/src/main/java/ridgemill/testbed/node/StandIn.java
@@ -0,0 +1,445 @@
+package ridgemill.testbed.node;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.FixedRecvByteBufAllocator;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.Future;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Queue;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import ridgemill.testbed.ledger.Fate;
+import ridgemill.testbed.ledger.Ledger;
+import ridgemill.testbed.ledger.NodeEntry;
+
+/**
+ * A server on loopback that speaks the nodes' side of the protocol, works on virtual cores, keeps a ledger and fails as
+ * it is told. Everything but the calls that tests make runs on the testbed's one loop.
+ */
+public abstract class StandIn implements AutoCloseable {
+
+    /** What the list of hosts says of it, and whether its process runs. */
+    public enum State { UP, DRAINING, DOWN }
+
+    private static final int MAX_BODY = 1 << 20;
+    private static final int PACE_STEPS_PER_S = 20;
+
+    final EventLoop loop;
+    final Ledger ledger;
+    final String name;
+    final NodeProfile profile;
+    private final Faults faults;
+    private final InetSocketAddress address;
+    private final Set<Conn> conns = new LinkedHashSet<>();
+    VirtualCore core;
+    Warmth warmth;
+    private Channel listener;
+    private State state = State.DOWN;
+    private long bornMs;
+    private long connections;
+    private long epoch;
+
+    StandIn(EventLoop loop, Ledger ledger, String name, NodeProfile profile, long seed) {
+        this.loop = loop;
+        this.ledger = ledger;
+        this.name = name;
+        this.profile = profile;
+        this.faults = new Faults(seed);
+        this.address = (InetSocketAddress) open(false, new InetSocketAddress("127.0.0.1", 0)).localAddress();
+    }
+
+    /** Carries out what a request asks for when its work is done; answers through it. */
+    abstract void work(Served s);
+
+    /** A start: what was kept in memory is gone. */
+    abstract void empty();
+
+    public final String name() {
+        return name;
+    }
+
+    /** Where it listens. */
+    public final InetSocketAddress address() {
+        return address;
+    }
+
+    /** What it does wrong. */
+    public final Faults faults() {
+        return faults;
+    }
+
+    public final State state() {
+        return onLoop(() -> state);
+    }
+
+    /** When it last started, Unix time in milliseconds; 0 for long ago. */
+    public final long bornMs() {
+        return onLoop(() -> bornMs);
+    }
+
+    /** From now on it finishes what it has and turns new work away. */
+    public final void drain() {
+        onLoop(() -> state = State.DRAINING);
+    }
+
+    /** Takes new work again after a drain. */
+    public final void undrain() {
+        onLoop(() -> state = State.UP);
+    }
+
+    /** Dies: its connections are reset and new ones refused. */
+    public final void kill() {
+        onLoop(() -> {
+            down();
+            return null;
+        });
+    }
+
+    /** Starts again at its address, cold and empty; not to be called on the loop. */
+    public final void start() {
+        open(true, address);
+    }
+
+    /** Closes every idle connection without a word, as a middlebox or a host's own limit does. */
+    public final void dropIdle() {
+        onLoop(() -> {
+            List.copyOf(conns).stream().filter(c -> c.current == null).forEach(c -> c.channel.close());
+            return null;
+        });
+    }
+
+    /** Requests that it has in hand. */
+    public final int inHand() {
+        return onLoop(() -> core.inHand());
+    }
+
+    /** Connections that are open to it. */
+    public final int connections() {
+        return onLoop(conns::size);
+    }
+
+    @Override
+    public final void close() {
+        kill();
+    }
+
+    /** Runs a task on the loop and returns when it is done; what it throws is thrown here. */
+    final <T> T onLoop(Supplier<T> task) {
+        return loop.inEventLoop() ? task.get() : loop.submit(task::get).syncUninterruptibly().getNow();
+    }
+
+    private Channel open(boolean cold, InetSocketAddress at) {
+        onLoop(() -> {
+            epoch++;
+            empty();
+            core = new VirtualCore(profile.cores(), profile.queue());
+            warmth = new Warmth(cold ? ledger.now() : Double.NEGATIVE_INFINITY, profile);
+            bornMs = cold ? System.currentTimeMillis() : 0;
+            return state = State.UP;
+        });
+        Channel bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true).option(ChannelOption.SO_BACKLOG, 1024)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        accept(channel);
+                    }
+                }).bind(at).syncUninterruptibly().channel();
+        return onLoop(() -> listener = bound);
+    }
+
+    private void down() {
+        state = State.DOWN;
+        epoch++;
+        if (listener != null) {
+            listener.close();
+        }
+        List.copyOf(conns).forEach(Conn::reset);
+    }
+
+    /** A cold node that was sent too much dies and stays dead. */
+    final void fallOver(String request) {
+        ledger.fellOver(name, request);
+        down();
+    }
+
+    private void accept(Channel channel) {
+        if (conns.size() >= profile.connections()) {
+            channel.config().setOption(ChannelOption.SO_LINGER, 0);
+            channel.close();
+            return;
+        }
+        Conn conn = new Conn(channel, connections++);
+        conns.add(conn);
+        if (faults.readBytesPerS() > 0) {
+            channel.config().setAutoRead(false);
+            channel.config().setRecvByteBufAllocator(new FixedRecvByteBufAllocator(
+                    Math.max(1, faults.readBytesPerS() / PACE_STEPS_PER_S)));
+            conn.readSlowly();
+        }
+        channel.pipeline().addLast(conn.raw(), new HttpRequestDecoder(), new HttpObjectAggregator(MAX_BODY), conn);
+    }
+
+    /** One request in the stand-in's hands. */
+    final class Served {
+        final NodeEntry entry;
+        final HttpMethod method;
+        final String path;
+        private final Conn conn;
+        private final Fault fault;
+        private final long served = epoch;
+
+        Served(Conn conn, NodeEntry entry, FullHttpRequest request, Fault fault) {
+            this.conn = conn;
+            this.entry = entry;
+            this.method = request.method();
+            this.path = request.uri();
+            this.fault = fault;
+        }
+
+        /** Whether the process that took it still runs. */
+        boolean lives() {
+            return served == epoch;
+        }
+
+        void answer(int status, Fate fate, String body, String... headers) {
+            if (conn.current != this) {
+                return;
+            }
+            if (fault != null && fate != Fate.REJECTED) {
+                conn.spoil(this, fault, status, fate, body, headers);
+            } else {
+                conn.write(this, message(status, body, body.length(), headers), fate, body, 0);
+            }
+        }
+    }
+
+    static String message(int status, String body, int length, String... headers) {
+        String more = headers.length == 0 ? "" : String.join("\r\n", headers) + "\r\n";
+        return "HTTP/1.1 " + status + " x\r\nContent-Length: " + length + "\r\n" + more + "\r\n" + body;
+    }
+
+    private void begin(Conn conn, FullHttpRequest request) {
+        HttpHeaders headers = request.headers();
+        NodeEntry entry = conn.entry();
+        String id = headers.get("X-Call-Id", "");
+        String path = request.uri();
+        int query = path.indexOf('?');
+        String bare = query < 0 ? path : path.substring(0, query);
+        double now = ledger.now();
+        if (bare.equals("/alive")) {
+            conn.current = new Served(conn, entry, request, null);
+            conn.current.answer(state == State.UP ? 200 : 503, Fate.SERVED, "");
+            return;
+        }
+        boolean write = request.method().equals(HttpMethod.PUT);
+        entry.begun(now, id, bare.substring(bare.lastIndexOf('/') + 1), write, headers.get("Idempotency-Key"));
+        Fault fault = faults.draw();
+        Served served = new Served(conn, entry, request, fault);
+        conn.current = served;
+        if (request.decoderResult().isFailure() || id.isEmpty()) {
+            served.answer(request.decoderResult().isFailure() ? 400 : 404, Fate.UNREADABLE, "");
+            return;
+        }
+        if (fault == Fault.RESET_ON_FIRST_BYTE || fault == Fault.RESET_BEFORE_RUN) {
+            entry.ended(now, Fate.RESET);
+            conn.reset();
+            return;
+        }
+        if (fault == Fault.SILENCE) {
+            // Left open: it ends when the other side gives it up.
+            return;
+        }
+        double work = (write ? profile.writeMs() : profile.readMs()) * faults.slowerBy();
+        double handshake = conn.requests++ == 0 ? profile.handshakeMs() : 0;
+        if (warmth.pushedOver(now, work + handshake, profile.cores())) {
+            entry.ended(now, Fate.RESET);
+            fallOver(id);
+            return;
+        }
+        double done = state == State.DRAINING ? -1 : core.take(now, (work + handshake) / warmth.share(now));
+        if (done < 0) {
+            served.answer(503, Fate.REJECTED, "", "X-Rejected: 1");
+            return;
+        }
+        loop.schedule(() -> {
+            if (served.lives()) {
+                core.done();
+                work(served);
+            }
+        }, (long) ((done - now) * 1e6), TimeUnit.NANOSECONDS);
+    }
+
+    /** One connection. */
+    private final class Conn extends ChannelInboundHandlerAdapter {
+        private final Channel channel;
+        private final long number;
+        private final Queue<FullHttpRequest> waiting = new ArrayDeque<>();
+        private NodeEntry next;
+        private Served current;
+        private int requests;
+        private Future<?> idle;
+
+        Conn(Channel channel, long number) {
+            this.channel = channel;
+            this.number = number;
+            rest();
+        }
+
+        private NodeEntry entry() {
+            NodeEntry entry = next == null ? ledger.add(new NodeEntry(name, number, ledger.now())) : next;
+            next = null;
+            return entry;
+        }
+
+        private ChannelInboundHandlerAdapter raw() {
+            return new ChannelInboundHandlerAdapter() {
+                @Override
+                public void channelRead(ChannelHandlerContext ctx, Object message) {
+                    if (next == null && current == null) {
+                        next = ledger.add(new NodeEntry(name, number, ledger.now()));
+                    }
+                    ctx.fireChannelRead(message);
+                }
+            };
+        }
+
+        private void readSlowly() {
+            channel.read();
+            if (channel.isOpen()) {
+                loop.schedule(this::readSlowly, 1000 / PACE_STEPS_PER_S, TimeUnit.MILLISECONDS);
+            }
+        }
+
+        private void rest() {
+            idle = loop.schedule(() -> {
+                channel.close();
+            }, (long) (profile.idleCloseMs() * 1e6), TimeUnit.NANOSECONDS);
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object message) {
+            FullHttpRequest request = (FullHttpRequest) message;
+            idle.cancel(false);
+            if (current != null) {
+                waiting.add(request);
+                return;
+            }
+            take(request);
+        }
+
+        private void take(FullHttpRequest request) {
+            try {
+                begin(this, request);
+            } finally {
+                request.release();
+            }
+        }
+
+        void reset() {
+            channel.config().setOption(ChannelOption.SO_LINGER, 0);
+            channel.close();
+        }
+
+        private void spoil(Served s, Fault fault, int status, Fate fate, String body, String... headers) {
+            String good = message(status, body, body.length(), headers);
+            double now = ledger.now();
+            switch (fault) {
+                case RESET_AFTER_RUN -> {
+                    s.entry.ended(now, Fate.RESET);
+                    reset();
+                }
+                case HALF_ANSWER -> {
+                    s.entry.ended(now, Fate.SPOILT);
+                    channel.writeAndFlush(bytes(good.substring(0, good.length() / 2))).addListener(f -> reset());
+                }
+                case HALF_ANSWER_STALL -> channel.writeAndFlush(bytes(good.substring(0, good.length() / 2)));
+                case SILENCE_AFTER_RUN -> { }
+                case ERROR -> write(s, message(500, "", 0), Fate.ERROR, null, 0);
+                case NOISE -> write(s, "\u0001\u0002 no answer at all \u0003\r\n\r\n", Fate.SPOILT, null, 0);
+                case ENDLESS_HEAD -> channel.writeAndFlush(bytes("HTTP/1.1 200 OK\r\nX-Head: " + "x".repeat(500)));
+                case SHORT_LENGTH -> write(s, message(status, body + "more", Math.max(0, body.length() - 1), headers),
+                        Fate.SPOILT, null, 0);
+                case SECOND_COPY -> write(s, good + good, fate, body, 0);
+                default -> write(s, good, fate, body, 0);
+            }
+        }
+
+        /** Writes an answer, in pieces where the pace is limited; its last byte ends the request. */
+        private void write(Served s, String text, Fate fate, String body, int from) {
+            int pace = faults.writeBytesPerS();
+            int to = pace <= 0 ? text.length() : Math.min(text.length(), from + Math.max(1, pace / PACE_STEPS_PER_S));
+            boolean last = to == text.length();
+            channel.writeAndFlush(bytes(text.substring(from, to))).addListener(f -> {
+                if (!f.isSuccess() || current != s) {
+                    return;
+                }
+                if (last) {
+                    s.entry.answered(ledger.now(), fate, body);
+                    finished();
+                } else {
+                    loop.schedule(() -> write(s, text, fate, body, to), 1000 / PACE_STEPS_PER_S, TimeUnit.MILLISECONDS);
+                }
+            });
+        }
+
+        private ByteBuf bytes(String text) {
+            return Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1);
+        }
+
+        private void finished() {
+            current = null;
+            rest();
+            FullHttpRequest request = waiting.poll();
+            if (request != null) {
+                idle.cancel(false);
+                take(request);
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            conns.remove(this);
+            idle.cancel(false);
+            waiting.forEach(ReferenceCountUtil::release);
+            if (current != null) {
+                current.entry.ended(ledger.now(), Fate.ABANDONED);
+                current = null;
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+
+    /** All connections that are open, for tests that look at each. */
+    final List<Long> open() {
+        List<Long> numbers = new ArrayList<>();
+        conns.forEach(c -> numbers.add(c.number));
+        return numbers;
+    }
+}
--- /dev/null
+++ b/testbed/src/test/java/ridgemill/testbed/node/ModelsTest.java
@@ -0,0 +1,86 @@
+package ridgemill.testbed.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+/** The models inside stand-ins, on time that the test passes. */
+class ModelsTest {
+
+    @Test
+    void workWaitsForItsCoreAndAFullQueueTurnsAway() {
+        VirtualCore core = new VirtualCore(1, 1);
+        assertEquals(10, core.take(0, 10));
+        assertEquals(20, core.take(5, 10));
+        assertEquals(-1, core.take(6, 10), "one at work and one waiting are all it holds");
+        core.done();
+        assertEquals(30, core.take(10, 10));
+        core.done();
+        core.done();
+        assertEquals(110, core.take(100, 10), "an idle core starts at once");
+    }
+
+    @Test
+    void twoCoresWorkSideBySide() {
+        VirtualCore core = new VirtualCore(2, 2);
+        assertEquals(10, core.take(0, 10));
+        assertEquals(10, core.take(0, 10));
+        assertEquals(20, core.take(0, 10));
+    }
+
+    @Test
+    void aColdNodeWarmsUpEvenly() {
+        Warmth warmth = new Warmth(1000, NodeProfile.CACHE);
+        assertEquals(0.21, warmth.share(1000), 1e-9);
+        assertEquals(0.605, warmth.share(4000), 1e-9);
+        assertEquals(1, warmth.share(7000), 1e-9);
+        assertTrue(warmth.isCold(6999));
+        assertFalse(warmth.isCold(7000));
+    }
+
+    @Test
+    void aColdNodeFallsOverWhenTheSpanHoldsMoreThanItsMultiple() {
+        NodeProfile p = NodeProfile.CACHE;
+        Warmth warmth = new Warmth(0, p);
+        double most = p.fallMultiple() * warmth.share(0) * p.fallMs();
+        assertFalse(warmth.pushedOver(0, most - 1, 1));
+        assertTrue(warmth.pushedOver(0, 2, 1));
+        Warmth spread = new Warmth(0, p);
+        assertFalse(spread.pushedOver(0, most - 1, 1));
+        assertFalse(spread.pushedOver(p.fallMs() + 1, 2, 1), "what came before the span is forgotten");
+        Warmth warm = new Warmth(Double.NEGATIVE_INFINITY, p);
+        assertFalse(warm.pushedOver(0, 100 * most, 1), "a warm node turns away and does not fall");
+    }
+
+    @Test
+    void aRepeatIsDroppedWhileItsKeyIsRemembered() {
+        RepeatGuard guard = new RepeatGuard(6000);
+        assertTrue(guard.admits(0, "a"));
+        assertFalse(guard.admits(5999, "a"));
+        assertTrue(guard.admits(6000, "a"), "forgotten");
+        assertTrue(guard.admits(1, "b"));
+        assertTrue(guard.admits(2, null) && guard.admits(3, null), "without a key nothing is dropped");
+    }
+
+    @Test
+    void faultsComeAsScriptedAndThenByChanceFromTheSeed() {
+        Faults faults = new Faults(5);
+        Faults same = new Faults(5);
+        faults.next(Fault.ERROR, Fault.SILENCE);
+        assertEquals(Fault.ERROR, faults.draw());
+        assertEquals(Fault.SILENCE, faults.draw());
+        faults.share(Fault.NOISE, 0.5);
+        same.share(Fault.NOISE, 0.5);
+        int noise = 0;
+        for (int i = 0; i < 1000; i++) {
+            Fault fault = faults.draw();
+            assertEquals(fault, same.draw());
+            noise += fault == Fault.NOISE ? 1 : 0;
+        }
+        assertTrue(noise > 400 && noise < 600);
+        faults.clear();
+        assertEquals(null, faults.draw());
+    }
+}
