--- a/core/src/main/java/ridgemill/policy/Decide.java
+++ b/core/src/main/java/ridgemill/policy/Decide.java
@@ -196,6 +196,11 @@
         settings.tenants().forEach(t -> quotas.put(t.name(), t.quotaPerS() / proxies));
     }
 
+    @Override
+    public int level() {
+        return control.level;
+    }
+
     @Override
     public void started(double now, Actions out) {
         intervalEnd = now + INTERVAL_MS;
--- a/core/src/main/java/ridgemill/policy/Router.java
+++ b/core/src/main/java/ridgemill/policy/Router.java
@@ -158,6 +158,11 @@
         void close(String node);
     }
 
+    /** The present level of throttling, for whoever watches; 0 for none. */
+    default int level() {
+        return 0;
+    }
+
     /** The proxy has started; comes first. */
     void started(double now, Actions out);
 
--- a/gateway/src/main/java/ridgemill/Main.java
+++ b/gateway/src/main/java/ridgemill/Main.java
@@ -3,18 +3,21 @@
 import java.io.IOException;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import ridgemill.cli.Commands;
 import ridgemill.gateway.Config;
 import ridgemill.gateway.ConfigException;
 import ridgemill.gateway.Hangup;
 import ridgemill.gateway.Service;
 
-/** Starts the program: {@code serve} is one real proxy, {@code benchlink} the same decisions on the bench's wire,
- * {@code rehearse} a start that ends at once. */
+/**
+ * Starts the program. The bare commands that a deployment runs are told apart here: {@code serve} is one real proxy,
+ * {@code benchlink} the same decisions on the simulator's wire, {@code rehearse} a start that ends at once, which the
+ * build archives. All else goes to the command line's own classes.
+ */
 public final class Main {
 
-    private static final int EXIT_FAILED = 1;
-    private static final int EXIT_CONFIG = 2;
-    private static final int EXIT_USAGE = 64;
+    /** What the operator gave cannot be used: a configuration, an address, a command line. */
+    public static final int EXIT_CONFIG = 2;
 
     private Main() { }
 
@@ -23,14 +26,17 @@
             case "serve" -> serve();
             case "rehearse" -> Service.rehearse();
             case "benchlink" -> ridgemill.benchlink.Main.main(args);
-            default -> {
-                System.err.println("usage: java -jar ridgemill.jar serve|benchlink|rehearse");
-                System.exit(EXIT_USAGE);
-            }
+            default -> System.exit(Commands.run(args));
         }
     }
 
-    private static void serve() throws InterruptedException {
+    /** Says in one line on standard error what is wrong. */
+    public static void complain(String what) {
+        System.err.println("ridgemill: " + what);
+    }
+
+    /** Runs a proxy until it has drained; ends the process with {@link #EXIT_CONFIG} where it can't start. */
+    public static void serve() throws InterruptedException {
         // Before the first client can be told that the proxy is ready: without a handler SIGHUP ends the process.
         CompletableFuture<Service> started = new CompletableFuture<>();
         Map<String, String> environment = System.getenv();
@@ -39,11 +45,11 @@
         try {
             service = Service.start(Config.fromEnvironment(environment));
         } catch (ConfigException e) {
-            System.err.println("ridgemill: configuration: " + e.getMessage());
+            complain("configuration: " + e.getMessage());
             System.exit(EXIT_CONFIG);
         } catch (IOException e) {
-            System.err.println("ridgemill: " + e.getMessage());
-            System.exit(EXIT_FAILED);
+            complain(e.getMessage());
+            System.exit(EXIT_CONFIG);
         }
         // SIGTERM runs this hook; the process ends when the hook does, so it waits until nothing is owed.
         Service running = service;
--- a/gateway/src/main/java/ridgemill/gateway/Config.java
+++ b/gateway/src/main/java/ridgemill/gateway/Config.java
@@ -2,6 +2,7 @@
 
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
+import com.google.gson.JsonParseException;
 import com.google.gson.JsonParser;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -12,6 +13,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Supplier;
 import ridgemill.benchlink.SettingsReader;
 import ridgemill.gateway.membership.HostList;
 import ridgemill.gateway.net.Addresses;
@@ -38,13 +40,22 @@
         if (file == null) {
             throw new ConfigException("BALANCER_CONFIG is not set");
         }
+        return read(file, environment);
+    }
+
+    /** Reads a file; what is wrong with it is told in one line that names the file and the place in it. */
+    public static Config read(String file, Map<String, String> environment) throws ConfigException {
         String json;
         try {
             json = Files.readString(Path.of(file));
         } catch (IOException | InvalidPathException e) {
             throw new ConfigException("cannot read " + file);
         }
-        return parse(json, environment);
+        try {
+            return parse(json, environment);
+        } catch (ConfigException e) {
+            throw new ConfigException(file + ": " + e.getMessage());
+        }
     }
 
     /** Reads the file again: what it says of discovery now is newer than the variable that the start was given. */
@@ -57,21 +68,40 @@
     static Config parse(String json, Map<String, String> environment) throws ConfigException {
         try {
             JsonObject o = JsonParser.parseString(json).getAsJsonObject();
-            JsonObject settings = o.getAsJsonObject("settings");
-            if (settings == null) {
+            if (!o.has("settings")) {
                 throw new ConfigException("settings: missing");
             }
-            return new Config(text(o, "name", environment.get("BALANCER_NAME")),
-                    required(o, "listen", environment.get("BALANCER_LISTEN")),
-                    required(o, "discovery", environment.get("BALANCER_DISCOVERY")), seed(o), sockets(o),
-                    optional(o, "peer_listen"), peers(o), optional(o, "peers_all"),
-                    known(o), SettingsReader.read(settings), maxOpen(settings));
+            return new Config(at("name", () -> text(o, "name", environment.get("BALANCER_NAME"))),
+                    at("listen", () -> required(o, "listen", environment.get("BALANCER_LISTEN"))),
+                    at("discovery", () -> required(o, "discovery", environment.get("BALANCER_DISCOVERY"))),
+                    at("seed", () -> seed(o)), at("limits", () -> sockets(o)),
+                    at("peer_listen", () -> optional(o, "peer_listen")), at("peers", () -> peers(o)),
+                    at("peers_all", () -> optional(o, "peers_all")), at("known", () -> known(o)),
+                    SettingsReader.read(o.get("settings")),
+                    at("settings: limits: max_open", () -> maxOpen(o.getAsJsonObject("settings"))));
         } catch (RuntimeException e) {
-            // Gson and the settings' own checks report what is wrong by several unchecked types.
-            throw new ConfigException(String.valueOf(e.getMessage()).lines().findFirst().orElse("malformed"));
+            throw new ConfigException(reason(e));
         }
     }
 
+    /** Reads one field; what is wrong with it is told with its name. */
+    private static <T> T at(String field, Supplier<T> read) {
+        try {
+            return read.get();
+        } catch (RuntimeException e) {
+            throw new IllegalArgumentException(field + ": " + reason(e), e);
+        }
+    }
+
+    /** Gson and the settings' own checks report what is wrong by several unchecked types; this is one line of it. */
+    private static String reason(RuntimeException e) {
+        boolean shape = e instanceof ClassCastException || e instanceof IllegalStateException
+                || e instanceof UnsupportedOperationException;
+        Throwable said = e instanceof JsonParseException && e.getCause() != null ? e.getCause() : e;
+        return shape ? "not the kind of value that is wanted here"
+                : String.valueOf(said.getMessage()).lines().findFirst().orElse("malformed");
+    }
+
     private static String text(JsonObject o, String field, String override) {
         if (override != null) {
             return override;
@@ -80,10 +110,10 @@
         return value == null || value.isJsonNull() ? null : value.getAsString();
     }
 
-    private static InetSocketAddress required(JsonObject o, String field, String override) throws ConfigException {
+    private static InetSocketAddress required(JsonObject o, String field, String override) {
         String value = text(o, field, override);
         if (value == null) {
-            throw new ConfigException(field + ": missing");
+            throw new IllegalArgumentException("missing");
         }
         return Addresses.parse(value);
     }
--- a/gateway/src/main/java/ridgemill/gateway/Service.java
+++ b/gateway/src/main/java/ridgemill/gateway/Service.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import ridgemill.core.Dispatcher;
+import ridgemill.core.Tally;
 import ridgemill.gateway.back.NodePool;
 import ridgemill.gateway.back.http.HttpNodeConnection;
 import ridgemill.gateway.front.http.HttpFront;
@@ -47,6 +48,7 @@
     private final CountDownLatch ended = new CountDownLatch(1);
     private final EventLoop loop = group.next();
     private final Config config;
+    private final Router router;
     private final Dispatcher<Content> dispatcher;
     private final NodePool pool;
     private final HttpFront front;
@@ -56,6 +58,7 @@
 
     private Service(Config config, Router router) {
         this.config = config;
+        this.router = router;
         Settings settings = config.settings();
         int sockets = Math.max(2, config.sockets() - RESERVED_SOCKETS);
         int clientSockets = Math.max(1, (int) (sockets * CLIENT_PART));
@@ -85,7 +88,8 @@
         return start(config, new Decide(config.settings(), config.seed()));
     }
 
-    static Service start(Config config, Router router) throws IOException, InterruptedException {
+    /** Starts a proxy with decisions of the caller's, and without a warm-up. */
+    public static Service start(Config config, Router router) throws IOException, InterruptedException {
         Service service = new Service(config, router);
         try {
             service.open();
@@ -103,26 +107,33 @@
         // The module knows its list before the first client can come.
         loop.submit(this::tellStart).sync();
         listening = (InetSocketAddress) bound(front.listen(Transport.TCP, config.listen()), config.listen()).channel().localAddress();
+        Log.info("listening on " + text(listening));
         loop.execute(discovery::start);
         long patience = config.settings().mustSubscribe() ? 0 : FIRST_NEWS_MS;
         loop.schedule(front::ready, patience, TimeUnit.MILLISECONDS);
         loop.scheduleAtFixedRate(this::logTally, TALLY_S, TALLY_S, TimeUnit.SECONDS);
     }
 
+    private static String text(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+
     private static ChannelFuture bound(ChannelFuture bound, InetSocketAddress address)
             throws IOException, InterruptedException {
         bound.await();
         if (!bound.isSuccess()) {
-            throw new IOException("cannot listen on " + address + ": " + bound.cause().getMessage());
+            throw new IOException("cannot listen on " + text(address) + ": " + bound.cause().getMessage());
         }
         return bound;
     }
 
-    InetSocketAddress peerListening() {
+    /** Where peers' messages arrive. */
+    public InetSocketAddress peerListening() {
         return peers.listening();
     }
 
-    InetSocketAddress listening() {
+    /** Where clients connect. */
+    public InetSocketAddress listening() {
         return listening;
     }
 
@@ -173,8 +184,28 @@
         });
     }
 
+    /**
+     * What a running proxy says of itself; requests and what became of them since the start.
+     *
+     * @param owed requests without a final answer yet
+     * @param clients clients' connections
+     * @param nodes connections to nodes
+     * @param level the decisions' present level of throttling, 0 for none
+     */
+    public record Status(long requests, long served, long refused, long failed, long gone, int owed, int clients,
+                         int nodes, int level) { }
+
+    /** Asks the loop; not to be called on it. */
+    public Status status() {
+        return loop.submit(() -> {
+            Tally t = dispatcher.tally();
+            return new Status(t.requests(), t.served(), t.refused(), t.failed(), t.gone(), dispatcher.owed(),
+                    front.connections(), pool.connections(), router.level());
+        }).syncUninterruptibly().getNow();
+    }
+
     /** Ends at once, whatever is owed. */
-    void kill() {
+    public void kill() {
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
     }
 
