Let a connection that makes room out of the table at once: a crowd no longer fills it for 2 s

Cause: the listener accepts up to 16 connections before the end of one that was closed for room is told, and each of the 16 chose that same one. So the table overshot its limit, the listener stopped, and nothing was accepted until the half-open ones reached their own 2 s. Change: the one that goes leaves the table when it is chosen; the listener stops only if no connection can go. Test: DescriptorsTest holds the loop until 80 half-open connections wait; without the change the good client is answered only after 70 of them have had their 408.

--- a/gateway/src/main/java/ridgemill/gateway/front/ClientTable.java
+++ b/gateway/src/main/java/ridgemill/gateway/front/ClientTable.java
@@ -102,13 +102,18 @@
     private void makeRoom() {
         List<ClientConnection> unproven = connections.stream().filter(c -> !c.isProven() && !c.isBusy()).toList();
         boolean crowded = connections.size() + 1 >= maxConnections;
+        Optional<ClientConnection> goes = Optional.empty();
         if (!unproven.isEmpty() && (crowded || unproven.size() >= Math.max(1, maxConnections / UNPROVEN_PART))) {
-            unproven.stream().min(Comparator.comparingLong(ClientConnection::since)).ifPresent(ClientConnection::close);
+            goes = unproven.stream().min(Comparator.comparingLong(ClientConnection::since));
         } else if (crowded) {
-            Optional<ClientConnection> waiting = connections.stream().filter(c -> !c.isBusy()).findFirst();
-            waiting.ifPresent(ClientConnection::close);
+            goes = connections.stream().filter(c -> !c.isBusy()).findFirst();
         }
-        if (crowded) {
+        if (goes.isPresent()) {
+            // Out of the table at once: its end is told of only after the next few have been accepted, which would all
+            // choose it again, and a crowd that says nothing would fill the table until its own time is up.
+            connections.remove(goes.get());
+            goes.get().close();
+        } else if (crowded) {
             full = true;
             accepting.accept(false);
         }
--- a/gateway/src/test/java/ridgemill/gateway/DescriptorsTest.java
+++ b/gateway/src/test/java/ridgemill/gateway/DescriptorsTest.java
@@ -5,6 +5,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -13,6 +14,7 @@
 class DescriptorsTest {
 
     private static final int CLIENTS = 3;
+    private static final int CROWD = 80;
     private static final String UP = "GET /up HTTP/1.1\r\nHost: s\r\n\r\n";
 
     private final Deque<Peer.Wire> clients = new ArrayDeque<>();
@@ -48,6 +50,38 @@
         assertNull(clients.getFirst().read(), "the one that waited longest was let go");
     }
 
+    /** They are all accepted in one go, as after a pause, and the end of one that is let go is told of only then. */
+    @Test
+    void aCrowdThatSendsHalfARequestKeepsNobodyOut() throws Exception {
+        site.close();
+        site = new Site();
+        site.sockets = Service.RESERVED_SOCKETS + CROWD;
+        site.start("automatic", "60000", "");
+        CountDownLatch crowded = new CountDownLatch(1);
+        site.router.onRequest = (request, out) -> {
+            try {
+                crowded.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            out.refuse(request.id(), 0);
+        };
+        connect().write(site.get(Site.LONG_S));
+        Deque<Peer.Wire> crowd = new ArrayDeque<>();
+        for (int i = 0; i < CROWD; i++) {
+            crowd.add(connect());
+            crowd.getLast().write("GET /api/half HTTP/1.1\r\nX-Ca");
+        }
+        crowded.countDown();
+        Peer.Wire good = connect();
+        good.write(site.get(Site.LONG_S));
+        assertEquals(503, Site.status(good.read()));
+        for (Peer.Wire half : crowd) {
+            assertEquals(0, half.socket().getInputStream().available(),
+                    "the good client waited until the crowd's own time was up");
+        }
+    }
+
     @Test
     void aBusyClientsEndLetsTheNextOneIn() throws Exception {
         Deque<Peer.Wire> nodes = new ArrayDeque<>();
