Lab: scenarios as text, run by tests and from the command line, and a demonstration

Need: whole fleets with faults must be played by everybody in the same way, and someone new must see the program run at once. Change: module lab. Scenarios (fleet, links, load, timeline, expectations) with a parser that names the line; nine that come with the program, two proxies as real processes with SIGTERM and SIGKILL in one; a report by class with the auditor's verdict; demo with a live view. CommandsTest runs the program as an operator does: bad files, flags and ports are one line and exit code 2.

--- a/gateway/src/main/java/ridgemill/gateway/Config.java
+++ b/gateway/src/main/java/ridgemill/gateway/Config.java
@@ -65,7 +65,8 @@
         return fromEnvironment(others);
     }
 
-    static Config parse(String json, Map<String, String> environment) throws ConfigException {
+    /** Reads a configuration's text; the environment's BALANCER_ variables override what it says. */
+    public static Config parse(String json, Map<String, String> environment) throws ConfigException {
         try {
             JsonObject o = JsonParser.parseString(json).getAsJsonObject();
             if (!o.has("settings")) {
--- /dev/null
+++ b/gateway/src/test/java/ridgemill/cli/CommandsTest.java
@@ -0,0 +1,96 @@
+package ridgemill.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** The command line as an operator meets it: a process of its own, its exit code and what it says. */
+class CommandsTest {
+
+    private static final String GOOD = "{\"listen\":\"%s\",\"discovery\":\"127.0.0.1:2\",\"settings\":{\"services\":"
+            + "[{\"name\":\"read\",\"effect\":\"retryable\",\"deadline_ms\":1000}]}}";
+
+    @TempDir
+    private Path directory;
+
+    private record Ran(int code, String out, String err) { }
+
+    private static Ran run(Path config, String... args) throws IOException, InterruptedException {
+        List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-cp", System.getProperty("java.class.path"), "ridgemill.Main"));
+        command.addAll(List.of(args));
+        ProcessBuilder builder = new ProcessBuilder(command);
+        if (config != null) {
+            builder.environment().put("BALANCER_CONFIG", config.toString());
+        }
+        Process process = builder.start();
+        process.getOutputStream().close();
+        String out = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        String err = new String(process.getErrorStream().readAllBytes(), StandardCharsets.UTF_8);
+        assertTrue(process.waitFor(60, TimeUnit.SECONDS));
+        return new Ran(process.exitValue(), out, err);
+    }
+
+    private Path file(String text) throws IOException {
+        return Files.writeString(directory.resolve("config.json"), text);
+    }
+
+    private static void refused(Ran ran, String place) {
+        assertEquals(2, ran.code(), ran.toString());
+        List<String> said = ran.err().lines().filter(l -> !l.contains(" INFO ")).toList();
+        assertEquals(1, said.size(), ran.err());
+        assertTrue(said.get(0).startsWith("ridgemill: ") && said.get(0).contains(place), said.get(0));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"frob, frob", "serve --nope, --nope", "check, FILE", "check /nowhere/x.json, /nowhere/x.json",
+        "version now, now"})
+    void aBadCommandLineIsOneLineAndCodeTwo(String line, String place) throws Exception {
+        refused(run(null, line.split(" ")), place);
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {"{\"listen\":|config.json: ", "[]|config.json: ",
+        "{\"settings\":{}}|listen: missing", "{\"listen\":\"127.0.0.1:1\",\"settings\":{}}|discovery: missing",
+        "{\"listen\":\"here\",\"settings\":{}}|listen: not a numeric address and port: here",
+        "{\"listen\":\"127.0.0.1:1\",\"discovery\":\"127.0.0.1:2\",\"limits\":3,\"settings\":{}}|limits: ",
+        "{\"listen\":\"127.0.0.1:1\",\"discovery\":\"127.0.0.1:2\",\"settings\":3}|settings: "})
+    void aBadFileIsRefusedWithItsPlaceByCheckAndByServe(String text, String place) throws Exception {
+        Path file = file(text);
+        refused(run(null, "check", file.toString()), place);
+        refused(run(file, "serve"), place);
+    }
+
+    @Test
+    void aPortInUseIsNamed() throws Exception {
+        try (ServerSocket taken = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            String address = "127.0.0.1:" + taken.getLocalPort();
+            refused(run(file(GOOD.formatted(address)), "serve"), address);
+        }
+    }
+
+    @Test
+    void aGoodFileAndTheVersionAreTold() throws Exception {
+        Ran checked = run(null, "check", file(GOOD.formatted("127.0.0.1:1")).toString());
+        assertEquals(0, checked.code());
+        assertTrue(checked.out().contains("good: 1 classes"), checked.out());
+        Ran version = run(null, "version");
+        assertEquals(0, version.code());
+        assertTrue(version.out().startsWith("ridgemill "));
+        assertFalse(run(null, "serve", "--help").out().isEmpty());
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/ridgemill/lab/Main.java
@@ -0,0 +1,105 @@
+package ridgemill.lab;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** The lab's command line: the demonstration, and scenarios by name or file. */
+public final class Main {
+
+    private static final int EXIT_MISUSED = 2;
+
+    private Main() { }
+
+    public static void main(String[] args) {
+        System.exit(run(args));
+    }
+
+    static int run(String... args) {
+        CommandLine line = new CommandLine(new Root());
+        line.setParameterExceptionHandler((e, given) -> {
+            System.err.println("ridgemill-lab: " + String.valueOf(e.getMessage()).lines().findFirst().orElse("")
+                    + " (see '" + e.getCommandLine().getCommandSpec().qualifiedName(" ") + " --help')");
+            return EXIT_MISUSED;
+        });
+        line.setExecutionExceptionHandler((e, command, parsed) -> {
+            System.err.println("ridgemill-lab: " + (e.getMessage() == null ? e : e.getMessage()));
+            return EXIT_MISUSED;
+        });
+        return line.execute(args);
+    }
+
+    @Command(name = "ridgemill-lab", mixinStandardHelpOptions = true, subcommands = {DemoCommand.class, Run.class,
+        ListAll.class}, description = "Plays faults on whole fleets of stand-ins, on this machine's loopback alone.")
+    static final class Root implements Callable<Integer> {
+        @Override
+        public Integer call() {
+            CommandLine.usage(this, System.err);
+            return EXIT_MISUSED;
+        }
+    }
+
+    @Command(name = "demo", mixinStandardHelpOptions = true,
+            description = "Runs nodes, a store, discovery, a proxy and some load, and shows them until Ctrl-C.")
+    static final class DemoCommand implements Callable<Integer> {
+        @Option(names = "--seconds", paramLabel = "N", description = "End after so long; 0, the default, is never.")
+        private int seconds;
+        @Option(names = "--rate", paramLabel = "N", defaultValue = "100",
+                description = "Requests a second (default: ${DEFAULT-VALUE}).")
+        private double rate;
+        @Option(names = "--nodes", paramLabel = "N", defaultValue = "6",
+                description = "Cache nodes (default: ${DEFAULT-VALUE}).")
+        private int nodes;
+        @Option(names = "--plain", description = "Print a line a second and leave the screen as it is.")
+        private boolean plain;
+
+        @Override
+        public Integer call() throws Exception {
+            if (seconds < 0 || !(rate > 0) || nodes < 1) {
+                throw new IllegalArgumentException("demo: seconds may not be negative, rate and nodes must be positive");
+            }
+            new Demo(nodes, rate, plain).run(seconds);
+            return 0;
+        }
+    }
+
+    @Command(name = "run", mixinStandardHelpOptions = true,
+            description = "Plays scenarios and reports; the exit code is 1 if one fails.")
+    static final class Run implements Callable<Integer> {
+        @Parameters(paramLabel = "NAME", arity = "0..*",
+                description = "Names or files of scenarios; all that come with the program if none is given.")
+        private List<String> names = new ArrayList<>();
+        @Option(names = "--times", paramLabel = "N", defaultValue = "1", description = "How often each is played.")
+        private int times;
+
+        @Override
+        public Integer call() throws Exception {
+            boolean good = true;
+            for (String name : names.isEmpty() ? Scenarios.NAMES : names) {
+                Scenario scenario = Scenarios.named(name);
+                for (int i = 0; i < times; i++) {
+                    ScenarioReport report = ScenarioRun.play(scenario);
+                    System.out.println(report);
+                    good &= report.passed();
+                }
+            }
+            return good ? 0 : 1;
+        }
+    }
+
+    @Command(name = "list", mixinStandardHelpOptions = true, description = "Names the scenarios that come with the program.")
+    static final class ListAll implements Callable<Integer> {
+        @Override
+        public Integer call() throws IOException {
+            for (String name : Scenarios.NAMES) {
+                System.out.printf("%-22s %s%n", name, Scenarios.named(name).title());
+            }
+            return 0;
+        }
+    }
+}
--- a/testbed/src/main/java/ridgemill/testbed/Testbed.java
+++ b/testbed/src/main/java/ridgemill/testbed/Testbed.java
@@ -17,6 +17,7 @@
 import ridgemill.testbed.link.Link;
 import ridgemill.testbed.load.Load;
 import ridgemill.testbed.load.LoadProfile;
+import ridgemill.testbed.node.CacheNode;
 import ridgemill.testbed.node.NodeProfile;
 import ridgemill.testbed.node.StandIn;
 import ridgemill.testbed.node.StandInFleet;
@@ -67,6 +68,11 @@
         return lateNanos.get() / 1e6;
     }
 
+    /** Forgets how late it ran so far: what a start takes is no part of what is measured later. */
+    public void forgetLateness() {
+        lateNanos.set(0);
+    }
+
     private void watch(EventLoop loop) {
         long[] due = {System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(BEAT_MS)};
         loop.scheduleWithFixedDelay(() -> {
@@ -110,6 +116,14 @@
         say(node, "up");
     }
 
+    /** One more node that starts now, cold and empty, and that discovery names at once. */
+    public void joinCold(String node) {
+        CacheNode added = fleet.add(node);
+        added.kill();
+        added.start();
+        say(node, "up");
+    }
+
     /** Discovery says of a node, to every proxy: {@code up}, {@code draining} or {@code removed}. */
     public void say(String node, String says) {
         health.put(node, says);
--- a/testbed/src/main/java/ridgemill/testbed/ledger/Ledger.java
+++ b/testbed/src/main/java/ridgemill/testbed/ledger/Ledger.java
@@ -1,6 +1,7 @@
 package ridgemill.testbed.ledger;
 
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.List;
 import java.util.concurrent.ConcurrentLinkedQueue;
 
@@ -58,6 +59,21 @@
         return List.copyOf(clients);
     }
 
+    /** Removes and returns what reached nodes until then and has ended: a view of one that runs for long. */
+    public List<NodeEntry> takeNodesUntil(double at) {
+        List<NodeEntry> taken = nodes.stream().filter(e -> e.endedAt() > 0 && e.endedAt() <= at).toList();
+        nodes.removeAll(new HashSet<>(taken));
+        return taken;
+    }
+
+    /** Removes and returns what clients had answered until then. */
+    public List<ClientEntry> takeClientsUntil(double at) {
+        List<ClientEntry> taken = clients.stream().filter(c -> c.sentAt() > 0 && c.sentAt() + c.budgetMs() <= at)
+                .toList();
+        clients.removeAll(new HashSet<>(taken));
+        return taken;
+    }
+
     public List<Told> told() {
         return List.copyOf(told);
     }
--- a/testbed/src/main/java/ridgemill/testbed/load/Load.java
+++ b/testbed/src/main/java/ridgemill/testbed/load/Load.java
@@ -20,10 +20,12 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -52,6 +54,7 @@
     private final Map<String, InetSocketAddress> proxies = new LinkedHashMap<>();
     private final List<Deque<Conn>> idle = new ArrayList<>();
     private final List<String> names = new ArrayList<>();
+    private final Set<String> withdrawn = new HashSet<>();
     private final double[] popularity;
     private final CompletableFuture<Void> done = new CompletableFuture<>();
     private final String prefix;
@@ -90,6 +93,16 @@
         return done;
     }
 
+    /** The front opens no new connection to a proxy from so many milliseconds on; those that are open stay in use. */
+    public void withdraw(String proxy, double afterMs) {
+        loop.schedule(() -> withdrawn.add(proxy), (long) (afterMs * 1e3), TimeUnit.MICROSECONDS);
+    }
+
+    /** The front has seen that a proxy is up again. */
+    public void restore(String proxy) {
+        loop.execute(() -> withdrawn.remove(proxy));
+    }
+
     /** Opens connections that send half a request and then say nothing, and keeps them open. */
     public void halfOpen(int count) {
         loop.execute(() -> {
@@ -148,7 +161,7 @@
         String tenant = profile.tenants().get(random.nextInt(profile.tenants().size()));
         long number = arrivals++;
         Wish wish = new Wish(service, key, tenant, service.write() ? "k" + prefix + number : null, ledger.now());
-        ask(wish, 0, nextProxy++ % names.size());
+        ask(wish, 0, nextProxy++);
     }
 
     /** What a client wants, however often it tries. */
@@ -158,7 +171,12 @@
         }
     }
 
-    private void ask(Wish wish, int tried, int proxy) {
+    /** Asks the first proxy from this one on that the front has not withdrawn; any, if it has withdrawn all. */
+    private void ask(Wish wish, int tried, int from) {
+        int proxy = from % names.size();
+        for (int i = 0; i < names.size() && withdrawn.contains(names.get(proxy)); i++) {
+            proxy = (proxy + 1) % names.size();
+        }
         double now = ledger.now();
         double budget = Math.min(wish.leftMs(now), wish.service().deadlineMs() * profile.tryShare());
         String id = prefix + tries++;
@@ -305,7 +323,7 @@
                 open++;
                 loop.schedule(() -> {
                     open--;
-                    ask(wish, tried + 1, (proxy + 1) % names.size());
+                    ask(wish, tried + 1, proxy + 1);
                 }, (long) (wait * 1e6), TimeUnit.NANOSECONDS);
             }
         }
--- a/testbed/src/main/java/ridgemill/testbed/node/NodeProfile.java
+++ b/testbed/src/main/java/ridgemill/testbed/node/NodeProfile.java
@@ -38,6 +38,12 @@
                 fallMultiple, fallMs, keys, valueBytes);
     }
 
+    /** The same with another time until it is warm. */
+    public NodeProfile cold(double untilWarmMs) {
+        return new NodeProfile(cores, readMs, writeMs, queue, connections, handshakeMs, idleCloseMs, coldFrom,
+                untilWarmMs, fallMultiple, fallMs, keys, valueBytes);
+    }
+
     /** The same with other cores. */
     public NodeProfile cores(int count) {
         return new NodeProfile(count, readMs, writeMs, queue, connections, handshakeMs, idleCloseMs, coldFrom, coldMs,
