--- /dev/null
+++ b/bench/src/main/java/ridgemill/bench/ProxyCost.java
@@ -0,0 +1,176 @@
+package ridgemill.bench;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import ridgemill.testbed.discovery.DiscoveryStandIn;
+import ridgemill.testbed.discovery.DiscoveryStandIn.Host;
+import ridgemill.testbed.ledger.Ledger;
+
+/**
+ * What a proxy itself costs: processor time a request, requests a second on one core, added latency and memory, for
+ * ridgemill as a deployment runs it, HAProxy and nginx with one worker, in front of the same nodes, in turn in one run.
+ */
+@Command(name = "proxy-cost", mixinStandardHelpOptions = true, description = "Measures ridgemill, HAProxy and nginx side "
+        + "by side; each runs on one core, the clients and the nodes on others.")
+public final class ProxyCost implements Runnable {
+
+    private static final int NODES = 6;
+    private static final int CONNECTIONS = 32;
+
+    @Option(names = "--seconds", paramLabel = "N", defaultValue = "6",
+            description = "Length of each measurement (default: ${DEFAULT-VALUE}).")
+    private int seconds;
+    @Option(names = "--rounds", paramLabel = "N", defaultValue = "3",
+            description = "How often all are measured in turn; the median counts (default: ${DEFAULT-VALUE}).")
+    private int rounds;
+    @Option(names = "--rate", paramLabel = "N", defaultValue = "1000",
+            description = "Requests a second where the rate is set (default: ${DEFAULT-VALUE}).")
+    private int rate;
+    @Option(names = "--core", paramLabel = "N", defaultValue = "2",
+            description = "The core that the measured proxy runs on (default: ${DEFAULT-VALUE}).")
+    private int core;
+    @Option(names = "--warm-up", paramLabel = "N", defaultValue = "5",
+            description = "Seconds under full load before the first measurement (default: ${DEFAULT-VALUE}).")
+    private int warmUp;
+
+    /** The figures of one proxy, one value a round. */
+    private static final class Figures {
+        final List<Double> perSecond = new ArrayList<>();
+        final List<Double> cpuMicros = new ArrayList<>();
+        final List<Double> p50 = new ArrayList<>();
+        final List<Double> p99 = new ArrayList<>();
+        final List<Double> memoryMb = new ArrayList<>();
+        int failed;
+    }
+
+    public static void main(String[] args) {
+        System.exit(new CommandLine(new ProxyCost()).execute(args));
+    }
+
+    @Override
+    public void run() {
+        try {
+            measure();
+        } catch (Exception e) {
+            throw new IllegalStateException(e.getMessage(), e);
+        }
+    }
+
+    private void measure() throws Exception {
+        Path directory = Files.createTempDirectory("ridgemill-bench");
+        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(3, NioIoHandler.newFactory());
+        var nodeLoop = group.next();
+        var clientLoop = group.next();
+        List<InetSocketAddress> nodes = new ArrayList<>();
+        for (int i = 0; i < NODES; i++) {
+            nodes.add(new FlatNode(nodeLoop).address());
+        }
+        Map<String, Figures> figures = new LinkedHashMap<>();
+        try (DiscoveryStandIn discovery = new DiscoveryStandIn(group.next(), new Ledger(), "bench");
+                Subject ridgemill = ridgemill(discovery, nodes, directory);
+                Subject haproxy = Subject.haproxy(nodes, core, directory);
+                Subject nginx = Subject.nginx(nodes, core, directory)) {
+            List<Subject> subjects = List.of(ridgemill, haproxy, nginx);
+            // The clients' own code is warm before anything counts, and so is each proxy's.
+            Pressure.run(clientLoop, nodes.get(0), CONNECTIONS, 0, warmUp);
+            for (Subject s : subjects) {
+                Pressure.run(clientLoop, s.address(), CONNECTIONS, 0, warmUp);
+            }
+            for (int round = 0; round < rounds; round++) {
+                Figures direct = figures.computeIfAbsent("none", n -> new Figures());
+                Pressure.Result straight = Pressure.run(clientLoop, nodes.get(0), CONNECTIONS, rate, seconds);
+                direct.p50.add(straight.p50());
+                direct.p99.add(straight.p99());
+                for (Subject s : subjects) {
+                    Figures f = figures.computeIfAbsent(s.name(), n -> new Figures());
+                    Pressure.Result full = Pressure.run(clientLoop, s.address(), CONNECTIONS, 0, seconds);
+                    f.perSecond.add(full.perSecond());
+                    double before = s.cpuMicros();
+                    Pressure.Result set = Pressure.run(clientLoop, s.address(), CONNECTIONS, rate, seconds);
+                    f.cpuMicros.add((s.cpuMicros() - before) / Math.max(1, set.answered()));
+                    f.p50.add(set.p50());
+                    f.p99.add(set.p99());
+                    f.memoryMb.add(s.memoryMb());
+                    f.failed += full.failed() + set.failed();
+                }
+            }
+        } finally {
+            group.shutdownGracefully();
+        }
+        print(figures);
+    }
+
+    private void print(Map<String, Figures> figures) {
+        System.out.printf(Locale.ROOT, "one core each, %d connections, %d nodes, medians of %d rounds of %d s%n", CONNECTIONS,
+                NODES, rounds, seconds);
+        System.out.printf("%-10s %14s %22s %12s %12s %10s %8s%n", "proxy", "requests/s", "CPU us/request at "
+                + rate + "/s", "added p50 us", "added p99 us", "memory MB", "failed");
+        Figures direct = figures.get("none");
+        figures.forEach((name, f) -> {
+            if (f != direct) {
+                System.out.printf(Locale.ROOT, "%-10s %14.0f %22.1f %12.0f %12.0f %10.1f %8d%n", name, median(f.perSecond),
+                        median(f.cpuMicros), median(f.p50) - median(direct.p50), median(f.p99) - median(direct.p99),
+                        median(f.memoryMb), f.failed);
+            }
+        });
+        Figures own = figures.get("ridgemill");
+        for (String other : List.of("haproxy", "nginx")) {
+            Figures f = figures.get(other);
+            System.out.printf(Locale.ROOT, "ridgemill / %s: requests/s %.2f, CPU a request %.1f, added p50 %.1f, added p99 "
+                    + "%.1f, memory %.1f%n", other, median(own.perSecond) / median(f.perSecond),
+                    median(own.cpuMicros) / median(f.cpuMicros),
+                    (median(own.p50) - median(direct.p50)) / (median(f.p50) - median(direct.p50)),
+                    (median(own.p99) - median(direct.p99)) / (median(f.p99) - median(direct.p99)),
+                    median(own.memoryMb) / median(f.memoryMb));
+        }
+    }
+
+    private static double median(List<Double> values) {
+        double[] sorted = values.stream().mapToDouble(Double::doubleValue).sorted().toArray();
+        return sorted.length == 0 ? Double.NaN : sorted[sorted.length / 2];
+    }
+
+    /** As a deployment runs it: by the {@code run} line of the deploy file. */
+    private Subject ridgemill(DiscoveryStandIn discovery, List<InetSocketAddress> nodes, Path directory)
+            throws IOException, InterruptedException {
+        for (int i = 0; i < nodes.size(); i++) {
+            discovery.publish(new Host("c" + i, nodes.get(i), "a", "std", "up", 0));
+        }
+        InetSocketAddress address = Subject.freeAddress();
+        JsonObject config = JsonParser.parseString("""
+                {"name": "bench", "limits": {"sockets": 1024},
+                 "settings": {"rank": 0, "balancers": 1, "zone": "a", "tick_ms": 5, "discovery": "automatic",
+                  "limits": {"cancelling": true, "connect_timeout_ms": 150, "idle_close_ms": 60000, "max_open": 20000,
+                   "retry_after": true, "max_retry_after_ms": 750, "try_limit": 6},
+                  "obligations": {"answer_slack_ms": 20}, "kinds": ["std", "origin"],
+                  "domain": {"mode": "aside", "origin_kind": 1},
+                  "services": [{"name": "read", "effect": "retryable", "objective_ms": 500, "deadline_ms": 1500}]}}
+                """).getAsJsonObject();
+        config.addProperty("listen", "127.0.0.1:" + address.getPort());
+        config.addProperty("discovery", "127.0.0.1:" + discovery.address().getPort());
+        config.add("known", discovery.known());
+        config.getAsJsonObject("settings").add("customers", new JsonArray());
+        Path file = Files.writeString(directory.resolve("ridgemill.json"), config.toString());
+        String run = Files.readAllLines(Path.of("deploy/balancer.toml")).stream().filter(l -> l.startsWith("run = "))
+                .map(l -> l.substring(l.indexOf('"') + 1, l.lastIndexOf('"'))).findFirst()
+                .orElseThrow(() -> new IOException("deploy/balancer.toml: no line 'run = ...' (start this from the root)"));
+        List<String> command = Arrays.asList("/bin/sh", "-c", run);
+        return Subject.start("ridgemill", address, core, directory, command, List.of("BALANCER_CONFIG=" + file));
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/ridgemill/bench/Subject.java
@@ -0,0 +1,156 @@
+package ridgemill.bench;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+
+/** A proxy that is measured: a process on one core, and what it has used so far. */
+final class Subject implements AutoCloseable {
+
+    private static final double TICKS_PER_S = 100;
+    private static final long PATIENCE_S = 30;
+
+    private final String name;
+    private final InetSocketAddress address;
+    private final Process process;
+
+    private Subject(String name, InetSocketAddress address, Process process) {
+        this.name = name;
+        this.address = address;
+        this.process = process;
+    }
+
+    /** Starts a command pinned to a core and returns when it listens. */
+    static Subject start(String name, InetSocketAddress address, int core, Path directory, List<String> command,
+                         List<String> environment) throws IOException, InterruptedException {
+        List<String> pinned = new ArrayList<>(List.of("taskset", "-c", String.valueOf(core)));
+        pinned.addAll(command);
+        ProcessBuilder builder = new ProcessBuilder(pinned);
+        for (String pair : environment) {
+            builder.environment().put(pair.substring(0, pair.indexOf('=')), pair.substring(pair.indexOf('=') + 1));
+        }
+        Path log = directory.resolve(name + ".log");
+        Process process = builder.redirectErrorStream(true).redirectOutput(log.toFile()).start();
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_S);
+        while (!listens(address)) {
+            if (!process.isAlive() || System.nanoTime() > end) {
+                throw new IOException(name + " did not start: " + Files.readString(log));
+            }
+            process.waitFor(50, TimeUnit.MILLISECONDS);
+        }
+        return new Subject(name, address, process);
+    }
+
+    private static boolean listens(InetSocketAddress address) {
+        try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
+            return socket.isConnected();
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    static InetSocketAddress freeAddress() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            return (InetSocketAddress) socket.getLocalSocketAddress();
+        }
+    }
+
+    static Subject haproxy(List<InetSocketAddress> nodes, int core, Path directory) throws Exception {
+        InetSocketAddress address = freeAddress();
+        Path config = Files.writeString(directory.resolve("haproxy.cfg"), """
+                global
+                  nbthread 1
+                  maxconn 2000
+                defaults
+                  mode http
+                  timeout connect 1s
+                  timeout client 10s
+                  timeout server 10s
+                  http-reuse always
+                frontend front
+                  bind 127.0.0.1:%d
+                  default_backend nodes
+                backend nodes
+                  balance uri
+                %s
+                """.formatted(address.getPort(), nodes.stream().map(n -> "  server s" + n.getPort() + " 127.0.0.1:"
+                + n.getPort()).collect(Collectors.joining("\n"))));
+        return start("haproxy", address, core, directory, List.of("haproxy", "-db", "-f", config.toString()), List.of());
+    }
+
+    static Subject nginx(List<InetSocketAddress> nodes, int core, Path directory) throws Exception {
+        InetSocketAddress address = freeAddress();
+        Path config = Files.writeString(directory.resolve("nginx.conf"), """
+                daemon off;
+                master_process off;
+                worker_processes 1;
+                pid %1$s/nginx.pid;
+                error_log %1$s/nginx.error;
+                events { worker_connections 2000; }
+                http {
+                  access_log off;
+                  keepalive_requests 1000000;
+                  client_body_temp_path %1$s/nginx-body;
+                  proxy_temp_path %1$s/nginx-proxy;
+                  fastcgi_temp_path %1$s/nginx-fastcgi;
+                  uwsgi_temp_path %1$s/nginx-uwsgi;
+                  scgi_temp_path %1$s/nginx-scgi;
+                  upstream nodes {
+                    hash $uri consistent;
+                %2$s
+                    keepalive 256;
+                    keepalive_requests 1000000;
+                  }
+                  server {
+                    listen 127.0.0.1:%3$d;
+                    location / {
+                      proxy_pass http://nodes;
+                      proxy_http_version 1.1;
+                      proxy_set_header Connection "";
+                    }
+                  }
+                }
+                """.formatted(directory, nodes.stream().map(n -> "    server 127.0.0.1:" + n.getPort() + ";")
+                .collect(Collectors.joining("\n")), address.getPort()));
+        return start("nginx", address, core, directory, List.of("nginx", "-c", config.toString(), "-p",
+                directory.toString()), List.of());
+    }
+
+    String name() {
+        return name;
+    }
+
+    InetSocketAddress address() {
+        return address;
+    }
+
+    /** Processor time that it has used, in microseconds; {@code /proc} counts in hundredths of a second. */
+    double cpuMicros() throws IOException {
+        String stat = Files.readString(Path.of("/proc/" + process.pid() + "/stat"));
+        String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
+        return (Long.parseLong(fields[11]) + Long.parseLong(fields[12])) / TICKS_PER_S * 1e6;
+    }
+
+    /** Memory that it holds, in MB. */
+    double memoryMb() throws IOException {
+        return Files.readAllLines(Path.of("/proc/" + process.pid() + "/status")).stream()
+                .filter(l -> l.startsWith("VmRSS:")).mapToDouble(l -> Double.parseDouble(l.replaceAll("[^0-9]", "")) / 1024)
+                .findFirst().orElse(Double.NaN);
+    }
+
+    @Override
+    public void close() throws InterruptedException {
+        process.destroy();
+        if (!process.waitFor(PATIENCE_S, TimeUnit.SECONDS)) {
+            process.destroyForcibly();
+        }
+    }
+}
--- a/lab/src/main/java/ridgemill/lab/Main.java
+++ b/lab/src/main/java/ridgemill/lab/Main.java
@@ -1,9 +1,12 @@
 package ridgemill.lab;
 
 import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -35,7 +38,7 @@
     }
 
     @Command(name = "ridgemill-lab", mixinStandardHelpOptions = true, subcommands = {DemoCommand.class, Run.class,
-        ListAll.class}, description = "Plays faults on whole fleets of stand-ins, on this machine's loopback alone.")
+        ListAll.class, SiteCommand.class}, description = "Plays faults on whole fleets of stand-ins, on this machine's loopback alone.")
     static final class Root implements Callable<Integer> {
         @Override
         public Integer call() {
@@ -92,6 +95,33 @@
         }
     }
 
+    @Command(name = "site", mixinStandardHelpOptions = true, description = {"Runs nodes, a store and discovery without a "
+        + "proxy, until Ctrl-C, and writes a configuration for each proxy that one may start beside them.",
+        "Start one with: BALANCER_CONFIG=DIR/p0.json java -jar gateway/target/ridgemill.jar serve"})
+    static final class SiteCommand implements Callable<Integer> {
+        @Parameters(paramLabel = "DIR", description = "Where the configurations are written; it must be there.")
+        private Path directory;
+        @Option(names = "--proxies", paramLabel = "N", defaultValue = "1",
+                description = "How many (default: ${DEFAULT-VALUE}).")
+        private int proxies;
+        @Option(names = "--nodes", paramLabel = "N", defaultValue = "6",
+                description = "Cache nodes (default: ${DEFAULT-VALUE}).")
+        private int nodes;
+
+        @Override
+        public Integer call() throws Exception {
+            if (!Files.isDirectory(directory) || proxies < 1 || nodes < 1) {
+                throw new IllegalArgumentException("site: DIR must be a directory, proxies and nodes positive");
+            }
+            try (Site site = Site.start(nodes, proxies, directory)) {
+                site.files().forEach(f -> System.out.println("wrote " + f));
+                System.out.println("running; Ctrl-C ends it");
+                new CountDownLatch(1).await();
+            }
+            return 0;
+        }
+    }
+
     @Command(name = "list", mixinStandardHelpOptions = true, description = "Names the scenarios that come with the program.")
     static final class ListAll implements Callable<Integer> {
         @Override
--- a/lab/src/main/java/ridgemill/lab/ScenarioRun.java
+++ b/lab/src/main/java/ridgemill/lab/ScenarioRun.java
@@ -116,13 +116,13 @@
         CompletableFuture.allOf(starting.toArray(CompletableFuture[]::new)).get(PATIENCE_S, TimeUnit.SECONDS);
     }
 
-    private static InetSocketAddress freeAddress() throws IOException {
+    static InetSocketAddress freeAddress() throws IOException {
         try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
             return (InetSocketAddress) socket.getLocalSocketAddress();
         }
     }
 
-    private static InetSocketAddress freeDatagramAddress() throws IOException {
+    static InetSocketAddress freeDatagramAddress() throws IOException {
         try (DatagramSocket socket = new DatagramSocket(0, InetAddress.getByName("127.0.0.1"))) {
             return (InetSocketAddress) socket.getLocalSocketAddress();
         }
--- a/testbed/src/main/java/ridgemill/testbed/link/Link.java
+++ b/testbed/src/main/java/ridgemill/testbed/link/Link.java
@@ -20,6 +20,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import ridgemill.testbed.Sockets;
 
 /**
  * A stretch of network between two parties: whoever connects to {@link #address} reaches the target through it, as slowly
@@ -133,13 +134,6 @@
         reset();
     }
 
-    private static void reset(Channel channel) {
-        if (channel != null && channel.isOpen()) {
-            channel.config().setOption(ChannelOption.SO_LINGER, 0);
-            channel.close();
-        }
-    }
-
     /** The two connections that a link joins. */
     private final class Pair {
         private final Channel near;
@@ -181,8 +175,8 @@
 
         void reset() {
             pairs.remove(this);
-            Link.reset(near);
-            Link.reset(far);
+            Sockets.reset(near);
+            Sockets.reset(far);
             out.drop();
             in.drop();
         }
--- a/testbed/src/main/java/ridgemill/testbed/node/StandIn.java
+++ b/testbed/src/main/java/ridgemill/testbed/node/StandIn.java
@@ -29,6 +29,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import ridgemill.testbed.Sockets;
 import ridgemill.testbed.ledger.Fate;
 import ridgemill.testbed.ledger.Ledger;
 import ridgemill.testbed.ledger.NodeEntry;
@@ -187,8 +188,7 @@
 
     private void accept(Channel channel) {
         if (conns.size() >= profile.connections()) {
-            channel.config().setOption(ChannelOption.SO_LINGER, 0);
-            channel.close();
+            Sockets.reset(channel);
             return;
         }
         Conn conn = new Conn(channel, connections++);
@@ -359,8 +359,7 @@
         }
 
         void reset() {
-            channel.config().setOption(ChannelOption.SO_LINGER, 0);
-            channel.close();
+            Sockets.reset(channel);
         }
 
         private void spoil(Served s, Fault fault, int status, Fate fate, String body, String... headers) {
