--- /dev/null
+++ b/core/src/main/java/ridgemill/limit/RetryBudget.java
@@ -0,0 +1,96 @@
+package ridgemill.limit;
+
+/**
+ * Holds clients' retries to a share of their first tries, so that a fleet that fails is not asked several times as often
+ * as one that works. Each first try adds the share to what retries may take; what is not taken is kept for a while and no
+ * longer. A few retries a second go through however little is asked, or a quiet proxy would refuse its first one.
+ *
+ * <p>As in Finagle's and Envoy's retry budgets, over a window that fades instead of sliding, which needs no history.
+ */
+public final class RetryBudget {
+
+    private static final double MS_PER_S = 1000;
+
+    /**
+     * The figures of a budget.
+     *
+     * @param share retries for each first try, 0 or more
+     * @param leastPerSecond retries a second that always go through, 0 or more
+     * @param windowMs how long what was not taken is of use, greater than 0
+     */
+    public record Terms(double share, double leastPerSecond, double windowMs) {
+
+        public Terms {
+            if (!(share >= 0) || !(leastPerSecond >= 0) || !(windowMs > 0)) {
+                throw new IllegalArgumentException("a retry budget needs a share and a least rate of 0 or more and a "
+                        + "window greater than 0");
+            }
+        }
+    }
+
+    private Terms terms;
+    private double firstTries;
+    private double retries;
+    private double at;
+
+    public RetryBudget(Terms terms, double nowMs) {
+        this.terms = terms;
+        this.at = nowMs;
+    }
+
+    /** A first try has come. */
+    public void firstTry(double nowMs) {
+        fade(nowMs);
+        firstTries++;
+    }
+
+    /** Takes a retry from the budget if it has one left. */
+    public boolean tryRetry(double nowMs) {
+        fade(nowMs);
+        if (retries + 1 > allowed()) {
+            return false;
+        }
+        retries++;
+        return true;
+    }
+
+    /**
+     * How long until a retry may go through if nothing else comes, in milliseconds; the window where only first tries can
+     * make room for it.
+     */
+    public double waitMs(double nowMs) {
+        fade(nowMs);
+        if (retries + 1 <= allowed()) {
+            return 0;
+        }
+        // Both counts fade alike, so what retries have beyond their share shrinks until the least leaves room for one.
+        double beyond = retries - firstTries * terms.share();
+        double room = least() - 1;
+        return room <= 0 ? terms.windowMs() : Math.min(terms.windowMs(), terms.windowMs() * Math.log(beyond / room));
+    }
+
+    /** Goes on under other terms; what was counted stays. */
+    public void changeTo(Terms next, double nowMs) {
+        fade(nowMs);
+        terms = next;
+    }
+
+    public Terms terms() {
+        return terms;
+    }
+
+    private double allowed() {
+        return firstTries * terms.share() + least();
+    }
+
+    private double least() {
+        return terms.leastPerSecond() * terms.windowMs() / MS_PER_S;
+    }
+
+    private void fade(double nowMs) {
+        double kept = Math.exp(-Math.max(0, nowMs - at) / terms.windowMs());
+        firstTries *= kept;
+        retries *= kept;
+        at = Math.max(at, nowMs);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/ridgemill/limit/TokenBucket.java
@@ -0,0 +1,65 @@
+package ridgemill.limit;
+
+/** A bucket that fills evenly and from which each request takes one token. Not safe for use by several threads. */
+public final class TokenBucket {
+
+    private static final double MS_PER_S = 1000;
+    /** So little is missing by rounding alone. */
+    private static final double ROUNDING = 1e-9;
+
+    private Rate rate;
+    private double tokens;
+    private double filledAt;
+
+    /** A full bucket. */
+    public TokenBucket(Rate rate, double nowMs) {
+        this.rate = rate;
+        this.tokens = rate.burst();
+        this.filledAt = nowMs;
+    }
+
+    /** Takes a token if one is there. */
+    public boolean tryTake(double nowMs) {
+        fill(nowMs);
+        if (tokens + ROUNDING < 1) {
+            return false;
+        }
+        tokens = Math.max(0, tokens - 1);
+        return true;
+    }
+
+    /** Gives a token back that was taken for a request that another limit then refused. */
+    public void giveBack(double nowMs) {
+        fill(nowMs);
+        tokens = Math.min(rate.burst(), tokens + 1);
+    }
+
+    /** How long until a token will be there if nobody takes one, in milliseconds; 0 if one is. */
+    public double waitMs(double nowMs) {
+        fill(nowMs);
+        return tokens + ROUNDING >= 1 ? 0 : (1 - tokens) / rate.perSecond() * MS_PER_S;
+    }
+
+    /** What it holds. */
+    public double tokens(double nowMs) {
+        fill(nowMs);
+        return tokens;
+    }
+
+    public Rate rate() {
+        return rate;
+    }
+
+    /** Goes on at another rate; what it holds stays, cut to the new burst. */
+    public void changeTo(Rate next, double nowMs) {
+        fill(nowMs);
+        rate = next;
+        tokens = Math.min(tokens, next.burst());
+    }
+
+    private void fill(double nowMs) {
+        double passed = Math.max(0, nowMs - filledAt);
+        tokens = Math.min(rate.burst(), tokens + passed / MS_PER_S * rate.perSecond());
+        filledAt = Math.max(filledAt, nowMs);
+    }
+}
--- a/lab/src/main/java/ridgemill/lab/Demo.java
+++ b/lab/src/main/java/ridgemill/lab/Demo.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.stream.Collectors;
@@ -24,6 +25,7 @@
 final class Demo {
 
     private static final double REPEAT_WINDOW_MS = 6000;
+    private static final long END_S = 10;
     private static final int KEYS = 300;
     private static final long SEED = 1;
     private static final int WARM_KEYS = 200;
@@ -43,11 +45,12 @@
     }
 
     void run(int seconds) throws Exception {
-        Thread main = Thread.currentThread();
+        Thread showing = Thread.currentThread();
+        CountDownLatch ended = new CountDownLatch(1);
         Thread hook = new Thread(() -> {
             stopping.set(true);
-            main.interrupt();
-            join(main);
+            showing.interrupt();
+            await(ended);
         }, "demo-end");
         Runtime.getRuntime().addShutdownHook(hook);
         long end = seconds == 0 ? Long.MAX_VALUE : System.nanoTime() + TimeUnit.SECONDS.toNanos(seconds);
@@ -63,15 +66,17 @@
                 proxy.terminate();
             }
         }
+        System.out.println("ended");
+        ended.countDown();
         if (!stopping.get()) {
             Runtime.getRuntime().removeShutdownHook(hook);
         }
-        System.out.println("ended");
     }
 
-    private static void join(Thread main) {
+    /** Not for the thread itself to end: one that calls for an exit waits for this in turn. */
+    private static void await(CountDownLatch ended) {
         try {
-            main.join(TimeUnit.SECONDS.toMillis(10));
+            ended.await(END_S, TimeUnit.SECONDS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- a/lab/src/main/java/ridgemill/lab/ScenarioRun.java
+++ b/lab/src/main/java/ridgemill/lab/ScenarioRun.java
@@ -1,10 +1,6 @@
 package ridgemill.lab;
 
-import java.io.IOException;
-import java.net.DatagramSocket;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -19,6 +15,7 @@
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import ridgemill.lab.Scenario.Step;
+import ridgemill.testbed.Reservation;
 import ridgemill.testbed.Testbed;
 import ridgemill.testbed.ledger.Auditor;
 import ridgemill.testbed.link.Link;
@@ -37,9 +34,12 @@
     /** New connections still come to a proxy for so long after it was told to end, as a front takes time to see it. */
     private static final double NOTICED_MS = 300;
 
+    private static boolean rehearsed;
+
     private final Scenario scenario;
     private final Map<String, ProxyUnderTest> proxies = new LinkedHashMap<>();
     private final List<CompletableFuture<Void>> pending = new ArrayList<>();
+    private final List<Reservation> reservations = new ArrayList<>();
     private Testbed bed;
     private Load load;
     private PeerNet peers;
@@ -50,9 +50,22 @@
 
     /** Plays it; throws only where it can't be played at all. */
     public static ScenarioReport play(Scenario scenario) throws Exception {
+        rehearse();
         return new ScenarioRun(scenario).play();
     }
 
+    /**
+     * Once for this process: a proxy warms up before it serves, but one that runs in here does so on code that the
+     * clients and the stand-ins need too. On a busy core their first second went into loading and compiling it, and was
+     * counted against the proxy.
+     */
+    private static synchronized void rehearse() throws Exception {
+        if (!rehearsed) {
+            rehearsed = true;
+            new ScenarioRun(ScenarioParser.parse("rehearsal", "nodes 3\nload 300/s for 3s keys 100\n")).play();
+        }
+    }
+
     private ScenarioReport play() throws Exception {
         Path directory = Files.createTempDirectory("ridgemill-scenario");
         double lateness;
@@ -63,7 +76,7 @@
             SplittableRandom seeds = new SplittableRandom(scenario.seed() + 1);
             List<InetSocketAddress> peerSockets = new ArrayList<>();
             for (int i = 0; i < scenario.proxies(); i++) {
-                peerSockets.add(freeDatagramAddress());
+                peerSockets.add(Reservation.datagramAddress());
             }
             try (PeerNet net = new PeerNet(bed.linkLoop(), peerSockets, seeds.nextLong())) {
                 peers = net;
@@ -81,6 +94,7 @@
                 for (ProxyUnderTest proxy : proxies.values()) {
                     proxy.kill();
                 }
+                reservations.forEach(Reservation::close);
             }
             lateness = bed.latenessMs();
         } finally {
@@ -105,7 +119,7 @@
         for (int i = 0; i < scenario.proxies(); i++) {
             String name = "p" + i;
             boolean alone = scenario.proxies() == 1;
-            InetSocketAddress address = scenario.processes() ? freeAddress() : new InetSocketAddress("127.0.0.1", 0);
+            InetSocketAddress address = scenario.processes() ? reserve() : new InetSocketAddress("127.0.0.1", 0);
             var config = ProxyConfig.of(name, i, scenario.proxies(), address, bed.place(name), scenario.load(),
                     scenario.cache(), alone ? null : listen.get(i), peers.addresses(), seeds.nextLong());
             proxies.put(name, scenario.processes() ? new ProcessProxy(name, address, config, directory)
@@ -116,16 +130,10 @@
         CompletableFuture.allOf(starting.toArray(CompletableFuture[]::new)).get(PATIENCE_S, TimeUnit.SECONDS);
     }
 
-    static InetSocketAddress freeAddress() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return (InetSocketAddress) socket.getLocalSocketAddress();
-        }
-    }
-
-    static InetSocketAddress freeDatagramAddress() throws IOException {
-        try (DatagramSocket socket = new DatagramSocket(0, InetAddress.getByName("127.0.0.1"))) {
-            return (InetSocketAddress) socket.getLocalSocketAddress();
-        }
+    private InetSocketAddress reserve() {
+        Reservation held = new Reservation();
+        reservations.add(held);
+        return held.address();
     }
 
     private interface Task {
--- a/testbed/src/main/java/ridgemill/testbed/Testbed.java
+++ b/testbed/src/main/java/ridgemill/testbed/Testbed.java
@@ -17,7 +17,6 @@
 import ridgemill.testbed.link.Link;
 import ridgemill.testbed.load.Load;
 import ridgemill.testbed.load.LoadProfile;
-import ridgemill.testbed.node.CacheNode;
 import ridgemill.testbed.node.NodeProfile;
 import ridgemill.testbed.node.StandIn;
 import ridgemill.testbed.node.StandInFleet;
@@ -118,9 +117,7 @@
 
     /** One more node that starts now, cold and empty, and that discovery names at once. */
     public void joinCold(String node) {
-        CacheNode added = fleet.add(node);
-        added.kill();
-        added.start();
+        fleet.add(node, true);
         say(node, "up");
     }
 
--- a/testbed/src/main/java/ridgemill/testbed/node/CacheNode.java
+++ b/testbed/src/main/java/ridgemill/testbed/node/CacheNode.java
@@ -13,8 +13,9 @@
     private final Shared shared;
     private Map<String, Boolean> kept;
 
-    CacheNode(EventLoop loop, Ledger ledger, String name, NodeProfile profile, long seed, Shared shared) {
-        super(loop, ledger, name, profile, seed);
+    CacheNode(EventLoop loop, Ledger ledger, String name, NodeProfile profile, long seed, Shared shared,
+              boolean cold) {
+        super(loop, ledger, name, profile, seed, cold);
         this.shared = shared;
         onLoop(() -> shared.caches.add(this));
     }
--- a/testbed/src/main/java/ridgemill/testbed/node/StandIn.java
+++ b/testbed/src/main/java/ridgemill/testbed/node/StandIn.java
@@ -29,6 +29,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import ridgemill.testbed.Reservation;
 import ridgemill.testbed.Sockets;
 import ridgemill.testbed.ledger.Fate;
 import ridgemill.testbed.ledger.Ledger;
@@ -51,7 +52,7 @@
     final String name;
     final NodeProfile profile;
     private final Faults faults;
-    private final InetSocketAddress address;
+    private final Reservation port = new Reservation();
     private final Set<Conn> conns = new LinkedHashSet<>();
     VirtualCore core;
     Warmth warmth;
@@ -61,13 +62,13 @@
     private long connections;
     private long epoch;
 
-    StandIn(EventLoop loop, Ledger ledger, String name, NodeProfile profile, long seed) {
+    StandIn(EventLoop loop, Ledger ledger, String name, NodeProfile profile, long seed, boolean cold) {
         this.loop = loop;
         this.ledger = ledger;
         this.name = name;
         this.profile = profile;
         this.faults = new Faults(seed);
-        this.address = (InetSocketAddress) open(false, new InetSocketAddress("127.0.0.1", 0)).localAddress();
+        open(cold);
     }
 
     /** Carries out what a request asks for when its work is done; answers through it. */
@@ -82,7 +83,7 @@
 
     /** Where it listens. */
     public final InetSocketAddress address() {
-        return address;
+        return port.address();
     }
 
     /** What it does wrong. */
@@ -119,7 +120,7 @@
 
     /** Starts again at its address, cold and empty; not to be called on the loop. */
     public final void start() {
-        open(true, address);
+        open(true);
     }
 
     /** Closes every idle connection without a word, as a middlebox or a host's own limit does. */
@@ -143,6 +144,7 @@
     @Override
     public final void close() {
         kill();
+        port.close();
     }
 
     /** Runs a task on the loop and returns when it is done; what it throws is thrown here. */
@@ -150,7 +152,7 @@
         return loop.inEventLoop() ? task.get() : loop.submit(task::get).syncUninterruptibly().getNow();
     }
 
-    private Channel open(boolean cold, InetSocketAddress at) {
+    private void open(boolean cold) {
         onLoop(() -> {
             epoch++;
             empty();
@@ -167,8 +169,8 @@
                     protected void initChannel(Channel channel) {
                         accept(channel);
                     }
-                }).bind(at).syncUninterruptibly().channel();
-        return onLoop(() -> listener = bound);
+                }).bind(port.address()).syncUninterruptibly().channel();
+        onLoop(() -> listener = bound);
     }
 
     private void down() {
--- a/testbed/src/main/java/ridgemill/testbed/node/StandInFleet.java
+++ b/testbed/src/main/java/ridgemill/testbed/node/StandInFleet.java
@@ -34,7 +34,12 @@
 
     /** One more cache node, which runs and is warm but keeps nothing. */
     public CacheNode add(String name) {
-        CacheNode node = new CacheNode(loop, ledger, name, profile, seeds.nextLong(), shared);
+        return add(name, false);
+    }
+
+    /** One more cache node, which keeps nothing; {@code cold} if it starts only now. */
+    public CacheNode add(String name, boolean cold) {
+        CacheNode node = new CacheNode(loop, ledger, name, profile, seeds.nextLong(), shared, cold);
         caches.put(name, node);
         return node;
     }
--- a/testbed/src/main/java/ridgemill/testbed/node/Store.java
+++ b/testbed/src/main/java/ridgemill/testbed/node/Store.java
@@ -16,7 +16,7 @@
 
     Store(EventLoop loop, Ledger ledger, String name, NodeProfile profile, long seed, Shared shared,
           double repeatWindowMs) {
-        super(loop, ledger, name, profile, seed);
+        super(loop, ledger, name, profile, seed, false);
         this.shared = shared;
         this.guard = new RepeatGuard(repeatWindowMs);
     }
