Operator file: sections, checks with places and ways out, check and explain

Need: time-outs, attempts, routes and limits came from the platform's settings and constants; other teams need a file that refuses what would break a rule before it serves. A proxy does not take such a file yet: nothing of it is loaded by serve.

--- a/gateway/src/main/java/ridgemill/cli/Commands.java
+++ b/gateway/src/main/java/ridgemill/cli/Commands.java
@@ -1,16 +1,27 @@
 package ridgemill.cli;
 
+import com.google.gson.Gson;
+import com.google.gson.JsonObject;
 import java.io.IOException;
+import java.util.HashMap;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.Callable;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.IVersionProvider;
+import picocli.CommandLine.Option;
 import picocli.CommandLine.ParameterException;
 import picocli.CommandLine.Parameters;
 import ridgemill.Main;
+import ridgemill.classes.PlatformFacts;
 import ridgemill.gateway.Config;
 import ridgemill.gateway.ConfigException;
+import ridgemill.gateway.operator.Explanation;
+import ridgemill.gateway.operator.OperatorConfig;
+import ridgemill.gateway.operator.OperatorFile;
+import ridgemill.gateway.operator.OperatorFileException;
+import ridgemill.route.Query;
 
 /**
  * The command line beyond the bare starts that a deployment makes. Those never come here: on part of a core, loading
@@ -25,7 +36,7 @@
         CommandLine line = new CommandLine(new Root());
         line.setParameterExceptionHandler(Commands::misused);
         line.setExecutionExceptionHandler((e, command, parsed) -> {
-            Main.complain(String.valueOf(e.getMessage()));
+            String.valueOf(e.getMessage()).lines().forEach(Main::complain);
             return Main.EXIT_CONFIG;
         });
         return line.execute(args);
@@ -50,7 +61,7 @@
 
     @Command(name = "ridgemill", mixinStandardHelpOptions = true, versionProvider = Version.class,
             description = "A caching proxy for fleets of cache nodes, and a gateway between sites.",
-            subcommands = {Serve.class, Check.class, VersionCommand.class, Bench.class})
+            subcommands = {Serve.class, Check.class, Explain.class, VersionCommand.class, Bench.class})
     static final class Root implements Callable<Integer> {
         @Override
         public Integer call() {
@@ -71,18 +82,93 @@
         }
     }
 
-    @Command(name = "check", mixinStandardHelpOptions = true,
-            description = "Reads a configuration file and tells what is wrong with it, and starts nothing.")
+    /** What the platform says, from the configuration that was named; what the program can do, if none was. */
+    private static PlatformFacts platform(String config) throws ConfigException {
+        return config == null ? PlatformFacts.UNKNOWN : PlatformFacts.of(Config.read(config, Map.of()).settings());
+    }
+
+    @Command(name = "check", mixinStandardHelpOptions = true, description = {
+        "Reads a file and tells what is wrong with it, and starts nothing.",
+        "A file whose name ends in .toml is an operator file; any other is a platform's configuration."})
     static final class Check implements Callable<Integer> {
-        @Parameters(paramLabel = "FILE", description = "The configuration, as BALANCER_CONFIG would name it.")
+        @Parameters(paramLabel = "FILE", description = "The file.")
         private String file;
+        @Option(names = "--json", description = "Print one JSON object instead of lines.")
+        private boolean json;
+        @Option(names = "--platform", paramLabel = "CONFIG",
+                description = "A platform's configuration that an operator file must not contradict.")
+        private String platform;
 
         @Override
         public Integer call() throws ConfigException {
+            if (file.endsWith(".toml")) {
+                return operatorFile();
+            }
             Config config = Config.read(file, Map.of());
-            System.out.println(file + ": good: " + config.settings().classes().size() + " classes, "
+            String summary = config.settings().classes().size() + " classes, "
                     + (config.known() == null ? 0 : config.known().hosts().size()) + " known hosts, listens on "
-                    + config.listen().getAddress().getHostAddress() + ":" + config.listen().getPort());
+                    + config.listen().getAddress().getHostAddress() + ":" + config.listen().getPort();
+            good(summary);
+            return 0;
+        }
+
+        private int operatorFile() throws ConfigException {
+            try {
+                OperatorConfig config = OperatorFile.read(file, Commands.platform(platform));
+                good(config.classes().size() + " classes, " + config.routes().routes().size() + " routes");
+                return 0;
+            } catch (OperatorFileException e) {
+                if (json) {
+                    JsonObject report = new JsonObject();
+                    report.addProperty("good", false);
+                    report.add("problems", new Gson().toJsonTree(e.problems()));
+                    System.out.println(report);
+                } else {
+                    e.problems().forEach(p -> System.err.println(p));
+                    Main.complain(file + ": " + e.problems().size() + " problems, nothing of it takes effect");
+                }
+                return Main.EXIT_CONFIG;
+            }
+        }
+
+        private void good(String summary) {
+            if (json) {
+                JsonObject report = new JsonObject();
+                report.addProperty("good", true);
+                report.addProperty("summary", summary);
+                System.out.println(report);
+            } else {
+                System.out.println(file + ": good: " + summary);
+            }
+        }
+    }
+
+    @Command(name = "explain", mixinStandardHelpOptions = true,
+            description = "Says which route, class and limits a request gets under an operator file, and why.")
+    static final class Explain implements Callable<Integer> {
+        @Parameters(index = "0", paramLabel = "FILE", description = "The operator file.")
+        private String file;
+        @Parameters(index = "1", paramLabel = "REQUEST", description = "Such as 'GET /api/m100001'.")
+        private String request;
+        @Option(names = "--tenant", paramLabel = "NAME", description = "The tenant that asks.")
+        private String tenant;
+        @Option(names = "--class", paramLabel = "NAME", description = "The class that the request names itself.")
+        private String service;
+        @Option(names = "--header", paramLabel = "NAME=VALUE", description = "A header of the request.")
+        private Map<String, String> headers = new HashMap<>();
+
+        @Override
+        public Integer call() throws OperatorFileException {
+            String[] words = request.trim().split("\\s+");
+            if (words.length != 2 || !words[1].startsWith("/")) {
+                throw new IllegalArgumentException("not a request such as 'GET /api/m100001': " + request);
+            }
+            Map<String, String> lower = new HashMap<>();
+            headers.forEach((n, v) -> lower.put(n.toLowerCase(Locale.ROOT), v));
+            int query = words[1].indexOf('?');
+            OperatorConfig config = OperatorFile.read(file, PlatformFacts.UNKNOWN);
+            Explanation.of(config, new Query(words[0], query < 0 ? words[1] : words[1].substring(0, query), tenant,
+                    lower::get), service).forEach(System.out::println);
             return 0;
         }
     }
--- /dev/null
+++ b/gateway/src/main/java/ridgemill/gateway/operator/OperatorConfig.java
@@ -0,0 +1,43 @@
+package ridgemill.gateway.operator;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import ridgemill.classes.ClassPolicy;
+import ridgemill.limit.Limits;
+import ridgemill.route.Query;
+import ridgemill.route.Route;
+import ridgemill.route.RouteTable;
+
+/**
+ * What a good operator file says. Immutable, so a running proxy takes a new one between two requests.
+ *
+ * @param classes by name
+ * @param routes to their targets
+ * @param limits what is turned away before any node is asked
+ * @param listeners where clients connect, beside what the platform says
+ */
+public record OperatorConfig(Map<String, ClassPolicy> classes, RouteTable<Target> routes, Limits limits,
+                             List<Listener> listeners) {
+
+    /** Where a route leads: a class, or null for the one that the request names, and a group of nodes. */
+    public record Target(String service, String group) { }
+
+    /** An address to listen on, and the protocol that is spoken there. */
+    public record Listener(String name, String address, String protocol) { }
+
+    /** What a request gets: the route that takes it, if one does, and the class that holds for it, if one is defined. */
+    public record Resolved(Optional<Route<Target>> route, Optional<ClassPolicy> policy) { }
+
+    public OperatorConfig {
+        classes = Map.copyOf(classes);
+        listeners = List.copyOf(listeners);
+    }
+
+    /** Finds what holds for a request; {@code named} is the class that it names itself, or null. */
+    public Resolved resolve(Query query, String named) {
+        Optional<Route<Target>> route = routes.match(query);
+        String service = route.map(r -> r.target().service()).orElse(named);
+        return new Resolved(route, Optional.ofNullable(service == null ? null : classes.get(service)));
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/ridgemill/gateway/operator/OperatorFile.java
@@ -0,0 +1,108 @@
+package ridgemill.gateway.operator;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.InvalidPathException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.tomlj.Toml;
+import org.tomlj.TomlParseResult;
+import ridgemill.classes.ClassPolicy;
+import ridgemill.classes.PlatformFacts;
+import ridgemill.gateway.net.Addresses;
+import ridgemill.gateway.operator.OperatorConfig.Listener;
+import ridgemill.gateway.operator.OperatorConfig.Target;
+import ridgemill.limit.Limits;
+import ridgemill.route.RouteTable;
+
+/**
+ * Reads an operator file, in TOML 1.0, and checks all of it. Each section is read by a class of its own; a section that
+ * is added later adds its name here and its class beside the others.
+ */
+public final class OperatorFile {
+
+    private static final List<String> PROTOCOLS = List.of("http");
+
+    private OperatorFile() { }
+
+    /** Reads a file; throws with every problem that it has. */
+    public static OperatorConfig read(String file, PlatformFacts platform) throws OperatorFileException {
+        try {
+            return parse(file, Files.readString(Path.of(file)), platform);
+        } catch (IOException | InvalidPathException e) {
+            throw new OperatorFileException(List.of(new Problem(file, 0, 0, "unreadable", "cannot be read",
+                    "name a file that is there")));
+        }
+    }
+
+    /** Reads a file's text; throws with every problem that it has. */
+    public static OperatorConfig parse(String file, String text, PlatformFacts platform) throws OperatorFileException {
+        TomlParseResult parsed = Toml.parse(text);
+        List<Problem> problems = new ArrayList<>();
+        parsed.errors().forEach(e -> problems.add(new Problem(file, e.position().line(), e.position().column(), "syntax",
+                firstLine(e.getMessage()), "see toml.io for how it is written")));
+        if (!problems.isEmpty()) {
+            throw new OperatorFileException(problems);
+        }
+        OperatorConfig config = sections(new Section(file, "", parsed, 1, 1, problems), platform);
+        if (!problems.isEmpty()) {
+            problems.sort(Comparator.comparingInt(Problem::line).thenComparingInt(Problem::column));
+            throw new OperatorFileException(problems);
+        }
+        return config;
+    }
+
+    private static String firstLine(String message) {
+        return String.valueOf(message).lines().findFirst().orElse("can't be read").replaceAll(" \\(line \\d+, column \\d+\\)", "");
+    }
+
+    private static OperatorConfig sections(Section root, PlatformFacts platform) {
+        Map<String, ClassPolicy> classes = ClassesSection.read(root, platform);
+        Set<String> groups = groups(root);
+        RouteTable<Target> routes = RoutesSection.read(root, classes.keySet(), groups);
+        Limits limits = LimitsSection.read(root, classes.keySet());
+        List<Listener> listeners = listeners(root);
+        root.done();
+        return new OperatorConfig(classes, routes, limits, listeners);
+    }
+
+    private static Set<String> groups(Section root) {
+        Set<String> names = new HashSet<>();
+        root.table("groups").ifPresent(all -> all.tables().forEach(g -> {
+            g.word("protocol", PROTOCOLS);
+            names.add(g.ownName());
+            g.done();
+        }));
+        return names;
+    }
+
+    private static List<Listener> listeners(Section root) {
+        List<Listener> listeners = new ArrayList<>();
+        Set<String> addresses = new HashSet<>();
+        for (Section s : root.list("listener")) {
+            String name = s.text("name").orElse("");
+            String protocol = s.word("protocol", PROTOCOLS).orElse(PROTOCOLS.get(0));
+            String address = s.text("address").orElse("");
+            if (!s.has("address")) {
+                s.problem(null, "missing", "has no address", "set address = \"127.0.0.1:9000\"");
+            } else {
+                try {
+                    Addresses.parse(address);
+                } catch (IllegalArgumentException e) {
+                    s.problem("address", "bad-address", e.getMessage(), "write it as \"127.0.0.1:9000\"; no name is looked up");
+                }
+                if (!addresses.add(address)) {
+                    s.problem("address", "duplicate", "another listener has " + address + " too", "give each its own");
+                }
+            }
+            listeners.add(new Listener(name, address, protocol));
+            s.done();
+        }
+        return listeners;
+    }
+}
