Let go only of clients that the loop has had a chance to read

Seen: with four cold programs side by side, the first requests on fresh connections ended with no answer and no attempt. A trace showed connections let go 140 ms old and still unread. Cause: after a pause of the loop a crowd of usual clients is accepted in one go, each with its request in the socket; none counts as proven yet, so past a quarter of the table the oldest were closed as if they said nothing. Change: a connection may go only two turns of the loop after it was accepted, when what was there has been read; while the table is full, the first that then says nothing makes room.

--- a/gateway/src/main/java/ridgemill/gateway/front/ClientConnection.java
+++ b/gateway/src/main/java/ridgemill/gateway/front/ClientConnection.java
@@ -21,6 +21,7 @@
     private static final long CROWDED_IDLE_MS = 2000;
     /** How long input is read on after an error: unread input would reset the error away. */
     private static final long LINGER_MS = 1000;
+    private static final long CHANCE_MS = 2;
 
     private final Channel channel;
     private final ClientTable table;
@@ -28,10 +29,24 @@
     private long since = System.nanoTime();
     private ChannelFuture written;
     private boolean proven;
+    private boolean hadChance;
 
     protected ClientConnection(Channel channel, ClientTable table) {
         this.channel = channel;
         this.table = table;
+        // Two turns of the loop on: what was there when it was accepted has been read by then.
+        channel.eventLoop().schedule(() -> channel.eventLoop().schedule(this::chance, 0, TimeUnit.MILLISECONDS), CHANCE_MS,
+                TimeUnit.MILLISECONDS);
+    }
+
+    private void chance() {
+        hadChance = true;
+        table.hadChance(this);
+    }
+
+    /** Whether the loop has come round to read it since it was accepted. */
+    final boolean hadChance() {
+        return hadChance;
     }
 
     /** The client has taken too long over a request: it is owed an error. */
--- a/gateway/src/main/java/ridgemill/gateway/front/ClientTable.java
+++ b/gateway/src/main/java/ridgemill/gateway/front/ClientTable.java
@@ -96,26 +96,42 @@
 
     /**
      * Of those that never had a good request a part may stay, so that a crowd that says nothing takes no usual client's
-     * place; then the one that has waited longest goes. If every one is busy the next clients wait in the listener's
-     * backlog until one has its answer: accepting past the limit would fail for all.
+     * place; then the one that has waited longest goes. One that has had no chance to be read yet stays: after a pause a
+     * crowd of usual clients is accepted in one go, each with its request already there. If every one is busy the next
+     * clients wait in the listener's backlog until one has its answer: accepting past the limit would fail for all.
      */
     private void makeRoom() {
         List<ClientConnection> unproven = connections.stream().filter(c -> !c.isProven() && !c.isBusy()).toList();
         boolean crowded = connections.size() + 1 >= maxConnections;
         Optional<ClientConnection> goes = Optional.empty();
-        if (!unproven.isEmpty() && (crowded || unproven.size() >= Math.max(1, maxConnections / UNPROVEN_PART))) {
-            goes = unproven.stream().min(Comparator.comparingLong(ClientConnection::since));
-        } else if (crowded) {
+        if (crowded || unproven.size() >= Math.max(1, maxConnections / UNPROVEN_PART)) {
+            goes = unproven.stream().filter(ClientConnection::hadChance)
+                    .min(Comparator.comparingLong(ClientConnection::since));
+        }
+        if (unproven.isEmpty() && crowded) {
             goes = connections.stream().filter(c -> !c.isBusy()).findFirst();
         }
         if (goes.isPresent()) {
-            // Out of the table at once: its end is told of only after the next few have been accepted, which would all
-            // choose it again, and a crowd that says nothing would fill the table until its own time is up.
-            connections.remove(goes.get());
-            goes.get().close();
+            evict(goes.get());
         } else if (crowded) {
             full = true;
             accepting.accept(false);
         }
     }
+
+    /** A connection may have been read by now; if it says nothing and others wait for its place, it goes. */
+    void hadChance(ClientConnection connection) {
+        if (full && !connection.isProven() && !connection.isBusy() && connections.contains(connection)) {
+            evict(connection);
+        }
+    }
+
+    /**
+     * Out of the table at once: its end is told of only after the next few have been accepted, which would all choose it
+     * again, and a crowd that says nothing would fill the table until its own time is up.
+     */
+    private void evict(ClientConnection connection) {
+        closed(connection);
+        connection.close();
+    }
 }
--- a/gateway/src/test/java/ridgemill/gateway/DescriptorsTest.java
+++ b/gateway/src/test/java/ridgemill/gateway/DescriptorsTest.java
@@ -82,6 +82,33 @@
         }
     }
 
+    /** A crowd of usual clients that is accepted in one go is no crowd that says nothing. */
+    @Test
+    void aCrowdWhoseRequestsAreThereIsServed() throws Exception {
+        site.close();
+        site = new Site();
+        site.sockets = Service.RESERVED_SOCKETS + 2 * CROWD;
+        site.start("automatic", "60000", "");
+        CountDownLatch crowded = new CountDownLatch(1);
+        site.router.onRequest = (request, out) -> {
+            try {
+                crowded.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            out.refuse(request.id(), 0);
+        };
+        Deque<Peer.Wire> crowd = new ArrayDeque<>();
+        for (int i = 0; i < CROWD / 2; i++) {
+            crowd.add(connect());
+            crowd.getLast().write(site.get(Site.LONG_S));
+        }
+        crowded.countDown();
+        for (Peer.Wire client : crowd) {
+            assertEquals(503, Site.status(client.read()));
+        }
+    }
+
     @Test
     void aBusyClientsEndLetsTheNextOneIn() throws Exception {
         Deque<Peer.Wire> nodes = new ArrayDeque<>();
