Serve under an operator file: routes, classes, limits and a retry budget, reloaded by SIGHUP

Need: per-class settings, limits and retries that operators decide must reach the decisions and every front, and change under traffic without harm. Change: a Gate before the decisions on every front says the class, the time and whether a limit turns the request away (429 with a time that follows from the limit). Without the option no class of it is loaded. A fault in a client's connection is logged and no longer costs it without a word. Open: a checked reload command, queue, connections per client, groups and listeners with an effect.

--- a/core/src/main/java/ridgemill/core/Dispatcher.java
+++ b/core/src/main/java/ridgemill/core/Dispatcher.java
@@ -15,6 +15,7 @@
 import ridgemill.policy.Router.Node;
 import ridgemill.policy.Router.Outcome;
 import ridgemill.policy.Router.Request;
+import ridgemill.policy.Router.ServiceClass;
 import ridgemill.policy.Router.Settings;
 
 /**
@@ -46,6 +47,7 @@
     private final Router router;
     private final Back<C> back;
     private final Faults faults;
+    private final Gate gate;
     private final int maxOpen;
     private final Map<String, Call<C>> calls = new HashMap<>();
     private final Queue<Pending> events = new ArrayDeque<>();
@@ -56,13 +58,18 @@
     private boolean telling;
     private int owed;
 
-    /** {@code maxOpen} is how many requests may be open; the next are refused without asking the module. */
-    public Dispatcher(Timers timers, Settings settings, Router router, Back<C> back, Faults faults, int maxOpen) {
+    /**
+     * A dispatcher whose requests go through a gate; {@code maxOpen} is how many may be open, and the next are refused
+     * without asking the module.
+     */
+    public Dispatcher(Timers timers, Settings settings, Router router, Back<C> back, Faults faults, Gate gate,
+                      int maxOpen) {
         this.timers = timers;
         this.settings = settings;
         this.router = router;
         this.back = back;
         this.faults = faults;
+        this.gate = gate;
         this.maxOpen = maxOpen;
     }
 
@@ -107,12 +114,37 @@
         return calls.containsKey(id);
     }
 
+    /**
+     * What becomes of a request that has come to a front. One that goes on must be handed to {@link #request} at once,
+     * under the class and with the time that it was given.
+     */
+    public Gate.Entry enter(Gate.Arrival arrival) {
+        return gate.enter(timers.now(), arrival);
+    }
+
+    /** One of this class that the gate let on was no request after all. */
+    public void left(String service) {
+        gate.ended(service);
+    }
+
+    /** A limit has turned a request away; the front answers it. */
+    public void turnedAway() {
+        tally.requests++;
+        tally.refused++;
+    }
+
+    /** Other classes hold from now on, for requests that come. */
+    public void classes(List<ServiceClass> classes) {
+        tell(now -> router.classes(now, classes), () -> { });
+    }
+
     /** Takes a request, whose id must not be open; {@code client} gets its one final answer, maybe before this returns. */
     public void request(Request in, Command<C> command, Client<C> client) {
         tally.requests++;
         if (calls.size() >= maxOpen) {
             // Beyond what the settings allow the module is not asked; nothing ran, so this promise is true.
             tally.refused++;
+            gate.ended(in.service());
             client.refused(0);
             return;
         }
@@ -291,6 +323,7 @@
     private void settle(Call<C> call) {
         call.over = true;
         owed--;
+        gate.ended(call.in.service());
         call.backstop.cancel();
         forgetIfDone(call);
     }
--- a/core/src/main/java/ridgemill/policy/Decide.java
+++ b/core/src/main/java/ridgemill/policy/Decide.java
@@ -201,6 +201,12 @@
         return control.level;
     }
 
+    @Override
+    public void classes(double now, List<ServiceClass> next) {
+        classes.clear();
+        next.forEach(s -> classes.put(s.name(), s));
+    }
+
     @Override
     public void started(double now, Actions out) {
         intervalEnd = now + INTERVAL_MS;
@@ -299,6 +305,7 @@
         }
         r.out = false;
         r.proven &= end.outcome().provesNotRun();
+        r.failed += end.outcome() == Outcome.OK || end.outcome() == Outcome.MISS ? 0 : 1;
         List<Held> waiting = fetched && r.fetches ? fetching.remove(r.in.key()) : null;
         r.fetches = false;
         if (end.finished()) {
@@ -339,6 +346,11 @@
             if (r != null && !r.streaming) {
                 end(now, r, out);
             }
+        } else if (token.startsWith("w")) {
+            Held r = requests.get(token.substring(1));
+            if (r != null && !r.out) {
+                repeat(now, r, out);
+            }
         }
     }
 
@@ -403,7 +415,7 @@
         boolean network = broke(outcome) && usualBreaks > BREAKING;
         if (network && node != null && node.usable(now) && mayRepeat(now, r) && r.samePlace++ == 0) {
             // The node is fine and may hold the key: another would miss, and a miss is one more fetch.
-            lookUp(now, r, out);
+            again(now, r, false, out);
             return;
         }
         r.tried.add(node);
@@ -416,7 +428,7 @@
             }
         } else if (mayRepeat(now, r) && r.tried.size() < 2
                 && (outcome != Outcome.TIMEOUT || r.draw < 2 * answeredShare - 1)) {
-            lookUp(now, r, out);
+            again(now, r, false, out);
         } else {
             end(now, r, out);
         }
@@ -463,9 +475,32 @@
         // What the network breaks is repeated while throttled too: the token that it draws bounds the load.
         boolean may = control.level == 0 || broke(outcome) && usualBreaks > BREAKING;
         if (again && may && r.fetchTries++ == 0 && mayRepeat(now, r)) {
-            fetch(now, r, out);
+            again(now, r, true, out);
+        } else {
+            end(now, r, out);
+        }
+    }
+
+    /** Repeats after the wait of its class; one whose time ends before that has its final answer now. */
+    private void again(double now, Held r, boolean fetches, Actions out) {
+        double wait = r.service.retry().waitMs(r.failed);
+        r.refetches = fetches;
+        if (wait <= 0) {
+            repeat(now, r, out);
+        } else if (now + wait + guardMs >= r.guard) {
+            end(now, r, out);
         } else {
+            out.timer(now + wait, "w" + r.in.id());
+        }
+    }
+
+    private void repeat(double now, Held r, Actions out) {
+        if (!mayRepeat(now, r)) {
             end(now, r, out);
+        } else if (r.refetches) {
+            fetch(now, r, out);
+        } else {
+            lookUp(now, r, out);
         }
     }
 
@@ -572,7 +607,7 @@
         if (!node.isOrigin()) {
             cacheSends.add(now, 1);
         }
-        out.send(r.in.id(), node.entry.id(), Math.max(1, timeoutMs));
+        out.send(r.in.id(), node.entry.id(), Math.max(1, r.service.retry().bounded(timeoutMs)));
     }
 
     /** The one final answer that we give: a refusal where it is a true promise, else a failure. */
@@ -604,7 +639,7 @@
     }
 
     private boolean mayRepeat(double now, Held r) {
-        return hasTime(now, r) && switch (r.service.effect()) {
+        return hasTime(now, r) && r.service.retry().allows(r.failed) && switch (r.service.effect()) {
             case SAFE -> true;
             case UNSAFE -> r.proven;
             case KEYED -> r.proven || r.service.group() == Group.ALL
@@ -733,10 +768,11 @@
         NodeView at;
         double worth, sentAt, firstSent;
         int attempts;
+        int failed;
         int fetchTries;
         int samePlace;
         boolean proven = true;
-        boolean low, out, overdue, streaming, pickedSecond, crowded, heldOnce, hasToken, fetches;
+        boolean low, out, overdue, streaming, pickedSecond, crowded, heldOnce, hasToken, fetches, refetches;
         /** Had an attempt with the short time: the next one gets the usual, as many may be slow at once. */
         boolean hurried;
 
--- a/core/src/main/java/ridgemill/policy/Router.java
+++ b/core/src/main/java/ridgemill/policy/Router.java
@@ -60,7 +60,42 @@
 
     /** A request class: its aim, the time its clients wait, its worth and what repeating it does. */
     record ServiceClass(String name, double aimMs, double aimStretch, double deadlineMs, double gain,
-                        double lateShare, Effect effect, Group group, double repeatWindowMs, boolean stream) { }
+                        double lateShare, Effect effect, Group group, double repeatWindowMs, boolean stream,
+                        Retry retry) {
+
+        /** A class whose attempts the platform's settings alone bound. */
+        public ServiceClass(String name, double aimMs, double aimStretch, double deadlineMs, double gain,
+                            double lateShare, Effect effect, Group group, double repeatWindowMs, boolean stream) {
+            this(name, aimMs, aimStretch, deadlineMs, gain, lateShare, effect, group, repeatWindowMs, stream,
+                    Retry.PLATFORM);
+        }
+    }
+
+    /**
+     * A class's own bounds on attempts: how many may fail, 0 for as many as the platform allows; after how long one is
+     * given up, 0 for no bound; and how long to wait before the next, which grows by the factor up to the bound. A miss
+     * is no failure, and the fetch that follows it waits for nothing.
+     */
+    record Retry(int attempts, double attemptMs, double firstWaitMs, double waitFactor, double mostWaitMs) {
+
+        /** No bounds beside the platform's. */
+        public static final Retry PLATFORM = new Retry(0, 0, 0, 1, 0);
+
+        /** Whether another attempt may follow so many that failed. */
+        public boolean allows(int failed) {
+            return attempts == 0 || failed < attempts;
+        }
+
+        /** The wait after so many attempts that failed. */
+        public double waitMs(int failed) {
+            return Math.min(mostWaitMs, firstWaitMs * Math.pow(waitFactor, failed - 1.0));
+        }
+
+        /** The time of one attempt that would have so much else. */
+        public double bounded(double timeoutMs) {
+            return attemptMs > 0 ? Math.min(attemptMs, timeoutMs) : timeoutMs;
+        }
+    }
 
     /** A tenant and the request rate, over all proxies, that stays inside its share. */
     record Tenant(String name, double quotaPerS) { }
@@ -166,6 +201,12 @@
     /** The proxy has started; comes first. */
     void started(double now, Actions out);
 
+    /**
+     * Other classes hold from now on, for requests that come; one that came before keeps the class that it came under,
+     * whatever becomes of that name.
+     */
+    default void classes(double now, List<ServiceClass> classes) { }
+
     /** The server list, or news of it. */
     void nodes(double now, ListKind kind, long version, List<Node> entries, Actions out);
 
--- a/core/src/test/java/ridgemill/core/DispatcherTest.java
+++ b/core/src/test/java/ridgemill/core/DispatcherTest.java
@@ -169,7 +169,7 @@
                 public void odd(String what) {
                     faults.add(what);
                 }
-            }, 100);
+            }, new PlatformGate(SETTINGS), 100);
 
     private Told ask(String id) {
         Told told = new Told();
--- a/gateway/src/main/java/ridgemill/Main.java
+++ b/gateway/src/main/java/ridgemill/Main.java
@@ -35,15 +35,33 @@
         System.err.println("ridgemill: " + what);
     }
 
+    /** A proxy that runs, and what SIGHUP does to it. */
+    public record Started(Service service, Runnable hangup) { }
+
+    /** Starts a proxy. */
+    public interface Starter {
+
+        /** Starts one; what it throws ends the process. */
+        Started start(Config config) throws ConfigException, IOException, InterruptedException;
+    }
+
     /** Runs a proxy until it has drained; ends the process with {@link #EXIT_CONFIG} where it can't start. */
     public static void serve() throws InterruptedException {
-        // Before the first client can be told that the proxy is ready: without a handler SIGHUP ends the process.
-        CompletableFuture<Service> started = new CompletableFuture<>();
         Map<String, String> environment = System.getenv();
-        Hangup.handle(() -> started.thenAccept(s -> s.reload(environment)));
-        Service service = null;
+        serve(config -> {
+            Service service = Service.start(config);
+            return new Started(service, () -> service.reload(environment));
+        });
+    }
+
+    /** The same for a proxy that is started in another way. */
+    public static void serve(Starter starter) throws InterruptedException {
+        // Before the first client can be told that the proxy is ready: without a handler SIGHUP ends the process.
+        CompletableFuture<Started> started = new CompletableFuture<>();
+        Hangup.handle(() -> started.thenAccept(s -> s.hangup().run()));
+        Started running = null;
         try {
-            service = Service.start(Config.fromEnvironment(environment));
+            running = starter.start(Config.fromEnvironment(System.getenv()));
         } catch (ConfigException e) {
             complain("configuration: " + e.getMessage());
             System.exit(EXIT_CONFIG);
@@ -51,10 +69,10 @@
             complain(e.getMessage());
             System.exit(EXIT_CONFIG);
         }
-        // SIGTERM runs this hook; the process ends when the hook does, so it waits until nothing is owed.
-        Service running = service;
         started.complete(running);
-        Runtime.getRuntime().addShutdownHook(new Thread(running::drain, "drain"));
-        running.awaitEnd();
+        // SIGTERM runs this hook; the process ends when the hook does, so it waits until nothing is owed.
+        Service service = running.service();
+        Runtime.getRuntime().addShutdownHook(new Thread(service::drain, "drain"));
+        service.awaitEnd();
     }
 }
--- a/gateway/src/main/java/ridgemill/cli/Commands.java
+++ b/gateway/src/main/java/ridgemill/cli/Commands.java
@@ -17,10 +17,13 @@
 import ridgemill.classes.PlatformFacts;
 import ridgemill.gateway.Config;
 import ridgemill.gateway.ConfigException;
+import ridgemill.gateway.Service;
 import ridgemill.gateway.operator.Explanation;
+import ridgemill.gateway.operator.Operated;
 import ridgemill.gateway.operator.OperatorConfig;
 import ridgemill.gateway.operator.OperatorFile;
 import ridgemill.gateway.operator.OperatorFileException;
+import ridgemill.policy.Decide;
 import ridgemill.route.Query;
 
 /**
@@ -73,13 +76,35 @@
     @Command(name = "serve", mixinStandardHelpOptions = true, description = {"Runs one proxy in the foreground.",
         "Its configuration is the JSON file that the environment variable BALANCER_CONFIG names; BALANCER_NAME, "
             + "BALANCER_LISTEN and BALANCER_DISCOVERY override what it says.",
-        "SIGTERM drains and ends it, SIGHUP reads the file again."})
+        "SIGTERM drains and ends it, SIGHUP reads its files again."})
     static final class Serve implements Callable<Integer> {
+        @Option(names = "--operator-file", paramLabel = "FILE",
+                description = "Routes, classes and limits of this installation, in TOML; see check and explain.")
+        private String operatorFile;
+
         @Override
         public Integer call() throws InterruptedException {
-            Main.serve();
+            if (operatorFile == null) {
+                Main.serve();
+            } else {
+                Main.serve(this::operated);
+            }
             return 0;
         }
+
+        private Main.Started operated(Config config) throws ConfigException, IOException, InterruptedException {
+            try {
+                Service.warmUp(config);
+                Operated operated = Operated.start(config, operatorFile, new Decide(config.settings(), config.seed()));
+                return new Main.Started(operated.service(), () -> {
+                    operated.service().reload(System.getenv());
+                    operated.reload();
+                });
+            } catch (OperatorFileException e) {
+                e.problems().forEach(p -> System.err.println(p));
+                throw new ConfigException(operatorFile + ": " + e.problems().size() + " problems");
+            }
+        }
     }
 
     /** What the platform says, from the configuration that was named; what the program can do, if none was. */
--- a/gateway/src/main/java/ridgemill/gateway/ConfigException.java
+++ b/gateway/src/main/java/ridgemill/gateway/ConfigException.java
@@ -5,7 +5,7 @@
 
     private static final long serialVersionUID = 1L;
 
-    ConfigException(String message) {
+    public ConfigException(String message) {
         super(message);
     }
 }
--- a/gateway/src/main/java/ridgemill/gateway/Service.java
+++ b/gateway/src/main/java/ridgemill/gateway/Service.java
@@ -13,6 +13,8 @@
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import ridgemill.core.Dispatcher;
+import ridgemill.core.Gate;
+import ridgemill.core.PlatformGate;
 import ridgemill.core.Tally;
 import ridgemill.gateway.back.NodePool;
 import ridgemill.gateway.back.http.HttpNodeConnection;
@@ -28,6 +30,7 @@
 import ridgemill.policy.Decide;
 import ridgemill.policy.Router;
 import ridgemill.policy.Router.ListKind;
+import ridgemill.policy.Router.ServiceClass;
 import ridgemill.policy.Router.Settings;
 
 /** One running proxy: puts the parts together on one event loop, and takes them down without losing a request. */
@@ -56,7 +59,7 @@
     private final Peers peers;
     private InetSocketAddress listening;
 
-    private Service(Config config, Router router) {
+    private Service(Config config, Router router, Gate gate) {
         this.config = config;
         this.router = router;
         Settings settings = config.settings();
@@ -65,13 +68,26 @@
         pool = new NodePool(loop, Transport.TCP, HttpNodeConnection::new, settings.limits().connectTimeoutMs(),
                 settings.connections().idleMs(), Math.max(1, sockets - clientSockets));
         dispatcher = new Dispatcher<>(new LoopTimers(loop, new Clock()), settings, router, pool, new LogFaults(),
-                config.maxOpen());
-        front = new HttpFront(loop, dispatcher, settings, clientSockets);
+                gate, config.maxOpen());
+        front = new HttpFront(loop, dispatcher, clientSockets);
         discovery = new Discovery(loop, config.discovery(), config.known(), !settings.mustSubscribe(), new Told());
         peers = config.peerListen() == null ? null : new Peers(loop, config, dispatcher);
         dispatcher.wire(discovery::subscribe, peers == null ? contents -> { } : peers::tell);
     }
 
+    /**
+     * Runs a task on the loop between two requests, as when other settings take effect, and returns when it has run.
+     * Not to be called on the loop.
+     */
+    public void between(Runnable task) {
+        loop.submit(task).syncUninterruptibly();
+    }
+
+    /** Other classes hold from now on, for requests that come; to be called on the loop. */
+    public void classes(List<ServiceClass> classes) {
+        dispatcher.classes(classes);
+    }
+
     /** Runs what a start runs, without a configuration: the build archives the classes that this loads. */
     public static void rehearse() throws IOException, InterruptedException {
         InetAddress loopback = InetAddress.getLoopbackAddress();
@@ -82,15 +98,25 @@
         service.kill();
     }
 
+    /** Runs the proxy's own path on requests that stay inside the process, before one is started. */
+    public static void warmUp(Config config) throws IOException, InterruptedException {
+        Warmup.run(config.settings(), config.peerListen());
+    }
+
     /** Starts a proxy with the project's decisions. */
     public static Service start(Config config) throws IOException, InterruptedException {
-        Warmup.run(config.settings(), config.peerListen());
+        warmUp(config);
         return start(config, new Decide(config.settings(), config.seed()));
     }
 
     /** Starts a proxy with decisions of the caller's, and without a warm-up. */
     public static Service start(Config config, Router router) throws IOException, InterruptedException {
-        Service service = new Service(config, router);
+        return start(config, router, new PlatformGate(config.settings()));
+    }
+
+    /** Starts a proxy whose requests go through a gate of the caller's, without a warm-up. */
+    public static Service start(Config config, Router router, Gate gate) throws IOException, InterruptedException {
+        Service service = new Service(config, router, gate);
         try {
             service.open();
         } catch (IOException e) {
--- a/gateway/src/main/java/ridgemill/gateway/Warmup.java
+++ b/gateway/src/main/java/ridgemill/gateway/Warmup.java
@@ -27,6 +27,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import ridgemill.core.Dispatcher;
+import ridgemill.core.PlatformGate;
 import ridgemill.gateway.back.NodePool;
 import ridgemill.gateway.back.http.HttpNodeConnection;
 import ridgemill.gateway.front.http.HttpFront;
@@ -105,8 +106,8 @@
         NodePool pool = new NodePool(loop, Transport.IN_PROCESS, HttpNodeConnection::new, CONNECT_MS,
                 settings.connections().idleMs(), NODES * AT_ONCE);
         Dispatcher<Content> dispatcher = new Dispatcher<>(new LoopTimers(loop, new Clock()), settings,
-                new Decide(settings, 0), pool, new LogFaults(), AT_ONCE + 1);
-        HttpFront clients = new HttpFront(loop, dispatcher, settings, 2 * AT_ONCE);
+                new Decide(settings, 0), pool, new LogFaults(), new PlatformGate(settings), AT_ONCE + 1);
+        HttpFront clients = new HttpFront(loop, dispatcher, 2 * AT_ONCE);
         LocalAddress front = new LocalAddress("warm-up");
         List<HostList.Host> hosts = new ArrayList<>();
         for (int i = 0; i <= NODES; i++) {
--- a/gateway/src/main/java/ridgemill/gateway/front/http/HttpClientConnection.java
+++ b/gateway/src/main/java/ridgemill/gateway/front/http/HttpClientConnection.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.DuplexChannel;
+import io.netty.handler.codec.CodecException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -20,6 +21,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.TooLongHttpContentException;
 import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
 import java.math.BigDecimal;
 import java.util.ArrayDeque;
 import java.util.Queue;
@@ -28,6 +30,7 @@
 import ridgemill.core.Client;
 import ridgemill.gateway.front.ClientConnection;
 import ridgemill.gateway.net.Content;
+import ridgemill.gateway.net.Log;
 
 /** One client's HTTP/1.1 connection: its requests are answered one at a time, in their order (RFC 9112, section 9.3). */
 final class HttpClientConnection extends ClientConnection implements Client<Content> {
@@ -81,6 +84,10 @@
             busy();
             open = call.request().id();
             front.dispatcher().request(call.request(), call.command(), this);
+        } else if (read instanceof HttpRequests.Refused refused) {
+            front.dispatcher().turnedAway();
+            busy();
+            answer(turnedAway(HttpResponseStatus.TOO_MANY_REQUESTS, refused.retryAfterMs()));
         } else if (read instanceof HttpRequests.Bad bad) {
             reject(bad.status());
         } else {
@@ -99,12 +106,16 @@
 
     @Override
     public void refused(double retryAfterMs) {
-        FullHttpResponse response = response(HttpResponseStatus.SERVICE_UNAVAILABLE, Unpooled.EMPTY_BUFFER);
+        answer(turnedAway(HttpResponseStatus.SERVICE_UNAVAILABLE, retryAfterMs));
+    }
+
+    private static FullHttpResponse turnedAway(HttpResponseStatus status, double retryAfterMs) {
+        FullHttpResponse response = response(status, Unpooled.EMPTY_BUFFER);
         if (retryAfterMs > 0) {
             response.headers().set(HttpHeaderNames.RETRY_AFTER,
                     BigDecimal.valueOf((long) Math.ceil(retryAfterMs), 3).toPlainString());
         }
-        answer(response);
+        return response;
     }
 
     @Override
@@ -194,6 +205,10 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         if (!(cause instanceof TooLongHttpContentException)) {
+            if (!(cause instanceof IOException) && !(cause instanceof CodecException)) {
+                // A fault of ours, which would else cost a connection without a word.
+                Log.error("a client's connection failed", cause);
+            }
             ctx.close();
         } else if (phase() != Phase.BUSY && phase() != Phase.CLOSING) {
             reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
--- a/gateway/src/main/java/ridgemill/gateway/front/http/HttpFront.java
+++ b/gateway/src/main/java/ridgemill/gateway/front/http/HttpFront.java
@@ -12,7 +12,6 @@
 import ridgemill.gateway.net.Content;
 import ridgemill.gateway.net.StrictHttp;
 import ridgemill.gateway.net.Transport;
-import ridgemill.policy.Router.Settings;
 
 /** Takes clients' requests in over HTTP/1.1 and their answers out. What no node could make sense of is answered here. */
 public final class HttpFront {
@@ -28,10 +27,10 @@
     private boolean ready;
 
     /** {@code maxConnections} is how many clients' connections may be open. */
-    public HttpFront(EventLoop loop, Dispatcher<Content> dispatcher, Settings settings, int maxConnections) {
+    public HttpFront(EventLoop loop, Dispatcher<Content> dispatcher, int maxConnections) {
         this.loop = loop;
         this.dispatcher = dispatcher;
-        this.requests = new HttpRequests(settings);
+        this.requests = new HttpRequests(dispatcher::enter, dispatcher::left);
         this.table = new ClientTable(maxConnections);
     }
 
--- a/gateway/src/main/java/ridgemill/gateway/front/http/HttpRequests.java
+++ b/gateway/src/main/java/ridgemill/gateway/front/http/HttpRequests.java
@@ -8,17 +8,17 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.math.BigDecimal;
-import java.util.HashMap;
-import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.function.Predicate;
 import java.util.regex.Pattern;
 import ridgemill.core.Command;
+import ridgemill.core.Gate;
 import ridgemill.gateway.net.Content;
 import ridgemill.gateway.net.StrictHttp;
 import ridgemill.policy.Router.Effect;
 import ridgemill.policy.Router.Request;
-import ridgemill.policy.Router.ServiceClass;
-import ridgemill.policy.Router.Settings;
+import ridgemill.route.Query;
 
 /** Reads what an HTTP request asks for: a call, a look at whether the proxy is up, or nothing that can be made sense of. */
 final class HttpRequests {
@@ -36,16 +36,22 @@
     /** A request for the decision module. */
     record Call(Request request, Command<Content> command) implements Read { }
 
+    /** A request that a limit turns away, and when its client may come back. */
+    record Refused(double retryAfterMs) implements Read { }
+
     /** A look at whether the proxy is up. */
     record Up() implements Read { }
 
     /** Something that is answered with an error. */
     record Bad(HttpResponseStatus status) implements Read { }
 
-    private final Map<String, ServiceClass> classes = new HashMap<>();
+    private final Function<Gate.Arrival, Gate.Entry> gate;
+    private final Consumer<String> leave;
 
-    HttpRequests(Settings settings) {
-        settings.classes().forEach(c -> classes.put(c.name(), c));
+    /** {@code gate} says what becomes of a call; {@code leave} takes back one that it let on, by its class. */
+    HttpRequests(Function<Gate.Arrival, Gate.Entry> gate, Consumer<String> leave) {
+        this.gate = gate;
+        this.leave = leave;
     }
 
     /** Reads a request that has waited here for so long; {@code isOpen} knows the ids that are in use. */
@@ -68,19 +74,29 @@
     private Read call(FullHttpRequest in, String path, double waitedMs, Predicate<String> isOpen) {
         HttpHeaders headers = in.headers();
         String id = headers.get("X-Call-Id", "");
-        ServiceClass service = classes.get(headers.get("X-Call-Class", ""));
         double budgetS = number(headers.get("X-Budget"), -1);
+        if (!ID.matcher(id).matches() || isOpen.test(id) || !(budgetS >= 0 && budgetS <= MAX_BUDGET_S)) {
+            return new Bad(HttpResponseStatus.BAD_REQUEST);
+        }
         boolean write = in.method().equals(HttpMethod.PUT);
-        boolean unkeyed = write && service != null && service.effect() == Effect.KEYED
-                && headers.get("Idempotency-Key", "").isEmpty();
-        // Without its key a keyed write's repeat would not be dropped, and it may be sent again.
-        if (!ID.matcher(id).matches() || service == null || unkeyed || isOpen.test(id)
-                || !(budgetS >= 0 && budgetS <= MAX_BUDGET_S)) {
+        boolean retry = "1".equals(headers.get("X-Again"));
+        Gate.Entry entry = gate.apply(new Gate.Arrival(new Query(in.method().name(), path, headers.get("X-Caller"),
+                headers::get), headers.get("X-Call-Class"), retry, in.content().readableBytes(),
+                Math.max(0, budgetS * 1000 - waitedMs)));
+        if (entry instanceof Gate.Refuse refuse) {
+            return new Refused(refuse.retryAfterMs());
+        }
+        if (!(entry instanceof Gate.Go go)) {
+            return new Bad(entry instanceof Gate.Unfit unfit && unfit.reason() == Gate.Reason.TOO_LARGE
+                    ? HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE : HttpResponseStatus.BAD_REQUEST);
+        }
+        if (write && go.service().effect() == Effect.KEYED && headers.get("Idempotency-Key", "").isEmpty()) {
+            // Without its key a keyed write's repeat would not be dropped, and it may be sent again.
+            leave.accept(go.service().name());
             return new Bad(HttpResponseStatus.BAD_REQUEST);
         }
-        Request request = new Request(id, service.name(), headers.get("X-Caller"), key(path),
-                Math.max(0, number(headers.get("X-Call-Cost"), 0)) / 1000, Math.max(0, budgetS * 1000 - waitedMs),
-                write, "1".equals(headers.get("X-Again")));
+        Request request = new Request(id, go.service().name(), headers.get("X-Caller"), key(path),
+                Math.max(0, number(headers.get("X-Call-Cost"), 0)) / 1000, go.budgetMs(), write, retry);
         Content content = new Content(Unpooled.wrappedBuffer(ByteBufUtil.getBytes(in.content())),
                 headers.get(HttpHeaderNames.CONTENT_TYPE));
         return new Call(request, new Command<>(write, in.uri(), headers.get("Idempotency-Key"), content));
--- /dev/null
+++ b/gateway/src/main/java/ridgemill/gateway/operator/OperatorGate.java
@@ -0,0 +1,80 @@
+package ridgemill.gateway.operator;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import ridgemill.classes.ClassPolicy;
+import ridgemill.core.Gate;
+import ridgemill.gateway.operator.OperatorConfig.Resolved;
+import ridgemill.limit.Limiter;
+import ridgemill.policy.Router.Group;
+import ridgemill.policy.Router.Retry;
+import ridgemill.policy.Router.ServiceClass;
+import ridgemill.policy.Router.Settings;
+
+/**
+ * Holds requests to an operator file: its routes say of which class they are, its classes what holds for them, its limits
+ * which are turned away. A request that went on keeps the class that it was given, whatever file comes next. Used on the
+ * loop alone.
+ */
+public final class OperatorGate implements Gate {
+
+    private final Map<String, ServiceClass> platform = new HashMap<>();
+    private final Limiter limiter;
+    private OperatorConfig config;
+    private Map<String, ServiceClass> classes = Map.of();
+
+    public OperatorGate(Settings settings, OperatorConfig config, double nowMs) {
+        settings.classes().forEach(c -> platform.put(c.name(), c));
+        limiter = new Limiter(config.limits(), nowMs);
+        take(config);
+    }
+
+    /** Another file holds from now on. Limits that did not change keep their fill. */
+    public void changeTo(OperatorConfig next, double nowMs) {
+        limiter.changeTo(next.limits(), nowMs);
+        take(next);
+    }
+
+    private void take(OperatorConfig next) {
+        config = next;
+        Map<String, ServiceClass> all = new HashMap<>(platform);
+        next.classes().values().forEach(p -> all.put(p.name(), service(p, platform.get(p.name()))));
+        classes = all;
+    }
+
+    /** All classes that hold: the file's, and the platform's that it does not name. */
+    public List<ServiceClass> classes() {
+        return new ArrayList<>(classes.values());
+    }
+
+    private static ServiceClass service(ClassPolicy p, ServiceClass there) {
+        return new ServiceClass(p.name(), p.wantedMs(), 0, p.totalMs(), p.worth(), there == null ? 0 : there.lateShare(),
+                p.effect(), there == null ? Group.ALL : there.group(), p.repeatWindowMs(), false, new Retry(p.attempts(),
+                p.attemptMs(), p.backoff().firstMs(), p.backoff().factor(), p.backoff().mostMs()));
+    }
+
+    @Override
+    public Entry enter(double nowMs, Arrival a) {
+        Resolved got = config.resolve(a.query(), a.named());
+        String name = got.route().map(r -> r.target().service()).orElse(a.named());
+        ServiceClass service = name == null ? null : classes.get(name);
+        if (service == null) {
+            return new Unfit(Reason.UNKNOWN_CLASS);
+        }
+        ClassPolicy policy = got.policy().orElse(null);
+        if (policy != null && a.bodyBytes() > policy.largestBody()) {
+            return new Unfit(Reason.TOO_LARGE);
+        }
+        if (limiter.admit(nowMs, a.query().tenant(), service.name(), a.retry()) instanceof Limiter.Refused refused) {
+            return new Refuse(refused.reason().name(), refused.retryAfterMs());
+        }
+        return new Go(service, policy == null ? a.budgetMs() : Math.min(a.budgetMs(), policy.totalMs()));
+    }
+
+    @Override
+    public void ended(String service) {
+        limiter.ended(service);
+    }
+}
--- /dev/null
+++ b/gateway/src/test/java/ridgemill/gateway/operator/OperatorGateTest.java
@@ -0,0 +1,141 @@
+package ridgemill.gateway.operator;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import ridgemill.classes.PlatformFacts;
+import ridgemill.core.Gate.Arrival;
+import ridgemill.core.Gate.Entry;
+import ridgemill.core.Gate.Go;
+import ridgemill.core.Gate.Reason;
+import ridgemill.core.Gate.Refuse;
+import ridgemill.core.Gate.Unfit;
+import ridgemill.policy.Router.Effect;
+import ridgemill.policy.Router.Group;
+import ridgemill.policy.Router.Limits;
+import ridgemill.policy.Router.Rules;
+import ridgemill.policy.Router.ServiceClass;
+import ridgemill.policy.Router.Settings;
+import ridgemill.policy.Router.Weights;
+import ridgemill.route.Query;
+
+/** What a request gets under a file: its class, its time, its size, its limits; and all of it from one file. */
+class OperatorGateTest {
+
+    private static final double NOW = 5000;
+    private static final Settings SETTINGS = new Settings(0, 1, "a", 1,
+            List.of(new ServiceClass("read", 500, 0, 1500, 1, 0.25, Effect.SAFE, Group.ALL, 0, false),
+                    new ServiceClass("pay", 500, 0, 1500, 1, 0.25, Effect.KEYED, Group.ALL, 6000, false)), List.of(), 1,
+            false, new Limits(4, true, true, false, true, 1000, false, 100), new Rules(0, 1, 0, 1, 1000, 0, 0), false,
+            Weights.NONE, null);
+    private static final String FILE = """
+            [classes.read]
+            effect = "safe"
+            total = "800ms"
+            wanted = "400ms"
+            attempts = 2
+            attempt-timeout = "200ms"
+            largest-body = "1KiB"
+            [classes.night]
+            effect = "safe"
+            [[route]]
+            name = "night"
+            path = "/api/night/**"
+            class = "night"
+            [[route]]
+            name = "rest"
+            path = "/api/**"
+            [limits.class.read]
+            rate = "1/s"
+            burst = 2
+            in-flight = 2
+            """;
+
+    private static OperatorConfig config(String text) throws OperatorFileException {
+        return OperatorFile.parse("f.toml", text, PlatformFacts.of(SETTINGS));
+    }
+
+    private static Arrival arrival(String path, String named, long bytes, double budget) {
+        return new Arrival(new Query("GET", path, "t"), named, false, bytes, budget);
+    }
+
+    private static Go go(Entry entry) {
+        return assertInstanceOf(Go.class, entry);
+    }
+
+    @Test
+    void theRouteNamesTheClassOrElseTheRequest() throws Exception {
+        OperatorGate gate = new OperatorGate(SETTINGS, config(FILE), NOW);
+        assertEquals("night", go(gate.enter(NOW, arrival("/api/night/m1", "read", 0, 1000))).service().name());
+        Go read = go(gate.enter(NOW, arrival("/api/m1", "read", 0, 1000)));
+        assertEquals("read", read.service().name());
+        assertEquals(800, read.budgetMs(), "no more than the class's total");
+        assertEquals(300, go(gate.enter(NOW, arrival("/api/m1", "read", 0, 300))).budgetMs());
+        assertEquals(2, read.service().retry().attempts());
+        assertEquals(200, read.service().retry().attemptMs());
+        assertEquals(400, read.service().aimMs());
+        assertEquals("pay", go(gate.enter(NOW, arrival("/api/m1", "pay", 0, 1000))).service().name(),
+                "a class of the platform's that the file does not name holds as it is");
+    }
+
+    @Test
+    void whatNobodyCouldServeIsUnfit() throws Exception {
+        OperatorGate gate = new OperatorGate(SETTINGS, config(FILE), NOW);
+        assertEquals(new Unfit(Reason.UNKNOWN_CLASS), gate.enter(NOW, arrival("/api/m1", "nope", 0, 1000)));
+        assertEquals(new Unfit(Reason.UNKNOWN_CLASS), gate.enter(NOW, arrival("/api/m1", null, 0, 1000)));
+        assertEquals(new Unfit(Reason.TOO_LARGE), gate.enter(NOW, arrival("/api/m1", "read", 1025, 1000)));
+        go(gate.enter(NOW, arrival("/api/m1", "read", 1024, 1000)));
+    }
+
+    @Test
+    void aLimitRefusesWithItsTimeAndAnEndMakesRoom() throws Exception {
+        OperatorGate gate = new OperatorGate(SETTINGS, config(FILE), NOW);
+        go(gate.enter(NOW, arrival("/api/m1", "read", 0, 1000)));
+        go(gate.enter(NOW, arrival("/api/m1", "read", 0, 1000)));
+        assertEquals("CLASS_IN_FLIGHT", assertInstanceOf(Refuse.class, gate.enter(NOW, arrival("/api/m1", "read", 0, 1000)))
+                .limit());
+        gate.ended("read");
+        Refuse rate = assertInstanceOf(Refuse.class, gate.enter(NOW, arrival("/api/m1", "read", 0, 1000)));
+        assertEquals("CLASS_RATE", rate.limit());
+        assertEquals(1000, rate.retryAfterMs(), 1e-6);
+        go(gate.enter(NOW + 1000, arrival("/api/m1", "read", 0, 1000)));
+    }
+
+    @Test
+    void eachRequestIsHeldToOneFileAlone() throws Exception {
+        OperatorConfig a = config("""
+                [classes.a]
+                effect = "safe"
+                total = "100ms"
+                largest-body = "10B"
+                [[route]]
+                name = "all"
+                path = "/api/**"
+                class = "a"
+                """);
+        OperatorConfig b = config("""
+                [classes.b]
+                effect = "unsafe"
+                total = "200ms"
+                largest-body = "20B"
+                [[route]]
+                name = "all"
+                path = "/api/**"
+                class = "b"
+                """);
+        OperatorGate gate = new OperatorGate(SETTINGS, a, NOW);
+        Map<String, Double> totals = Map.of("a", 100.0, "b", 200.0);
+        for (int i = 0; i < 100; i++) {
+            gate.changeTo(i % 2 == 0 ? b : a, NOW + i);
+            Go go = go(gate.enter(NOW + i, arrival("/api/m1", "read", 10, 1000)));
+            assertEquals(i % 2 == 0 ? "b" : "a", go.service().name());
+            assertEquals(totals.get(go.service().name()), go.budgetMs());
+            assertEquals(go.service().name().equals("a") ? Effect.SAFE : Effect.UNSAFE, go.service().effect());
+            assertTrue(gate.classes().contains(go.service()), "the decisions have the very class");
+        }
+    }
+}
