--- a/bench/src/main/java/ridgemill/bench/Subject.java
+++ b/bench/src/main/java/ridgemill/bench/Subject.java
@@ -147,10 +147,15 @@
     }
 
     @Override
-    public void close() throws InterruptedException {
+    public void close() {
         process.destroy();
-        if (!process.waitFor(PATIENCE_S, TimeUnit.SECONDS)) {
+        try {
+            if (!process.waitFor(PATIENCE_S, TimeUnit.SECONDS)) {
+                process.destroyForcibly();
+            }
+        } catch (InterruptedException e) {
             process.destroyForcibly();
+            Thread.currentThread().interrupt();
         }
     }
 }
