--- a/core/src/main/java/ridgemill/route/RouteTable.java
+++ b/core/src/main/java/ridgemill/route/RouteTable.java
@@ -47,21 +47,27 @@
 
     /** Routes that take one path, by tenant, the more specific first. */
     private static final class Candidates<T> {
-        private final Map<String, List<Route<T>>> ofTenant = new HashMap<>();
-        private final List<Route<T>> ofAny = new ArrayList<>();
+        private final Map<String, List<Route<T>>> ofTenant;
+        private final List<Route<T>> ofAny;
 
         Candidates(Collection<Route<T>> routes) {
+            Map<String, List<Route<T>>> named = new HashMap<>();
+            List<Route<T>> common = new ArrayList<>();
             for (Route<T> route : routes) {
                 String tenant = route.conditions().tenant();
-                (tenant == null ? ofAny : ofTenant.computeIfAbsent(tenant, t -> new ArrayList<>())).add(route);
+                (tenant == null ? common : named.computeIfAbsent(tenant, t -> new ArrayList<>())).add(route);
             }
             Comparator<Route<T>> winnerFirst = (a, b) -> b.compareSpecificity(a);
-            ofAny.sort(winnerFirst);
-            ofTenant.values().forEach(list -> list.sort(winnerFirst));
+            common.sort(winnerFirst);
+            named.values().forEach(list -> list.sort(winnerFirst));
+            // Compact copies: with many routes a look-up waits for memory and for little else.
+            ofAny = List.copyOf(common);
+            ofTenant = Map.copyOf(named);
         }
 
         Route<T> best(Query q) {
-            Route<T> own = first(ofTenant.getOrDefault(q.tenant(), List.of()), q);
+            Route<T> own = ofTenant.isEmpty() || q.tenant() == null ? null
+                    : first(ofTenant.getOrDefault(q.tenant(), List.of()), q);
             Route<T> common = first(ofAny, q);
             return own == null || common != null && common.compareSpecificity(own) > 0 ? common : own;
         }
@@ -107,7 +113,7 @@
         Node<T> tree = new Node<>();
         this.routes.forEach(route -> plant(tree, route));
         Map<Subset<T>, Place<T>> places = new HashMap<>();
-        root = place(new Subset<>(List.of(tree), Set.of()), places);
+        root = place(new Subset<>(List.of(tree), Set.of()), places, new HashMap<>());
         Set<Conflict<T>> found = new LinkedHashSet<>();
         Set<List<String>> seen = new HashSet<>();
         places.values().forEach(p -> {
@@ -133,7 +139,8 @@
         (route.paths().open() ? node.open : node.closed).add(route);
     }
 
-    private Place<T> place(Subset<T> at, Map<Subset<T>, Place<T>> places) {
+    /** {@code shared} has the candidates that are made already: most places end in the same few. */
+    private Place<T> place(Subset<T> at, Map<Subset<T>, Place<T>> places, Map<Set<Route<T>>, Candidates<T>> shared) {
         Place<T> known = places.get(at);
         if (known != null) {
             return known;
@@ -147,8 +154,8 @@
         at.nodes().forEach(n -> open.addAll(n.open));
         Set<Route<T>> ending = new LinkedHashSet<>(open);
         at.nodes().forEach(n -> ending.addAll(n.closed));
-        place.below = new Candidates<>(open);
-        place.ending = new Candidates<>(ending);
+        place.below = shared.computeIfAbsent(open, Candidates::new);
+        place.ending = shared.computeIfAbsent(ending, Candidates::new);
         List<Node<T>> any = at.nodes().stream().map(n -> n.any).filter(n -> n != null).toList();
         Set<String> words = new LinkedHashSet<>();
         at.nodes().forEach(n -> words.addAll(n.literals.keySet()));
@@ -159,10 +166,10 @@
             if (!word.isEmpty()) {
                 next.addAll(any);
             }
-            literals.put(word, place(new Subset<>(next, open), places));
+            literals.put(word, place(new Subset<>(next, open), places, shared));
         }
-        place.literals = literals;
-        place.any = any.isEmpty() ? null : place(new Subset<>(any, open), places);
+        place.literals = Map.copyOf(literals);
+        place.any = any.isEmpty() ? null : place(new Subset<>(any, open), places, shared);
         return place;
     }
 
