Hosts' names are looked up where the file allows it, and the platform's list joins the others

Need: a registry may tell a host by its name alone, and until now such an instance was left out whatever the operator wanted; and a drain that only the platform's list told of was unknown to the operator file's groups.

Change: eureka.resolve looks names up on a thread of its own (NameBook decides when, free of I/O): an address that was found holds while look-ups fail or give the same addresses in another order. groups.NAME.platform takes the platform's list as one more source of the membership module; its word is believed at once, as the drain rule wants.

EurekaTest and EurekaMembershipTest pass.

--- a/gateway/src/main/java/ridgemill/gateway/Service.java
+++ b/gateway/src/main/java/ridgemill/gateway/Service.java
@@ -8,6 +8,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
@@ -35,6 +36,7 @@
 import ridgemill.gateway.net.LoopTimers;
 import ridgemill.gateway.net.Transport;
 import ridgemill.policy.Decide;
+import ridgemill.policy.Router.Availability;
 import ridgemill.policy.Router.ListKind;
 import ridgemill.policy.Router.Outcome;
 import ridgemill.policy.Router.Settings;
@@ -67,6 +69,8 @@
     private final HttpFront front;
     private final Discovery discovery;
     private final Peers peers;
+    private final Map<String, HostList.Host> hosts = new LinkedHashMap<>();
+    private Runnable onHosts = () -> { };
     private volatile Runnable beforeEnd = () -> { };
     private InetSocketAddress listening;
 
@@ -145,6 +149,21 @@
         loop.execute(() -> front.unlisten(address));
     }
 
+    /** The hosts of the platform's list as it was told last; on the loop. */
+    public List<HostList.Host> hosts() {
+        return List.copyOf(hosts.values());
+    }
+
+    /** Runs {@code then} on the loop after each news of the platform's list, in place of what was run before. */
+    public void onHosts(Runnable then) {
+        onHosts = then;
+    }
+
+    /** The decisions' present level of throttling for the platform's nodes; on the loop. */
+    public int level() {
+        return platform.router().level();
+    }
+
     /** The clients' connections of all fronts. */
     public ClientTable clients() {
         return clients;
@@ -362,6 +381,17 @@
         @Override
         public void hosts(ListKind kind, HostList list) {
             platform.hosts(kind, list);
+            if (list.whole()) {
+                hosts.clear();
+            }
+            for (HostList.Host h : list.hosts()) {
+                if (h.node().availability() == Availability.GONE) {
+                    hosts.remove(h.node().id());
+                } else {
+                    hosts.put(h.node().id(), h);
+                }
+            }
+            onHosts.run();
         }
 
         @Override
--- a/gateway/src/main/java/ridgemill/gateway/membership/eureka/EurekaClient.java
+++ b/gateway/src/main/java/ridgemill/gateway/membership/eureka/EurekaClient.java
@@ -19,6 +19,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -66,18 +67,24 @@
     private final Map<String, Map<String, String>> odd = new HashMap<>();
     private final EurekaPoll poll;
     private final Clock clock = new Clock();
-    private final ExecutorService reading = Executors.newSingleThreadExecutor(run -> {
-        Thread thread = new Thread(run, "eureka-reader");
-        thread.setDaemon(true);
-        return thread;
-    });
+    private final ExecutorService reading = thread("eureka-reader");
+    private final NameBook names = new NameBook();
+    private final NameLookup lookup;
+    /** Apart from what reads answers, as a name server that does not answer holds it up for seconds; null until needed. */
+    private ExecutorService lookingUp;
     private Channel channel;
     private int channelUrl = -1;
     private Asked out;
     private boolean closed;
     private String lastFailure = "";
 
+    /** Asks as the settings say; {@code seed} decides by how much waits differ. */
     public EurekaClient(EventLoop loop, EurekaSettings settings, long seed, Listener listener) {
+        this(loop, settings, seed, NameLookup.SYSTEM, listener);
+    }
+
+    EurekaClient(EventLoop loop, EurekaSettings settings, long seed, NameLookup lookup, Listener listener) {
+        this.lookup = lookup;
         this.loop = loop;
         this.settings = settings;
         this.listener = listener;
@@ -85,6 +92,14 @@
         settings.urls().forEach(u -> bases.add(base(u)));
     }
 
+    private static ExecutorService thread(String name) {
+        return Executors.newSingleThreadExecutor(run -> {
+            Thread thread = new Thread(run, name);
+            thread.setDaemon(true);
+            return thread;
+        });
+    }
+
     /** Checks a registry's address; throws with what is wrong with it. */
     public static void check(String url) {
         base(url);
@@ -110,6 +125,9 @@
     public void close() {
         closed = true;
         reading.shutdown();
+        if (lookingUp != null) {
+            lookingUp.shutdownNow();
+        }
         if (out != null) {
             out.end();
         }
@@ -156,6 +174,52 @@
         });
     }
 
+    private void tell(String app, EurekaView view) {
+        listener.told(app, view.instances(app, names::address));
+        report(app, view.odd());
+        if (settings.resolve()) {
+            names.want(clock.now(), app, view.names());
+        }
+    }
+
+    /** Looks up the names that are due; the answers come back to the loop. */
+    private void lookUp() {
+        for (String name : names.due(clock.now())) {
+            if (lookingUp == null) {
+                lookingUp = thread("eureka-names");
+            }
+            lookingUp.execute(() -> {
+                try {
+                    List<String> addresses = lookup.addresses(name);
+                    loop.execute(() -> lookedUp(names.found(clock.now(), name, addresses)));
+                } catch (UnknownHostException e) {
+                    loop.execute(() -> {
+                        if (names.failed(clock.now(), name, "no address found")) {
+                            Log.info("registry: host " + name + ": no address found"
+                                    + (names.address(name) == null ? "" : ", it stays at " + names.address(name)));
+                        }
+                        lookedUp(false);
+                    });
+                }
+            });
+        }
+    }
+
+    private void lookedUp(boolean other) {
+        if (closed) {
+            return;
+        }
+        if (other) {
+            for (String app : settings.apps()) {
+                EurekaView view = views.get(settings.delta() ? "" : app);
+                if (view != null) {
+                    tell(app, view);
+                }
+            }
+        }
+        lookUp();
+    }
+
     private void report(String app, Map<String, String> now) {
         Map<String, String> before = odd.put(app, now);
         now.forEach((id, why) -> {
@@ -265,8 +329,7 @@
             }
             lastFailure = "";
             for (String app : ask.kind() == Kind.APP ? List.of(ask.app()) : settings.apps()) {
-                listener.told(app, view.instances(app));
-                report(app, view.odd());
+                tell(app, view);
             }
             done(fits, keep);
         }
@@ -274,6 +337,7 @@
         private void done(boolean fits, boolean keep) {
             if (!over) {
                 end();
+                lookUp();
                 if (!keep && channel != null) {
                     channel.close();
                     channel = null;
--- a/gateway/src/main/java/ridgemill/gateway/membership/eureka/EurekaSettings.java
+++ b/gateway/src/main/java/ridgemill/gateway/membership/eureka/EurekaSettings.java
@@ -11,8 +11,10 @@
  * @param delta whether all of the registry is held and what changes is asked for, instead of each application by itself
  * @param intervalMs from the start of one poll to that of the next, in milliseconds
  * @param timeoutMs how long an answer may take, in milliseconds
+ * @param resolve whether hosts of which only a name is told are looked up; without it such an instance is left out
  */
-public record EurekaSettings(List<String> urls, List<String> apps, boolean delta, double intervalMs, double timeoutMs) {
+public record EurekaSettings(List<String> urls, List<String> apps, boolean delta, double intervalMs, double timeoutMs,
+                             boolean resolve) {
 
     /** What a virtual address has before it. */
     public static final String VIP = "vip:";
--- a/gateway/src/main/java/ridgemill/gateway/membership/eureka/EurekaView.java
+++ b/gateway/src/main/java/ridgemill/gateway/membership/eureka/EurekaView.java
@@ -5,7 +5,11 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.UnaryOperator;
+import java.util.regex.Pattern;
 import ridgemill.gateway.membership.eureka.EurekaRecord.Action;
 import ridgemill.gateway.net.Addresses;
 import ridgemill.membership.Instance;
@@ -18,6 +22,8 @@
 final class EurekaView {
 
     private static final double DEFAULT_WEIGHT = 1;
+    /** A host's name (RFC 1123, section 2.1); anything else is asked of no name server. */
+    private static final Pattern NAME = Pattern.compile("[A-Za-z0-9][A-Za-z0-9.-]{0,252}");
 
     /** When an instance started, as far as it can be told, and by which record. */
     private record Start(double atMs, long serviceUpMs, long dirtyMs) { }
@@ -25,6 +31,7 @@
     private final Map<String, EurekaRecord> records = new LinkedHashMap<>();
     private final Map<String, Start> starts = new HashMap<>();
     private final Map<String, String> odd = new TreeMap<>();
+    private final Set<String> names = new TreeSet<>();
 
     /** Takes in a full answer. */
     void full(EurekaAnswer answer) {
@@ -94,14 +101,28 @@
         return text != null && text.matches("[0-9]{1,18}") ? Long.parseLong(text) : 0;
     }
 
-    /** The instances of an application that can be reached; those that can't are told of by {@link #odd}. */
+    /** The instances of an application that can be reached without a look-up. */
     List<Instance> instances(String app) {
+        return instances(app, name -> null);
+    }
+
+    /**
+     * The instances of an application that can be reached; those that can't are told of by {@link #odd}, and their hosts'
+     * names by {@link #names}.
+     *
+     * @param known the address of a name, null where none is known
+     */
+    List<Instance> instances(String app, UnaryOperator<String> known) {
         List<Instance> all = new ArrayList<>();
         odd.clear();
+        names.clear();
         for (EurekaRecord r : records.values()) {
             // By a virtual address all that came was asked for.
             if (app.indexOf(':') >= 0 || r.app().equalsIgnoreCase(app)) {
                 String address = address(r);
+                if (address == null && r.port() > 0) {
+                    address = byName(r, known);
+                }
                 if (address == null) {
                     odd.put(r.key(), r.port() == 0 ? "has no port that is enabled" : "has no numeric address: " + r.ip() + ", "
                             + r.host());
@@ -114,11 +135,26 @@
         return all;
     }
 
-    /** Instances that were left out, and why; no name is looked up. */
+    /** Instances that were left out, and why. */
     Map<String, String> odd() {
         return Map.copyOf(odd);
     }
 
+    /** Names of hosts of whose instances no address is told. */
+    Set<String> names() {
+        return Set.copyOf(names);
+    }
+
+    private String byName(EurekaRecord r, UnaryOperator<String> known) {
+        String name = r.host().isEmpty() ? r.ip() : r.host();
+        if (!NAME.matcher(name).matches()) {
+            return null;
+        }
+        names.add(name);
+        String address = known.apply(name);
+        return address == null ? null : address + ":" + r.port();
+    }
+
     int size() {
         return records.size();
     }
--- a/gateway/src/main/java/ridgemill/gateway/operator/EurekaSection.java
+++ b/gateway/src/main/java/ridgemill/gateway/operator/EurekaSection.java
@@ -59,6 +59,7 @@
             s.problem(null, "missing", "has no urls", "set urls = [\"http://127.0.0.1:8761/eureka\"]");
         }
         Optional<Boolean> delta = s.flag("delta");
+        Optional<Boolean> resolve = s.flag("resolve");
         double interval = s.duration("interval").orElse(EurekaSettings.USUAL_INTERVAL_MS);
         double timeout = s.duration("timeout").orElse(EurekaSettings.USUAL_TIMEOUT_MS);
         if (interval < LEAST_MS) {
@@ -71,6 +72,7 @@
         }
         s.has("register");
         s.done();
-        return urls.isEmpty() ? null : new EurekaSettings(urls, List.of(), delta.orElse(false), interval, timeout);
+        return urls.isEmpty() ? null : new EurekaSettings(urls, List.of(), delta.orElse(false), interval, timeout,
+                resolve.orElse(false));
     }
 }
--- a/gateway/src/main/java/ridgemill/gateway/operator/GroupsSection.java
+++ b/gateway/src/main/java/ridgemill/gateway/operator/GroupsSection.java
@@ -43,11 +43,13 @@
             s.problem(null, "vip-by-deltas", "deltas are of applications and not of virtual addresses",
                     "leave out delta under [eureka], or name the application");
         }
-        if (nodes.isEmpty() && !s.has("nodes") && eureka.isEmpty() || nodes.isPresent() && nodes.get().keys().isEmpty()) {
+        boolean platform = s.flag("platform").orElse(false);
+        if (nodes.isEmpty() && !s.has("nodes") && eureka.isEmpty() && !platform || nodes.isPresent() && nodes.get().keys().isEmpty()) {
             s.problem("nodes", "missing", "has no nodes", "set nodes = { n1 = \"127.0.0.1:9000\" }");
         }
         Optional<InetSocketAddress> store = address(s, "store", taken);
-        return new NodeGroup(s.ownName(), protocol, members, store.orElse(null), eureka.orElse(null), resp(s, protocol));
+        return new NodeGroup(s.ownName(), protocol, members, store.orElse(null), eureka.orElse(null), platform,
+                resp(s, protocol));
     }
 
     /** An application, or a virtual address. */
--- a/gateway/src/main/java/ridgemill/gateway/operator/NodeGroup.java
+++ b/gateway/src/main/java/ridgemill/gateway/operator/NodeGroup.java
@@ -12,10 +12,11 @@
  * @param members its cache nodes, at least one unless a registry tells of them
  * @param store where its nodes' misses are fetched; null where a miss is the end
  * @param eureka the application of a registry whose instances are its nodes too, in capitals; null for none
+ * @param platform whether the nodes of the platform's own list are its nodes too
  * @param resp how nodes that speak RESP are spoken to; null for those that do not
  */
 record NodeGroup(String name, String protocol, List<Member> members, InetSocketAddress store,
-                 String eureka, Resp resp) {
+                 String eureka, boolean platform, Resp resp) {
 
     /**
      * How nodes that speak RESP are spoken to.
--- a/gateway/src/main/java/ridgemill/gateway/operator/NodeGroups.java
+++ b/gateway/src/main/java/ridgemill/gateway/operator/NodeGroups.java
@@ -1,5 +1,6 @@
 package ridgemill.gateway.operator;
 
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -47,6 +48,7 @@
     private static final String STORE = "store";
     private static final String FILE = "file";
     private static final String EUREKA = "eureka";
+    private static final String PLATFORM = "platform";
     /** How often a node that said that it drains is asked whether it still does. */
     private static final long DRAIN_LOOK_MS = 1000;
     private static final long TICK_MS = 1000;
@@ -64,6 +66,8 @@
             this.from = from;
             this.group = group;
             membership.trust(FILE);
+            // Its removals are a platform's word to be kept to within the drain's grace.
+            membership.trust(PLATFORM);
         }
     }
 
@@ -100,19 +104,39 @@
             if (next.eureka() == null || !next.eureka().equals(there.from.eureka())) {
                 there.membership.forget(clock.now(), EUREKA);
             }
+            if (!next.platform()) {
+                there.membership.forget(clock.now(), PLATFORM);
+            }
             there.from = next;
             there.membership.told(clock.now(), FILE, next.members().stream().map(m -> new Instance(m.name(), Addresses.text(m.address()),
                     Status.UP, "", 1, 0, 0)).toList());
+            if (next.platform()) {
+                there.membership.told(clock.now(), PLATFORM, listed());
+            }
             apply(there);
         }
         registry(groups, registry);
+        service.onHosts(groups.values().stream().anyMatch(NodeGroup::platform) ? this::platformTold : () -> { });
+    }
+
+    private void platformTold() {
+        live.values().stream().filter(l -> l.from.platform())
+                .forEach(l -> report(l, l.membership.told(clock.now(), PLATFORM, listed())));
+    }
+
+    /** The platform's cache nodes as its own list has them. */
+    private List<Instance> listed() {
+        return service.hosts().stream().filter(h -> settings.originModel() == null || !settings.originModel().equals(h.node().model()))
+                .map(h -> new Instance(h.node().id(), Addresses.text((InetSocketAddress) h.dial()),
+                        h.node().availability() == Availability.DRAINING ? Status.OUT_OF_SERVICE : Status.UP, h.node().zone(),
+                        h.node().weight() > 0 ? h.node().weight() : 1, h.node().startedAtMs(), 0)).toList();
     }
 
     /** Asks the registry that the file names now, for what the groups want now. */
     private void registry(Map<String, NodeGroup> groups, EurekaSettings registry) {
         List<String> apps = groups.values().stream().map(NodeGroup::eureka).filter(Objects::nonNull).distinct().sorted().toList();
         EurekaSettings wanted = registry == null || apps.isEmpty() ? null : new EurekaSettings(registry.urls(), apps,
-                registry.delta(), registry.intervalMs(), registry.timeoutMs());
+                registry.delta(), registry.intervalMs(), registry.timeoutMs(), registry.resolve());
         if (Objects.equals(wanted, asked)) {
             return;
         }
--- a/gateway/src/test/java/ridgemill/gateway/membership/eureka/EurekaTest.java
+++ b/gateway/src/test/java/ridgemill/gateway/membership/eureka/EurekaTest.java
@@ -6,8 +6,10 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -86,6 +88,57 @@
         assertTrue(view.odd().get("METER/portless").contains("no port"));
     }
 
+    @Test
+    void namesAreAskedForWhereNoAddressIsToldAndAreNamesAlone() throws Exception {
+        String named = INSTANCE.replace("n1:8080", "named").replace("10.0.0.1", "").replace("node-1", "node.example");
+        String injected = INSTANCE.replace("n1:8080", "injected").replace("10.0.0.1", "").replace("node-1", "a b/../c");
+        EurekaView view = new EurekaView();
+        view.full(EurekaReader.read("{\"application\": {\"name\": \"METER\", \"instance\": [" + String.join(",", INSTANCE, named, injected)
+                + "]}}"));
+        assertEquals(1, view.instances("METER", name -> null).size());
+        assertEquals(Set.of("node.example"), view.names());
+        List<Instance> all = view.instances("METER", name -> "10.0.0.7");
+        assertEquals(List.of("10.0.0.1:8080", "10.0.0.7:8080"), all.stream().map(Instance::address).toList());
+        assertEquals(Set.of("METER/injected"), view.odd().keySet());
+    }
+
+    @Test
+    void aNameHoldsItsAddressWhileLookUpsFailOrGiveThemInAnotherOrder() {
+        NameBook book = new NameBook();
+        book.want(0, "METER", Set.of("n"));
+        assertEquals(List.of("n"), book.due(0));
+        assertEquals(List.of(), book.due(1), "one look-up of a name is out at a time");
+        assertTrue(book.found(10, "n", List.of("10.0.0.1", "10.0.0.2")));
+        assertEquals(List.of(), book.due(10 + NameBook.AGAIN_MS - 1));
+        assertEquals(List.of("n"), book.due(10 + NameBook.AGAIN_MS));
+        assertFalse(book.found(40_000, "n", List.of("10.0.0.2", "10.0.0.1")), "round robin moves no node");
+        assertEquals("10.0.0.1", book.address("n"));
+        assertEquals(List.of("n"), book.due(80_000));
+        assertTrue(book.failed(80_000, "n", "no address found"));
+        assertEquals("10.0.0.1", book.address("n"), "a name server that is out empties no fleet");
+        assertEquals(List.of("n"), book.due(80_000 + NameBook.MISSING_AGAIN_MS));
+        assertFalse(book.failed(85_000, "n", "no address found"), "said once");
+        assertEquals(List.of("n"), book.due(95_000));
+        assertTrue(book.found(95_000, "n", List.of("10.0.0.3")), "it has moved");
+        book.want(96_000, "METER", Set.of());
+        assertEquals(List.of(), book.due(1e9));
+        assertFalse(book.found(96_000, "n", List.of("10.0.0.4")), "nobody wants it any more");
+    }
+
+    @Test
+    void manyNamesAreLookedUpAFewAtATime() {
+        NameBook book = new NameBook();
+        Set<String> many = new HashSet<>();
+        for (int i = 0; i < 20_000; i++) {
+            many.add("n" + i);
+        }
+        book.want(0, "METER", many);
+        List<String> first = book.due(0);
+        assertEquals(16, first.size());
+        book.found(0, first.get(0), List.of("10.0.0.1"));
+        assertEquals(1, book.due(0).size());
+    }
+
     private static EurekaRecord record(String id, Status status, long dirty, long up, Action action) {
         return new EurekaRecord("METER", id, "10.0.0.1", "10.0.0.1", 80, status, Status.UNKNOWN, new HashMap<>(), up, dirty, action);
     }
@@ -130,7 +183,7 @@
     @Test
     void polesKeepTheIntervalAndFailOverBeforeTheyBackOff() {
         EurekaPoll poll = new EurekaPoll(new EurekaSettings(List.of("http://127.0.0.1:1", "http://127.0.0.1:2"), List.of("METER"), true,
-                500, 1000), 5);
+                500, 1000, false), 5);
         assertEquals(Kind.FULL, poll.next().kind());
         double wait = poll.answered(10_600, 10_000, poll.next(), true);
         assertEquals(0, wait, "an answer that took longer than the interval is followed at once");
--- a/lab/src/test/java/ridgemill/lab/EurekaMembershipTest.java
+++ b/lab/src/test/java/ridgemill/lab/EurekaMembershipTest.java
@@ -67,6 +67,10 @@
     }
 
     private void start(boolean delta, String source) throws Exception {
+        start(delta, source, false);
+    }
+
+    private void start(boolean delta, String source, boolean resolve) throws Exception {
         Path file = directory.resolve("gateway.toml");
         Files.writeString(file, """
                 [classes.latest-reading]
@@ -83,6 +87,7 @@
                 urls = ["%s", "%s"]
                 interval = "200ms"
                 delta = %s
+                resolve = %s
                 [groups.hall]
                 %s
                 store = "%s"
@@ -90,7 +95,7 @@
                 name = "all"
                 path = "/api/**"
                 group = "hall"
-                """.formatted(registry.url(), second.url(), delta, source, Addresses.text(bed.fleet().store().address())));
+                """.formatted(registry.url(), second.url(), delta, resolve, source, Addresses.text(bed.fleet().store().address())));
         operated = Operating.start(bed, file, LoadProfile.USUAL);
         await(() -> in() == NODES);
     }
@@ -273,6 +278,38 @@
         await(() -> is("c4", "IN"));
     }
 
+    @Test
+    void namesAreLookedUpWhereTheFileAllowsIt() throws Exception {
+        registry.named(APP, "c1", "localhost");
+        start(false, "eureka = \"meter-cache\"", true);
+        load(100, 1);
+        awaitRequests(80);
+        assertTrue(bed.ledger().nodes().stream().anyMatch(e -> e.node().equals("c1")), "it is reached by its name");
+        // RFC 6761, section 6.4: this one never has an address.
+        registry.named(APP, "c2", "meter.invalid");
+        await(() -> in() == NODES - 1);
+    }
+
+    @Test
+    void aDrainThatOnlyThePlatformsListTellsOfIsADrain() throws Exception {
+        start(false, "eureka = \"meter-cache\"\nplatform = true");
+        load(150, 4);
+        awaitRequests(80);
+        bed.say("c1", "draining");
+        double told = bed.ledger().now();
+        await(() -> is("c1", "DRAINING"));
+        awaitRequests(60);
+        assertEquals(List.of(), sent("c1", told + BOUND_MS, Double.MAX_VALUE));
+        assertTrue(operated.nodes().stream().anyMatch(l -> l.startsWith("hall c1 ") && l.contains("by platform")));
+        bed.say("c1", "up");
+        await(() -> is("c1", "IN"));
+        // One that the platform names and no registry knows is a node too.
+        bed.joinCold("c9");
+        await(() -> is("c9", "IN"));
+        bed.say("c9", "removed");
+        await(() -> operated.nodes().stream().noneMatch(l -> l.startsWith("hall c9 ")));
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"vip", "svip"})
     void aVirtualAddressStandsForAllInstancesThatHaveIt(String kind) throws Exception {
--- a/testbed/src/main/java/ridgemill/testbed/registry/RegistryStandIn.java
+++ b/testbed/src/main/java/ridgemill/testbed/registry/RegistryStandIn.java
@@ -194,6 +194,16 @@
         });
     }
 
+    /** A record tells a host's name alone from now on, as of an instance that does not know its address. */
+    public void named(String app, String id, String host) {
+        on(() -> {
+            JsonObject i = instances.get(app.toUpperCase(Locale.ROOT) + "/" + id);
+            i.addProperty("hostName", host);
+            i.addProperty("ipAddr", host);
+            return note(app.toUpperCase(Locale.ROOT) + "/" + id, i, "MODIFIED");
+        });
+    }
+
     private double register(String app, String id, JsonObject i) {
         String key = app + "/" + id;
         boolean there = instances.containsKey(key);
