Decisions between halls: when a request crosses, where to, and where a credit may still run

Need: a hall that loses its store should be served by the other, with no loop and no credit recorded twice.

Intake takes a Detour, which owes answers as a dispatcher does.

--- /dev/null
+++ b/core/src/main/java/ridgemill/core/Detour.java
@@ -0,0 +1,28 @@
+package ridgemill.core;
+
+import ridgemill.policy.Router.Request;
+import ridgemill.policy.Router.ServiceClass;
+
+/**
+ * Stands between an {@link Intake} and the decisions of its groups of nodes, and may have a request served elsewhere. It
+ * owes what a dispatcher owes: one final answer to each request that it takes.
+ *
+ * @param <C> the type of contents that fronts and backs share
+ */
+public interface Detour<C> {
+
+    /** Takes a request of a class; {@code home} are the decisions that it would go to. */
+    void request(Dispatcher<C> home, ServiceClass service, Request in, Command<C> command, Client<C> client);
+
+    /** Whether a request with this id is open here, whether or not {@code home} has it too. */
+    boolean isOpen(String id);
+
+    /** The client of an open request has left; home is told by this. Returns whether the request was open here. */
+    boolean clientGone(String id);
+
+    /** Requests that have no final answer yet and are not at home. */
+    int owed();
+
+    /** What it adds to the counts of the groups: requests that never came to home, and ends that are other than home's. */
+    Tally tally();
+}
--- a/core/src/main/java/ridgemill/core/Intake.java
+++ b/core/src/main/java/ridgemill/core/Intake.java
@@ -33,6 +33,7 @@
     private final List<Dispatcher<C>> dispatchers = new ArrayList<>();
     private final Map<String, Waiting<C>> line = new HashMap<>();
     private final Tally tally = new Tally();
+    private Detour<C> detour;
     private boolean advancing;
 
     public Intake(Timers timers, Gate gate) {
@@ -57,8 +58,16 @@
         }
     }
 
+    /** From now on requests go through this; it may not change while any is open. */
+    public void detour(Detour<C> through) {
+        detour = through;
+    }
+
     /** Whether a request with this id is open: its answer and another's could not be told apart. */
     public boolean isOpen(String id) {
+        if (detour != null && detour.isOpen(id)) {
+            return true;
+        }
         for (Dispatcher<C> d : dispatchers) {
             if (d.isOpen(id)) {
                 return true;
@@ -120,7 +129,11 @@
             client.refused(0);
             return;
         }
-        dispatcher.request(in, command, client);
+        if (detour != null) {
+            detour.request(dispatcher, go.service(), in, command, client);
+        } else {
+            dispatcher.request(in, command, client);
+        }
     }
 
     /** A request of this class that a dispatcher had has its final answer, or its client has left. */
@@ -178,7 +191,7 @@
             gate.withdrawn(timers.now(), id);
             tally.requests++;
             tally.gone++;
-        } else {
+        } else if (detour == null || !detour.clientGone(id)) {
             dispatchers.forEach(d -> d.clientGone(id));
         }
     }
@@ -190,13 +203,13 @@
 
     /** Requests that have no final answer yet. */
     public int owed() {
-        return line.size() + dispatchers.stream().mapToInt(Dispatcher::owed).sum();
+        return line.size() + dispatchers.stream().mapToInt(Dispatcher::owed).sum() + (detour == null ? 0 : detour.owed());
     }
 
     /** Counts over all groups that there are, and over those in line. */
     public Tally tally() {
         Tally all = new Tally().plus(tally);
         dispatchers.forEach(d -> all.plus(d.tally()));
-        return all;
+        return detour == null ? all : all.plus(detour.tally());
     }
 }
--- a/core/src/main/java/ridgemill/core/Tally.java
+++ b/core/src/main/java/ridgemill/core/Tally.java
@@ -14,6 +14,34 @@
     long failed;
     long gone;
 
+    /** How a request ended. */
+    public enum End { SERVED, REFUSED, FAILED, GONE }
+
+    /** A request was taken. */
+    public void took() {
+        requests++;
+    }
+
+    /** One that was taken has ended so. */
+    public void ended(End end) {
+        add(end, 1);
+    }
+
+    /** One that was counted as ended in one way has ended in another. */
+    public void changed(End from, End to) {
+        add(from, -1);
+        add(to, 1);
+    }
+
+    private void add(End end, int by) {
+        switch (end) {
+            case SERVED -> served += by;
+            case REFUSED -> refused += by;
+            case FAILED -> failed += by;
+            case GONE -> gone += by;
+        }
+    }
+
     void count(Outcome outcome) {
         outcomes[outcome.ordinal()]++;
     }
--- /dev/null
+++ b/core/src/main/java/ridgemill/halls/HallPolicy.java
@@ -0,0 +1,54 @@
+package ridgemill.halls;
+
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * What an installation allows between its halls.
+ *
+ * @param hall this hall's own name
+ * @param gateways of each other hall, by its name, the preferred hall first
+ * @param classes that may cross; empty for all
+ * @param sharing halls whose nodes drop the repeats of keyed writes that may have run in this one, and this one theirs
+ * @param perSecond crossings that this gateway starts a second at most, greater than 0
+ * @param inFlight crossings that it has out at once to one gateway at most, 1 or more
+ * @param taken requests of other halls that it has open at once at most, 0 or more; 0 takes none
+ * @param hopLimit how many halls a request may have been in before it enters this one, 1 or more
+ * @param quietMs for how long a gateway must have refused connections to be taken for one that runs nothing
+ */
+public record HallPolicy(String hall, Map<String, List<String>> gateways, Set<String> classes, Set<String> sharing,
+                         double perSecond, int inFlight, int taken, int hopLimit, double quietMs) {
+
+    public HallPolicy {
+        if (hall == null || hall.isEmpty() || gateways.containsKey(hall)) {
+            throw new IllegalArgumentException("a hall has a name that no other has: " + hall);
+        }
+        if (!(perSecond > 0) || inFlight < 1 || taken < 0 || hopLimit < 1 || !(quietMs >= 0)) {
+            throw new IllegalArgumentException("bounds between halls are positive");
+        }
+        Map<String, List<String>> copy = new LinkedHashMap<>();
+        gateways.forEach((h, of) -> copy.put(h, List.copyOf(of)));
+        gateways = copy;
+        classes = Set.copyOf(classes);
+        sharing = Set.copyOf(sharing);
+    }
+
+    /** All gateways of all other halls. */
+    public List<String> all() {
+        return gateways.values().stream().flatMap(Collection::stream).toList();
+    }
+
+    /** The hall of a gateway; null for one that the policy does not name. */
+    public String hallOf(String gateway) {
+        return gateways.entrySet().stream().filter(e -> e.getValue().contains(gateway)).map(Map.Entry::getKey).findFirst()
+                .orElse(null);
+    }
+
+    /** Whether requests of a class may cross. */
+    public boolean crosses(String service) {
+        return classes.isEmpty() || classes.contains(service);
+    }
+}
