Links between halls over HTTP/2, and requests that cross them in both directions

Need: the decisions between halls need something to carry them out.

Change: ridgemill.gateway.halls: a long-lived HTTP/2 connection to each gateway of another hall (HallLink), a front that takes theirs (HallFront), and the detour through which every request goes (HallCrossings). A request carries the time that its client has left; what a stall adds on the way is seen from stamps and taken off. The section [halls] of the operator file and 'ridgemill halls' come with it. Not loaded without the section.

--- a/gateway/src/main/java/ridgemill/cli/Commands.java
+++ b/gateway/src/main/java/ridgemill/cli/Commands.java
@@ -72,7 +72,7 @@
 
     @Command(name = "ridgemill", mixinStandardHelpOptions = true, versionProvider = Version.class,
             description = "A caching proxy for fleets of cache nodes, and a gateway between sites.",
-            subcommands = {Serve.class, Check.class, Explain.class, Reload.class, Status.class, Nodes.class,
+            subcommands = {Serve.class, Check.class, Explain.class, Reload.class, Status.class, Nodes.class, Halls.class,
                 VersionCommand.class, Bench.class})
     static final class Root implements Callable<Integer> {
         @Override
@@ -308,6 +308,20 @@
         }
     }
 
+    @Command(name = "halls", mixinStandardHelpOptions = true, description = {
+        "Tells how a running proxy's links to other halls are, and what crosses."})
+    static final class Halls extends Asking {
+        @Override
+        String command() {
+            return "halls";
+        }
+
+        @Override
+        void tell(JsonObject answer) {
+            answer.getAsJsonArray("halls").forEach(n -> System.out.println(n.getAsString()));
+        }
+    }
+
     @Command(name = "version", mixinStandardHelpOptions = true, description = "Prints the version.")
     static final class VersionCommand implements Callable<Integer> {
         @Override
--- /dev/null
+++ b/gateway/src/main/java/ridgemill/gateway/halls/HallCrossings.java
@@ -0,0 +1,377 @@
+package ridgemill.gateway.halls;
+
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.EventLoop;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.IntSupplier;
+import ridgemill.core.Answer;
+import ridgemill.core.Client;
+import ridgemill.core.Command;
+import ridgemill.core.Detour;
+import ridgemill.core.Dispatcher;
+import ridgemill.core.Intake;
+import ridgemill.core.Tally;
+import ridgemill.core.Timers;
+import ridgemill.gateway.halls.HallWire.Reply;
+import ridgemill.gateway.net.Content;
+import ridgemill.gateway.net.Log;
+import ridgemill.halls.Halls;
+import ridgemill.halls.Halls.CrossingEnd;
+import ridgemill.halls.Halls.HomeEnd;
+import ridgemill.halls.Halls.Step;
+import ridgemill.halls.Halls.Word;
+import ridgemill.halls.Passing;
+import ridgemill.halls.Trail;
+import ridgemill.policy.Router.Request;
+import ridgemill.policy.Router.ServiceClass;
+
+/**
+ * Carries out what {@link Halls} decides: hands requests to this hall's nodes or to a link, and gives each its one final
+ * answer. All of it runs on the loop.
+ */
+public final class HallCrossings implements Detour<Content> {
+
+    /** The other hall's answer is under way by then, so that it is not cut off by our own time. */
+    private static final double ANSWER_MS = 10;
+
+    private final EventLoop loop;
+    private final Timers timers;
+    private final Halls halls;
+    private final HallKeys keys;
+    private final HallFront front;
+    private final Consumer<String> settled;
+    private final long seed;
+    private final Map<String, HallLink> links = new HashMap<>();
+    private final Map<String, Passage> open = new HashMap<>();
+    /** Where requests of other halls were, until they come through here. */
+    private final Map<String, Trail> foreign = new HashMap<>();
+    private final Tally tally = new Tally();
+    private HallSettings settings;
+    private int away;
+    /** The request of another hall that is being answered. */
+    private Passing answering;
+
+    /**
+     * Puts it in the way of all requests; to be called on the loop.
+     *
+     * @param level the decisions' level of throttling, which other halls are told
+     */
+    public HallCrossings(EventLoop loop, Timers timers, Intake<Content> intake, HallSettings settings, IntSupplier level, long seed)
+            throws IOException {
+        this.loop = loop;
+        this.timers = timers;
+        this.settings = settings;
+        this.settled = intake::settled;
+        this.seed = seed;
+        this.keys = new HallKeys(settings.security());
+        this.halls = new Halls(settings.policy(), timers.now());
+        this.front = new HallFront(loop, timers, intake, this, halls, keys, level);
+        intake.detour(this);
+        dial();
+    }
+
+    /** Starts to listen for other halls; not to be called before it is in the way. Null where none may come. */
+    public ChannelFuture listen() {
+        return settings.listen() == null ? null : front.listen(settings.listen());
+    }
+
+    private void dial() {
+        settings.addresses().forEach((name, address) -> links.computeIfAbsent(name, n -> {
+            HallLink link = new HallLink(loop, timers, settings.policy().hall(), name, settings.policy().hallOf(name), address, keys,
+                    halls, seed);
+            link.open();
+            return link;
+        }));
+        for (String name : List.copyOf(links.keySet())) {
+            if (!settings.addresses().containsKey(name)) {
+                links.remove(name).close();
+            }
+        }
+    }
+
+    /** Other halls or other bounds hold from now on; its own name, address and proofs stay as they were. On the loop. */
+    public void changeTo(HallSettings next) {
+        settings = new HallSettings(settings.listen(), settings.security(), next.addresses(), next.policy());
+        halls.changeTo(next.policy(), timers.now());
+        dial();
+    }
+
+    /** Whether this much of the settings can't change while the proxy runs. */
+    public boolean isFixedIn(HallSettings next) {
+        return next != null && next.policy().hall().equals(settings.policy().hall())
+                && next.security().equals(settings.security()) && Objects.equals(next.listen(), settings.listen());
+    }
+
+    /** Other halls are asked to send nothing more; on the loop. */
+    public void leave() {
+        front.leave();
+    }
+
+    /** Nothing more is taken from other halls; on the loop. */
+    public void stop() {
+        front.stop();
+    }
+
+    /** How halls, links and classes are, a line each; on the loop. */
+    public List<String> explain() {
+        List<String> lines = new ArrayList<>(halls.explain());
+        links.values().forEach(l -> lines.add(l.explain()));
+        lines.add(halls.counts() + " expired=" + front.expired() + " out=" + away);
+        return lines;
+    }
+
+    /** Counts since the start; on the loop. */
+    public Halls.Counts counts() {
+        return halls.counts();
+    }
+
+    void foreign(String id, Trail trail) {
+        foreign.put(id, trail);
+    }
+
+    /** Which halls the request that is being answered has entered from here. */
+    Set<String> beyond(String id) {
+        return answering != null && answering.id().equals(id) ? answering.entered() : Set.of();
+    }
+
+    /** Whether an attempt of the request that is being answered may still be out. */
+    boolean mayBeOut(String id) {
+        return answering != null && answering.id().equals(id) && answering.mayBeOut();
+    }
+
+    void forgetForeign(String id) {
+        foreign.remove(id);
+    }
+
+    @Override
+    public void request(Dispatcher<Content> home, ServiceClass service, Request in, Command<Content> command, Client<Content> client) {
+        Trail trail = foreign.remove(in.id());
+        Passage passage = new Passage(home, service, in, command, client, trail == null ? Trail.OWN : trail);
+        open.put(in.id(), passage);
+        away++;
+        passage.take(halls.arrived(timers.now(), passage.passing));
+    }
+
+    @Override
+    public boolean isOpen(String id) {
+        return open.containsKey(id);
+    }
+
+    @Override
+    public boolean clientGone(String id) {
+        Passage passage = open.get(id);
+        if (passage == null) {
+            return false;
+        }
+        passage.clientGone();
+        return true;
+    }
+
+    @Override
+    public int owed() {
+        return away;
+    }
+
+    @Override
+    public Tally tally() {
+        return tally;
+    }
+
+    /** One request on its way. */
+    private final class Passage implements Client<Content> {
+        private final Dispatcher<Content> home;
+        private final Request in;
+        private final Command<Content> command;
+        private final Client<Content> client;
+        private final Passing passing;
+        private boolean atHome;
+        private boolean over;
+        /** How home counted it, and its answer, which is given if nobody else has one. */
+        private Tally.End homeCounted;
+        private Runnable homeAnswer = () -> { };
+        private HallLink.Out out = () -> { };
+        private boolean crossing;
+        private Timers.Timer timer;
+        private List<String> whom;
+        private final Map<String, Word> words = new HashMap<>();
+
+        Passage(Dispatcher<Content> home, ServiceClass service, Request in, Command<Content> command, Client<Content> client,
+                Trail trail) {
+            this.home = home;
+            this.in = in;
+            this.command = command;
+            this.client = client;
+            this.passing = new Passing(in.id(), service, command.idempotencyKey(), in.repeat(), trail,
+                    timers.now() + in.budgetMs());
+        }
+
+        void take(Step step) {
+            if (step instanceof Halls.Home h) {
+                home(h.reserveMs());
+            } else if (step instanceof Halls.Across a) {
+                cross(a);
+            } else if (step instanceof Halls.Ask a) {
+                ask(a);
+            } else if (step instanceof Halls.Refuse r) {
+                end(Tally.End.REFUSED, r.proven() ? () -> client.refused(r.retryAfterMs()) : () -> client.refusedUnproven(r.retryAfterMs()));
+            } else if (step instanceof Halls.Fail) {
+                end(Tally.End.FAILED, client::failed);
+            } else {
+                end(homeCounted, homeAnswer);
+            }
+        }
+
+        private void home(double reserveMs) {
+            atHome = true;
+            away--;
+            double left = Math.max(0, passing.deadlineMs() - timers.now() - reserveMs);
+            home.request(new Request(in.id(), in.service(), in.tenant(), in.key(), in.workMs(), left, in.write(), in.repeat()),
+                    command, this);
+        }
+
+        private void cross(Halls.Across a) {
+            crossing = true;
+            HallLink link = links.get(a.gateway());
+            double left = link == null ? 0 : a.timeoutMs() - link.leastMs() - ANSWER_MS;
+            if (link == null || left <= 0 || !HallWire.fits(command, in.service(), in.tenant())) {
+                loop.execute(() -> crossed(Reply.of(CrossingEnd.UNSENT)));
+                return;
+            }
+            timer = timers.at(timers.now() + a.timeoutMs(), () -> {
+                out.cancel();
+                crossed(Reply.of(CrossingEnd.LOST));
+            });
+            out = link.call(new HallWire.Call(in.id(), left, in.service(), in.tenant(), in.repeat(), in.workMs(),
+                    passing.onward(settings.policy().hall()), command), this::crossed);
+        }
+
+        private void crossed(Reply reply) {
+            if (over || !crossing) {
+                return;
+            }
+            stopWaiting();
+            crossing = false;
+            Step step = halls.crossingEnded(timers.now(), passing, reply.end(), reply.retryAfterMs(), reply.beyond());
+            if (reply.end() == CrossingEnd.SERVED) {
+                end(Tally.End.SERVED, () -> client.served(new Answer<>(reply.content(), Answer.NO_NOTE)));
+            } else {
+                take(step);
+            }
+        }
+
+        private void stopWaiting() {
+            out = () -> { };
+            if (timer != null) {
+                timer.cancel();
+                timer = null;
+            }
+        }
+
+        private void ask(Halls.Ask a) {
+            whom = a.gateways();
+            timer = timers.at(timers.now() + a.patienceMs(), this::allAsked);
+            for (String gateway : whom) {
+                links.get(gateway).askKey(passing.key(), passing.service().repeatWindowMs(), word -> {
+                    if (whom != null) {
+                        words.put(gateway, word);
+                        if (words.size() == whom.size()) {
+                            allAsked();
+                        }
+                    }
+                });
+            }
+        }
+
+        private void allAsked() {
+            if (over || whom == null) {
+                return;
+            }
+            List<String> asked = whom;
+            whom = null;
+            stopWaiting();
+            take(halls.asked(timers.now(), passing, asked, words));
+        }
+
+        void clientGone() {
+            if (atHome) {
+                // Home counts it and gives its place back.
+                home.clientGone(in.id());
+                halls.homeEnded(timers.now(), passing, HomeEnd.GONE, false);
+                homeCounted = Tally.End.GONE;
+                atHome = false;
+                away++;
+            } else if (whom != null) {
+                halls.asked(timers.now(), passing, whom, Map.of());
+                whom = null;
+            } else if (crossing) {
+                crossing = false;
+                out.cancel();
+                halls.crossingEnded(timers.now(), passing, CrossingEnd.GONE, 0, Set.of());
+            }
+            end(Tally.End.GONE, () -> { });
+        }
+
+        private void end(Tally.End end, Runnable answer) {
+            if (over) {
+                return;
+            }
+            over = true;
+            stopWaiting();
+            away--;
+            open.remove(in.id());
+            halls.over(passing);
+            if (homeCounted == null) {
+                tally.took();
+                tally.ended(end);
+                settled.accept(in.service());
+            } else if (homeCounted != end) {
+                tally.changed(homeCounted, end);
+            }
+            if (passing.trail().isForeign()) {
+                answering = passing;
+            }
+            answer.run();
+        }
+
+        // What home says.
+
+        private void homeEnded(HomeEnd end, Tally.End counted, Runnable answer) {
+            if (over || !atHome) {
+                Log.info("halls: home answered " + in.id() + " twice");
+                return;
+            }
+            atHome = false;
+            away++;
+            homeCounted = counted;
+            homeAnswer = answer;
+            take(halls.homeEnded(timers.now(), passing, end, !home.isOpen(in.id())));
+        }
+
+        @Override
+        public void served(Answer<Content> answer) {
+            homeEnded(HomeEnd.SERVED, Tally.End.SERVED, () -> client.served(answer));
+        }
+
+        @Override
+        public void refused(double retryAfterMs) {
+            homeEnded(HomeEnd.REFUSED, Tally.End.REFUSED, () -> client.refused(retryAfterMs));
+        }
+
+        @Override
+        public void refusedUnproven(double retryAfterMs) {
+            homeEnded(HomeEnd.UNPROVEN, Tally.End.REFUSED, () -> client.refusedUnproven(retryAfterMs));
+        }
+
+        @Override
+        public void failed() {
+            homeEnded(HomeEnd.FAILED, Tally.End.FAILED, client::failed);
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/ridgemill/gateway/halls/HallWire.java
@@ -0,0 +1,307 @@
+package ridgemill.gateway.halls;
+
+import io.netty.handler.codec.http2.DefaultHttp2Headers;
+import io.netty.handler.codec.http2.Http2Headers;
+import java.math.BigDecimal;
+import java.net.URLDecoder;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Set;
+import java.util.regex.Pattern;
+import ridgemill.core.Command;
+import ridgemill.gateway.net.Content;
+import ridgemill.halls.Halls.CannotSay;
+import ridgemill.halls.Halls.CrossingEnd;
+import ridgemill.halls.Halls.Nothing;
+import ridgemill.halls.Halls.RanIn;
+import ridgemill.halls.Halls.Told;
+import ridgemill.halls.Halls.Word;
+import ridgemill.halls.Trail;
+
+/**
+ * What gateways say to each other, as fields of HTTP/2 (RFC 9113, section 8): one stream for each question. Fields that
+ * begin with {@code rm-} are taken from gateways alone; no client can reach this listener's protocol without their proofs.
+ */
+final class HallWire {
+
+    static final String KIND = "rm-kind";
+    static final String HELLO = "hello";
+    static final String PROOF = "proof";
+    static final String STATE = "state";
+    static final String KEY = "key";
+    static final String CALL = "call";
+    static final String VERSION = "rm-version";
+    /** Gateways of one version understand each other; another is told so. */
+    static final String THIS_VERSION = "1";
+    static final String HALL = "rm-hall";
+    static final String NONCE = "rm-nonce";
+    static final String PROVES = "rm-proof";
+    private static final String ID = "rm-id";
+    private static final String LEFT = "rm-left";
+    private static final String SENT = "rm-sent";
+    private static final String CLASS = "rm-class";
+    private static final String TENANT = "rm-tenant";
+    private static final String AGAIN = "rm-again";
+    private static final String IDEMPOTENCY = "rm-idempotency-key";
+    private static final String COST = "rm-cost";
+    private static final String HALLS = "rm-halls";
+    private static final String RAN = "rm-ran";
+    private static final String BACK = "rm-back";
+    private static final String LEVEL = "rm-level";
+    private static final String TAKES = "rm-takes";
+    private static final String LEAVING = "rm-leaving";
+    private static final String WINDOW = "rm-window";
+    private static final String AGO = "rm-ago";
+    private static final String TYPE = "content-type";
+    private static final String NEVER = "never";
+    private static final String MAYBE = "maybe";
+    private static final String OUT = "out";
+    private static final String UNKNOWN = "unknown";
+    private static final Pattern NAME = Pattern.compile("[0-9A-Za-z_.-]{1,64}");
+    private static final Pattern NUMBER = Pattern.compile("[0-9]{1,14}(\\.[0-9]{1,6})?");
+    private static final int MOST_HALLS = 16;
+    private static final int MOST_TEXT = 1024;
+    private static final int MOST_PATH = 8192;
+    /** What a head may have in all: four texts, a path, and the small ones. */
+    static final int MOST_HEAD = 16 * 1024;
+    private static final double MAX_LEFT_MS = 3_600_000;
+
+    private HallWire() { }
+
+    /** What came makes no sense; nothing of it was done. */
+    static final class WireException extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        WireException(String what) {
+            super(what);
+        }
+    }
+
+    /**
+     * A request that crosses.
+     *
+     * @param leftMs how long its client still waits when it is written, the least time on the way there and back taken off
+     */
+    record Call(String id, double leftMs, String service, String tenant, boolean again, double workMs, Trail trail,
+                Command<Content> command) { }
+
+    /** How a crossing ended, as the other hall tells it, and which halls it entered beyond that one. */
+    record Reply(CrossingEnd end, Content content, double retryAfterMs, Set<String> beyond) {
+
+        /** The link has gone, or it never came to it. */
+        static Reply of(CrossingEnd end) {
+            return new Reply(end, null, 0, Set.of());
+        }
+    }
+
+    /** Whether a hall may have this name: it stands in fields, certificates and logs. */
+    static boolean isName(String text) {
+        return NAME.matcher(text).matches();
+    }
+
+    static Http2Headers ask(String kind) {
+        return new DefaultHttp2Headers().method("GET").scheme("http").path("/").authority("hall").set(KIND, kind);
+    }
+
+    /** Says when it is written, by a clock of the connection's own. */
+    static void stamp(Http2Headers h, double ms) {
+        h.set(SENT, number(ms));
+    }
+
+    /** When it was written by the sender's clock; not a number where it does not say. */
+    static double stamp(Http2Headers h) {
+        return number(h, SENT);
+    }
+
+    static Http2Headers status(int status) {
+        return new DefaultHttp2Headers().status(String.valueOf(status));
+    }
+
+    /** Whether what its client chose is short enough to cross whole; a key that is cut is another key. */
+    static boolean fits(Command<Content> command, String service, String tenant) {
+        for (String text : new String[] {command.idempotencyKey(), service, tenant, command.content().mediaType()}) {
+            if (text != null && encode(text).length() > MOST_TEXT) {
+                return false;
+            }
+        }
+        return command.target().length() <= MOST_PATH;
+    }
+
+    static Http2Headers call(Call c) {
+        Http2Headers h = new DefaultHttp2Headers().method(switch (c.command().action()) {
+            case READ -> "GET";
+            case WRITE -> "PUT";
+            case DELETE -> "DELETE";
+        }).scheme("http").path(c.command().target()).authority("hall").set(KIND, CALL).set(ID, c.id()).set(LEFT, number(c.leftMs()))
+                .set(CLASS, encode(c.service())).set(HALLS, String.join(",", c.trail().halls()));
+        if (!c.trail().mayHaveRun().isEmpty()) {
+            h.set(RAN, String.join(",", c.trail().mayHaveRun()));
+        }
+        if (c.tenant() != null) {
+            h.set(TENANT, encode(c.tenant()));
+        }
+        if (c.again()) {
+            h.set(AGAIN, "1");
+        }
+        if (c.workMs() > 0) {
+            h.set(COST, number(c.workMs()));
+        }
+        if (c.command().idempotencyKey() != null) {
+            h.set(IDEMPOTENCY, encode(c.command().idempotencyKey()));
+        }
+        if (c.command().content().mediaType() != null) {
+            h.set(TYPE, encode(c.command().content().mediaType()));
+        }
+        return h;
+    }
+
+    /** Reads a call whose body is all here. */
+    static Call call(Http2Headers h, Content content) throws WireException {
+        String id = text(h, ID);
+        String path = String.valueOf(h.path());
+        if (id == null || id.isEmpty() || !path.startsWith("/")) {
+            throw new WireException("no call");
+        }
+        Command.Action action = switch (String.valueOf(h.method())) {
+            case "GET" -> Command.Action.READ;
+            case "PUT" -> Command.Action.WRITE;
+            case "DELETE" -> Command.Action.DELETE;
+            default -> throw new WireException("unknown method");
+        };
+        double left = number(h, LEFT);
+        List<String> halls = names(h, HALLS);
+        if (!(left >= 0 && left <= MAX_LEFT_MS) || halls.isEmpty() || halls.size() > MOST_HALLS) {
+            throw new WireException("no time, or no hall that it comes from");
+        }
+        String service = decoded(h, CLASS);
+        if (service == null) {
+            throw new WireException("no class");
+        }
+        String key = decoded(h, IDEMPOTENCY);
+        return new Call(id, left, service, decoded(h, TENANT), "1".equals(text(h, AGAIN)),
+                h.contains(COST) ? number(h, COST) : 0, new Trail(halls, Set.copyOf(names(h, RAN))),
+                new Command<>(action, path, key, new Content(content.bytes(), decoded(h, TYPE))));
+    }
+
+    static Http2Headers served(Content content) {
+        Http2Headers h = status(content.isAbsent() ? 404 : 200);
+        return content.mediaType() == null ? h : h.set(TYPE, encode(content.mediaType()));
+    }
+
+    /** An answer without a value; whether it may have run, or be running still, is of this hall and those beyond. */
+    static Http2Headers turnedAway(int status, boolean mayHaveRun, boolean mayBeOut, double retryAfterMs, Set<String> beyond) {
+        Http2Headers h = status(status).set(RAN, mayBeOut ? OUT : mayHaveRun ? MAYBE : NEVER);
+        if (!beyond.isEmpty()) {
+            h.set(HALLS, String.join(",", beyond));
+        }
+        return retryAfterMs > 0 ? h.set(BACK, number(retryAfterMs)) : h;
+    }
+
+    /** Reads the answer to a call, whose body is all here. */
+    static Reply reply(Http2Headers h, Content content) {
+        return switch (String.valueOf(h.status())) {
+            case "200" -> new Reply(CrossingEnd.SERVED, new Content(content.bytes(), decoded(h, TYPE)), 0, Set.of());
+            case "404" -> new Reply(CrossingEnd.SERVED, Content.ABSENT, 0, Set.of());
+            default -> {
+                // Only a word to that effect shows that nothing ran.
+                boolean never = NEVER.equals(text(h, RAN));
+                boolean maybe = MAYBE.equals(text(h, RAN));
+                double back = h.contains(BACK) ? number(h, BACK) : 0;
+                try {
+                    yield new Reply(never ? CrossingEnd.REFUSED : maybe ? CrossingEnd.FAILED : CrossingEnd.LOST, null, Double.isNaN(back) ? 0 : back,
+                            Set.copyOf(names(h, HALLS)));
+                } catch (WireException e) {
+                    yield Reply.of(CrossingEnd.LOST);
+                }
+            }
+        };
+    }
+
+    static Http2Headers state(Told told) {
+        return status(200).set(LEVEL, String.valueOf(told.level())).set(TAKES, told.takes() ? "1" : "0")
+                .set(LEAVING, told.leaving() ? "1" : "0");
+    }
+
+    static Told state(Http2Headers h) {
+        double level = h.contains(LEVEL) ? number(h, LEVEL) : 0;
+        return new Told(Double.isNaN(level) ? 0 : (int) level, "1".equals(text(h, TAKES)), "1".equals(text(h, LEAVING)));
+    }
+
+    static Http2Headers keyAsked(String key, double windowMs) {
+        return ask(KEY).set(IDEMPOTENCY, encode(key)).set(WINDOW, number(windowMs));
+    }
+
+    static String askedKey(Http2Headers h) throws WireException {
+        String key = decoded(h, IDEMPOTENCY);
+        if (key == null || key.isEmpty()) {
+            throw new WireException("no key");
+        }
+        return key;
+    }
+
+    static double askedWindow(Http2Headers h) throws WireException {
+        double window = number(h, WINDOW);
+        if (!(window > 0 && window <= MAX_LEFT_MS)) {
+            throw new WireException("no window");
+        }
+        return window;
+    }
+
+    static Http2Headers word(Word word) {
+        Http2Headers h = status(200);
+        return word instanceof RanIn ran ? h.set(RAN, ran.hall()).set(AGO, number(ran.agoMs()))
+                : h.set(RAN, word instanceof Nothing ? NEVER : UNKNOWN);
+    }
+
+    static Word word(Http2Headers h) {
+        String ran = text(h, RAN);
+        double ago = h.contains(AGO) ? number(h, AGO) : Double.NaN;
+        if (ran == null || !"200".equals(String.valueOf(h.status())) || ran.equals(UNKNOWN)) {
+            return new CannotSay();
+        }
+        return ran.equals(NEVER) ? new Nothing() : Double.isNaN(ago) ? new CannotSay() : new RanIn(ran, ago);
+    }
+
+    /** A field as text; null where there is none. */
+    static String text(Http2Headers h, String name) {
+        CharSequence value = h.get(name);
+        return value == null || value.length() > MOST_TEXT ? null : value.toString();
+    }
+
+    private static String number(double value) {
+        return BigDecimal.valueOf(Math.max(0, Math.round(value * 1000)), 3).toPlainString();
+    }
+
+    private static double number(Http2Headers h, String name) {
+        String text = text(h, name);
+        return text != null && NUMBER.matcher(text).matches() ? Double.parseDouble(text) : Double.NaN;
+    }
+
+    private static List<String> names(Http2Headers h, String name) throws WireException {
+        String text = text(h, name);
+        if (text == null || text.isEmpty()) {
+            return List.of();
+        }
+        List<String> names = Arrays.asList(text.split(","));
+        if (!names.stream().allMatch(HallWire::isName)) {
+            throw new WireException("no names of halls: " + name);
+        }
+        return names;
+    }
+
+    /** What clients chose may hold any character; fields may not (RFC 9113, section 8.2.1). */
+    private static String encode(String text) {
+        return URLEncoder.encode(text, StandardCharsets.UTF_8);
+    }
+
+    private static String decoded(Http2Headers h, String name) {
+        String text = text(h, name);
+        try {
+            return text == null ? null : URLDecoder.decode(text, StandardCharsets.UTF_8);
+        } catch (IllegalArgumentException e) {
+            return null;
+        }
+    }
+}
--- a/gateway/src/main/java/ridgemill/gateway/operator/Operated.java
+++ b/gateway/src/main/java/ridgemill/gateway/operator/Operated.java
@@ -2,6 +2,7 @@
 
 import com.google.gson.Gson;
 import com.google.gson.JsonObject;
+import io.netty.channel.ChannelFuture;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
@@ -16,9 +17,11 @@
 import ridgemill.gateway.Service;
 import ridgemill.gateway.control.ControlServer;
 import ridgemill.gateway.front.resp.RespFront;
+import ridgemill.gateway.halls.HallCrossings;
 import ridgemill.gateway.membership.eureka.EurekaRegistration;
 import ridgemill.gateway.net.Clock;
 import ridgemill.gateway.net.Log;
+import ridgemill.gateway.net.LoopTimers;
 import ridgemill.gateway.net.Transport;
 import ridgemill.gateway.operator.OperatorConfig.Listener;
 import ridgemill.policy.Router;
@@ -55,6 +58,7 @@
     private ControlServer control;
     private RespFront resp;
     private EurekaRegistration registration;
+    private HallCrossings halls;
     private long reloads;
 
     private Operated(String file, Config config, OperatorConfig operator) {
@@ -85,6 +89,9 @@
             groups.take(holds.groups(), holds.eureka());
             service.intake().classes(gate.classes());
         });
+        if (holds.halls() != null) {
+            beginHalls();
+        }
         for (Listener l : holds.listeners()) {
             listen(l, holds);
         }
@@ -97,10 +104,39 @@
         }
     }
 
+    private void beginHalls() throws IOException, InterruptedException {
+        IOException[] failed = {null};
+        service.between(() -> {
+            try {
+                halls = new HallCrossings(service.loop(), new LoopTimers(service.loop(), clock), service.intake(), holds.halls(),
+                        service::level, config.seed());
+                service.onStop(halls::stop);
+            } catch (IOException e) {
+                failed[0] = e;
+            }
+        });
+        if (failed[0] != null) {
+            throw failed[0];
+        }
+        ChannelFuture bound = halls.listen();
+        if (bound != null) {
+            Service.bound(bound, holds.halls().listen());
+        }
+    }
+
     public Service service() {
         return service;
     }
 
+    /** How other halls and the links to them are, a line each; empty where there are none. Not to be called on the loop. */
+    public List<String> halls() {
+        List<String> lines = new ArrayList<>();
+        if (halls != null) {
+            service.between(() -> lines.addAll(halls.explain()));
+        }
+        return lines;
+    }
+
     /** Opens a listener of a file that is to hold: whoever comes first is asked for that file's passwords already. */
     private void listen(Listener l, OperatorConfig config) throws IOException, InterruptedException {
         if (l.protocol().equals("http")) {
@@ -139,6 +175,9 @@
         if (registration != null) {
             registration.outOfService();
         }
+        if (halls != null) {
+            service.loop().execute(halls::leave);
+        }
         service.drainThen(() -> {
             if (registration != null) {
                 registration.cancel();
@@ -192,6 +231,9 @@
             service.intake().turnAwayIf(gate::isOutdated);
             groups.drop(next.groups());
             passwords(next);
+            if (halls != null && halls.isFixedIn(next.halls())) {
+                halls.changeTo(next.halls());
+            }
             service.intake().limitsChanged();
         });
         before.stream().filter(l -> isMissing(l, next.listeners())).forEach(this::unlisten);
@@ -202,6 +244,9 @@
         if (!Objects.equals(holds.register(), next.register())) {
             notes.add("eureka.register holds from the next start on");
         }
+        if (!Objects.equals(holds.halls(), next.halls()) && (halls == null || !halls.isFixedIn(next.halls()))) {
+            notes.add("halls: its name, listen and security hold from the next start on, and so does the section as a whole");
+        }
         holds = next;
         return new Reload(true, summary(next), List.of(), notes);
     }
@@ -237,9 +282,10 @@
     private CompletionStage<String> command(String line) {
         return switch (line) {
             case "reload" -> CompletableFuture.supplyAsync(() -> JSON.toJson(reloadNow()), turns);
-            case "nodes" -> CompletableFuture.supplyAsync(this::nodesJson, turns);
+            case "halls" -> CompletableFuture.supplyAsync(() -> linesJson("halls", halls()), turns);
+            case "nodes" -> CompletableFuture.supplyAsync(() -> linesJson("nodes", nodes()), turns);
             case "status" -> CompletableFuture.supplyAsync(this::status, turns);
-            default -> CompletableFuture.completedFuture("{\"done\":false,\"reason\":\"no such command: reload, status, nodes\"}");
+            default -> CompletableFuture.completedFuture("{\"done\":false,\"reason\":\"no such command: reload, status, nodes, halls\"}");
         };
     }
 
@@ -250,9 +296,9 @@
         return lines;
     }
 
-    private String nodesJson() {
+    private static String linesJson(String name, List<String> lines) {
         JsonObject o = new JsonObject();
-        o.add("nodes", JSON.toJsonTree(nodes()));
+        o.add(name, JSON.toJsonTree(lines));
         return JSON.toJson(o);
     }
 
--- a/gateway/src/main/java/ridgemill/gateway/operator/OperatorConfig.java
+++ b/gateway/src/main/java/ridgemill/gateway/operator/OperatorConfig.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import ridgemill.classes.ClassPolicy;
+import ridgemill.gateway.halls.HallSettings;
 import ridgemill.gateway.membership.eureka.EurekaRegistration;
 import ridgemill.gateway.membership.eureka.EurekaSettings;
 import ridgemill.limit.Limits;
@@ -25,10 +26,11 @@
  * @param eureka how a registry is read; null for none
  * @param register what of the gateway itself is in the registry; null for nothing
  * @param control the socket at which operators ask a running proxy; null for none
+ * @param halls other halls that requests may cross to; null for none
  */
 public record OperatorConfig(Map<String, ClassPolicy> classes, RouteTable<Target> routes, Limits limits,
                              Map<String, NodeGroup> groups, List<Listener> listeners, Map<String, String> passwords,
-                             EurekaSettings eureka, EurekaRegistration.Self register, Path control) {
+                             EurekaSettings eureka, EurekaRegistration.Self register, Path control, HallSettings halls) {
 
     /** Where a route leads: a class, or null for the one that the request names, and a group of nodes. */
     public record Target(String service, String group) { }
--- a/gateway/src/main/java/ridgemill/gateway/operator/OperatorFile.java
+++ b/gateway/src/main/java/ridgemill/gateway/operator/OperatorFile.java
@@ -12,6 +12,7 @@
 import org.tomlj.TomlParseResult;
 import ridgemill.classes.ClassPolicy;
 import ridgemill.classes.PlatformFacts;
+import ridgemill.gateway.halls.HallSettings;
 import ridgemill.gateway.membership.eureka.EurekaSettings;
 import ridgemill.gateway.operator.OperatorConfig.Listener;
 import ridgemill.gateway.operator.OperatorConfig.Target;
@@ -66,8 +67,9 @@
         List<Listener> listeners = ListenersSection.read(root);
         Map<String, String> passwords = RespSection.read(root);
         Path control = ControlSection.read(root);
+        HallSettings halls = HallsSection.read(root, classes, platform);
         root.done();
         return new OperatorConfig(classes, routes, limits, groups, listeners, passwords, eureka,
-                EurekaSection.register(root), control);
+                EurekaSection.register(root), control, halls);
     }
 }
--- a/lab/src/main/java/ridgemill/lab/ProcessProxy.java
+++ b/lab/src/main/java/ridgemill/lab/ProcessProxy.java
@@ -8,6 +8,7 @@
 import java.net.URI;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import ridgemill.gateway.net.Addresses;
@@ -22,9 +23,16 @@
     private final InetSocketAddress address;
     private final Path config;
     private final Path log;
+    private final List<String> arguments;
     private Process process;
 
     ProcessProxy(String name, InetSocketAddress address, JsonObject config, Path directory) throws IOException {
+        this(name, address, config, directory, List.of());
+    }
+
+    /** One that gets further arguments behind its command. */
+    ProcessProxy(String name, InetSocketAddress address, JsonObject config, Path directory, List<String> arguments) throws IOException {
+        this.arguments = List.copyOf(arguments);
         this.name = name;
         this.address = address;
         this.config = directory.resolve(name + ".json");
@@ -45,9 +53,11 @@
     @Override
     public void start() throws Exception {
         String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
-        ProcessBuilder builder = new ProcessBuilder(List.of(java, "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
+        List<String> command = new ArrayList<>(List.of(java, "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
                 "-Xmx64m", "-Dio.netty.jfr.enabled=false", "-cp", System.getProperty("java.class.path"),
                 "ridgemill.Main", "serve"));
+        command.addAll(arguments);
+        ProcessBuilder builder = new ProcessBuilder(command);
         builder.environment().put("BALANCER_CONFIG", config.toString());
         builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
         builder.directory(new File("."));
--- a/testbed/src/main/java/ridgemill/testbed/Testbed.java
+++ b/testbed/src/main/java/ridgemill/testbed/Testbed.java
@@ -40,7 +40,7 @@
     private final EventLoop linkLoop = group.next();
     private final EventLoop clientLoop = group.next();
     private final AtomicLong lateNanos = new AtomicLong();
-    private final Ledger ledger = new Ledger();
+    private final Ledger ledger;
     private final SplittableRandom seeds;
     private final StandInFleet fleet;
     private final Map<String, String> health = new LinkedHashMap<>();
@@ -60,6 +60,13 @@
     /** A fleet that runs and speaks a protocol. */
     public Testbed(int nodes, NodeProfile cache, NodeProfile store, boolean linked, double repeatWindowMs, long seed,
                    Protocol protocol) {
+        this(nodes, cache, store, linked, repeatWindowMs, seed, protocol, new Ledger());
+    }
+
+    /** A fleet that runs and speaks a protocol, and what is seen goes into this ledger. */
+    public Testbed(int nodes, NodeProfile cache, NodeProfile store, boolean linked, double repeatWindowMs, long seed,
+                   Protocol protocol, Ledger ledger) {
+        this.ledger = ledger;
         this.seeds = new SplittableRandom(seed);
         this.linked = linked;
         this.fleet = new StandInFleet(nodeLoop, ledger, nodes, cache, store, seeds.nextLong(), repeatWindowMs,
--- a/testbed/src/main/java/ridgemill/testbed/ledger/Ledger.java
+++ b/testbed/src/main/java/ridgemill/testbed/ledger/Ledger.java
@@ -1,5 +1,6 @@
 package ridgemill.testbed.ledger;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
@@ -17,13 +18,45 @@
     /** A proxy's process was killed; what it held is its clients' to retry. */
     public record Killed(String proxy, double at) { }
 
-    private final long origin = System.nanoTime();
+    private final long origin;
     private final Collection<NodeEntry> nodes = new ConcurrentLinkedQueue<>();
     private final Collection<ClientEntry> clients = new ConcurrentLinkedQueue<>();
     private final Collection<Told> told = new ConcurrentLinkedQueue<>();
     private final Collection<FellOver> fallen = new ConcurrentLinkedQueue<>();
     private final Collection<Killed> killed = new ConcurrentLinkedQueue<>();
 
+    /** A ledger whose clock begins now. */
+    public Ledger() {
+        this(System.nanoTime());
+    }
+
+    private Ledger(long origin) {
+        this.origin = origin;
+    }
+
+    /** An empty ledger on the same clock, as of another site. */
+    public Ledger sibling() {
+        return new Ledger(origin);
+    }
+
+    /** All that this one and its siblings hold so far, in one. */
+    public Ledger with(List<Ledger> siblings) {
+        Ledger all = new Ledger(origin);
+        List<Ledger> each = new ArrayList<>(siblings);
+        each.add(0, this);
+        for (Ledger l : each) {
+            if (l.origin != origin) {
+                throw new IllegalArgumentException("a ledger on another clock");
+            }
+            all.nodes.addAll(l.nodes);
+            all.clients.addAll(l.clients);
+            all.told.addAll(l.told);
+            all.fallen.addAll(l.fallen);
+            all.killed.addAll(l.killed);
+        }
+        return all;
+    }
+
     /** The testbed's clock: milliseconds since it began. */
     public double now() {
         return (System.nanoTime() - origin) / 1e6;
--- a/testbed/src/main/java/ridgemill/testbed/link/Link.java
+++ b/testbed/src/main/java/ridgemill/testbed/link/Link.java
@@ -20,6 +20,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import ridgemill.testbed.Reservation;
 import ridgemill.testbed.Sockets;
 
 /**
@@ -68,7 +69,8 @@
     private final EventLoop loop;
     private final InetSocketAddress target;
     private final SplittableRandom random;
-    private final Channel listener;
+    private final Reservation port = new Reservation();
+    private Channel listener;
     private final Set<Pair> pairs = new LinkedHashSet<>();
     private volatile Conditions there = Conditions.CLEAR;
     private volatile Conditions back = Conditions.CLEAR;
@@ -81,19 +83,23 @@
         this.loop = loop;
         this.target = target;
         this.random = new SplittableRandom(seed);
-        this.listener = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+        listen();
+    }
+
+    private void listen() {
+        listener = new ServerBootstrap().group(loop).option(ChannelOption.SO_REUSEADDR, true).channel(NioServerSocketChannel.class)
                 .childOption(ChannelOption.TCP_NODELAY, true).childOption(ChannelOption.AUTO_READ, false)
                 .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         new Pair(channel).open();
                     }
-                }).bind(new InetSocketAddress("127.0.0.1", 0)).syncUninterruptibly().channel();
+                }).bind(port.address()).syncUninterruptibly().channel();
     }
 
     /** Where the target is reached through this link. */
     public InetSocketAddress address() {
-        return (InetSocketAddress) listener.localAddress();
+        return port.address();
     }
 
     /** Sets the conditions of both directions. */
@@ -118,6 +124,19 @@
         }).syncUninterruptibly().getNow();
     }
 
+    /**
+     * Refuses connections from now on and resets those that it has, as a route that is gone; ends with false. Unlike what a
+     * cut shows, who is refused knows that nothing arrived. Not to be called on the loop.
+     */
+    public void refuse(boolean none) {
+        if (none) {
+            listener.close().syncUninterruptibly();
+            reset();
+        } else {
+            listen();
+        }
+    }
+
     /** Resets every connection that goes through it. */
     public void reset() {
         loop.submit(() -> List.copyOf(pairs).forEach(Pair::reset)).syncUninterruptibly().getNow();
@@ -132,6 +151,7 @@
     public void close() {
         listener.close().syncUninterruptibly();
         reset();
+        port.close();
     }
 
     /** The two connections that a link joins. */
