--- a/lab/src/main/java/ridgemill/lab/Main.java
+++ b/lab/src/main/java/ridgemill/lab/Main.java
@@ -38,7 +38,7 @@
     }
 
     @Command(name = "ridgemill-lab", mixinStandardHelpOptions = true, subcommands = {DemoCommand.class, Run.class,
-        ListAll.class, SiteCommand.class}, description = "Plays faults on whole fleets of stand-ins, on this machine's loopback alone.")
+        ListAll.class, SiteCommand.class, HallsCommand.class}, description = "Plays faults on whole fleets of stand-ins, on this machine's loopback alone.")
     static final class Root implements Callable<Integer> {
         @Override
         public Integer call() {
@@ -122,6 +122,20 @@
         }
     }
 
+    @Command(name = "halls", mixinStandardHelpOptions = true, description = "Plays faults on two halls with and without gateways "
+        + "between them, and measures what a crossing costs; some four minutes.")
+    static final class HallsCommand implements Callable<Integer> {
+        @Option(names = "--seed", paramLabel = "N", defaultValue = "7",
+                description = "Decides arrivals, keys and losses (default: ${DEFAULT-VALUE}).")
+        private long seed;
+
+        @Override
+        public Integer call() throws Exception {
+            new HallsMeasured(seed, Files.createTempDirectory("halls")).run();
+            return 0;
+        }
+    }
+
     @Command(name = "list", mixinStandardHelpOptions = true, description = "Names the scenarios that come with the program.")
     static final class ListAll implements Callable<Integer> {
         @Override
