--- a/bench/src/main/java/ridgemill/bench/Subject.java
+++ b/bench/src/main/java/ridgemill/bench/Subject.java
@@ -74,6 +74,12 @@
      */
     static Subject ridgemill(JsonObject more, int core, Path directory, String... arguments)
             throws IOException, InterruptedException {
+        return ridgemill(more, core, directory, List.of(), arguments);
+    }
+
+    /** The same with further variables of its environment, each {@code NAME=VALUE}. */
+    static Subject ridgemill(JsonObject more, int core, Path directory, List<String> environment, String... arguments)
+            throws IOException, InterruptedException {
         InetSocketAddress address = freeAddress();
         JsonObject config = JsonParser.parseString("""
                 {"name": "bench",
@@ -87,11 +93,13 @@
         config.addProperty("listen", Addresses.text(address));
         more.entrySet().forEach(e -> config.add(e.getKey(), e.getValue()));
         Path file = Files.writeString(directory.resolve("ridgemill.json"), config.toString());
+        List<String> variables = new ArrayList<>(environment);
+        variables.add("BALANCER_CONFIG=" + file);
         String run = Files.readAllLines(Path.of("deploy/balancer.toml")).stream().filter(l -> l.startsWith("run = "))
                 .map(l -> l.substring(l.indexOf('"') + 1, l.lastIndexOf('"'))).findFirst()
                 .orElseThrow(() -> new IOException("deploy/balancer.toml: no line 'run = ...' (start this from the root)"));
         return start("ridgemill", address, core, directory, List.of("/bin/sh", "-c", String.join(" ", run,
-                String.join(" ", arguments))), List.of("BALANCER_CONFIG=" + file));
+                String.join(" ", arguments))), variables);
     }
 
     /** The middle one of figures, one a round. */
