A class that stays at home is asked of nobody, and does not come in

Need: a hall whose operators let reads alone cross still asked the others where a credit's earlier try had run, and refused it while a link was down; and it took other halls' requests of such a class.

Change: what 'classes' leaves out goes home at once, without the ledger, and is refused to other halls.

--- a/core/src/main/java/ridgemill/halls/Halls.java
+++ b/core/src/main/java/ridgemill/halls/Halls.java
@@ -199,6 +199,15 @@
 
     /** A request has come. Whatever becomes of it, {@link #over} is owed. */
     public Step arrived(double nowMs, Passing p) {
+        if (!policy.crosses(p.service().name())) {
+            // Of a class that stays at home nothing can have run elsewhere, and nobody is asked.
+            if (p.trail().isForeign()) {
+                refusedForeign++;
+                return new Refuse(COME_BACK_MS, true);
+            }
+            p.wentHome = true;
+            return new Home(0);
+        }
         if (p.trail().isForeign()) {
             if (loops(nowMs, p)) {
                 loops++;
--- a/core/src/test/java/ridgemill/halls/HallsTest.java
+++ b/core/src/test/java/ridgemill/halls/HallsTest.java
@@ -196,6 +196,11 @@
         Passing p = own(READ, null, false, LATER);
         only.arrived(LATER, p);
         assertInstanceOf(AsHome.class, only.homeEnded(LATER + 5, p, HomeEnd.REFUSED, true));
+        assertInstanceOf(Refuse.class, only.arrived(LATER, new Passing("f", READ, null, false, new Trail(List.of("b"), Set.of()),
+                LATER + 1000)), "nor does it come in");
+        Halls reads = halls(policy(Set.of("reading"), Set.of(), 1000, 100));
+        reads.policy().all().forEach(g -> reads.link(g, LinkPulse.State.DEAD, 10));
+        assertInstanceOf(Home.class, reads.arrived(LATER, own(CREDIT, "k", true, LATER)), "nobody is asked of what never crosses");
         Halls poor = halls(policy(Set.of(), Set.of(), 4, 100));
         int across = 0;
         for (int i = 0; i < 40; i++) {
--- a/lab/src/main/java/ridgemill/lab/HallsMeasured.java
+++ b/lab/src/main/java/ridgemill/lab/HallsMeasured.java
@@ -22,6 +22,7 @@
 import ridgemill.testbed.ledger.ClientEntry;
 import ridgemill.testbed.ledger.LoadClass;
 import ridgemill.testbed.ledger.NodeEntry;
+import ridgemill.testbed.ledger.Violation;
 import ridgemill.testbed.link.Link;
 import ridgemill.testbed.link.Link.Conditions;
 import ridgemill.testbed.load.LoadProfile;
@@ -193,30 +194,14 @@
             for (CompletableFuture<Void> l : loads) {
                 l.get(60, TimeUnit.SECONDS);
             }
-            List<ridgemill.testbed.ledger.Violation> broken = new Auditor(halls.seen(), Auditor.Limits.STRICT.withSlack(50
+            List<Violation> broken = new Auditor(halls.seen(), Auditor.Limits.STRICT.withSlack(50
                     + halls.latenessMs())).audit();
             broken.stream().limit(5).forEach(v -> System.out.println("  " + name + ": " + v));
-            return new Outcome(teku, baneshwor, start, halls.seen().clients().size(), broken.size(), enteredTwice(halls),
+            return new Outcome(teku, baneshwor, start, halls.seen().clients().size(), broken.size(), halls.enteredTwice().size(),
                     doubled(halls), late(halls));
         }
     }
 
-    private static long enteredTwice(TwoHalls halls) {
-        Map<String, List<Map.Entry<Double, String>>> visits = new HashMap<>();
-        halls.all().forEach(hall -> hall.bed().ledger().nodes().stream().filter(e -> e.begunAt() > 0 && !e.id().isEmpty()).forEach(e ->
-                visits.computeIfAbsent(e.id(), id -> new ArrayList<>()).add(Map.entry(e.begunAt(), hall.name()))));
-        return visits.values().stream().filter(of -> {
-            of.sort(Map.Entry.comparingByKey());
-            List<String> order = new ArrayList<>();
-            of.forEach(v -> {
-                if (order.isEmpty() || !order.get(order.size() - 1).equals(v.getValue())) {
-                    order.add(v.getValue());
-                }
-            });
-            return order.stream().distinct().count() != order.size();
-        }).count();
-    }
-
     private static long doubled(TwoHalls halls) {
         return halls.seen().nodes().stream().filter(NodeEntry::hasRecorded).collect(Collectors.groupingBy(e ->
                 String.valueOf(e.idempotencyKey()), Collectors.counting())).values().stream().filter(n -> n > 1).count();
--- a/lab/src/main/java/ridgemill/lab/TwoHalls.java
+++ b/lab/src/main/java/ridgemill/lab/TwoHalls.java
@@ -10,6 +10,7 @@
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -395,6 +396,27 @@
         return ledger.with(halls.values().stream().map(h -> h.bed.ledger()).toList());
     }
 
+    /** Requests whose attempts left a hall and came back to it, with the halls in their order. */
+    List<String> enteredTwice() {
+        Map<String, List<Map.Entry<Double, String>>> visits = new HashMap<>();
+        halls.values().forEach(hall -> hall.bed.ledger().nodes().stream().filter(e -> e.begunAt() > 0 && !e.id().isEmpty()).forEach(e ->
+                visits.computeIfAbsent(e.id(), id -> new ArrayList<>()).add(Map.entry(e.begunAt(), hall.name))));
+        List<String> twice = new ArrayList<>();
+        visits.forEach((id, of) -> {
+            of.sort(Map.Entry.comparingByKey());
+            List<String> order = new ArrayList<>();
+            of.forEach(v -> {
+                if (order.isEmpty() || !order.get(order.size() - 1).equals(v.getValue())) {
+                    order.add(v.getValue());
+                }
+            });
+            if (order.stream().distinct().count() != order.size()) {
+                twice.add(id + " " + order);
+            }
+        });
+        return twice;
+    }
+
     /** How late the stand-ins ran at worst. */
     double latenessMs() {
         return halls.values().stream().mapToDouble(h -> h.bed.latenessMs()).max().orElse(0);
--- a/lab/src/test/java/ridgemill/lab/HallsTest.java
+++ b/lab/src/test/java/ridgemill/lab/HallsTest.java
@@ -11,7 +11,6 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -92,35 +91,12 @@
             awaitLoads();
             double slack = SLACK_MS + halls.latenessMs();
             assertEquals(List.of(), new Auditor(halls.seen(), Auditor.Limits.STRICT.withSlack(slack)).audit());
-            assertEquals(List.of(), enteredTwice());
+            assertEquals(List.of(), halls.enteredTwice());
         } finally {
             halls.close();
         }
     }
 
-    /** Requests whose attempts left a hall and came back to it. */
-    private List<String> enteredTwice() {
-        Map<String, List<Map.Entry<Double, String>>> visits = new HashMap<>();
-        for (Hall hall : halls.all()) {
-            hall.bed().ledger().nodes().stream().filter(e -> e.begunAt() > 0 && !e.id().isEmpty()).forEach(e ->
-                    visits.computeIfAbsent(e.id(), id -> new ArrayList<>()).add(Map.entry(e.begunAt(), hall.name())));
-        }
-        List<String> twice = new ArrayList<>();
-        visits.forEach((id, of) -> {
-            of.sort(Map.Entry.comparingByKey());
-            List<String> order = new ArrayList<>();
-            of.forEach(v -> {
-                if (order.isEmpty() || !order.get(order.size() - 1).equals(v.getValue())) {
-                    order.add(v.getValue());
-                }
-            });
-            if (order.stream().distinct().count() != order.size()) {
-                twice.add(id + " " + order);
-            }
-        });
-        return twice;
-    }
-
     // One client.
 
     /** What one client heard. */
