--- a/bench/src/main/java/ridgemill/bench/Profile.java
+++ b/bench/src/main/java/ridgemill/bench/Profile.java
@@ -1,15 +1,9 @@
 package ridgemill.bench;
 
-import com.google.gson.JsonObject;
-import com.google.gson.JsonParser;
-import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -23,9 +17,6 @@
 import jdk.jfr.consumer.RecordingFile;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
-import picocli.CommandLine;
-import ridgemill.gateway.net.Addresses;
-import ridgemill.testbed.discovery.DiscoveryStandIn.Host;
 import ridgemill.testbed.discovery.DiscoveryStandIn;
 import ridgemill.testbed.ledger.Ledger;
 
@@ -38,10 +29,9 @@
  */
 @Command(name = "profile", mixinStandardHelpOptions = true, description = "Samples the proxy under full load and tells by owner "
         + "where its time goes.")
-public final class Profile implements Runnable {
+public final class Profile extends CoreMeasurement {
 
     private static final int NODES = 6;
-    private static final int CONNECTIONS = 32;
     private static final int TOPS = 25;
 
     /** Owners by the beginning of a class's name, the first that fits; a frame that fits none belongs to its caller. */
@@ -74,42 +64,25 @@
     @Option(names = "--warm-up", paramLabel = "N", defaultValue = "8",
             description = "Seconds under full load before that (default: ${DEFAULT-VALUE}).")
     private int warmUp;
-    @Option(names = "--core", paramLabel = "N", defaultValue = "2", description = "The core that the proxy runs on (default: ${DEFAULT-VALUE}).")
-    private int core;
 
     public static void main(String[] args) {
-        System.exit(new CommandLine(new Profile()).execute(args));
+        main(new Profile(), args);
     }
 
     @Override
-    public void run() {
-        try {
-            measure();
-        } catch (Exception e) {
-            throw new IllegalStateException(e.getMessage(), e);
-        }
-    }
-
-    private void measure() throws Exception {
-        Path directory = Files.createTempDirectory("ridgemill-profile");
+    void measure(Path directory) throws Exception {
         Path recording = directory.resolve("run.jfr");
-        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(3, NioIoHandler.newFactory());
-        EventLoop nodeLoop = group.next();
-        EventLoop clientLoop = group.next();
-        List<InetSocketAddress> nodes = new ArrayList<>();
-        for (int i = 0; i < NODES; i++) {
-            nodes.add(new FlatNode(nodeLoop).address());
-        }
+        List<InetSocketAddress> nodes = nodes(NODES, () -> new FlatNode(nodeLoop).address());
         Pressure.Result full;
         double cpu;
-        try (DiscoveryStandIn discovery = new DiscoveryStandIn(group.next(), new Ledger(), "bench");
-                Subject proxy = proxy(discovery, nodes, directory, recording)) {
+        try (DiscoveryStandIn discovery = new DiscoveryStandIn(otherLoop, new Ledger(), "bench");
+                Subject proxy = ridgemill(discovery, nodes, directory, List.of(
+                        "JAVA_TOOL_OPTIONS=-XX:StartFlightRecording:settings=profile,delay=" + (warmUp + 6) + "s,duration="
+                        + Math.max(2, seconds - 4) + "s,filename=" + recording))) {
             Pressure.run(clientLoop, proxy.address(), CONNECTIONS, 0, warmUp);
             double before = proxy.cpuMicros();
             full = Pressure.run(clientLoop, proxy.address(), CONNECTIONS, 0, seconds);
             cpu = (proxy.cpuMicros() - before) / Math.max(1, full.answered());
-        } finally {
-            group.shutdownGracefully();
         }
         long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
         while (!Files.exists(recording) && System.nanoTime() < end) {
@@ -120,18 +93,6 @@
         tell(recording, cpu);
     }
 
-    private Subject proxy(DiscoveryStandIn discovery, List<InetSocketAddress> nodes, Path directory, Path recording)
-            throws IOException, InterruptedException {
-        for (int i = 0; i < nodes.size(); i++) {
-            discovery.publish(new Host("c" + i, nodes.get(i), "a", "std", "up", 0));
-        }
-        JsonObject more = JsonParser.parseString("{\"limits\": {\"sockets\": 1024}}").getAsJsonObject();
-        more.addProperty("discovery", Addresses.text(discovery.address()));
-        more.add("known", discovery.known());
-        return Subject.ridgemill(more, core, directory, List.of("JAVA_TOOL_OPTIONS=-XX:StartFlightRecording:settings=profile,delay="
-                + (warmUp + 6) + "s,duration=" + Math.max(2, seconds - 4) + "s,filename=" + recording));
-    }
-
     private static void tell(Path recording, double cpuMicros) throws IOException {
         Map<String, Integer> owners = new TreeMap<>();
         Map<String, Integer> tops = new TreeMap<>();
--- a/bench/src/main/java/ridgemill/bench/ProxyCost.java
+++ b/bench/src/main/java/ridgemill/bench/ProxyCost.java
@@ -2,13 +2,7 @@
 
 import static ridgemill.bench.Subject.median;
 
-import com.google.gson.JsonObject;
-import com.google.gson.JsonParser;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
-import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -17,9 +11,6 @@
 import java.util.Map;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
-import picocli.CommandLine;
-import ridgemill.gateway.net.Addresses;
-import ridgemill.testbed.discovery.DiscoveryStandIn.Host;
 import ridgemill.testbed.discovery.DiscoveryStandIn;
 import ridgemill.testbed.ledger.Ledger;
 
@@ -29,10 +20,9 @@
  */
 @Command(name = "proxy-cost", mixinStandardHelpOptions = true, description = "Measures ridgemill, HAProxy and nginx side "
         + "by side; each runs on one core, the clients and the nodes on others.")
-public final class ProxyCost implements Runnable {
+public final class ProxyCost extends CoreMeasurement {
 
     private static final int NODES = 6;
-    private static final int CONNECTIONS = 32;
 
     @Option(names = "--seconds", paramLabel = "N", defaultValue = "6",
             description = "Length of each measurement (default: ${DEFAULT-VALUE}).")
@@ -43,9 +33,6 @@
     @Option(names = "--rate", paramLabel = "N", defaultValue = "1000",
             description = "Requests a second where the rate is set (default: ${DEFAULT-VALUE}).")
     private int rate;
-    @Option(names = "--core", paramLabel = "N", defaultValue = "2",
-            description = "The core that the measured proxy runs on (default: ${DEFAULT-VALUE}).")
-    private int core;
     @Option(names = "--warm-up", paramLabel = "N", defaultValue = "5",
             description = "Seconds under full load before the first measurement (default: ${DEFAULT-VALUE}).")
     private int warmUp;
@@ -61,30 +48,15 @@
     }
 
     public static void main(String[] args) {
-        System.exit(new CommandLine(new ProxyCost()).execute(args));
+        main(new ProxyCost(), args);
     }
 
     @Override
-    public void run() {
-        try {
-            measure();
-        } catch (Exception e) {
-            throw new IllegalStateException(e.getMessage(), e);
-        }
-    }
-
-    private void measure() throws Exception {
-        Path directory = Files.createTempDirectory("ridgemill-bench");
-        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(3, NioIoHandler.newFactory());
-        var nodeLoop = group.next();
-        var clientLoop = group.next();
-        List<InetSocketAddress> nodes = new ArrayList<>();
-        for (int i = 0; i < NODES; i++) {
-            nodes.add(new FlatNode(nodeLoop).address());
-        }
+    void measure(Path directory) throws Exception {
+        List<InetSocketAddress> nodes = nodes(NODES, () -> new FlatNode(nodeLoop).address());
         Map<String, Figures> figures = new LinkedHashMap<>();
-        try (DiscoveryStandIn discovery = new DiscoveryStandIn(group.next(), new Ledger(), "bench");
-                Subject ridgemill = ridgemill(discovery, nodes, directory);
+        try (DiscoveryStandIn discovery = new DiscoveryStandIn(otherLoop, new Ledger(), "bench");
+                Subject ridgemill = ridgemill(discovery, nodes, directory, List.of());
                 Subject haproxy = Subject.haproxy(nodes, core, directory);
                 Subject nginx = Subject.nginx(nodes, core, directory)) {
             List<Subject> subjects = List.of(ridgemill, haproxy, nginx);
@@ -111,8 +83,6 @@
                     f.failed += full.failed() + set.failed();
                 }
             }
-        } finally {
-            group.shutdownGracefully();
         }
         print(figures);
     }
@@ -141,15 +111,4 @@
                     median(own.memoryMb) / median(f.memoryMb));
         }
     }
-
-    private Subject ridgemill(DiscoveryStandIn discovery, List<InetSocketAddress> nodes, Path directory)
-            throws IOException, InterruptedException {
-        for (int i = 0; i < nodes.size(); i++) {
-            discovery.publish(new Host("c" + i, nodes.get(i), "a", "std", "up", 0));
-        }
-        JsonObject more = JsonParser.parseString("{\"limits\": {\"sockets\": 1024}}").getAsJsonObject();
-        more.addProperty("discovery", Addresses.text(discovery.address()));
-        more.add("known", discovery.known());
-        return Subject.ridgemill(more, core, directory);
-    }
 }
--- a/bench/src/main/java/ridgemill/bench/RespCost.java
+++ b/bench/src/main/java/ridgemill/bench/RespCost.java
@@ -3,9 +3,6 @@
 import static ridgemill.bench.Subject.median;
 
 import com.google.gson.JsonParser;
-import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
@@ -20,7 +17,6 @@
 import java.util.stream.Collectors;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
-import picocli.CommandLine;
 import ridgemill.gateway.net.Addresses;
 
 /**
@@ -29,10 +25,9 @@
  */
 @Command(name = "resp-cost", mixinStandardHelpOptions = true, description = "Measures RESP clients and nodes; each proxy "
         + "runs on one core, the clients and the nodes on others.")
-public final class RespCost implements Runnable {
+public final class RespCost extends CoreMeasurement {
 
     private static final int NODES = 4;
-    private static final int CONNECTIONS = 32;
     private static final int VALUE = 64;
     private static final int[] DEPTHS = {1, 16, 128};
     private static final int IDLE = 1000;
@@ -44,9 +39,6 @@
     @Option(names = "--rounds", paramLabel = "N", defaultValue = "3",
             description = "How often all are measured in turn; the median counts (default: ${DEFAULT-VALUE}).")
     private int rounds;
-    @Option(names = "--core", paramLabel = "N", defaultValue = "2",
-            description = "The core that the measured proxy runs on (default: ${DEFAULT-VALUE}).")
-    private int core;
 
     private record Row(List<Double> perSecond, List<Double> p99) {
         Row() {
@@ -55,27 +47,12 @@
     }
 
     public static void main(String[] args) {
-        System.exit(new CommandLine(new RespCost()).execute(args));
+        main(new RespCost(), args);
     }
 
     @Override
-    public void run() {
-        try {
-            measure();
-        } catch (Exception e) {
-            throw new IllegalStateException(e.getMessage(), e);
-        }
-    }
-
-    private void measure() throws Exception {
-        Path directory = Files.createTempDirectory("ridgemill-bench");
-        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(3, NioIoHandler.newFactory());
-        EventLoop nodeLoop = group.next();
-        EventLoop clientLoop = group.next();
-        List<InetSocketAddress> nodes = new ArrayList<>();
-        for (int i = 0; i < NODES; i++) {
-            nodes.add(new FlatRespNode(nodeLoop, VALUE).address());
-        }
+    void measure(Path directory) throws Exception {
+        List<InetSocketAddress> nodes = nodes(NODES, () -> new FlatRespNode(nodeLoop, VALUE).address());
         InetSocketAddress resp = Subject.freeAddress();
         Map<String, Row> rows = new LinkedHashMap<>();
         try (Subject ridgemill = ridgemill(nodes, resp, directory);
@@ -103,8 +80,6 @@
             rows.forEach((name, r) -> System.out.printf(Locale.ROOT, "%-32s %10s %14.0f %10.0f%n", name.split("\\|")[0],
                     name.split("\\|")[1], median(r.perSecond()), median(r.p99())));
             memory(ridgemill, resp);
-        } finally {
-            group.shutdownGracefully();
         }
     }
 
--- a/core/src/main/java/ridgemill/core/Gate.java
+++ b/core/src/main/java/ridgemill/core/Gate.java
@@ -1,5 +1,6 @@
 package ridgemill.core;
 
+import ridgemill.policy.Router.Effect;
 import ridgemill.policy.Router.ServiceClass;
 import ridgemill.route.Query;
 
@@ -34,6 +35,11 @@
      */
     record Go(ServiceClass service, double budgetMs, String group, double queueMs, String displaced) implements Entry {
 
+        /** Whether it must come with an idempotency key: without one its repeat would not be dropped, and it may be sent again. */
+        public boolean needsKey(boolean write) {
+            return write && service.effect() == Effect.KEYED;
+        }
+
         /** One that goes on at once, to the platform's nodes. */
         public Go(ServiceClass service, double budgetMs) {
             this(service, budgetMs, "", 0, null);
--- a/core/src/main/java/ridgemill/core/Intake.java
+++ b/core/src/main/java/ridgemill/core/Intake.java
@@ -153,9 +153,7 @@
                 Waiting<C> w = line.remove(id);
                 w.patience().cancel();
                 double left = w.in().budgetMs() - (timers.now() - w.sinceMs());
-                Request in = w.in();
-                start(w.go(), new Request(in.id(), in.service(), in.tenant(), in.key(), in.workMs(), left, in.write(),
-                        in.repeat()), w.command(), w.client());
+                start(w.go(), w.in().within(left), w.command(), w.client());
             }
         } finally {
             advancing = false;
--- a/core/src/main/java/ridgemill/halls/HallPolicy.java
+++ b/core/src/main/java/ridgemill/halls/HallPolicy.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.regex.Pattern;
 
 /**
  * What an installation allows between its halls.
@@ -22,6 +23,8 @@
 public record HallPolicy(String hall, Map<String, List<String>> gateways, Set<String> classes, Set<String> sharing,
                          double perSecond, int inFlight, int taken, int hopLimit, double quietMs) {
 
+    private static final Pattern NAME = Pattern.compile("[0-9A-Za-z_.-]{1,64}");
+
     public HallPolicy {
         if (hall == null || hall.isEmpty() || gateways.containsKey(hall)) {
             throw new IllegalArgumentException("a hall has a name that no other has: " + hall);
@@ -36,6 +39,11 @@
         sharing = Set.copyOf(sharing);
     }
 
+    /** Whether a hall may have this name: it stands in fields, certificates and logs. */
+    public static boolean isName(String text) {
+        return NAME.matcher(text).matches();
+    }
+
     /** All gateways of all other halls. */
     public List<String> all() {
         return gateways.values().stream().flatMap(Collection::stream).toList();
--- a/core/src/main/java/ridgemill/halls/Halls.java
+++ b/core/src/main/java/ridgemill/halls/Halls.java
@@ -33,8 +33,6 @@
         UNPROVEN,
         /** It may have run. */
         FAILED,
-        /** A limit turned it away, which is no sign of how the nodes are. */
-        LIMITED,
         /** Its client left. */
         GONE
     }
@@ -230,7 +228,7 @@
                 // Who was promised that it does not run here may have run it.
                 return new Refuse(COME_BACK_MS, true);
             }
-            if (e != null && !e.fence() && !e.hall().equals(policy.hall())) {
+            if (ranElsewhere(e)) {
                 return elsewhere(nowMs, p, e);
             }
             // A gateway that sends one on has made sure of it.
@@ -244,6 +242,10 @@
         return first(nowMs, p);
     }
 
+    private boolean ranElsewhere(RepeatLedger.Entry e) {
+        return e != null && !e.fence() && !e.hall().equals(policy.hall());
+    }
+
     /** An earlier try may have run at this hall's nodes, through this gateway or one beside it: this one stays here too. */
     private void mayHaveRunHere(Passing p) {
         p.bound = policy.sharing().isEmpty() ? policy.hall() : null;
@@ -330,7 +332,7 @@
             // Another has asked us meanwhile, and was told that it does not run here.
             return new Refuse(COME_BACK_MS, true);
         }
-        if (e != null && !e.fence() && !e.hall().equals(policy.hall())) {
+        if (ranElsewhere(e)) {
             return elsewhere(nowMs, p, e);
         }
         mayHaveRunHere(p);
@@ -373,19 +375,19 @@
     /**
      * It has ended at home.
      *
-     * @param retryAfterMs what home told it; 0 for nothing
      * @param quiet whether no attempt of it is out any more
      */
     public Step homeEnded(double nowMs, Passing p, HomeEnd end, boolean quiet) {
         p.homeEnd = end;
         p.mayBeOut |= !quiet;
-        if (end != HomeEnd.LIMITED && end != HomeEnd.GONE) {
-            homeward(p).outcome(nowMs, end == HomeEnd.SERVED);
-            if (!p.trail().isForeign()) {
-                foreign.own(nowMs, end == HomeEnd.SERVED);
-            }
+        if (end == HomeEnd.GONE) {
+            return new AsHome();
+        }
+        homeward(p).outcome(nowMs, end == HomeEnd.SERVED);
+        if (!p.trail().isForeign()) {
+            foreign.own(nowMs, end == HomeEnd.SERVED);
         }
-        if (end == HomeEnd.SERVED || end == HomeEnd.LIMITED || end == HomeEnd.GONE) {
+        if (end == HomeEnd.SERVED) {
             return new AsHome();
         }
         if (end == HomeEnd.REFUSED) {
--- a/core/src/main/java/ridgemill/policy/Router.java
+++ b/core/src/main/java/ridgemill/policy/Router.java
@@ -156,7 +156,13 @@
      * {@code budgetMs}, the time until the client gives up this try, is negative where only the class tells.
      */
     record Request(String id, String service, String tenant, long key, double workMs, double budgetMs,
-                   boolean write, boolean repeat) { }
+                   boolean write, boolean repeat) {
+
+        /** The same with another budget, as when part of it was spent before. */
+        public Request within(double otherBudgetMs) {
+            return new Request(id, service, tenant, key, workMs, otherBudgetMs, write, repeat);
+        }
+    }
 
     /** How an attempt ended. {@code finished} says that the request has its final answer already. */
     record AttemptEnd(String request, int attempt, String node, Outcome outcome, double elapsedMs,
--- a/gateway/src/main/java/ridgemill/cli/Commands.java
+++ b/gateway/src/main/java/ridgemill/cli/Commands.java
@@ -23,6 +23,7 @@
 import ridgemill.gateway.Service;
 import ridgemill.gateway.control.ControlClient;
 import ridgemill.gateway.net.Addresses;
+import ridgemill.gateway.net.Targets;
 import ridgemill.gateway.operator.Explanation;
 import ridgemill.gateway.operator.Operated;
 import ridgemill.gateway.operator.OperatorConfig;
@@ -200,10 +201,8 @@
             }
             Map<String, String> lower = new HashMap<>();
             headers.forEach((n, v) -> lower.put(n.toLowerCase(Locale.ROOT), v));
-            int query = words[1].indexOf('?');
             OperatorConfig config = OperatorFile.read(file, PlatformFacts.UNKNOWN);
-            Explanation.of(config, new Query(words[0], query < 0 ? words[1] : words[1].substring(0, query), tenant,
-                    lower::get), service).forEach(System.out::println);
+            Explanation.of(config, new Query(words[0], Targets.path(words[1]), tenant, lower::get), service).forEach(System.out::println);
             return 0;
         }
     }
@@ -294,32 +293,30 @@
         }
     }
 
+    /** A command that is answered with lines, under its own name. */
+    abstract static class Lines extends Asking {
+        @Override
+        void tell(JsonObject answer) {
+            answer.getAsJsonArray(command()).forEach(l -> System.out.println(l.getAsString()));
+        }
+    }
+
     @Command(name = "nodes", mixinStandardHelpOptions = true,
             description = "Tells which nodes of the operator file's groups are in, why, since when and told by whom.")
-    static final class Nodes extends Asking {
+    static final class Nodes extends Lines {
         @Override
         String command() {
             return "nodes";
         }
-
-        @Override
-        void tell(JsonObject answer) {
-            answer.getAsJsonArray("nodes").forEach(n -> System.out.println(n.getAsString()));
-        }
     }
 
     @Command(name = "halls", mixinStandardHelpOptions = true, description = {
         "Tells how a running proxy's links to other halls are, and what crosses."})
-    static final class Halls extends Asking {
+    static final class Halls extends Lines {
         @Override
         String command() {
             return "halls";
         }
-
-        @Override
-        void tell(JsonObject answer) {
-            answer.getAsJsonArray("halls").forEach(n -> System.out.println(n.getAsString()));
-        }
     }
 
     @Command(name = "version", mixinStandardHelpOptions = true, description = "Prints the version.")
--- a/gateway/src/main/java/ridgemill/gateway/back/NodePool.java
+++ b/gateway/src/main/java/ridgemill/gateway/back/NodePool.java
@@ -1,10 +1,6 @@
 package ridgemill.gateway.back;
 
-import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -38,7 +34,7 @@
     private static final double SWEEP_MS = 1000;
 
     private final EventLoop loop;
-    private final Bootstrap bootstrap;
+    private final Dialer dialer;
     private final Supplier<NodeConnection> protocol;
     private final double idleMs;
     private final Sockets sockets;
@@ -72,8 +68,7 @@
         this.idleMs = idleMs * IDLE_PART;
         this.sockets = sockets;
         sockets.join(this);
-        this.bootstrap = transport.client(loop)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, Math.max(1, (int) connectTimeoutMs));
+        this.dialer = new Dialer(loop, transport, connectTimeoutMs, sockets);
     }
 
     @Override
@@ -169,18 +164,9 @@
         NodeConnection connection = protocol.get();
         connection.join(this, target);
         connections++;
-        sockets.taken();
-        ChannelFuture connecting = bootstrap.clone().handler(new ChannelInitializer<>() {
-            @Override
-            protected void initChannel(Channel channel) {
-                connection.install(channel.pipeline());
-            }
-        }).connect(target.dial());
+        ChannelFuture connecting = dialer.connect(target, connection::install);
         exchange.channel = connecting.channel();
-        connecting.channel().closeFuture().addListener(f -> {
-            connections--;
-            sockets.given();
-        });
+        connecting.channel().closeFuture().addListener(f -> connections--);
         connecting.addListener(f -> {
             if (!f.isSuccess()) {
                 connecting.channel().close();
--- a/gateway/src/main/java/ridgemill/gateway/back/resp/RespBack.java
+++ b/gateway/src/main/java/ridgemill/gateway/back/resp/RespBack.java
@@ -1,16 +1,13 @@
 package ridgemill.gateway.back.resp;
 
-import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import ridgemill.core.Attempt;
+import ridgemill.gateway.back.Dialer;
 import ridgemill.gateway.back.NodeBack;
 import ridgemill.gateway.back.NodeTargets;
 import ridgemill.gateway.back.Sockets;
@@ -38,7 +35,7 @@
     private static final long SWEEP_MS = 1000;
 
     private final EventLoop loop;
-    private final Bootstrap bootstrap;
+    private final Dialer dialer;
     private final RespNodes nodes;
     private final Sockets sockets;
     private final double idleMs;
@@ -64,8 +61,7 @@
         this.idleMs = idleMs * IDLE_PART;
         this.drains = drains;
         this.copies = nodes.dialect() == RespNodes.Dialect.PLAIN && nodes.fillMs() > 0 ? new Copies(nodes.fillMs()) : null;
-        this.bootstrap = transport.client(loop)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, Math.max(1, (int) connectTimeoutMs));
+        this.dialer = new Dialer(loop, transport, connectTimeoutMs, sockets);
         sockets.join(this);
     }
 
@@ -124,14 +120,7 @@
         RespConnection connection = new RespConnection(this, target);
         target.connections.add(connection);
         connections.add(connection);
-        sockets.taken();
-        ChannelFuture connecting = bootstrap.clone().handler(new ChannelInitializer<>() {
-            @Override
-            protected void initChannel(Channel channel) {
-                connection.install(channel.pipeline());
-            }
-        }).connect(target.dial());
-        connecting.channel().closeFuture().addListener(f -> sockets.given());
+        ChannelFuture connecting = dialer.connect(target, connection::install);
         connecting.addListener(f -> {
             if (f.isSuccess()) {
                 connection.opened();
--- a/gateway/src/main/java/ridgemill/gateway/front/http/HttpRequests.java
+++ b/gateway/src/main/java/ridgemill/gateway/front/http/HttpRequests.java
@@ -17,7 +17,6 @@
 import ridgemill.gateway.net.Content;
 import ridgemill.gateway.net.StrictHttp;
 import ridgemill.gateway.net.Targets;
-import ridgemill.policy.Router.Effect;
 import ridgemill.policy.Router.Request;
 import ridgemill.route.Query;
 
@@ -58,7 +57,7 @@
         if (in.decoderResult().isFailure() || StrictHttp.oddCoding(in)) {
             return new Bad(HttpResponseStatus.BAD_REQUEST);
         }
-        String path = path(in.uri());
+        String path = Targets.path(in.uri());
         HttpMethod method = in.method();
         boolean api = path.startsWith(Targets.API) && path.length() > Targets.API.length();
         if (!api && !path.equals(UP)) {
@@ -89,8 +88,7 @@
             return new Bad(entry instanceof Gate.Unfit unfit && unfit.reason() == Gate.Reason.TOO_LARGE
                     ? HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE : HttpResponseStatus.BAD_REQUEST);
         }
-        if (write && go.service().effect() == Effect.KEYED && headers.get("Idempotency-Key", "").isEmpty()) {
-            // Without its key a keyed write's repeat would not be dropped, and it may be sent again.
+        if (go.needsKey(write) && headers.get("Idempotency-Key", "").isEmpty()) {
             leave.accept(go, id);
             return new Bad(HttpResponseStatus.BAD_REQUEST);
         }
@@ -101,11 +99,6 @@
         return new Call(go, request, new Command<>(write, in.uri(), headers.get("Idempotency-Key"), content));
     }
 
-    private static String path(String uri) {
-        int query = uri.indexOf('?');
-        return query < 0 ? uri : uri.substring(0, query);
-    }
-
     private static double number(String text, double absent) {
         if (text == null) {
             return absent;
--- a/gateway/src/main/java/ridgemill/gateway/front/resp/RespClientConnection.java
+++ b/gateway/src/main/java/ridgemill/gateway/front/resp/RespClientConnection.java
@@ -26,7 +26,6 @@
 import ridgemill.gateway.net.resp.Resp;
 import ridgemill.gateway.net.resp.RespDecoder;
 import ridgemill.gateway.net.resp.RespException;
-import ridgemill.policy.Router.Effect;
 import ridgemill.policy.Router.Request;
 import ridgemill.route.Query;
 
@@ -224,8 +223,7 @@
         }
         boolean writes = action != Command.Action.READ;
         double budget = options.deadlineMs() > 0 ? options.deadlineMs() : Double.MAX_VALUE;
-        int query = target.indexOf('?');
-        String path = query < 0 ? target : target.substring(0, query);
+        String path = Targets.path(target);
         Gate.Entry entry = front.intake().enter(new Gate.Arrival(id, new Query(method(action), path, session.tenant(),
                 NO_HEADERS), options.service(), options.again(), value.readableBytes(), budget));
         if (entry instanceof Gate.Refuse refused) {
@@ -241,8 +239,7 @@
             return;
         }
         String idempotencyKey = options.idempotencyKey() == null ? null : options.idempotencyKey() + own;
-        if (writes && go.service().effect() == Effect.KEYED && idempotencyKey == null) {
-            // Without its key a keyed write's repeat would not be dropped, and it may be sent again.
+        if (go.needsKey(writes) && idempotencyKey == null) {
             front.intake().left(go, id);
             refuse(slot, "class " + go.service().name() + " records each key once and none was given: RIDGE.WITH "
                     + "idempotency-key KEY DO ...");
--- /dev/null
+++ b/gateway/src/main/java/ridgemill/gateway/halls/HallConnection.java
@@ -0,0 +1,100 @@
+package ridgemill.gateway.halls;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http2.DefaultHttp2DataFrame;
+import io.netty.handler.codec.http2.DefaultHttp2HeadersFrame;
+import io.netty.handler.codec.http2.DefaultHttp2ResetFrame;
+import io.netty.handler.codec.http2.DefaultHttp2WindowUpdateFrame;
+import io.netty.handler.codec.http2.Http2ChannelDuplexHandler;
+import io.netty.handler.codec.http2.Http2DataFrame;
+import io.netty.handler.codec.http2.Http2Error;
+import io.netty.handler.codec.http2.Http2FrameStream;
+import io.netty.handler.codec.http2.Http2GoAwayFrame;
+import io.netty.handler.codec.http2.Http2Headers;
+import io.netty.handler.codec.http2.Http2HeadersFrame;
+import io.netty.handler.codec.http2.Http2ResetFrame;
+import io.netty.util.ReferenceCountUtil;
+
+/** What both ends of a connection between gateways do: windows, writes that are gathered, and frames by their kind. */
+abstract class HallConnection extends Http2ChannelDuplexHandler {
+
+    /**
+     * By how much more than HTTP/2's 64 KiB may be under way on one connection (RFC 9113, section 6.9.2): with a round trip of
+     * 40 ms those alone would hold all answers together to 1.6 MB/s.
+     */
+    private static final int MORE_WINDOW = 8 * 1024 * 1024;
+
+    private ChannelHandlerContext context;
+    private boolean flushing;
+
+    /** A message's head. */
+    abstract void headers(Http2HeadersFrame frame);
+
+    /** A part of a body, whose room in the windows is given back already. */
+    abstract void data(Http2DataFrame frame);
+
+    /** The other side has ended a stream. */
+    abstract void reset(Http2ResetFrame frame);
+
+    /** The other side takes no further streams. */
+    void goAway(Http2GoAwayFrame frame) { }
+
+    @Override
+    protected void handlerAdded0(ChannelHandlerContext ctx) {
+        context = ctx;
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext ctx) throws Exception {
+        super.channelActive(ctx);
+        ctx.writeAndFlush(new DefaultHttp2WindowUpdateFrame(MORE_WINDOW));
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
+        try {
+            if (message instanceof Http2HeadersFrame h) {
+                headers(h);
+            } else if (message instanceof Http2DataFrame d) {
+                write(new DefaultHttp2WindowUpdateFrame(d.initialFlowControlledBytes()).stream(d.stream()));
+                data(d);
+            } else if (message instanceof Http2ResetFrame r) {
+                reset(r);
+            } else if (message instanceof Http2GoAwayFrame g) {
+                goAway(g);
+            }
+        } finally {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    /** Writes a whole message and releases its body, which may be null; the future is of its last byte. */
+    final ChannelFuture send(Http2FrameStream stream, Http2Headers headers, ByteBuf body) {
+        if (body == null || !body.isReadable()) {
+            ReferenceCountUtil.release(body);
+            return write(new DefaultHttp2HeadersFrame(headers, true).stream(stream));
+        }
+        write(new DefaultHttp2HeadersFrame(headers, false).stream(stream));
+        return write(new DefaultHttp2DataFrame(body, true).stream(stream));
+    }
+
+    /** Ends a stream for the other side. */
+    final void end(Http2FrameStream stream, Http2Error why) {
+        write(new DefaultHttp2ResetFrame(why).stream(stream));
+    }
+
+    /** Flushed once for all that is written in one turn of the loop. */
+    final ChannelFuture write(Object frame) {
+        ChannelFuture written = context.write(frame);
+        if (!flushing) {
+            flushing = true;
+            context.executor().execute(() -> {
+                flushing = false;
+                context.flush();
+            });
+        }
+        return written;
+    }
+}
--- a/gateway/src/main/java/ridgemill/gateway/halls/HallCrossings.java
+++ b/gateway/src/main/java/ridgemill/gateway/halls/HallCrossings.java
@@ -23,11 +23,11 @@
 import ridgemill.gateway.halls.HallWire.Reply;
 import ridgemill.gateway.net.Content;
 import ridgemill.gateway.net.Log;
-import ridgemill.halls.Halls;
 import ridgemill.halls.Halls.CrossingEnd;
 import ridgemill.halls.Halls.HomeEnd;
 import ridgemill.halls.Halls.Step;
 import ridgemill.halls.Halls.Word;
+import ridgemill.halls.Halls;
 import ridgemill.halls.Passing;
 import ridgemill.halls.Trail;
 import ridgemill.policy.Router.Request;
@@ -52,12 +52,16 @@
     private final Map<String, HallLink> links = new HashMap<>();
     private final Map<String, Passage> open = new HashMap<>();
     /** Where requests of other halls were, until they come through here. */
-    private final Map<String, Trail> foreign = new HashMap<>();
+    private final Map<String, Foreign> foreign = new HashMap<>();
     private final Tally tally = new Tally();
     private HallSettings settings;
     private int away;
-    /** The request of another hall that is being answered. */
-    private Passing answering;
+
+    /** A request of another hall: where it was, and, once it has come through here, what becomes of it. */
+    static final class Foreign {
+        Trail trail;
+        Passing passing;
+    }
 
     /**
      * Puts it in the way of all requests; to be called on the loop.
@@ -128,23 +132,8 @@
         return lines;
     }
 
-    /** Counts since the start; on the loop. */
-    public Halls.Counts counts() {
-        return halls.counts();
-    }
-
-    void foreign(String id, Trail trail) {
-        foreign.put(id, trail);
-    }
-
-    /** Which halls the request that is being answered has entered from here. */
-    Set<String> beyond(String id) {
-        return answering != null && answering.id().equals(id) ? answering.entered() : Set.of();
-    }
-
-    /** Whether an attempt of the request that is being answered may still be out. */
-    boolean mayBeOut(String id) {
-        return answering != null && answering.id().equals(id) && answering.mayBeOut();
+    void foreign(String id, Foreign from) {
+        foreign.put(id, from);
     }
 
     void forgetForeign(String id) {
@@ -153,8 +142,11 @@
 
     @Override
     public void request(Dispatcher<Content> home, ServiceClass service, Request in, Command<Content> command, Client<Content> client) {
-        Trail trail = foreign.remove(in.id());
-        Passage passage = new Passage(home, service, in, command, client, trail == null ? Trail.OWN : trail);
+        Foreign from = foreign.remove(in.id());
+        Passage passage = new Passage(home, service, in, command, client, from == null ? Trail.OWN : from.trail);
+        if (from != null) {
+            from.passing = passage.passing;
+        }
         open.put(in.id(), passage);
         away++;
         passage.next(() -> halls.arrived(timers.now(), passage.passing));
@@ -245,8 +237,7 @@
             atHome = true;
             away--;
             double left = Math.max(0, passing.deadlineMs() - timers.now() - reserveMs);
-            home.request(new Request(in.id(), in.service(), in.tenant(), in.key(), in.workMs(), left, in.write(), in.repeat()),
-                    command, this);
+            home.request(in.within(left), command, this);
         }
 
         private void cross(Halls.Across a) {
@@ -347,9 +338,6 @@
             } else if (homeCounted != end) {
                 tally.changed(homeCounted, end);
             }
-            if (passing.trail().isForeign()) {
-                answering = passing;
-            }
             answer.run();
         }
 
--- a/gateway/src/main/java/ridgemill/gateway/halls/HallFront.java
+++ b/gateway/src/main/java/ridgemill/gateway/halls/HallFront.java
@@ -1,18 +1,12 @@
 package ridgemill.gateway.halls;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http2.DefaultHttp2DataFrame;
 import io.netty.handler.codec.http2.DefaultHttp2GoAwayFrame;
-import io.netty.handler.codec.http2.DefaultHttp2HeadersFrame;
-import io.netty.handler.codec.http2.DefaultHttp2ResetFrame;
-import io.netty.handler.codec.http2.DefaultHttp2WindowUpdateFrame;
-import io.netty.handler.codec.http2.Http2ChannelDuplexHandler;
 import io.netty.handler.codec.http2.Http2DataFrame;
 import io.netty.handler.codec.http2.Http2Error;
 import io.netty.handler.codec.http2.Http2FrameCodecBuilder;
@@ -46,8 +40,8 @@
 import ridgemill.gateway.net.Targets;
 import ridgemill.gateway.net.Transport;
 import ridgemill.halls.Halls;
+import ridgemill.halls.Passing;
 import ridgemill.halls.TransitClock;
-import ridgemill.policy.Router.Effect;
 import ridgemill.policy.Router.Request;
 import ridgemill.route.Query;
 
@@ -143,18 +137,16 @@
     }
 
     /** One connection from another gateway. */
-    private final class Door extends Http2ChannelDuplexHandler {
+    private final class Door extends HallConnection {
         private final Channel channel;
         private final Map<Http2FrameStream, In> open = new HashMap<>();
         private final TransitClock transit = new TransitClock();
-        private ChannelHandlerContext context;
         private String hall;
         private String greeted;
         private String theirNonce;
         private String ourNonce;
         private List<String> certified;
         private double heardAt = timers.now();
-        private boolean flushing;
 
         Door(Channel channel) {
             this.channel = channel;
@@ -162,7 +154,7 @@
 
         @Override
         protected void handlerAdded0(ChannelHandlerContext ctx) {
-            context = ctx;
+            super.handlerAdded0(ctx);
             loop.schedule(() -> {
                 if (hall == null) {
                     channel.close();
@@ -170,12 +162,6 @@
             }, PROOF_MS, TimeUnit.MILLISECONDS);
         }
 
-        @Override
-        public void channelActive(ChannelHandlerContext ctx) throws Exception {
-            super.channelActive(ctx);
-            ctx.writeAndFlush(new DefaultHttp2WindowUpdateFrame(HallWire.CONNECTION_WINDOW));
-        }
-
         @Override
         public void userEventTriggered(ChannelHandlerContext ctx, Object event) throws Exception {
             if (event instanceof SslHandshakeCompletionEvent shaken) {
@@ -192,23 +178,23 @@
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) {
             heardAt = timers.now();
-            try {
-                if (message instanceof Http2HeadersFrame h) {
-                    headers(h);
-                } else if (message instanceof Http2DataFrame d) {
-                    data(d);
-                } else if (message instanceof Http2ResetFrame r) {
-                    In in = open.remove(r.stream());
-                    if (in != null) {
-                        in.left();
-                    }
-                }
-            } finally {
-                ReferenceCountUtil.release(message);
+            super.channelRead(ctx, message);
+        }
+
+        @Override
+        void reset(Http2ResetFrame r) {
+            left(r.stream());
+        }
+
+        private void left(Http2FrameStream stream) {
+            In in = open.remove(stream);
+            if (in != null) {
+                in.left();
             }
         }
 
-        private void headers(Http2HeadersFrame frame) {
+        @Override
+        void headers(Http2HeadersFrame frame) {
             Http2Headers h = frame.headers();
             Http2FrameStream stream = frame.stream();
             In known = open.get(stream);
@@ -297,9 +283,8 @@
             }
         }
 
-        private void data(Http2DataFrame d) {
-            context.write(new DefaultHttp2WindowUpdateFrame(d.initialFlowControlledBytes()).stream(d.stream()));
-            flush();
+        @Override
+        void data(Http2DataFrame d) {
             In in = open.get(d.stream());
             if (in != null) {
                 in.data(d.content());
@@ -314,28 +299,11 @@
                 ReferenceCountUtil.release(body);
                 return;
             }
-            boolean empty = body == null || !body.isReadable();
-            context.write(new DefaultHttp2HeadersFrame(headers, empty).stream(stream));
-            if (!empty) {
-                context.write(new DefaultHttp2DataFrame(body, true).stream(stream));
-            } else {
-                ReferenceCountUtil.release(body);
-            }
-            flush();
-        }
-
-        private void flush() {
-            if (!flushing) {
-                flushing = true;
-                loop.execute(() -> {
-                    flushing = false;
-                    context.flush();
-                });
-            }
+            send(stream, headers, body);
         }
 
         void goAway() {
-            context.writeAndFlush(new DefaultHttp2GoAwayFrame(Http2Error.NO_ERROR));
+            write(new DefaultHttp2GoAwayFrame(Http2Error.NO_ERROR));
         }
 
         @Override
@@ -350,11 +318,8 @@
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             if (cause instanceof Http2FrameStreamException s) {
-                In in = open.remove(s.stream());
-                if (in != null) {
-                    in.left();
-                }
-                ctx.writeAndFlush(new DefaultHttp2ResetFrame(s.error()).stream(s.stream()));
+                left(s.stream());
+                end(s.stream(), s.error());
             } else {
                 ctx.close();
             }
@@ -369,7 +334,8 @@
         /** How much longer its head was on its way than the quickest of late, and when it was here. */
         private final double excessMs;
         private final double sinceMs = timers.now();
-        private ByteBuf body;
+        private final HallBody body = new HallBody();
+        private final HallCrossings.Foreign foreign = new HallCrossings.Foreign();
         private String id;
         private boolean over;
 
@@ -384,14 +350,9 @@
             if (over || id != null) {
                 return;
             }
-            if (body == null) {
-                body = Unpooled.buffer(bytes.readableBytes());
-            }
-            if (body.readableBytes() + bytes.readableBytes() > Content.MAX_BYTES) {
+            if (!body.add(bytes)) {
                 turnAway(413, false, 0);
-                return;
             }
-            body.writeBytes(bytes);
         }
 
         void whole() {
@@ -399,7 +360,7 @@
                 return;
             }
             try {
-                begin(HallWire.call(headers, new Content(body == null ? Unpooled.EMPTY_BUFFER : body, null)));
+                begin(HallWire.call(headers, body.content()));
             } catch (WireException e) {
                 Log.info("halls: " + door.hall + " sent what makes no sense: " + e.getMessage());
                 turnAway(400, false, 0);
@@ -421,21 +382,21 @@
                 return;
             }
             Command<Content> command = call.command();
-            String path = command.target().indexOf('?') < 0 ? command.target()
-                    : command.target().substring(0, command.target().indexOf('?'));
+            String path = Targets.path(command.target());
             Gate.Entry entry = intake.enter(new Gate.Arrival(call.id(), new Query(headers.method().toString(), path, call.tenant(),
                     name -> null), call.service(), call.again(), command.content().bytes().readableBytes(), left));
             if (entry instanceof Gate.Refuse refuse) {
                 intake.turnedAway();
                 turnAway(429, false, refuse.retryAfterMs());
             } else if (entry instanceof Gate.Go go) {
-                if (go.service().effect() == Effect.KEYED && command.write() && command.idempotencyKey() == null) {
+                if (go.needsKey(command.write()) && command.idempotencyKey() == null) {
                     intake.left(go, call.id());
                     turnAway(400, false, 0);
                     return;
                 }
                 id = call.id();
-                crossings.foreign(id, call.trail());
+                foreign.trail = call.trail();
+                crossings.foreign(id, foreign);
                 intake.request(go, new Request(id, go.service().name(), call.tenant(), Targets.hash(path), call.workMs(), go.budgetMs(),
                         command.write(), call.again()), command, this);
             } else {
@@ -468,8 +429,9 @@
         }
 
         private void turnAway(int status, boolean mayHaveRun, double retryAfterMs) {
-            answer(HallWire.turnedAway(status, mayHaveRun, id != null && crossings.mayBeOut(id), retryAfterMs,
-                    id == null ? Set.of() : crossings.beyond(id)), null);
+            Passing passing = foreign.passing;
+            answer(HallWire.turnedAway(status, mayHaveRun, passing != null && passing.mayBeOut(), retryAfterMs,
+                    passing == null ? Set.of() : passing.entered()), null);
         }
 
         @Override
--- a/gateway/src/main/java/ridgemill/gateway/halls/HallKeys.java
+++ b/gateway/src/main/java/ridgemill/gateway/halls/HallKeys.java
@@ -10,7 +10,6 @@
 import io.netty.handler.ssl.SupportedCipherSuiteFilter;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.security.GeneralSecurityException;
 import java.security.MessageDigest;
 import java.security.SecureRandom;
@@ -130,14 +129,4 @@
         }
         return names;
     }
-
-    /** Whether the files of a security can be read, in words; empty if they can. */
-    static String unreadable(HallSecurity.Tls tls) {
-        for (var file : List.of(tls.certificate(), tls.privateKey(), tls.trust())) {
-            if (!Files.isReadable(file)) {
-                return "can't read " + file;
-            }
-        }
-        return "";
-    }
 }
--- a/gateway/src/main/java/ridgemill/gateway/halls/HallLink.java
+++ b/gateway/src/main/java/ridgemill/gateway/halls/HallLink.java
@@ -1,7 +1,6 @@
 package ridgemill.gateway.halls;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -9,11 +8,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.WriteBufferWaterMark;
-import io.netty.handler.codec.http2.DefaultHttp2DataFrame;
-import io.netty.handler.codec.http2.DefaultHttp2HeadersFrame;
-import io.netty.handler.codec.http2.DefaultHttp2ResetFrame;
-import io.netty.handler.codec.http2.DefaultHttp2WindowUpdateFrame;
-import io.netty.handler.codec.http2.Http2ChannelDuplexHandler;
 import io.netty.handler.codec.http2.Http2DataFrame;
 import io.netty.handler.codec.http2.Http2Error;
 import io.netty.handler.codec.http2.Http2FrameCodecBuilder;
@@ -26,7 +20,6 @@
 import io.netty.handler.codec.http2.Http2Settings;
 import io.netty.handler.ssl.SslHandler;
 import io.netty.handler.ssl.SslHandshakeCompletionEvent;
-import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -42,10 +35,10 @@
 import ridgemill.gateway.net.Content;
 import ridgemill.gateway.net.Log;
 import ridgemill.gateway.net.Transport;
-import ridgemill.halls.Halls;
 import ridgemill.halls.Halls.CannotSay;
 import ridgemill.halls.Halls.CrossingEnd;
 import ridgemill.halls.Halls.Word;
+import ridgemill.halls.Halls;
 import ridgemill.halls.LinkPulse;
 
 /**
@@ -199,7 +192,7 @@
         private boolean written;
         private boolean over;
         private Http2Headers headers;
-        private ByteBuf body;
+        private final HallBody body = new HallBody();
 
         Question(Connection on, Http2FrameStream stream, BiConsumer<Http2Headers, Content> answered, Consumer<CrossingEnd> ended) {
             this.on = on;
@@ -212,14 +205,13 @@
         public void cancel() {
             if (!over) {
                 drop();
-                on.reset(stream, Http2Error.CANCEL);
+                on.end(stream, Http2Error.CANCEL);
             }
         }
 
         private void drop() {
             over = true;
             on.out.remove(stream);
-            body = null;
         }
 
         void end(CrossingEnd end) {
@@ -235,51 +227,36 @@
         }
 
         void data(ByteBuf bytes) {
-            if (body == null) {
-                body = Unpooled.buffer(bytes.readableBytes());
-            }
-            if (body.readableBytes() + bytes.readableBytes() > Content.MAX_BYTES) {
-                on.reset(stream, Http2Error.CANCEL);
+            if (!body.add(bytes)) {
+                on.end(stream, Http2Error.CANCEL);
                 end(CrossingEnd.FAILED);
-                return;
             }
-            body.writeBytes(bytes);
         }
 
         void done() {
             if (!over && headers != null) {
-                Content content = new Content(body == null ? Unpooled.EMPTY_BUFFER : body, null);
                 drop();
-                answered.accept(headers, content);
+                answered.accept(headers, body.content());
             }
         }
     }
 
     /** One connection, from its making to its end. */
-    private final class Connection extends Http2ChannelDuplexHandler {
+    private final class Connection extends HallConnection {
         private final Map<Http2FrameStream, Question> out = new HashMap<>();
         private final LinkPulse pulse = new LinkPulse();
         private final double sinceMs = timers.now();
         private Channel channel;
-        private ChannelHandlerContext context;
         private Future<?> beat;
         private Future<?> patience;
         private boolean ready;
         private boolean over;
         private boolean leaving;
-        private boolean flushing;
         private double silentSince = Double.NaN;
-        private int lastProcessed = Integer.MAX_VALUE;
-
-        @Override
-        protected void handlerAdded0(ChannelHandlerContext ctx) {
-            context = ctx;
-        }
 
         @Override
         public void channelActive(ChannelHandlerContext ctx) throws Exception {
             super.channelActive(ctx);
-            ctx.write(new DefaultHttp2WindowUpdateFrame(HallWire.CONNECTION_WINDOW));
             patience = loop.schedule(() -> fail("no greeting in time"), (long) (HELLO_MS * 1e6), TimeUnit.NANOSECONDS);
             if (keys.client() == null) {
                 hello();
@@ -406,62 +383,30 @@
             out.put(stream, q);
             // Stamped on all, so that the other side knows the usual from the first.
             HallWire.stamp(headers, timers.now() - sinceMs);
-            ChannelFuture write = context.write(new DefaultHttp2HeadersFrame(headers, body == null).stream(stream));
-            if (body != null) {
-                bytesOut += body.readableBytes();
-                write = context.write(new DefaultHttp2DataFrame(body, true).stream(stream));
-            }
-            write.addListener(f -> {
+            bytesOut += body == null ? 0 : body.readableBytes();
+            send(stream, headers, body).addListener(f -> {
                 if (f.isSuccess()) {
                     q.written = true;
                 } else {
                     loop.execute(q::broken);
                 }
             });
-            flush();
             return q;
         }
 
-        /** Once for all that is written in one turn of the loop. */
-        private void flush() {
-            if (!flushing) {
-                flushing = true;
-                loop.execute(() -> {
-                    flushing = false;
-                    context.flush();
-                });
-            }
-        }
-
-        void reset(Http2FrameStream stream, Http2Error why) {
-            context.write(new DefaultHttp2ResetFrame(why).stream(stream));
-            flush();
-        }
-
         @Override
-        public void channelRead(ChannelHandlerContext ctx, Object message) {
-            try {
-                if (message instanceof Http2HeadersFrame h) {
-                    headers(h);
-                } else if (message instanceof Http2DataFrame d) {
-                    data(d);
-                } else if (message instanceof Http2ResetFrame r) {
-                    Question q = out.get(r.stream());
-                    if (q != null && r.errorCode() == Http2Error.REFUSED_STREAM.code()) {
-                        // RFC 9113, section 8.7: it was not processed.
-                        q.end(CrossingEnd.UNSENT);
-                    } else if (q != null) {
-                        q.broken();
-                    }
-                } else if (message instanceof Http2GoAwayFrame g) {
-                    goAway(g);
-                }
-            } finally {
-                ReferenceCountUtil.release(message);
+        void reset(Http2ResetFrame r) {
+            Question q = out.get(r.stream());
+            if (q != null && r.errorCode() == Http2Error.REFUSED_STREAM.code()) {
+                // RFC 9113, section 8.7: it was not processed.
+                q.end(CrossingEnd.UNSENT);
+            } else if (q != null) {
+                q.broken();
             }
         }
 
-        private void headers(Http2HeadersFrame h) {
+        @Override
+        void headers(Http2HeadersFrame h) {
             Question q = out.get(h.stream());
             if (q != null) {
                 if (q.headers == null) {
@@ -473,10 +418,9 @@
             }
         }
 
-        private void data(Http2DataFrame d) {
+        @Override
+        void data(Http2DataFrame d) {
             bytesIn += d.content().readableBytes();
-            context.write(new DefaultHttp2WindowUpdateFrame(d.initialFlowControlledBytes()).stream(d.stream()));
-            flush();
             Question q = out.get(d.stream());
             if (q != null) {
                 q.data(d.content());
@@ -486,16 +430,16 @@
             }
         }
 
-        private void goAway(Http2GoAwayFrame g) {
+        @Override
+        void goAway(Http2GoAwayFrame g) {
             leaving = true;
             ready = false;
             if (this == current) {
                 halls.link(name, LinkPulse.State.STALLED, pulse.rttMs());
             }
-            lastProcessed = Math.min(lastProcessed, g.lastStreamId());
             // RFC 9113, section 6.8: those above were not processed, and may go elsewhere.
             for (Question q : List.copyOf(out.values())) {
-                if (q.stream.id() > lastProcessed) {
+                if (q.stream.id() > g.lastStreamId()) {
                     q.end(CrossingEnd.UNSENT);
                 }
             }
--- a/gateway/src/main/java/ridgemill/gateway/halls/HallWire.java
+++ b/gateway/src/main/java/ridgemill/gateway/halls/HallWire.java
@@ -12,6 +12,7 @@
 import java.util.regex.Pattern;
 import ridgemill.core.Command;
 import ridgemill.gateway.net.Content;
+import ridgemill.halls.HallPolicy;
 import ridgemill.halls.Halls.CannotSay;
 import ridgemill.halls.Halls.CrossingEnd;
 import ridgemill.halls.Halls.Nothing;
@@ -59,7 +60,6 @@
     private static final String MAYBE = "maybe";
     private static final String OUT = "out";
     private static final String UNKNOWN = "unknown";
-    private static final Pattern NAME = Pattern.compile("[0-9A-Za-z_.-]{1,64}");
     private static final Pattern NUMBER = Pattern.compile("[0-9]{1,14}(\\.[0-9]{1,6})?");
     private static final int MOST_HALLS = 16;
     private static final int MOST_TEXT = 1024;
@@ -68,12 +68,6 @@
     static final int MOST_HEAD = 16 * 1024;
     private static final double MAX_LEFT_MS = 3_600_000;
 
-    /**
-     * By how much more than HTTP/2's 64 KiB may be under way on one connection (RFC 9113, section 6.9.2): with a round trip of
-     * 40 ms those alone would hold all answers together to 1.6 MB/s.
-     */
-    static final int CONNECTION_WINDOW = 8 * 1024 * 1024;
-
     private HallWire() { }
 
     /** What came makes no sense; nothing of it was done. */
@@ -102,11 +96,6 @@
         }
     }
 
-    /** Whether a hall may have this name: it stands in fields, certificates and logs. */
-    static boolean isName(String text) {
-        return NAME.matcher(text).matches();
-    }
-
     static Http2Headers ask(String kind) {
         return new DefaultHttp2Headers().method("GET").scheme("http").path("/").authority("hall").set(KIND, kind);
     }
@@ -291,7 +280,7 @@
             return List.of();
         }
         List<String> names = Arrays.asList(text.split(","));
-        if (!names.stream().allMatch(HallWire::isName)) {
+        if (!names.stream().allMatch(HallPolicy::isName)) {
             throw new WireException("no names of halls: " + name);
         }
         return names;
--- a/gateway/src/main/java/ridgemill/gateway/membership/eureka/NameBook.java
+++ b/gateway/src/main/java/ridgemill/gateway/membership/eureka/NameBook.java
@@ -37,12 +37,6 @@
         return e == null ? null : e.address;
     }
 
-    /** Why a name has no address; empty where it has one or is not looked up yet. */
-    String failure(String name) {
-        Entry e = entries.get(name);
-        return e == null || e.failure == null ? "" : e.failure;
-    }
-
     /** Names that {@code asker} wants known from now on, in place of those that it wanted before. */
     void want(double nowMs, String asker, Set<String> names) {
         if (names.equals(wanted.put(asker, Set.copyOf(names)))) {
--- a/gateway/src/main/java/ridgemill/gateway/net/Targets.java
+++ b/gateway/src/main/java/ridgemill/gateway/net/Targets.java
@@ -55,6 +55,12 @@
         return key.toByteArray();
     }
 
+    /** A target's path, without the query that may follow it. */
+    public static String path(String target) {
+        int query = target.indexOf('?');
+        return query < 0 ? target : target.substring(0, query);
+    }
+
     /** Hashes the text of a path's last segment as all proxies do, so that a key goes to the same nodes from each. */
     public static long hash(String path) {
         long hash = 0xcbf29ce484222325L;
--- a/gateway/src/main/java/ridgemill/gateway/operator/HallsSection.java
+++ b/gateway/src/main/java/ridgemill/gateway/operator/HallsSection.java
@@ -32,7 +32,6 @@
     private static final double USUAL_QUIET_MS = 30_000;
     private static final int MOST_IN_FLIGHT = 50_000;
     private static final int MOST_HOPS = 8;
-    private static final String NAME = "[0-9A-Za-z_.-]{1,64}";
 
     private HallsSection() { }
 
@@ -42,7 +41,7 @@
 
     private static HallSettings settings(Section s, Map<String, ClassPolicy> classes, PlatformFacts platform) {
         String name = s.text("name").orElse("");
-        if (!name.matches(NAME)) {
+        if (!HallPolicy.isName(name)) {
             s.problem(s.has("name") ? "name" : null, s.has("name") ? "bad-name" : "missing", s.has("name") ? "\"" + name
                     + "\" is no name of a hall" : "has no name", "set name = \"teku-hall\": letters, digits and . _ -");
         }
@@ -64,7 +63,7 @@
         int hops = s.count("hop-limit", 1, MOST_HOPS).orElse(USUAL_HOPS);
         double quiet = s.duration("quiet").orElse(USUAL_QUIET_MS);
         s.done();
-        if (!name.matches(NAME) || gateways.containsKey(name) || security == null) {
+        if (!HallPolicy.isName(name) || gateways.containsKey(name) || security == null) {
             return null;
         }
         return new HallSettings(listen.orElse(null), security, addresses, new HallPolicy(name, gateways, crossing, sharing, perS,
@@ -85,12 +84,13 @@
         }
         peers.ifPresent(p -> p.tables().forEach(hall -> {
             String name = hall.ownName();
-            if (name.equals(own) || !name.matches(NAME)) {
+            if (name.equals(own) || !HallPolicy.isName(name)) {
                 hall.problem(null, "bad-name", name.equals(own) ? "is this hall itself" : "is no name of a hall",
                         "name the other halls here");
             }
             List<String> of = new ArrayList<>();
-            for (String text : hall.texts("gateways")) {
+            List<String> texts = hall.texts("gateways");
+            for (String text : texts) {
                 try {
                     InetSocketAddress address = Addresses.parse(text);
                     if (addresses.put(Addresses.text(address), address) == null) {
@@ -102,7 +102,7 @@
                     hall.problem("gateways", "bad-address", e.getMessage(), "write it as \"127.0.0.1:9301\"; no name is looked up");
                 }
             }
-            if (!hall.has("gateways") || hall.texts("gateways").isEmpty()) {
+            if (texts.isEmpty()) {
                 hall.problem(null, "missing", "has no gateways", "set gateways = [\"127.0.0.1:9301\"]");
             }
             if (hall.flag("shared-repeats").orElse(false)) {
--- a/gateway/src/main/java/ridgemill/gateway/operator/NodeGroups.java
+++ b/gateway/src/main/java/ridgemill/gateway/operator/NodeGroups.java
@@ -120,8 +120,9 @@
     }
 
     private void platformTold() {
+        List<Instance> listed = listed();
         live.values().stream().filter(l -> l.from.platform())
-                .forEach(l -> report(l, l.membership.told(clock.now(), PLATFORM, listed())));
+                .forEach(l -> report(l, l.membership.told(clock.now(), PLATFORM, listed)));
     }
 
     /** The platform's cache nodes as its own list has them. */
--- a/lab/src/main/java/ridgemill/lab/HallsMeasured.java
+++ b/lab/src/main/java/ridgemill/lab/HallsMeasured.java
@@ -23,8 +23,8 @@
 import ridgemill.testbed.ledger.LoadClass;
 import ridgemill.testbed.ledger.NodeEntry;
 import ridgemill.testbed.ledger.Violation;
-import ridgemill.testbed.link.Link;
 import ridgemill.testbed.link.Link.Conditions;
+import ridgemill.testbed.link.Link;
 import ridgemill.testbed.load.LoadProfile;
 
 /**
--- a/lab/src/main/java/ridgemill/lab/Main.java
+++ b/lab/src/main/java/ridgemill/lab/Main.java
@@ -7,10 +7,10 @@
 import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
-import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
+import picocli.CommandLine;
 
 /** The lab's command line: the demonstration, and scenarios by name or file. */
 public final class Main {
--- a/lab/src/main/java/ridgemill/lab/TwoHalls.java
+++ b/lab/src/main/java/ridgemill/lab/TwoHalls.java
@@ -37,7 +37,7 @@
  */
 final class TwoHalls implements AutoCloseable {
 
-    /** The classes of the meter fleet as an operator file has them; the repeat window in seconds. */
+    /** The classes of the meter fleet as an operator file has them; the repeat window in milliseconds. */
     private static final String CLASSES = """
             [defaults]
             total = "1500ms"
--- a/lab/src/test/java/ridgemill/lab/HallsTest.java
+++ b/lab/src/test/java/ridgemill/lab/HallsTest.java
@@ -25,13 +25,13 @@
 import ridgemill.lab.TwoHalls.Plan;
 import ridgemill.testbed.HttpText;
 import ridgemill.testbed.ledger.Auditor;
-import ridgemill.testbed.ledger.ClientEntry;
 import ridgemill.testbed.ledger.ClientEntry.Kind;
+import ridgemill.testbed.ledger.ClientEntry;
 import ridgemill.testbed.ledger.Ledger;
 import ridgemill.testbed.ledger.LoadClass;
 import ridgemill.testbed.ledger.NodeEntry;
-import ridgemill.testbed.link.Link;
 import ridgemill.testbed.link.Link.Conditions;
+import ridgemill.testbed.link.Link;
 import ridgemill.testbed.load.LoadProfile;
 import ridgemill.testbed.node.Fault;
 
