Testbed: a stand-in that starts again at once finds its address free

A listener whose channel is closed goes on listening for the system until the selector of its loop runs next; where the start's tasks come into the same round of the loop, they meet it. Reservation.listen binds again after the loop's next round; nodes, links and the registry use it.

--- a/testbed/src/main/java/ridgemill/testbed/Reservation.java
+++ b/testbed/src/main/java/ridgemill/testbed/Reservation.java
@@ -1,13 +1,19 @@
 package ridgemill.testbed;
 
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelOption;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.BindException;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.SocketException;
 import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
 
 /**
  * A port on loopback that stays ours while nobody listens on it: a server that was killed must find its port again, and
@@ -20,6 +26,8 @@
     private static final int FIRST_DATAGRAM_PORT = 10_000;
     private static final int DATAGRAM_PORTS = 20_000;
     private static final int TRIES = 100;
+    /** More than one round of a loop is never needed; a server that can't listen must not hang a test. */
+    private static final int LOOKS = 100;
 
     private final Socket holder = new Socket();
 
@@ -38,6 +46,26 @@
         return (InetSocketAddress) holder.getLocalSocketAddress();
     }
 
+    /**
+     * Listens here. A listener that was closed a moment ago goes on listening for the system until its loop looks at its
+     * sockets next, so a server that is started again at once would find its own address in use; nobody else can have it.
+     * Not to be called on the loop.
+     */
+    public Channel listen(ServerBootstrap server) {
+        server.option(ChannelOption.SO_REUSEADDR, true);
+        for (int i = 1; ; i++) {
+            ChannelFuture bound = server.bind(address()).awaitUninterruptibly();
+            if (bound.isSuccess()) {
+                return bound.channel();
+            }
+            if (i == LOOKS || !(bound.cause() instanceof BindException)) {
+                throw new IllegalStateException("cannot listen on " + address(), bound.cause());
+            }
+            // What is scheduled runs in a later round of the loop, and each round begins with a look at the sockets.
+            server.config().group().next().schedule(() -> { }, 1, TimeUnit.MILLISECONDS).awaitUninterruptibly();
+        }
+    }
+
     @Override
     public void close() {
         try {
--- a/testbed/src/main/java/ridgemill/testbed/link/Link.java
+++ b/testbed/src/main/java/ridgemill/testbed/link/Link.java
@@ -87,14 +87,14 @@
     }
 
     private void listen() {
-        listener = new ServerBootstrap().group(loop).option(ChannelOption.SO_REUSEADDR, true).channel(NioServerSocketChannel.class)
+        listener = port.listen(new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
                 .childOption(ChannelOption.TCP_NODELAY, true).childOption(ChannelOption.AUTO_READ, false)
                 .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         new Pair(channel).open();
                     }
-                }).bind(port.address()).syncUninterruptibly().channel();
+                }));
     }
 
     /** Where the target is reached through this link. */
--- a/testbed/src/main/java/ridgemill/testbed/node/StandIn.java
+++ b/testbed/src/main/java/ridgemill/testbed/node/StandIn.java
@@ -161,15 +161,15 @@
             bornMs = cold ? System.currentTimeMillis() : 0;
             return state = State.UP;
         });
-        Channel bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_REUSEADDR, true).option(ChannelOption.SO_BACKLOG, 1024)
+        Channel bound = port.listen(new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, 1024)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         accept(channel);
                     }
-                }).bind(port.address()).syncUninterruptibly().channel();
+                }));
         onLoop(() -> listener = bound);
     }
 
--- a/testbed/src/main/java/ridgemill/testbed/registry/RegistryStandIn.java
+++ b/testbed/src/main/java/ridgemill/testbed/registry/RegistryStandIn.java
@@ -147,8 +147,7 @@
 
     /** Listens (again) at its address. */
     public void up() {
-        listener = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
-                .option(io.netty.channel.ChannelOption.SO_REUSEADDR, true)
+        listener = port.listen(new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
                 .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel channel) {
@@ -156,7 +155,7 @@
                         channel.pipeline().addLast(new HttpServerCodec(), new HttpContentCompressor(), new HttpObjectAggregator(MOST_BODY),
                                 new Answers());
                     }
-                }).bind(port.address()).syncUninterruptibly().channel();
+                }));
     }
 
     private <T> T on(Supplier<T> task) {
