Sockets through Linux's epoll where it can be had, the JDK's selectors elsewhere

Need: at 1,000 requests a second more than half of a request's CPU was the JDK's selector (docs/design/scale.md: 562 and 527 us a request with it, 245 and 250 with Netty's epoll transport). SocketKind chooses at start (ridgemill.sockets=auto, epoll, nio) and all channels of a loop are of its kind, the control socket's and the peers' too.

--- a/gateway/src/main/java/ridgemill/gateway/Peers.java
+++ b/gateway/src/main/java/ridgemill/gateway/Peers.java
@@ -9,12 +9,12 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
-import io.netty.channel.socket.nio.NioDatagramChannel;
 import java.net.InetSocketAddress;
 import java.util.List;
 import ridgemill.core.Dispatcher;
 import ridgemill.gateway.net.Content;
 import ridgemill.gateway.net.Log;
+import ridgemill.gateway.net.SocketKind;
 
 /** Short messages between proxies, over UDP: late, lost, or from strangers. */
 final class Peers {
@@ -36,7 +36,7 @@
     }
 
     ChannelFuture listen() {
-        ChannelFuture bound = new Bootstrap().group(loop).channel(NioDatagramChannel.class).handler(new Inbox())
+        ChannelFuture bound = new Bootstrap().group(loop).channel(SocketKind.of(loop).datagram()).handler(new Inbox())
                 .bind(config.peerListen());
         channel = bound.channel();
         return bound;
--- a/gateway/src/main/java/ridgemill/gateway/Service.java
+++ b/gateway/src/main/java/ridgemill/gateway/Service.java
@@ -3,7 +3,6 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -34,6 +33,7 @@
 import ridgemill.gateway.net.Log;
 import ridgemill.gateway.net.LogFaults;
 import ridgemill.gateway.net.LoopTimers;
+import ridgemill.gateway.net.SocketKind;
 import ridgemill.gateway.net.Transport;
 import ridgemill.policy.Decide;
 import ridgemill.policy.Router.Availability;
@@ -56,7 +56,7 @@
     private static final long FIRST_NEWS_MS = 2000;
     private static final long TALLY_S = 10;
 
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, SocketKind.chosen().handlers());
     private final CountDownLatch ended = new CountDownLatch(1);
     private final EventLoop loop = group.next();
     private final Config config;
--- a/gateway/src/main/java/ridgemill/gateway/control/ControlServer.java
+++ b/gateway/src/main/java/ridgemill/gateway/control/ControlServer.java
@@ -8,7 +8,6 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioServerDomainSocketChannel;
 import io.netty.handler.codec.LineBasedFrameDecoder;
 import io.netty.handler.codec.string.StringDecoder;
 import io.netty.handler.timeout.ReadTimeoutException;
@@ -26,6 +25,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import ridgemill.gateway.net.Log;
+import ridgemill.gateway.net.SocketKind;
 
 /**
  * Answers commands at a Unix socket. A client sends one line and reads until the end; only the proxy's own user may
@@ -44,7 +44,7 @@
     private ControlServer(Path path, EventLoop loop, Function<String, CompletionStage<String>> commands)
             throws IOException, InterruptedException {
         this.path = path;
-        var bound = new ServerBootstrap().group(loop).channel(NioServerDomainSocketChannel.class)
+        var bound = new ServerBootstrap().group(loop).channel(SocketKind.of(loop).localServer())
                 .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel channel) {
@@ -58,7 +58,7 @@
                                 new LineBasedFrameDecoder(MOST_LINE), new StringDecoder(StandardCharsets.UTF_8),
                                 new Command(commands));
                     }
-                }).bind(UnixDomainSocketAddress.of(path)).await();
+                }).bind(SocketKind.of(loop).localAddress(path)).await();
         if (!bound.isSuccess()) {
             throw new IOException("cannot listen on " + path + ": " + bound.cause().getMessage());
         }
--- a/gateway/src/main/java/ridgemill/gateway/membership/Discovery.java
+++ b/gateway/src/main/java/ridgemill/gateway/membership/Discovery.java
@@ -1,7 +1,6 @@
 package ridgemill.gateway.membership;
 
 import com.google.gson.JsonParser;
-import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -10,7 +9,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.LineBasedFrameDecoder;
 import io.netty.handler.codec.MessageToMessageDecoder;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -28,6 +26,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import ridgemill.gateway.net.Log;
+import ridgemill.gateway.net.Transport;
 import ridgemill.policy.Router.ListKind;
 
 /**
@@ -102,7 +101,7 @@
         if (old != null) {
             old.close();
         }
-        ChannelFuture connecting = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        ChannelFuture connecting = Transport.TCP.client(loop)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
                 .handler(new ChannelInitializer<>() {
                     @Override
--- a/gateway/src/main/java/ridgemill/gateway/net/Transport.java
+++ b/gateway/src/main/java/ridgemill/gateway/net/Transport.java
@@ -6,22 +6,20 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.local.LocalChannel;
 import io.netty.channel.local.LocalServerChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 
 /** What connections are made of: sockets, or for the warm-up, which may open none, queues inside the process. */
 public enum Transport {
     TCP {
         @Override
         public ServerBootstrap server(EventLoop loop) {
-            return new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+            return new ServerBootstrap().group(loop).channel(SocketKind.of(loop).server())
                     .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
                     .childOption(ChannelOption.TCP_NODELAY, true);
         }
 
         @Override
         public Bootstrap client(EventLoop loop) {
-            return new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true);
+            return new Bootstrap().group(loop).channel(SocketKind.of(loop).client()).option(ChannelOption.TCP_NODELAY, true);
         }
     },
     IN_PROCESS {
