A module that fails for good is not asked again, and owes nobody an answer

An error other than an exception (a class that can't be loaded, say) went through the dispatcher and left it as if it were still telling the module: no event was told any more, and each request had its answer at its backstop only. Dispatcher now leaves the module out from then on: requests without an attempt out are answered at once, the others with the end of their attempt, and what comes later is refused; Faults.fatal tells the owner. DispatcherTest has the case and fails without.

--- a/core/src/main/java/ridgemill/core/Dispatcher.java
+++ b/core/src/main/java/ridgemill/core/Dispatcher.java
@@ -56,6 +56,7 @@
     private Runnable subscribe = () -> { };
     private Consumer<byte[]> tell = contents -> { };
     private boolean telling;
+    private boolean abandoned;
     private int owed;
 
     /**
@@ -185,7 +186,7 @@
         telling = true;
         while (!events.isEmpty()) {
             Pending next = events.remove();
-            boolean failed = !guarded(() -> next.event().tell(timers.now()));
+            boolean failed = abandoned || !guarded(() -> next.event().tell(timers.now()));
             actions.forEach(this::guarded);
             actions.clear();
             if (failed) {
@@ -203,7 +204,20 @@
         } catch (RuntimeException | StackOverflowError | AssertionError e) {
             faults.fault("a decision or its execution failed", e);
             return false;
+        } catch (Error e) {
+            abandon(e);
+            return false;
+        }
+    }
+
+    /** Goes on without the module: what it had in hand has its answer now, or with the end of the attempt that is out. */
+    private void abandon(Error cause) {
+        if (abandoned) {
+            return;
         }
+        abandoned = true;
+        faults.fatal("the decisions failed for good", cause);
+        List.copyOf(calls.values()).forEach(this::answerInstead);
     }
 
     /** Answers for a module that failed: a refusal only where provably nothing ran, as it promises just that. */
--- a/core/src/main/java/ridgemill/core/Faults.java
+++ b/core/src/main/java/ridgemill/core/Faults.java
@@ -6,6 +6,14 @@
     /** A fault of our own, which cost one event and no more. */
     void fault(String what, Throwable cause);
 
+    /**
+     * A fault after which the decisions can't be relied on any more, as a class that can't be loaded or memory that is gone:
+     * they are not asked again, what they had in hand has been answered, and each further request is refused.
+     */
+    default void fatal(String what, Throwable cause) {
+        fault(what, cause);
+    }
+
     /** Something odd that was mended. */
     void odd(String what);
 }
--- a/core/src/main/java/ridgemill/core/Tally.java
+++ b/core/src/main/java/ridgemill/core/Tally.java
@@ -47,7 +47,7 @@
     }
 
     /** Adds what another counted. */
-    Tally plus(Tally other) {
+    public Tally plus(Tally other) {
         requests += other.requests;
         served += other.served;
         refused += other.refused;
--- a/core/src/test/java/ridgemill/core/DispatcherTest.java
+++ b/core/src/test/java/ridgemill/core/DispatcherTest.java
@@ -235,6 +235,33 @@
         assertEquals(List.of("served v"), b.answers);
     }
 
+    /** An error, as a class that can't be loaded: the module is not asked again, and nobody waits for it. */
+    @Test
+    void aModuleThatCannotGoOnIsNotAskedAgainAndOwesNothing() {
+        List<String> asked = new ArrayList<>();
+        script = (event, request, actions) -> {
+            asked.add(event + " " + request);
+            if (request.equals("out")) {
+                actions.send(request, "c0", 0);
+            } else if (request.equals("bad")) {
+                throw new NoClassDefFoundError("planned in this test");
+            }
+        };
+        Told waits = ask("waits");
+        Told sent = ask("out");
+        Told bad = ask("bad");
+        assertEquals(List.of("refused 0.0"), bad.answers);
+        assertEquals(List.of("refused 0.0"), waits.answers, "nothing ran, and nobody decides on it any more");
+        assertEquals(List.of(), sent.answers, "its attempt is out and may still be answered");
+        Told later = ask("later");
+        assertEquals(List.of("refused 0.0"), later.answers);
+        out.get(0).end(Outcome.OK);
+        assertEquals(List.of("served v"), sent.answers);
+        assertEquals(0, dispatcher.owed());
+        assertEquals(1, faults.size());
+        assertEquals(List.of("request waits", "request out", "request bad"), asked);
+    }
+
     @Test
     void aClientThatLeavesIsOwedNothing() {
         script = (event, request, actions) -> {
