Limits that several loops keep together: shares that are lent, never above the whole

Need: with several event loops in one process a limit must hold for the process without a counter that all touch. Each loop's Limiter counts against a LoopShare of its own and reports what it used; the Lender moves parts of rates and counts of requests in flight to where they are asked for. Tokens that a smaller part cuts off go to loops that refuse; what is in flight is lent on only after its loop told that it is free.

--- a/core/src/main/java/ridgemill/limit/Limiter.java
+++ b/core/src/main/java/ridgemill/limit/Limiter.java
@@ -49,13 +49,21 @@
     private double gapMs = FIRST_GAP_MS;
     private double lastEndMs = Double.NaN;
     private int inFlight;
+    /** What this loop may use where several keep the limits together; null where there is one. */
+    private final LoopShare share;
 
     /** One in line, and the buckets that it has a token of. */
     private record Standing(String service, TokenBucket ofTenant, TokenBucket ofClass) { }
 
     public Limiter(Limits limits, double nowMs) {
+        this(limits, nowMs, null);
+    }
+
+    /** Keeps limits together with the limiters of other loops of this process, of which each has a share. */
+    public Limiter(Limits limits, double nowMs, LoopShare share) {
         this.limits = limits;
-        this.retries = limits.retries() == null ? null : new RetryBudget(limits.retries(), nowMs);
+        this.share = share;
+        this.retries = limits.retries() == null ? null : new RetryBudget(retryTerms(limits), nowMs);
     }
 
     /**
@@ -68,20 +76,22 @@
      */
     public Verdict admit(double nowMs, String id, String tenant, String service, boolean retry) {
         // Nobody overtakes those in line.
-        boolean full = inFlight >= limits.inFlight() || !line.isEmpty();
+        boolean full = isFull() || !line.isEmpty();
+        count(Shared.ALL_IN_FLIGHT, inFlight + 1);
         if (full && limits.queue() == null) {
+            lacked(Shared.ALL_IN_FLIGHT);
             return new Refused(Reason.IN_FLIGHT, roomMs(0));
         }
         Integer most = limits.classInFlight().get(service);
-        if (most != null && classInFlight.getOrDefault(service, 0) >= most) {
+        if (most != null && isFull(service, most)) {
             return new Refused(Reason.CLASS_IN_FLIGHT, roomMs(0));
         }
         TokenBucket ofTenant = tenantBucket(nowMs, tenant);
-        if (ofTenant != null && !ofTenant.tryTake(nowMs)) {
+        if (ofTenant != null && !taken(ofTenant, nowMs, share == null ? null : tenantKey(tenant))) {
             return new Refused(Reason.TENANT_RATE, ofTenant.waitMs(nowMs));
         }
         TokenBucket ofClass = classBucket(nowMs, service);
-        if (ofClass != null && !ofClass.tryTake(nowMs)) {
+        if (ofClass != null && !taken(ofClass, nowMs, share == null ? null : new Shared(Shared.Kind.CLASS_RATE, service))) {
             giveBack(ofTenant, nowMs);
             return new Refused(Reason.CLASS_RATE, ofClass.waitMs(nowMs));
         }
@@ -90,9 +100,10 @@
             giveBack(ofClass, nowMs);
             return new Refused(Reason.RETRY_BUDGET, Math.max(1, retries.waitMs(nowMs)));
         }
-        if (full && line.offer(id, tenant == null ? "" : tenant, limits.queue().places()) == FairQueue.Place.FULL) {
+        if (full && line.offer(id, tenant == null ? "" : tenant, places()) == FairQueue.Place.FULL) {
             giveBack(ofTenant, nowMs);
             giveBack(ofClass, nowMs);
+            lacked(Shared.ALL_IN_FLIGHT);
             return new Refused(Reason.QUEUE_FULL, roomMs(line.size()));
         }
         if (retries != null && !retry) {
@@ -123,7 +134,7 @@
 
     /** Names one in line whose turn it is, which is admitted with that; null where none has it. To be asked till then. */
     public String next() {
-        if (line.isEmpty() || inFlight >= limits.inFlight()) {
+        if (line.isEmpty() || isFull()) {
             return null;
         }
         String id = line.poll();
@@ -165,17 +176,147 @@
      * whose rate changes keeps it up to the new burst, and one that is new is full.
      */
     public void changeTo(Limits next, double nowMs) {
+        if (share != null) {
+            share.changed(limits, next);
+        }
         limits = next;
-        change(classBuckets, next.classRate(), nowMs);
-        change(tenantBuckets, next.tenantRate(), nowMs);
-        unknown.changeTo(next.unknownTenant(), nowMs);
+        change(classBuckets, Shared.Kind.CLASS_RATE, next.classRate(), nowMs);
+        change(tenantBuckets, Shared.Kind.TENANT_RATE, next.tenantRate(), nowMs);
+        unknown.changeTo(next.unknownTenant(), nowMs, (name, whole) -> shareOf(Shared.Kind.UNKNOWN_TENANT, name, whole));
         if (next.retries() == null) {
             retries = null;
         } else if (retries == null) {
-            retries = new RetryBudget(next.retries(), nowMs);
-        } else if (!retries.terms().equals(next.retries())) {
-            retries.changeTo(next.retries(), nowMs);
+            retries = new RetryBudget(retryTerms(next), nowMs);
+        } else if (!retries.terms().equals(retryTerms(next))) {
+            retries.changeTo(retryTerms(next), nowMs);
+        }
+    }
+
+    private RetryBudget.Terms retryTerms(Limits of) {
+        return share == null ? of.retries() : share.retries(of.retries());
+    }
+
+    // What is shared with other loops.
+
+    private boolean isFull() {
+        return inFlight >= (share == null ? limits.inFlight() : share.count(Shared.ALL_IN_FLIGHT, limits.inFlight()));
+    }
+
+    private boolean isFull(String service, int whole) {
+        int there = classInFlight.getOrDefault(service, 0);
+        if (share == null) {
+            return there >= whole;
+        }
+        Shared key = new Shared(Shared.Kind.CLASS_IN_FLIGHT, service);
+        count(key, there + 1);
+        boolean full = there >= share.count(key, whole);
+        if (full) {
+            lacked(key);
         }
+        return full;
+    }
+
+    private int places() {
+        return share == null ? limits.queue().places() : share.places(limits.queue().places());
+    }
+
+    private Rate shareOf(Shared.Kind kind, String name, Rate whole) {
+        return share == null ? whole : share.rate(new Shared(kind, name), whole);
+    }
+
+    private void count(Shared key, int wanted) {
+        if (share != null) {
+            LoopShare.Counted c = share.counted(key);
+            c.peak = Math.max(c.peak, wanted);
+        }
+    }
+
+    private void lacked(Shared key) {
+        if (share != null) {
+            share.counted(key).refused++;
+        }
+    }
+
+    private boolean taken(TokenBucket bucket, double nowMs, Shared key) {
+        boolean there = bucket.tryTake(nowMs);
+        if (key != null) {
+            LoopShare.Counted c = share.counted(key);
+            c.asked++;
+            c.refused += there ? 0 : 1;
+        }
+        return there;
+    }
+
+    private Shared tenantKey(String tenant) {
+        return tenant != null && limits.tenantRate().containsKey(tenant) ? new Shared(Shared.Kind.TENANT_RATE, tenant)
+                : new Shared(Shared.Kind.UNKNOWN_TENANT, tenant == null ? "" : tenant);
+    }
+
+    /** The bucket of a rate that is shared, if there is one. */
+    private TokenBucket bucket(Shared key) {
+        return switch (key.kind()) {
+            case CLASS_RATE -> classBuckets.get(key.name());
+            case TENANT_RATE -> tenantBuckets.get(key.name());
+            case UNKNOWN_TENANT -> unknown.own(key.name());
+            default -> null;
+        };
+    }
+
+    private void made(Shared key, double nowMs) {
+        switch (key.kind()) {
+            case CLASS_RATE -> classBucket(nowMs, key.name());
+            case TENANT_RATE, UNKNOWN_TENANT -> tenantBucket(nowMs, key.name());
+            default -> { }
+        }
+    }
+
+    /** Tells what this loop used since it last told. */
+    public LoopShare.Report report(double nowMs) {
+        Map<Shared, LoopShare.Use> uses = new HashMap<>();
+        Map<Shared, LoopShare.Counted> counted = share.drain();
+        counted.forEach((key, c) -> {
+            if (key.kind().isCount()) {
+                uses.put(key, new LoopShare.Use(c.peak, c.refused, held(key), 0));
+            } else {
+                TokenBucket b = bucket(key);
+                uses.put(key, new LoopShare.Use(c.asked, c.refused, b == null ? 0 : b.tokens(nowMs), c.spare));
+            }
+        });
+        // What is in flight counts whether or not anybody asked since.
+        if (limits.inFlight() < Integer.MAX_VALUE) {
+            uses.putIfAbsent(Shared.ALL_IN_FLIGHT, new LoopShare.Use(0, 0, inFlight, 0));
+        }
+        limits.classInFlight().keySet().forEach(name -> uses.computeIfAbsent(new Shared(Shared.Kind.CLASS_IN_FLIGHT, name),
+                key -> new LoopShare.Use(0, 0, held(key), 0)));
+        return new LoopShare.Report(share.taken(), nowMs, uses);
+    }
+
+    private int held(Shared key) {
+        return key.kind() == Shared.Kind.IN_FLIGHT ? inFlight : classInFlight.getOrDefault(key.name(), 0);
+    }
+
+    /** May use another share from now on; those in line may have room with it. */
+    public void take(LoopShare.Grant grant, double nowMs) {
+        // One that nobody has asked for yet is full, and what a smaller part cuts off it is for others too.
+        grant.parts().keySet().forEach(key -> made(key, nowMs));
+        share.take(grant);
+        grant.parts().keySet().forEach(key -> {
+            Rate whole = Shared.rate(limits, key);
+            TokenBucket bucket = whole == null ? null : bucket(key);
+            if (bucket != null) {
+                double cut = bucket.changeTo(share.rate(key, whole), nowMs);
+                if (cut > 0) {
+                    share.counted(key).spare += cut;
+                }
+            }
+        });
+        grant.tokens().forEach((key, tokens) -> {
+            TokenBucket bucket = Shared.rate(limits, key) == null ? null : bucket(key);
+            double back = bucket == null ? tokens : bucket.add(tokens, nowMs);
+            if (back > 0) {
+                share.counted(key).spare += back;
+            }
+        });
     }
 
     /** How many stand in line. */
@@ -188,27 +329,38 @@
         return inFlight;
     }
 
-    private static void change(Map<String, TokenBucket> buckets, Map<String, Rate> rates, double nowMs) {
+    private void change(Map<String, TokenBucket> buckets, Shared.Kind kind, Map<String, Rate> rates, double nowMs) {
         buckets.keySet().retainAll(rates.keySet());
         buckets.forEach((name, bucket) -> {
-            if (!bucket.rate().equals(rates.get(name))) {
-                bucket.changeTo(rates.get(name), nowMs);
+            Rate next = shareOf(kind, name, rates.get(name));
+            if (!bucket.rate().equals(next)) {
+                bucket.changeTo(next, nowMs);
             }
         });
     }
 
+    private TokenBucket fresh(Shared.Kind kind, String name, Rate whole, double nowMs) {
+        if (share == null) {
+            return new TokenBucket(whole, nowMs);
+        }
+        Shared key = new Shared(kind, name);
+        return new TokenBucket(share.rate(key, whole), share.firstTokens(key, whole), nowMs);
+    }
+
     private TokenBucket classBucket(double nowMs, String service) {
         Rate rate = limits.classRate().get(service);
-        return rate == null ? null : classBuckets.computeIfAbsent(service, s -> new TokenBucket(rate, nowMs));
+        return rate == null ? null : classBuckets.computeIfAbsent(service,
+                s -> fresh(Shared.Kind.CLASS_RATE, s, rate, nowMs));
     }
 
     private TokenBucket tenantBucket(double nowMs, String tenant) {
         Rate rate = tenant == null ? null : limits.tenantRate().get(tenant);
         if (rate != null) {
-            return tenantBuckets.computeIfAbsent(tenant, t -> new TokenBucket(rate, nowMs));
+            return tenantBuckets.computeIfAbsent(tenant, t -> fresh(Shared.Kind.TENANT_RATE, t, rate, nowMs));
         }
         return limits.unknownTenant() == null ? null
-                : unknown.of(tenant == null ? "" : tenant, limits.unknownTenant(), nowMs);
+                : unknown.of(tenant == null ? "" : tenant, nowMs,
+                        name -> fresh(Shared.Kind.UNKNOWN_TENANT, name, limits.unknownTenant(), nowMs));
     }
 
     private static void giveBack(TokenBucket bucket, double nowMs) {
--- a/core/src/main/java/ridgemill/limit/TokenBucket.java
+++ b/core/src/main/java/ridgemill/limit/TokenBucket.java
@@ -13,11 +13,24 @@
 
     /** A full bucket. */
     public TokenBucket(Rate rate, double nowMs) {
+        this(rate, rate.burst(), nowMs);
+    }
+
+    /** A bucket that holds so much, which is cut to the burst. */
+    TokenBucket(Rate rate, double tokens, double nowMs) {
         this.rate = rate;
-        this.tokens = rate.burst();
+        this.tokens = Math.min(tokens, rate.burst());
         this.filledAt = nowMs;
     }
 
+    /** Puts in tokens that were taken elsewhere; what does not fit comes back. */
+    double add(double more, double nowMs) {
+        fill(nowMs);
+        double fits = Math.min(more, rate.burst() - tokens);
+        tokens += fits;
+        return more - fits;
+    }
+
     /** Takes a token if one is there. */
     public boolean tryTake(double nowMs) {
         fill(nowMs);
@@ -50,11 +63,13 @@
         return rate;
     }
 
-    /** Goes on at another rate; what it holds stays, cut to the new burst. */
-    public void changeTo(Rate next, double nowMs) {
+    /** Goes on at another rate; what it holds stays, cut to the new burst. Returns what was cut off. */
+    public double changeTo(Rate next, double nowMs) {
         fill(nowMs);
         rate = next;
-        tokens = Math.min(tokens, next.burst());
+        double cut = Math.max(0, tokens - next.burst());
+        tokens -= cut;
+        return cut;
     }
 
     private void fill(double nowMs) {
--- a/core/src/main/java/ridgemill/limit/UnknownTenants.java
+++ b/core/src/main/java/ridgemill/limit/UnknownTenants.java
@@ -3,6 +3,8 @@
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.function.BiFunction;
+import java.util.function.Function;
 
 /**
  * Buckets of tenants that no file names, in bounded memory whatever names come. Each of so many that asked of late has a
@@ -18,27 +20,35 @@
     /** Longer names get none of their own: they would be what takes the memory. */
     private static final int LONGEST_NAME = 128;
 
+    /** No client can send it: what the shared buckets are is never lent. */
+    private static final String SHARED_NAME = "\n";
+
     private final Map<String, TokenBucket> own = new LinkedHashMap<>(OWN, 0.75f, true);
     private final TokenBucket[] shared = new TokenBucket[SHARED];
 
-    /** The bucket of a tenant, where each has this rate; one that names itself not has the empty name. */
-    TokenBucket of(String tenant, Rate rate, double nowMs) {
+    /** The bucket of a tenant, one of {@code made} where it is new; one that names itself not has the empty name. */
+    TokenBucket of(String tenant, double nowMs, Function<String, TokenBucket> made) {
         TokenBucket there = own.get(tenant);
         if (there != null) {
             return there;
         }
         if (tenant.length() <= LONGEST_NAME && hasPlace(nowMs)) {
-            TokenBucket fresh = new TokenBucket(rate, nowMs);
+            TokenBucket fresh = made.apply(tenant);
             own.put(tenant, fresh);
             return fresh;
         }
         int place = Math.floorMod(spread(tenant.hashCode()), SHARED);
         if (shared[place] == null) {
-            shared[place] = new TokenBucket(rate, nowMs);
+            shared[place] = made.apply(SHARED_NAME);
         }
         return shared[place];
     }
 
+    /** The bucket that a tenant has of its own; null where it has none. */
+    TokenBucket own(String tenant) {
+        return own.get(tenant);
+    }
+
     private boolean hasPlace(double nowMs) {
         if (own.size() < OWN) {
             return true;
@@ -52,18 +62,18 @@
         return true;
     }
 
-    /** Another rate holds; null for none. */
-    void changeTo(Rate rate, double nowMs) {
+    /** Another rate holds, of which each name has what {@code part} says; null for none. */
+    void changeTo(Rate rate, double nowMs, BiFunction<String, Rate, Rate> part) {
         if (rate == null) {
             own.clear();
         } else {
-            own.values().forEach(b -> change(b, rate, nowMs));
+            own.forEach((name, b) -> change(b, part.apply(name, rate), nowMs));
         }
         for (int i = 0; i < shared.length; i++) {
             if (rate == null) {
                 shared[i] = null;
             } else if (shared[i] != null) {
-                change(shared[i], rate, nowMs);
+                change(shared[i], part.apply(SHARED_NAME, rate), nowMs);
             }
         }
     }
--- /dev/null
+++ b/core/src/main/java/ridgemill/loops/Dealing.java
@@ -0,0 +1,105 @@
+package ridgemill.loops;
+
+/**
+ * Decides which of several loops a new connection goes to: of those that keep up, one with the fewest connections. A loop
+ * tells at intervals how late it runs; one that is late by much, or has not told for long, gets none while another keeps up,
+ * so that a loop that a hot connection saturates, or that is stuck, takes no more clients with it. A loop that was retired
+ * gets none for good. Times are milliseconds of any clock that never runs back.
+ */
+public final class Dealing {
+
+    /** Nobody may be dealt a connection. */
+    public static final int NONE = -1;
+    /** A loop this late serves its clients late too; usual turns of a busy loop are well below. */
+    private static final double LATE_MS = 25;
+    /** What a loop told of its lateness counts for so long at most: it may have caught up. */
+    private static final double SILENT_MS = 500;
+
+    private final int[] open;
+    private final int[] most;
+    private final double[] heardAt;
+    private final double[] lateMs;
+    private final boolean[] retired;
+    private int last;
+
+    /** As many loops as {@code most} has entries, each with the connections that it may have, at least 1. */
+    public Dealing(int[] most, double nowMs) {
+        this.most = most.clone();
+        this.open = new int[most.length];
+        this.heardAt = new double[most.length];
+        this.lateMs = new double[most.length];
+        this.retired = new boolean[most.length];
+        for (int i = 0; i < most.length; i++) {
+            if (most[i] < 1) {
+                throw new IllegalArgumentException("a loop that may have no connection is dealt none: " + i);
+            }
+            heardAt[i] = nowMs;
+        }
+    }
+
+    /** Names the loop that the next connection goes to, or {@link #NONE} while each has what it may have. */
+    public int next(double nowMs) {
+        int best = NONE;
+        boolean bestKeepsUp = false;
+        // From behind the last one on, so that equals take turns.
+        for (int k = 1; k <= open.length; k++) {
+            int i = (last + k) % open.length;
+            if (retired[i] || open[i] >= most[i]) {
+                continue;
+            }
+            boolean keepsUp = keepsUp(i, nowMs);
+            if (best == NONE || keepsUp && !bestKeepsUp || keepsUp == bestKeepsUp && open[i] < open[best]) {
+                best = i;
+                bestKeepsUp = keepsUp;
+            }
+        }
+        return best;
+    }
+
+    /** A connection went to a loop. */
+    public void opened(int loop) {
+        open[loop]++;
+        last = loop;
+    }
+
+    /** One that it had has closed. */
+    public void closed(int loop) {
+        open[loop]--;
+    }
+
+    /** A loop tells that it ran so much later than it wanted to. */
+    public void beat(int loop, double nowMs, double late) {
+        heardAt[loop] = nowMs;
+        lateMs[loop] = late;
+    }
+
+    /** A loop gets no more connections, whatever it tells. */
+    public void retire(int loop) {
+        retired[loop] = true;
+    }
+
+    /** Whether a loop was heard of late and ran in time. */
+    public boolean keepsUp(int loop, double nowMs) {
+        return lateMs[loop] <= LATE_MS && nowMs - heardAt[loop] <= SILENT_MS;
+    }
+
+    /** How long a loop has not told anything, in milliseconds. */
+    public double silentMs(int loop, double nowMs) {
+        return nowMs - heardAt[loop];
+    }
+
+    /** Whether a loop was retired. */
+    public boolean isRetired(int loop) {
+        return retired[loop];
+    }
+
+    /** Connections that a loop has. */
+    public int open(int loop) {
+        return open[loop];
+    }
+
+    /** How many loops there are. */
+    public int loops() {
+        return open.length;
+    }
+}
