One gateway on many cores: loops that are each a complete proxy, and a door that deals

Need: one loop uses one core. [process] loops = N in the operator file starts N proxies in one process, each with its own decisions, connections and timers; nothing is shared on a request's path. A door loop has what a process has once: listeners, discovery's watch, the peers' socket, control, and deals connections to the loop with the fewest that keeps up. The loops tell one another what proxies tell by datagram, as tasks; to Decide, which is unchanged, each is a proxy of a tier N times as large. Reload, drain, status and the log line are one for all. LoopsTest, from the stand-ins' ledgers: a drain told under load on four loops, a cold node found by eight, faults, 20 reloads in a storm of connections, a stuck loop, a loop whose decisions die of an error, an even dealing, a rate for the process, a drain to the end. Links between halls belong to one loop and are refused beside several.

--- a/gateway/src/main/java/ridgemill/Main.java
+++ b/gateway/src/main/java/ridgemill/Main.java
@@ -36,7 +36,14 @@
     }
 
     /** A proxy that runs, what SIGHUP does to it, and what SIGTERM does, which returns when nothing is owed. */
-    public record Started(Service service, Runnable hangup, Runnable drain) { }
+    public record Started(Running running, Runnable hangup, Runnable drain) { }
+
+    /** What a process waits for. */
+    public interface Running {
+
+        /** Returns when the proxy has ended. */
+        void awaitEnd() throws InterruptedException;
+    }
 
     /** Starts a proxy. */
     public interface Starter {
@@ -50,7 +57,7 @@
         Map<String, String> environment = System.getenv();
         serve(config -> {
             Service service = Service.start(config);
-            return new Started(service, () -> service.reload(environment), service::drain);
+            return new Started(service::awaitEnd, () -> service.reload(environment), service::drain);
         });
     }
 
@@ -72,6 +79,6 @@
         started.complete(running);
         // SIGTERM runs this hook; the process ends when the hook does, so it waits until nothing is owed.
         Runtime.getRuntime().addShutdownHook(new Thread(running.drain(), "drain"));
-        running.service().awaitEnd();
+        running.running().awaitEnd();
     }
 }
--- a/gateway/src/main/java/ridgemill/cli/Commands.java
+++ b/gateway/src/main/java/ridgemill/cli/Commands.java
@@ -105,10 +105,10 @@
         private Main.Started operated(Config config) throws ConfigException, IOException, InterruptedException {
             try {
                 Service.warmUp(config);
-                Operated operated = Operated.start(config, operatorFile, new Decide(config.settings(), config.seed()));
+                Operated operated = Operated.start(config, operatorFile, settings -> new Decide(settings, config.seed() + settings.index()));
                 Runtime.getRuntime().addShutdownHook(new Thread(operated::closeControl, "control"));
-                return new Main.Started(operated.service(), () -> {
-                    operated.service().reload(System.getenv());
+                return new Main.Started(operated::awaitEnd, () -> {
+                    operated.reloadConfiguration(System.getenv());
                     operated.reload();
                 }, operated::drain);
             } catch (OperatorFileException e) {
--- a/gateway/src/main/java/ridgemill/gateway/Config.java
+++ b/gateway/src/main/java/ridgemill/gateway/Config.java
@@ -17,6 +17,7 @@
 import ridgemill.benchlink.SettingsReader;
 import ridgemill.gateway.membership.HostList;
 import ridgemill.gateway.net.Addresses;
+import ridgemill.policy.Router.Limits;
 import ridgemill.policy.Router.Settings;
 
 /**
@@ -34,6 +35,25 @@
         peers = List.copyOf(peers);
     }
 
+    /**
+     * What one of several loops of this process is told: to the decisions each is a proxy of a tier that is as many times
+     * larger, so that what they divide among proxies (quotas, care with cold nodes) they divide among loops too. Descriptors
+     * are divided; those that the process holds whatever it serves are not.
+     *
+     * @param reserved descriptors that are not divided
+     */
+    Config part(int loop, int loops, int reserved) {
+        Limits l = settings.limits();
+        Limits heard = new Limits(l.maxAttempts(), l.cancel(), l.probes(), true, l.retryAfter(), l.maxRetryAfterMs(),
+                l.secondCopies(), l.connectTimeoutMs());
+        Settings part = new Settings(settings.index() * loops + loop, settings.proxies() * loops, settings.zone(),
+                settings.tickMs(), settings.classes(), settings.tenants(), settings.overShareWorth(), settings.worthByWork(),
+                heard, settings.rules(), settings.mustSubscribe(), settings.weights(), settings.originModel(),
+                settings.connections());
+        return new Config(name, listen, discovery, seed + loop, Math.max(2, (sockets - reserved) / loops) + reserved, peerListen,
+                peers, peersAll, known, part, Math.max(1, maxOpen / loops));
+    }
+
     /** Reads the file that BALANCER_CONFIG names; the other variables override what it says. */
     public static Config fromEnvironment(Map<String, String> environment) throws ConfigException {
         String file = environment.get("BALANCER_CONFIG");
--- a/gateway/src/main/java/ridgemill/gateway/Peers.java
+++ b/gateway/src/main/java/ridgemill/gateway/Peers.java
@@ -11,8 +11,7 @@
 import io.netty.channel.socket.DatagramPacket;
 import java.net.InetSocketAddress;
 import java.util.List;
-import ridgemill.core.Dispatcher;
-import ridgemill.gateway.net.Content;
+import java.util.function.BiConsumer;
 import ridgemill.gateway.net.Log;
 import ridgemill.gateway.net.SocketKind;
 
@@ -23,15 +22,16 @@
 
     private final EventLoop loop;
     private final Config config;
-    private final Dispatcher<Content> dispatcher;
+    private final BiConsumer<Integer, byte[]> heard;
     private final int self;
     private final Log log = new Log();
     private Channel channel;
 
-    Peers(EventLoop loop, Config config, Dispatcher<Content> dispatcher) {
+    /** {@code heard} is told the number of the proxy that speaks, and what it says; on the loop. */
+    Peers(EventLoop loop, Config config, BiConsumer<Integer, byte[]> heard) {
         this.loop = loop;
         this.config = config;
-        this.dispatcher = dispatcher;
+        this.heard = heard;
         this.self = config.settings().index();
     }
 
@@ -74,7 +74,7 @@
             if (from < 0 || length > MAX_MESSAGE) {
                 log.odd("a datagram was dropped: " + length + " bytes from " + packet.sender());
             } else if (from != self) {
-                dispatcher.peerMessage(from, ByteBufUtil.getBytes(packet.content()));
+                heard.accept(from, ByteBufUtil.getBytes(packet.content()));
             }
         }
 
--- a/gateway/src/main/java/ridgemill/gateway/Service.java
+++ b/gateway/src/main/java/ridgemill/gateway/Service.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import ridgemill.core.Dispatcher;
+import ridgemill.core.Faults;
 import ridgemill.core.Gate;
 import ridgemill.core.Intake;
 import ridgemill.core.PlatformGate;
@@ -24,6 +25,7 @@
 import ridgemill.gateway.back.Sockets;
 import ridgemill.gateway.back.http.HttpNodeConnection;
 import ridgemill.gateway.front.ClientTable;
+import ridgemill.gateway.front.Listeners;
 import ridgemill.gateway.front.http.HttpFront;
 import ridgemill.gateway.membership.Discovery;
 import ridgemill.gateway.membership.HostList;
@@ -74,7 +76,13 @@
     private volatile Runnable beforeEnd = () -> { };
     private InetSocketAddress listening;
 
+    /** A proxy that reaches the outside by itself. */
     private Service(Config config, Router router, Gate gate) {
+        this(config, router, gate, null);
+    }
+
+    /** One that reaches discovery, peers and new clients through a crew, or by itself where that is null. */
+    private Service(Config config, Router router, Gate gate, Outside outside) {
         this.config = config;
         Settings settings = config.settings();
         int sockets = Math.max(2, config.sockets() - RESERVED_SOCKETS);
@@ -83,24 +91,109 @@
         intake = new Intake<>(timers, gate);
         nodeSockets = new Sockets(Math.max(1, sockets - clientSockets));
         platform = upstream(settings, router, new NodePool(loop, Transport.TCP, HttpNodeConnection::new,
-                settings.limits().connectTimeoutMs(), settings.connections().idleMs(), nodeSockets));
+                settings.limits().connectTimeoutMs(), settings.connections().idleMs(), nodeSockets), faults(outside));
         intake.group(Intake.PLATFORM, platform.dispatcher());
         clients = new ClientTable(clientSockets, gate::connectionsPerClient);
         front = new HttpFront(loop, intake, clients);
         stops.add(front::stop);
+        if (outside != null) {
+            discovery = null;
+            peers = null;
+            platform.dispatcher().wire(outside::subscribe, outside::tell);
+            return;
+        }
         discovery = new Discovery(loop, config.discovery(), config.known(), !settings.mustSubscribe(), new Told());
-        peers = config.peerListen() == null ? null : new Peers(loop, config, platform.dispatcher());
+        peers = config.peerListen() == null ? null : new Peers(loop, config, platform.dispatcher()::peerMessage);
         platform.dispatcher().wire(discovery::subscribe, peers == null ? contents -> { } : peers::tell);
     }
 
-    private Upstream upstream(Settings settings, Router router, NodeBack back) {
-        return new Upstream(router, back, new Dispatcher<>(timers, settings, router, back, new LogFaults(), intake::settled,
+    private Upstream upstream(Settings settings, Router router, NodeBack back, Faults faults) {
+        return new Upstream(router, back, new Dispatcher<>(timers, settings, router, back, faults, intake::settled,
                 config.maxOpen()));
     }
 
+    private static Faults faults(Outside outside) {
+        return outside == null ? new LogFaults() : new MemberFaults(new LogFaults(), outside);
+    }
+
+    /** Tells the crew too of what a member does not recover from. */
+    private record MemberFaults(LogFaults log, Outside outside) implements Faults {
+        @Override
+        public void fault(String what, Throwable cause) {
+            log.fault(what, cause);
+        }
+
+        @Override
+        public void odd(String what) {
+            log.odd(what);
+        }
+
+        @Override
+        public void fatal(String what, Throwable cause) {
+            log.fault(what, cause);
+            outside.failed();
+        }
+    }
+
+    /** What a member of a crew has of the world beyond nodes and its clients; called on the member's loop. */
+    interface Outside {
+
+        /** Asks discovery to send changes. */
+        void subscribe();
+
+        /** Tells all other proxies, those of this process too. */
+        void tell(byte[] contents);
+
+        /** The member can't decide any more. */
+        void failed();
+    }
+
+    /** A member of a crew, which waits for what it is told and dealt once it has begun. */
+    static Service member(Config part, Router router, Gate gate, Outside outside) {
+        return new Service(part, router, gate, outside);
+    }
+
+    /** Begins as a member, once all of its crew are there. */
+    void begin() {
+        between(() -> {
+            tellStart();
+            clients.watch(loop);
+        });
+    }
+
+    /** Where the HTTP front takes connections in, which a crew deals. */
+    public Listeners httpListeners() {
+        return front.listeners();
+    }
+
+    /** From now on the proxy says that it may be used; on the loop. */
+    void ready() {
+        front.ready();
+    }
+
+    /** What was counted; not to be called on the loop. */
+    Counts askCounts() {
+        return loop.submit(this::counts).syncUninterruptibly().getNow();
+    }
+
+    /** What discovery told a crew; on the loop. */
+    void told(ListKind kind, HostList list) {
+        new Told().hosts(kind, list);
+    }
+
+    /** Discovery failed a crew; on the loop. */
+    void discoveryRefused() {
+        platform.dispatcher().discoveryRefused();
+    }
+
+    /** A message of another proxy, or of another loop of this process; on the loop. */
+    void peerMessage(int from, byte[] contents) {
+        platform.dispatcher().peerMessage(from, contents);
+    }
+
     /** Takes in another group of nodes, under decisions of its own; to be called on the loop. */
     public Group group(String name, Settings settings, Router router, NodeBack back) {
-        Group group = new Group(name, upstream(settings, router, back));
+        Group group = new Group(name, upstream(settings, router, back, new LogFaults()));
         group.upstream.dispatcher().start();
         intake.group(name, group.upstream.dispatcher());
         return group;
@@ -278,6 +371,11 @@
     }
 
     private void reloadNow(Map<String, String> environment) {
+        reread(environment, discovery);
+    }
+
+    /** Reads the configuration again for a watch that may move; on the watch's loop. */
+    static void reread(Map<String, String> environment, Discovery discovery) {
         try {
             Config next = Config.reread(environment);
             Log.info("new configuration: discovery at " + next.discovery());
@@ -328,15 +426,18 @@
      * @param level the decisions' present level of throttling, 0 for none
      */
     public record Status(long requests, long served, long refused, long failed, long gone, int owed, int clients,
-                         int nodes, int level) { }
+                         int nodes, int level) {
+
+        static Status of(Counts c, int level) {
+            Tally t = c.tally();
+            return new Status(t.requests(), t.served(), t.refused(), t.failed(), t.gone(), c.owed(), c.clients(), c.nodes(),
+                    level);
+        }
+    }
 
     /** Asks the loop; not to be called on it. */
     public Status status() {
-        return loop.submit(() -> {
-            Tally t = intake.tally();
-            return new Status(t.requests(), t.served(), t.refused(), t.failed(), t.gone(), intake.owed(),
-                    clients.size(), nodeSockets.open(), platform.router().level());
-        }).syncUninterruptibly().getNow();
+        return loop.submit(() -> Status.of(counts(), level())).syncUninterruptibly().getNow();
     }
 
     /** Ends at once, whatever is owed. */
@@ -349,7 +450,9 @@
         if (intake.owed() > 0 || clients.size() > 0) {
             loop.schedule(this::finish, DRAIN_POLL_MS, TimeUnit.MILLISECONDS);
         } else {
-            logTally();
+            if (discovery != null) {
+                logTally();
+            }
             // Not on the loop, which it may need.
             Thread last = new Thread(() -> {
                 beforeEnd.run();
@@ -365,8 +468,26 @@
     }
 
     private void logTally() {
-        Log.info(intake.tally() + " owed=" + intake.owed() + " clients=" + clients.size() + " nodes="
-                + nodeSockets.open());
+        Log.info(counts().toString());
+    }
+
+    /** What the log tells at intervals; on the loop. */
+    record Counts(Tally tally, int owed, int clients, int nodes) {
+
+        static final Counts NONE = new Counts(new Tally(), 0, 0, 0);
+
+        Counts plus(Counts o) {
+            return new Counts(new Tally().plus(tally).plus(o.tally), owed + o.owed, clients + o.clients, nodes + o.nodes);
+        }
+
+        @Override
+        public String toString() {
+            return tally + " owed=" + owed + " clients=" + clients + " nodes=" + nodes;
+        }
+    }
+
+    Counts counts() {
+        return new Counts(intake.tally(), intake.owed(), clients.size(), nodeSockets.open());
     }
 
     private void tellStart() {
--- a/gateway/src/main/java/ridgemill/gateway/front/ClientTable.java
+++ b/gateway/src/main/java/ridgemill/gateway/front/ClientTable.java
@@ -72,6 +72,11 @@
         }
     }
 
+    /** Connections that may be open. */
+    public int most() {
+        return maxConnections;
+    }
+
     /** Connections that are open. */
     public int size() {
         return connections.size();
--- /dev/null
+++ b/gateway/src/main/java/ridgemill/gateway/front/Dealer.java
@@ -0,0 +1,159 @@
+package ridgemill.gateway.front;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import java.net.SocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import ridgemill.gateway.net.Clock;
+import ridgemill.gateway.net.Log;
+import ridgemill.gateway.net.Transport;
+import ridgemill.loops.Dealing;
+
+/**
+ * Takes connections in on a loop of its own, the door, and deals them out to fronts on other loops. With one listener a
+ * connection that nobody has accepted yet belongs to no loop: none is lost with a loop that is stuck, as those in the
+ * backlog of its own listener would be where each loop listens (SO_REUSEPORT). Used on the door's loop alone, but for
+ * {@link #listen}.
+ */
+public final class Dealer {
+
+    /** How long a loop may be silent before it is told of in the log. */
+    private static final double STUCK_MS = 2000;
+
+    private final EventLoop door;
+    private final Clock clock;
+    private final Dealing dealing;
+    private final Map<SocketAddress, Channel> open = new HashMap<>();
+    private final boolean[] stuck;
+    private boolean accepting = true;
+    private boolean over;
+
+    /** Deals to as many loops as {@code dealing} knows. */
+    public Dealer(EventLoop door, Clock clock, Dealing dealing) {
+        this.door = door;
+        this.clock = clock;
+        this.dealing = dealing;
+        this.stuck = new boolean[dealing.loops()];
+    }
+
+    /**
+     * Starts to listen at one more address; the future fails where it can't be had. May be called from any thread.
+     *
+     * @param fronts what takes connections on each loop, in the loops' order
+     */
+    public ChannelFuture listen(Transport transport, SocketAddress address, List<Listeners> fronts) {
+        ChannelFuture bound = transport.server(door).handler(new Deals(List.copyOf(fronts)))
+                .childHandler(new ChannelInboundHandlerAdapter()).bind(address);
+        Channel listener = bound.channel();
+        door.execute(() -> {
+            if (over) {
+                listener.close();
+                return;
+            }
+            open.put(address, listener);
+            listener.closeFuture().addListener(f -> open.remove(address, listener));
+            listener.config().setAutoRead(accepting);
+        });
+        return bound;
+    }
+
+    /** No new connections at an address; those that it has stay. */
+    public void unlisten(SocketAddress address) {
+        Channel listener = open.remove(address);
+        if (listener != null) {
+            listener.close();
+        }
+    }
+
+    /** No new connections. */
+    public void close() {
+        over = true;
+        new ArrayList<>(open.values()).forEach(Channel::close);
+    }
+
+    /** A loop tells how late it ran. */
+    public void beat(int loop, double lateMs) {
+        dealing.beat(loop, clock.now(), lateMs);
+        if (stuck[loop]) {
+            stuck[loop] = false;
+            Log.info("loop " + loop + " answers again");
+        }
+    }
+
+    /** Looks for loops that have not told anything; to be called at intervals. */
+    public void look() {
+        for (int i = 0; i < stuck.length; i++) {
+            double silent = dealing.silentMs(i, clock.now());
+            if (!stuck[i] && silent > STUCK_MS) {
+                stuck[i] = true;
+                Log.info("loop " + i + " has not answered for " + Math.round(silent) + " ms; new connections go to others");
+            }
+        }
+    }
+
+    /** A loop gets no more connections. */
+    public void retire(int loop) {
+        dealing.retire(loop);
+    }
+
+    /** What is known of each loop, a line each. */
+    public List<String> explain() {
+        List<String> lines = new ArrayList<>();
+        double now = clock.now();
+        for (int i = 0; i < dealing.loops(); i++) {
+            lines.add("loop " + i + ": " + dealing.open(i) + " connections, " + (dealing.isRetired(i) ? "retired after an error"
+                    : dealing.keepsUp(i, now) ? "keeps up" : "late, last heard of " + Math.round(dealing.silentMs(i, now))
+                    + " ms ago"));
+        }
+        return lines;
+    }
+
+    private void accept(boolean accept) {
+        if (accepting != accept) {
+            accepting = accept;
+            open.values().forEach(l -> l.config().setAutoRead(accept));
+        }
+    }
+
+    /** Stands before the acceptor of a listener's own loop, and leaves nothing to it. */
+    private final class Deals extends ChannelInboundHandlerAdapter {
+        private final List<Listeners> fronts;
+
+        Deals(List<Listeners> fronts) {
+            this.fronts = fronts;
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object message) {
+            Channel client = (Channel) message;
+            int loop = dealing.next(clock.now());
+            if (loop == Dealing.NONE || over) {
+                // Accepted in the same go as the last one that had a place.
+                client.unsafe().closeForcibly();
+                return;
+            }
+            dealing.opened(loop);
+            // Past this the system's backlog keeps them, as any that is accepted must be served.
+            accept(dealing.next(clock.now()) != Dealing.NONE);
+            client.config().setOption(ChannelOption.TCP_NODELAY, true);
+            client.pipeline().addLast(fronts.get(loop).accepted());
+            fronts.get(loop).loop().register(client).addListener(f -> {
+                if (!f.isSuccess()) {
+                    client.unsafe().closeForcibly();
+                }
+            });
+            client.closeFuture().addListener(f -> door.execute(() -> {
+                dealing.closed(loop);
+                accept(true);
+            }));
+        }
+    }
+}
--- a/gateway/src/main/java/ridgemill/gateway/front/Listeners.java
+++ b/gateway/src/main/java/ridgemill/gateway/front/Listeners.java
@@ -25,6 +25,16 @@
         table.onRoom(this::accept);
     }
 
+    /** What sets up a connection, for whoever takes it in elsewhere. */
+    ChannelHandler accepted() {
+        return accepted;
+    }
+
+    /** The loop that its connections belong to. */
+    EventLoop loop() {
+        return loop;
+    }
+
     /** Starts to listen at one more address; the future fails where it can't be had. */
     public ChannelFuture listen(Transport transport, SocketAddress address) {
         ChannelFuture bound = transport.server(loop).childHandler(accepted).bind(address);
--- a/gateway/src/main/java/ridgemill/gateway/front/http/HttpFront.java
+++ b/gateway/src/main/java/ridgemill/gateway/front/http/HttpFront.java
@@ -53,6 +53,11 @@
         ready = true;
     }
 
+    /** Where its connections come in. */
+    public Listeners listeners() {
+        return listeners;
+    }
+
     /** No new connections. */
     public void stop() {
         listeners.close();
--- a/gateway/src/main/java/ridgemill/gateway/front/resp/RespFront.java
+++ b/gateway/src/main/java/ridgemill/gateway/front/resp/RespFront.java
@@ -49,6 +49,11 @@
         listeners.unlisten(address);
     }
 
+    /** Where its connections come in. */
+    public Listeners listeners() {
+        return listeners;
+    }
+
     /** No new connections. */
     public void stop() {
         listeners.close();
--- a/gateway/src/main/java/ridgemill/gateway/operator/Operated.java
+++ b/gateway/src/main/java/ridgemill/gateway/operator/Operated.java
@@ -3,17 +3,22 @@
 import com.google.gson.Gson;
 import com.google.gson.JsonObject;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.EventLoop;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
+import java.util.function.Function;
 import ridgemill.classes.PlatformFacts;
 import ridgemill.gateway.Config;
+import ridgemill.gateway.Crew;
 import ridgemill.gateway.Service;
 import ridgemill.gateway.control.ControlServer;
 import ridgemill.gateway.front.resp.RespFront;
@@ -24,6 +29,8 @@
 import ridgemill.gateway.net.LoopTimers;
 import ridgemill.gateway.net.Transport;
 import ridgemill.gateway.operator.OperatorConfig.Listener;
+import ridgemill.limit.LoopShare;
+import ridgemill.policy.Router.Settings;
 import ridgemill.policy.Router;
 
 /** A proxy that runs under an operator file, which may be read again while it serves. */
@@ -44,8 +51,9 @@
     private final String file;
     private final PlatformFacts platform;
     private final Clock clock = new Clock();
-    private final OperatorGate gate;
     private final Config config;
+    /** One for each loop; a single one where the file asks for no more. */
+    private final List<Seat> seats = new ArrayList<>();
     /** Reloads take turns here, whoever asks for them: the loop must not wait for a disk or an address. */
     private final ExecutorService turns = Executors.newSingleThreadExecutor(run -> {
         Thread thread = new Thread(run, "operator-file");
@@ -53,42 +61,98 @@
         return thread;
     });
     private OperatorConfig holds;
-    private Service service;
-    private NodeGroups groups;
+    private Crew crew;
+    private SharedLimits shared;
     private ControlServer control;
-    private RespFront resp;
     private EurekaRegistration registration;
     private HallCrossings halls;
     private long reloads;
 
+    /** What one loop has: a proxy, and what the file makes of it. */
+    private static final class Seat {
+        final Service service;
+        final OperatorGate gate;
+        NodeGroups groups;
+        RespFront resp;
+
+        Seat(Service service, OperatorGate gate) {
+            this.service = service;
+            this.gate = gate;
+        }
+
+        /** Runs a task between two of the loop's requests; not to be called on it. */
+        void between(Runnable task) {
+            service.between(task);
+        }
+
+        void passwords(OperatorConfig config) {
+            if (resp != null) {
+                resp.passwords(config.passwords());
+            }
+        }
+    }
+
     private Operated(String file, Config config, OperatorConfig operator) {
         this.file = file;
         this.config = config;
         this.holds = operator;
         this.platform = PlatformFacts.of(config.settings());
-        this.gate = new OperatorGate(config.settings(), operator, clock.now());
     }
 
-    /** Reads the file and starts a proxy under it; a file with any problem starts nothing. */
+    /** Reads the file and starts a proxy under it; a file with any problem, or that asks for several loops, starts nothing. */
     public static Operated start(Config config, String file, Router router)
             throws OperatorFileException, IOException, InterruptedException {
-        Operated operated = new Operated(file, config, OperatorFile.read(file, PlatformFacts.of(config.settings())));
-        operated.service = Service.start(config, router, operated.gate);
+        return start(config, file, settings -> router);
+    }
+
+    /**
+     * Reads the file and starts the proxy, or several of them in one process, under it; a file with any problem starts
+     * nothing.
+     *
+     * @param routers makes the decisions of a loop from its settings; asked once for each
+     */
+    public static Operated start(Config config, String file, Function<Settings, Router> routers)
+            throws OperatorFileException, IOException, InterruptedException {
+        OperatorConfig operator = OperatorFile.read(file, PlatformFacts.of(config.settings()));
+        Operated operated = new Operated(file, config, operator);
+        if (operator.loops() > 1) {
+            operated.startCrew(routers);
+        } else {
+            OperatorGate gate = new OperatorGate(config.settings(), operator, operated.clock.now());
+            operated.seats.add(new Seat(Service.start(config, routers.apply(config.settings()), gate), gate));
+        }
         try {
             operated.begin();
         } catch (IOException e) {
-            operated.service.kill();
+            operated.kill();
             throw e;
         }
         return operated;
     }
 
+    private void startCrew(Function<Settings, Router> routers) throws IOException, InterruptedException {
+        int loops = holds.loops();
+        List<OperatorGate> gates = new ArrayList<>();
+        for (int i = 0; i < loops; i++) {
+            gates.add(new OperatorGate(config.settings(), holds, clock.now(), new LoopShare(i, loops)));
+        }
+        crew = Crew.start(config, loops, routers, gates::get);
+        for (int i = 0; i < loops; i++) {
+            seats.add(new Seat(crew.members().get(i), gates.get(i)));
+        }
+        shared = new SharedLimits(crew.door(), clock, holds.limits(), seats.stream()
+                .map(s -> new SharedLimits.Loop(s.service, s.gate)).toList());
+        shared.start();
+    }
+
     private void begin() throws IOException, InterruptedException {
-        service.between(() -> {
-            groups = new NodeGroups(service, config.settings(), config.seed(), clock);
-            groups.take(holds.groups(), holds.eureka());
-            service.intake().classes(gate.classes());
-        });
+        for (Seat seat : seats) {
+            seat.between(() -> {
+                seat.groups = new NodeGroups(seat.service, config.settings(), config.seed(), clock);
+                seat.groups.take(holds.groups(), holds.eureka());
+                seat.service.intake().classes(seat.gate.classes());
+            });
+        }
         if (holds.halls() != null) {
             beginHalls();
         }
@@ -96,15 +160,22 @@
             listen(l, holds);
         }
         if (holds.register() != null && holds.eureka() != null) {
-            registration = new EurekaRegistration(service.loop(), holds.eureka(), holds.register());
-            service.loop().execute(registration::start);
+            registration = new EurekaRegistration(loop(), holds.eureka(), holds.register());
+            loop().execute(registration::start);
         }
         if (holds.control() != null) {
-            control = ControlServer.listen(holds.control(), service.loop(), this::command);
+            control = ControlServer.listen(holds.control(), loop(), this::command);
         }
     }
 
+    /** The loop of what the process has once. */
+    private EventLoop loop() {
+        return crew == null ? service().loop() : crew.door();
+    }
+
     private void beginHalls() throws IOException, InterruptedException {
+        // The file's checks let no halls through beside several loops.
+        Service service = service();
         IOException[] failed = {null};
         service.between(() -> {
             try {
@@ -124,15 +195,63 @@
         }
     }
 
+    /** The proxy, or the first of several. */
     public Service service() {
-        return service;
+        return seats.get(0).service;
+    }
+
+    /** Where clients connect. */
+    public InetSocketAddress listening() {
+        return crew == null ? service().listening() : crew.listening();
+    }
+
+    /** What the process says of itself, over all loops; not to be called on a loop. */
+    public Service.Status status() {
+        return crew == null ? service().status() : crew.status();
+    }
+
+    /** Takes in the configuration's file as it is now, as {@link Service#reload} does. */
+    public void reloadConfiguration(Map<String, String> environment) {
+        if (crew == null) {
+            service().reload(environment);
+        } else {
+            crew.reload(environment);
+        }
+    }
+
+    /** The proxies of all loops, in their order. */
+    public List<Service> services() {
+        return seats.stream().map(s -> s.service).toList();
+    }
+
+    /** How each of several loops is, a line each; empty where one serves. Not to be called on a loop. */
+    public List<String> loops() {
+        return crew == null ? List.of() : crew.explain();
+    }
+
+    /** Waits until the proxy has ended. */
+    public void awaitEnd() throws InterruptedException {
+        if (crew == null) {
+            service().awaitEnd();
+        } else {
+            crew.awaitEnd();
+        }
+    }
+
+    /** Ends at once, whatever is owed. */
+    public void kill() {
+        if (crew == null) {
+            service().kill();
+        } else {
+            crew.kill();
+        }
     }
 
     /** How other halls and the links to them are, a line each; empty where there are none. Not to be called on the loop. */
     public List<String> halls() {
         List<String> lines = new ArrayList<>();
         if (halls != null) {
-            service.between(() -> lines.addAll(halls.explain()));
+            seats.get(0).between(() -> lines.addAll(halls.explain()));
         }
         return lines;
     }
@@ -140,30 +259,40 @@
     /** Opens a listener of a file that is to hold: whoever comes first is asked for that file's passwords already. */
     private void listen(Listener l, OperatorConfig config) throws IOException, InterruptedException {
         if (l.protocol().equals("http")) {
-            service.listen(l.address());
+            if (crew == null) {
+                service().listen(l.address());
+            } else {
+                crew.listen(l.address(), Service::httpListeners);
+            }
             return;
         }
-        service.between(() -> {
-            if (resp == null) {
-                resp = new RespFront(service.loop(), service.intake(), service.clients());
-                service.onStop(resp::stop);
-                passwords(config);
-            }
-        });
-        Service.bound(resp.listen(Transport.TCP, l.address()), l.address());
-    }
-
-    private void unlisten(Listener l) {
-        if (l.protocol().equals("http")) {
-            service.unlisten(l.address());
+        for (Seat seat : seats) {
+            seat.between(() -> {
+                if (seat.resp == null) {
+                    seat.resp = new RespFront(seat.service.loop(), seat.service.intake(), seat.service.clients());
+                    seat.service.onStop(seat.resp::stop);
+                    seat.passwords(config);
+                }
+            });
+        }
+        if (crew == null) {
+            Service.bound(seats.get(0).resp.listen(Transport.TCP, l.address()), l.address());
         } else {
-            service.loop().execute(() -> resp.unlisten(l.address()));
+            crew.listen(l.address(), member -> seatOf(member).resp.listeners());
         }
     }
 
-    private void passwords(OperatorConfig config) {
-        if (resp != null) {
-            resp.passwords(config.passwords());
+    private Seat seatOf(Service member) {
+        return seats.stream().filter(s -> s.service == member).findFirst().orElseThrow();
+    }
+
+    private void unlisten(Listener l) {
+        if (crew != null) {
+            crew.unlisten(l.address());
+        } else if (l.protocol().equals("http")) {
+            service().unlisten(l.address());
+        } else {
+            loop().execute(() -> seats.get(0).resp.unlisten(l.address()));
         }
     }
 
@@ -176,19 +305,24 @@
             registration.outOfService();
         }
         if (halls != null) {
-            service.loop().execute(halls::leave);
+            loop().execute(halls::leave);
         }
-        service.drainThen(() -> {
+        Runnable last = () -> {
             if (registration != null) {
                 registration.cancel();
             }
-        });
+        };
+        if (crew == null) {
+            service().drainThen(last);
+        } else {
+            crew.drainThen(last);
+        }
     }
 
     /** Stops to answer commands and to ask a registry; to be called when the proxy goes down, and not on the loop. */
     public void closeControl() {
         try {
-            service.loop().execute(groups::close);
+            seats.forEach(s -> s.service.loop().execute(s.groups::close));
         } catch (RejectedExecutionException e) {
             Log.info("the proxy has ended before its registry was left");
         }
@@ -222,22 +356,17 @@
     private Reload take(OperatorConfig next) throws OperatorFileException {
         List<Listener> before = holds.listeners();
         listen(next, before);
-        service.between(() -> {
-            double now = clock.now();
-            groups.take(next.groups(), next.eureka());
-            gate.changeTo(next, now);
-            service.intake().classes(gate.classes());
-            // Those in line came under the old file and would be decided under the new one.
-            service.intake().turnAwayIf(gate::isOutdated);
-            groups.drop(next.groups());
-            passwords(next);
-            if (halls != null && halls.isFixedIn(next.halls())) {
-                halls.changeTo(next.halls());
-            }
-            service.intake().limitsChanged();
-        });
+        for (Seat seat : seats) {
+            seat.between(() -> take(seat, next));
+        }
+        if (shared != null) {
+            shared.changeTo(next.limits());
+        }
         before.stream().filter(l -> isMissing(l, next.listeners())).forEach(this::unlisten);
         List<String> notes = new ArrayList<>();
+        if (holds.loops() != next.loops()) {
+            notes.add("process.loops holds from the next start on");
+        }
         if (!Objects.equals(holds.control(), next.control())) {
             notes.add("control.socket does not move while the proxy runs");
         }
@@ -251,6 +380,20 @@
         return new Reload(true, summary(next), List.of(), notes);
     }
 
+    private void take(Seat seat, OperatorConfig next) {
+        seat.groups.take(next.groups(), next.eureka());
+        seat.gate.changeTo(next, clock.now());
+        seat.service.intake().classes(seat.gate.classes());
+        // Those in line came under the old file and would be decided under the new one.
+        seat.service.intake().turnAwayIf(seat.gate::isOutdated);
+        seat.groups.drop(next.groups());
+        seat.passwords(next);
+        if (halls != null && halls.isFixedIn(next.halls())) {
+            halls.changeTo(next.halls());
+        }
+        seat.service.intake().limitsChanged();
+    }
+
     private static boolean isMissing(Listener l, List<Listener> in) {
         return in.stream().noneMatch(o -> o.address().equals(l.address()) && o.protocol().equals(l.protocol()));
     }
@@ -284,7 +427,7 @@
             case "reload" -> CompletableFuture.supplyAsync(() -> JSON.toJson(reloadNow()), turns);
             case "halls" -> CompletableFuture.supplyAsync(() -> linesJson("halls", halls()), turns);
             case "nodes" -> CompletableFuture.supplyAsync(() -> linesJson("nodes", nodes()), turns);
-            case "status" -> CompletableFuture.supplyAsync(this::status, turns);
+            case "status" -> CompletableFuture.supplyAsync(this::statusJson, turns);
             default -> CompletableFuture.completedFuture("{\"done\":false,\"reason\":\"no such command: reload, status, nodes, halls\"}");
         };
     }
@@ -292,7 +435,8 @@
     /** Which nodes of the file's groups are in, why, since when and told by whom, a line each; not on the loop. */
     public List<String> nodes() {
         List<String> lines = new ArrayList<>();
-        service.between(() -> lines.addAll(groups.explain()));
+        Seat first = seats.get(0);
+        first.between(() -> lines.addAll(first.groups.explain()));
         return lines;
     }
 
@@ -302,15 +446,23 @@
         return JSON.toJson(o);
     }
 
-    private String status() {
-        JsonObject o = JSON.toJsonTree(service.status()).getAsJsonObject();
+    private String statusJson() {
+        JsonObject o = JSON.toJsonTree(status()).getAsJsonObject();
         o.addProperty("file", file);
         o.addProperty("holds", summary(holds));
         o.addProperty("reloads", reloads);
-        service.between(() -> {
-            o.addProperty("inFlight", gate.inFlight());
-            o.addProperty("inLine", gate.inLine());
-        });
+        int[] counted = new int[2];
+        for (Seat seat : seats) {
+            seat.between(() -> {
+                counted[0] += seat.gate.inFlight();
+                counted[1] += seat.gate.inLine();
+            });
+        }
+        o.addProperty("inFlight", counted[0]);
+        o.addProperty("inLine", counted[1]);
+        if (crew != null) {
+            o.add("loops", JSON.toJsonTree(loops()));
+        }
         return JSON.toJson(o);
     }
 }
--- a/gateway/src/main/java/ridgemill/gateway/operator/OperatorGate.java
+++ b/gateway/src/main/java/ridgemill/gateway/operator/OperatorGate.java
@@ -10,6 +10,7 @@
 import ridgemill.gateway.operator.OperatorConfig.Resolved;
 import ridgemill.gateway.operator.OperatorConfig.Target;
 import ridgemill.limit.Limiter;
+import ridgemill.limit.LoopShare;
 import ridgemill.policy.Router.Group;
 import ridgemill.policy.Router.Retry;
 import ridgemill.policy.Router.ServiceClass;
@@ -28,9 +29,15 @@
     private OperatorConfig config;
     private Map<String, ServiceClass> classes = Map.of();
 
+    /** The gate of a proxy that keeps the file's limits by itself. */
     public OperatorGate(Settings settings, OperatorConfig config, double nowMs) {
+        this(settings, config, nowMs, null);
+    }
+
+    /** The gate of one loop of several, which keep the file's limits together. */
+    public OperatorGate(Settings settings, OperatorConfig config, double nowMs, LoopShare share) {
         settings.classes().forEach(c -> platform.put(c.name(), c));
-        limiter = new Limiter(config.limits(), nowMs);
+        limiter = new Limiter(config.limits(), nowMs, share);
         take(config);
     }
 
@@ -101,6 +108,16 @@
         return limiter.withdrawn(nowMs, id);
     }
 
+    /** What its loop used of limits that several keep together. */
+    LoopShare.Report report(double nowMs) {
+        return limiter.report(nowMs);
+    }
+
+    /** What its loop may use of them from now on. */
+    void take(LoopShare.Grant grant, double nowMs) {
+        limiter.take(grant, nowMs);
+    }
+
     int inFlight() {
         return limiter.inFlight();
     }
