Tests: a scripted peer that has closed listens no more

OutcomeTest failed once on a busy machine: it binds the port of a peer that it has just closed, and the port was in use. A listening socket lives on while a thread is still in its accept, so Peer.close waits for that thread now.

--- a/gateway/src/test/java/ridgemill/gateway/Peer.java
+++ b/gateway/src/test/java/ridgemill/gateway/Peer.java
@@ -60,10 +60,10 @@
     private final ServerSocket server;
     private final BlockingQueue<Message> messages = new LinkedBlockingQueue<>();
     private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+    private final Thread accepting = new Thread(this::accept, "peer");
 
     Peer() throws IOException {
         server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-        Thread accepting = new Thread(this::accept, "peer");
         accepting.setDaemon(true);
         accepting.start();
     }
@@ -129,6 +129,12 @@
     @Override
     public void close() throws IOException {
         server.close();
+        try {
+            // The system listens on until the thread has come back from its accept.
+            accepting.join(TimeUnit.SECONDS.toMillis(PATIENCE_S));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
         for (Socket socket : sockets) {
             socket.close();
         }
