--- a/bench/src/main/java/ridgemill/bench/CoreMeasurement.java
+++ b/bench/src/main/java/ridgemill/bench/CoreMeasurement.java
@@ -4,7 +4,6 @@
 import com.google.gson.JsonParser;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
@@ -16,6 +15,7 @@
 import picocli.CommandLine.Option;
 import picocli.CommandLine;
 import ridgemill.gateway.net.Addresses;
+import ridgemill.gateway.net.SocketKind;
 import ridgemill.testbed.discovery.DiscoveryStandIn.Host;
 import ridgemill.testbed.discovery.DiscoveryStandIn;
 
@@ -28,7 +28,7 @@
             description = "The core that the measured proxy runs on (default: ${DEFAULT-VALUE}).")
     int core;
 
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(3, NioIoHandler.newFactory());
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(3, SocketKind.chosen().handlers());
     final EventLoop nodeLoop = group.next();
     final EventLoop clientLoop = group.next();
     final EventLoop otherLoop = group.next();
--- a/bench/src/main/java/ridgemill/bench/FlatNode.java
+++ b/bench/src/main/java/ridgemill/bench/FlatNode.java
@@ -9,10 +9,10 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
+import ridgemill.gateway.net.SocketKind;
 
 /**
  * A node that answers every request at once with the same value: what is left of a request's time is the proxy's. It
@@ -29,11 +29,20 @@
         this(loop, 0);
     }
 
+    /** A node whose value has so many bytes. */
+    static FlatNode of(EventLoop loop, int valueBytes) {
+        return new FlatNode(loop, 0, valueBytes);
+    }
+
     /** A node that takes so long over each request, however many it has at a time. */
     FlatNode(EventLoop loop, long delayMs) {
-        byte[] answer = ("HTTP/1.1 200 OK\r\nContent-Length: " + VALUE_BYTES + "\r\nX-Hit: hit\r\n\r\n"
-                + "v".repeat(VALUE_BYTES)).getBytes(StandardCharsets.US_ASCII);
-        listener = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+        this(loop, delayMs, VALUE_BYTES);
+    }
+
+    private FlatNode(EventLoop loop, long delayMs, int valueBytes) {
+        byte[] answer = ("HTTP/1.1 200 OK\r\nContent-Length: " + valueBytes + "\r\nX-Hit: hit\r\n\r\n"
+                + "v".repeat(valueBytes)).getBytes(StandardCharsets.US_ASCII);
+        listener = new ServerBootstrap().group(loop).channel(SocketKind.of(loop).server())
                 .option(ChannelOption.SO_BACKLOG, 1024).childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<>() {
                     @Override
--- a/bench/src/main/java/ridgemill/bench/Pressure.java
+++ b/bench/src/main/java/ridgemill/bench/Pressure.java
@@ -9,7 +9,6 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
@@ -19,6 +18,8 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.ToDoubleFunction;
+import ridgemill.gateway.net.SocketKind;
 
 /** Clients that measure: either each asks again at once, or all together ask at a set rate whatever is answered. */
 final class Pressure {
@@ -26,19 +27,30 @@
     private static final int KEYS = 500;
 
     /** What came of one measurement. Times are microseconds from when a request was due. */
-    record Result(int answered, int failed, double seconds, double p50, double p99) {
+    record Result(int answered, int failed, double seconds, double p50, double p99, double p999) {
         /** Of so many times, of which the first {@code answered} count. */
         static Result of(long[] micros, int answered, int failed, long startNanos) {
             double seconds = (System.nanoTime() - startNanos) / 1e9;
             long[] sorted = Arrays.copyOf(micros, answered);
             Arrays.sort(sorted);
-            return new Result(answered, failed, seconds, at(sorted, 0.5), at(sorted, 0.99));
+            return new Result(answered, failed, seconds, at(sorted, 0.5), at(sorted, 0.99), at(sorted, 0.999));
         }
 
         private static double at(long[] sorted, double part) {
             return sorted.length == 0 ? Double.NaN : sorted[(int) Math.min(sorted.length - 1, sorted.length * part)];
         }
 
+        /** Of clients on several loops: sums, and of times the worst loop's. */
+        static Result together(List<Result> all) {
+            return new Result(all.stream().mapToInt(Result::answered).sum(), all.stream().mapToInt(Result::failed).sum(),
+                    all.stream().mapToDouble(Result::seconds).max().orElse(0), worst(all, Result::p50), worst(all, Result::p99),
+                    worst(all, Result::p999));
+        }
+
+        private static double worst(List<Result> all, ToDoubleFunction<Result> time) {
+            return all.stream().mapToDouble(time).max().orElse(Double.NaN);
+        }
+
         double perSecond() {
             return answered / seconds;
         }
@@ -76,6 +88,22 @@
         return p.done.get((long) seconds + 60, TimeUnit.SECONDS);
     }
 
+    /** The same from several loops at once, each with its part of the connections and of the rate. */
+    static Result run(List<EventLoop> loops, InetSocketAddress target, int connections, double perSecond, double seconds)
+            throws Exception {
+        List<Pressure> parts = new ArrayList<>();
+        for (EventLoop loop : loops) {
+            Pressure p = new Pressure(loop, target, connections / loops.size(), perSecond / loops.size());
+            parts.add(p);
+            loop.execute(() -> p.start(seconds));
+        }
+        List<Result> results = new ArrayList<>();
+        for (Pressure p : parts) {
+            results.add(p.done.get((long) seconds + 60, TimeUnit.SECONDS));
+        }
+        return Result.together(results);
+    }
+
     private void start(double seconds) {
         startNanos = System.nanoTime();
         endNanos = startNanos + (long) (seconds * 1e9);
@@ -111,7 +139,7 @@
 
     private void connect() {
         Conn conn = new Conn();
-        new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
+        new Bootstrap().group(loop).channel(SocketKind.of(loop).client()).option(ChannelOption.TCP_NODELAY, true)
                 .handler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel channel) {
--- a/bench/src/main/java/ridgemill/bench/Profile.java
+++ b/bench/src/main/java/ridgemill/bench/Profile.java
@@ -38,6 +38,8 @@
     private static final Map<String, String> OWNERS = new LinkedHashMap<>();
 
     static {
+        OWNERS.put("io.netty.channel.epoll.Native", "waiting for sockets (epoll)");
+        OWNERS.put("io.netty.channel.unix", "reads and writes of sockets");
         OWNERS.put("sun.nio.ch.EPoll", "waiting for sockets (epoll)");
         OWNERS.put("sun.nio.ch.SocketDispatcher", "reads and writes of sockets");
         OWNERS.put("sun.nio.ch.IOUtil", "reads and writes of sockets");
@@ -104,12 +106,13 @@
                 continue;
             }
             List<RecordedFrame> frames = stack.getFrames();
-            if (frames.stream().noneMatch(f -> name(f).startsWith("io.netty.channel.nio.NioIoHandler"))) {
+            if (frames.stream().noneMatch(f -> name(f).startsWith("io.netty.channel.nio.NioIoHandler")
+                    || name(f).startsWith("io.netty.channel.epoll.EpollIoHandler"))) {
                 continue;
             }
             String owner = owner(frames);
             // One that waits in epoll uses no processor, and is sampled all the same.
-            if (owner.startsWith("waiting") && frames.get(0).getMethod().getName().equals("wait")) {
+            if (owner.startsWith("waiting") && frames.get(0).getMethod().getName().toLowerCase(Locale.ROOT).contains("wait")) {
                 owner = "idle or in epoll_wait";
             }
             all++;
--- a/bench/src/main/java/ridgemill/bench/Subject.java
+++ b/bench/src/main/java/ridgemill/bench/Subject.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import ridgemill.gateway.net.Addresses;
 
 /** A proxy that is measured: a process on one core, and what it has used so far. */
@@ -31,10 +32,10 @@
         this.process = process;
     }
 
-    /** Starts a command pinned to a core and returns when it listens. */
-    static Subject start(String name, InetSocketAddress address, int core, Path directory, List<String> command,
+    /** Starts a command pinned to cores, as {@code taskset} lists them, and returns when it listens. */
+    static Subject start(String name, InetSocketAddress address, String cores, Path directory, List<String> command,
                          List<String> environment) throws IOException, InterruptedException {
-        List<String> pinned = new ArrayList<>(List.of("taskset", "-c", String.valueOf(core)));
+        List<String> pinned = new ArrayList<>(List.of("taskset", "-c", cores));
         pinned.addAll(command);
         ProcessBuilder builder = new ProcessBuilder(pinned);
         for (String pair : environment) {
@@ -81,6 +82,30 @@
     static Subject ridgemill(JsonObject more, int core, Path directory, List<String> environment, String... arguments)
             throws IOException, InterruptedException {
         InetSocketAddress address = freeAddress();
+        Path file = configuration(address, more, directory);
+        List<String> variables = new ArrayList<>(environment);
+        variables.add("BALANCER_CONFIG=" + file);
+        String run = Files.readAllLines(Path.of("deploy/balancer.toml")).stream().filter(l -> l.startsWith("run = "))
+                .map(l -> l.substring(l.indexOf('"') + 1, l.lastIndexOf('"'))).findFirst()
+                .orElseThrow(() -> new IOException("deploy/balancer.toml: no line 'run = ...' (start this from the root)"));
+        return start("ridgemill", address, String.valueOf(core), directory, List.of("/bin/sh", "-c", String.join(" ", run,
+                String.join(" ", arguments))), variables);
+    }
+
+    /**
+     * Ridgemill on several cores: a loop for each, by a file of options for the Java machine.
+     *
+     * @param operatorFile what it runs under
+     */
+    static Subject ridgemill(JsonObject more, String cores, Path directory, Path options, Path operatorFile)
+            throws IOException, InterruptedException {
+        InetSocketAddress address = freeAddress();
+        Path file = configuration(address, more, directory);
+        return start("ridgemill", address, cores, directory, List.of("java", "@" + options, "-jar", "gateway/target/ridgemill.jar",
+                "serve", "--operator-file", operatorFile.toString()), List.of("BALANCER_CONFIG=" + file));
+    }
+
+    private static Path configuration(InetSocketAddress address, JsonObject more, Path directory) throws IOException {
         JsonObject config = JsonParser.parseString("""
                 {"name": "bench",
                  "settings": {"rank": 0, "balancers": 1, "zone": "a", "tick_ms": 5, "discovery": "automatic",
@@ -92,14 +117,7 @@
                 """).getAsJsonObject();
         config.addProperty("listen", Addresses.text(address));
         more.entrySet().forEach(e -> config.add(e.getKey(), e.getValue()));
-        Path file = Files.writeString(directory.resolve("ridgemill.json"), config.toString());
-        List<String> variables = new ArrayList<>(environment);
-        variables.add("BALANCER_CONFIG=" + file);
-        String run = Files.readAllLines(Path.of("deploy/balancer.toml")).stream().filter(l -> l.startsWith("run = "))
-                .map(l -> l.substring(l.indexOf('"') + 1, l.lastIndexOf('"'))).findFirst()
-                .orElseThrow(() -> new IOException("deploy/balancer.toml: no line 'run = ...' (start this from the root)"));
-        return start("ridgemill", address, core, directory, List.of("/bin/sh", "-c", String.join(" ", run,
-                String.join(" ", arguments))), variables);
+        return Files.writeString(directory.resolve("ridgemill.json"), config.toString());
     }
 
     /** The middle one of figures, one a round. */
@@ -109,11 +127,16 @@
     }
 
     static Subject haproxy(List<InetSocketAddress> nodes, int core, Path directory) throws Exception {
+        return haproxy(nodes, String.valueOf(core), 1, directory);
+    }
+
+    /** HAProxy with so many threads. */
+    static Subject haproxy(List<InetSocketAddress> nodes, String cores, int threads, Path directory) throws Exception {
         InetSocketAddress address = freeAddress();
         Path config = Files.writeString(directory.resolve("haproxy.cfg"), """
                 global
-                  nbthread 1
-                  maxconn 2000
+                  nbthread %d
+                  maxconn 8000
                 defaults
                   mode http
                   timeout connect 1s
@@ -126,9 +149,9 @@
                 backend nodes
                   balance uri
                 %s
-                """.formatted(address.getPort(), nodes.stream().map(n -> "  server s" + n.getPort() + " 127.0.0.1:"
+                """.formatted(threads, address.getPort(), nodes.stream().map(n -> "  server s" + n.getPort() + " 127.0.0.1:"
                 + n.getPort()).collect(Collectors.joining("\n"))));
-        return start("haproxy", address, core, directory, List.of("haproxy", "-db", "-f", config.toString()), List.of());
+        return start("haproxy", address, cores, directory, List.of("haproxy", "-db", "-f", config.toString()), List.of());
     }
 
     /** Hands bytes on to a node for each connection, without looking at them. */
@@ -150,7 +173,7 @@
                 %s
                 """.formatted(address.getPort(), nodes.stream().map(n -> "  server s" + n.getPort() + " 127.0.0.1:"
                 + n.getPort()).collect(Collectors.joining("\n"))));
-        return start("haproxy-tcp", address, core, directory, List.of("haproxy", "-db", "-f", config.toString()), List.of());
+        return start("haproxy-tcp", address, String.valueOf(core), directory, List.of("haproxy", "-db", "-f", config.toString()), List.of());
     }
 
     /** A proxy that speaks RESP2 and places keys by consistent hashing. */
@@ -167,19 +190,25 @@
                 %s
                 """.formatted(address.getPort(), nodes.stream().map(n -> "   - 127.0.0.1:" + n.getPort() + ":1")
                 .collect(Collectors.joining("\n"))));
-        return start("nutcracker", address, core, directory, List.of("nutcracker", "-c", config.toString(), "-s",
+        return start("nutcracker", address, String.valueOf(core), directory, List.of("nutcracker", "-c", config.toString(), "-s",
                 String.valueOf(freeAddress().getPort())), List.of());
     }
 
     static Subject nginx(List<InetSocketAddress> nodes, int core, Path directory) throws Exception {
+        return nginx(nodes, String.valueOf(core), 1, directory);
+    }
+
+    /** nginx with so many workers. */
+    static Subject nginx(List<InetSocketAddress> nodes, String cores, int workers, Path directory) throws Exception {
         InetSocketAddress address = freeAddress();
         Path config = Files.writeString(directory.resolve("nginx.conf"), """
                 daemon off;
-                master_process off;
-                worker_processes 1;
+                user root;
+                master_process %5$s;
+                worker_processes %4$d;
                 pid %1$s/nginx.pid;
                 error_log %1$s/nginx.error;
-                events { worker_connections 2000; }
+                events { worker_connections 8000; }
                 http {
                   access_log off;
                   keepalive_requests 1000000;
@@ -195,7 +224,7 @@
                     keepalive_requests 1000000;
                   }
                   server {
-                    listen 127.0.0.1:%3$d;
+                    listen 127.0.0.1:%3$d%6$s;
                     location / {
                       proxy_pass http://nodes;
                       proxy_http_version 1.1;
@@ -204,8 +233,9 @@
                   }
                 }
                 """.formatted(directory, nodes.stream().map(n -> "    server 127.0.0.1:" + n.getPort() + ";")
-                .collect(Collectors.joining("\n")), address.getPort()));
-        return start("nginx", address, core, directory, List.of("nginx", "-c", config.toString(), "-p",
+                .collect(Collectors.joining("\n")), address.getPort(), workers, workers > 1 ? "on" : "off",
+                workers > 1 ? " reuseport" : ""));
+        return start("nginx", address, cores, directory, List.of("nginx", "-c", config.toString(), "-p",
                 directory.toString()), List.of());
     }
 
@@ -219,16 +249,28 @@
 
     /** Processor time that it has used, in microseconds; {@code /proc} counts in hundredths of a second. */
     double cpuMicros() throws IOException {
-        String stat = Files.readString(Path.of("/proc/" + process.pid() + "/stat"));
-        String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
-        return (Long.parseLong(fields[11]) + Long.parseLong(fields[12])) / TICKS_PER_S * 1e6;
+        double sum = 0;
+        for (long pid : pids()) {
+            String stat = Files.readString(Path.of("/proc/" + pid + "/stat"));
+            String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
+            sum += (Long.parseLong(fields[11]) + Long.parseLong(fields[12])) / TICKS_PER_S * 1e6;
+        }
+        return sum;
+    }
+
+    /** It and the workers that it has started. */
+    private List<Long> pids() {
+        return Stream.concat(Stream.of(process.toHandle()), process.descendants()).map(ProcessHandle::pid).toList();
     }
 
     /** Memory that it holds, in MB. */
     double memoryMb() throws IOException {
-        return Files.readAllLines(Path.of("/proc/" + process.pid() + "/status")).stream()
-                .filter(l -> l.startsWith("VmRSS:")).mapToDouble(l -> Double.parseDouble(l.replaceAll("[^0-9]", "")) / 1024)
-                .findFirst().orElse(Double.NaN);
+        double sum = 0;
+        for (long pid : pids()) {
+            sum += Files.readAllLines(Path.of("/proc/" + pid + "/status")).stream().filter(l -> l.startsWith("VmRSS:"))
+                    .mapToDouble(l -> Double.parseDouble(l.replaceAll("[^0-9]", "")) / 1024).findFirst().orElse(Double.NaN);
+        }
+        return sum;
     }
 
     @Override
