--- a/bench/src/main/java/ridgemill/bench/CoreMeasurement.java
+++ b/bench/src/main/java/ridgemill/bench/CoreMeasurement.java
@@ -4,6 +4,7 @@
 import com.google.gson.JsonParser;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
@@ -15,7 +16,6 @@
 import picocli.CommandLine.Option;
 import picocli.CommandLine;
 import ridgemill.gateway.net.Addresses;
-import ridgemill.gateway.net.SocketKind;
 import ridgemill.testbed.discovery.DiscoveryStandIn.Host;
 import ridgemill.testbed.discovery.DiscoveryStandIn;
 
@@ -28,7 +28,7 @@
             description = "The core that the measured proxy runs on (default: ${DEFAULT-VALUE}).")
     int core;
 
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(3, SocketKind.chosen().handlers());
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(3, NioIoHandler.newFactory());
     final EventLoop nodeLoop = group.next();
     final EventLoop clientLoop = group.next();
     final EventLoop otherLoop = group.next();
@@ -62,12 +62,23 @@
     /** Ridgemill before these nodes, which discovery names; each of the environment's variables is {@code NAME=VALUE}. */
     final Subject ridgemill(DiscoveryStandIn discovery, List<InetSocketAddress> nodes, Path directory, List<String> environment)
             throws IOException, InterruptedException {
+        return Subject.ridgemill(known(discovery, nodes), core, directory, environment);
+    }
+
+    /** The same under a file of options for the Java machine in place of the run line's. */
+    final Subject ridgemill(DiscoveryStandIn discovery, List<InetSocketAddress> nodes, Path directory, List<String> environment,
+                            Path options) throws IOException, InterruptedException {
+        Path file = Files.writeString(directory.resolve("gateway.toml"), "[process]\nloops = 1\n");
+        return Subject.ridgemill(known(discovery, nodes), String.valueOf(core), directory, environment, options, file);
+    }
+
+    private static JsonObject known(DiscoveryStandIn discovery, List<InetSocketAddress> nodes) {
         for (int i = 0; i < nodes.size(); i++) {
             discovery.publish(new Host("c" + i, nodes.get(i), "a", "std", "up", 0));
         }
         JsonObject more = JsonParser.parseString("{\"limits\": {\"sockets\": 1024}}").getAsJsonObject();
         more.addProperty("discovery", Addresses.text(discovery.address()));
         more.add("known", discovery.known());
-        return Subject.ridgemill(more, core, directory, environment);
+        return more;
     }
 }
--- a/bench/src/main/java/ridgemill/bench/ManyCores.java
+++ b/bench/src/main/java/ridgemill/bench/ManyCores.java
@@ -159,7 +159,7 @@
         more.addProperty("discovery", Addresses.text(discovery.address()));
         more.add("known", discovery.known());
         Path file = Files.writeString(directory.resolve("gateway.toml"), "[process]\nloops = " + n + "\n");
-        return Subject.ridgemill(more, pinned, directory, options, file);
+        return Subject.ridgemill(more, pinned, directory, List.of(), options, file);
     }
 
     private static void print(int n, Map<String, Figures> figures, Map<String, Double> one) {
--- a/bench/src/main/java/ridgemill/bench/Profile.java
+++ b/bench/src/main/java/ridgemill/bench/Profile.java
@@ -67,6 +67,10 @@
             description = "Seconds under full load before that (default: ${DEFAULT-VALUE}).")
     private int warmUp;
 
+    @Option(names = "--options", paramLabel = "FILE", description = "Options of the Java machine in place of the run line's, as "
+            + "deploy/jvm/large.options.")
+    private Path options;
+
     public static void main(String[] args) {
         main(new Profile(), args);
     }
@@ -78,7 +82,7 @@
         Pressure.Result full;
         double cpu;
         try (DiscoveryStandIn discovery = new DiscoveryStandIn(otherLoop, new Ledger(), "bench");
-                Subject proxy = ridgemill(discovery, nodes, directory, List.of(
+                Subject proxy = proxy(discovery, nodes, directory, List.of(
                         "JAVA_TOOL_OPTIONS=-XX:StartFlightRecording:settings=profile,delay=" + (warmUp + 6) + "s,duration="
                         + Math.max(2, seconds - 4) + "s,filename=" + recording))) {
             Pressure.run(clientLoop, proxy.address(), CONNECTIONS, 0, warmUp);
@@ -95,6 +99,12 @@
         tell(recording, cpu);
     }
 
+    private Subject proxy(DiscoveryStandIn discovery, List<InetSocketAddress> nodes, Path directory, List<String> environment)
+            throws IOException, InterruptedException {
+        return options == null ? ridgemill(discovery, nodes, directory, environment)
+                : ridgemill(discovery, nodes, directory, environment, options);
+    }
+
     private static void tell(Path recording, double cpuMicros) throws IOException {
         Map<String, Integer> owners = new TreeMap<>();
         Map<String, Integer> tops = new TreeMap<>();
--- a/bench/src/main/java/ridgemill/bench/Subject.java
+++ b/bench/src/main/java/ridgemill/bench/Subject.java
@@ -97,12 +97,14 @@
      *
      * @param operatorFile what it runs under
      */
-    static Subject ridgemill(JsonObject more, String cores, Path directory, Path options, Path operatorFile)
-            throws IOException, InterruptedException {
+    static Subject ridgemill(JsonObject more, String cores, Path directory, List<String> environment, Path options,
+                             Path operatorFile) throws IOException, InterruptedException {
         InetSocketAddress address = freeAddress();
         Path file = configuration(address, more, directory);
+        List<String> variables = new ArrayList<>(environment);
+        variables.add("BALANCER_CONFIG=" + file);
         return start("ridgemill", address, cores, directory, List.of("java", "@" + options, "-jar", "gateway/target/ridgemill.jar",
-                "serve", "--operator-file", operatorFile.toString()), List.of("BALANCER_CONFIG=" + file));
+                "serve", "--operator-file", operatorFile.toString()), variables);
     }
 
     private static Path configuration(InetSocketAddress address, JsonObject more, Path directory) throws IOException {
