Plain HTTP messages are read and written straight from their bytes

Need: under load four fifths of a request were sockets, Netty's pipelines and the codec. LeanHttp reads a message that is whole in one read and plain in every line; whatever is not is declined, and Netty's decoders under StrictHttp judge it as before: the codec's handlers come into a connection's pipeline with the first message that needs them, and stay. Answers and requests are written as one piece. LeanHttpTest holds both readers against each other over 600,000 random messages, half of them spoilt: what is read here Netty reads alike, and what Netty refuses is never read here.

--- a/gateway/src/main/java/ridgemill/gateway/Warmup.java
+++ b/gateway/src/main/java/ridgemill/gateway/Warmup.java
@@ -1,5 +1,7 @@
 package ridgemill.gateway;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -119,7 +121,7 @@
         for (int i = 0; i <= NODES; i++) {
             LocalAddress address = new LocalAddress("warm-up-" + i);
             boolean origin = i == NODES && settings.originModel() != null;
-            node(address, origin);
+            node(address, origin, i % 2 == 0);
             hosts.add(new HostList.Host(new Node("warm-up-" + i, origin ? settings.originModel() : "", settings.zone(), 0,
                     1, 0, Availability.UP), address));
         }
@@ -135,13 +137,13 @@
         }
     }
 
-    private void node(LocalAddress address, boolean origin) throws InterruptedException {
+    private void node(LocalAddress address, boolean origin, boolean whole) throws InterruptedException {
         Transport.IN_PROCESS.server(loop)
                 .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(Content.MAX_BYTES),
-                                new Answers(origin));
+                                new Answers(origin, whole));
                     }
                 }).bind(address).sync();
     }
@@ -162,18 +164,38 @@
         }).connect(front);
     }
 
-    /** A node that has most keys, or the origin, which has all. */
+    /**
+     * A node that has most keys, or the origin, which has all. Over a queue inside the process an answer comes in as many
+     * pieces as Netty writes, where a socket brings it in one; so every other node's are put into one, and both of the
+     * ways in which answers are read get warm.
+     */
     private static final class Answers extends SimpleChannelInboundHandler<FullHttpRequest> {
         private static final byte[] BODY = new byte[1000];
         private final boolean origin;
+        private final boolean whole;
 
-        Answers(boolean origin) {
+        Answers(boolean origin, boolean whole) {
             this.origin = origin;
+            this.whole = whole;
+        }
+
+        private static ByteBuf inOnePiece(ChannelHandlerContext ctx, boolean miss) {
+            ByteBuf out = ctx.alloc().buffer();
+            ByteBufUtil.writeAscii(out, "HTTP/1.1 " + (miss ? "404 Not Found" : "200 OK") + "\r\ncontent-length: "
+                    + (miss ? 0 : BODY.length) + "\r\nX-Hit: " + (miss ? "miss" : "hit") + "\r\n\r\n");
+            return miss ? out : out.writeBytes(BODY);
         }
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
             boolean miss = !origin && request.uri().hashCode() % MISS == 0;
+            if (whole) {
+                ByteBuf answer = inOnePiece(ctx, miss);
+                // Past the codec, which stands before this.
+                ChannelHandlerContext first = ctx.pipeline().firstContext();
+                ctx.executor().execute(() -> first.writeAndFlush(answer));
+                return;
+            }
             FullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
                     miss ? HttpResponseStatus.NOT_FOUND : HttpResponseStatus.OK,
                     miss ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(BODY));
--- a/gateway/src/main/java/ridgemill/gateway/back/NodeConnection.java
+++ b/gateway/src/main/java/ridgemill/gateway/back/NodeConnection.java
@@ -1,5 +1,6 @@
 package ridgemill.gateway.back;
 
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
@@ -26,6 +27,11 @@
     /** The message to write for an exchange; called when the connection is there to write it to. */
     protected abstract Object message(NodeExchange exchange);
 
+    /** Writes a message; the future tells when the last byte of it is with the system. */
+    protected ChannelFuture send(Object message) {
+        return context.writeAndFlush(message);
+    }
+
     /** What was kept of the last exchange is of no use any more. */
     protected void begin() { }
 
@@ -82,7 +88,7 @@
         used = true;
         exchange.channel = context.channel();
         // The promise covers the whole message: it fails if the connection breaks before the last byte is written.
-        context.writeAndFlush(message(exchange)).addListener(f -> {
+        send(message(exchange)).addListener(f -> {
             if (f.isSuccess()) {
                 exchange.written = true;
             } else {
--- a/gateway/src/main/java/ridgemill/gateway/back/http/HttpNodeConnection.java
+++ b/gateway/src/main/java/ridgemill/gateway/back/http/HttpNodeConnection.java
@@ -1,6 +1,8 @@
 package ridgemill.gateway.back.http;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
@@ -9,10 +11,10 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpRequestEncoder;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -28,6 +30,7 @@
 import ridgemill.gateway.back.NodeConnection;
 import ridgemill.gateway.back.NodeExchange;
 import ridgemill.gateway.net.Content;
+import ridgemill.gateway.net.LeanHttp;
 import ridgemill.gateway.net.StrictHttp;
 import ridgemill.policy.Router.Outcome;
 
@@ -36,12 +39,16 @@
 
     /** An answer that has begun and does not end in this time is spoilt: nodes write theirs in one go. */
     private static final long STALL_MS = 200;
+    /** Heads that are this long, and bodies up to this behind them, are written in one piece. */
+    private static final int HEAD = 512;
+    private static final int COPIED = 2048;
     private static final byte[] START = "HTTP/1.".getBytes(StandardCharsets.US_ASCII);
 
     private final boolean missIsAnswer;
     private final StrictHttp.Responses decoder = new StrictHttp.Responses();
+    private final Bytes bytes = new Bytes();
     /** The whole answer, until the read that brought it is over and shows whether more came with it. */
-    private FullHttpResponse answer;
+    private Reply answer;
     private boolean more;
     private int begun;
     private Future<?> stallTimer;
@@ -56,10 +63,18 @@
         this.missIsAnswer = missIsAnswer;
     }
 
+    /**
+     * What of an answer is looked at.
+     *
+     * @param rejected whether the node says that it has not run the request
+     * @param hit what it says of where the value came from; empty where it says nothing
+     * @param bytes the value, which whoever takes the answer releases
+     */
+    private record Reply(int status, boolean rejected, String hit, String mediaType, ByteBuf bytes, boolean keepAlive) { }
+
     @Override
     protected void install(ChannelPipeline pipeline) {
-        pipeline.addLast(new HttpRequestEncoder(), new Bytes(), decoder, new HttpObjectAggregator(Content.MAX_BYTES),
-                this);
+        pipeline.addLast(bytes, this);
     }
 
     @Override
@@ -70,8 +85,57 @@
     @Override
     protected Object message(NodeExchange exchange) {
         Attempt<Content> attempt = exchange.attempt();
-        return attempt == null ? new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/alive")
-                : request(attempt);
+        if (attempt == null) {
+            return ByteBufUtil.writeAscii(context().alloc(), "GET /alive HTTP/1.1\r\n\r\n");
+        }
+        if (isPlain(attempt)) {
+            return plain(attempt);
+        }
+        bytes.codec();
+        return request(attempt);
+    }
+
+    /** What other protocols' clients name may hold anything; Netty's encoder and its headers refuse what breaks a head. */
+    private static boolean isPlain(Attempt<Content> attempt) {
+        Command<Content> command = attempt.command();
+        return LeanHttp.isPlain(attempt.requestId(), false) && command.action() != Command.Action.DELETE && LeanHttp.isPlain(command.target(), false)
+                && (command.idempotencyKey() == null || LeanHttp.isPlain(command.idempotencyKey(), true))
+                && (command.content().mediaType() == null || LeanHttp.isPlain(command.content().mediaType(), true))
+                && command.content().bytes().readableBytes() <= COPIED;
+    }
+
+    private ByteBuf plain(Attempt<Content> attempt) {
+        Command<Content> command = attempt.command();
+        Content content = command.content();
+        ByteBuf body = content.bytes();
+        int length = body.readableBytes();
+        ByteBuf out = context().alloc().ioBuffer(HEAD + length);
+        text(out, command.write() ? "PUT " : "GET ", command.target());
+        text(out, " HTTP/1.1\r\nhost: service.internal\r\nX-Call-Id: ", attempt.requestId());
+        text(out, "\r\nX-Budget: ", "");
+        LeanHttp.writeSeconds(out, Math.max(1, Math.round(attempt.remainingMs())));
+        if (command.idempotencyKey() != null) {
+            text(out, "\r\nIdempotency-Key: ", command.idempotencyKey());
+        }
+        if (content.mediaType() != null) {
+            text(out, "\r\ncontent-type: ", content.mediaType());
+        }
+        if (length > 0 || command.write()) {
+            text(out, "\r\ncontent-length: ", "");
+            LeanHttp.writeNumber(out, length);
+        }
+        text(out, "\r\n\r\n", "");
+        return out.writeBytes(body, body.readerIndex(), length);
+    }
+
+    private static void text(ByteBuf out, String fixed, String given) {
+        ByteBufUtil.writeAscii(out, fixed);
+        ByteBufUtil.writeAscii(out, given);
+    }
+
+    @Override
+    protected ChannelFuture send(Object message) {
+        return message instanceof ByteBuf ? bytes.context.writeAndFlush(message) : super.send(message);
     }
 
     private static FullHttpRequest request(Attempt<Content> attempt) {
@@ -136,7 +200,9 @@
             // Nothing but the end of the connection ended it, so nobody can tell whether it is whole.
             broken();
         } else {
-            answer = response.retain();
+            HttpHeaders headers = response.headers();
+            answer = new Reply(response.status().code(), "1".equals(headers.get("X-Rejected")), headers.get("X-Hit", ""),
+                    headers.get(HttpHeaderNames.CONTENT_TYPE), response.content().retain(), HttpUtil.isKeepAlive(response));
         }
     }
 
@@ -157,20 +223,19 @@
 
     /** Ends the exchange with its answer. What came behind it would be taken for the next one's. */
     private void finish() {
-        FullHttpResponse response = answer;
+        Reply reply = answer;
         answer = null;
         if (stallTimer != null) {
             stallTimer.cancel(false);
             stallTimer = null;
         }
         try {
-            Outcome outcome = outcome(response);
+            Outcome outcome = outcome(reply);
             boolean absent = missIsAnswer && outcome == Outcome.MISS;
-            finish(absent ? Outcome.OK : outcome, new Answer<>(absent ? Content.ABSENT : new Content(response.content(),
-                    response.headers().get(HttpHeaderNames.CONTENT_TYPE)), note(response)),
-                    !more && !decoder.leftOver() && HttpUtil.isKeepAlive(response));
+            finish(absent ? Outcome.OK : outcome, new Answer<>(absent ? Content.ABSENT : new Content(reply.bytes(),
+                    reply.mediaType()), note(reply)), !more && !decoder.leftOver() && reply.keepAlive());
         } finally {
-            response.release();
+            reply.bytes().release();
         }
     }
 
@@ -202,18 +267,17 @@
         }
     }
 
-    private static Outcome outcome(FullHttpResponse response) {
-        HttpResponseStatus status = response.status();
-        return switch (status.code()) {
+    private static Outcome outcome(Reply reply) {
+        return switch (reply.status()) {
             case 200 -> Outcome.OK;
             case 404 -> Outcome.MISS;
-            case 503, 504 -> "1".equals(response.headers().get("X-Rejected")) ? Outcome.REJECTED : Outcome.ERROR;
+            case 503, 504 -> reply.rejected() ? Outcome.REJECTED : Outcome.ERROR;
             default -> Outcome.ERROR;
         };
     }
 
-    private static int note(FullHttpResponse response) {
-        return switch (response.headers().get("X-Hit", "")) {
+    private static int note(Reply reply) {
+        return switch (reply.hit()) {
             case "hit" -> Answer.HIT;
             case "miss" -> Answer.MISS;
             case "pending" -> Answer.PENDING;
@@ -223,18 +287,52 @@
 
     /**
      * Sees bytes before they are decoded. Those that come while nothing is awaited, or before the request is out,
-     * belong to an older one, and those that start no answer would only be seen as such at the end of a line.
+     * belong to an older one, and those that start no answer would only be seen as such at the end of a line. An answer
+     * that is plain is read here; from the first one on that is not, Netty's decoder reads all that the connection brings.
      */
     private final class Bytes extends ChannelInboundHandlerAdapter {
+        private ChannelHandlerContext context;
+        private boolean plain = true;
+
+        @Override
+        public void handlerAdded(ChannelHandlerContext ctx) {
+            context = ctx;
+        }
+
+        /** From now on Netty's codec has what comes and goes. */
+        void codec() {
+            if (plain) {
+                plain = false;
+                // Each right behind this one: the last to be added is the first.
+                context.pipeline().addAfter(context.name(), null, new HttpObjectAggregator(Content.MAX_BYTES))
+                        .addAfter(context.name(), null, decoder).addAfter(context.name(), null, new HttpRequestEncoder());
+            }
+        }
+
+        private boolean isRead(ByteBuf in) {
+            LeanHttp response = LeanHttp.response(in);
+            if (response == null) {
+                return false;
+            }
+            String hit = response.get("X-Hit");
+            answer = new Reply(response.status(), "1".equals(response.get("X-Rejected")), hit == null ? "" : hit,
+                    response.get("Content-Type"), response.body(in), response.isKeepAlive());
+            return true;
+        }
+
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) {
+            boolean first = begun == 0;
             if (answer != null) {
                 more = true;
                 ReferenceCountUtil.release(message);
             } else if (message instanceof ByteBuf in && !expected(in)) {
                 in.release();
                 spoilt();
+            } else if (plain && first && message instanceof ByteBuf in && isRead(in)) {
+                in.release();
             } else {
+                codec();
                 ctx.fireChannelRead(message);
             }
         }
--- a/gateway/src/main/java/ridgemill/gateway/front/http/HttpClientConnection.java
+++ b/gateway/src/main/java/ridgemill/gateway/front/http/HttpClientConnection.java
@@ -16,13 +16,14 @@
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.TooLongHttpContentException;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
-import java.math.BigDecimal;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Queue;
 import java.util.concurrent.TimeUnit;
@@ -30,7 +31,9 @@
 import ridgemill.core.Client;
 import ridgemill.gateway.front.ClientConnection;
 import ridgemill.gateway.net.Content;
+import ridgemill.gateway.net.LeanHttp;
 import ridgemill.gateway.net.Log;
+import ridgemill.gateway.net.StrictHttp;
 
 /** One client's HTTP/1.1 connection: its requests are answered one at a time, in their order (RFC 9112, section 9.3). */
 final class HttpClientConnection extends ClientConnection implements Client<Content> {
@@ -79,14 +82,36 @@
         keepAlive = HttpUtil.isKeepAlive(in);
         // A request that came behind another has waited here already.
         double waitedMs = TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - arrived) / 1e3;
-        if (isSurplus()) {
-            front.intake().turnedAway();
-            busy();
-            keepAlive = false;
-            answer(turnedAway(HttpResponseStatus.TOO_MANY_REQUESTS, SURPLUS_BACK_MS));
+        if (!isTurnedAway()) {
+            act(front.requests().read(in, waitedMs, front.intake()::isOpen));
+        }
+    }
+
+    private void handle(LeanHttp in, ByteBuf all) {
+        keepAlive = in.isKeepAlive();
+        if (isTurnedAway()) {
             return;
         }
-        HttpRequests.Read read = front.requests().read(in, waitedMs, front.intake()::isOpen);
+        ByteBuf body = in.body(all);
+        try {
+            act(front.requests().read(in, body, front.intake()::isOpen));
+        } finally {
+            body.release();
+        }
+    }
+
+    private boolean isTurnedAway() {
+        if (!isSurplus()) {
+            return false;
+        }
+        front.intake().turnedAway();
+        busy();
+        keepAlive = false;
+        answer(HttpResponseStatus.TOO_MANY_REQUESTS, SURPLUS_BACK_MS);
+        return true;
+    }
+
+    private void act(HttpRequests.Read read) {
         if (read instanceof HttpRequests.Call call) {
             busy();
             open = call.request().id();
@@ -94,7 +119,7 @@
         } else if (read instanceof HttpRequests.Refused refused) {
             front.intake().turnedAway();
             busy();
-            answer(turnedAway(HttpResponseStatus.TOO_MANY_REQUESTS, refused.retryAfterMs()));
+            answer(HttpResponseStatus.TOO_MANY_REQUESTS, refused.retryAfterMs());
         } else if (read instanceof HttpRequests.Bad bad) {
             reject(bad.status());
         } else {
@@ -108,30 +133,17 @@
             answer(HttpResponseStatus.NOT_FOUND);
             return;
         }
-        FullHttpResponse response = response(HttpResponseStatus.OK, answer.content().bytes().retain());
-        if (answer.content().mediaType() != null) {
-            response.headers().set(HttpHeaderNames.CONTENT_TYPE, answer.content().mediaType());
-        }
-        answer(response);
+        answer(HttpResponseStatus.OK, 0, answer.content());
     }
 
     @Override
     public void refused(double retryAfterMs) {
-        answer(turnedAway(HttpResponseStatus.SERVICE_UNAVAILABLE, retryAfterMs));
+        answer(HttpResponseStatus.SERVICE_UNAVAILABLE, retryAfterMs);
     }
 
     @Override
     public void limited(double retryAfterMs) {
-        answer(turnedAway(HttpResponseStatus.TOO_MANY_REQUESTS, retryAfterMs));
-    }
-
-    private static FullHttpResponse turnedAway(HttpResponseStatus status, double retryAfterMs) {
-        FullHttpResponse response = response(status, Unpooled.EMPTY_BUFFER);
-        if (retryAfterMs > 0) {
-            response.headers().set(HttpHeaderNames.RETRY_AFTER,
-                    BigDecimal.valueOf((long) Math.ceil(retryAfterMs), 3).toPlainString());
-        }
-        return response;
+        answer(HttpResponseStatus.TOO_MANY_REQUESTS, retryAfterMs);
     }
 
     @Override
@@ -140,22 +152,19 @@
     }
 
     private void answer(HttpResponseStatus status) {
-        answer(response(status, Unpooled.EMPTY_BUFFER));
+        answer(status, 0, Content.EMPTY);
     }
 
-    private static FullHttpResponse response(HttpResponseStatus status, ByteBuf body) {
-        return new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body);
+    private void answer(HttpResponseStatus status, double retryAfterMs) {
+        answer(status, retryAfterMs, Content.EMPTY);
     }
 
-    private void answer(FullHttpResponse answer) {
-        HttpUtil.setContentLength(answer, answer.content().readableBytes());
+    private void answer(HttpResponseStatus status, double retryAfterMs, Content content) {
         boolean last = mustClose() || !keepAlive;
-        if (last) {
-            answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-        }
         open = null;
         enter(last ? Phase.CLOSING : Phase.IDLE);
-        ChannelFuture written = channel().writeAndFlush(answer);
+        ChannelFuture written = content.mediaType() == null || LeanHttp.isPlain(content.mediaType(), true)
+                ? bytes.write(status, retryAfterMs, content, last) : writeEncoded(status, content, last);
         writing(written);
         if (last) {
             written.addListener(ChannelFutureListener.CLOSE);
@@ -165,6 +174,22 @@
         }
     }
 
+    /** By way of Netty's encoder, which knows what becomes of a media type that is no plain text. */
+    private ChannelFuture writeEncoded(HttpResponseStatus status, Content content, boolean last) {
+        FullHttpResponse answer = response(status, content.bytes().retain());
+        answer.headers().set(HttpHeaderNames.CONTENT_TYPE, content.mediaType());
+        HttpUtil.setContentLength(answer, content.bytes().readableBytes());
+        if (last) {
+            answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        }
+        bytes.codec();
+        return channel().writeAndFlush(answer);
+    }
+
+    private static FullHttpResponse response(HttpResponseStatus status, ByteBuf body) {
+        return new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body);
+    }
+
     /**
      * Answers what makes no sense and closes. Only our half at first: closing on input that is still coming would
      * reset the connection before the client has read why.
@@ -176,6 +201,7 @@
         enter(Phase.CLOSING);
         dropWaiting();
         channel().config().setAutoRead(true);
+        bytes.codec();
         ChannelFuture written = channel().writeAndFlush(answer);
         writing(written);
         written.addListener(f -> {
@@ -249,10 +275,35 @@
         }
     }
 
-    /** Sees bytes before they are decoded: the clock for a request runs from its first. */
+    /**
+     * Sees bytes first: the clock for a request runs from its first. One that is plain is read here; from the first one on
+     * that is not, Netty's decoder reads all that this connection brings, as it may hold the beginning of the next.
+     */
     final class Bytes extends ChannelInboundHandlerAdapter {
+        /** Bodies up to this are copied behind their head: one piece costs less than two that are gathered. */
+        private static final int COPIED = 2048;
+        private static final int HEAD = 256;
+        private static final byte[] OK = ascii("HTTP/1.1 200 OK\r\ncontent-length: ");
+        private static final byte[] VERSION = ascii("HTTP/1.1 ");
+        private static final byte[] LENGTH = ascii("\r\ncontent-length: ");
+        private static final byte[] TYPE = ascii("\r\ncontent-type: ");
+        private static final byte[] RETRY = ascii("\r\nretry-after: ");
+        private static final byte[] CLOSE = ascii("\r\nconnection: close");
+        private static final byte[] END = ascii("\r\n\r\n");
+
+        private ChannelHandlerContext context;
+        private boolean plain = true;
         private long dropped;
 
+        private static byte[] ascii(String text) {
+            return text.getBytes(StandardCharsets.US_ASCII);
+        }
+
+        @Override
+        public void handlerAdded(ChannelHandlerContext ctx) {
+            context = ctx;
+        }
+
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) {
             if (phase() == Phase.CLOSING) {
@@ -263,10 +314,66 @@
                 }
                 return;
             }
-            if (phase() == Phase.SILENT || phase() == Phase.IDLE) {
+            boolean next = phase() == Phase.SILENT || phase() == Phase.IDLE;
+            if (next) {
                 enter(Phase.READING);
             }
+            if (plain && next && message instanceof ByteBuf in) {
+                LeanHttp request = LeanHttp.request(in);
+                if (request != null) {
+                    try {
+                        handle(request, in);
+                    } finally {
+                        in.release();
+                    }
+                    return;
+                }
+            }
+            codec();
             ctx.fireChannelRead(message);
         }
+
+        /** From now on Netty's codec has what comes. */
+        void codec() {
+            if (plain) {
+                plain = false;
+                // Each right behind this one: the last to be added is the first.
+                context.pipeline().addAfter(context.name(), null, new Bodies()).addAfter(context.name(), null,
+                        new HttpResponseEncoder()).addAfter(context.name(), null, new StrictHttp.Requests());
+            }
+        }
+
+        /** Writes an answer in one piece, past any encoder. */
+        ChannelFuture write(HttpResponseStatus status, double retryAfterMs, Content content, boolean last) {
+            ByteBuf body = content.bytes();
+            int length = body.readableBytes();
+            boolean copied = length <= COPIED;
+            ByteBuf out = context.alloc().ioBuffer(HEAD + (copied ? length : 0));
+            if (status == HttpResponseStatus.OK) {
+                out.writeBytes(OK);
+            } else {
+                out.writeBytes(VERSION);
+                out.writeCharSequence(status.codeAsText(), StandardCharsets.US_ASCII);
+                out.writeByte(' ').writeCharSequence(status.reasonPhrase(), StandardCharsets.US_ASCII);
+                out.writeBytes(LENGTH);
+            }
+            LeanHttp.writeNumber(out, length);
+            if (content.mediaType() != null) {
+                out.writeBytes(TYPE).writeCharSequence(content.mediaType(), StandardCharsets.US_ASCII);
+            }
+            if (retryAfterMs > 0) {
+                out.writeBytes(RETRY);
+                LeanHttp.writeSeconds(out, (long) Math.ceil(retryAfterMs));
+            }
+            if (last) {
+                out.writeBytes(CLOSE);
+            }
+            out.writeBytes(END);
+            if (copied) {
+                return context.writeAndFlush(out.writeBytes(body, body.readerIndex(), length));
+            }
+            context.write(out, context.voidPromise());
+            return context.writeAndFlush(body.retainedDuplicate());
+        }
     }
 }
--- a/gateway/src/main/java/ridgemill/gateway/front/http/HttpFront.java
+++ b/gateway/src/main/java/ridgemill/gateway/front/http/HttpFront.java
@@ -4,13 +4,11 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.net.SocketAddress;
 import ridgemill.core.Intake;
 import ridgemill.gateway.front.ClientTable;
 import ridgemill.gateway.front.Listeners;
 import ridgemill.gateway.net.Content;
-import ridgemill.gateway.net.StrictHttp;
 import ridgemill.gateway.net.Transport;
 
 /** Takes clients' requests in over HTTP/1.1 and their answers out. What no node could make sense of is answered here. */
@@ -31,8 +29,7 @@
             @Override
             protected void initChannel(Channel channel) {
                 HttpClientConnection connection = new HttpClientConnection(channel, HttpFront.this);
-                channel.pipeline().addLast(connection.bytes(), new StrictHttp.Requests(), new HttpResponseEncoder(),
-                        new HttpClientConnection.Bodies(), connection);
+                channel.pipeline().addLast(connection.bytes(), connection);
                 table.add(connection);
             }
         });
--- a/gateway/src/main/java/ridgemill/gateway/front/http/HttpRequests.java
+++ b/gateway/src/main/java/ridgemill/gateway/front/http/HttpRequests.java
@@ -1,20 +1,19 @@
 package ridgemill.gateway.front.http;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.math.BigDecimal;
 import java.util.function.BiConsumer;
 import java.util.function.Function;
 import java.util.function.Predicate;
-import java.util.regex.Pattern;
+import java.util.function.UnaryOperator;
 import ridgemill.core.Command;
 import ridgemill.core.Gate;
 import ridgemill.gateway.net.Content;
+import ridgemill.gateway.net.LeanHttp;
 import ridgemill.gateway.net.StrictHttp;
 import ridgemill.gateway.net.Targets;
 import ridgemill.policy.Router.Request;
@@ -24,7 +23,11 @@
 final class HttpRequests {
 
         private static final String UP = "/up";
-    private static final Pattern ID = Pattern.compile("[0-9A-Za-z_-]{1,64}");
+    private static final String GET = "GET";
+    private static final String PUT = "PUT";
+    private static final int LONGEST_ID = 64;
+    /** As many digits as a whole number of this type surely holds. */
+    private static final int EXACT_DIGITS = 15;
     /** A budget past this is a mistake, and as a timer would outlive the process. */
     private static final double MAX_BUDGET_S = 3600;
 
@@ -57,30 +60,39 @@
         if (in.decoderResult().isFailure() || StrictHttp.oddCoding(in)) {
             return new Bad(HttpResponseStatus.BAD_REQUEST);
         }
-        String path = Targets.path(in.uri());
-        HttpMethod method = in.method();
+        return read(in.method().name(), in.uri(), in.headers()::get, in.content(), waitedMs, isOpen);
+    }
+
+    /** The same of one that was read as it came; {@code body} stays its holder's. */
+    Read read(LeanHttp in, ByteBuf body, Predicate<String> isOpen) {
+        return read(in.isPut() ? PUT : GET, in.target(), in::get, body, 0, isOpen);
+    }
+
+    private Read read(String method, String target, UnaryOperator<String> headers, ByteBuf body, double waitedMs,
+                      Predicate<String> isOpen) {
+        String path = Targets.path(target);
         boolean api = path.startsWith(Targets.API) && path.length() > Targets.API.length();
         if (!api && !path.equals(UP)) {
             return new Bad(HttpResponseStatus.NOT_FOUND);
         }
-        if (!method.equals(HttpMethod.GET) && !(api && method.equals(HttpMethod.PUT))) {
+        if (!method.equals(GET) && !(api && method.equals(PUT))) {
             return new Bad(HttpResponseStatus.METHOD_NOT_ALLOWED);
         }
-        return api ? call(in, path, waitedMs, isOpen) : new Up();
+        return api ? call(method, target, path, headers, body, waitedMs, isOpen) : new Up();
     }
 
-    private Read call(FullHttpRequest in, String path, double waitedMs, Predicate<String> isOpen) {
-        HttpHeaders headers = in.headers();
-        String id = headers.get("X-Call-Id", "");
-        double budgetS = number(headers.get("X-Budget"), -1);
-        if (!ID.matcher(id).matches() || isOpen.test(id) || !(budgetS >= 0 && budgetS <= MAX_BUDGET_S)) {
+    private Read call(String method, String target, String path, UnaryOperator<String> headers, ByteBuf body,
+                      double waitedMs, Predicate<String> isOpen) {
+        String id = headers.apply("X-Call-Id");
+        double budgetS = number(headers.apply("X-Budget"), -1);
+        if (!isId(id) || isOpen.test(id) || !(budgetS >= 0 && budgetS <= MAX_BUDGET_S)) {
             return new Bad(HttpResponseStatus.BAD_REQUEST);
         }
-        boolean write = in.method().equals(HttpMethod.PUT);
-        boolean retry = "1".equals(headers.get("X-Again"));
-        Gate.Entry entry = gate.apply(new Gate.Arrival(id, new Query(in.method().name(), path, headers.get("X-Caller"),
-                headers::get), headers.get("X-Call-Class"), retry, in.content().readableBytes(),
-                Math.max(0, budgetS * 1000 - waitedMs)));
+        boolean write = method.equals(PUT);
+        boolean retry = "1".equals(headers.apply("X-Again"));
+        String tenant = headers.apply("X-Caller");
+        Gate.Entry entry = gate.apply(new Gate.Arrival(id, new Query(method, path, tenant, headers),
+                headers.apply("X-Call-Class"), retry, body.readableBytes(), Math.max(0, budgetS * 1000 - waitedMs)));
         if (entry instanceof Gate.Refuse refuse) {
             return new Refused(refuse.retryAfterMs());
         }
@@ -88,25 +100,66 @@
             return new Bad(entry instanceof Gate.Unfit unfit && unfit.reason() == Gate.Reason.TOO_LARGE
                     ? HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE : HttpResponseStatus.BAD_REQUEST);
         }
-        if (go.needsKey(write) && headers.get("Idempotency-Key", "").isEmpty()) {
+        String key = headers.apply("Idempotency-Key");
+        if (go.needsKey(write) && (key == null || key.isEmpty())) {
             leave.accept(go, id);
             return new Bad(HttpResponseStatus.BAD_REQUEST);
         }
-        Request request = new Request(id, go.service().name(), headers.get("X-Caller"), Targets.hash(path),
-                Math.max(0, number(headers.get("X-Call-Cost"), 0)) / 1000, go.budgetMs(), write, retry);
-        Content content = new Content(Unpooled.wrappedBuffer(ByteBufUtil.getBytes(in.content())),
-                headers.get(HttpHeaderNames.CONTENT_TYPE));
-        return new Call(go, request, new Command<>(write, in.uri(), headers.get("Idempotency-Key"), content));
+        Request request = new Request(id, go.service().name(), tenant, Targets.hash(path),
+                Math.max(0, number(headers.apply("X-Call-Cost"), 0)) / 1000, go.budgetMs(), write, retry);
+        String mediaType = headers.apply("Content-Type");
+        Content content = !body.isReadable() && mediaType == null ? Content.EMPTY
+                : new Content(Unpooled.wrappedBuffer(ByteBufUtil.getBytes(body)), mediaType);
+        return new Call(go, request, new Command<>(write, target, key, content));
+    }
+
+    private static boolean isId(String text) {
+        if (text == null || text.isEmpty() || text.length() > LONGEST_ID) {
+            return false;
+        }
+        for (int i = 0; i < text.length(); i++) {
+            char c = text.charAt(i);
+            if (!(c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || c == '-' || c == '_')) {
+                return false;
+            }
+        }
+        return true;
     }
 
     private static double number(String text, double absent) {
         if (text == null) {
             return absent;
         }
+        double plain = plainNumber(text);
+        if (!Double.isNaN(plain)) {
+            return plain;
+        }
         try {
             return new BigDecimal(text.trim()).doubleValue();
         } catch (NumberFormatException e) {
             return absent;
         }
     }
+
+    /** Digits with at most one point between them, as nearly every number comes; not a number for anything else. */
+    private static double plainNumber(String text) {
+        long digits = 0;
+        long scale = 0;
+        if (text.isEmpty() || text.length() > EXACT_DIGITS || text.charAt(0) == '.') {
+            return Double.NaN;
+        }
+        for (int i = 0; i < text.length(); i++) {
+            char c = text.charAt(i);
+            if (c >= '0' && c <= '9') {
+                digits = 10 * digits + c - '0';
+                scale *= 10;
+            } else if (c == '.' && scale == 0 && i + 1 < text.length()) {
+                scale = 1;
+            } else {
+                return Double.NaN;
+            }
+        }
+        // Both are exact, so this is the nearest to the quotient, as it would be by way of decimals.
+        return scale == 0 ? digits : (double) digits / scale;
+    }
 }
