--- a/gateway/src/main/java/ridgemill/gateway/front/ClientConnection.java
+++ b/gateway/src/main/java/ridgemill/gateway/front/ClientConnection.java
@@ -107,7 +107,10 @@
     /** A request was taken: this is a client that asks for something. */
     protected final void busy() {
         enter(Phase.BUSY);
-        proven = true;
+        if (!proven) {
+            proven = true;
+            table.proven(this);
+        }
     }
 
     /** The last bytes that the client is to read are on their way. */
@@ -157,8 +160,7 @@
         boolean unread = written != null && !written.isDone();
         switch (phase) {
             case SILENT -> closeAfter(ms, SILENT_MS);
-            case IDLE -> closeAfter(ms, unread ? UNREAD_MS : staysIdle() ? STAYS_MS : table.crowded() ? CROWDED_IDLE_MS
-                    : IDLE_MS);
+            case IDLE -> closeAfter(ms, unread ? UNREAD_MS : idleMs());
             case CLOSING -> closeAfter(ms, unread ? UNREAD_MS : LINGER_MS);
             case READING -> {
                 if (ms >= READING_MS) {
@@ -174,6 +176,13 @@
         }
     }
 
+    private long idleMs() {
+        if (table.idleMs() > 0) {
+            return (long) table.idleMs();
+        }
+        return staysIdle() ? STAYS_MS : table.crowded() ? CROWDED_IDLE_MS : IDLE_MS;
+    }
+
     private void closeAfter(long ms, long limit) {
         if (ms >= limit) {
             channel.close();
--- a/gateway/src/main/java/ridgemill/gateway/front/ClientTable.java
+++ b/gateway/src/main/java/ridgemill/gateway/front/ClientTable.java
@@ -28,9 +28,12 @@
     private static final int UNPROVEN_PART = 4;
 
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
+    /** Those of them that never had a good request: each that comes looks for room among these alone, not among all. */
+    private final Set<ClientConnection> unproven = new LinkedHashSet<>();
     private final int maxConnections;
     private final IntSupplier perClient;
     private final List<Consumer<Boolean>> accepting = new ArrayList<>();
+    private double idleMs;
     private boolean full;
     private boolean draining;
     private boolean stopped;
@@ -59,6 +62,12 @@
             holdToShare(connection, most);
         }
         connections.add(connection);
+        unproven.add(connection);
+    }
+
+    /** It has had a good request. */
+    void proven(ClientConnection connection) {
+        unproven.remove(connection);
     }
 
     /** Past a client's share its own idle connection goes; if it has none, the new one is one too many. */
@@ -119,7 +128,20 @@
     }
 
     boolean crowded() {
-        return idle >= Math.max(1, maxConnections / KEPT_PART);
+        return idleMs == 0 && idle >= Math.max(1, maxConnections / KEPT_PART);
+    }
+
+    /**
+     * Keeps connections for so long without a request, in milliseconds, as many as there are; 0 for this table's own
+     * measure. To be called on the loop.
+     */
+    public void keepIdle(double ms) {
+        idleMs = ms;
+    }
+
+    /** For how long a connection without a request is kept where that was set; 0 where it was not. */
+    double idleMs() {
+        return idleMs;
     }
 
     /** To the end of those that may be closed for room: it was the last to be used. */
@@ -131,6 +153,7 @@
 
     void closed(ClientConnection connection) {
         connections.remove(connection);
+        unproven.remove(connection);
         if (full && connections.size() < maxConnections) {
             full = false;
             accept(true);
@@ -144,7 +167,6 @@
      * clients wait in the listener's backlog until one has its answer: accepting past the limit would fail for all.
      */
     private void makeRoom() {
-        List<ClientConnection> unproven = connections.stream().filter(c -> !c.isProven() && !c.isBusy()).toList();
         boolean crowded = connections.size() + 1 >= maxConnections;
         Optional<ClientConnection> goes = Optional.empty();
         if (crowded || unproven.size() >= Math.max(1, maxConnections / UNPROVEN_PART)) {
--- a/gateway/src/main/java/ridgemill/gateway/operator/Operated.java
+++ b/gateway/src/main/java/ridgemill/gateway/operator/Operated.java
@@ -115,7 +115,7 @@
             throws OperatorFileException, IOException, InterruptedException {
         OperatorConfig operator = OperatorFile.read(file, PlatformFacts.of(config.settings()));
         Operated operated = new Operated(file, config, operator);
-        if (operator.loops() > 1) {
+        if (operator.process().loops() > 1) {
             operated.startCrew(routers);
         } else {
             OperatorGate gate = new OperatorGate(config.settings(), operator, operated.clock.now());
@@ -131,7 +131,7 @@
     }
 
     private void startCrew(Function<Settings, Router> routers) throws IOException, InterruptedException {
-        int loops = holds.loops();
+        int loops = holds.process().loops();
         List<OperatorGate> gates = new ArrayList<>();
         for (int i = 0; i < loops; i++) {
             gates.add(new OperatorGate(config.settings(), holds, clock.now(), new LoopShare(i, loops)));
@@ -151,6 +151,7 @@
                 seat.groups = new NodeGroups(seat.service, config.settings(), config.seed(), clock);
                 seat.groups.take(holds.groups(), holds.eureka());
                 seat.service.intake().classes(seat.gate.classes());
+                seat.service.clients().keepIdle(holds.process().idleMs());
             });
         }
         if (holds.halls() != null) {
@@ -364,7 +365,7 @@
         }
         before.stream().filter(l -> isMissing(l, next.listeners())).forEach(this::unlisten);
         List<String> notes = new ArrayList<>();
-        if (holds.loops() != next.loops()) {
+        if (holds.process().loops() != next.process().loops()) {
             notes.add("process.loops holds from the next start on");
         }
         if (!Objects.equals(holds.control(), next.control())) {
@@ -388,6 +389,7 @@
         seat.service.intake().turnAwayIf(seat.gate::isOutdated);
         seat.groups.drop(next.groups());
         seat.passwords(next);
+        seat.service.clients().keepIdle(next.process().idleMs());
         if (halls != null && halls.isFixedIn(next.halls())) {
             halls.changeTo(next.halls());
         }
--- a/gateway/src/main/java/ridgemill/gateway/operator/OperatorConfig.java
+++ b/gateway/src/main/java/ridgemill/gateway/operator/OperatorConfig.java
@@ -27,11 +27,11 @@
  * @param register what of the gateway itself is in the registry; null for nothing
  * @param control the socket at which operators ask a running proxy; null for none
  * @param halls other halls that requests may cross to; null for none
- * @param loops how many event loops serve, each a complete proxy; at least 1
+ * @param process how many cores are used, and for how long clients' connections are kept
  */
 public record OperatorConfig(Map<String, ClassPolicy> classes, RouteTable<Target> routes, Limits limits,
                              Map<String, NodeGroup> groups, List<Listener> listeners, Map<String, String> passwords,
-                             EurekaSettings eureka, EurekaRegistration.Self register, Path control, HallSettings halls, int loops) {
+                             EurekaSettings eureka, EurekaRegistration.Self register, Path control, HallSettings halls, ProcessSettings process) {
 
     /** Where a route leads: a class, or null for the one that the request names, and a group of nodes. */
     public record Target(String service, String group) { }
--- a/gateway/src/main/java/ridgemill/gateway/operator/OperatorFile.java
+++ b/gateway/src/main/java/ridgemill/gateway/operator/OperatorFile.java
@@ -68,9 +68,9 @@
         Map<String, String> passwords = RespSection.read(root);
         Path control = ControlSection.read(root);
         HallSettings halls = HallsSection.read(root, classes, platform);
-        int loops = ProcessSection.read(root, halls != null);
+        ProcessSettings process = ProcessSection.read(root, halls != null);
         root.done();
         return new OperatorConfig(classes, routes, limits, groups, listeners, passwords, eureka,
-                EurekaSection.register(root), control, halls, loops);
+                EurekaSection.register(root), control, halls, process);
     }
 }
--- a/lab/src/test/java/ridgemill/lab/LoopsTest.java
+++ b/lab/src/test/java/ridgemill/lab/LoopsTest.java
@@ -15,6 +15,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
@@ -280,6 +281,28 @@
         });
     }
 
+    /** Where many connections are kept each answer is its connection's last, unless the file says for how long they are. */
+    @Test
+    void connectionsAreKeptAsTheFileSays() throws Exception {
+        for (String idle : List.of("", "idle = \"60s\"\n")) {
+            int[] last = {0};
+            play("[process]\nloops = 1\n" + idle, LoadProfile.USUAL.rate(10, 1), OURS, (b, operated, load) -> {
+                load.get(60, TimeUnit.SECONDS);
+                List<Socket> open = new ArrayList<>();
+                int many = operated.service().clients().most() / 3;
+                for (int i = 0; i < many; i++) {
+                    Socket s = connect(operated.listening());
+                    open.add(s);
+                    last[0] += ask(s, "idle-" + i).toLowerCase(Locale.ROOT).contains("connection: close") ? 1 : 0;
+                }
+                for (Socket s : open) {
+                    s.close();
+                }
+            });
+            assertEquals(idle.isEmpty(), last[0] > 0, last[0] + " answers were their connections' last with " + idle);
+        }
+    }
+
     @Test
     void aDrainEndsTheProcessWhenNoLoopOwesAnything() throws Exception {
         Testbed bed = new Testbed(3, NodeProfile.CACHE, NodeProfile.STORE, false, 6000, 3);
