--- a/core/src/main/java/ridgemill/policy/Decide.java
+++ b/core/src/main/java/ridgemill/policy/Decide.java
@@ -110,6 +110,8 @@
     static final double HEARD_BY = 24;
     /** Keys told at once, as each message has a price of its own. */
     static final int KEYS_TOLD = 4;
+    /** More than a logarithm and an exponential are off together. */
+    private static final double ROUNDING = 1e-9;
     /**
      * Sends to cache nodes, as a multiple of those answered, beyond which requests are turned away, and how
      * steeply. Prevents collapse, where time-outs bring repeats that bring time-outs; failed connections do
@@ -538,8 +540,15 @@
         NodeView second = null;
         double firstScore = 0;
         double secondScore = 0;
+        // A draw below this can't reach the second score with a usual share: it needs no logarithm.
+        double least = 0;
+        long key = mix(r.place);
         for (NodeView n : caches) {
-            double score = n.usable(now) ? n.score(r.place, n.share(now)) : 0;
+            double draw = unit(n.hash ^ key);
+            if (draw < least && n.share(now) <= 1 || !n.usable(now)) {
+                continue;
+            }
+            double score = -n.share(now) / Math.log(draw);
             if (score > firstScore && n.admits(now, r)) {
                 second = first;
                 secondScore = firstScore;
@@ -548,7 +557,10 @@
             } else if (score > secondScore && score <= firstScore && n.admits(now, r)) {
                 second = n;
                 secondScore = score;
+            } else {
+                continue;
             }
+            least = Math.exp(-1 / secondScore) * (1 - ROUNDING);
         }
         boolean canFirst = first != null && !r.tried.contains(first) && first.open(now, r.low);
         boolean canSecond = second != null && !r.tried.contains(second) && second.open(now, r.low);
@@ -985,10 +997,6 @@
             return r.draw < coldChance * Math.min(1, due / r.heat);
         }
 
-        double score(long key, double share) {
-            return -share / Math.log(unit(hash ^ mix(key)));
-        }
-
         void ended(double now, AttemptEnd end, List<NodeView> peers) {
             inFlight = Math.max(0, inFlight - 1);
             lastEnd = now;
