--- a/bench/src/main/java/ridgemill/bench/LimitShares.java
+++ b/bench/src/main/java/ridgemill/bench/LimitShares.java
@@ -95,7 +95,6 @@
             limiters.add(one ? new Limiter(limits, 0) : new Limiter(limits, 0, new LoopShare(i, loops)));
         }
         Lender lender = new Lender(limits, loops);
-        Deque<Runnable> onItsWay = new ArrayDeque<>();
         Deque<End> out = new ArrayDeque<>();
         int got = 0;
         double owed = 0;
@@ -115,27 +114,25 @@
                 }
             }
             if (!one && ms % (int) TICK_MS == 0) {
-                round(limiters, lender, onItsWay, now);
+                round(limiters, lender, now);
             }
         }
         return got;
     }
 
-    /** What was told at one round arrives before the next. */
-    private static void round(List<Limiter> limiters, Lender lender, Deque<Runnable> onItsWay, double now) {
-        while (!onItsWay.isEmpty()) {
-            onItsWay.remove().run();
-        }
-        List<LoopShare.Grant> grants = lender.decide();
+    /** As the gateway does: all tell, then those whose share changes take it and tell what they hold, then what is free is lent. */
+    private static void round(List<Limiter> limiters, Lender lender, double now) {
         for (int i = 0; i < limiters.size(); i++) {
-            int loop = i;
-            LoopShare.Grant grant = grants.get(i);
-            // A loop takes a grant and tells in one turn, a moment after the round.
-            if (grant != null) {
-                limiters.get(i).take(grant, now);
+            lender.report(i, limiters.get(i).report(now));
+        }
+        for (int step = 0; step < 2; step++) {
+            List<LoopShare.Grant> grants = lender.decide();
+            for (int i = 0; i < limiters.size(); i++) {
+                if (grants.get(i) != null) {
+                    limiters.get(i).take(grants.get(i), now);
+                    lender.held(i, limiters.get(i).held());
+                }
             }
-            LoopShare.Report report = limiters.get(i).report(now);
-            onItsWay.add(() -> lender.report(loop, report));
         }
     }
 }
--- a/core/src/main/java/ridgemill/limit/Lender.java
+++ b/core/src/main/java/ridgemill/limit/Lender.java
@@ -91,6 +91,14 @@
         }
     }
 
+    /** A loop has taken its grant, and tells what it still has in flight; what that frees the next decision lends. */
+    public void held(int loop, LoopShare.Held held) {
+        taken[loop] = held.taken();
+        for (Counts c : counts.values()) {
+            c.told(loop, held.inFlight().getOrDefault(c.key, 0), taken[loop] == sent[loop]);
+        }
+    }
+
     private void used(int loop, Shared key, Use use) {
         if (key.kind().isCount()) {
             int whole = Shared.count(limits, key);
--- a/core/src/main/java/ridgemill/limit/Limiter.java
+++ b/core/src/main/java/ridgemill/limit/Limiter.java
@@ -291,6 +291,17 @@
         return new LoopShare.Report(share.taken(), nowMs, uses);
     }
 
+    /** Tells what this loop has in flight, between two reports. */
+    public LoopShare.Held held() {
+        Map<Shared, Integer> there = new HashMap<>();
+        there.put(Shared.ALL_IN_FLIGHT, inFlight);
+        limits.classInFlight().keySet().forEach(name -> {
+            Shared key = new Shared(Shared.Kind.CLASS_IN_FLIGHT, name);
+            there.put(key, held(key));
+        });
+        return new LoopShare.Held(share.taken(), there);
+    }
+
     private int held(Shared key) {
         return key.kind() == Shared.Kind.IN_FLIGHT ? inFlight : classInFlight.getOrDefault(key.name(), 0);
     }
--- a/core/src/main/java/ridgemill/limit/LoopShare.java
+++ b/core/src/main/java/ridgemill/limit/LoopShare.java
@@ -28,6 +28,14 @@
      */
     public record Report(long taken, double nowMs, Map<Shared, Use> uses) { }
 
+    /**
+     * What a loop has in flight, as it tells when it has taken a grant: what it does not need any more may be lent on then.
+     *
+     * @param taken the number of the grant
+     * @param inFlight for each limit on requests in flight
+     */
+    public record Held(long taken, Map<Shared, Integer> inFlight) { }
+
     /**
      * What a loop may use from now on.
      *
--- a/core/src/test/java/ridgemill/limit/LenderTest.java
+++ b/core/src/test/java/ridgemill/limit/LenderTest.java
@@ -200,6 +200,38 @@
         assertTrue(share > (most == 3 ? 0.3 : 0.8), "seed " + seed + ": " + share + " of the whole is used");
     }
 
+    /** As the gateway's rounds go: all tell, those whose share shrinks tell what they hold, and what is free is lent at once. */
+    @Test
+    void whatOneLoopDoesNotNeedAnotherHasWithinAFewRounds() {
+        Crew crew = new Crew(new Limits(40, Map.of(), Map.of(), Map.of(), null, null));
+        int[] had = new int[2];
+        for (int from = 0; from < 2; from++) {
+            for (int round = 0; round < 6; round++, crew.now += TICK_MS) {
+                for (int k = 0; k < 100; k++) {
+                    had[from] += crew.asks(from, "x", "t", "read") ? 1 : 0;
+                }
+                for (int i = 0; i < LOOPS; i++) {
+                    crew.lender.report(i, crew.loops.get(i).report(crew.now));
+                }
+                for (int step = 0; step < 2; step++) {
+                    List<LoopShare.Grant> grants = crew.lender.decide();
+                    for (int i = 0; i < LOOPS; i++) {
+                        if (grants.get(i) != null) {
+                            crew.loops.get(i).take(grants.get(i), crew.now);
+                            crew.lender.held(i, crew.loops.get(i).held());
+                        }
+                    }
+                }
+            }
+            assertTrue(had[from] >= 36 && had[from] <= 40, "loop " + from + " had " + had[from]);
+            // Held on to, nothing of it may be lent; ended, all of it.
+            assertFalse(crew.asks(1 - from, "x", "t", "read") && had[from] == 40);
+            while (crew.loops.get(from).inFlight() > 0) {
+                crew.loops.get(from).ended(crew.now, "read");
+            }
+        }
+    }
+
     @Test
     void otherLimitsHoldForAllLoopsAndKeepTheSum() {
         Limits before = new Limits(40, Map.of(), Map.of(), Map.of("t", RATE), null, null);
--- a/gateway/src/main/java/ridgemill/gateway/operator/OperatorGate.java
+++ b/gateway/src/main/java/ridgemill/gateway/operator/OperatorGate.java
@@ -113,6 +113,11 @@
         return limiter.report(nowMs);
     }
 
+    /** What its loop has in flight of them. */
+    LoopShare.Held held() {
+        return limiter.held();
+    }
+
     /** What its loop may use of them from now on. */
     void take(LoopShare.Grant grant, double nowMs) {
         limiter.take(grant, nowMs);
--- a/gateway/src/main/java/ridgemill/gateway/operator/SharedLimits.java
+++ b/gateway/src/main/java/ridgemill/gateway/operator/SharedLimits.java
@@ -4,6 +4,8 @@
 import java.util.List;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
 import ridgemill.gateway.Service;
 import ridgemill.gateway.net.Clock;
 import ridgemill.limit.Lender;
@@ -24,6 +26,9 @@
     private final List<Loop> loops;
     private final Lender lender;
     private Limits limits;
+    private int rounds;
+    /** Answers that are due before the next step of a round. */
+    private int awaited;
 
     SharedLimits(EventLoop door, Clock clock, Limits limits, List<Loop> loops) {
         this.door = door;
@@ -45,34 +50,77 @@
         }).syncUninterruptibly();
     }
 
+    /**
+     * Asks each loop what it used. What is decided of that goes out once all have told, or with the next round where one is
+     * stuck; and as soon as those whose share has shrunk have told what they still need, the rest is lent on.
+     */
     private void round() {
         if (limits.equals(Limits.NONE)) {
             return;
         }
-        List<LoopShare.Grant> grants = lender.decide();
+        if (awaited > 0) {
+            decide(() -> { });
+        }
+        int asked = ++rounds;
+        awaited = 0;
         for (int i = 0; i < loops.size(); i++) {
             int number = i;
             Loop loop = loops.get(i);
+            awaited += ask(loop, () -> loop.gate().report(clock.now()), report -> {
+                lender.report(number, report);
+                arrived(asked, () -> decide(this::lendOn));
+            }) ? 1 : 0;
+        }
+    }
+
+    private void arrived(int round, Runnable then) {
+        if (round == rounds && --awaited == 0) {
+            then.run();
+        }
+    }
+
+    private void lendOn() {
+        decide(() -> { });
+    }
+
+    /** Sends out what is decided; {@code then} runs when the loops that it is for have told what they hold. */
+    private void decide(Runnable then) {
+        List<LoopShare.Grant> grants = lender.decide();
+        int round = rounds;
+        awaited = 0;
+        for (int i = 0; i < grants.size(); i++) {
+            int number = i;
             LoopShare.Grant grant = grants.get(i);
-            try {
-                loop.service().loop().execute(() -> turn(number, loop, grant));
-            } catch (RejectedExecutionException e) {
-                // It has ended; what it had in hand ended before it.
-                continue;
+            Loop loop = loops.get(i);
+            if (grant != null) {
+                awaited += ask(loop, () -> take(loop, grant), held -> {
+                    lender.held(number, held);
+                    arrived(round, then);
+                }) ? 1 : 0;
             }
         }
     }
 
-    private void turn(int number, Loop loop, LoopShare.Grant grant) {
-        if (grant != null) {
-            loop.gate().take(grant, clock.now());
-            loop.service().intake().limitsChanged();
-        }
-        LoopShare.Report report = loop.gate().report(clock.now());
+    private LoopShare.Held take(Loop loop, LoopShare.Grant grant) {
+        loop.gate().take(grant, clock.now());
+        loop.service().intake().limitsChanged();
+        return loop.gate().held();
+    }
+
+    /** Asks a loop something and has the answer on the door; false where the loop has ended, with what it had in hand. */
+    private <T> boolean ask(Loop loop, Supplier<T> question, Consumer<T> answer) {
         try {
-            door.execute(() -> lender.report(number, report));
+            loop.service().loop().execute(() -> {
+                T told = question.get();
+                try {
+                    door.execute(() -> answer.accept(told));
+                } catch (RejectedExecutionException e) {
+                    return;
+                }
+            });
+            return true;
         } catch (RejectedExecutionException e) {
-            return;
+            return false;
         }
     }
 }
