--- a/gateway/src/main/java/ridgemill/gateway/Crew.java
+++ b/gateway/src/main/java/ridgemill/gateway/Crew.java
@@ -43,9 +43,6 @@
     private static final int LOOP_SOCKETS = 3;
     private static final long BEAT_MS = 50;
     private static final long LOOK_MS = 500;
-    private static final long LINGER_MS = 600;
-    private static final long FIRST_NEWS_MS = 2000;
-    private static final long TALLY_S = 10;
 
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, SocketKind.chosen().handlers());
     private final EventLoop door = group.next();
@@ -104,11 +101,11 @@
         listening = listen(config.listen(), Service::httpListeners);
         Log.info("listening on " + Addresses.text(listening) + " for " + members.size() + " loops");
         door.execute(discovery::start);
-        long patience = config.settings().mustSubscribe() ? 0 : FIRST_NEWS_MS;
+        long patience = config.settings().mustSubscribe() ? 0 : Service.FIRST_NEWS_MS;
         door.schedule(() -> each(Service::ready), patience, TimeUnit.MILLISECONDS);
         door.scheduleAtFixedRate(this::beat, BEAT_MS, BEAT_MS, TimeUnit.MILLISECONDS);
         door.scheduleAtFixedRate(dealer::look, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
-        door.scheduleAtFixedRate(this::logTally, TALLY_S, TALLY_S, TimeUnit.SECONDS);
+        door.scheduleAtFixedRate(this::logTally, Service.TALLY_S, Service.TALLY_S, TimeUnit.SECONDS);
     }
 
     /**
@@ -227,7 +224,7 @@
         Log.info("draining");
         each(m -> m.clients().drain());
         try {
-            Thread.sleep(LINGER_MS);
+            Thread.sleep(Service.LINGER_MS);
             // The door first: a connection that it dealt is with its loop before that hears of the end.
             door.submit(dealer::close).sync();
             members.forEach(Service::endDrain);
--- a/gateway/src/main/java/ridgemill/gateway/Service.java
+++ b/gateway/src/main/java/ridgemill/gateway/Service.java
@@ -52,11 +52,11 @@
     /** Part of the other descriptors that is for clients; each of their requests has one attempt out at most. */
     private static final double CLIENT_PART = 0.5;
     /** New connections still come for 0.4 s after SIGTERM; requests on them for a little longer. */
-    private static final long LINGER_MS = 600;
+    static final long LINGER_MS = 600;
     private static final long DRAIN_POLL_MS = 10;
     /** How long readiness waits for discovery: a list from the configuration serves if it says nothing. */
-    private static final long FIRST_NEWS_MS = 2000;
-    private static final long TALLY_S = 10;
+    static final long FIRST_NEWS_MS = 2000;
+    static final long TALLY_S = 10;
 
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, SocketKind.chosen().handlers());
     private final CountDownLatch ended = new CountDownLatch(1);
--- a/gateway/src/main/java/ridgemill/gateway/front/Dealer.java
+++ b/gateway/src/main/java/ridgemill/gateway/front/Dealer.java
@@ -9,9 +9,7 @@
 import io.netty.channel.EventLoop;
 import java.net.SocketAddress;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import ridgemill.gateway.net.Clock;
 import ridgemill.gateway.net.Log;
 import ridgemill.gateway.net.Transport;
@@ -31,16 +29,15 @@
     private final EventLoop door;
     private final Clock clock;
     private final Dealing dealing;
-    private final Map<SocketAddress, Channel> open = new HashMap<>();
+    private final OpenAddresses open;
     private final boolean[] stuck;
-    private boolean accepting = true;
-    private boolean over;
 
     /** Deals to as many loops as {@code dealing} knows. */
     public Dealer(EventLoop door, Clock clock, Dealing dealing) {
         this.door = door;
         this.clock = clock;
         this.dealing = dealing;
+        this.open = new OpenAddresses(door);
         this.stuck = new boolean[dealing.loops()];
     }
 
@@ -50,33 +47,18 @@
      * @param fronts what takes connections on each loop, in the loops' order
      */
     public ChannelFuture listen(Transport transport, SocketAddress address, List<Listeners> fronts) {
-        ChannelFuture bound = transport.server(door).handler(new Deals(List.copyOf(fronts)))
-                .childHandler(new ChannelInboundHandlerAdapter()).bind(address);
-        Channel listener = bound.channel();
-        door.execute(() -> {
-            if (over) {
-                listener.close();
-                return;
-            }
-            open.put(address, listener);
-            listener.closeFuture().addListener(f -> open.remove(address, listener));
-            listener.config().setAutoRead(accepting);
-        });
-        return bound;
+        return open.add(address, transport.server(door).handler(new Deals(List.copyOf(fronts)))
+                .childHandler(new ChannelInboundHandlerAdapter()).bind(address));
     }
 
     /** No new connections at an address; those that it has stay. */
     public void unlisten(SocketAddress address) {
-        Channel listener = open.remove(address);
-        if (listener != null) {
-            listener.close();
-        }
+        open.unlisten(address);
     }
 
     /** No new connections. */
     public void close() {
-        over = true;
-        new ArrayList<>(open.values()).forEach(Channel::close);
+        open.close();
     }
 
     /** A loop tells how late it ran. */
@@ -116,13 +98,6 @@
         return lines;
     }
 
-    private void accept(boolean accept) {
-        if (accepting != accept) {
-            accepting = accept;
-            open.values().forEach(l -> l.config().setAutoRead(accept));
-        }
-    }
-
     /** Stands before the acceptor of a listener's own loop, and leaves nothing to it. */
     private final class Deals extends ChannelInboundHandlerAdapter {
         private final List<Listeners> fronts;
@@ -135,14 +110,14 @@
         public void channelRead(ChannelHandlerContext ctx, Object message) {
             Channel client = (Channel) message;
             int loop = dealing.next(clock.now());
-            if (loop == Dealing.NONE || over) {
+            if (loop == Dealing.NONE || open.isOver()) {
                 // Accepted in the same go as the last one that had a place.
                 client.unsafe().closeForcibly();
                 return;
             }
             dealing.opened(loop);
             // Past this the system's backlog keeps them, as any that is accepted must be served.
-            accept(dealing.next(clock.now()) != Dealing.NONE);
+            open.accept(dealing.next(clock.now()) != Dealing.NONE);
             client.config().setOption(ChannelOption.TCP_NODELAY, true);
             client.pipeline().addLast(fronts.get(loop).accepted());
             fronts.get(loop).loop().register(client).addListener(f -> {
@@ -152,7 +127,7 @@
             });
             client.closeFuture().addListener(f -> door.execute(() -> {
                 dealing.closed(loop);
-                accept(true);
+                open.accept(true);
             }));
         }
     }
