Lender without state that nobody read; a crew's status is its members' sum

Second reading: the most in flight since a report was counted on each request and read by nobody, the numbers of grants taken were kept beside the reports that carry them, loops were sorted anew for each rank, one condition always held, and a crew asked each loop twice for its status. Same behaviour: LenderTest, LimiterTest, DispatcherTest, PurityTest and LayersTest pass as they were.

--- a/core/src/main/java/ridgemill/limit/Lender.java
+++ b/core/src/main/java/ridgemill/limit/Lender.java
@@ -43,7 +43,6 @@
     private final Map<Shared, Rates> rates = new LinkedHashMap<>();
     private final Map<Shared, Counts> counts = new HashMap<>();
     private final long[] sent;
-    private final long[] taken;
     private final double[] toldAt;
     private Limits limits;
     private int unknown;
@@ -53,7 +52,6 @@
         this.limits = limits;
         this.loops = loops;
         this.sent = new long[loops];
-        this.taken = new long[loops];
         this.toldAt = new double[loops];
         Arrays.fill(toldAt, Double.NaN);
     }
@@ -71,7 +69,6 @@
     public void report(int loop, Report report) {
         double seconds = (report.nowMs() - toldAt[loop]) / MS_PER_S;
         toldAt[loop] = report.nowMs();
-        taken[loop] = report.taken();
         report.uses().forEach((key, use) -> used(loop, key, use));
         for (Rates r : rates.values()) {
             Use use = report.uses().get(r.key);
@@ -87,15 +84,14 @@
             Use use = report.uses().get(c.key);
             double wanted = use == null ? 0 : use.held() + use.refused();
             c.wanted[loop] = Math.max(wanted, c.wanted[loop] * NEWEST);
-            c.told(loop, use == null ? 0 : (int) use.held(), taken[loop] == sent[loop]);
+            c.told(loop, use == null ? 0 : (int) use.held(), report.taken() == sent[loop]);
         }
     }
 
     /** A loop has taken its grant, and tells what it still has in flight; what that frees the next decision lends. */
     public void held(int loop, LoopShare.Held held) {
-        taken[loop] = held.taken();
         for (Counts c : counts.values()) {
-            c.told(loop, held.inFlight().getOrDefault(c.key, 0), taken[loop] == sent[loop]);
+            c.told(loop, held.inFlight().getOrDefault(c.key, 0), held.taken() == sent[loop]);
         }
     }
 
@@ -284,12 +280,12 @@
                 }
             }
             // What rounding leaves goes to whoever wants most.
+            List<Integer> order = byWant();
             for (int pass = 0; pass < 2 && free > 0; pass++) {
-                for (int k = 0; k < loops && free > 0; k++) {
-                    int i = most(k);
+                for (int i : order) {
                     int next = (int) Math.floor(target[i]) + pass;
                     int more = Math.min(free, next - Math.max(lent[i], owned[i]));
-                    if (more > 0 && into.get(i).get(key) == null | pass > 0) {
+                    if (more > 0) {
                         lent[i] = Math.max(lent[i], owned[i]) + more;
                         owned[i] = lent[i];
                         free -= more;
@@ -299,14 +295,14 @@
             }
         }
 
-        /** The loop that wants most after so many others. */
-        private int most(int rank) {
+        /** The loops, the one that wants most first. */
+        private List<Integer> byWant() {
             List<Integer> order = new ArrayList<>();
             for (int i = 0; i < loops; i++) {
                 order.add(i);
             }
             order.sort((a, b) -> Double.compare(wanted[b], wanted[a]));
-            return order.get(rank);
+            return order;
         }
     }
 }
--- a/core/src/main/java/ridgemill/limit/Limiter.java
+++ b/core/src/main/java/ridgemill/limit/Limiter.java
@@ -77,7 +77,6 @@
     public Verdict admit(double nowMs, String id, String tenant, String service, boolean retry) {
         // Nobody overtakes those in line.
         boolean full = isFull() || !line.isEmpty();
-        count(Shared.ALL_IN_FLIGHT, inFlight + 1);
         if (full && limits.queue() == null) {
             lacked(Shared.ALL_IN_FLIGHT);
             return new Refused(Reason.IN_FLIGHT, roomMs(0));
@@ -208,7 +207,6 @@
             return there >= whole;
         }
         Shared key = new Shared(Shared.Kind.CLASS_IN_FLIGHT, service);
-        count(key, there + 1);
         boolean full = there >= share.count(key, whole);
         if (full) {
             lacked(key);
@@ -224,13 +222,6 @@
         return share == null ? whole : share.rate(new Shared(kind, name), whole);
     }
 
-    private void count(Shared key, int wanted) {
-        if (share != null) {
-            LoopShare.Counted c = share.counted(key);
-            c.peak = Math.max(c.peak, wanted);
-        }
-    }
-
     private void lacked(Shared key) {
         if (share != null) {
             share.counted(key).refused++;
@@ -276,7 +267,7 @@
         Map<Shared, LoopShare.Counted> counted = share.drain();
         counted.forEach((key, c) -> {
             if (key.kind().isCount()) {
-                uses.put(key, new LoopShare.Use(c.peak, c.refused, held(key), 0));
+                uses.put(key, new LoopShare.Use(c.asked, c.refused, held(key), 0));
             } else {
                 TokenBucket b = bucket(key);
                 uses.put(key, new LoopShare.Use(c.asked, c.refused, b == null ? 0 : b.tokens(nowMs), c.spare));
--- a/core/src/main/java/ridgemill/limit/LoopShare.java
+++ b/core/src/main/java/ridgemill/limit/LoopShare.java
@@ -51,8 +51,6 @@
         double asked;
         double refused;
         double spare;
-        /** The most that was in flight at once, for a count. */
-        int peak;
     }
 
     private final int loop;
--- a/gateway/src/main/java/ridgemill/gateway/Crew.java
+++ b/gateway/src/main/java/ridgemill/gateway/Crew.java
@@ -197,13 +197,7 @@
 
     /** What the process says of itself, over all loops; the level is the highest of any. Not to be called on a loop. */
     public Service.Status status() {
-        Service.Counts all = Service.Counts.NONE;
-        int level = 0;
-        for (Service m : members) {
-            all = all.plus(m.askCounts());
-            level = Math.max(level, m.status().level());
-        }
-        return Service.Status.of(all, level);
+        return members.stream().map(Service::status).reduce(Service.Status::plus).orElseThrow();
     }
 
     /** One line for all loops; a loop that is stuck must not hold up the door, so each is asked in turn by tasks. */
--- a/gateway/src/main/java/ridgemill/gateway/Service.java
+++ b/gateway/src/main/java/ridgemill/gateway/Service.java
@@ -171,11 +171,6 @@
         front.ready();
     }
 
-    /** What was counted; not to be called on the loop. */
-    Counts askCounts() {
-        return loop.submit(this::counts).syncUninterruptibly().getNow();
-    }
-
     /** What discovery told a crew; on the loop. */
     void told(ListKind kind, HostList list) {
         new Told().hosts(kind, list);
@@ -428,6 +423,12 @@
     public record Status(long requests, long served, long refused, long failed, long gone, int owed, int clients,
                          int nodes, int level) {
 
+        /** Of two loops together; the level is the higher one's. */
+        Status plus(Status o) {
+            return new Status(requests + o.requests, served + o.served, refused + o.refused, failed + o.failed, gone + o.gone,
+                    owed + o.owed, clients + o.clients, nodes + o.nodes, Math.max(level, o.level));
+        }
+
         static Status of(Counts c, int level) {
             Tally t = c.tally();
             return new Status(t.requests(), t.served(), t.refused(), t.failed(), t.gone(), c.owed(), c.clients(), c.nodes(),
--- a/gateway/src/main/java/ridgemill/gateway/operator/SharedLimits.java
+++ b/gateway/src/main/java/ridgemill/gateway/operator/SharedLimits.java
@@ -59,7 +59,7 @@
             return;
         }
         if (awaited > 0) {
-            decide(() -> { });
+            lendOn();
         }
         int asked = ++rounds;
         awaited = 0;
