--- a/bench/src/main/java/ridgemill/bench/CoreMeasurement.java
+++ b/bench/src/main/java/ridgemill/bench/CoreMeasurement.java
@@ -59,24 +59,32 @@
         return nodes;
     }
 
-    /** Ridgemill before these nodes, which discovery names; each of the environment's variables is {@code NAME=VALUE}. */
+    /** This build before these nodes, which discovery names; each of the environment's variables is {@code NAME=VALUE}. */
     final Subject ridgemill(DiscoveryStandIn discovery, List<InetSocketAddress> nodes, Path directory, List<String> environment)
             throws IOException, InterruptedException {
-        return Subject.ridgemill(known(discovery, nodes), core, directory, environment);
+        return ridgemill(Build.THIS, discovery, nodes, directory, environment);
     }
 
-    /** The same under a file of options for the Java machine in place of the run line's. */
+    /** The same of another build. */
+    final Subject ridgemill(Build build, DiscoveryStandIn discovery, List<InetSocketAddress> nodes, Path directory,
+                            List<String> environment) throws IOException, InterruptedException {
+        return Subject.ridgemill(build, known(discovery, nodes, 1024), core, directory, environment);
+    }
+
+    /** This build under a file of options for the Java machine in place of the run line's. */
     final Subject ridgemill(DiscoveryStandIn discovery, List<InetSocketAddress> nodes, Path directory, List<String> environment,
                             Path options) throws IOException, InterruptedException {
         Path file = Files.writeString(directory.resolve("gateway.toml"), "[process]\nloops = 1\n");
-        return Subject.ridgemill(known(discovery, nodes), String.valueOf(core), directory, environment, options, file);
+        return Subject.ridgemill(Build.THIS, known(discovery, nodes, 1024), String.valueOf(core), directory, environment, options,
+                file);
     }
 
-    private static JsonObject known(DiscoveryStandIn discovery, List<InetSocketAddress> nodes) {
+    /** Publishes nodes and says where: what a configuration holds of them. */
+    static JsonObject known(DiscoveryStandIn discovery, List<InetSocketAddress> nodes, int sockets) {
         for (int i = 0; i < nodes.size(); i++) {
             discovery.publish(new Host("c" + i, nodes.get(i), "a", "std", "up", 0));
         }
-        JsonObject more = JsonParser.parseString("{\"limits\": {\"sockets\": 1024}}").getAsJsonObject();
+        JsonObject more = JsonParser.parseString("{\"limits\": {\"sockets\": " + sockets + "}}").getAsJsonObject();
         more.addProperty("discovery", Addresses.text(discovery.address()));
         more.add("known", discovery.known());
         return more;
--- a/bench/src/main/java/ridgemill/bench/IdleConnections.java
+++ b/bench/src/main/java/ridgemill/bench/IdleConnections.java
@@ -66,7 +66,7 @@
             more.getAsJsonObject("limits").addProperty("sockets", 2 * connections + 2000);
             more.addProperty("discovery", Addresses.text(discovery.address()));
             more.add("known", discovery.known());
-            try (Subject proxy = Subject.ridgemill(more, "0-" + (loops - 1), directory, List.of(), options, file)) {
+            try (Subject proxy = Subject.ridgemill(Build.THIS, more, "0-" + (loops - 1), directory, List.of(), options, file)) {
                 measure(proxy, asking, idling);
             }
         } finally {
--- a/bench/src/main/java/ridgemill/bench/ManyCores.java
+++ b/bench/src/main/java/ridgemill/bench/ManyCores.java
@@ -3,7 +3,6 @@
 import static ridgemill.bench.Subject.median;
 
 import com.google.gson.JsonObject;
-import com.google.gson.JsonParser;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -19,19 +18,17 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import picocli.CommandLine;
-import ridgemill.gateway.net.Addresses;
 import ridgemill.gateway.net.SocketKind;
-import ridgemill.testbed.discovery.DiscoveryStandIn.Host;
 import ridgemill.testbed.discovery.DiscoveryStandIn;
 import ridgemill.testbed.ledger.Ledger;
 
 /**
- * How one gateway uses several cores: ridgemill with a loop for each, HAProxy with as many threads, nginx with as many
- * workers, in turn, on the same cores and before the same nodes, with clients and nodes on the others. Requests a second
+ * How one gateway uses several cores: ridgemill with a loop for each, other builds of it and a bare relay with as many loops,
+ * in turn, on the same cores and before the same nodes, with clients and nodes on the others. Requests a second
  * under full load, then times at set rates, counted from when each request was due.
  */
-@Command(name = "many-cores", mixinStandardHelpOptions = true, description = "Measures ridgemill, HAProxy and nginx on one, two "
-        + "and more cores, side by side.")
+@Command(name = "many-cores", mixinStandardHelpOptions = true, description = "Measures ridgemill, other builds of it and a bare relay "
+        + "on one, two and more cores, side by side.")
 public final class ManyCores implements Callable<Integer> {
 
     private static final int NODES = 6;
@@ -60,6 +57,9 @@
     @Option(names = "--node-loops", paramLabel = "N", defaultValue = "2", description = "Loops of nodes (default: ${DEFAULT-VALUE}).")
     private int nodeLoops;
 
+    @Option(names = "--before", paramLabel = "ROOT", description = Build.BEFORE)
+    private List<Path> before = List.of();
+
     /** The figures of one proxy on so many cores, one value a round. */
     private static final class Figures {
         final List<Double> perSecond = new ArrayList<>();
@@ -116,20 +116,25 @@
         Path directory = Files.createTempDirectory("ridgemill-bench");
         Map<String, Figures> figures = new LinkedHashMap<>();
         try (DiscoveryStandIn discovery = new DiscoveryStandIn(other, new Ledger(), "bench");
-                Subject ridgemill = ridgemill(n, pinned, discovery, nodes, directory);
-                Subject haproxy = Subject.haproxy(nodes, pinned, n, directory);
-                Subject nginx = Subject.nginx(nodes, pinned, n, directory)) {
-            List<Subject> subjects = List.of(ridgemill, haproxy, nginx);
+                Subjects all = new Subjects()) {
+            JsonObject more = CoreMeasurement.known(discovery, nodes, 8192);
+            Path file = Files.writeString(directory.resolve("gateway.toml"), "[process]\nloops = " + n + "\n");
+            all.add(Subject.ridgemill(Build.THIS, more, pinned, directory, List.of(), options, file));
+            for (Path root : before) {
+                all.add(Subject.ridgemill(Build.other(root), more, pinned, directory, List.of(), options, file));
+            }
+            all.add(Relay.start(nodes, pinned, n, List.of("@" + options), directory));
+            List<Subject> subjects = all.list();
             for (Subject s : subjects) {
-                Pressure.run(clients, s.address(), connections, 0, s == ridgemill ? warmUp : Math.min(2, warmUp));
+                Pressure.run(clients, s.address(), connections, 0, warmUp);
             }
             for (int round = 0; round < rounds; round++) {
                 for (Subject s : subjects) {
                     Figures f = figures.computeIfAbsent(s.name(), k -> new Figures());
-                    double before = s.cpuMicros();
+                    double used = s.cpuMicros();
                     Pressure.Result full = Pressure.run(clients, s.address(), connections, 0, seconds);
                     f.perSecond.add(full.perSecond());
-                    f.cpuMicros.add((s.cpuMicros() - before) / Math.max(1, full.answered()));
+                    f.cpuMicros.add((s.cpuMicros() - used) / Math.max(1, full.answered()));
                     f.memoryMb.add(s.memoryMb());
                     f.failed += full.failed();
                 }
@@ -150,20 +155,8 @@
         print(n, figures, one);
     }
 
-    private Subject ridgemill(int n, String pinned, DiscoveryStandIn discovery, List<InetSocketAddress> nodes, Path directory)
-            throws Exception {
-        for (int i = 0; i < nodes.size(); i++) {
-            discovery.publish(new Host("c" + i, nodes.get(i), "a", "std", "up", 0));
-        }
-        JsonObject more = JsonParser.parseString("{\"limits\": {\"sockets\": 8192}}").getAsJsonObject();
-        more.addProperty("discovery", Addresses.text(discovery.address()));
-        more.add("known", discovery.known());
-        Path file = Files.writeString(directory.resolve("gateway.toml"), "[process]\nloops = " + n + "\n");
-        return Subject.ridgemill(more, pinned, directory, List.of(), options, file);
-    }
-
     private static void print(int n, Map<String, Figures> figures, Map<String, Double> one) {
-        System.out.printf("%n%d cores%n%-10s %11s %8s %8s %9s %9s   %s%n", n, "proxy", "requests/s", "of one", "CPU us", "memory MB",
+        System.out.printf("%n%d cores%n%-20s %11s %8s %8s %9s %9s   %s%n", n, "proxy", "requests/s", "of one", "CPU us", "memory MB",
                 "failed", "p50, p99, p99.9 us at 50% and 80% of its own full load");
         figures.forEach((name, f) -> {
             double perSecond = median(f.perSecond);
@@ -176,11 +169,15 @@
                 }
                 times.append("   ");
             });
-            System.out.printf(Locale.ROOT, "%-10s %11.0f %8.2f %8.1f %9.0f %9d   %s%n", name, perSecond, perSecond / one.get(name),
+            System.out.printf(Locale.ROOT, "%-20s %11.0f %8.2f %8.1f %9.0f %9d   %s%n", name, perSecond, perSecond / one.get(name),
                     median(f.cpuMicros), median(f.memoryMb), f.failed, times);
         });
-        double own = median(figures.get("ridgemill").perSecond);
-        System.out.printf(Locale.ROOT, "ridgemill / haproxy %.2f, / nginx %.2f%n", own / median(figures.get("haproxy").perSecond),
-                own / median(figures.get("nginx").perSecond));
+        Figures own = figures.get(Build.THIS.name());
+        figures.forEach((name, f) -> {
+            if (f != own) {
+                System.out.printf(Locale.ROOT, "ridgemill / %s, median of the rounds (least to most): requests/s %s, CPU a request %s%n",
+                        name, Ratio.of(own.perSecond, f.perSecond), Ratio.of(own.cpuMicros, f.cpuMicros));
+            }
+        });
     }
 }
--- a/bench/src/main/java/ridgemill/bench/ProxyCost.java
+++ b/bench/src/main/java/ridgemill/bench/ProxyCost.java
@@ -16,10 +16,10 @@
 
 /**
  * What a proxy itself costs: processor time a request, requests a second on one core, added latency and memory, for
- * ridgemill as a deployment runs it, HAProxy and nginx with one worker, in front of the same nodes, in turn in one run.
+ * ridgemill as a deployment runs it, other builds of it and a bare relay, in front of the same nodes, in turn in one run.
  */
-@Command(name = "proxy-cost", mixinStandardHelpOptions = true, description = "Measures ridgemill, HAProxy and nginx side "
-        + "by side; each runs on one core, the clients and the nodes on others.")
+@Command(name = "proxy-cost", mixinStandardHelpOptions = true, description = "Measures ridgemill, other builds of it and "
+        + "a bare relay side by side; each runs on one core, the clients and the nodes on others.")
 public final class ProxyCost extends CoreMeasurement {
 
     private static final int NODES = 6;
@@ -37,6 +37,9 @@
             description = "Seconds under full load before the first measurement (default: ${DEFAULT-VALUE}).")
     private int warmUp;
 
+    @Option(names = "--before", paramLabel = "ROOT", description = Build.BEFORE)
+    private List<Path> before = List.of();
+
     /** The figures of one proxy, one value a round. */
     private static final class Figures {
         final List<Double> perSecond = new ArrayList<>();
@@ -56,10 +59,13 @@
         List<InetSocketAddress> nodes = nodes(NODES, () -> new FlatNode(nodeLoop).address());
         Map<String, Figures> figures = new LinkedHashMap<>();
         try (DiscoveryStandIn discovery = new DiscoveryStandIn(otherLoop, new Ledger(), "bench");
-                Subject ridgemill = ridgemill(discovery, nodes, directory, List.of());
-                Subject haproxy = Subject.haproxy(nodes, core, directory);
-                Subject nginx = Subject.nginx(nodes, core, directory)) {
-            List<Subject> subjects = List.of(ridgemill, haproxy, nginx);
+                Subjects all = new Subjects()) {
+            all.add(ridgemill(discovery, nodes, directory, List.of()));
+            for (Path root : before) {
+                all.add(ridgemill(Build.other(root), discovery, nodes, directory, List.of()));
+            }
+            all.add(Relay.start(nodes, String.valueOf(core), 1, Subject.runOptions(), directory));
+            List<Subject> subjects = all.list();
             // The clients' own code is warm before anything counts, and so is each proxy's.
             Pressure.run(clientLoop, nodes.get(0), CONNECTIONS, 0, warmUp);
             for (Subject s : subjects) {
@@ -74,9 +80,9 @@
                     Figures f = figures.computeIfAbsent(s.name(), n -> new Figures());
                     Pressure.Result full = Pressure.run(clientLoop, s.address(), CONNECTIONS, 0, seconds);
                     f.perSecond.add(full.perSecond());
-                    double before = s.cpuMicros();
+                    double used = s.cpuMicros();
                     Pressure.Result set = Pressure.run(clientLoop, s.address(), CONNECTIONS, rate, seconds);
-                    f.cpuMicros.add((s.cpuMicros() - before) / Math.max(1, set.answered()));
+                    f.cpuMicros.add((s.cpuMicros() - used) / Math.max(1, set.answered()));
                     f.p50.add(set.p50());
                     f.p99.add(set.p99());
                     f.memoryMb.add(s.memoryMb());
@@ -90,25 +96,23 @@
     private void print(Map<String, Figures> figures) {
         System.out.printf(Locale.ROOT, "one core each, %d connections, %d nodes, medians of %d rounds of %d s%n", CONNECTIONS,
                 NODES, rounds, seconds);
-        System.out.printf("%-10s %14s %22s %12s %12s %10s %8s%n", "proxy", "requests/s", "CPU us/request at "
+        System.out.printf("%-20s %14s %22s %12s %12s %10s %8s%n", "proxy", "requests/s", "CPU us/request at "
                 + rate + "/s", "added p50 us", "added p99 us", "memory MB", "failed");
         Figures direct = figures.get("none");
         figures.forEach((name, f) -> {
             if (f != direct) {
-                System.out.printf(Locale.ROOT, "%-10s %14.0f %22.1f %12.0f %12.0f %10.1f %8d%n", name, median(f.perSecond),
+                System.out.printf(Locale.ROOT, "%-20s %14.0f %22.1f %12.0f %12.0f %10.1f %8d%n", name, median(f.perSecond),
                         median(f.cpuMicros), median(f.p50) - median(direct.p50), median(f.p99) - median(direct.p99),
                         median(f.memoryMb), f.failed);
             }
         });
-        Figures own = figures.get("ridgemill");
-        for (String other : List.of("haproxy", "nginx")) {
-            Figures f = figures.get(other);
-            System.out.printf(Locale.ROOT, "ridgemill / %s: requests/s %.2f, CPU a request %.1f, added p50 %.1f, added p99 "
-                    + "%.1f, memory %.1f%n", other, median(own.perSecond) / median(f.perSecond),
-                    median(own.cpuMicros) / median(f.cpuMicros),
-                    (median(own.p50) - median(direct.p50)) / (median(f.p50) - median(direct.p50)),
-                    (median(own.p99) - median(direct.p99)) / (median(f.p99) - median(direct.p99)),
-                    median(own.memoryMb) / median(f.memoryMb));
-        }
+        Figures own = figures.get(Build.THIS.name());
+        figures.forEach((name, f) -> {
+            if (f != direct && f != own) {
+                System.out.printf(Locale.ROOT, "ridgemill / %s, median of the rounds (least to most): requests/s %s, CPU a request %s, "
+                        + "memory %s%n", name, Ratio.of(own.perSecond, f.perSecond), Ratio.of(own.cpuMicros, f.cpuMicros),
+                        Ratio.of(own.memoryMb, f.memoryMb));
+            }
+        });
     }
 }
--- a/bench/src/main/java/ridgemill/bench/RespCost.java
+++ b/bench/src/main/java/ridgemill/bench/RespCost.java
@@ -21,7 +21,7 @@
 
 /**
  * What the RESP front costs: beside the HTTP front of the same process and in front of the same RESP nodes, at pipelines of
- * 1, 16 and 128, beside nutcracker and HAProxy in TCP mode; and the memory of connections that are idle or stalled.
+ * 1, 16 and 128, beside other builds and a bare relay; and the memory of connections that are idle or stalled.
  */
 @Command(name = "resp-cost", mixinStandardHelpOptions = true, description = "Measures RESP clients and nodes; each proxy "
         + "runs on one core, the clients and the nodes on others.")
@@ -32,6 +32,7 @@
     private static final int[] DEPTHS = {1, 16, 128};
     private static final int IDLE = 1000;
     private static final int STALLED = 200;
+    private static final String OWN = "ridgemill, RESP in, RESP out";
 
     @Option(names = "--seconds", paramLabel = "N", defaultValue = "4",
             description = "Length of each measurement (default: ${DEFAULT-VALUE}).")
@@ -40,6 +41,9 @@
             description = "How often all are measured in turn; the median counts (default: ${DEFAULT-VALUE}).")
     private int rounds;
 
+    @Option(names = "--before", paramLabel = "ROOT", description = Build.BEFORE)
+    private List<Path> before = List.of();
+
     private record Row(List<Double> perSecond, List<Double> p99) {
         Row() {
             this(new ArrayList<>(), new ArrayList<>());
@@ -53,25 +57,34 @@
     @Override
     void measure(Path directory) throws Exception {
         List<InetSocketAddress> nodes = nodes(NODES, () -> new FlatRespNode(nodeLoop, VALUE).address());
-        InetSocketAddress resp = Subject.freeAddress();
         Map<String, Row> rows = new LinkedHashMap<>();
-        try (Subject ridgemill = ridgemill(nodes, resp, directory);
-                Subject nutcracker = Subject.nutcracker(nodes, core, directory);
-                Subject haproxy = Subject.haproxyTcp(nodes, core, directory)) {
+        Map<String, InetSocketAddress> targets = new LinkedHashMap<>();
+        try (Subjects all = new Subjects()) {
+            InetSocketAddress resp = Subject.freeAddress();
+            Subject own = ridgemill(Build.THIS, nodes, resp, directory);
+            all.add(own);
+            targets.put(OWN, resp);
+            for (Path root : before) {
+                InetSocketAddress address = Subject.freeAddress();
+                all.add(ridgemill(Build.other(root), nodes, address, directory));
+                targets.put(Build.other(root).name(), address);
+            }
+            Subject relay = Relay.start(nodes, String.valueOf(core), 1, Subject.runOptions(), directory);
+            all.add(relay);
+            targets.put("relay", relay.address());
             for (int i = 0; i < 2; i++) {
-                Pressure.run(clientLoop, ridgemill.address(), CONNECTIONS, 0, seconds);
-                for (InetSocketAddress a : List.of(resp, nutcracker.address(), haproxy.address())) {
+                Pressure.run(clientLoop, own.address(), CONNECTIONS, 0, seconds);
+                for (InetSocketAddress a : targets.values()) {
                     RespPressure.run(clientLoop, a, CONNECTIONS, 16, seconds);
                 }
             }
+            targets.put("no proxy", nodes.get(0));
             for (int round = 0; round < rounds; round++) {
-                add(rows, "ridgemill, HTTP in, RESP out", 1, Pressure.run(clientLoop, ridgemill.address(), CONNECTIONS, 0,
-                        seconds));
+                add(rows, "ridgemill, HTTP in, RESP out", 1, Pressure.run(clientLoop, own.address(), CONNECTIONS, 0, seconds));
                 for (int depth : DEPTHS) {
-                    add(rows, "ridgemill, RESP in, RESP out", depth, RespPressure.run(clientLoop, resp, CONNECTIONS, depth, seconds));
-                    add(rows, "nutcracker", depth, RespPressure.run(clientLoop, nutcracker.address(), CONNECTIONS, depth, seconds));
-                    add(rows, "haproxy, TCP", depth, RespPressure.run(clientLoop, haproxy.address(), CONNECTIONS, depth, seconds));
-                    add(rows, "no proxy", depth, RespPressure.run(clientLoop, nodes.get(0), CONNECTIONS, depth, seconds));
+                    for (Map.Entry<String, InetSocketAddress> t : targets.entrySet()) {
+                        add(rows, t.getKey(), depth, RespPressure.run(clientLoop, t.getValue(), CONNECTIONS, depth, seconds));
+                    }
                 }
             }
             System.out.printf(Locale.ROOT, "one core each, %d connections, %d nodes, %d-byte values, medians of %d rounds of %d s%n",
@@ -79,7 +92,12 @@
             System.out.printf("%-32s %10s %14s %10s%n", "proxy", "pipeline", "requests/s", "p99 us");
             rows.forEach((name, r) -> System.out.printf(Locale.ROOT, "%-32s %10s %14.0f %10.0f%n", name.split("\\|")[0],
                     name.split("\\|")[1], median(r.perSecond()), median(r.p99())));
-            memory(ridgemill, resp);
+            for (int depth : DEPTHS) {
+                targets.keySet().stream().filter(name -> !name.equals(OWN)).forEach(name -> System.out.printf(Locale.ROOT,
+                        "ridgemill / %s at %d, median of the rounds (least to most): commands/s %s%n", name, depth,
+                        Ratio.of(rows.get(OWN + "|" + depth).perSecond(), rows.get(name + "|" + depth).perSecond())));
+            }
+            memory(own, resp);
         }
     }
 
@@ -122,11 +140,11 @@
         }
     }
 
-    private Subject ridgemill(List<InetSocketAddress> nodes, InetSocketAddress resp, Path directory)
+    private Subject ridgemill(Build build, List<InetSocketAddress> nodes, InetSocketAddress resp, Path directory)
             throws IOException, InterruptedException {
         String members = nodes.stream().map(n -> "n" + n.getPort() + " = \"" + Addresses.text(n) + "\"")
                 .collect(Collectors.joining(", "));
-        Path operator = Files.writeString(directory.resolve("gateway.toml"), """
+        Path operator = Files.writeString(directory.resolve("gateway-" + resp.getPort() + ".toml"), """
                 [classes.read]
                 effect = "safe"
                 [groups.hall]
@@ -143,8 +161,8 @@
                 protocol = "resp"
                 address = "%s"
                 """.formatted(members, Addresses.text(resp)));
-        return Subject.ridgemill(JsonParser.parseString("""
+        return Subject.ridgemill(build, JsonParser.parseString("""
                 {"limits": {"sockets": 4096}, "discovery": "127.0.0.1:1", "known": {"seq": 1, "whole": true, "hosts": []}}
-                """).getAsJsonObject(), core, directory, "--operator-file", operator.toString());
+                """).getAsJsonObject(), core, directory, List.of(), "--operator-file", operator.toString());
     }
 }
--- a/bench/src/main/java/ridgemill/bench/Subject.java
+++ b/bench/src/main/java/ridgemill/bench/Subject.java
@@ -12,7 +12,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import ridgemill.gateway.net.Addresses;
 
@@ -32,12 +31,12 @@
         this.process = process;
     }
 
-    /** Starts a command pinned to cores, as {@code taskset} lists them, and returns when it listens. */
-    static Subject start(String name, InetSocketAddress address, String cores, Path directory, List<String> command,
+    /** Starts a command in a directory, pinned to cores, as {@code taskset} lists them, and returns when it listens. */
+    static Subject start(String name, InetSocketAddress address, String cores, Path directory, Path from, List<String> command,
                          List<String> environment) throws IOException, InterruptedException {
         List<String> pinned = new ArrayList<>(List.of("taskset", "-c", cores));
         pinned.addAll(command);
-        ProcessBuilder builder = new ProcessBuilder(pinned);
+        ProcessBuilder builder = new ProcessBuilder(pinned).directory(from.toAbsolutePath().toFile());
         for (String pair : environment) {
             builder.environment().put(pair.substring(0, pair.indexOf('=')), pair.substring(pair.indexOf('=') + 1));
         }
@@ -68,43 +67,47 @@
     }
 
     /**
-     * Ridgemill as a deployment runs it: by the {@code run} line of the deploy file, with {@code arguments}
-     * behind it.
+     * A build as a deployment runs it: by the {@code run} line of its deploy file, with {@code arguments} behind it.
      *
      * @param more what its configuration says beside what all measurements share
+     * @param environment further variables, each {@code NAME=VALUE}
      */
-    static Subject ridgemill(JsonObject more, int core, Path directory, String... arguments)
-            throws IOException, InterruptedException {
-        return ridgemill(more, core, directory, List.of(), arguments);
-    }
-
-    /** The same with further variables of its environment, each {@code NAME=VALUE}. */
-    static Subject ridgemill(JsonObject more, int core, Path directory, List<String> environment, String... arguments)
-            throws IOException, InterruptedException {
-        InetSocketAddress address = freeAddress();
-        Path file = configuration(address, more, directory);
-        List<String> variables = new ArrayList<>(environment);
-        variables.add("BALANCER_CONFIG=" + file);
-        String run = Files.readAllLines(Path.of("deploy/balancer.toml")).stream().filter(l -> l.startsWith("run = "))
-                .map(l -> l.substring(l.indexOf('"') + 1, l.lastIndexOf('"'))).findFirst()
-                .orElseThrow(() -> new IOException("deploy/balancer.toml: no line 'run = ...' (start this from the root)"));
-        return start("ridgemill", address, String.valueOf(core), directory, List.of("/bin/sh", "-c", String.join(" ", run,
-                String.join(" ", arguments))), variables);
+    static Subject ridgemill(Build build, JsonObject more, int core, Path directory, List<String> environment,
+                             String... arguments) throws IOException, InterruptedException {
+        return ridgemill(build, more, String.valueOf(core), directory, environment,
+                List.of("/bin/sh", "-c", String.join(" ", runLine(build), String.join(" ", arguments))));
     }
 
     /**
-     * Ridgemill on several cores: a loop for each, by a file of options for the Java machine.
+     * A build on several cores: a loop for each, by a file of options for the Java machine.
      *
      * @param operatorFile what it runs under
      */
-    static Subject ridgemill(JsonObject more, String cores, Path directory, List<String> environment, Path options,
+    static Subject ridgemill(Build build, JsonObject more, String cores, Path directory, List<String> environment, Path options,
                              Path operatorFile) throws IOException, InterruptedException {
+        return ridgemill(build, more, cores, directory, environment, List.of("java", "@" + options.toAbsolutePath(), "-jar",
+                "gateway/target/ridgemill.jar", "serve", "--operator-file", operatorFile.toString()));
+    }
+
+    private static Subject ridgemill(Build build, JsonObject more, String cores, Path directory, List<String> environment,
+                                     List<String> command) throws IOException, InterruptedException {
         InetSocketAddress address = freeAddress();
-        Path file = configuration(address, more, directory);
+        Path own = Files.createTempDirectory(directory, "ridgemill");
         List<String> variables = new ArrayList<>(environment);
-        variables.add("BALANCER_CONFIG=" + file);
-        return start("ridgemill", address, cores, directory, List.of("java", "@" + options, "-jar", "gateway/target/ridgemill.jar",
-                "serve", "--operator-file", operatorFile.toString()), variables);
+        variables.add("BALANCER_CONFIG=" + configuration(address, more, own));
+        return start(build.name(), address, cores, own, build.root(), command, variables);
+    }
+
+    /** The Java machine's options of this build's run line but those that name its archive, for what runs beside it. */
+    static List<String> runOptions() throws IOException {
+        return Stream.of(runLine(Build.THIS).split(" ")).filter(w -> w.startsWith("-X") && !w.startsWith("-Xshare")
+                && !w.contains("SharedArchiveFile") || w.startsWith("-Dio.netty")).toList();
+    }
+
+    private static String runLine(Build build) throws IOException {
+        return Files.readAllLines(build.root().resolve("deploy/balancer.toml")).stream().filter(l -> l.startsWith("run = "))
+                .map(l -> l.substring(l.indexOf('"') + 1, l.lastIndexOf('"'))).findFirst()
+                .orElseThrow(() -> new IOException(build.root() + "/deploy/balancer.toml: no line 'run = ...' (start this from the root)"));
     }
 
     private static Path configuration(InetSocketAddress address, JsonObject more, Path directory) throws IOException {
@@ -128,119 +131,6 @@
         return sorted.length == 0 ? Double.NaN : sorted[sorted.length / 2];
     }
 
-    static Subject haproxy(List<InetSocketAddress> nodes, int core, Path directory) throws Exception {
-        return haproxy(nodes, String.valueOf(core), 1, directory);
-    }
-
-    /** HAProxy with so many threads. */
-    static Subject haproxy(List<InetSocketAddress> nodes, String cores, int threads, Path directory) throws Exception {
-        InetSocketAddress address = freeAddress();
-        Path config = Files.writeString(directory.resolve("haproxy.cfg"), """
-                global
-                  nbthread %d
-                  maxconn 8000
-                defaults
-                  mode http
-                  timeout connect 1s
-                  timeout client 10s
-                  timeout server 10s
-                  http-reuse always
-                frontend front
-                  bind 127.0.0.1:%d
-                  default_backend nodes
-                backend nodes
-                  balance uri
-                %s
-                """.formatted(threads, address.getPort(), nodes.stream().map(n -> "  server s" + n.getPort() + " 127.0.0.1:"
-                + n.getPort()).collect(Collectors.joining("\n"))));
-        return start("haproxy", address, cores, directory, List.of("haproxy", "-db", "-f", config.toString()), List.of());
-    }
-
-    /** Hands bytes on to a node for each connection, without looking at them. */
-    static Subject haproxyTcp(List<InetSocketAddress> nodes, int core, Path directory) throws Exception {
-        InetSocketAddress address = freeAddress();
-        Path config = Files.writeString(directory.resolve("haproxy-tcp.cfg"), """
-                global
-                  nbthread 1
-                  maxconn 2000
-                defaults
-                  mode tcp
-                  timeout connect 1s
-                  timeout client 10s
-                  timeout server 10s
-                frontend front
-                  bind 127.0.0.1:%d
-                  default_backend nodes
-                backend nodes
-                %s
-                """.formatted(address.getPort(), nodes.stream().map(n -> "  server s" + n.getPort() + " 127.0.0.1:"
-                + n.getPort()).collect(Collectors.joining("\n"))));
-        return start("haproxy-tcp", address, String.valueOf(core), directory, List.of("haproxy", "-db", "-f", config.toString()), List.of());
-    }
-
-    /** A proxy that speaks RESP2 and places keys by consistent hashing. */
-    static Subject nutcracker(List<InetSocketAddress> nodes, int core, Path directory) throws Exception {
-        InetSocketAddress address = freeAddress();
-        Path config = Files.writeString(directory.resolve("nutcracker.yml"), """
-                bench:
-                  listen: 127.0.0.1:%d
-                  redis: true
-                  hash: fnv1a_64
-                  distribution: ketama
-                  timeout: 1000
-                  servers:
-                %s
-                """.formatted(address.getPort(), nodes.stream().map(n -> "   - 127.0.0.1:" + n.getPort() + ":1")
-                .collect(Collectors.joining("\n"))));
-        return start("nutcracker", address, String.valueOf(core), directory, List.of("nutcracker", "-c", config.toString(), "-s",
-                String.valueOf(freeAddress().getPort())), List.of());
-    }
-
-    static Subject nginx(List<InetSocketAddress> nodes, int core, Path directory) throws Exception {
-        return nginx(nodes, String.valueOf(core), 1, directory);
-    }
-
-    /** nginx with so many workers. */
-    static Subject nginx(List<InetSocketAddress> nodes, String cores, int workers, Path directory) throws Exception {
-        InetSocketAddress address = freeAddress();
-        Path config = Files.writeString(directory.resolve("nginx.conf"), """
-                daemon off;
-                user root;
-                master_process %5$s;
-                worker_processes %4$d;
-                pid %1$s/nginx.pid;
-                error_log %1$s/nginx.error;
-                events { worker_connections 8000; }
-                http {
-                  access_log off;
-                  keepalive_requests 1000000;
-                  client_body_temp_path %1$s/nginx-body;
-                  proxy_temp_path %1$s/nginx-proxy;
-                  fastcgi_temp_path %1$s/nginx-fastcgi;
-                  uwsgi_temp_path %1$s/nginx-uwsgi;
-                  scgi_temp_path %1$s/nginx-scgi;
-                  upstream nodes {
-                    hash $uri consistent;
-                %2$s
-                    keepalive 256;
-                    keepalive_requests 1000000;
-                  }
-                  server {
-                    listen 127.0.0.1:%3$d%6$s;
-                    location / {
-                      proxy_pass http://nodes;
-                      proxy_http_version 1.1;
-                      proxy_set_header Connection "";
-                    }
-                  }
-                }
-                """.formatted(directory, nodes.stream().map(n -> "    server 127.0.0.1:" + n.getPort() + ";")
-                .collect(Collectors.joining("\n")), address.getPort(), workers, workers > 1 ? "on" : "off",
-                workers > 1 ? " reuseport" : ""));
-        return start("nginx", address, cores, directory, List.of("nginx", "-c", config.toString(), "-p",
-                directory.toString()), List.of());
-    }
-
     String name() {
         return name;
     }
