--- a/core/src/main/java/ridgemill/core/Attempt.java
+++ b/core/src/main/java/ridgemill/core/Attempt.java
@@ -11,4 +11,18 @@
 
     /** How long the proxy will wait for the answer from now on, in milliseconds; a node is told this. */
     double remainingMs();
+
+    /**
+     * Whether it may still be answered in time, and somebody waits for that. A back asks this before it writes to a connection
+     * that it had to open; one that may not be written ends as {@code NEVER_SENT}.
+     */
+    default boolean mayBeWritten() {
+        return remainingMs() > 0;
+    }
+
+    /** A connection was opened for it, which took so long, in milliseconds. */
+    default void connected(double ms) { }
+
+    /** It is being written, on a connection that was opened for it or on one that was there. */
+    default void begun(boolean fresh) { }
 }
--- a/core/src/main/java/ridgemill/core/Back.java
+++ b/core/src/main/java/ridgemill/core/Back.java
@@ -20,6 +20,14 @@
 
         /** Gives it up: ends it as cancelled unless it has ended. */
         void cancel();
+
+        /**
+         * Gives it up as {@link #cancel} does, but lets it run to its end where that spares the node a new connection: its
+         * answer is dropped when it comes.
+         */
+        default void leave() {
+            cancel();
+        }
     }
 
     /** Starts an exchange with a node that is given up after {@code timeoutMs}. */
--- a/core/src/main/java/ridgemill/core/Client.java
+++ b/core/src/main/java/ridgemill/core/Client.java
@@ -34,4 +34,19 @@
 
     /** Failed, with no promise about its effect. */
     void failed();
+
+    /**
+     * Served: an earlier request under the same idempotency key took effect, once, and this one did not run. There is no value
+     * to go with it, as none is kept.
+     *
+     * @param call the id of the one that ran
+     */
+    default void recorded(String call) {
+        failed();
+    }
+
+    /** Nothing ran: its idempotency key was given with another request before, or by another tenant. */
+    default void conflict() {
+        failed();
+    }
 }
--- a/core/src/main/java/ridgemill/core/Detour.java
+++ b/core/src/main/java/ridgemill/core/Detour.java
@@ -1,5 +1,7 @@
 package ridgemill.core;
 
+import java.util.function.Consumer;
+import ridgemill.outcome.Known;
 import ridgemill.policy.Router.Request;
 import ridgemill.policy.Router.ServiceClass;
 
@@ -20,6 +22,15 @@
     /** The client of an open request has left; home is told by this. Returns whether the request was open here. */
     boolean clientGone(String id);
 
+    /** Whether an open request here may have run anywhere already, or be under way. */
+    boolean mayHaveRun(String id);
+
+    /** An open request needs its final answer now; false where it is not open here. */
+    boolean giveUp(String id);
+
+    /** Finds what a key came to elsewhere; {@code found} is told once, with null where nobody knows. */
+    void outcome(String key, String tenant, Consumer<Known> found);
+
     /** Requests that have no final answer yet and are not at home. */
     int owed();
 
--- a/core/src/main/java/ridgemill/core/Dispatcher.java
+++ b/core/src/main/java/ridgemill/core/Dispatcher.java
@@ -4,12 +4,20 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
+import java.util.Set;
 import java.util.function.Consumer;
+import ridgemill.deadline.ClassTimes;
+import ridgemill.deadline.DeadlinePolicy;
+import ridgemill.deadline.Deadlines;
+import ridgemill.deadline.GroupTimes;
+import ridgemill.deadline.Verdict;
 import ridgemill.policy.Router.Actions;
 import ridgemill.policy.Router.AttemptEnd;
+import ridgemill.policy.Router.Effect;
 import ridgemill.policy.Router.ListKind;
 import ridgemill.policy.Router.Node;
 import ridgemill.policy.Router.Outcome;
@@ -49,6 +57,9 @@
     private final Faults faults;
     private final Consumer<String> settled;
     private final int maxOpen;
+    private final GroupTimes times;
+    private final Map<String, Effect> effects = new HashMap<>();
+    private final Set<String> stores = new HashSet<>();
     private final Map<String, Call<C>> calls = new HashMap<>();
     private final Queue<Pending> events = new ArrayDeque<>();
     private final List<Runnable> actions = new ArrayList<>();
@@ -67,6 +78,12 @@
      */
     public Dispatcher(Timers timers, Settings settings, Router router, Back<C> back, Faults faults,
                       Consumer<String> settled, int maxOpen) {
+        this(timers, settings, router, back, faults, settled, maxOpen, new Deadlines(DeadlinePolicy.OFF).group(Intake.PLATFORM));
+    }
+
+    /** The same, with what is known of its nodes' times. */
+    public Dispatcher(Timers timers, Settings settings, Router router, Back<C> back, Faults faults,
+                      Consumer<String> settled, int maxOpen, GroupTimes times) {
         this.timers = timers;
         this.settings = settings;
         this.router = router;
@@ -74,6 +91,8 @@
         this.faults = faults;
         this.settled = settled;
         this.maxOpen = maxOpen;
+        this.times = times;
+        settings.classes().forEach(c -> effects.put(c.name(), c.effect()));
     }
 
     /** Names what asks discovery and what tells peers; both may need this dispatcher to be made first. */
@@ -100,6 +119,13 @@
 
     /** The node list, or news of it; the back must know the nodes before the module may choose one. */
     public void nodes(ListKind kind, long version, List<Node> nodes) {
+        for (Node n : nodes) {
+            if (settings.originModel() != null && settings.originModel().equals(n.model())) {
+                stores.add(n.id());
+            } else {
+                stores.remove(n.id());
+            }
+        }
         tell(now -> router.nodes(now, kind, version, nodes, this), () -> { });
     }
 
@@ -119,6 +145,7 @@
 
     /** Other classes hold from now on, for requests that come. */
     public void classes(List<ServiceClass> classes) {
+        classes.forEach(c -> effects.put(c.name(), c.effect()));
         tell(now -> router.classes(now, classes), () -> { });
     }
 
@@ -132,7 +159,7 @@
             client.refused(0);
             return;
         }
-        Call<C> call = new Call<>(in, command, client, timers.now() + in.budgetMs());
+        Call<C> call = new Call<>(in, command, client, timers.now(), times.of(in.service()));
         calls.put(in.id(), call);
         owed++;
         call.backstop = timers.at(call.deadline + settings.rules().answerSlackMs(), () -> overdue(call));
@@ -144,17 +171,53 @@
         Call<C> call = calls.get(id);
         if (call != null && !call.over) {
             tally.gone++;
+            call.kind.left(timers.now(), timers.now() - call.bornMs);
             settle(call);
             tell(now -> router.clientGone(now, id, this), () -> { });
         }
     }
 
+    /** Whether an open request may have run already, or has an attempt out that may yet. */
+    public boolean mayHaveRun(String id) {
+        Call<C> call = calls.get(id);
+        return call != null && (!call.proven || call.out != null);
+    }
+
+    /** An open request needs its final answer now; what is out for it is of no use any more. */
+    public void giveUp(String id) {
+        Call<C> call = calls.get(id);
+        if (call != null && !call.over) {
+            endNow(call);
+            if (call.out != null) {
+                call.out.cancel();
+            }
+            tell(now -> router.clientGone(now, id, this), () -> { });
+        }
+    }
+
+    /** A final answer that nobody decided on: a refusal where it is a true promise. */
+    private void endNow(Call<C> call) {
+        if (call.proven && call.out == null || effects.get(call.in.service()) == Effect.SAFE) {
+            refuseNow(call, 0);
+        } else {
+            failNow(call);
+        }
+    }
+
     private void ended(Call<C> call, int attempt, String node, double sentAt, Outcome outcome, Answer<C> answer) {
+        Sent<C> sent = call.out;
         call.out = null;
         call.proven &= outcome.provesNotRun();
+        double now = timers.now();
+        if (outcome == Outcome.OK) {
+            call.kind.answered(now, now - sentAt, sent.atStore, sent.fresh);
+        } else if (outcome == Outcome.CANCELLED || outcome == Outcome.TIMEOUT) {
+            call.kind.givenUp(now, now - sentAt, sent.atStore);
+        }
         tally.count(outcome);
         if (outcome == Outcome.OK && !call.over) {
             tally.served++;
+            call.kind.finished(now, now - call.bornMs);
             settle(call);
             call.client.served(answer);
         }
@@ -255,7 +318,13 @@
     public void cancel(String request, int attempt) {
         actions.add(() -> {
             Call<C> call = calls.get(request);
-            if (call != null && call.out != null && call.attempts - 1 == attempt) {
+            if (call == null || call.out == null || call.attempts - 1 != attempt) {
+                return;
+            }
+            double now = timers.now();
+            if (call.over && !call.kind.closes(now, now - call.out.sentMs, call.out.atStore)) {
+                call.out.leave();
+            } else {
                 call.out.cancel();
             }
         });
@@ -298,6 +367,12 @@
         actions.add(() -> back.closeIdle(node));
     }
 
+    @Override
+    public double leastMs(String request) {
+        Call<C> call = calls.get(request);
+        return call == null ? 0 : call.kind.backOffMs(timers.now());
+    }
+
     private void ifOpen(String request, Consumer<Call<C>> action) {
         Call<C> call = calls.get(request);
         if (call != null && !call.over) {
@@ -307,6 +382,7 @@
 
     private void refuseNow(Call<C> call, double retryAfterMs) {
         tally.refused++;
+        call.kind.finished(timers.now(), timers.now() - call.bornMs);
         settle(call);
         if (call.proven && call.out == null) {
             call.client.refused(retryAfterMs);
@@ -317,6 +393,7 @@
 
     private void failNow(Call<C> call) {
         tally.failed++;
+        call.kind.finished(timers.now(), timers.now() - call.bornMs);
         settle(call);
         call.client.failed();
     }
@@ -353,7 +430,15 @@
             report(request, call, attempt, node, Outcome.NEVER_SENT, 0, Answer.NO_NOTE);
             return;
         }
-        Sent<C> sent = new Sent<>(call, now + wait, timers);
+        boolean atStore = stores.contains(node);
+        if (call.kind.maySend(now, now - call.bornMs, left, atStore, attempt == 0) != Verdict.GO) {
+            // Nobody would be there to read it: its final answer is due now, and the module hears that it is over.
+            endNow(call);
+            tally.count(Outcome.NEVER_SENT);
+            report(request, call, attempt, node, Outcome.NEVER_SENT, 0, Answer.NO_NOTE);
+            return;
+        }
+        Sent<C> sent = new Sent<>(call, now, now + wait, timers, times, atStore);
         call.out = sent;
         sent.exchange = back.send(node, sent, wait, (outcome, answer) -> ended(call, attempt, node, now, outcome, answer));
     }
@@ -369,14 +454,27 @@
     /** The attempt that is out; the back may end it before it has handed the exchange over. */
     private static final class Sent<C> implements Attempt<C> {
         private final Call<C> call;
+        private final double sentMs;
         private final double giveUpMs;
         private final Timers timers;
+        private final GroupTimes times;
+        private final boolean atStore;
+        private boolean fresh;
         private Back.Exchange exchange;
 
-        Sent(Call<C> call, double giveUpMs, Timers timers) {
+        Sent(Call<C> call, double sentMs, double giveUpMs, Timers timers, GroupTimes times, boolean atStore) {
             this.call = call;
+            this.sentMs = sentMs;
             this.giveUpMs = giveUpMs;
             this.timers = timers;
+            this.times = times;
+            this.atStore = atStore;
+        }
+
+        void leave() {
+            if (exchange != null) {
+                exchange.leave();
+            }
         }
 
         void cancel() {
@@ -397,7 +495,24 @@
 
         @Override
         public double remainingMs() {
-            return giveUpMs - timers.now();
+            double left = giveUpMs - timers.now();
+            return left - times.wayBackMs(left);
+        }
+
+        @Override
+        public boolean mayBeWritten() {
+            double now = timers.now();
+            return !call.over && call.kind.mayWrite(now, call.deadline - now, atStore) == Verdict.GO;
+        }
+
+        @Override
+        public void connected(double ms) {
+            times.connected(ms);
+        }
+
+        @Override
+        public void begun(boolean onFresh) {
+            fresh = onFresh;
         }
     }
 
@@ -406,18 +521,22 @@
         final Request in;
         final Command<C> command;
         final Client<C> client;
+        final double bornMs;
         final double deadline;
+        final ClassTimes kind;
         Timers.Timer backstop;
         Sent<C> out;
         int attempts;
         boolean proven = true;
         boolean over;
 
-        Call(Request in, Command<C> command, Client<C> client, double deadline) {
+        Call(Request in, Command<C> command, Client<C> client, double bornMs, ClassTimes kind) {
             this.in = in;
             this.command = command;
             this.client = client;
-            this.deadline = deadline;
+            this.bornMs = bornMs;
+            this.deadline = bornMs + in.budgetMs();
+            this.kind = kind;
         }
     }
 }
--- a/core/src/main/java/ridgemill/core/Intake.java
+++ b/core/src/main/java/ridgemill/core/Intake.java
@@ -4,7 +4,15 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
+import ridgemill.deadline.ClassTimes;
+import ridgemill.deadline.DeadlinePolicy;
+import ridgemill.deadline.Deadlines;
+import ridgemill.deadline.Place;
+import ridgemill.deadline.Verdict;
+import ridgemill.outcome.Known;
+import ridgemill.policy.Router.Effect;
 import ridgemill.policy.Router.Request;
 import ridgemill.policy.Router.ServiceClass;
 
@@ -28,17 +36,61 @@
 
     private final Timers timers;
     private final Gate gate;
+    private final Deadlines deadlines;
     private final Map<String, Dispatcher<C>> groups = new HashMap<>();
     /** Those of the groups, and of dropped ones that still owe an answer. */
     private final List<Dispatcher<C>> dispatchers = new ArrayList<>();
     private final Map<String, Waiting<C>> line = new HashMap<>();
     private final Tally tally = new Tally();
     private Detour<C> detour;
+    private Recorder<C> recorder;
     private boolean advancing;
 
+    /** An intake that makes nothing of deadlines but to tell nodes of them. */
     public Intake(Timers timers, Gate gate) {
+        this(timers, gate, new Deadlines(DeadlinePolicy.OFF));
+    }
+
+    /** An intake whose requests' time is judged. */
+    public Intake(Timers timers, Gate gate, Deadlines deadlines) {
         this.timers = timers;
         this.gate = gate;
+        this.deadlines = deadlines;
+    }
+
+    /** What is known of requests' time, for fronts and whoever watches. */
+    public Deadlines deadlines() {
+        return deadlines;
+    }
+
+    /** The time now, by which waits are counted. */
+    public double now() {
+        return timers.now();
+    }
+
+    /** From now on keyed writes go through this; null for none, which may not be while any is open. */
+    public void recorder(Recorder<C> through) {
+        recorder = through;
+    }
+
+    /** Whether outcomes of keyed writes are recorded. */
+    public boolean records() {
+        return recorder != null;
+    }
+
+    /** What is known of a key, for who gave it; null where nothing is. */
+    public Known outcome(String key, String tenant) {
+        return recorder == null ? null : recorder.outcomes().find(timers.now(), key, tenant);
+    }
+
+    /** The same, by asking other halls too where this one knows nothing; {@code found} is told once. */
+    public void findOutcome(String key, String tenant, Consumer<Known> found) {
+        Known known = outcome(key, tenant);
+        if (known != null || recorder == null || detour == null) {
+            found.accept(known);
+        } else {
+            detour.outcome(key, tenant, found);
+        }
     }
 
     /** Requests that go to this group are the dispatcher's from now on. */
@@ -65,6 +117,9 @@
 
     /** Whether a request with this id is open: its answer and another's could not be told apart. */
     public boolean isOpen(String id) {
+        if (recorder != null && recorder.isOpen(id)) {
+            return true;
+        }
         if (detour != null && detour.isOpen(id)) {
             return true;
         }
@@ -103,13 +158,14 @@
     /** Takes a request, whose id must not be open; {@code client} gets its one final answer, maybe before this returns. */
     public void request(Gate.Go go, Request in, Command<C> command, Client<C> client) {
         if (go.queueMs() > 0) {
-            double patience = Math.min(go.queueMs(), in.budgetMs());
+            // One that could not be answered in time after its wait is turned away when that is certain.
+            double patience = Math.max(0, Math.min(go.queueMs(), in.budgetMs() - times(go).backOffMs(timers.now())));
             line.put(in.id(), new Waiting<>(go, in, command, client, timers.now(),
                     timers.at(timers.now() + patience, () -> turnAway(in.id()))));
             // Room may have come between: an answer that was written while this one was read makes no other event.
             advance();
         } else {
-            start(go, in, command, client);
+            start(go, in, command, client, Place.INTAKE);
         }
         displace(go);
     }
@@ -120,15 +176,31 @@
         }
     }
 
-    private void start(Gate.Go go, Request in, Command<C> command, Client<C> client) {
+    private ClassTimes times(Gate.Go go) {
+        return deadlines.group(go.group()).of(go.service().name());
+    }
+
+    private void start(Gate.Go go, Request in, Command<C> command, Client<C> client, Place from) {
         Dispatcher<C> dispatcher = groups.get(go.group());
-        if (dispatcher == null) {
-            // Dropped since the gate decided; nothing ran.
+        if (dispatcher == null || times(go).mayGoOn(from, timers.now(), in.budgetMs()) != Verdict.GO) {
+            // Dropped since the gate decided, or too late for any answer; nothing ran.
             turnedAway();
             settled(in.service());
             client.refused(0);
             return;
         }
+        if (recorder != null && command.write() && go.service().effect() == Effect.KEYED && command.idempotencyKey() != null) {
+            Client<C> waits = recorder.enter(in, command, go.service().repeatWindowMs(), client, () -> settled(in.service()));
+            if (waits == null) {
+                return;
+            }
+            hand(dispatcher, go, in, command, waits);
+        } else {
+            hand(dispatcher, go, in, command, client);
+        }
+    }
+
+    private void hand(Dispatcher<C> dispatcher, Gate.Go go, Request in, Command<C> command, Client<C> client) {
         if (detour != null) {
             detour.request(dispatcher, go.service(), in, command, client);
         } else {
@@ -153,7 +225,7 @@
                 Waiting<C> w = line.remove(id);
                 w.patience().cancel();
                 double left = w.in().budgetMs() - (timers.now() - w.sinceMs());
-                start(w.go(), w.in().within(left), w.command(), w.client());
+                start(w.go(), w.in().within(left), w.command(), w.client(), Place.LINE);
             }
         } finally {
             advancing = false;
@@ -189,11 +261,35 @@
             gate.withdrawn(timers.now(), id);
             tally.requests++;
             tally.gone++;
-        } else if (detour == null || !detour.clientGone(id)) {
+        } else if (recorder == null || !recorder.clientGone(id, () -> mayHaveRun(id))) {
+            leave(id);
+        }
+    }
+
+    private void leave(String id) {
+        if (detour == null || !detour.clientGone(id)) {
             dispatchers.forEach(d -> d.clientGone(id));
         }
     }
 
+    private boolean mayHaveRun(String id) {
+        return detour != null && detour.mayHaveRun(id) || dispatchers.stream().anyMatch(d -> d.mayHaveRun(id));
+    }
+
+    /**
+     * An open request needs its final answer now, as one behind it on its connection is due: it is given up, and refused where
+     * that is a true promise.
+     */
+    public void giveUp(String id) {
+        if (line.containsKey(id)) {
+            turnAway(id);
+        } else if (recorder != null && recorder.giveUp(id)) {
+            return;
+        } else if (detour == null || !detour.giveUp(id)) {
+            dispatchers.forEach(d -> d.giveUp(id));
+        }
+    }
+
     /** Other classes hold from now on, for requests that come. */
     public void classes(List<ServiceClass> classes) {
         groups.values().forEach(d -> d.classes(classes));
@@ -201,13 +297,16 @@
 
     /** Requests that have no final answer yet. */
     public int owed() {
-        return line.size() + dispatchers.stream().mapToInt(Dispatcher::owed).sum() + (detour == null ? 0 : detour.owed());
+        return line.size() + (recorder == null ? 0 : recorder.owed()) + dispatchers.stream().mapToInt(Dispatcher::owed).sum() + (detour == null ? 0 : detour.owed());
     }
 
     /** Counts over all groups that there are, and over those in line. */
     public Tally tally() {
         Tally all = new Tally().plus(tally);
         dispatchers.forEach(d -> all.plus(d.tally()));
+        if (recorder != null) {
+            all.plus(recorder.tally());
+        }
         return detour == null ? all : all.plus(detour.tally());
     }
 }
--- /dev/null
+++ b/core/src/main/java/ridgemill/deadline/Place.java
@@ -0,0 +1,19 @@
+package ridgemill.deadline;
+
+/** Where a request may wait, or begin something that takes time. */
+public enum Place {
+    /** In line for its turn. */
+    LINE,
+    /** Before its group's decisions. */
+    INTAKE,
+    /** About to be sent to a node. */
+    SEND,
+    /** Its connection to a node has come up. */
+    CONNECT,
+    /** Before the wait for another attempt. */
+    BACKOFF,
+    /** About to cross to another hall. */
+    CROSSING,
+    /** Behind an earlier one of its own connection. */
+    SLOT
+}
--- a/core/src/main/java/ridgemill/limit/TokenBucket.java
+++ b/core/src/main/java/ridgemill/limit/TokenBucket.java
@@ -33,11 +33,16 @@
 
     /** Takes a token if one is there. */
     public boolean tryTake(double nowMs) {
+        return tryTake(nowMs, 1);
+    }
+
+    /** Takes so many tokens, or parts of one, if they are there. */
+    public boolean tryTake(double nowMs, double count) {
         fill(nowMs);
-        if (tokens + ROUNDING < 1) {
+        if (tokens + ROUNDING < count) {
             return false;
         }
-        tokens = Math.max(0, tokens - 1);
+        tokens = Math.max(0, tokens - count);
         return true;
     }
 
--- a/core/src/main/java/ridgemill/policy/Decide.java
+++ b/core/src/main/java/ridgemill/policy/Decide.java
@@ -325,10 +325,23 @@
 
     @Override
     public void clientGone(double now, String request, Actions out) {
-        Held r = requests.remove(request);
-        if (r != null) {
-            letGo(now, r, out);
+        Held r = requests.get(request);
+        if (r == null || r.out && r.fetches && isAwaited(r)) {
+            // Others wait for what it fetches: a new fetch for them would cost the origin the same once more.
+            return;
+        }
+        requests.remove(request);
+        letGo(now, r, out);
+    }
+
+    /** Whether one that still has its answer to come waits for this one's fetch. */
+    private boolean isAwaited(Held r) {
+        for (Held waiting : fetching.getOrDefault(r.in.key(), List.of())) {
+            if (requests.get(waiting.in.id()) == waiting && !waiting.out) {
+                return true;
+            }
         }
+        return false;
     }
 
     @Override
@@ -489,7 +502,7 @@
         r.refetches = fetches;
         if (wait <= 0) {
             repeat(now, r, out);
-        } else if (now + wait + guardMs >= r.guard) {
+        } else if (now + wait + Math.max(guardMs, out.leastMs(r.in.id())) >= r.guard) {
             end(now, r, out);
         } else {
             out.timer(now + wait, "w" + r.in.id());
--- a/core/src/main/java/ridgemill/policy/Router.java
+++ b/core/src/main/java/ridgemill/policy/Router.java
@@ -197,6 +197,11 @@
 
         /** Closes this proxy's idle connections to a node. */
         void close(String node);
+
+        /** The least time in which an answer to a request like this one may be hoped for; 0 where that is not known. */
+        default double leastMs(String request) {
+            return 0;
+        }
     }
 
     /** The present level of throttling, for whoever watches; 0 for none. */
--- a/gateway/src/main/java/ridgemill/cli/Commands.java
+++ b/gateway/src/main/java/ridgemill/cli/Commands.java
@@ -73,7 +73,7 @@
 
     @Command(name = "ridgemill", mixinStandardHelpOptions = true, versionProvider = Version.class,
             description = "A caching proxy for fleets of cache nodes, and a gateway between sites.",
-            subcommands = {Serve.class, Check.class, Explain.class, Reload.class, Status.class, Nodes.class, Halls.class,
+            subcommands = {Serve.class, Check.class, Explain.class, Reload.class, Status.class, Nodes.class, Halls.class, Deadlines.class,
                 VersionCommand.class, Bench.class})
     static final class Root implements Callable<Integer> {
         @Override
@@ -319,6 +319,15 @@
         }
     }
 
+    @Command(name = "deadlines", mixinStandardHelpOptions = true, description = {
+        "Tells what a running proxy dropped where for want of time, what it keeps for each hop, and how its record of outcomes is."})
+    static final class Deadlines extends Lines {
+        @Override
+        String command() {
+            return "deadlines";
+        }
+    }
+
     @Command(name = "version", mixinStandardHelpOptions = true, description = "Prints the version.")
     static final class VersionCommand implements Callable<Integer> {
         @Override
--- a/gateway/src/main/java/ridgemill/gateway/Service.java
+++ b/gateway/src/main/java/ridgemill/gateway/Service.java
@@ -19,7 +19,11 @@
 import ridgemill.core.Gate;
 import ridgemill.core.Intake;
 import ridgemill.core.PlatformGate;
+import ridgemill.core.Recorder;
 import ridgemill.core.Tally;
+import ridgemill.deadline.DeadlinePolicy;
+import ridgemill.deadline.Deadlines;
+import ridgemill.deadline.LoopWatch;
 import ridgemill.gateway.back.NodeBack;
 import ridgemill.gateway.back.NodePool;
 import ridgemill.gateway.back.Sockets;
@@ -27,16 +31,19 @@
 import ridgemill.gateway.front.ClientTable;
 import ridgemill.gateway.front.Listeners;
 import ridgemill.gateway.front.http.HttpFront;
+import ridgemill.gateway.front.http.HttpTerms;
 import ridgemill.gateway.membership.Discovery;
 import ridgemill.gateway.membership.HostList;
 import ridgemill.gateway.net.Addresses;
 import ridgemill.gateway.net.Clock;
 import ridgemill.gateway.net.Content;
+import ridgemill.gateway.net.Fingerprint;
 import ridgemill.gateway.net.Log;
 import ridgemill.gateway.net.LogFaults;
 import ridgemill.gateway.net.LoopTimers;
 import ridgemill.gateway.net.SocketKind;
 import ridgemill.gateway.net.Transport;
+import ridgemill.outcome.Outcomes;
 import ridgemill.policy.Decide;
 import ridgemill.policy.Router.Availability;
 import ridgemill.policy.Router.ListKind;
@@ -63,6 +70,7 @@
     private final EventLoop loop = group.next();
     private final Config config;
     private final LoopTimers timers;
+    private final Deadlines deadlines;
     private final Intake<Content> intake;
     private final Sockets nodeSockets;
     private final Upstream platform;
@@ -88,9 +96,10 @@
         int sockets = Math.max(2, config.sockets() - RESERVED_SOCKETS);
         int clientSockets = Math.max(1, (int) (sockets * CLIENT_PART));
         timers = new LoopTimers(loop, new Clock());
-        intake = new Intake<>(timers, gate);
+        deadlines = new Deadlines(DeadlinePolicy.USUAL);
+        intake = new Intake<>(timers, gate, deadlines);
         nodeSockets = new Sockets(Math.max(1, sockets - clientSockets));
-        platform = upstream(settings, router, new NodePool(loop, Transport.TCP, HttpNodeConnection::new,
+        platform = upstream(Intake.PLATFORM, settings, router, new NodePool(loop, Transport.TCP, HttpNodeConnection::new,
                 settings.limits().connectTimeoutMs(), settings.connections().idleMs(), nodeSockets), faults(outside));
         intake.group(Intake.PLATFORM, platform.dispatcher());
         clients = new ClientTable(clientSockets, gate::connectionsPerClient);
@@ -107,9 +116,9 @@
         platform.dispatcher().wire(discovery::subscribe, peers == null ? contents -> { } : peers::tell);
     }
 
-    private Upstream upstream(Settings settings, Router router, NodeBack back, Faults faults) {
+    private Upstream upstream(String name, Settings settings, Router router, NodeBack back, Faults faults) {
         return new Upstream(router, back, new Dispatcher<>(timers, settings, router, back, faults, intake::settled,
-                config.maxOpen()));
+                config.maxOpen(), deadlines.group(name)));
     }
 
     private static Faults faults(Outside outside) {
@@ -161,6 +170,17 @@
         });
     }
 
+    /** What holds for clients over HTTP from now on; on the loop. */
+    public void terms(HttpTerms terms) {
+        front.terms(terms);
+    }
+
+    /** Outcomes of keyed writes are recorded from now on, and told to who asks; on the loop. */
+    public void record(Outcomes outcomes) {
+        intake.recorder(new Recorder<>(timers, outcomes, Fingerprint::of));
+        front.tellOutcomes();
+    }
+
     /** Where the HTTP front takes connections in, which a crew deals. */
     public Listeners httpListeners() {
         return front.listeners();
@@ -188,7 +208,7 @@
 
     /** Takes in another group of nodes, under decisions of its own; to be called on the loop. */
     public Group group(String name, Settings settings, Router router, NodeBack back) {
-        Group group = new Group(name, upstream(settings, router, back, new LogFaults()));
+        Group group = new Group(name, upstream(name, settings, router, back, new LogFaults()));
         group.upstream.dispatcher().start();
         intake.group(name, group.upstream.dispatcher());
         return group;
@@ -492,6 +512,8 @@
     }
 
     private void tellStart() {
+        // With a delay between them, and not at a rate: after a stall one beat tells of it.
+        loop.scheduleWithFixedDelay(() -> deadlines.loop().beat(timers.now()), 0, (long) LoopWatch.BEAT_MS, TimeUnit.MILLISECONDS);
         platform.dispatcher().start();
         if (config.known() != null) {
             platform.hosts(ListKind.REMEMBERED, config.known());
--- a/gateway/src/main/java/ridgemill/gateway/back/NodeConnection.java
+++ b/gateway/src/main/java/ridgemill/gateway/back/NodeConnection.java
@@ -56,6 +56,7 @@
     protected final void finish(Outcome outcome, Answer<Content> answer, boolean clean) {
         NodeExchange exchange = current;
         current = null;
+        exchange.leftEnded();
         if (clean && target.isCurrent()) {
             pool.rest(this);
         } else {
@@ -85,6 +86,9 @@
         current = exchange;
         begin();
         exchange.idleMs = used ? idleMs(pool.nanos()) : 0;
+        if (exchange.attempt() != null) {
+            exchange.attempt().begun(!used);
+        }
         used = true;
         exchange.channel = context.channel();
         // The promise covers the whole message: it fails if the connection breaks before the last byte is written.
@@ -118,6 +122,9 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         pool.forget(this);
+        if (current != null) {
+            current.leftEnded();
+        }
         ended();
     }
 }
--- a/gateway/src/main/java/ridgemill/gateway/back/NodeExchange.java
+++ b/gateway/src/main/java/ridgemill/gateway/back/NodeExchange.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.Channel;
 import io.netty.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
 import ridgemill.core.Answer;
 import ridgemill.core.Attempt;
 import ridgemill.core.Back;
@@ -18,6 +19,8 @@
     Future<?> timer;
     boolean written;
     private boolean over;
+    private boolean left;
+    private Future<?> timeUp;
     /** How long its connection had been idle, 0 for a new one; and whether bytes of an answer have come. */
     double idleMs;
     private boolean answering;
@@ -48,6 +51,43 @@
         answering = true;
     }
 
+    /** A connection was opened for it, which took so long; whether it may still be written there. */
+    boolean reached(double ms) {
+        if (attempt == null) {
+            return true;
+        }
+        attempt.connected(ms);
+        return attempt.mayBeWritten();
+    }
+
+    /** Whether nobody waits for it any more, but its connection waits for its answer. */
+    public boolean isLeft() {
+        return left;
+    }
+
+    /** Its answer may still come, and is dropped then; where it does not come in its time the connection goes. */
+    @Override
+    public void leave() {
+        double leftMs = attempt == null ? 0 : attempt.remainingMs();
+        if (over || !written || channel == null || leftMs <= 0) {
+            cancel();
+            return;
+        }
+        left = true;
+        Channel waits = channel;
+        timeUp = waits.eventLoop().schedule(() -> {
+            waits.close();
+        }, (long) (leftMs * 1e6), TimeUnit.NANOSECONDS);
+        end(Outcome.CANCELLED, null);
+    }
+
+    /** The answer that it was left for has come, or its connection has ended. */
+    void leftEnded() {
+        if (timeUp != null) {
+            timeUp.cancel(false);
+        }
+    }
+
     /** Gives it up. The connection goes too: its answer may still come and would be taken for another's. */
     @Override
     public void cancel() {
--- a/gateway/src/main/java/ridgemill/gateway/back/NodePool.java
+++ b/gateway/src/main/java/ridgemill/gateway/back/NodePool.java
@@ -166,6 +166,7 @@
         connections++;
         ChannelFuture connecting = dialer.connect(target, connection::install);
         exchange.channel = connecting.channel();
+        long began = nanos.getAsLong();
         connecting.channel().closeFuture().addListener(f -> connections--);
         connecting.addListener(f -> {
             if (!f.isSuccess()) {
@@ -173,8 +174,13 @@
                 exchange.end(Outcome.CONNECT_FAILED, null);
             } else if (exchange.isOver()) {
                 connecting.channel().close();
-            } else {
+            } else if (exchange.reached((nanos.getAsLong() - began) / 1e6)) {
                 connection.write(exchange);
+            } else {
+                // Too late for any answer: the connection is whole, and the next exchange's.
+                connection.idleSince = nanos.getAsLong();
+                rested(connection);
+                exchange.end(Outcome.NEVER_SENT, null);
             }
         });
     }
--- a/gateway/src/main/java/ridgemill/gateway/back/http/HttpNodeConnection.java
+++ b/gateway/src/main/java/ridgemill/gateway/back/http/HttpNodeConnection.java
@@ -168,7 +168,7 @@
     /** Whether bytes that have come can belong to the answer that is awaited. */
     private boolean expected(ByteBuf in) {
         NodeExchange current = current();
-        if (current == null || current.isOver() || !current.isWritten()) {
+        if (current == null || current.isOver() && !current.isLeft() || !current.isWritten()) {
             return false;
         }
         for (int i = in.readerIndex(); begun < START.length && i < in.writerIndex(); i++, begun++) {
--- a/gateway/src/main/java/ridgemill/gateway/back/resp/RespBack.java
+++ b/gateway/src/main/java/ridgemill/gateway/back/resp/RespBack.java
@@ -120,10 +120,11 @@
         RespConnection connection = new RespConnection(this, target);
         target.connections.add(connection);
         connections.add(connection);
+        long began = System.nanoTime();
         ChannelFuture connecting = dialer.connect(target, connection::install);
         connecting.addListener(f -> {
             if (f.isSuccess()) {
-                connection.opened();
+                connection.opened((System.nanoTime() - began) / 1e6);
             } else {
                 connecting.channel().close();
                 connection.refused();
--- a/gateway/src/main/java/ridgemill/gateway/back/resp/RespConnection.java
+++ b/gateway/src/main/java/ridgemill/gateway/back/resp/RespConnection.java
@@ -92,7 +92,8 @@
     }
 
     /** The connection is there: shows who we are and asks for the newer version before anything else. */
-    void opened() {
+    void opened(double tookMs) {
+        waiting.stream().filter(e -> e.attempt() != null).limit(1).forEach(e -> e.attempt().connected(tookMs));
         state = State.HELLO;
         RespNodes nodes = back.nodes();
         ByteBuf hello = context.alloc().buffer();
@@ -122,6 +123,11 @@
                 close();
             }
         });
+        flush();
+    }
+
+    /** Flushed once for all that is written in one turn of the loop. */
+    private void flush() {
         if (!flushing) {
             flushing = true;
             context.executor().execute(() -> {
@@ -191,7 +197,14 @@
         if (waiting.remove(exchange)) {
             return;
         }
-        if (out.stream().allMatch(RespExchange::isOver)) {
+        boolean told = back.nodes().cancels() && exchange.attempt() != null && state == State.READY;
+        if (told) {
+            // Its reply comes in its place, so the connection stays whole and others on it are not held up for long.
+            ByteBuf bytes = context.alloc().buffer();
+            RespWriter.write(bytes, Resp.blobs("RIDGE.CANCEL", exchange.attempt().requestId()), RespWriter.V2);
+            context.write(bytes);
+            flush();
+        } else if (out.stream().allMatch(RespExchange::isOver)) {
             close();
             return;
         }
@@ -256,7 +269,9 @@
         state = State.READY;
         idleSince = System.nanoTime();
         drain(waiting).forEach(e -> {
-            if (!e.isOver()) {
+            if (!e.isOver() && e.attempt() != null && !e.attempt().mayBeWritten()) {
+                e.end(Outcome.NEVER_SENT, null);
+            } else if (!e.isOver()) {
                 write(e);
             }
         });
--- a/gateway/src/main/java/ridgemill/gateway/back/resp/RespNodes.java
+++ b/gateway/src/main/java/ridgemill/gateway/back/resp/RespNodes.java
@@ -12,9 +12,17 @@
  *     no copies
  * @param guardMs for how long the store remembers a keyed write's key on the gateway's behalf, in milliseconds; 0 where it
  *     is not asked to
+ * @param cancels whether nodes understand {@code RIDGE.CANCEL id}, which has no reply: they stop that call if they can, and
+ *     answer it in its place
  */
 public record RespNodes(Dialect dialect, String user, String password, boolean missIsAnswer, String store, double fillMs,
-                        double guardMs) {
+                        double guardMs, boolean cancels) {
+
+    /** Nodes that understand no cancel. */
+    public RespNodes(Dialect dialect, String user, String password, boolean missIsAnswer, String store, double fillMs,
+                     double guardMs) {
+        this(dialect, user, password, missIsAnswer, store, fillMs, guardMs, false);
+    }
 
     /** What nodes understand beside the commands themselves. */
     public enum Dialect {
--- a/gateway/src/main/java/ridgemill/gateway/front/http/HttpClientConnection.java
+++ b/gateway/src/main/java/ridgemill/gateway/front/http/HttpClientConnection.java
@@ -7,7 +7,9 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.DuplexChannel;
+import io.netty.channel.socket.SocketChannelConfig;
 import io.netty.handler.codec.CodecException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -15,6 +17,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -22,35 +25,58 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.TooLongHttpContentException;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
 import java.util.Queue;
 import java.util.concurrent.TimeUnit;
 import ridgemill.core.Answer;
 import ridgemill.core.Client;
+import ridgemill.deadline.AnswerOrder;
 import ridgemill.gateway.front.ClientConnection;
 import ridgemill.gateway.net.Content;
 import ridgemill.gateway.net.LeanHttp;
 import ridgemill.gateway.net.Log;
 import ridgemill.gateway.net.StrictHttp;
 
-/** One client's HTTP/1.1 connection: its requests are answered one at a time, in their order (RFC 9112, section 9.3). */
-final class HttpClientConnection extends ClientConnection implements Client<Content> {
+/**
+ * One client's HTTP/1.1 connection. Its requests are answered in their order (RFC 9112, section 9.3.2); as many as the front's
+ * terms allow are carried out side by side, as long as all of them are reads. One that is due holds nobody up, and is held up by
+ * nobody: what is ahead of it then has its final answer too.
+ */
+final class HttpClientConnection extends ClientConnection {
 
     private static final int MAX_WAITING = 16;
+    /** Bytes of answers that wait for an earlier one, beyond which no further request is begun. */
+    private static final int MOST_HELD = 256 * 1024;
     /** For how many bytes input is read on after an error: unread input would reset the error away. */
     private static final long LINGER_BYTES = 1 << 20;
+    /** Answers that are due in less than this are due now: what gives them up has to be written yet. */
+    private static final double DUE_MS = 8;
 
     private final HttpFront front;
     private final Bytes bytes = new Bytes();
     private final Queue<Waiting> waiting = new ArrayDeque<>();
-    private String open;
-    private boolean keepAlive;
+    private final Deque<Exchange> slots = new ArrayDeque<>();
+    private final AnswerOrder<Exchange> order = new AnswerOrder<>();
+    private Future<?> wake;
+    private double wakeMs = Double.POSITIVE_INFINITY;
+    private int held;
+    private boolean beginning;
+    /** No further request is begun; with the answer of the last the connection closes. */
+    private boolean last;
+    /** The client sends nothing more, and reads on. */
+    private boolean inputEnded;
 
     HttpClientConnection(Channel channel, HttpFront front) {
         super(channel, front.table());
         this.front = front;
+        if (front.terms().halfCloseStays() && channel.config() instanceof SocketChannelConfig config) {
+            config.setAllowHalfClosure(true);
+        }
     }
 
     Bytes bytes() {
@@ -61,125 +87,221 @@
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         FullHttpRequest request = (FullHttpRequest) message;
         try {
-            if (phase() == Phase.CLOSING) {
+            if (phase() == Phase.CLOSING || last) {
                 return;
             }
-            if (phase() != Phase.BUSY) {
-                handle(request, System.nanoTime());
+            if (slots.isEmpty() && waiting.isEmpty()) {
+                begin(request, 0);
                 return;
             }
-            waiting.add(new Waiting(request.retain(), System.nanoTime()));
+            waiting.add(new Waiting(request.retain(), System.nanoTime(), stalledMs()));
             if (waiting.size() >= MAX_WAITING) {
                 // What it sends further waits on its side of the connection.
                 channel().config().setAutoRead(false);
             }
+            beginNext();
         } finally {
             request.release();
         }
     }
 
-    private void handle(FullHttpRequest in, long arrived) {
-        keepAlive = HttpUtil.isKeepAlive(in);
-        // A request that came behind another has waited here already.
-        double waitedMs = TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - arrived) / 1e3;
-        if (!isTurnedAway()) {
-            act(front.requests().read(in, waitedMs, front.intake()::isOpen));
+    @Override
+    public void userEventTriggered(ChannelHandlerContext ctx, Object event) throws Exception {
+        if (event instanceof ChannelInputShutdownEvent) {
+            inputEnded = true;
+            if (slots.isEmpty() && waiting.isEmpty() && phase() != Phase.CLOSING) {
+                ctx.close();
+            }
         }
+        super.userEventTriggered(ctx, event);
     }
 
-    private void handle(LeanHttp in, ByteBuf all) {
-        keepAlive = in.isKeepAlive();
-        if (isTurnedAway()) {
+    /** How old what is read now may be, as the loop did not turn for a while. */
+    private double stalledMs() {
+        return front.intake().deadlines().loop().ageMs(front.intake().now());
+    }
+
+    /** What a client's time comes to here, of which so much has passed already. */
+    private double left(double saidMs, double passedMs) {
+        return front.intake().deadlines().leftMs(saidMs, passedMs, front.wayBack());
+    }
+
+    /** Begins what may be begun beside what is open: reads beside reads. */
+    private void beginNext() {
+        if (beginning) {
+            return;
+        }
+        beginning = true;
+        try {
+            while (!waiting.isEmpty() && phase() != Phase.CLOSING && !last && mayBegin(waiting.peek().request())) {
+                Waiting next = waiting.poll();
+                channel().config().setAutoRead(true);
+                try {
+                    begin(next.request(), TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - next.arrived()) / 1e3 + next.stalledMs());
+                } finally {
+                    next.request().release();
+                }
+            }
+        } finally {
+            beginning = false;
+        }
+    }
+
+    private boolean mayBegin(FullHttpRequest next) {
+        return slots.isEmpty() || slots.size() < front.terms().sideBySide() && held < MOST_HELD && isRead(next)
+                && slots.stream().allMatch(e -> e.read);
+    }
+
+    private static boolean isRead(FullHttpRequest request) {
+        return request.method().equals(HttpMethod.GET);
+    }
+
+    private void begin(FullHttpRequest in, double waitedMs) {
+        Exchange exchange = new Exchange(HttpUtil.isKeepAlive(in), isRead(in));
+        if (!isTurnedAway(exchange)) {
+            double passedMs = waitedMs + (waitedMs > 0 ? 0 : stalledMs());
+            act(exchange, front.requests().read(in, said -> left(said, passedMs), front.intake()::isOpen));
+        }
+    }
+
+    private void begin(LeanHttp in, ByteBuf all) {
+        Exchange exchange = new Exchange(in.isKeepAlive(), !in.isPut());
+        if (isTurnedAway(exchange)) {
             return;
         }
         ByteBuf body = in.body(all);
         try {
-            act(front.requests().read(in, body, front.intake()::isOpen));
+            double passedMs = stalledMs();
+            act(exchange, front.requests().read(in, body, said -> left(said, passedMs), front.intake()::isOpen));
         } finally {
             body.release();
         }
     }
 
-    private boolean isTurnedAway() {
+    private boolean isTurnedAway(Exchange exchange) {
         if (!isSurplus()) {
             return false;
         }
         front.intake().turnedAway();
         busy();
-        keepAlive = false;
-        answer(HttpResponseStatus.TOO_MANY_REQUESTS, SURPLUS_BACK_MS);
+        last = true;
+        open(exchange, Double.POSITIVE_INFINITY);
+        exchange.ready(HttpResponseStatus.TOO_MANY_REQUESTS, SURPLUS_BACK_MS);
         return true;
     }
 
-    private void act(HttpRequests.Read read) {
+    private void open(Exchange exchange, double dueMs) {
+        slots.addLast(exchange);
+        order.add(exchange, dueMs);
+        last |= !exchange.keepAlive;
+    }
+
+    private void act(Exchange exchange, HttpRequests.Read read) {
         if (read instanceof HttpRequests.Call call) {
             busy();
-            open = call.request().id();
-            front.intake().request(call.go(), call.request(), call.command(), this);
+            exchange.id = call.request().id();
+            open(exchange, front.intake().now() + call.request().budgetMs());
+            front.intake().request(call.go(), call.request(), call.command(), exchange);
+            watchOrder();
         } else if (read instanceof HttpRequests.Refused refused) {
             front.intake().turnedAway();
             busy();
-            answer(HttpResponseStatus.TOO_MANY_REQUESTS, refused.retryAfterMs());
-        } else if (read instanceof HttpRequests.Bad bad) {
+            open(exchange, Double.POSITIVE_INFINITY);
+            exchange.ready(HttpResponseStatus.TOO_MANY_REQUESTS, refused.retryAfterMs());
+        } else if (read instanceof HttpRequests.Outcome asked) {
+            busy();
+            open(exchange, Double.POSITIVE_INFINITY);
+            front.intake().findOutcome(asked.key(), asked.tenant(), known ->
+                    exchange.ready(known == null ? HttpResponseStatus.NOT_FOUND : HttpResponseStatus.OK, 0,
+                            OutcomeText.of(known, front.intake().now()), null));
+        } else if (read instanceof HttpRequests.Bad bad && slots.isEmpty()) {
             reject(bad.status());
+        } else if (read instanceof HttpRequests.Bad bad) {
+            // Those before it have their answers first.
+            open(exchange, Double.POSITIVE_INFINITY);
+            last = true;
+            exchange.rejection = bad.status();
+            exchange.ready(bad.status(), 0);
         } else {
-            answer(front.isUp() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE);
+            open(exchange, Double.POSITIVE_INFINITY);
+            exchange.ready(front.isUp() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE, 0);
         }
     }
 
-    @Override
-    public void served(Answer<Content> answer) {
-        if (answer.content().isAbsent()) {
-            answer(HttpResponseStatus.NOT_FOUND);
+    /** Wakes when the first answer is due that another holds up. */
+    private void watchOrder() {
+        double at = order.wakeMs();
+        if (at >= wakeMs || at == Double.POSITIVE_INFINITY) {
             return;
         }
-        answer(HttpResponseStatus.OK, 0, answer.content());
-    }
-
-    @Override
-    public void refused(double retryAfterMs) {
-        answer(HttpResponseStatus.SERVICE_UNAVAILABLE, retryAfterMs);
-    }
-
-    @Override
-    public void limited(double retryAfterMs) {
-        answer(HttpResponseStatus.TOO_MANY_REQUESTS, retryAfterMs);
-    }
-
-    @Override
-    public void failed() {
-        answer(HttpResponseStatus.BAD_GATEWAY);
+        if (wake != null) {
+            wake.cancel(false);
+        }
+        wakeMs = at;
+        wake = channel().eventLoop().schedule(this::giveUpOverdue,
+                (long) (1e6 * Math.max(0, at - DUE_MS - front.intake().now())), TimeUnit.NANOSECONDS);
     }
 
-    private void answer(HttpResponseStatus status) {
-        answer(status, 0, Content.EMPTY);
+    private void giveUpOverdue() {
+        wake = null;
+        wakeMs = Double.POSITIVE_INFINITY;
+        if (order.size() > 1) {
+            for (Exchange e : order.overdue(front.intake().now() + DUE_MS)) {
+                if (!e.done && e.id != null) {
+                    front.intake().giveUp(e.id);
+                }
+            }
+        }
+        watchOrder();
     }
 
-    private void answer(HttpResponseStatus status, double retryAfterMs) {
-        answer(status, retryAfterMs, Content.EMPTY);
+    /** Writes the answers that no earlier one holds up. */
+    private void writeReady() {
+        while (!slots.isEmpty() && slots.peek().done && phase() != Phase.CLOSING) {
+            Exchange e = slots.poll();
+            order.left();
+            if (e.rejection != null) {
+                reject(e.rejection);
+                return;
+            }
+            write(e);
+        }
+        if (phase() != Phase.CLOSING) {
+            beginNext();
+        }
     }
 
-    private void answer(HttpResponseStatus status, double retryAfterMs, Content content) {
-        boolean last = mustClose() || !keepAlive;
-        open = null;
-        enter(last ? Phase.CLOSING : Phase.IDLE);
+    private void write(Exchange e) {
+        boolean closes = slots.isEmpty() && (last || mustClose() || inputEnded && waiting.isEmpty());
+        if (closes) {
+            enter(Phase.CLOSING);
+        } else if (slots.isEmpty()) {
+            enter(Phase.IDLE);
+        }
+        long began = System.nanoTime();
+        Content content = e.content;
         ChannelFuture written = content.mediaType() == null || LeanHttp.isPlain(content.mediaType(), true)
-                ? bytes.write(status, retryAfterMs, content, last) : writeEncoded(status, content, last);
+                ? bytes.write(e.status, e.retryAfterMs, content, e.note, closes) : writeEncoded(e.status, content, closes);
+        e.release();
         writing(written);
-        if (last) {
-            written.addListener(ChannelFutureListener.CLOSE);
+        if (written.isDone()) {
+            front.wayBack().took((System.nanoTime() - began) / 1e6);
         } else {
+            written.addListener(f -> front.wayBack().took((System.nanoTime() - began) / 1e6));
+        }
+        if (closes) {
+            written.addListener(ChannelFutureListener.CLOSE);
+        } else if (slots.isEmpty()) {
             used();
-            next();
         }
     }
 
     /** By way of Netty's encoder, which knows what becomes of a media type that is no plain text. */
-    private ChannelFuture writeEncoded(HttpResponseStatus status, Content content, boolean last) {
+    private ChannelFuture writeEncoded(HttpResponseStatus status, Content content, boolean closes) {
         FullHttpResponse answer = response(status, content.bytes().retain());
         answer.headers().set(HttpHeaderNames.CONTENT_TYPE, content.mediaType());
         HttpUtil.setContentLength(answer, content.bytes().readableBytes());
-        if (last) {
+        if (closes) {
             answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
         bytes.codec();
@@ -211,19 +333,6 @@
         });
     }
 
-    private void next() {
-        Waiting request = waiting.poll();
-        if (request == null) {
-            return;
-        }
-        channel().config().setAutoRead(true);
-        try {
-            handle(request.request(), request.arrived());
-        } finally {
-            request.request().release();
-        }
-    }
-
     private void dropWaiting() {
         waiting.forEach(w -> w.request().release());
         waiting.clear();
@@ -237,11 +346,12 @@
     @Override
     protected void left() {
         dropWaiting();
-        if (open != null) {
-            String gone = open;
-            open = null;
-            front.intake().clientGone(gone);
+        if (wake != null) {
+            wake.cancel(false);
         }
+        List<Exchange> open = List.copyOf(slots);
+        slots.clear();
+        open.forEach(Exchange::drop);
     }
 
     @Override
@@ -255,13 +365,108 @@
         } else if (phase() != Phase.BUSY && phase() != Phase.CLOSING) {
             reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
         } else {
-            // Behind a request that is open: that one has its answer first, and it is the last.
-            keepAlive = false;
+            // Behind requests that are open: those have their answers first, and the last of them is the connection's.
+            last = true;
         }
     }
 
-    /** A request that came while another was open on its connection, and when, as its time runs from then. */
-    private record Waiting(FullHttpRequest request, long arrived) { }
+    /** One request from when it is begun until its answer is written; exactly one answer is taken. */
+    private final class Exchange implements Client<Content> {
+        private final boolean keepAlive;
+        private final boolean read;
+        private String id;
+        private boolean done;
+        private boolean holds;
+        private HttpResponseStatus rejection;
+        private HttpResponseStatus status;
+        private double retryAfterMs;
+        private Content content;
+        private String note;
+
+        Exchange(boolean keepAlive, boolean read) {
+            this.keepAlive = keepAlive;
+            this.read = read;
+        }
+
+        private void ready(HttpResponseStatus how, double backMs) {
+            ready(how, backMs, Content.EMPTY, null);
+        }
+
+        private void ready(HttpResponseStatus how, double backMs, Content what, String toldBeside) {
+            if (done) {
+                return;
+            }
+            done = true;
+            status = how;
+            retryAfterMs = backMs;
+            content = what;
+            note = toldBeside;
+            if (slots.peek() == this) {
+                writeReady();
+            } else {
+                // Its bytes hold until this returns alone, and others are ahead of it.
+                what.bytes().retain();
+                holds = true;
+                held += what.bytes().readableBytes();
+            }
+        }
+
+        private void release() {
+            if (holds) {
+                holds = false;
+                held -= content.bytes().readableBytes();
+                content.bytes().release();
+            }
+        }
+
+        /** Its client has left. */
+        private void drop() {
+            release();
+            if (!done) {
+                done = true;
+                if (id != null) {
+                    front.intake().clientGone(id);
+                }
+            }
+        }
+
+        @Override
+        public void served(Answer<Content> answer) {
+            if (answer.content().isAbsent()) {
+                ready(HttpResponseStatus.NOT_FOUND, 0);
+            } else {
+                ready(HttpResponseStatus.OK, 0, answer.content(), null);
+            }
+        }
+
+        @Override
+        public void recorded(String call) {
+            ready(HttpResponseStatus.OK, 0, Content.EMPTY, "\r\nx-outcome: recorded\r\nx-outcome-call: " + call);
+        }
+
+        @Override
+        public void conflict() {
+            ready(HttpResponseStatus.UNPROCESSABLE_ENTITY, 0);
+        }
+
+        @Override
+        public void refused(double retryAfterMs) {
+            ready(HttpResponseStatus.SERVICE_UNAVAILABLE, retryAfterMs);
+        }
+
+        @Override
+        public void limited(double retryAfterMs) {
+            ready(HttpResponseStatus.TOO_MANY_REQUESTS, retryAfterMs);
+        }
+
+        @Override
+        public void failed() {
+            ready(HttpResponseStatus.BAD_GATEWAY, 0);
+        }
+    }
+
+    /** A request that came while another was open on its connection, when, and how old it may have been by then. */
+    private record Waiting(FullHttpRequest request, long arrived, double stalledMs) { }
 
     /** Puts requests together; one whose body is too long is told of by an exception, and its rest is dropped. */
     static final class Bodies extends HttpObjectAggregator {
@@ -322,7 +527,7 @@
                 LeanHttp request = LeanHttp.request(in);
                 if (request != null) {
                     try {
-                        handle(request, in);
+                        begin(request, in);
                     } finally {
                         in.release();
                     }
@@ -343,8 +548,8 @@
             }
         }
 
-        /** Writes an answer in one piece, past any encoder. */
-        ChannelFuture write(HttpResponseStatus status, double retryAfterMs, Content content, boolean last) {
+        /** Writes an answer in one piece, past any encoder; {@code note} is further header lines, or null. */
+        ChannelFuture write(HttpResponseStatus status, double retryAfterMs, Content content, String note, boolean last) {
             ByteBuf body = content.bytes();
             int length = body.readableBytes();
             boolean copied = length <= COPIED;
@@ -365,6 +570,9 @@
                 out.writeBytes(RETRY);
                 LeanHttp.writeSeconds(out, (long) Math.ceil(retryAfterMs));
             }
+            if (note != null) {
+                out.writeCharSequence(note, StandardCharsets.US_ASCII);
+            }
             if (last) {
                 out.writeBytes(CLOSE);
             }
--- a/gateway/src/main/java/ridgemill/gateway/front/http/HttpFront.java
+++ b/gateway/src/main/java/ridgemill/gateway/front/http/HttpFront.java
@@ -6,6 +6,7 @@
 import io.netty.channel.EventLoop;
 import java.net.SocketAddress;
 import ridgemill.core.Intake;
+import ridgemill.deadline.WayBack;
 import ridgemill.gateway.front.ClientTable;
 import ridgemill.gateway.front.Listeners;
 import ridgemill.gateway.net.Content;
@@ -18,12 +19,15 @@
     private final HttpRequests requests;
     private final ClientTable table;
     private final Listeners listeners;
+    private final WayBack wayBack;
+    private HttpTerms terms = HttpTerms.PLATFORM;
     private boolean ready;
 
     /** A front whose connections go into a table that it may share with others. */
     public HttpFront(EventLoop loop, Intake<Content> intake, ClientTable table) {
         this.intake = intake;
         this.requests = new HttpRequests(intake::enter, intake::left);
+        this.wayBack = intake.deadlines().hop("http");
         this.table = table;
         this.listeners = new Listeners(loop, table, new ChannelInitializer<>() {
             @Override
@@ -60,6 +64,26 @@
         listeners.close();
     }
 
+    /** Other terms hold for requests that come, and for connections, from now on. */
+    public void terms(HttpTerms next) {
+        terms = next;
+        requests.terms(next);
+    }
+
+    /** What idempotency keys came to may be asked for from now on, at {@code /outcome/KEY}. */
+    public void tellOutcomes() {
+        requests.tellOutcomes(true);
+    }
+
+    HttpTerms terms() {
+        return terms;
+    }
+
+    /** The way of answers to clients. */
+    WayBack wayBack() {
+        return wayBack;
+    }
+
     boolean isUp() {
         return ready && !table.isDraining();
     }
--- a/gateway/src/main/java/ridgemill/gateway/front/http/HttpRequests.java
+++ b/gateway/src/main/java/ridgemill/gateway/front/http/HttpRequests.java
@@ -6,12 +6,18 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.math.BigDecimal;
+import java.net.URLDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.function.BiConsumer;
+import java.util.function.DoubleUnaryOperator;
 import java.util.function.Function;
 import java.util.function.Predicate;
-import java.util.function.UnaryOperator;
 import ridgemill.core.Command;
 import ridgemill.core.Gate;
+import ridgemill.deadline.TimeSaid;
+import ridgemill.deadline.TimeSaid.Form;
 import ridgemill.gateway.net.Content;
 import ridgemill.gateway.net.LeanHttp;
 import ridgemill.gateway.net.StrictHttp;
@@ -22,14 +28,25 @@
 /** Reads what an HTTP request asks for: a call, a look at whether the proxy is up, or nothing that can be made sense of. */
 final class HttpRequests {
 
-        private static final String UP = "/up";
+    private static final String UP = "/up";
+    private static final String OUTCOME = "/outcome/";
     private static final String GET = "GET";
     private static final String PUT = "PUT";
+    private static final String SECONDS = HttpTerms.header(Form.SECONDS);
     private static final int LONGEST_ID = 64;
     /** As many digits as a whole number of this type surely holds. */
     private static final int EXACT_DIGITS = 15;
-    /** A budget past this is a mistake, and as a timer would outlive the process. */
-    private static final double MAX_BUDGET_S = 3600;
+    private static final int LONGEST_KEY = 512;
+
+    /** A message's header lines. */
+    interface Lines {
+
+        /** The first line of a name; null where it has none. */
+        String get(String name);
+
+        /** Whether it has more than one. */
+        boolean repeats(String name);
+    }
 
     /** What a request turned out to be. */
     sealed interface Read { }
@@ -43,11 +60,16 @@
     /** A look at whether the proxy is up. */
     record Up() implements Read { }
 
+    /** A question what an idempotency key came to, and whose it is. */
+    record Outcome(String key, String tenant) implements Read { }
+
     /** Something that is answered with an error. */
     record Bad(HttpResponseStatus status) implements Read { }
 
     private final Function<Gate.Arrival, Gate.Entry> gate;
     private final BiConsumer<Gate.Go, String> leave;
+    private HttpTerms terms = HttpTerms.PLATFORM;
+    private boolean outcomes;
 
     /** {@code gate} says what becomes of a call; {@code leave} takes back one that it let on, by its id. */
     HttpRequests(Function<Gate.Arrival, Gate.Entry> gate, BiConsumer<Gate.Go, String> leave) {
@@ -55,22 +77,56 @@
         this.leave = leave;
     }
 
-    /** Reads a request that has waited here for so long; {@code isOpen} knows the ids that are in use. */
-    Read read(FullHttpRequest in, double waitedMs, Predicate<String> isOpen) {
+    /** How clients may say their time from now on. */
+    void terms(HttpTerms next) {
+        terms = next;
+    }
+
+    /**
+     * Reads a request.
+     *
+     * @param left what its client's time, in milliseconds, comes to here
+     * @param isOpen knows the ids that are in use
+     */
+    Read read(FullHttpRequest in, DoubleUnaryOperator left, Predicate<String> isOpen) {
         if (in.decoderResult().isFailure() || StrictHttp.oddCoding(in)) {
             return new Bad(HttpResponseStatus.BAD_REQUEST);
         }
-        return read(in.method().name(), in.uri(), in.headers()::get, in.content(), waitedMs, isOpen);
+        return read(in.method().name(), in.uri(), new Lines() {
+            @Override
+            public String get(String name) {
+                return in.headers().get(name);
+            }
+
+            @Override
+            public boolean repeats(String name) {
+                return in.headers().getAll(name).size() > 1;
+            }
+        }, in.content(), left, isOpen);
     }
 
     /** The same of one that was read as it came; {@code body} stays its holder's. */
-    Read read(LeanHttp in, ByteBuf body, Predicate<String> isOpen) {
-        return read(in.isPut() ? PUT : GET, in.target(), in::get, body, 0, isOpen);
+    Read read(LeanHttp in, ByteBuf body, DoubleUnaryOperator left, Predicate<String> isOpen) {
+        return read(in.isPut() ? PUT : GET, in.target(), new Lines() {
+            @Override
+            public String get(String name) {
+                return in.get(name);
+            }
+
+            @Override
+            public boolean repeats(String name) {
+                return in.repeats(name);
+            }
+        }, body, left, isOpen);
     }
 
-    private Read read(String method, String target, UnaryOperator<String> headers, ByteBuf body, double waitedMs,
+    private Read read(String method, String target, Lines headers, ByteBuf body, DoubleUnaryOperator left,
                       Predicate<String> isOpen) {
         String path = Targets.path(target);
+        if (path.startsWith(OUTCOME) && outcomes) {
+            return method.equals(GET) ? outcome(path.substring(OUTCOME.length()), headers.get("X-Caller"))
+                    : new Bad(HttpResponseStatus.METHOD_NOT_ALLOWED);
+        }
         boolean api = path.startsWith(Targets.API) && path.length() > Targets.API.length();
         if (!api && !path.equals(UP)) {
             return new Bad(HttpResponseStatus.NOT_FOUND);
@@ -78,21 +134,62 @@
         if (!method.equals(GET) && !(api && method.equals(PUT))) {
             return new Bad(HttpResponseStatus.METHOD_NOT_ALLOWED);
         }
-        return api ? call(method, target, path, headers, body, waitedMs, isOpen) : new Up();
+        return api ? call(method, target, path, headers, body, left, isOpen) : new Up();
     }
 
-    private Read call(String method, String target, String path, UnaryOperator<String> headers, ByteBuf body,
-                      double waitedMs, Predicate<String> isOpen) {
-        String id = headers.apply("X-Call-Id");
-        double budgetS = number(headers.apply("X-Budget"), -1);
-        if (!isId(id) || isOpen.test(id) || !(budgetS >= 0 && budgetS <= MAX_BUDGET_S)) {
+    /** Outcomes of idempotency keys may be asked for from now on. */
+    void tellOutcomes(boolean may) {
+        outcomes = may;
+    }
+
+    private static Read outcome(String text, String tenant) {
+        try {
+            String key = URLDecoder.decode(text, StandardCharsets.UTF_8);
+            return key.isEmpty() || key.length() > LONGEST_KEY ? new Bad(HttpResponseStatus.NOT_FOUND) : new Outcome(key, tenant);
+        } catch (IllegalArgumentException e) {
+            return new Bad(HttpResponseStatus.BAD_REQUEST);
+        }
+    }
+
+    /** How long the client waits, in milliseconds; infinite where its class alone tells, not a number for nonsense. */
+    private double saidMs(Lines headers) {
+        String seconds = terms.forms().contains(Form.SECONDS) ? headers.get(SECONDS) : null;
+        if (seconds != null && terms.forms().size() == 1 && !headers.repeats(SECONDS)) {
+            // As nearly all come: one plain number.
+            double plain = plainNumber(seconds);
+            if (plain * 1000 <= TimeSaid.MOST_MS) {
+                return plain * 1000;
+            }
+        }
+        List<TimeSaid.Claim> claims = new ArrayList<>();
+        for (Form form : terms.forms()) {
+            String name = HttpTerms.header(form);
+            String text = headers.get(name);
+            if (text != null) {
+                claims.add(new TimeSaid.Claim(form, text));
+                if (headers.repeats(name)) {
+                    claims.add(new TimeSaid.Claim(form, text));
+                }
+            }
+        }
+        TimeSaid.Reading reading = TimeSaid.read(claims, System.currentTimeMillis());
+        return reading instanceof TimeSaid.Left l ? l.ms()
+                : reading instanceof TimeSaid.Unsaid && terms.unsaid() ? Double.POSITIVE_INFINITY : Double.NaN;
+    }
+
+    private Read call(String method, String target, String path, Lines headers, ByteBuf body, DoubleUnaryOperator left,
+                      Predicate<String> isOpen) {
+        String id = headers.get("X-Call-Id");
+        double saidMs = saidMs(headers);
+        if (!isId(id) || isOpen.test(id) || Double.isNaN(saidMs)) {
             return new Bad(HttpResponseStatus.BAD_REQUEST);
         }
         boolean write = method.equals(PUT);
-        boolean retry = "1".equals(headers.apply("X-Again"));
-        String tenant = headers.apply("X-Caller");
-        Gate.Entry entry = gate.apply(new Gate.Arrival(id, new Query(method, path, tenant, headers),
-                headers.apply("X-Call-Class"), retry, body.readableBytes(), Math.max(0, budgetS * 1000 - waitedMs)));
+        boolean retry = "1".equals(headers.get("X-Again"));
+        String tenant = headers.get("X-Caller");
+        Gate.Entry entry = gate.apply(new Gate.Arrival(id, new Query(method, path, tenant, headers::get),
+                headers.get("X-Call-Class"), retry, body.readableBytes(),
+                Double.isInfinite(saidMs) ? Double.MAX_VALUE : left.applyAsDouble(saidMs)));
         if (entry instanceof Gate.Refuse refuse) {
             return new Refused(refuse.retryAfterMs());
         }
@@ -100,14 +197,16 @@
             return new Bad(entry instanceof Gate.Unfit unfit && unfit.reason() == Gate.Reason.TOO_LARGE
                     ? HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE : HttpResponseStatus.BAD_REQUEST);
         }
-        String key = headers.apply("Idempotency-Key");
+        String key = headers.get("Idempotency-Key");
         if (go.needsKey(write) && (key == null || key.isEmpty())) {
             leave.accept(go, id);
             return new Bad(HttpResponseStatus.BAD_REQUEST);
         }
+        double budgetMs = Double.isInfinite(saidMs) ? left.applyAsDouble(Math.min(go.budgetMs(), go.service().deadlineMs()))
+                : go.budgetMs();
         Request request = new Request(id, go.service().name(), tenant, Targets.hash(path),
-                Math.max(0, number(headers.apply("X-Call-Cost"), 0)) / 1000, go.budgetMs(), write, retry);
-        String mediaType = headers.apply("Content-Type");
+                Math.max(0, number(headers.get("X-Call-Cost"), 0)) / 1000, budgetMs, write, retry);
+        String mediaType = headers.get("Content-Type");
         Content content = !body.isReadable() && mediaType == null ? Content.EMPTY
                 : new Content(Unpooled.wrappedBuffer(ByteBufUtil.getBytes(body)), mediaType);
         return new Call(go, request, new Command<>(write, target, key, content));
--- /dev/null
+++ b/gateway/src/main/java/ridgemill/gateway/front/http/HttpTerms.java
@@ -0,0 +1,34 @@
+package ridgemill.gateway.front.http;
+
+import java.util.Set;
+import ridgemill.deadline.TimeSaid.Form;
+
+/**
+ * What holds for clients over HTTP beside what the protocol says.
+ *
+ * @param forms in which a request may say how long its client waits
+ * @param unsaid whether one that says nothing has its class's time; else it is no request
+ * @param halfCloseStays whether a client that ends its sending may still read its answers; else it has left
+ * @param sideBySide how many requests of one connection are carried out at a time, at least 1; answers keep their order
+ */
+public record HttpTerms(Set<Form> forms, boolean unsaid, boolean halfCloseStays, int sideBySide) {
+
+    /** The platform's: seconds are said by all, a client that closes has left, and each request waits for those before it. */
+    public static final HttpTerms PLATFORM = new HttpTerms(Set.of(Form.SECONDS), false, false, 1);
+
+    public HttpTerms {
+        forms = Set.copyOf(forms);
+        if (sideBySide < 1 || forms.isEmpty()) {
+            throw new IllegalArgumentException("no way to say a time, or no room for a request");
+        }
+    }
+
+    /** The header in which a form is said. */
+    public static String header(Form form) {
+        return switch (form) {
+            case SECONDS -> "X-Budget";
+            case GRPC -> "grpc-timeout";
+            case UNIX_MS -> "X-Deadline";
+        };
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/ridgemill/gateway/front/http/OutcomeText.java
@@ -0,0 +1,25 @@
+package ridgemill.gateway.front.http;
+
+import com.google.gson.JsonObject;
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import ridgemill.gateway.net.Content;
+import ridgemill.outcome.Known;
+
+/** What a key came to, as JSON. Not loaded unless somebody asks. */
+final class OutcomeText {
+
+    private OutcomeText() { }
+
+    /** The text for what is known; for null, that nothing is. */
+    static Content of(Known known, double nowMs) {
+        JsonObject o = new JsonObject();
+        o.addProperty("outcome", known == null ? "none" : known.isRunning() ? "running" : known.state().name().toLowerCase(Locale.ROOT));
+        if (known != null) {
+            o.addProperty("call", known.call());
+            o.addProperty("since-ms", Math.round(nowMs - known.sinceMs()));
+        }
+        return new Content(Unpooled.copiedBuffer(o.toString(), StandardCharsets.UTF_8), "application/json");
+    }
+}
--- a/gateway/src/main/java/ridgemill/gateway/front/resp/Replies.java
+++ b/gateway/src/main/java/ridgemill/gateway/front/resp/Replies.java
@@ -13,6 +13,9 @@
     /** Who it is has not been shown, where that is asked for; the words are Redis's. */
     static final Resp.Err NOAUTH = new Resp.Err("NOAUTH Authentication required.");
 
+    /** Nothing of it ran. */
+    static final Resp.Err CONFLICT = new Resp.Err("CONFLICT the idempotency key was given with another request; nothing ran");
+
     private Replies() { }
 
     /** Why a command was refused. */
--- a/gateway/src/main/java/ridgemill/gateway/front/resp/RespClientConnection.java
+++ b/gateway/src/main/java/ridgemill/gateway/front/resp/RespClientConnection.java
@@ -6,6 +6,9 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.channel.socket.SocketChannelConfig;
+import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
@@ -13,12 +16,17 @@
 import java.util.Deque;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Queue;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.UnaryOperator;
 import ridgemill.core.Client;
 import ridgemill.core.Command;
 import ridgemill.core.Gate;
+import ridgemill.core.Intake;
+import ridgemill.deadline.AnswerOrder;
+import ridgemill.deadline.Deadlines;
 import ridgemill.gateway.front.ClientConnection;
 import ridgemill.gateway.net.Content;
 import ridgemill.gateway.net.Log;
@@ -46,25 +54,44 @@
     static final int MOST_KEYS = 128;
     private static final int MOST_KEY_BYTES = 512;
     private static final int BUFFER = 64;
+    /** Replies that are due in less than this are due now: what gives them up has to be written yet. */
+    private static final double DUE_MS = 8;
+
+    /** A command, when it came, and how old it may have been by then. */
+    private record Waiting(Resp.Array command, long arrived, double stalledMs) {
+
+        /** How long it has been here, with what may have passed before that. */
+        double passedMs() {
+            return TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - arrived) / 1e3 + stalledMs;
+        }
+    }
 
     private final RespFront front;
     private final RespDecoder decoder;
     private final Session session;
-    private final Queue<Resp.Array> backlog = new ArrayDeque<>();
+    private final Queue<Waiting> backlog = new ArrayDeque<>();
     private final Deque<Slot> slots = new ArrayDeque<>();
+    private final AnswerOrder<Slot> order = new AnswerOrder<>();
+    private Future<?> wake;
+    private double wakeMs = Double.POSITIVE_INFINITY;
     private final Set<String> calls = new LinkedHashSet<>();
     private final String prefix;
     private long sent;
     private int held;
     private boolean pumping;
     private boolean flushing;
+    private long writtenNanos;
     private boolean last;
+    private boolean inputEnded;
 
     RespClientConnection(Channel channel, RespFront front, RespDecoder decoder, long number) {
         super(channel, front.table());
         this.front = front;
         this.decoder = decoder;
         this.session = new Session(front, number);
+        if (front.halfCloseStays() && channel.config() instanceof SocketChannelConfig config) {
+            config.setAllowHalfClosure(true);
+        }
         this.prefix = "r" + Long.toString(System.nanoTime() & 0xffffffffL, Character.MAX_RADIX) + "-" + number + "-";
     }
 
@@ -90,10 +117,23 @@
             end(Replies.refused(Replies.Why.LIMIT, SURPLUS_BACK_MS));
             return;
         }
-        backlog.add((Resp.Array) message);
+        Intake<Content> intake = front.intake();
+        backlog.add(new Waiting((Resp.Array) message, System.nanoTime(), intake.deadlines().loop().ageMs(intake.now())));
         pump();
     }
 
+    @Override
+    public void userEventTriggered(ChannelHandlerContext ctx, Object event) throws Exception {
+        if (event instanceof ChannelInputShutdownEvent) {
+            // It sends nothing more, and reads on: its replies come first.
+            inputEnded = true;
+            if (slots.isEmpty() && backlog.isEmpty()) {
+                ctx.close();
+            }
+        }
+        super.userEventTriggered(ctx, event);
+    }
+
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
         if ((phase() == Phase.SILENT || phase() == Phase.IDLE) && decoder.isWithin()) {
@@ -116,7 +156,7 @@
         pumping = true;
         try {
             while (!backlog.isEmpty() && !last && hasRoom() && start(backlog.peek())) {
-                backlog.poll().release();
+                backlog.poll().command().release();
             }
         } finally {
             pumping = false;
@@ -129,8 +169,8 @@
     }
 
     /** Carries a command out; false where it must wait for an earlier one. */
-    private boolean start(Resp.Array command) {
-        List<Resp> words = command.items();
+    private boolean start(Waiting waiting) {
+        List<Resp> words = waiting.command().items();
         CallOptions options = session.options();
         String name = word(words, 0);
         int from = 0;
@@ -146,21 +186,22 @@
                 }
                 name = word(words, from);
             }
-            return data(name, words.subList(from, words.size()), options);
+            return data(name, words.subList(from, words.size()), options, waiting);
         } catch (IllegalArgumentException e) {
             answer(Replies.error(e.getMessage()));
             return true;
         }
     }
 
-    private boolean data(String name, List<Resp> words, CallOptions options) {
+    private boolean data(String name, List<Resp> words, CallOptions options, Waiting waiting) {
         return switch (name) {
-            case "GET" -> calls(words, 2, 2, 1, Slot.Shape.VALUE, Command.Action.READ, options);
-            case "MGET" -> calls(words, 2, 1 + MOST_KEYS, 1, Slot.Shape.VALUES, Command.Action.READ, options);
-            case "EXISTS" -> calls(words, 2, 1 + MOST_KEYS, 1, Slot.Shape.PRESENT, Command.Action.READ, options);
-            case "DEL", "UNLINK" -> calls(words, 2, 1 + MOST_KEYS, 1, Slot.Shape.COUNT, Command.Action.DELETE, options);
-            case "SET" -> set(words, options);
-            case "MSET" -> calls(words, 3, 1 + 2 * MOST_KEYS, 2, Slot.Shape.STORED, Command.Action.WRITE, options);
+            case "GET" -> calls(words, 2, 2, 1, Slot.Shape.VALUE, Command.Action.READ, options, waiting);
+            case "MGET" -> calls(words, 2, 1 + MOST_KEYS, 1, Slot.Shape.VALUES, Command.Action.READ, options, waiting);
+            case "EXISTS" -> calls(words, 2, 1 + MOST_KEYS, 1, Slot.Shape.PRESENT, Command.Action.READ, options, waiting);
+            case "DEL", "UNLINK" -> calls(words, 2, 1 + MOST_KEYS, 1, Slot.Shape.COUNT, Command.Action.DELETE, options, waiting);
+            case "SET" -> set(words, options, waiting);
+            case "MSET" -> calls(words, 3, 1 + 2 * MOST_KEYS, 2, Slot.Shape.STORED, Command.Action.WRITE, options, waiting);
+            case "RIDGE.OUTCOME" -> outcome(words);
             default -> {
                 Session.Said said = session.command(name, words);
                 answer(said.reply());
@@ -170,17 +211,17 @@
         };
     }
 
-    private boolean set(List<Resp> words, CallOptions options) {
+    private boolean set(List<Resp> words, CallOptions options, Waiting waiting) {
         if (words.size() > 3) {
             throw new IllegalArgumentException("SET with " + word(words, 3) + " is not kept here: values belong to the store, "
                     + "which knows no conditions and no expiry; nothing ran");
         }
-        return calls(words, 3, 3, 2, Slot.Shape.STORED, Command.Action.WRITE, options);
+        return calls(words, 3, 3, 2, Slot.Shape.STORED, Command.Action.WRITE, options, waiting);
     }
 
     /** A command on keys, each with {@code step - 1} values behind it. */
     private boolean calls(List<Resp> words, int least, int most, int step, Slot.Shape shape, Command.Action action,
-                          CallOptions options) {
+                          CallOptions options, Waiting waiting) {
         if (words.size() < least || words.size() > most || (words.size() - 1) % step != 0) {
             answer(words.size() > most && most > 3 ? Replies.error("over " + MOST_KEYS + " keys in one command")
                     : Replies.arguments(text(words, 0)));
@@ -205,15 +246,18 @@
         busy();
         Slot slot = new Slot(this, session.version(), shape, action, targets);
         slots.add(slot);
+        order.add(slot, Double.POSITIVE_INFINITY);
+        double passedMs = waiting.passedMs();
         for (int i = 0; i < targets.size(); i++) {
             ByteBuf value = step == 1 ? Unpooled.EMPTY_BUFFER : ((Resp.Blob) words.get(2 + i * step)).bytes();
-            call(slot, i, targets.size(), targets.get(i), value, action, options);
+            call(slot, i, targets.size(), targets.get(i), value, action, options, passedMs);
         }
+        watchOrder();
         return true;
     }
 
     private void call(Slot slot, int index, int parts, String target, ByteBuf value, Command.Action action,
-                      CallOptions options) {
+                      CallOptions options, double passedMs) {
         String own = parts > 1 ? "-" + index : "";
         String id = options.id() == null ? prefix + sent++ : options.id() + own;
         Client<Content> client = slot.part(index, id);
@@ -222,7 +266,8 @@
             return;
         }
         boolean writes = action != Command.Action.READ;
-        double budget = options.deadlineMs() > 0 ? options.deadlineMs() : Double.MAX_VALUE;
+        Deadlines deadlines = front.intake().deadlines();
+        double budget = options.deadlineMs() > 0 ? deadlines.leftMs(options.deadlineMs(), passedMs, front.wayBack()) : Double.MAX_VALUE;
         String path = Targets.path(target);
         Gate.Entry entry = front.intake().enter(new Gate.Arrival(id, new Query(method(action), path, session.tenant(),
                 NO_HEADERS), options.service(), options.again(), value.readableBytes(), budget));
@@ -247,11 +292,62 @@
         }
         calls.add(id);
         Content content = writes && value.isReadable() ? new Content(Unpooled.copiedBuffer(value), null) : Content.EMPTY;
-        Request request = new Request(id, go.service().name(), session.tenant(), Targets.hash(path), 0,
-                Math.min(go.budgetMs(), go.service().deadlineMs()), writes, options.again());
+        double left = Math.min(go.budgetMs(), deadlines.leftMs(go.service().deadlineMs(), passedMs, front.wayBack()));
+        slot.due(id, front.intake().now() + left);
+        order.due(slot, slot.dueMs());
+        Request request = new Request(id, go.service().name(), session.tenant(), Targets.hash(path), 0, left, writes, options.again());
         front.intake().request(go, request, new Command<>(action, target, idempotencyKey, content), client);
     }
 
+    /** Wakes when the first reply is due that another holds up. */
+    private void watchOrder() {
+        double at = order.wakeMs();
+        if (at >= wakeMs || at == Double.POSITIVE_INFINITY) {
+            return;
+        }
+        if (wake != null) {
+            wake.cancel(false);
+        }
+        wakeMs = at;
+        wake = channel().eventLoop().schedule(this::giveUpOverdue,
+                (long) (1e6 * Math.max(0, at - DUE_MS - front.intake().now())), TimeUnit.NANOSECONDS);
+    }
+
+    private void giveUpOverdue() {
+        wake = null;
+        wakeMs = Double.POSITIVE_INFINITY;
+        if (order.size() > 1) {
+            order.overdue(front.intake().now() + DUE_MS).stream().filter(s -> !s.isWhole()).forEach(s ->
+                    s.openCalls().forEach(front.intake()::giveUp));
+        }
+        watchOrder();
+    }
+
+    /** What an idempotency key came to: how it stands, the call that it is of, and for how many milliseconds; nil for nothing. */
+    private boolean outcome(List<Resp> words) {
+        if (words.size() != 2) {
+            answer(Replies.arguments("ridge.outcome"));
+            return true;
+        }
+        if (!session.mayAsk()) {
+            answer(Replies.NOAUTH);
+            return true;
+        }
+        busy();
+        Slot slot = Slot.awaited(this, session.version());
+        slots.add(slot);
+        order.add(slot, Double.POSITIVE_INFINITY);
+        front.intake().findOutcome(text(words, 1), session.tenant(), known -> {
+            if (!slot.isWhole()) {
+                slot.fill(known == null ? Resp.NULL : Resp.blobs(known.isRunning() ? "running"
+                        : known.state().name().toLowerCase(Locale.ROOT), known.call(),
+                        Long.toString(Math.round(front.intake().now() - known.sinceMs()))));
+                whole(slot);
+            }
+        });
+        return true;
+    }
+
     private static final UnaryOperator<String> NO_HEADERS = name -> null;
 
     private static String method(Command.Action action) {
@@ -273,6 +369,7 @@
     private void answer(Resp reply) {
         busy();
         slots.add(Slot.answered(this, session.version(), reply));
+        order.add(slots.peekLast(), Double.POSITIVE_INFINITY);
         held += slots.peekLast().held();
         write();
     }
@@ -296,6 +393,7 @@
         boolean any = false;
         while (!slots.isEmpty() && slots.peek().isWhole()) {
             Slot done = slots.poll();
+            order.left();
             held -= done.held();
             ChannelFuture written = channel().write(done.take());
             writing(written);
@@ -303,18 +401,20 @@
         }
         if (any && !flushing) {
             flushing = true;
+            writtenNanos = System.nanoTime();
             channel().eventLoop().execute(this::flush);
         }
     }
 
     private void flush() {
         flushing = false;
-        if (slots.isEmpty() && (last || mustEnd() && backlog.isEmpty())) {
+        if (slots.isEmpty() && (last || (mustEnd() || inputEnded) && backlog.isEmpty())) {
             enter(Phase.CLOSING);
             channel().writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
             return;
         }
         channel().flush();
+        front.wayBack().took((System.nanoTime() - writtenNanos) / 1e6);
         if (slots.isEmpty() && phase() == Phase.BUSY) {
             enter(decoder.isWithin() && backlog.isEmpty() ? Phase.READING : Phase.IDLE);
             used();
@@ -326,12 +426,13 @@
     private void end(Resp.Err why) {
         last = true;
         slots.add(Slot.answered(this, session.version(), why));
+        order.add(slots.peekLast(), Double.POSITIVE_INFINITY);
         drop(backlog);
         write();
     }
 
-    private static void drop(Queue<Resp.Array> commands) {
-        commands.forEach(Resp::release);
+    private static void drop(Queue<Waiting> commands) {
+        commands.forEach(w -> w.command().release());
         commands.clear();
     }
 
@@ -343,6 +444,9 @@
     @Override
     protected void left() {
         drop(backlog);
+        if (wake != null) {
+            wake.cancel(false);
+        }
         List<String> open = List.copyOf(calls);
         calls.clear();
         slots.forEach(Slot::drop);
--- a/gateway/src/main/java/ridgemill/gateway/front/resp/RespFront.java
+++ b/gateway/src/main/java/ridgemill/gateway/front/resp/RespFront.java
@@ -7,6 +7,7 @@
 import java.net.SocketAddress;
 import java.util.Map;
 import ridgemill.core.Intake;
+import ridgemill.deadline.WayBack;
 import ridgemill.gateway.front.ClientTable;
 import ridgemill.gateway.front.Listeners;
 import ridgemill.gateway.net.Content;
@@ -21,13 +22,16 @@
     private final Intake<Content> intake;
     private final ClientTable table;
     private final Listeners listeners;
+    private final WayBack wayBack;
     private Map<String, String> passwords = Map.of();
+    private boolean halfCloseStays;
     private long connections;
 
     /** A front whose connections go into a table that it may share with others. */
     public RespFront(EventLoop loop, Intake<Content> intake, ClientTable table) {
         this.intake = intake;
         this.table = table;
+        this.wayBack = intake.deadlines().hop("resp");
         this.listeners = new Listeners(loop, table, new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel channel) {
@@ -68,6 +72,20 @@
         return passwords;
     }
 
+    /** Whether a client that ends its sending may still read its replies, on connections that come; else it has left. */
+    public void halfCloseStays(boolean stays) {
+        halfCloseStays = stays;
+    }
+
+    boolean halfCloseStays() {
+        return halfCloseStays;
+    }
+
+    /** The way of replies to clients. */
+    WayBack wayBack() {
+        return wayBack;
+    }
+
     Intake<Content> intake() {
         return intake;
     }
--- a/gateway/src/main/java/ridgemill/gateway/front/resp/Session.java
+++ b/gateway/src/main/java/ridgemill/gateway/front/resp/Session.java
@@ -23,7 +23,8 @@
             List.of("del", -2, 1, -1, 1), List.of("unlink", -2, 1, -1, 1), List.of("ping", -1, 0, 0, 0),
             List.of("echo", 2, 0, 0, 0), List.of("select", 2, 0, 0, 0), List.of("hello", -1, 0, 0, 0),
             List.of("auth", -2, 0, 0, 0), List.of("client", -2, 0, 0, 0), List.of("command", -1, 0, 0, 0),
-            List.of("quit", -1, 0, 0, 0), List.of("reset", 1, 0, 0, 0), List.of("ridge.with", -3, 0, 0, 0));
+            List.of("quit", -1, 0, 0, 0), List.of("reset", 1, 0, 0, 0), List.of("ridge.with", -3, 0, 0, 0),
+            List.of("ridge.outcome", 2, 0, 0, 0));
 
     /** A reply, and whether it is the connection's last. */
     record Said(Resp reply, boolean last) {
--- a/gateway/src/main/java/ridgemill/gateway/front/resp/Slot.java
+++ b/gateway/src/main/java/ridgemill/gateway/front/resp/Slot.java
@@ -5,6 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 import ridgemill.core.Answer;
@@ -34,7 +35,10 @@
     private final End[] ends;
     private final ByteBuf[] values;
     private final boolean[] absent;
+    private final Set<String> openIds = new LinkedHashSet<>();
+    private double dueMs = Double.POSITIVE_INFINITY;
     private double retryAfterMs;
+    private boolean conflicts;
     private int open;
     private ByteBuf reply;
 
@@ -61,6 +65,33 @@
         return slot;
     }
 
+    /** A question that is answered later, by {@link #fill}. */
+    static Slot awaited(RespClientConnection connection, int version) {
+        return new Slot(connection, version, Shape.VALUE, Command.Action.READ, List.of());
+    }
+
+    /** The answer has come. */
+    void fill(Resp value) {
+        write(value);
+        value.release();
+    }
+
+    /** A part of it is a call that must be answered by then. */
+    void due(String call, double atMs) {
+        openIds.add(call);
+        dueMs = Math.min(dueMs, atMs);
+    }
+
+    /** When its reply must leave. */
+    double dueMs() {
+        return dueMs;
+    }
+
+    /** The calls of it that have no final answer yet. */
+    List<String> openCalls() {
+        return List.copyOf(openIds);
+    }
+
     boolean isWhole() {
         return reply != null;
     }
@@ -133,7 +164,22 @@
                 ended(End.FAILED, 0);
             }
 
+            @Override
+            public void recorded(String call) {
+                if (open > 0) {
+                    values[index] = Unpooled.EMPTY_BUFFER;
+                }
+                ended(End.DONE, 0);
+            }
+
+            @Override
+            public void conflict() {
+                conflicts = true;
+                ended(End.FAILED, 0);
+            }
+
             private void ended(End how, double retryAfter) {
+                openIds.remove(id);
                 connection.settled(id);
                 if (open > 0 && ends[index] == End.OPEN) {
                     ends[index] = how;
@@ -164,7 +210,9 @@
 
     private void finish() {
         int done = count(End.DONE);
-        if (done == ends.length) {
+        if (conflicts) {
+            write(Replies.CONFLICT);
+        } else if (done == ends.length) {
             write(result());
         } else if (action == Command.Action.READ && count(End.FAILED) == 0) {
             write(Replies.refused(count(End.UNPROVEN) > 0 ? Replies.Why.HARMLESS : count(End.LIMITED) > 0 ? Replies.Why.LIMIT
--- a/gateway/src/main/java/ridgemill/gateway/halls/HallCrossings.java
+++ b/gateway/src/main/java/ridgemill/gateway/halls/HallCrossings.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -20,6 +21,11 @@
 import ridgemill.core.Intake;
 import ridgemill.core.Tally;
 import ridgemill.core.Timers;
+import ridgemill.deadline.ClassTimes;
+import ridgemill.deadline.Deadlines;
+import ridgemill.deadline.Place;
+import ridgemill.deadline.Verdict;
+import ridgemill.deadline.WayBack;
 import ridgemill.gateway.halls.HallWire.Reply;
 import ridgemill.gateway.net.Content;
 import ridgemill.gateway.net.Log;
@@ -30,6 +36,8 @@
 import ridgemill.halls.Halls;
 import ridgemill.halls.Passing;
 import ridgemill.halls.Trail;
+import ridgemill.outcome.Known;
+import ridgemill.policy.Router.Effect;
 import ridgemill.policy.Router.Request;
 import ridgemill.policy.Router.ServiceClass;
 
@@ -39,14 +47,17 @@
  */
 public final class HallCrossings implements Detour<Content> {
 
-    /** The other hall's answer is under way by then, so that it is not cut off by our own time. */
-    private static final double ANSWER_MS = 10;
+    /** The least that is kept for the other hall's answer, so that it is under way when its time there is up. */
+    private static final double LEAST_ANSWER_MS = 2;
+    /** For how long other halls are asked what a key came to. */
+    private static final double OUTCOME_MS = 250;
 
     private final EventLoop loop;
     private final Timers timers;
     private final Halls halls;
     private final HallKeys keys;
     private final HallFront front;
+    private final Deadlines deadlines;
     private final Consumer<String> settled;
     private final long seed;
     private final Map<String, HallLink> links = new HashMap<>();
@@ -74,6 +85,7 @@
         this.timers = timers;
         this.settings = settings;
         this.settled = intake::settled;
+        this.deadlines = intake.deadlines();
         this.seed = seed;
         this.keys = new HallKeys(settings.security());
         this.halls = new Halls(settings.policy(), timers.now());
@@ -167,6 +179,46 @@
         return true;
     }
 
+    @Override
+    public boolean mayHaveRun(String id) {
+        Passage passage = open.get(id);
+        return passage != null && passage.mayHaveRun();
+    }
+
+    @Override
+    public boolean giveUp(String id) {
+        Passage passage = open.get(id);
+        if (passage == null) {
+            return false;
+        }
+        passage.giveUp();
+        return true;
+    }
+
+    @Override
+    public void outcome(String key, String tenant, Consumer<Known> found) {
+        List<HallLink> asked = List.copyOf(links.values());
+        if (asked.isEmpty()) {
+            found.accept(null);
+            return;
+        }
+        Set<HallLink> silent = new HashSet<>(asked);
+        boolean[] told = {false};
+        Consumer<Known> tell = known -> {
+            if (!told[0]) {
+                told[0] = true;
+                found.accept(known);
+            }
+        };
+        timers.at(timers.now() + OUTCOME_MS, () -> tell.accept(null));
+        asked.forEach(link -> link.askOutcome(key, tenant, known -> {
+            silent.remove(link);
+            if (known != null || silent.isEmpty()) {
+                tell.accept(known);
+            }
+        }));
+    }
+
     @Override
     public int owed() {
         return away;
@@ -191,6 +243,8 @@
         private Runnable homeAnswer = () -> { };
         private HallLink.Out out = () -> { };
         private boolean crossing;
+        private double crossedMs;
+        private ClassTimes times;
         private Timers.Timer timer;
         private List<String> whom;
         private final Map<String, Word> words = new HashMap<>();
@@ -243,12 +297,14 @@
         private void cross(Halls.Across a) {
             crossing = true;
             HallLink link = links.get(a.gateway());
-            double left = link == null ? 0 : a.timeoutMs() - link.leastMs() - ANSWER_MS;
-            if (link == null || left <= 0 || !HallWire.fits(command, in.service(), in.tenant())) {
+            double left = link == null ? 0 : a.timeoutMs() - link.leastMs() - reserveMs(a, link);
+            times = deadlines.group("hall " + a.hall()).of(in.service());
+            if (link == null || times.mayGoOn(Place.CROSSING, timers.now(), left) != Verdict.GO || !HallWire.fits(command, in.service(), in.tenant())) {
                 loop.execute(() -> crossed(Reply.of(CrossingEnd.UNSENT)));
                 return;
             }
-            timer = timers.at(timers.now() + a.timeoutMs(), () -> {
+            crossedMs = timers.now();
+            timer = timers.at(crossedMs + a.timeoutMs(), () -> {
                 out.cancel();
                 crossed(Reply.of(CrossingEnd.LOST));
             });
@@ -256,15 +312,31 @@
                     passing.onward(settings.policy().hall()), command), this::crossed);
         }
 
+        /** What is kept for the other hall's answer: by what round trips of late exceed the least that is taken off already. */
+        private double reserveMs(Halls.Across a, HallLink link) {
+            WayBack back = deadlines.hop("hall " + a.hall());
+            back.took(link.excessMs());
+            return Math.max(LEAST_ANSWER_MS, back.reserveMs(a.timeoutMs(), deadlines.policy().mostReserve()));
+        }
+
         private void crossed(Reply reply) {
             if (over || !crossing) {
                 return;
             }
             stopWaiting();
             crossing = false;
+            double now = timers.now();
             if (reply.end() == CrossingEnd.SERVED) {
-                halls.crossingEnded(timers.now(), passing, CrossingEnd.SERVED, 0, Set.of());
+                halls.crossingEnded(now, passing, CrossingEnd.SERVED, 0, Set.of());
+                if (reply.recorded() != null) {
+                    end(Tally.End.SERVED, () -> client.recorded(reply.recorded()));
+                    return;
+                }
+                times.answered(now, now - crossedMs, false, false);
                 end(Tally.End.SERVED, () -> client.served(new Answer<>(reply.content(), Answer.NO_NOTE)));
+            } else if (reply.conflict()) {
+                halls.crossingEnded(now, passing, CrossingEnd.REFUSED, 0, reply.beyond());
+                end(Tally.End.FAILED, client::conflict);
             } else {
                 next(() -> halls.crossingEnded(timers.now(), passing, reply.end(), reply.retryAfterMs(), reply.beyond()));
             }
@@ -303,7 +375,25 @@
             next(() -> halls.asked(timers.now(), passing, asked, words));
         }
 
+        boolean mayHaveRun() {
+            return crossing || atHome && home.mayHaveRun(in.id()) || passing.mayBeOut()
+                    || !passing.onward(settings.policy().hall()).mayHaveRun().isEmpty();
+        }
+
+        void giveUp() {
+            boolean proven = !mayHaveRun();
+            boolean harmless = proven || passing.service().effect() == Effect.SAFE;
+            letGo();
+            end(harmless ? Tally.End.REFUSED : Tally.End.FAILED, proven ? () -> client.refused(0)
+                    : harmless ? () -> client.refusedUnproven(0) : client::failed);
+        }
+
         void clientGone() {
+            letGo();
+            end(Tally.End.GONE, () -> { });
+        }
+
+        private void letGo() {
             if (atHome) {
                 // Home counts it and gives its place back.
                 home.clientGone(in.id());
@@ -319,7 +409,6 @@
                 out.cancel();
                 halls.crossingEnded(timers.now(), passing, CrossingEnd.GONE, 0, Set.of());
             }
-            end(Tally.End.GONE, () -> { });
         }
 
         private void end(Tally.End end, Runnable answer) {
@@ -360,6 +449,16 @@
             homeEnded(HomeEnd.SERVED, Tally.End.SERVED, () -> client.served(answer));
         }
 
+        @Override
+        public void recorded(String call) {
+            homeEnded(HomeEnd.SERVED, Tally.End.SERVED, () -> client.recorded(call));
+        }
+
+        @Override
+        public void conflict() {
+            homeEnded(HomeEnd.SERVED, Tally.End.FAILED, client::conflict);
+        }
+
         @Override
         public void refused(double retryAfterMs) {
             homeEnded(HomeEnd.REFUSED, Tally.End.REFUSED, () -> client.refused(retryAfterMs));
--- a/gateway/src/main/java/ridgemill/gateway/halls/HallFront.java
+++ b/gateway/src/main/java/ridgemill/gateway/halls/HallFront.java
@@ -219,6 +219,7 @@
             switch (kind) {
                 case HallWire.STATE -> answer(stream, HallWire.state(halls.tell(level.getAsInt(), leaving)), null);
                 case HallWire.KEY -> key(stream, h);
+                case HallWire.OUTCOME -> outcome(stream, h);
                 case HallWire.CALL -> {
                     In in = new In(this, stream, h, excess);
                     open.put(stream, in);
@@ -283,6 +284,15 @@
             }
         }
 
+        private void outcome(Http2FrameStream stream, Http2Headers h) {
+            try {
+                // What this hall's gateway knows by itself: whoever asks asks all.
+                answer(stream, HallWire.known(intake.outcome(HallWire.askedKey(h), HallWire.askedTenant(h)), timers.now()), null);
+            } catch (WireException e) {
+                answer(stream, HallWire.turnedAway(400, false, false, 0, Set.of()), null);
+            }
+        }
+
         @Override
         void data(Http2DataFrame d) {
             In in = open.get(d.stream());
@@ -439,6 +449,16 @@
             answer(HallWire.served(answer.content()), answer.content().bytes().retain());
         }
 
+        @Override
+        public void recorded(String call) {
+            answer(HallWire.recorded(call), null);
+        }
+
+        @Override
+        public void conflict() {
+            answer(HallWire.conflict(), null);
+        }
+
         @Override
         public void refused(double retryAfterMs) {
             turnAway(503, false, retryAfterMs);
--- a/gateway/src/main/java/ridgemill/gateway/halls/HallLink.java
+++ b/gateway/src/main/java/ridgemill/gateway/halls/HallLink.java
@@ -40,6 +40,7 @@
 import ridgemill.halls.Halls.Word;
 import ridgemill.halls.Halls;
 import ridgemill.halls.LinkPulse;
+import ridgemill.outcome.Known;
 
 /**
  * One long-lived connection to a gateway of another hall, and what is out on it. It is asked for its state at short
@@ -175,6 +176,22 @@
                 end -> done.accept(new CannotSay()));
     }
 
+    /** Asks what a key came to there; {@code done} is called once with it or with null, unless the link stays silent. */
+    void askOutcome(String key, String tenant, Consumer<Known> done) {
+        Connection c = current;
+        if (c == null || !c.ready) {
+            loop.execute(() -> done.accept(null));
+            return;
+        }
+        c.ask(HallWire.outcomeAsked(key, tenant), null, (h, content) -> done.accept(HallWire.known(h, tenant, timers.now())),
+                end -> done.accept(null));
+    }
+
+    /** By how much the last round trip took longer than the least, in milliseconds. */
+    double excessMs() {
+        return current == null ? 0 : Math.max(0, current.pulse.rttMs() - current.pulse.leastMs());
+    }
+
     private void again() {
         if (!closed) {
             double wait = waitMs * (0.5 + random.nextDouble() / 2);
--- a/gateway/src/main/java/ridgemill/gateway/halls/HallWire.java
+++ b/gateway/src/main/java/ridgemill/gateway/halls/HallWire.java
@@ -20,6 +20,7 @@
 import ridgemill.halls.Halls.Told;
 import ridgemill.halls.Halls.Word;
 import ridgemill.halls.Trail;
+import ridgemill.outcome.Known;
 
 /**
  * What gateways say to each other, as fields of HTTP/2 (RFC 9113, section 8): one stream for each question. Fields that
@@ -33,6 +34,7 @@
     static final String STATE = "state";
     static final String KEY = "key";
     static final String CALL = "call";
+    static final String OUTCOME = "outcome";
     static final String VERSION = "rm-version";
     /** Gateways of one version understand each other; another is told so. */
     static final String THIS_VERSION = "1";
@@ -55,6 +57,10 @@
     private static final String LEAVING = "rm-leaving";
     private static final String WINDOW = "rm-window";
     private static final String AGO = "rm-ago";
+    /** The id of the call that took effect, in the answer to one that did not run again. */
+    private static final String RECORDED = "rm-recorded";
+    /** The idempotency key was given with another request: nothing of this one ran. */
+    private static final String CONFLICT = "rm-conflict";
     private static final String TYPE = "content-type";
     private static final String NEVER = "never";
     private static final String MAYBE = "maybe";
@@ -87,8 +93,17 @@
     record Call(String id, double leftMs, String service, String tenant, boolean again, double workMs, Trail trail,
                 Command<Content> command) { }
 
-    /** How a crossing ended, as the other hall tells it, and which halls it entered beyond that one. */
-    record Reply(CrossingEnd end, Content content, double retryAfterMs, Set<String> beyond) {
+    /**
+     * How a crossing ended, as the other hall tells it, and which halls it entered beyond that one.
+     *
+     * @param recorded the id of the call that took effect before, in whose place this one did not run; null for none
+     * @param conflict whether its idempotency key was given with another request
+     */
+    record Reply(CrossingEnd end, Content content, double retryAfterMs, Set<String> beyond, String recorded, boolean conflict) {
+
+        Reply(CrossingEnd end, Content content, double retryAfterMs, Set<String> beyond) {
+            this(end, content, retryAfterMs, beyond, null, false);
+        }
 
         /** The link has gone, or it never came to it. */
         static Reply of(CrossingEnd end) {
@@ -185,6 +200,46 @@
         return content.mediaType() == null ? h : h.set(TYPE, encode(content.mediaType()));
     }
 
+    /** It took effect before, by this call. */
+    static Http2Headers recorded(String call) {
+        return status(200).set(RECORDED, encode(call));
+    }
+
+    /** Its idempotency key was given with another request; nothing ran. */
+    static Http2Headers conflict() {
+        return status(422).set(RAN, NEVER).set(CONFLICT, "1");
+    }
+
+    static Http2Headers outcomeAsked(String key, String tenant) {
+        Http2Headers h = ask(OUTCOME).set(IDEMPOTENCY, encode(key));
+        return tenant == null ? h : h.set(TENANT, encode(tenant));
+    }
+
+    static String askedTenant(Http2Headers h) {
+        return decoded(h, TENANT);
+    }
+
+    /** What is known of a key; null for nothing. */
+    static Http2Headers known(Known known, double nowMs) {
+        return known == null ? status(404) : status(200).set(RAN, known.state().name()).set(ID, encode(known.call()))
+                .set(AGO, number(nowMs - known.sinceMs()));
+    }
+
+    /** Reads what a gateway knows of a key; null for nothing, and for what makes no sense. */
+    static Known known(Http2Headers h, String tenant, double nowMs) {
+        String call = decoded(h, ID);
+        double ago = h.contains(AGO) ? number(h, AGO) : Double.NaN;
+        if (!"200".equals(String.valueOf(h.status())) || call == null || Double.isNaN(ago)) {
+            return null;
+        }
+        for (Known.State state : Known.State.values()) {
+            if (state.name().equals(text(h, RAN))) {
+                return new Known(state, call, tenant, 0, nowMs - ago, 0, nowMs - ago);
+            }
+        }
+        return null;
+    }
+
     /** An answer without a value; whether it may have run, or be running still, is of this hall and those beyond. */
     static Http2Headers turnedAway(int status, boolean mayHaveRun, boolean mayBeOut, double retryAfterMs, Set<String> beyond) {
         Http2Headers h = status(status).set(RAN, mayBeOut ? OUT : mayHaveRun ? MAYBE : NEVER);
@@ -197,7 +252,8 @@
     /** Reads the answer to a call, whose body is all here. */
     static Reply reply(Http2Headers h, Content content) {
         return switch (String.valueOf(h.status())) {
-            case "200" -> new Reply(CrossingEnd.SERVED, new Content(content.bytes(), decoded(h, TYPE)), 0, Set.of());
+            case "200" -> new Reply(CrossingEnd.SERVED, new Content(content.bytes(), decoded(h, TYPE)), 0, Set.of(),
+                    decoded(h, RECORDED), false);
             case "404" -> new Reply(CrossingEnd.SERVED, Content.ABSENT, 0, Set.of());
             default -> {
                 // Only a word to that effect shows that nothing ran.
@@ -206,7 +262,7 @@
                 double back = h.contains(BACK) ? number(h, BACK) : 0;
                 try {
                     yield new Reply(never ? CrossingEnd.REFUSED : maybe ? CrossingEnd.FAILED : CrossingEnd.LOST, null, Double.isNaN(back) ? 0 : back,
-                            Set.copyOf(names(h, HALLS)));
+                            Set.copyOf(names(h, HALLS)), null, never && h.contains(CONFLICT));
                 } catch (WireException e) {
                     yield Reply.of(CrossingEnd.LOST);
                 }
--- a/gateway/src/main/java/ridgemill/gateway/net/LeanHttp.java
+++ b/gateway/src/main/java/ridgemill/gateway/net/LeanHttp.java
@@ -221,6 +221,15 @@
         return null;
     }
 
+    /** Whether a header has more than one line. */
+    public boolean repeats(String name) {
+        int lines = 0;
+        for (int at = 0; at < OFFSETS * count; at += OFFSETS) {
+            lines += this.lines[at + 1] - this.lines[at] == name.length() && sameName(at, name) ? 1 : 0;
+        }
+        return lines > 1;
+    }
+
     private boolean sameName(int at, String name) {
         int from = lines[at];
         for (int i = 0; i < name.length(); i++) {
--- a/gateway/src/main/java/ridgemill/gateway/operator/GroupsSection.java
+++ b/gateway/src/main/java/ridgemill/gateway/operator/GroupsSection.java
@@ -74,6 +74,7 @@
         if (user.isPresent() && password.isEmpty()) {
             s.problem("user", "missing", "has no password", "set password beside it");
         }
+        Optional<Boolean> cancels = s.flag("cancels");
         boolean plain = dialect.equals("plain");
         Optional<Double> fill = s.duration("fill");
         Optional<Double> guard = s.duration("guard");
@@ -83,7 +84,11 @@
                         : "nodes of the fleet do it themselves", plain ? "set store = \"127.0.0.1:9000\"" : "leave it out");
             }
         }
-        return new NodeGroup.Resp(plain, user.orElse(null), password.orElse(null), fill.orElse(0.0), guard.orElse(0.0));
+        if (plain && cancels.orElse(false)) {
+            s.problem("cancels", "plain-group", "plain servers know no cancel", "leave it out");
+        }
+        return new NodeGroup.Resp(plain, user.orElse(null), password.orElse(null), fill.orElse(0.0), guard.orElse(0.0),
+                cancels.orElse(false));
     }
 
     private static Optional<InetSocketAddress> address(Section s, String key, Map<InetSocketAddress, String> taken) {
--- a/gateway/src/main/java/ridgemill/gateway/operator/NodeGroup.java
+++ b/gateway/src/main/java/ridgemill/gateway/operator/NodeGroup.java
@@ -26,8 +26,9 @@
      * @param password null where none is asked for
      * @param fillMs for how long copies stay that the gateway stores after a miss, in milliseconds; 0 for no copies
      * @param guardMs for how long the store remembers keyed writes for the gateway, in milliseconds; 0 for not at all
+     * @param cancels whether they understand a cancel of one call
      */
-    record Resp(boolean plain, String user, String password, double fillMs, double guardMs) { }
+    record Resp(boolean plain, String user, String password, double fillMs, double guardMs, boolean cancels) { }
 
     /** A node of the group and where it is reached. */
     record Member(String name, InetSocketAddress address) { }
--- a/gateway/src/main/java/ridgemill/gateway/operator/NodeGroups.java
+++ b/gateway/src/main/java/ridgemill/gateway/operator/NodeGroups.java
@@ -239,7 +239,7 @@
         }
         return new RespBack(service.loop(), Transport.TCP, new RespNodes(g.resp().plain() ? RespNodes.Dialect.PLAIN
                 : RespNodes.Dialect.FLEET, g.resp().user(), g.resp().password(), missIsAnswer, g.store() == null ? null : STORE,
-                g.resp().fillMs(), g.resp().guardMs()), connectMs, idleMs, service.nodeSockets(),
+                g.resp().fillMs(), g.resp().guardMs(), g.resp().cancels()), connectMs, idleMs, service.nodeSockets(),
                 node -> drains(g.name(), node));
     }
 
--- a/gateway/src/main/java/ridgemill/gateway/operator/Operated.java
+++ b/gateway/src/main/java/ridgemill/gateway/operator/Operated.java
@@ -30,6 +30,8 @@
 import ridgemill.gateway.net.Transport;
 import ridgemill.gateway.operator.OperatorConfig.Listener;
 import ridgemill.limit.LoopShare;
+import ridgemill.outcome.MemoryOutcomes;
+import ridgemill.outcome.Outcomes;
 import ridgemill.policy.Router.Settings;
 import ridgemill.policy.Router;
 
@@ -74,6 +76,7 @@
         final OperatorGate gate;
         NodeGroups groups;
         RespFront resp;
+        Outcomes outcomes;
 
         Seat(Service service, OperatorGate gate) {
             this.service = service;
@@ -85,6 +88,25 @@
             service.between(task);
         }
 
+        /** On the loop, as what follows. */
+        void deadlines(DeadlineSettings next) {
+            service.intake().deadlines().changeTo(next.policy());
+            service.terms(next.terms());
+            if (resp != null) {
+                resp.halfCloseStays(next.terms().halfCloseStays());
+            }
+        }
+
+        /** A record that was begun goes on, whatever a later file says of its size: what it knows would be lost else. */
+        void outcomes(OutcomeSettings next) {
+            if (next != null && outcomes == null) {
+                outcomes = new Outcomes(new MemoryOutcomes(next.most()), next.keepMs());
+                service.record(outcomes);
+            } else if (next != null) {
+                outcomes.keep(next.keepMs());
+            }
+        }
+
         void passwords(OperatorConfig config) {
             if (resp != null) {
                 resp.passwords(config.passwords());
@@ -152,6 +174,8 @@
                 seat.groups.take(holds.groups(), holds.eureka());
                 seat.service.intake().classes(seat.gate.classes());
                 seat.service.clients().keepIdle(holds.process().idleMs());
+                seat.deadlines(holds.deadlines());
+                seat.outcomes(holds.outcomes());
             });
         }
         if (holds.halls() != null) {
@@ -272,6 +296,7 @@
                 if (seat.resp == null) {
                     seat.resp = new RespFront(seat.service.loop(), seat.service.intake(), seat.service.clients());
                     seat.service.onStop(seat.resp::stop);
+                    seat.resp.halfCloseStays(config.deadlines().terms().halfCloseStays());
                     seat.passwords(config);
                 }
             });
@@ -377,6 +402,9 @@
         if (!Objects.equals(holds.halls(), next.halls()) && (halls == null || !halls.isFixedIn(next.halls()))) {
             notes.add("halls: its name, listen and security hold from the next start on, and so does the section as a whole");
         }
+        if (holds.outcomes() != null && (next.outcomes() == null || next.outcomes().most() != holds.outcomes().most())) {
+            notes.add("outcomes.most holds from the next start on, and so does a record that is taken out");
+        }
         holds = next;
         return new Reload(true, summary(next), List.of(), notes);
     }
@@ -390,6 +418,8 @@
         seat.groups.drop(next.groups());
         seat.passwords(next);
         seat.service.clients().keepIdle(next.process().idleMs());
+        seat.deadlines(next.deadlines());
+        seat.outcomes(next.outcomes());
         if (halls != null && halls.isFixedIn(next.halls())) {
             halls.changeTo(next.halls());
         }
@@ -428,9 +458,10 @@
         return switch (line) {
             case "reload" -> CompletableFuture.supplyAsync(() -> JSON.toJson(reloadNow()), turns);
             case "halls" -> CompletableFuture.supplyAsync(() -> linesJson("halls", halls()), turns);
+            case "deadlines" -> CompletableFuture.supplyAsync(() -> linesJson("deadlines", deadlines()), turns);
             case "nodes" -> CompletableFuture.supplyAsync(() -> linesJson("nodes", nodes()), turns);
             case "status" -> CompletableFuture.supplyAsync(this::statusJson, turns);
-            default -> CompletableFuture.completedFuture("{\"done\":false,\"reason\":\"no such command: reload, status, nodes, halls\"}");
+            default -> CompletableFuture.completedFuture("{\"done\":false,\"reason\":\"no such command: reload, status, nodes, halls, deadlines\"}");
         };
     }
 
@@ -442,6 +473,20 @@
         return lines;
     }
 
+    /** What was dropped where for want of time, what is kept for each hop, and the record of outcomes; not on the loop. */
+    public List<String> deadlines() {
+        List<String> lines = new ArrayList<>();
+        for (Seat seat : seats) {
+            seat.between(() -> {
+                seat.service.intake().deadlines().explain().forEach((name, value) -> lines.add(name + "=" + value));
+                if (seat.outcomes != null) {
+                    lines.add(seat.outcomes.explain());
+                }
+            });
+        }
+        return lines;
+    }
+
     private static String linesJson(String name, List<String> lines) {
         JsonObject o = new JsonObject();
         o.add(name, JSON.toJsonTree(lines));
--- a/gateway/src/main/java/ridgemill/gateway/operator/OperatorConfig.java
+++ b/gateway/src/main/java/ridgemill/gateway/operator/OperatorConfig.java
@@ -27,11 +27,14 @@
  * @param register what of the gateway itself is in the registry; null for nothing
  * @param control the socket at which operators ask a running proxy; null for none
  * @param halls other halls that requests may cross to; null for none
+ * @param deadlines how clients say how long they wait, and what is made of it
+ * @param outcomes the record of keyed writes' outcomes; null for none
  * @param process how many cores are used, and for how long clients' connections are kept
  */
 public record OperatorConfig(Map<String, ClassPolicy> classes, RouteTable<Target> routes, Limits limits,
                              Map<String, NodeGroup> groups, List<Listener> listeners, Map<String, String> passwords,
-                             EurekaSettings eureka, EurekaRegistration.Self register, Path control, HallSettings halls, ProcessSettings process) {
+                             EurekaSettings eureka, EurekaRegistration.Self register, Path control, HallSettings halls, DeadlineSettings deadlines,
+                             OutcomeSettings outcomes, ProcessSettings process) {
 
     /** Where a route leads: a class, or null for the one that the request names, and a group of nodes. */
     public record Target(String service, String group) { }
--- a/gateway/src/main/java/ridgemill/gateway/operator/OperatorFile.java
+++ b/gateway/src/main/java/ridgemill/gateway/operator/OperatorFile.java
@@ -69,8 +69,10 @@
         Path control = ControlSection.read(root);
         HallSettings halls = HallsSection.read(root, classes, platform);
         ProcessSettings process = ProcessSection.read(root, halls != null);
+        DeadlineSettings deadlines = DeadlinesSection.read(root);
+        OutcomeSettings outcomes = OutcomesSection.read(root, classes, process.loops());
         root.done();
         return new OperatorConfig(classes, routes, limits, groups, listeners, passwords, eureka,
-                EurekaSection.register(root), control, halls, process);
+                EurekaSection.register(root), control, halls, deadlines, outcomes, process);
     }
 }
--- a/testbed/src/test/java/ridgemill/testbed/node/StandInTest.java
+++ b/testbed/src/test/java/ridgemill/testbed/node/StandInTest.java
@@ -78,6 +78,8 @@
     }
 
     private NodeEntry entry(String id) {
+        // An answer is noted once it is written, which its reader may be ahead of: the nodes' loop has ended that turn by now.
+        bed.fleet().store().inHand();
         List<NodeEntry> entries = bed.ledger().nodes().stream().filter(e -> e.id().equals(id)).toList();
         assertEquals(1, entries.size());
         return entries.get(0);
