Tests of deadlines over sockets; stand-ins whose work stops when nobody waits

The stand-ins now tell from when to when a core worked on a request, stop reads that nobody waits for after a set time, and understand RIDGE.CANCEL.

The first run of DeadlineTest showed that a fetch which is always cut off when its client leaves has no median among the answered ones: the estimate is now of Kaplan and Meier, with those cut off as such.

--- a/core/src/main/java/ridgemill/deadline/AnswerTimes.java
+++ b/core/src/main/java/ridgemill/deadline/AnswerTimes.java
@@ -41,19 +41,24 @@
         return Generations.from(b);
     }
 
-    /** The time that half of them take, 0 where that is not known. */
+    /**
+     * The time that half of them take, 0 where that is not known. Those that were given up took longer than they had, nobody
+     * knows by how much (the product-limit estimate of Kaplan and Meier); where most are given up, it is infinite.
+     */
     double usualMs(double nowMs) {
-        int all = answered.total(nowMs) + cut.total(nowMs);
-        if (all < THIN) {
+        int atRisk = answered.total(nowMs) + cut.total(nowMs);
+        if (atRisk < THIN) {
             return 0;
         }
-        int before = 0;
-        int b = 0;
-        while (2 * (before + answered.at(b) + cut.at(b)) < all) {
-            before += answered.at(b) + cut.at(b);
-            b++;
+        double longer = 1;
+        for (int b = 0; b < Generations.BUCKETS && atRisk > 0; b++) {
+            longer *= 1 - (double) answered.at(b) / atRisk;
+            if (longer <= 0.5) {
+                return Generations.from(b);
+            }
+            atRisk -= answered.at(b) + cut.at(b);
         }
-        return Generations.from(b);
+        return Double.POSITIVE_INFINITY;
     }
 
     /** The time that one answer in twenty is later than, infinite where that is not known. */
--- a/core/src/main/java/ridgemill/deadline/Patience.java
+++ b/core/src/main/java/ridgemill/deadline/Patience.java
@@ -33,9 +33,10 @@
         int first = Generations.bucket(ageMs);
         int last = Generations.bucket(laterMs);
         double stays = 1;
-        for (int b = 0; b < last && atRisk > 0; b++) {
+        // Past the few that are left in the end nothing can be told.
+        for (int b = 0; b < last && atRisk >= THIN; b++) {
             if (b >= first) {
-                stays *= 1 - (double) Math.min(atRisk, left.at(b)) / atRisk;
+                stays *= 1 - (double) left.at(b) / atRisk;
             }
             atRisk -= ended.at(b);
         }
--- a/core/src/test/java/ridgemill/core/DispatcherTest.java
+++ b/core/src/test/java/ridgemill/core/DispatcherTest.java
@@ -1,6 +1,7 @@
 package ridgemill.core;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
@@ -9,6 +10,8 @@
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 import ridgemill.policy.Router.Actions;
+import ridgemill.deadline.DeadlinePolicy;
+import ridgemill.deadline.Deadlines;
 import ridgemill.policy.Router.AttemptEnd;
 import ridgemill.policy.Router.Effect;
 import ridgemill.policy.Router.Group;
@@ -171,6 +174,20 @@
                 }
             }, service -> { }, 100);
 
+    private Faults quiet() {
+        return new Faults() {
+            @Override
+            public void fault(String what, Throwable cause) {
+                faults.add(what);
+            }
+
+            @Override
+            public void odd(String what) {
+                faults.add(what);
+            }
+        };
+    }
+
     private Told ask(String id) {
         Told told = new Told();
         dispatcher.request(new Request(id, "read", null, 1, 0, 1000, false, false),
@@ -279,6 +296,71 @@
         assertTrue(out.isEmpty());
     }
 
+    /** What can't be answered in time has its final answer before it is sent, and the module hears that it is over. */
+    @Test
+    void whatComesTooLateIsNotSent() {
+        Deadlines deadlines = new Deadlines(DeadlinePolicy.USUAL);
+        Dispatcher<String> timed = new Dispatcher<>(timers, SETTINGS, new ScriptedRouter(), new ScriptedBack(), quiet(),
+                service -> { }, 100, deadlines.group(""));
+        script = (event, request, actions) -> {
+            if (event.equals("request")) {
+                actions.send(request, "c0", 0);
+            }
+        };
+        for (int i = 0; i < 60; i++) {
+            Told told = new Told();
+            timed.request(new Request("r" + i, "read", null, 1, 0, 1000, false, false), new Command<>(false, "/api/k", null, ""), told);
+            timers.pass(100);
+            out.get(0).end(Outcome.OK);
+        }
+        int sent = all.size();
+        Told late = new Told();
+        timed.request(new Request("late", "read", null, 1, 0, 50, false, false), new Command<>(false, "/api/k", null, ""), late);
+        assertEquals(List.of("refused 0.0"), late.answers, "at once, and nothing ran");
+        assertEquals(sent, all.size());
+        assertEquals(Outcome.NEVER_SENT, ends.get(ends.size() - 1).outcome());
+        assertTrue(ends.get(ends.size() - 1).finished());
+        assertEquals(0, timed.owed());
+        assertEquals(1, deadlines.dropped());
+    }
+
+    /** A connection that took longer to come up than its request had: nothing is written on it. */
+    @Test
+    void whatItsClientLeftOrIsTooLateMayNotBeWrittenAnyMore() {
+        script = (event, request, actions) -> {
+            if (event.equals("request")) {
+                actions.send(request, "c0", 0);
+            }
+        };
+        ask("a");
+        ask("b");
+        assertTrue(out.get(0).attempt.mayBeWritten());
+        dispatcher.clientGone("a");
+        assertFalse(out.get(0).attempt.mayBeWritten(), "its client has left");
+        Sent second = out.get(1);
+        timers.pass(999);
+        assertTrue(second.attempt.mayBeWritten());
+        timers.pass(1);
+        assertFalse(second.attempt.mayBeWritten(), "its time is up");
+    }
+
+    @Test
+    void oneThatIsGivenUpHasItsAnswerAtOnceAndWhatIsOutIsCancelled() {
+        script = (event, request, actions) -> {
+            if (event.equals("request")) {
+                actions.send(request, "c0", 0);
+            }
+        };
+        Told told = ask("a");
+        dispatcher.giveUp("a");
+        assertEquals(1, told.answers.size());
+        assertEquals(Outcome.CANCELLED, ends.get(0).outcome());
+        assertTrue(out.isEmpty());
+        dispatcher.giveUp("a");
+        assertEquals(1, told.answers.size());
+        assertEquals(0, dispatcher.owed());
+    }
+
     /** A module that asks for anything at any time, from a seed. */
     @Test
     void noWishOfTheModuleBreaksWhatIsKept() {
--- a/core/src/test/java/ridgemill/policy/PathTest.java
+++ b/core/src/test/java/ridgemill/policy/PathTest.java
@@ -35,6 +35,26 @@
         assertTrue(seen.contains(first) || seen.contains(second));
     }
 
+    /** Of several that want one key the first fetches it: its client's leaving costs the others nothing, and the origin no second fetch. */
+    @Test
+    void aFetchThatOthersWaitForGoesOnWhenItsClientLeaves() {
+        Bench b = Bench.withCaches(1);
+        String first = b.ask("dear", 7);
+        b.end(first, Outcome.MISS);
+        String waits = b.ask("dear", 7);
+        assertEquals("db", b.nodeOf(first));
+        assertEquals(0, b.sendsOf(waits));
+        b.router.clientGone(b.now, first, b.out);
+        assertEquals(0, b.out.cancelled.size(), "one waits for it");
+        b.end(first, Outcome.OK);
+        assertEquals("c0", b.nodeOf(waits), "the value is there now");
+        assertEquals(1, b.out.sentTo("db"));
+        String alone = b.ask("dear", 8);
+        b.end(alone, Outcome.MISS);
+        b.router.clientGone(b.now, alone, b.out);
+        assertEquals(java.util.List.of(alone), b.out.cancelled, "nobody waits for this one");
+    }
+
     @Test
     void aCrowdedNodeGetsNoMoreAndTheRestIsRefusedEarly() {
         Bench b = Bench.withCaches(2);
--- a/testbed/src/main/java/ridgemill/testbed/ledger/NodeEntry.java
+++ b/testbed/src/main/java/ridgemill/testbed/ledger/NodeEntry.java
@@ -17,6 +17,9 @@
     private volatile double answeredAt;
     private volatile double endedAt;
     private volatile double waitsMs;
+    private volatile double workedFrom;
+    private volatile double workedUntil;
+    private volatile double toldMs;
     private volatile Fate fate = Fate.OPEN;
     private volatile boolean ran;
     private volatile boolean recorded;
@@ -42,6 +45,21 @@
         waitsMs = ms;
     }
 
+    /** How long the other side waits as it says, whatever that means for the connection; 0 where it does not. */
+    public void told(double ms) {
+        toldMs = ms;
+    }
+
+    /** A core began to work on it. */
+    public void works(double at) {
+        workedFrom = at;
+    }
+
+    /** No core works on it any more: it is done, or was stopped. */
+    public void worked(double at) {
+        workedUntil = at;
+    }
+
     /** It ran; {@code effect} if that recorded something. */
     public void ran(boolean effect) {
         ran = true;
@@ -98,6 +116,26 @@
         return Math.min(endedAt > 0 ? endedAt : Double.POSITIVE_INFINITY, up);
     }
 
+    /** How long the other side waits from its beginning on, as it says; 0 where it does not. */
+    public double toldMs() {
+        return toldMs;
+    }
+
+    /** When a core began to work on it; 0 if none ever did. */
+    public double workedFrom() {
+        return workedFrom;
+    }
+
+    /** When no core worked on it any more; 0 if none ever did, or one does still. */
+    public double workedUntil() {
+        return workedUntil;
+    }
+
+    /** A core's time that it took, in milliseconds. */
+    public double workedMs() {
+        return workedUntil > 0 ? workedUntil - workedFrom : 0;
+    }
+
     public String id() {
         return id;
     }
--- a/testbed/src/main/java/ridgemill/testbed/node/Faults.java
+++ b/testbed/src/main/java/ridgemill/testbed/node/Faults.java
@@ -9,12 +9,17 @@
 /** Which faults a stand-in plays: the next few requests by name, and a share of all others by chance, from a seed. */
 public final class Faults {
 
+    /** Work goes on to its end, whoever waits for it. */
+    public static final double NEVER = -1;
+
     private final Map<Fault, Double> shares = new EnumMap<>(Fault.class);
     private final Queue<Fault> scripted = new ArrayDeque<>();
     private final SplittableRandom random;
     private double slower = 1;
     private int writeBytesPerS;
     private int readBytesPerS;
+    private double stopsAfterMs = NEVER;
+    private boolean keepsBudgets;
 
     Faults(long seed) {
         random = new SplittableRandom(seed);
@@ -41,6 +46,27 @@
         readBytesPerS = reads;
     }
 
+    /**
+     * Reads whose connection ends, or that are cancelled, are stopped so long after that, at work or waiting; {@link #NEVER}
+     * has them go on. A write always goes on.
+     */
+    public synchronized void stopsAfter(double ms) {
+        stopsAfterMs = ms;
+    }
+
+    /** What waited for its core for longer than the other side waits is turned away in place of being begun. */
+    public synchronized void keepsBudgets(boolean keeps) {
+        keepsBudgets = keeps;
+    }
+
+    synchronized double stopsAfterMs() {
+        return stopsAfterMs;
+    }
+
+    synchronized boolean keepsBudgets() {
+        return keepsBudgets;
+    }
+
     /** Ends all faults. */
     public synchronized void clear() {
         shares.clear();
--- a/testbed/src/main/java/ridgemill/testbed/node/HttpWire.java
+++ b/testbed/src/main/java/ridgemill/testbed/node/HttpWire.java
@@ -27,10 +27,18 @@
         String bare = query < 0 ? path : path.substring(0, query);
         String reply = bare.equals("/alive") ? answer(null, up ? 200 : 503, "") : null;
         return new Asked(headers.get("X-Call-Id", ""), bare.substring(bare.lastIndexOf('/') + 1),
-                request.method().equals(HttpMethod.PUT), headers.get("Idempotency-Key"), 0, reply,
+                request.method().equals(HttpMethod.PUT), headers.get("Idempotency-Key"), budgetMs(headers.get("X-Budget")), reply,
                 request.decoderResult().isFailure());
     }
 
+    private static double budgetMs(String seconds) {
+        try {
+            return seconds == null ? 0 : 1000 * Double.parseDouble(seconds);
+        } catch (NumberFormatException e) {
+            return 0;
+        }
+    }
+
     @Override
     public String answer(Asked to, int status, String body, String... headers) {
         return message(status, body, body.length(), headers);
--- a/testbed/src/main/java/ridgemill/testbed/node/RespWire.java
+++ b/testbed/src/main/java/ridgemill/testbed/node/RespWire.java
@@ -99,4 +99,20 @@
     public String drains() {
         return newer ? ">1\r\n+ridge.drain\r\n" : null;
     }
+
+    @Override
+    public String cancels(Object message) {
+        List<Value> words = ((Value) message).parts();
+        return words.size() == 2 && words.get(0).text().equalsIgnoreCase("RIDGE.CANCEL") ? words.get(1).text() : null;
+    }
+
+    @Override
+    public String cancelled(Asked to) {
+        return named(to, null, "-CANCELLED nobody waits for it\r\n");
+    }
+
+    @Override
+    public boolean sharesConnections() {
+        return true;
+    }
 }
--- a/testbed/src/main/java/ridgemill/testbed/node/StandIn.java
+++ b/testbed/src/main/java/ridgemill/testbed/node/StandIn.java
@@ -17,8 +17,11 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
+import java.util.HashSet;
+import java.util.IdentityHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -49,6 +52,7 @@
     private final Faults faults;
     private final Reservation port = new Reservation();
     private final Set<Conn> conns = new LinkedHashSet<>();
+    private final Map<VirtualCore.Piece, Served> pieces = new IdentityHashMap<>();
     VirtualCore core;
     Warmth warmth;
     private Channel listener;
@@ -156,6 +160,7 @@
         onLoop(() -> {
             epoch++;
             empty();
+            pieces.clear();
             core = new VirtualCore(profile.cores(), profile.queue());
             warmth = new Warmth(cold ? ledger.now() : Double.NEGATIVE_INFINITY, profile);
             bornMs = cold ? System.currentTimeMillis() : 0;
@@ -217,6 +222,7 @@
         private final Conn conn;
         private final Fault fault;
         private final long served = epoch;
+        private VirtualCore.Piece piece;
 
         Served(Conn conn, NodeEntry entry, Asked asked, Fault fault) {
             this.conn = conn;
@@ -255,7 +261,15 @@
             return;
         }
         entry.begun(now, id, asked.key(), write, asked.idempotencyKey());
-        entry.waits(asked.budgetMs());
+        entry.told(asked.budgetMs());
+        if (conn.wire.sharesConnections()) {
+            entry.waits(asked.budgetMs());
+        }
+        if (conn.takenBack.remove(id) && !write) {
+            conn.current = new Served(conn, entry, asked, null);
+            conn.write(conn.current, conn.wire.cancelled(asked), Fate.ABANDONED, null, 0);
+            return;
+        }
         Fault fault = faults.draw();
         Served served = new Served(conn, entry, asked, fault);
         conn.current = served;
@@ -279,17 +293,63 @@
             fallOver(id);
             return;
         }
-        double done = state == State.DRAINING ? -1 : core.take(now, (work + handshake) / warmth.share(now));
-        if (done < 0) {
+        served.piece = state == State.DRAINING ? null : core.take(now, (work + handshake) / warmth.share(now));
+        if (served.piece == null) {
             served.answer(503, Fate.REJECTED, "", "X-Rejected: 1");
             return;
         }
-        loop.schedule(() -> {
-            if (served.lives()) {
-                core.done();
-                work(served);
+        pieces.put(served.piece, served);
+        beginWork();
+    }
+
+    /** Cores that are free take up what waits. */
+    private void beginWork() {
+        for (VirtualCore.Piece piece : core.begin()) {
+            Served s = pieces.get(piece);
+            double now = ledger.now();
+            if (faults.keepsBudgets() && s.entry.toldMs() > 0 && piece.begunAt() > s.entry.begunAt() + s.entry.toldMs()) {
+                pieces.remove(piece);
+                core.stop(piece.begunAt(), piece);
+                s.answer(504, Fate.REJECTED, "", "X-Rejected: 1");
+                loop.execute(this::beginWork);
+                continue;
             }
-        }, (long) ((done - now) * 1e6), TimeUnit.NANOSECONDS);
+            s.entry.works(piece.begunAt());
+            loop.schedule(() -> {
+                if (s.lives() && !piece.isOver()) {
+                    pieces.remove(piece);
+                    core.done(piece);
+                    s.entry.worked(piece.doneAt());
+                    work(s);
+                    beginWork();
+                }
+            }, (long) (Math.max(0, piece.doneAt() - now) * 1e6), TimeUnit.NANOSECONDS);
+        }
+    }
+
+    /** Nobody waits for it any more: its work stops when that is noticed, if such work stops at all. */
+    private void letGo(Served s, Runnable then) {
+        double after = faults.stopsAfterMs();
+        if (s.piece == null || after < 0 || s.entry.isWrite()) {
+            return;
+        }
+        Runnable stop = () -> {
+            if (s.lives() && !s.piece.isOver()) {
+                double now = ledger.now();
+                pieces.remove(s.piece);
+                core.stop(now, s.piece);
+                if (s.entry.workedFrom() > 0) {
+                    s.entry.worked(now);
+                }
+                then.run();
+                beginWork();
+            }
+        };
+        if (after == 0) {
+            stop.run();
+        } else {
+            loop.schedule(stop, (long) (after * 1e6), TimeUnit.NANOSECONDS);
+        }
     }
 
     /** One connection. */
@@ -298,6 +358,7 @@
         private final long number;
         private final Wire wire = wires.get();
         private final Queue<Object> waiting = new ArrayDeque<>();
+        private final Set<String> takenBack = new HashSet<>();
         private NodeEntry next;
         private Served current;
         private int requests;
@@ -354,6 +415,12 @@
 
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) {
+            String takes = wire.cancels(message);
+            if (takes != null) {
+                ReferenceCountUtil.release(message);
+                takenBack(takes);
+                return;
+            }
             idle.cancel(false);
             if (current != null) {
                 waiting.add(message);
@@ -362,6 +429,20 @@
             take(message);
         }
 
+        /** A call is taken back: the one at work, or one that waits behind it and is answered at its turn. */
+        private void takenBack(String id) {
+            Served s = current;
+            if (s != null && s.entry.id().equals(id)) {
+                letGo(s, () -> {
+                    if (current == s) {
+                        write(s, wire.cancelled(s.asked), Fate.ABANDONED, null, 0);
+                    }
+                });
+            } else if (!waiting.isEmpty()) {
+                takenBack.add(id);
+            }
+        }
+
         private void take(Object request) {
             try {
                 begin(this, request);
@@ -443,6 +524,7 @@
             waiting.forEach(ReferenceCountUtil::release);
             if (current != null) {
                 current.entry.ended(ledger.now(), Fate.ABANDONED);
+                letGo(current, () -> { });
                 current = null;
             }
         }
--- a/testbed/src/main/java/ridgemill/testbed/node/Wire.java
+++ b/testbed/src/main/java/ridgemill/testbed/node/Wire.java
@@ -34,4 +34,19 @@
 
     /** What is said when the stand-in begins to drain; null for nothing. */
     String drains();
+
+    /** The id of the call that a message takes back, which is no request of its own and has no reply; null for any other. */
+    default String cancels(Object message) {
+        return null;
+    }
+
+    /** The answer to a call that was taken back, in its place; null where the connection's end takes it back. */
+    default String cancelled(Asked to) {
+        return null;
+    }
+
+    /** Whether calls of several askers share a connection, so that what a call says of its time ends its being awaited. */
+    default boolean sharesConnections() {
+        return false;
+    }
 }
--- a/testbed/src/test/java/ridgemill/testbed/node/ModelsTest.java
+++ b/testbed/src/test/java/ridgemill/testbed/node/ModelsTest.java
@@ -2,8 +2,10 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.List;
 import org.junit.jupiter.api.Test;
 
 /** The models inside stand-ins, on time that the test passes. */
@@ -12,22 +14,49 @@
     @Test
     void workWaitsForItsCoreAndAFullQueueTurnsAway() {
         VirtualCore core = new VirtualCore(1, 1);
-        assertEquals(10, core.take(0, 10));
-        assertEquals(20, core.take(5, 10));
-        assertEquals(-1, core.take(6, 10), "one at work and one waiting are all it holds");
-        core.done();
-        assertEquals(30, core.take(10, 10));
-        core.done();
-        core.done();
-        assertEquals(110, core.take(100, 10), "an idle core starts at once");
+        VirtualCore.Piece first = core.take(0, 10);
+        assertEquals(List.of(first), core.begin());
+        assertEquals(10, first.doneAt());
+        VirtualCore.Piece second = core.take(5, 10);
+        assertEquals(List.of(), core.begin());
+        assertNull(core.take(6, 10), "one at work and one waiting are all it holds");
+        core.done(first);
+        assertEquals(List.of(second), core.begin());
+        assertEquals(20, second.doneAt(), "it began when its core was free");
+        core.done(second);
+        VirtualCore.Piece third = core.take(100, 10);
+        core.begin();
+        assertEquals(110, third.doneAt(), "an idle core starts at once");
     }
 
     @Test
     void twoCoresWorkSideBySide() {
         VirtualCore core = new VirtualCore(2, 2);
-        assertEquals(10, core.take(0, 10));
-        assertEquals(10, core.take(0, 10));
-        assertEquals(20, core.take(0, 10));
+        VirtualCore.Piece a = core.take(0, 10);
+        VirtualCore.Piece b = core.take(0, 10);
+        VirtualCore.Piece c = core.take(0, 10);
+        core.begin();
+        assertEquals(10, a.doneAt());
+        assertEquals(10, b.doneAt());
+        core.done(a);
+        core.begin();
+        assertEquals(20, c.doneAt());
+    }
+
+    @Test
+    void whatIsStoppedFreesItsCoreOrItsPlace() {
+        VirtualCore core = new VirtualCore(1, 2);
+        VirtualCore.Piece a = core.take(0, 100);
+        VirtualCore.Piece b = core.take(0, 10);
+        VirtualCore.Piece c = core.take(0, 10);
+        core.begin();
+        core.stop(1, b);
+        assertEquals(2, core.inHand());
+        core.stop(30, a);
+        assertEquals(List.of(c), core.begin());
+        assertEquals(40, c.doneAt());
+        core.stop(31, a);
+        assertEquals(1, core.inHand(), "a second stop is none");
     }
 
     @Test
