--- a/gateway/src/main/java/ridgemill/gateway/front/http/HttpClientConnection.java
+++ b/gateway/src/main/java/ridgemill/gateway/front/http/HttpClientConnection.java
@@ -110,7 +110,9 @@
         if (event instanceof ChannelInputShutdownEvent) {
             inputEnded = true;
             if (slots.isEmpty() && waiting.isEmpty() && phase() != Phase.CLOSING) {
-                ctx.close();
+                // Behind what is still being written.
+                enter(Phase.CLOSING);
+                bytes.end();
             }
         }
         super.userEventTriggered(ctx, event);
@@ -538,6 +540,11 @@
             ctx.fireChannelRead(message);
         }
 
+        /** Closes when all that was written is out. */
+        void end() {
+            context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+        }
+
         /** From now on Netty's codec has what comes. */
         void codec() {
             if (plain) {
--- a/gateway/src/main/java/ridgemill/gateway/front/resp/RespClientConnection.java
+++ b/gateway/src/main/java/ridgemill/gateway/front/resp/RespClientConnection.java
@@ -127,8 +127,8 @@
         if (event instanceof ChannelInputShutdownEvent) {
             // It sends nothing more, and reads on: its replies come first.
             inputEnded = true;
-            if (slots.isEmpty() && backlog.isEmpty()) {
-                ctx.close();
+            if (slots.isEmpty() && backlog.isEmpty() && !flushing && phase() != Phase.CLOSING) {
+                flush();
             }
         }
         super.userEventTriggered(ctx, event);
--- a/lab/src/main/java/ridgemill/lab/Main.java
+++ b/lab/src/main/java/ridgemill/lab/Main.java
@@ -38,7 +38,7 @@
     }
 
     @Command(name = "ridgemill-lab", mixinStandardHelpOptions = true, subcommands = {DemoCommand.class, Run.class,
-        ListAll.class, SiteCommand.class, HallsCommand.class}, description = "Plays faults on whole fleets of stand-ins, on this machine's loopback alone.")
+        ListAll.class, SiteCommand.class, HallsCommand.class, DeadlinesCommand.class}, description = "Plays faults on whole fleets of stand-ins, on this machine's loopback alone.")
     static final class Root implements Callable<Integer> {
         @Override
         public Integer call() {
@@ -122,6 +122,22 @@
         }
     }
 
+    @Command(name = "deadlines", mixinStandardHelpOptions = true, description = "Measures what a store works on for clients that have "
+            + "left, with and without what is made of deadlines.")
+    static final class DeadlinesCommand implements Callable<Integer> {
+        @Option(names = "--seed", paramLabel = "N", defaultValue = "7", description = "Of all chance (default: ${DEFAULT-VALUE}).")
+        private long seed;
+        @Option(names = "--seconds", paramLabel = "N", defaultValue = "8",
+                description = "Length of each play (default: ${DEFAULT-VALUE}).")
+        private double seconds;
+
+        @Override
+        public Integer call() throws Exception {
+            new DeadlinesMeasured(seed, seconds, Files.createTempDirectory("deadlines")).run();
+            return 0;
+        }
+    }
+
     @Command(name = "halls", mixinStandardHelpOptions = true, description = "Plays faults on two halls with and without gateways "
         + "between them, and measures what a crossing costs; some four minutes.")
     static final class HallsCommand implements Callable<Integer> {
--- a/testbed/src/main/java/ridgemill/testbed/node/StandIn.java
+++ b/testbed/src/main/java/ridgemill/testbed/node/StandIn.java
@@ -260,16 +260,17 @@
             conn.write(served, asked.reply(), Fate.SERVED, "", 0);
             return;
         }
-        entry.begun(now, id, asked.key(), write, asked.idempotencyKey());
-        entry.told(asked.budgetMs());
-        if (conn.wire.sharesConnections()) {
-            entry.waits(asked.budgetMs());
-        }
         if (conn.takenBack.remove(id) && !write) {
+            // It was never begun: only its place in the order of replies is left of it.
             conn.current = new Served(conn, entry, asked, null);
             conn.write(conn.current, conn.wire.cancelled(asked), Fate.ABANDONED, null, 0);
             return;
         }
+        entry.begun(now, id, asked.key(), write, asked.idempotencyKey());
+        entry.told(asked.budgetMs());
+        if (conn.wire.sharesConnections()) {
+            entry.waits(asked.budgetMs());
+        }
         Fault fault = faults.draw();
         Served served = new Served(conn, entry, asked, fault);
         conn.current = served;
