--- a/gateway/src/main/java/ridgemill/gateway/operator/OperatorGate.java
+++ b/gateway/src/main/java/ridgemill/gateway/operator/OperatorGate.java
@@ -76,7 +76,7 @@
         if (policy != null && a.bodyBytes() > policy.largestBody()) {
             return new Unfit(Reason.TOO_LARGE);
         }
-        double budgetMs = policy == null ? a.budgetMs() : Math.min(a.budgetMs(), policy.totalMs());
+        double budgetMs = Math.min(a.budgetMs(), service.deadlineMs());
         String group = got.route().map(Route::target).map(Target::group).orElse(Intake.PLATFORM);
         Limiter.Verdict verdict = limiter.admit(nowMs, a.id(), a.query().tenant(), service.name(), a.retry());
         if (verdict instanceof Limiter.Refused refused) {
--- a/lab/src/test/java/ridgemill/lab/DeadlinesTest.java
+++ b/lab/src/test/java/ridgemill/lab/DeadlinesTest.java
@@ -134,11 +134,19 @@
         assertTrue(OrphanWork.at(orphans.begunLateMs(), 1) <= slack, orphans.begunLateMs().toString());
     }
 
-    private static String http(InetSocketAddress at, String text, boolean leaves) throws IOException {
+    private static String http(InetSocketAddress at, String text) throws IOException {
         try (Socket socket = new Socket(at.getAddress(), at.getPort())) {
             socket.setSoTimeout(30_000);
             socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
-            return leaves ? null : HttpText.read(socket.getInputStream());
+            return HttpText.read(socket.getInputStream());
+        }
+    }
+
+    /** Asks and leaves without an answer when this holds. */
+    private static void leave(InetSocketAddress at, String text, BooleanSupplier when) throws IOException {
+        try (Socket socket = new Socket(at.getAddress(), at.getPort())) {
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+            await(when);
         }
     }
 
@@ -170,15 +178,12 @@
             Operated operated = Operating.start(bed, file, LoadProfile.USUAL);
             try {
                 InetSocketAddress http = operated.listening();
-                try (Socket leaves = new Socket(http.getAddress(), http.getPort());
-                        Socket resp = new Socket(port.address().getAddress(), port.address().getPort())) {
-                    leaves.getOutputStream().write(credit("a", "k", false).getBytes(StandardCharsets.US_ASCII));
-                    await(() -> !sent(bed.ledger(), "k").isEmpty());
+                leave(http, credit("a", "k", false), () -> !sent(bed.ledger(), "k").isEmpty());
+                try (Socket resp = new Socket(port.address().getAddress(), port.address().getPort())) {
                     resp.setSoTimeout(30_000);
                     resp.getOutputStream().write((NaiveResp.command(List.of("RIDGE.WITH", "class", "recharge-credit", "id", "b",
                             "idempotency-key", "k", "again", "1", "DO", "SET", "m100001", "100")) + NaiveResp.command(List.of(
                             "RIDGE.OUTCOME", "k"))).getBytes(StandardCharsets.US_ASCII));
-                    leaves.close();
                     heard.add(NaiveResp.read(resp.getInputStream()).toString());
                     // Carried out beside the write ahead of it, which still ran.
                     assertTrue(NaiveResp.read(resp.getInputStream()).toString().contains("running"));
@@ -188,8 +193,8 @@
                             "idempotency-key", "k", "DO", "SET", "m100001", "999")).getBytes(StandardCharsets.US_ASCII));
                     assertTrue(NaiveResp.read(resp.getInputStream()).toString().contains("CONFLICT"));
                 }
-                heard.add(http(http, credit("c", "k", true), false));
-                heard.add(http(http, outcome("k"), false));
+                heard.add(http(http, credit("c", "k", true)));
+                heard.add(http(http, outcome("k")));
             } finally {
                 operated.service().kill();
             }
@@ -229,27 +234,26 @@
             // Gateways that have just started can't say what ran before them.
             await(() -> {
                 try {
-                    return http(there, credit("w" + System.nanoTime(), "k-warm", true), false).startsWith("HTTP/1.1 200");
+                    return http(there, credit("w" + System.nanoTime(), "k-warm", true)).startsWith("HTTP/1.1 200");
                 } catch (IOException e) {
                     throw new AssertionError(e);
                 }
             });
             teku.bed().fleet().store().faults().slower(20);
-            http(here, credit("first", "k", false), true);
-            await(() -> !sent(halls.seen(), "k").isEmpty());
+            leave(here, credit("first", "k", false), () -> !sent(halls.seen(), "k").isEmpty());
             String[] told = new String[1];
             await(() -> {
                 try {
-                    told[0] = http(there, credit("t" + System.nanoTime(), "k", true), false);
+                    told[0] = http(there, credit("t" + System.nanoTime(), "k", true));
                     return !told[0].startsWith("HTTP/1.1 503");
                 } catch (IOException e) {
                     throw new AssertionError(e);
                 }
             });
             assertTrue(told[0].startsWith("HTTP/1.1 200"), told[0]);
-            assertTrue(http(here, outcome("k"), false).contains("\"recorded\""));
-            assertTrue(http(there, outcome("k"), false).contains("\"recorded\""), "it asks where it ran");
-            assertTrue(http(here, credit("again", "k", true), false).startsWith("HTTP/1.1 200"));
+            assertTrue(http(here, outcome("k")).contains("\"recorded\""));
+            assertTrue(http(there, outcome("k")).contains("\"recorded\""), "it asks where it ran");
+            assertTrue(http(here, credit("again", "k", true)).startsWith("HTTP/1.1 200"));
             assertEquals(1, sent(halls.seen(), "k").stream().filter(NodeEntry::hasRecorded).count());
         }
     }
