One watch for answers that hold one another up; a cancel that overtakes its request

The classes of the measurement and its test are one text. A RESP deadline is judged by TimeSaid like all others, and an option of RIDGE.WITH that is said twice is an error, as its header twice is over HTTP. HallDoorTest: a cancel that comes before the whole of its request leaves nothing to run.

--- a/gateway/src/main/java/ridgemill/gateway/front/http/HttpClientConnection.java
+++ b/gateway/src/main/java/ridgemill/gateway/front/http/HttpClientConnection.java
@@ -25,7 +25,6 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.TooLongHttpContentException;
 import io.netty.util.ReferenceCountUtil;
-import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
@@ -35,8 +34,8 @@
 import java.util.concurrent.TimeUnit;
 import ridgemill.core.Answer;
 import ridgemill.core.Client;
-import ridgemill.deadline.AnswerOrder;
 import ridgemill.gateway.front.ClientConnection;
+import ridgemill.gateway.front.OrderWatch;
 import ridgemill.gateway.net.Content;
 import ridgemill.gateway.net.LeanHttp;
 import ridgemill.gateway.net.Log;
@@ -54,16 +53,12 @@
     private static final int MOST_HELD = 256 * 1024;
     /** For how many bytes input is read on after an error: unread input would reset the error away. */
     private static final long LINGER_BYTES = 1 << 20;
-    /** Answers that are due in less than this are due now: what gives them up has to be written yet. */
-    private static final double DUE_MS = 8;
 
     private final HttpFront front;
     private final Bytes bytes = new Bytes();
     private final Queue<Waiting> waiting = new ArrayDeque<>();
     private final Deque<Exchange> slots = new ArrayDeque<>();
-    private final AnswerOrder<Exchange> order = new AnswerOrder<>();
-    private Future<?> wake;
-    private double wakeMs = Double.POSITIVE_INFINITY;
+    private final OrderWatch<Exchange> order;
     private int held;
     private boolean beginning;
     /** No further request is begun; with the answer of the last the connection closes. */
@@ -74,6 +69,7 @@
     HttpClientConnection(Channel channel, HttpFront front) {
         super(channel, front.table());
         this.front = front;
+        this.order = new OrderWatch<>(channel.eventLoop(), front.intake()::now, Exchange::giveUp);
         if (front.terms().halfCloseStays() && channel.config() instanceof SocketChannelConfig config) {
             config.setAllowHalfClosure(true);
         }
@@ -204,7 +200,7 @@
             exchange.id = call.request().id();
             open(exchange, front.intake().now() + call.request().budgetMs());
             front.intake().request(call.go(), call.request(), call.command(), exchange);
-            watchOrder();
+            order.watch();
         } else if (read instanceof HttpRequests.Refused refused) {
             front.intake().turnedAway();
             busy();
@@ -230,33 +226,6 @@
         }
     }
 
-    /** Wakes when the first answer is due that another holds up. */
-    private void watchOrder() {
-        double at = order.wakeMs();
-        if (at >= wakeMs || at == Double.POSITIVE_INFINITY) {
-            return;
-        }
-        if (wake != null) {
-            wake.cancel(false);
-        }
-        wakeMs = at;
-        wake = channel().eventLoop().schedule(this::giveUpOverdue,
-                (long) (1e6 * Math.max(0, at - DUE_MS - front.intake().now())), TimeUnit.NANOSECONDS);
-    }
-
-    private void giveUpOverdue() {
-        wake = null;
-        wakeMs = Double.POSITIVE_INFINITY;
-        if (order.size() > 1) {
-            for (Exchange e : order.overdue(front.intake().now() + DUE_MS)) {
-                if (!e.done && e.id != null) {
-                    front.intake().giveUp(e.id);
-                }
-            }
-        }
-        watchOrder();
-    }
-
     /** Writes the answers that no earlier one holds up. */
     private void writeReady() {
         while (!slots.isEmpty() && slots.peek().done && phase() != Phase.CLOSING) {
@@ -348,9 +317,7 @@
     @Override
     protected void left() {
         dropWaiting();
-        if (wake != null) {
-            wake.cancel(false);
-        }
+        order.close();
         List<Exchange> open = List.copyOf(slots);
         slots.clear();
         open.forEach(Exchange::drop);
@@ -421,6 +388,13 @@
             }
         }
 
+        /** Its final answer is needed now. */
+        private void giveUp() {
+            if (!done && id != null) {
+                front.intake().giveUp(id);
+            }
+        }
+
         /** Its client has left. */
         private void drop() {
             release();
--- a/gateway/src/main/java/ridgemill/gateway/front/resp/CallOptions.java
+++ b/gateway/src/main/java/ridgemill/gateway/front/resp/CallOptions.java
@@ -1,6 +1,8 @@
 package ridgemill.gateway.front.resp;
 
+import java.util.List;
 import java.util.Locale;
+import ridgemill.deadline.TimeSaid;
 
 /**
  * What a client says of its calls beside the command itself: for a connection by its name ({@code CLIENT SETNAME},
@@ -17,7 +19,6 @@
     static final CallOptions NONE = new CallOptions(null, 0, null, null, false);
     private static final int MOST_ID = 64;
     private static final int MOST_KEY = 128;
-    private static final double MOST_DEADLINE_MS = 3_600_000;
 
     /** The options with one more said; throws where it makes no sense, with a message for the client. */
     CallOptions with(String field, String value, boolean ofOneCall) {
@@ -51,15 +52,15 @@
     }
 
     private static double deadline(String value) {
-        try {
-            double ms = value.endsWith("ms") ? Double.parseDouble(value.substring(0, value.length() - 2))
-                    : value.endsWith("s") ? 1000 * Double.parseDouble(value.substring(0, value.length() - 1))
-                    : Double.NaN;
-            if (ms > 0 && ms <= MOST_DEADLINE_MS) {
+        boolean millis = value.endsWith("ms");
+        int unit = millis ? 2 : value.endsWith("s") ? 1 : 0;
+        if (unit > 0 && TimeSaid.read(List.of(new TimeSaid.Claim(TimeSaid.Form.SECONDS, value.substring(0, value.length() - unit))), 0)
+                instanceof TimeSaid.Left said) {
+            // Read as seconds, a number of milliseconds has an hour as its bound too.
+            double ms = millis ? said.ms() / 1000 : said.ms();
+            if (ms > 0) {
                 return ms;
             }
-        } catch (NumberFormatException e) {
-            // Told of below, as any other text that is no time.
         }
         throw new IllegalArgumentException("deadline is a time such as 250ms or 2s");
     }
--- a/gateway/src/main/java/ridgemill/gateway/front/resp/RespClientConnection.java
+++ b/gateway/src/main/java/ridgemill/gateway/front/resp/RespClientConnection.java
@@ -8,12 +8,12 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.SocketChannelConfig;
-import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
@@ -25,9 +25,9 @@
 import ridgemill.core.Command;
 import ridgemill.core.Gate;
 import ridgemill.core.Intake;
-import ridgemill.deadline.AnswerOrder;
 import ridgemill.deadline.Deadlines;
 import ridgemill.gateway.front.ClientConnection;
+import ridgemill.gateway.front.OrderWatch;
 import ridgemill.gateway.net.Content;
 import ridgemill.gateway.net.Log;
 import ridgemill.gateway.net.Targets;
@@ -54,8 +54,6 @@
     static final int MOST_KEYS = 128;
     private static final int MOST_KEY_BYTES = 512;
     private static final int BUFFER = 64;
-    /** Replies that are due in less than this are due now: what gives them up has to be written yet. */
-    private static final double DUE_MS = 8;
 
     /** A command, when it came, and how old it may have been by then. */
     private record Waiting(Resp.Array command, long arrived, double stalledMs) {
@@ -71,9 +69,7 @@
     private final Session session;
     private final Queue<Waiting> backlog = new ArrayDeque<>();
     private final Deque<Slot> slots = new ArrayDeque<>();
-    private final AnswerOrder<Slot> order = new AnswerOrder<>();
-    private Future<?> wake;
-    private double wakeMs = Double.POSITIVE_INFINITY;
+    private final OrderWatch<Slot> order;
     private final Set<String> calls = new LinkedHashSet<>();
     private final String prefix;
     private long sent;
@@ -89,6 +85,11 @@
         this.front = front;
         this.decoder = decoder;
         this.session = new Session(front, number);
+        this.order = new OrderWatch<>(channel.eventLoop(), front.intake()::now, slot -> {
+            if (!slot.isWhole()) {
+                slot.openCalls().forEach(front.intake()::giveUp);
+            }
+        });
         if (front.halfCloseStays() && channel.config() instanceof SocketChannelConfig config) {
             config.setAllowHalfClosure(true);
         }
@@ -177,7 +178,11 @@
         try {
             if (name.equals("RIDGE.WITH")) {
                 int at = 1;
+                Set<String> said = new HashSet<>();
                 for (; at + 1 < words.size() && !word(words, at).equals("DO"); at += 2) {
+                    if (!said.add(word(words, at))) {
+                        throw new IllegalArgumentException(text(words, at) + " is said twice");
+                    }
                     options = options.with(text(words, at), text(words, at + 1), true);
                 }
                 from = at + 1;
@@ -252,7 +257,7 @@
             ByteBuf value = step == 1 ? Unpooled.EMPTY_BUFFER : ((Resp.Blob) words.get(2 + i * step)).bytes();
             call(slot, i, targets.size(), targets.get(i), value, action, options, passedMs);
         }
-        watchOrder();
+        order.watch();
         return true;
     }
 
@@ -299,30 +304,6 @@
         front.intake().request(go, request, new Command<>(action, target, idempotencyKey, content), client);
     }
 
-    /** Wakes when the first reply is due that another holds up. */
-    private void watchOrder() {
-        double at = order.wakeMs();
-        if (at >= wakeMs || at == Double.POSITIVE_INFINITY) {
-            return;
-        }
-        if (wake != null) {
-            wake.cancel(false);
-        }
-        wakeMs = at;
-        wake = channel().eventLoop().schedule(this::giveUpOverdue,
-                (long) (1e6 * Math.max(0, at - DUE_MS - front.intake().now())), TimeUnit.NANOSECONDS);
-    }
-
-    private void giveUpOverdue() {
-        wake = null;
-        wakeMs = Double.POSITIVE_INFINITY;
-        if (order.size() > 1) {
-            order.overdue(front.intake().now() + DUE_MS).stream().filter(s -> !s.isWhole()).forEach(s ->
-                    s.openCalls().forEach(front.intake()::giveUp));
-        }
-        watchOrder();
-    }
-
     /** What an idempotency key came to: how it stands, the call that it is of, and for how many milliseconds; nil for nothing. */
     private boolean outcome(List<Resp> words) {
         if (words.size() != 2) {
@@ -444,9 +425,7 @@
     @Override
     protected void left() {
         drop(backlog);
-        if (wake != null) {
-            wake.cancel(false);
-        }
+        order.close();
         List<String> open = List.copyOf(calls);
         calls.clear();
         slots.forEach(Slot::drop);
--- a/lab/src/main/java/ridgemill/lab/DeadlinesMeasured.java
+++ b/lab/src/main/java/ridgemill/lab/DeadlinesMeasured.java
@@ -43,7 +43,8 @@
     private static final double STORE_PER_S = STORE_CORES * 1000 / STORE_MS;
     private static final int NODES = 4;
     private static final double LEAVING = 0.33;
-    private static final String CLASSES = """
+    /** The classes of the meter fleet under an operator file, each with its usual attempts. */
+    static final String CLASSES = """
             [classes.latest-reading]
             effect = "safe"
             wanted = "600ms"
--- a/lab/src/test/java/ridgemill/lab/DeadlinesTest.java
+++ b/lab/src/test/java/ridgemill/lab/DeadlinesTest.java
@@ -40,21 +40,7 @@
 class DeadlinesTest {
 
     private static final double SLACK_MS = 250;
-    private static final String FILE = """
-            [classes.latest-reading]
-            effect = "safe"
-            wanted = "600ms"
-            [classes.prepaid-balance]
-            effect = "safe"
-            wanted = "500ms"
-            [classes.supply-status]
-            effect = "safe"
-            total = "1200ms"
-            wanted = "300ms"
-            [classes.recharge-credit]
-            effect = "keyed"
-            repeat-window = "6s"
-            attempts = 2
+    private static final String FILE = DeadlinesMeasured.CLASSES + """
             [groups.hall]
             protocol = "%s"
             nodes = { %s }
--- a/lab/src/test/java/ridgemill/lab/HallDoorTest.java
+++ b/lab/src/test/java/ridgemill/lab/HallDoorTest.java
@@ -14,6 +14,8 @@
 import io.netty.handler.codec.http2.DefaultHttp2DataFrame;
 import io.netty.handler.codec.http2.DefaultHttp2Headers;
 import io.netty.handler.codec.http2.DefaultHttp2HeadersFrame;
+import io.netty.handler.codec.http2.DefaultHttp2ResetFrame;
+import io.netty.handler.codec.http2.Http2Error;
 import io.netty.handler.codec.http2.Http2ChannelDuplexHandler;
 import io.netty.handler.codec.http2.Http2FrameCodecBuilder;
 import io.netty.handler.codec.http2.Http2FrameStream;
@@ -125,6 +127,17 @@
             return status + (head != null && head.contains("rm-ran") ? " " + head.get("rm-ran") : "");
         }
 
+        /** Begins to ask, and takes it back before its body has come; what is left of the body comes afterwards. */
+        void askAndTakeBack(Http2Headers headers) throws Exception {
+            channel.eventLoop().submit(() -> {
+                Http2FrameStream s = newStream();
+                answers.put(s, new LinkedBlockingQueue<>());
+                context.write(new DefaultHttp2HeadersFrame(headers, false).stream(s));
+                context.write(new DefaultHttp2DataFrame(Unpooled.wrappedBuffer(new byte[3]), false).stream(s));
+                context.writeAndFlush(new DefaultHttp2ResetFrame(Http2Error.CANCEL).stream(s));
+            }).get(10, TimeUnit.SECONDS);
+        }
+
         String hello() throws Exception {
             return ask(fields("rm-kind", "hello", "rm-version", "1", "rm-hall", "teku-hall", "rm-nonce", "00"), 0);
         }
@@ -209,6 +222,19 @@
         assertEquals(1, reached());
     }
 
+    /** A cancel that is there before the whole of its request: nothing of it runs, and the next one does. */
+    @Test
+    void aCancelThatOvertakesItsRequestLeavesNothingToRun() throws Exception {
+        Peer peer = new Peer().connect();
+        peer.hello();
+        Http2Headers credit = call("rm-class", "recharge-credit", "rm-idempotency-key", "k").method("PUT");
+        String id = credit.get("rm-id").toString();
+        peer.askAndTakeBack(credit);
+        assertEquals("200", peer.ask(call(), 0));
+        assertEquals(1, reached());
+        assertEquals("200", peer.ask(call("rm-id", id), 0), "its id is free");
+    }
+
     @Test
     void aBodyThatIsTooLongIsTurnedAwayAndAnIdIsTakenOnce() throws Exception {
         Peer peer = new Peer().connect();
