Each refusal and failure says why, by a stable name: answers, counts, log and status

Need: the person who carries the pager saw counts, and nothing that says which rule, limit, node or store turned a class away. Decide names a reason with each final answer that it gives, the joint names its own (too late, unread, held up another, too many open, a fault), the intake limits and lines. Tally counts them by class; the log's line and status tell them; HTTP answers carry X-Reason and RESP errors the name where the operator file has tell-reasons. docs/reasons.md has the table, held by a test.

--- a/core/src/main/java/ridgemill/core/Client.java
+++ b/core/src/main/java/ridgemill/core/Client.java
@@ -1,5 +1,7 @@
 package ridgemill.core;
 
+import ridgemill.policy.Reason;
+
 /** The side of a front that waits for one request's final answer: exactly one of these is called, once. */
 public interface Client<C> {
 
@@ -32,6 +34,9 @@
         refused(retryAfterMs);
     }
 
+    /** Comes right before a refusal or a failure and says why that is; nobody may have anything to say. */
+    default void because(Reason why) { }
+
     /** Failed, with no promise about its effect. */
     void failed();
 
--- a/core/src/main/java/ridgemill/core/Dispatcher.java
+++ b/core/src/main/java/ridgemill/core/Dispatcher.java
@@ -15,6 +15,7 @@
 import ridgemill.deadline.Deadlines;
 import ridgemill.deadline.GroupTimes;
 import ridgemill.deadline.Verdict;
+import ridgemill.policy.Reason;
 import ridgemill.policy.Router.Actions;
 import ridgemill.policy.Router.AttemptEnd;
 import ridgemill.policy.Router.Effect;
@@ -155,7 +156,9 @@
         if (calls.size() >= maxOpen) {
             // Beyond what the settings allow the module is not asked; nothing ran, so this promise is true.
             tally.refused++;
+            tally.because(in.service(), Reason.TOO_MANY_OPEN);
             settled.accept(in.service());
+            client.because(Reason.TOO_MANY_OPEN);
             client.refused(0);
             return;
         }
@@ -187,6 +190,7 @@
     public void giveUp(String id) {
         Call<C> call = calls.get(id);
         if (call != null && !call.over) {
+            call.why = Reason.HELD_UP_ANOTHER;
             endNow(call);
             if (call.out != null) {
                 call.out.cancel();
@@ -288,6 +292,7 @@
         if (call.over || call.out != null) {
             return;
         }
+        call.why = Reason.FAULT;
         if (call.proven) {
             refuseNow(call, 0);
         } else {
@@ -335,6 +340,11 @@
         actions.add(() -> ifOpen(request, call -> refuseNow(call, retryAfterMs)));
     }
 
+    @Override
+    public void because(String request, Reason why) {
+        actions.add(() -> ifOpen(request, call -> call.why = why));
+    }
+
     @Override
     public void fail(String request) {
         actions.add(() -> ifOpen(request, this::failNow));
@@ -380,10 +390,16 @@
         }
     }
 
+    private void say(Call<C> call) {
+        tally.because(call.in.service(), call.why);
+        call.client.because(call.why);
+    }
+
     private void refuseNow(Call<C> call, double retryAfterMs) {
         tally.refused++;
         call.kind.finished(timers.now(), timers.now() - call.bornMs);
         settle(call);
+        say(call);
         if (call.proven && call.out == null) {
             call.client.refused(retryAfterMs);
         } else {
@@ -395,6 +411,7 @@
         tally.failed++;
         call.kind.finished(timers.now(), timers.now() - call.bornMs);
         settle(call);
+        say(call);
         call.client.failed();
     }
 
@@ -431,8 +448,10 @@
             return;
         }
         boolean atStore = stores.contains(node);
-        if (call.kind.maySend(now, now - call.bornMs, left, atStore, attempt == 0) != Verdict.GO) {
+        Verdict verdict = call.kind.maySend(now, now - call.bornMs, left, atStore, attempt == 0);
+        if (verdict != Verdict.GO) {
             // Nobody would be there to read it: its final answer is due now, and the module hears that it is over.
+            call.why = verdict == Verdict.LATE ? Reason.TOO_LATE : Reason.UNREAD;
             endNow(call);
             tally.count(Outcome.NEVER_SENT);
             report(request, call, attempt, node, Outcome.NEVER_SENT, 0, Answer.NO_NOTE);
@@ -527,6 +546,7 @@
         Timers.Timer backstop;
         Sent<C> out;
         int attempts;
+        Reason why = Reason.UNSAID;
         boolean proven = true;
         boolean over;
 
--- a/core/src/main/java/ridgemill/core/Intake.java
+++ b/core/src/main/java/ridgemill/core/Intake.java
@@ -12,6 +12,7 @@
 import ridgemill.deadline.Place;
 import ridgemill.deadline.Verdict;
 import ridgemill.outcome.Known;
+import ridgemill.policy.Reason;
 import ridgemill.policy.Router.Effect;
 import ridgemill.policy.Router.Request;
 import ridgemill.policy.Router.ServiceClass;
@@ -155,6 +156,11 @@
         tally.refused++;
     }
 
+    private void turnedAway(String service, Reason why) {
+        turnedAway();
+        tally.because(service, why);
+    }
+
     /** Takes a request, whose id must not be open; {@code client} gets its one final answer, maybe before this returns. */
     public void request(Gate.Go go, Request in, Command<C> command, Client<C> client) {
         if (go.queueMs() > 0) {
@@ -184,8 +190,10 @@
         Dispatcher<C> dispatcher = groups.get(go.group());
         if (dispatcher == null || times(go).mayGoOn(from, timers.now(), in.budgetMs()) != Verdict.GO) {
             // Dropped since the gate decided, or too late for any answer; nothing ran.
-            turnedAway();
+            Reason why = dispatcher == null ? Reason.GROUP_GONE : Reason.TOO_LATE;
+            turnedAway(in.service(), why);
             settled(in.service());
+            client.because(why);
             client.refused(0);
             return;
         }
@@ -238,7 +246,8 @@
         if (w != null) {
             w.patience().cancel();
             double retryAfterMs = gate.withdrawn(timers.now(), id);
-            turnedAway();
+            turnedAway(w.in().service(), Reason.LIMIT);
+            w.client().because(Reason.LIMIT);
             w.client().limited(retryAfterMs);
         }
     }
--- a/core/src/main/java/ridgemill/core/Recorder.java
+++ b/core/src/main/java/ridgemill/core/Recorder.java
@@ -8,6 +8,7 @@
 import java.util.function.ToLongFunction;
 import ridgemill.outcome.Known;
 import ridgemill.outcome.Outcomes;
+import ridgemill.policy.Reason;
 import ridgemill.policy.Router.Request;
 
 /**
@@ -184,6 +185,14 @@
             List.copyOf(joined).forEach(a -> a.end(counted, () -> answer.accept(a.client)));
         }
 
+        @Override
+        public void because(Reason why) {
+            if (first != null) {
+                first.because(why);
+            }
+            joined.forEach(a -> a.client.because(why));
+        }
+
         @Override
         public void served(Answer<C> answer) {
             tell(Outcomes.End.SERVED, Tally.End.SERVED, c -> c.served(answer));
--- a/core/src/main/java/ridgemill/core/Tally.java
+++ b/core/src/main/java/ridgemill/core/Tally.java
@@ -1,12 +1,17 @@
 package ridgemill.core;
 
 import java.util.Arrays;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.TreeMap;
 import java.util.stream.Collectors;
+import ridgemill.policy.Reason;
 import ridgemill.policy.Router.Outcome;
 
 /** Counts since the start, for the log and for whoever watches. */
 public final class Tally {
 
+    private final Map<String, long[]> reasons = new HashMap<>();
     private final long[] outcomes = new long[Outcome.values().length];
     long requests;
     long served;
@@ -42,6 +47,31 @@
         }
     }
 
+    /** One of this class was refused or has failed, and why. */
+    void because(String service, Reason why) {
+        reasons.computeIfAbsent(service, s -> new long[Reason.values().length])[why.ordinal()]++;
+    }
+
+    /** How many of each class were refused or have failed for each reason that there was; in the order of names. */
+    public Map<String, Map<String, Long>> reasons() {
+        Map<String, Map<String, Long>> all = new TreeMap<>();
+        reasons.forEach((service, counts) -> {
+            Map<String, Long> of = new TreeMap<>();
+            for (Reason r : Reason.values()) {
+                if (counts[r.ordinal()] > 0) {
+                    of.put(r.word(), counts[r.ordinal()]);
+                }
+            }
+            all.put(service, of);
+        });
+        return all;
+    }
+
+    /** How many were refused or have failed for a reason, of all classes. */
+    public long because(Reason why) {
+        return reasons.values().stream().mapToLong(c -> c[why.ordinal()]).sum();
+    }
+
     void count(Outcome outcome) {
         outcomes[outcome.ordinal()]++;
     }
@@ -56,6 +86,12 @@
         for (int i = 0; i < outcomes.length; i++) {
             outcomes[i] += other.outcomes[i];
         }
+        other.reasons.forEach((service, counts) -> {
+            long[] own = reasons.computeIfAbsent(service, s -> new long[counts.length]);
+            for (int i = 0; i < counts.length; i++) {
+                own[i] += counts[i];
+            }
+        });
         return this;
     }
 
@@ -90,6 +126,8 @@
     public String toString() {
         return "requests=" + requests + " served=" + served + " refused=" + refused + " failed=" + failed + " gone="
                 + gone + " attempts: " + Arrays.stream(Outcome.values()).filter(o -> attempts(o) > 0)
-                .map(o -> o + "=" + attempts(o)).collect(Collectors.joining(" "));
+                .map(o -> o + "=" + attempts(o)).collect(Collectors.joining(" ")) + (reasons.isEmpty() ? "" : " reasons: "
+                + Arrays.stream(Reason.values()).filter(r -> because(r) > 0).map(r -> r.word() + "=" + because(r))
+                .collect(Collectors.joining(" ")));
     }
 }
--- a/core/src/main/java/ridgemill/policy/Decide.java
+++ b/core/src/main/java/ridgemill/policy/Decide.java
@@ -250,15 +250,15 @@
         out.timer(r.guard, "r" + in.id());
         if (!hasTime(now, r)) {
             // A try may come with no time left at all: a timer would answer it too late.
-            end(now, r, out);
+            end(now, r, out, Reason.OUT_OF_TIME);
         } else if (knownMissing(now, r) && !hold(r) && !draw(now, r)) {
-            end(now, r, out);
+            end(now, r, out, Reason.NO_TOKEN);
         } else if (r.heldOnce) {
             return;
         } else if (in.write() && hasOrigin) {
             fetch(now, r, out);
         } else if (r.draw > goOn || in.write() && !bank.draw(now, r.low)) {
-            end(now, r, out);
+            end(now, r, out, r.draw > goOn ? Reason.FLEET_SILENT : Reason.NO_TOKEN);
         } else {
             lookUp(now, r, out);
         }
@@ -359,7 +359,7 @@
         } else if (token.startsWith("r")) {
             Held r = requests.get(token.substring(1));
             if (r != null && !r.streaming) {
-                end(now, r, out);
+                end(now, r, out, Reason.OUT_OF_TIME);
             }
         } else if (token.startsWith("w")) {
             Held r = requests.get(token.substring(1));
@@ -407,7 +407,8 @@
             }
             room.add(r);
         } else {
-            end(now, r, out);
+            end(now, r, out, r.crowded ? Reason.CROWDED
+                    : r.tried.isEmpty() ? Reason.NO_NODE : Reason.NODES_FAILED);
         }
     }
 
@@ -445,14 +446,15 @@
                 && (outcome != Outcome.TIMEOUT || r.draw < 2 * answeredShare - 1)) {
             again(now, r, false, out);
         } else {
-            end(now, r, out);
+            end(now, r, out, mayRepeat(now, r) || r.tried.size() > 1 ? Reason.NODES_FAILED
+                    : Reason.NO_REPEAT);
         }
     }
 
     /** Fetches from the origin if a token is had; joins a fetch of ours that is out for the same key. */
     private void fetch(double now, Held r, Actions out) {
         if (origin == null || !origin.listed || !hasTime(now, r)) {
-            end(now, r, out);
+            end(now, r, out, hasTime(now, r) ? Reason.NO_STORE : Reason.OUT_OF_TIME);
         } else if (!r.in.write() && hold(r)) {
             return;
         } else if (!draw(now, r)) {
@@ -460,7 +462,7 @@
             if (missing.size() > MISSING_KEYS) {
                 missing.remove(missing.keySet().iterator().next());
             }
-            end(now, r, out);
+            end(now, r, out, Reason.NO_TOKEN);
         } else {
             r.hasToken = false;
             if (!r.in.write() && r.in.key() >= 0 && !fetching.containsKey(r.in.key())) {
@@ -492,7 +494,7 @@
         if (again && may && r.fetchTries++ == 0 && mayRepeat(now, r)) {
             again(now, r, true, out);
         } else {
-            end(now, r, out);
+            end(now, r, out, Reason.STORE_FAILED);
         }
     }
 
@@ -503,7 +505,7 @@
         if (wait <= 0) {
             repeat(now, r, out);
         } else if (now + wait + Math.max(guardMs, out.leastMs(r.in.id())) >= r.guard) {
-            end(now, r, out);
+            end(now, r, out, Reason.OUT_OF_TIME);
         } else {
             out.timer(now + wait, "w" + r.in.id());
         }
@@ -511,7 +513,7 @@
 
     private void repeat(double now, Held r, Actions out) {
         if (!mayRepeat(now, r)) {
-            end(now, r, out);
+            end(now, r, out, hasTime(now, r) ? Reason.NO_REPEAT : Reason.OUT_OF_TIME);
         } else if (r.refetches) {
             fetch(now, r, out);
         } else {
@@ -617,7 +619,7 @@
 
     private void send(double now, Held r, NodeView node, double timeoutMs, Actions out) {
         if (r.attempts >= settings.limits().maxAttempts() || !hasTime(now, r)) {
-            end(now, r, out);
+            end(now, r, out, hasTime(now, r) ? Reason.NO_REPEAT : Reason.OUT_OF_TIME);
             return;
         }
         r.attempts++;
@@ -636,7 +638,8 @@
     }
 
     /** The one final answer that we give: a refusal where it is a true promise, else a failure. */
-    private void end(double now, Held r, Actions out) {
+    private void end(double now, Held r, Actions out, Reason why) {
+        out.because(r.in.id(), why);
         requests.remove(r.in.id());
         letGo(now, r, out);
         boolean harmless = switch (r.service.effect()) {
--- a/core/src/main/java/ridgemill/policy/Router.java
+++ b/core/src/main/java/ridgemill/policy/Router.java
@@ -198,6 +198,9 @@
         /** Closes this proxy's idle connections to a node. */
         void close(String node);
 
+        /** Says why the final answer that is asked for next is what it is. */
+        default void because(String request, Reason why) { }
+
         /** The least time in which an answer to a request like this one may be hoped for; 0 where that is not known. */
         default double leastMs(String request) {
             return 0;
--- a/core/src/test/java/ridgemill/policy/Bench.java
+++ b/core/src/test/java/ridgemill/policy/Bench.java
@@ -106,6 +106,11 @@
         return out.sent.stream().filter(s -> s.request().equals(id)).reduce((a, b) -> b).orElseThrow().node();
     }
 
+    /** Whether an attempt of it has not ended yet. */
+    boolean isOut(String id) {
+        return sendsOf(id) > attempts.getOrDefault(id, 0);
+    }
+
     long sendsOf(String id) {
         return out.sent.stream().filter(s -> s.request().equals(id)).count();
     }
--- /dev/null
+++ b/core/src/test/java/ridgemill/policy/ReasonsTest.java
@@ -0,0 +1,123 @@
+package ridgemill.policy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashSet;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+import ridgemill.policy.Router.Availability;
+import ridgemill.policy.Router.Outcome;
+
+/** Each final answer that the decisions give says why, and says what it was. */
+class ReasonsTest {
+
+    @Test
+    void namesAreStableWordsAndEachIsItsOwn() {
+        assertEquals(Reason.values().length, new HashSet<>(Arrays.stream(Reason.values()).map(Reason::word).toList()).size());
+        assertTrue(Arrays.stream(Reason.values()).allMatch(r -> r.word().matches("[a-z]+(-[a-z]+)*") && !r.text().isEmpty()));
+    }
+
+    /** A reason that operators can't look up is of no use to them. */
+    @Test
+    void thePageHasEachReasonWithItsMeaning() throws IOException {
+        String page = Files.readString(Path.of("..", "docs", "reasons.md"));
+        for (Reason r : Reason.values()) {
+            assertTrue(page.contains("| `" + r.word() + "` | " + r.text() + " |"), r.word());
+        }
+    }
+
+    @Test
+    void aCrowdedPairIsTheReasonOfWhatItCannotTake() {
+        Bench b = Bench.withCaches(2);
+        for (int i = 0; i < 60; i++) {
+            b.ask("dear", i);
+        }
+        b.advance(150);
+        assertTrue(b.out.refused.size() > 40);
+        b.out.refused.forEach(id -> assertEquals(Reason.CROWDED, b.out.reasons.get(id)));
+    }
+
+    @Test
+    void aMissWithoutAStoreSaysSo() {
+        Bench b = Bench.withCaches(3);
+        b.change(new Router.Node("db", "origin", "z", 0, 1, 0, Availability.DRAINING));
+        String id = b.ask("dear", 5);
+        while (b.out.answers(id) == 0) {
+            b.end(id, Outcome.MISS);
+        }
+        assertEquals(Reason.NO_STORE, b.out.reasons.get(id));
+    }
+
+    @Test
+    void timeThatRunsOutAndAttemptsThatMayNotBeRepeatedAreToldApart() {
+        Bench b = Bench.withCaches(3);
+        String waits = b.ask("dear", 5);
+        b.advance(Bench.BUDGET);
+        assertEquals(Reason.OUT_OF_TIME, b.out.reasons.get(waits));
+        b = Bench.withCaches(3);
+        String unsafe = b.ask("unsafe", 6);
+        b.end(unsafe, Outcome.RESET);
+        assertEquals(Reason.NO_REPEAT, b.out.reasons.get(unsafe));
+        b = Bench.withCaches(3);
+        String store = b.ask("dear", 7);
+        while (!b.nodeOf(store).equals("db")) {
+            b.end(store, Outcome.MISS);
+        }
+        b.end(store, Outcome.TIMEOUT);
+        assertEquals(Reason.STORE_FAILED, b.out.reasons.get(store));
+    }
+
+    @Test
+    void aThrottledStoreIsTheReasonOfWhatGotNoToken() {
+        Bench b = Bench.withCaches(4);
+        for (int i = 0; i < 8; i++) {
+            b.interval(20, 0);
+        }
+        for (int i = 0; i < 4; i++) {
+            b.interval(2, 18);
+        }
+        assertTrue(b.router.level() > 0);
+        assertTrue(b.out.reasons.containsValue(Reason.NO_TOKEN), b.out.reasons.values().toString());
+    }
+
+    /** Whatever happens, nobody is turned away without a reason. */
+    @Test
+    void noAnswerIsWithoutAReason() {
+        long seed = System.nanoTime();
+        System.out.println("ReasonsTest seed " + seed);
+        SplittableRandom random = new SplittableRandom(seed);
+        Bench b = Bench.withCaches(4);
+        List<String> open = new ArrayList<>();
+        String[] classes = {"cheap", "dear", "keyed", "unsafe"};
+        Outcome[] outcomes = {Outcome.OK, Outcome.OK, Outcome.MISS, Outcome.MISS, Outcome.RESET, Outcome.TIMEOUT, Outcome.ERROR,
+            Outcome.REJECTED, Outcome.CONNECT_FAILED};
+        for (int i = 0; i < 4000; i++) {
+            String service = classes[random.nextInt(classes.length)];
+            open.add(b.ask(service, random.nextInt(50), service.equals("keyed")));
+            for (int n = random.nextInt(4); n > 0; n--) {
+                String id = open.get(random.nextInt(open.size()));
+                long sends = b.sendsOf(id);
+                if (b.out.answers(id) == 0 && sends > 0 && b.isOut(id)) {
+                    b.end(id, outcomes[random.nextInt(outcomes.length)]);
+                }
+            }
+            if (open.size() > 40) {
+                open.remove(0);
+            }
+            b.advance(random.nextInt(12));
+        }
+        b.advance(Bench.BUDGET);
+        assertTrue(b.out.refused.size() + b.out.failed.size() > 100);
+        for (List<String> answered : List.of(b.out.refused, b.out.failed)) {
+            answered.forEach(id -> assertNotEquals(Reason.UNSAID, b.out.reasons.getOrDefault(id, Reason.UNSAID), id + ", seed " + seed));
+        }
+    }
+}
--- a/core/src/test/java/ridgemill/policy/Sink.java
+++ b/core/src/test/java/ridgemill/policy/Sink.java
@@ -20,6 +20,7 @@
     final List<String> cancelled = new ArrayList<>();
     final List<String> closed = new ArrayList<>();
     final List<byte[]> told = new ArrayList<>();
+    final java.util.Map<String, Reason> reasons = new java.util.HashMap<>();
     int subscriptions;
 
     @Override
@@ -40,6 +41,11 @@
         refused.add(request);
     }
 
+    @Override
+    public void because(String request, Reason why) {
+        reasons.put(request, why);
+    }
+
     @Override
     public void fail(String request) {
         log.add("fail " + request);
--- a/gateway/src/main/java/ridgemill/gateway/Service.java
+++ b/gateway/src/main/java/ridgemill/gateway/Service.java
@@ -10,6 +10,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -439,20 +440,30 @@
      * @param clients clients' connections
      * @param nodes connections to nodes
      * @param level the decisions' present level of throttling, 0 for none
+     * @param reasons why requests were refused or failed, by class and by the reason's stable name
      */
     public record Status(long requests, long served, long refused, long failed, long gone, int owed, int clients,
-                         int nodes, int level) {
+                         int nodes, int level, Map<String, Map<String, Long>> reasons) {
 
         /** Of two loops together; the level is the higher one's. */
         Status plus(Status o) {
             return new Status(requests + o.requests, served + o.served, refused + o.refused, failed + o.failed, gone + o.gone,
-                    owed + o.owed, clients + o.clients, nodes + o.nodes, Math.max(level, o.level));
+                    owed + o.owed, clients + o.clients, nodes + o.nodes, Math.max(level, o.level), both(reasons, o.reasons));
+        }
+
+        private static Map<String, Map<String, Long>> both(Map<String, Map<String, Long>> a, Map<String, Map<String, Long>> b) {
+            Map<String, Map<String, Long>> sum = new TreeMap<>();
+            for (Map<String, Map<String, Long>> of : List.of(a, b)) {
+                of.forEach((service, counts) -> counts.forEach((why, n) ->
+                        sum.computeIfAbsent(service, s -> new TreeMap<>()).merge(why, n, Long::sum)));
+            }
+            return sum;
         }
 
         static Status of(Counts c, int level) {
             Tally t = c.tally();
             return new Status(t.requests(), t.served(), t.refused(), t.failed(), t.gone(), c.owed(), c.clients(), c.nodes(),
-                    level);
+                    level, t.reasons());
         }
     }
 
--- a/gateway/src/main/java/ridgemill/gateway/front/http/HttpClientConnection.java
+++ b/gateway/src/main/java/ridgemill/gateway/front/http/HttpClientConnection.java
@@ -40,6 +40,7 @@
 import ridgemill.gateway.net.LeanHttp;
 import ridgemill.gateway.net.Log;
 import ridgemill.gateway.net.StrictHttp;
+import ridgemill.policy.Reason;
 
 /**
  * One client's HTTP/1.1 connection. Its requests are answered in their order (RFC 9112, section 9.3.2); as many as the front's
@@ -205,7 +206,8 @@
             front.intake().turnedAway();
             busy();
             open(exchange, Double.POSITIVE_INFINITY);
-            exchange.ready(HttpResponseStatus.TOO_MANY_REQUESTS, refused.retryAfterMs());
+            exchange.because(Reason.LIMIT);
+            exchange.limited(refused.retryAfterMs());
         } else if (read instanceof HttpRequests.Outcome asked) {
             busy();
             open(exchange, Double.POSITIVE_INFINITY);
@@ -351,6 +353,7 @@
         private double retryAfterMs;
         private Content content;
         private String note;
+        private String why;
 
         Exchange(boolean keepAlive, boolean read) {
             this.keepAlive = keepAlive;
@@ -425,19 +428,24 @@
             ready(HttpResponseStatus.UNPROCESSABLE_ENTITY, 0);
         }
 
+        @Override
+        public void because(Reason reason) {
+            why = front.terms().tellsWhy() ? "\r\nx-reason: " + reason.word() : null;
+        }
+
         @Override
         public void refused(double retryAfterMs) {
-            ready(HttpResponseStatus.SERVICE_UNAVAILABLE, retryAfterMs);
+            ready(HttpResponseStatus.SERVICE_UNAVAILABLE, retryAfterMs, Content.EMPTY, why);
         }
 
         @Override
         public void limited(double retryAfterMs) {
-            ready(HttpResponseStatus.TOO_MANY_REQUESTS, retryAfterMs);
+            ready(HttpResponseStatus.TOO_MANY_REQUESTS, retryAfterMs, Content.EMPTY, why);
         }
 
         @Override
         public void failed() {
-            ready(HttpResponseStatus.BAD_GATEWAY, 0);
+            ready(HttpResponseStatus.BAD_GATEWAY, 0, Content.EMPTY, why);
         }
     }
 
--- a/gateway/src/main/java/ridgemill/gateway/front/http/HttpTerms.java
+++ b/gateway/src/main/java/ridgemill/gateway/front/http/HttpTerms.java
@@ -10,8 +10,14 @@
  * @param unsaid whether one that says nothing has its class's time; else it is no request
  * @param halfCloseStays whether a client that ends its sending may still read its answers; else it has left
  * @param sideBySide how many requests of one connection are carried out at a time, at least 1; answers keep their order
+ * @param tellsWhy whether refusals and failures carry their reason, by its stable name, in {@code X-Reason}
  */
-public record HttpTerms(Set<Form> forms, boolean unsaid, boolean halfCloseStays, int sideBySide) {
+public record HttpTerms(Set<Form> forms, boolean unsaid, boolean halfCloseStays, int sideBySide, boolean tellsWhy) {
+
+    /** Terms under which nobody is told why. */
+    public HttpTerms(Set<Form> forms, boolean unsaid, boolean halfCloseStays, int sideBySide) {
+        this(forms, unsaid, halfCloseStays, sideBySide, false);
+    }
 
     /** The platform's: seconds are said by all, a client that closes has left, and each request waits for those before it. */
     public static final HttpTerms PLATFORM = new HttpTerms(Set.of(Form.SECONDS), false, false, 1);
--- a/gateway/src/main/java/ridgemill/gateway/front/resp/RespClientConnection.java
+++ b/gateway/src/main/java/ridgemill/gateway/front/resp/RespClientConnection.java
@@ -34,6 +34,7 @@
 import ridgemill.gateway.net.resp.Resp;
 import ridgemill.gateway.net.resp.RespDecoder;
 import ridgemill.gateway.net.resp.RespException;
+import ridgemill.policy.Reason;
 import ridgemill.policy.Router.Request;
 import ridgemill.route.Query;
 
@@ -278,6 +279,7 @@
                 NO_HEADERS), options.service(), options.again(), value.readableBytes(), budget));
         if (entry instanceof Gate.Refuse refused) {
             front.intake().turnedAway();
+            client.because(Reason.LIMIT);
             client.limited(refused.retryAfterMs());
             return;
         }
@@ -355,6 +357,10 @@
         write();
     }
 
+    boolean tellsWhy() {
+        return front.tellsWhy();
+    }
+
     /** A call has its final answer. */
     void settled(String id) {
         calls.remove(id);
--- a/gateway/src/main/java/ridgemill/gateway/front/resp/RespFront.java
+++ b/gateway/src/main/java/ridgemill/gateway/front/resp/RespFront.java
@@ -25,6 +25,7 @@
     private final WayBack wayBack;
     private Map<String, String> passwords = Map.of();
     private boolean halfCloseStays;
+    private boolean tellsWhy;
     private long connections;
 
     /** A front whose connections go into a table that it may share with others. */
@@ -77,6 +78,15 @@
         halfCloseStays = stays;
     }
 
+    /** Whether refusals and failures say why, by the reason's stable name. */
+    public void tellsWhy(boolean tells) {
+        tellsWhy = tells;
+    }
+
+    boolean tellsWhy() {
+        return tellsWhy;
+    }
+
     boolean halfCloseStays() {
         return halfCloseStays;
     }
--- a/gateway/src/main/java/ridgemill/gateway/front/resp/Slot.java
+++ b/gateway/src/main/java/ridgemill/gateway/front/resp/Slot.java
@@ -14,6 +14,7 @@
 import ridgemill.gateway.net.Content;
 import ridgemill.gateway.net.resp.Resp;
 import ridgemill.gateway.net.resp.RespWriter;
+import ridgemill.policy.Reason;
 
 /**
  * A command's place in its connection's order: its reply is written when those of all before it are. It is made of as many
@@ -39,6 +40,7 @@
     private double dueMs = Double.POSITIVE_INFINITY;
     private double retryAfterMs;
     private boolean conflicts;
+    private Reason why;
     private int open;
     private ByteBuf reply;
 
@@ -164,6 +166,11 @@
                 ended(End.FAILED, 0);
             }
 
+            @Override
+            public void because(Reason reason) {
+                why = reason;
+            }
+
             @Override
             public void recorded(String call) {
                 if (open > 0) {
@@ -208,6 +215,11 @@
         return n;
     }
 
+    /** An error, with the reason behind it where clients are told. */
+    private void writeError(Resp.Err error) {
+        write(why == null || !connection.tellsWhy() ? error : new Resp.Err(error.text() + " [" + why.word() + "]"));
+    }
+
     private void finish() {
         int done = count(End.DONE);
         if (conflicts) {
@@ -215,13 +227,13 @@
         } else if (done == ends.length) {
             write(result());
         } else if (action == Command.Action.READ && count(End.FAILED) == 0) {
-            write(Replies.refused(count(End.UNPROVEN) > 0 ? Replies.Why.HARMLESS : count(End.LIMITED) > 0 ? Replies.Why.LIMIT
+            writeError(Replies.refused(count(End.UNPROVEN) > 0 ? Replies.Why.HARMLESS : count(End.LIMITED) > 0 ? Replies.Why.LIMIT
                     : Replies.Why.NOTHING_RAN, retryAfterMs));
         } else if (count(End.LIMITED) + count(End.REFUSED) == ends.length) {
-            write(Replies.refused(count(End.LIMITED) > 0 ? Replies.Why.LIMIT : Replies.Why.NOTHING_RAN, retryAfterMs));
+            writeError(Replies.refused(count(End.LIMITED) > 0 ? Replies.Why.LIMIT : Replies.Why.NOTHING_RAN, retryAfterMs));
         } else {
             // A write of which any part may have run never reads as refused.
-            write(Replies.failed(action, done, ends.length, count(End.FAILED) == 0));
+            writeError(Replies.failed(action, done, ends.length, count(End.FAILED) == 0));
         }
         releaseValues();
     }
--- a/gateway/src/main/java/ridgemill/gateway/halls/HallCrossings.java
+++ b/gateway/src/main/java/ridgemill/gateway/halls/HallCrossings.java
@@ -37,6 +37,7 @@
 import ridgemill.halls.Passing;
 import ridgemill.halls.Trail;
 import ridgemill.outcome.Known;
+import ridgemill.policy.Reason;
 import ridgemill.policy.Router.Effect;
 import ridgemill.policy.Router.Request;
 import ridgemill.policy.Router.ServiceClass;
@@ -444,6 +445,11 @@
             next(() -> halls.homeEnded(timers.now(), passing, end, !home.isOpen(in.id())));
         }
 
+        @Override
+        public void because(Reason why) {
+            client.because(why);
+        }
+
         @Override
         public void served(Answer<Content> answer) {
             homeEnded(HomeEnd.SERVED, Tally.End.SERVED, () -> client.served(answer));
--- a/gateway/src/main/java/ridgemill/gateway/operator/DeadlineSettings.java
+++ b/gateway/src/main/java/ridgemill/gateway/operator/DeadlineSettings.java
@@ -9,8 +9,4 @@
  * @param policy what is made of them
  * @param terms how clients over HTTP may say them, and what becomes of their connections
  */
-public record DeadlineSettings(DeadlinePolicy policy, HttpTerms terms) {
-
-    /** A file that says nothing of it: the platform's terms. */
-    static final DeadlineSettings USUAL = new DeadlineSettings(DeadlinePolicy.USUAL, HttpTerms.PLATFORM);
-}
+public record DeadlineSettings(DeadlinePolicy policy, HttpTerms terms) { }
--- a/gateway/src/main/java/ridgemill/gateway/operator/DeadlinesSection.java
+++ b/gateway/src/main/java/ridgemill/gateway/operator/DeadlinesSection.java
@@ -20,15 +20,19 @@
     private DeadlinesSection() { }
 
     static DeadlineSettings read(Section root) {
+        boolean tellsWhy = root.flag("tell-reasons").orElse(false);
         return root.table("deadlines").map(s -> {
             DeadlinePolicy policy = new DeadlinePolicy(s.flag("drop").orElse(true), s.flag("unread").orElse(true),
                     s.flag("weigh-cancels").orElse(false), s.number("most-reserve", 0, MOST_RESERVE).orElse(0.1));
             boolean required = s.flag("required").orElse(true);
             HttpTerms terms = new HttpTerms(forms(s), !required, s.word("half-close", HALF_CLOSE).orElse("leaves").equals("stays"),
-                    s.count("side-by-side", 1, MOST_SIDE_BY_SIDE).orElse(SIDE_BY_SIDE));
+                    s.count("side-by-side", 1, MOST_SIDE_BY_SIDE).orElse(SIDE_BY_SIDE), tellsWhy);
             s.done();
             return new DeadlineSettings(policy, terms);
-        }).orElse(DeadlineSettings.USUAL);
+        }).orElseGet(() -> {
+            HttpTerms t = HttpTerms.PLATFORM;
+            return new DeadlineSettings(DeadlinePolicy.USUAL, new HttpTerms(t.forms(), t.unsaid(), t.halfCloseStays(), t.sideBySide(), tellsWhy));
+        });
     }
 
     private static Set<Form> forms(Section s) {
--- a/gateway/src/main/java/ridgemill/gateway/operator/Operated.java
+++ b/gateway/src/main/java/ridgemill/gateway/operator/Operated.java
@@ -94,6 +94,7 @@
             service.terms(next.terms());
             if (resp != null) {
                 resp.halfCloseStays(next.terms().halfCloseStays());
+                resp.tellsWhy(next.terms().tellsWhy());
             }
         }
 
@@ -297,6 +298,7 @@
                     seat.resp = new RespFront(seat.service.loop(), seat.service.intake(), seat.service.clients());
                     seat.service.onStop(seat.resp::stop);
                     seat.resp.halfCloseStays(config.deadlines().terms().halfCloseStays());
+                    seat.resp.tellsWhy(config.deadlines().terms().tellsWhy());
                     seat.passwords(config);
                 }
             });
--- a/gateway/src/test/java/ridgemill/gateway/DeadlinesTest.java
+++ b/gateway/src/test/java/ridgemill/gateway/DeadlinesTest.java
@@ -16,6 +16,7 @@
 import ridgemill.gateway.front.http.HttpTerms;
 import ridgemill.outcome.MemoryOutcomes;
 import ridgemill.outcome.Outcomes;
+import ridgemill.policy.Reason;
 import ridgemill.policy.Router.Outcome;
 
 /** Clients' time over sockets: pipelines, half-closed connections, stalls, and what a key came to. */
@@ -254,6 +255,21 @@
         assertEquals(1, site.router.requests.size(), "one of them ran");
     }
 
+    @Test
+    void anAnswerSaysWhyWhereTheFileSaysSo() throws Exception {
+        start(new HttpTerms(Set.of(Form.SECONDS), false, false, 1, true));
+        site.router.onRequest = (request, out) -> {
+            out.because(request.id(), Reason.CROWDED);
+            out.refuse(request.id(), 0);
+        };
+        client.write(site.get(Site.LONG_S));
+        assertTrue(client.read().contains("x-reason: crowded"));
+        assertEquals(1L, site.service.status().reasons().get("read").get("crowded"));
+        site.service.between(() -> site.service.terms(HttpTerms.PLATFORM));
+        client.write(site.get(Site.LONG_S));
+        assertTrue(!client.read().contains("x-reason"), "the platform's clients are told what they were told before");
+    }
+
     @Test
     void whereNothingIsRecordedNobodyCanAsk() throws Exception {
         start(sideBySide(false));
