--- a/lab/src/main/java/ridgemill/lab/DeadlinesMeasured.java
+++ b/lab/src/main/java/ridgemill/lab/DeadlinesMeasured.java
@@ -5,6 +5,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
@@ -64,6 +65,7 @@
     private enum Way {
         NOTHING("nothing cancelled", "[deadlines]\ndrop = false\nunread = false\n"),
         CANCELS("cancels alone", "[deadlines]\ndrop = false\nunread = false\n"),
+        DROPS("cancels, and what is too late dropped", "[deadlines]\nunread = false\n"),
         ALL("all, credits recorded", "[deadlines]\nside-by-side = 4\n[outcomes]\nkeep = \"60s\"\n");
 
         private final String name;
@@ -135,6 +137,24 @@
         return r.totalMemory() - r.freeMemory();
     }
 
+    /** The ways at one load, in turn, each round with a seed of its own. */
+    void compare(double load, int rounds) throws Exception {
+        System.out.printf(Locale.ROOT, "seeds %d to %d, %.1f times what the store can do, %.0f s each: served/s, store's time for nobody%n", seed,
+                seed + rounds - 1, load, seconds);
+        Map<Way, List<double[]>> all = new EnumMap<>(Way.class);
+        for (int round = 0; round < rounds; round++) {
+            for (Way way : Way.values()) {
+                Ledger ledger = new DeadlinesMeasured(seed + round, seconds, directory).play(way, Protocol.HTTP, Protocol.HTTP, load, 20);
+                OrphanWork o = OrphanWork.of(ledger, "db");
+                double served = ledger.clients().stream().filter(c -> c.leftAt() == 0 && OrphanWork.isServed(c)).map(ClientEntry::first)
+                        .distinct().count() / seconds;
+                all.computeIfAbsent(way, w -> new ArrayList<>()).add(new double[] {served, o.unreadMs() / Math.max(1, o.storeMs())});
+            }
+        }
+        all.forEach((way, figures) -> System.out.println(way.name + ": " + figures.stream().map(f ->
+                String.format(Locale.ROOT, "%.0f %.3f", f[0], f[1])).collect(Collectors.joining(", "))));
+    }
+
     private void tell(String name, Ledger ledger) {
         OrphanWork o = OrphanWork.of(ledger, "db");
         List<ClientEntry> clients = ledger.clients();
--- a/lab/src/main/java/ridgemill/lab/Main.java
+++ b/lab/src/main/java/ridgemill/lab/Main.java
@@ -130,10 +130,21 @@
         @Option(names = "--seconds", paramLabel = "N", defaultValue = "8",
                 description = "Length of each play (default: ${DEFAULT-VALUE}).")
         private double seconds;
+        @Option(names = "--rounds", paramLabel = "N", defaultValue = "0",
+                description = "Compare the ways at one load alone, so often in turn; 0, the default, plays all once.")
+        private int rounds;
+        @Option(names = "--load", paramLabel = "N", defaultValue = "2.5",
+                description = "With --rounds, how many times what the store can do (default: ${DEFAULT-VALUE}).")
+        private double load;
 
         @Override
         public Integer call() throws Exception {
-            new DeadlinesMeasured(seed, seconds, Files.createTempDirectory("deadlines")).run();
+            DeadlinesMeasured measured = new DeadlinesMeasured(seed, seconds, Files.createTempDirectory("deadlines"));
+            if (rounds > 0) {
+                measured.compare(load, rounds);
+            } else {
+                measured.run();
+            }
             return 0;
         }
     }
