--- a/gateway/src/main/java/ridgemill/gateway/Warmup.java
+++ b/gateway/src/main/java/ridgemill/gateway/Warmup.java
@@ -24,6 +24,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.channels.ClosedSelectorException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
@@ -58,15 +59,15 @@
 /**
  * Runs the proxy's own path before clients come, with a proxy of its own and nothing that leaves the process. On part of
  * a core the Java machine needs seconds to load and compile it; requests that came meanwhile were all too late, and
- * what the module then learned of nodes and origin was learned of us.
+ * what the module then learned of nodes and origin was learned of us. The loop that runs it never rests, so it looks at the
+ * time itself: on one core no other thread is sure to be run meanwhile, whatever it waits for.
  */
 final class Warmup {
 
-    static final int REQUESTS = 2000;
-    /** It may take no longer while peers serve: at a rolling restart the next proxy goes down 3 s after this one did. */
-    private static final long PATIENCE_MS = 2000;
-    /** And so much longer where none is heard: at the first start of all nobody waits for us. */
-    private static final long ALONE_MS = 2000;
+    /** A bound on memory and time where nothing else ends it. */
+    private static final long GIVE_UP_MS = 20_000;
+    /** Requests between two looks at the time and at what peers say. */
+    private static final int ROUND = 50;
     private static final int AT_ONCE = 4;
     private static final int NODES = 4;
     /** One of so many requests is a miss at its cache node. */
@@ -77,21 +78,30 @@
     private final EventLoop loop = group.next();
     private final CountDownLatch done = new CountDownLatch(1);
     private final Settings settings;
+    private final WarmupEnd end;
+    private final PeerEar ear;
+    private long began;
     private int sent;
     private volatile int served;
 
-    private Warmup(Settings settings) {
+    private Warmup(Settings settings, WarmupEnd end, PeerEar ear) {
         this.settings = settings;
+        this.end = end;
+        this.ear = ear;
     }
 
     /** Returns how many requests were answered, when it has run long enough; a fault in it costs its gain alone. */
     static int run(Settings settings, InetSocketAddress peerListen) throws IOException, InterruptedException {
-        Warmup warmup = new Warmup(settings);
-        try (PeerEar ear = new PeerEar(peerListen)) {
+        return run(settings, peerListen, WarmupEnd.usual());
+    }
+
+    static int run(Settings settings, InetSocketAddress peerListen, WarmupEnd end) throws IOException, InterruptedException {
+        PeerEar ear = new PeerEar(peerListen);
+        Warmup warmup = new Warmup(settings, end, ear);
+        try (ear) {
             warmup.start();
-            if (!warmup.done.await(PATIENCE_MS, TimeUnit.MILLISECONDS) && peerListen != null && !ear.heard(0)) {
-                warmup.done.await(ALONE_MS, TimeUnit.MILLISECONDS);
-            }
+            // The loop ends it. This thread may not get to run before the loop rests, which in a warm-up it never does.
+            warmup.done.await(GIVE_UP_MS, TimeUnit.MILLISECONDS);
             Log.info("warmed up with " + warmup.served + " requests");
             return warmup.served;
         } finally {
@@ -132,6 +142,7 @@
             dispatcher.nodes(ListKind.FULL, list.version(), list.nodes());
         }).sync();
         clients.listen(Transport.IN_PROCESS, front).sync();
+        began = System.nanoTime();
         for (int i = 0; i < AT_ONCE; i++) {
             client(front);
         }
@@ -218,11 +229,29 @@
             if (answer.status().equals(HttpResponseStatus.OK)) {
                 answered();
             }
-            if (sent < REQUESTS) {
+            if (done.getCount() > 0 && !ends()) {
                 ask(ctx);
-            } else {
+            }
+        }
+
+        /** Looks at the time on the loop itself, at the end of each round. */
+        private boolean ends() {
+            if (sent % ROUND != 0) {
+                return false;
+            }
+            boolean over = end.over(sent, TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - began) / 1000.0, peersServe());
+            if (over) {
                 done.countDown();
             }
+            return over;
+        }
+
+        private boolean peersServe() {
+            try {
+                return ear.heard(0);
+            } catch (IOException | ClosedSelectorException e) {
+                return false;
+            }
         }
 
         private void ask(ChannelHandlerContext ctx) {
