Discovery is asked before the warm-up; the rehearsal goes through a whole start

And of the classes a start loads 235 were not in the archive: the configuration's reader, the pooled allocator, datagrams, a discovery that answers, and the method handles of the SIGHUP handler, which no archive holds. Ruled out: that a shorter warm-up costs what comes after it. Cause: Service.start warmed up and only then opened the watch, and rehearse() made its configuration by hand, found no discovery and used no sockets. Change: the watch starts first; the warm-up rests 1 ms each 50 requests, so that on one core the proxy's own loop can hear the answer; Rehearsal parses a configuration, has a list and a change from a discovery, serves over sockets and takes two steps of the decisions, under the allocator of `run`; SIGHUP's handler is a plain proxy. Twenty classes are left outside the archive.

--- a/gateway/src/main/java/ridgemill/Main.java
+++ b/gateway/src/main/java/ridgemill/Main.java
@@ -21,7 +21,7 @@
 
     private Main() { }
 
-    public static void main(String[] args) throws IOException, InterruptedException {
+    public static void main(String[] args) throws ConfigException, IOException, InterruptedException {
         switch (args.length == 1 ? args[0] : "") {
             case "serve" -> serve();
             case "rehearse" -> Service.rehearse();
--- a/gateway/src/main/java/ridgemill/gateway/Hangup.java
+++ b/gateway/src/main/java/ridgemill/gateway/Hangup.java
@@ -1,9 +1,6 @@
 package ridgemill.gateway;
 
-import java.lang.invoke.MethodHandle;
-import java.lang.invoke.MethodHandleProxies;
-import java.lang.invoke.MethodHandles;
-import java.lang.invoke.MethodType;
+import java.lang.reflect.Proxy;
 
 /**
  * SIGHUP, the usual sign for a new configuration; unhandled it ends a process. The Java machine's interface to signals
@@ -18,11 +15,17 @@
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
-            MethodHandles.Lookup lookup = MethodHandles.publicLookup();
-            MethodHandle run = lookup.findVirtual(Runnable.class, "run", MethodType.methodType(void.class))
-                    .bindTo(reload);
-            Object handling = MethodHandleProxies.asInterfaceInstance(handler,
-                    MethodHandles.dropArguments(run, 0, signal));
+            // A plain proxy: method handles would spin classes at each start, which no archive holds.
+            Object handling = Proxy.newProxyInstance(handler.getClassLoader(), new Class<?>[] {handler}, (self, method, given) ->
+                    switch (method.getName()) {
+                        case "hashCode" -> System.identityHashCode(self);
+                        case "equals" -> self == given[0];
+                        case "toString" -> "reload";
+                        default -> {
+                            reload.run();
+                            yield null;
+                        }
+                    });
             signal.getMethod("handle", signal, handler)
                     .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), handling);
         } catch (ReflectiveOperationException e) {
--- /dev/null
+++ b/gateway/src/main/java/ridgemill/gateway/Rehearsal.java
@@ -0,0 +1,117 @@
+package ridgemill.gateway;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import ridgemill.gateway.net.Addresses;
+import ridgemill.gateway.net.Transport;
+
+/**
+ * A start without a deployment, which the build runs to archive the classes that a start loads. What it leaves out each
+ * start pays for: a class from the jar costs some ten times one of the archive, and on half a core what a start reads and
+ * defines delays it by as many seconds. So it reads a configuration's text, has its list from a discovery, and serves over
+ * sockets; all on loopback, at free ports.
+ */
+final class Rehearsal {
+
+    /** Two steps of the decisions, as the second does what the first has nothing for. */
+    private static final long STEPS_MS = 2300;
+    private static final int REQUESTS = 400;
+    private static final double PATIENCE_MS = 4000;
+
+    private Rehearsal() { }
+
+    /** Runs it; ends on its own. */
+    static void run() throws ConfigException, IOException, InterruptedException {
+        Hangup.handle(() -> { });
+        try (ServerSocket discovery = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            Config config = Config.parse(configuration(discovery.getLocalPort(), freePort()), Map.of());
+            Thread tells = new Thread(() -> tell(discovery), "discovery");
+            tells.setDaemon(true);
+            tells.start();
+            Service service = Service.start(config);
+            Warmup.run(Transport.TCP, config.settings(), null, new WarmupEnd(REQUESTS, PATIENCE_MS, PATIENCE_MS));
+            ask(service.listening());
+            service.peerMessage(0, new byte[Integer.BYTES]);
+            // Nothing tells of a step; and nobody waits for a build's rehearsal to be short.
+            new CountDownLatch(1).await(STEPS_MS, TimeUnit.MILLISECONDS);
+            service.drain();
+        }
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket any = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return any.getLocalPort();
+        }
+    }
+
+    /** As a deployment gives it, with every part that one may have. */
+    private static String configuration(int discovery, int peers) {
+        return """
+                {"name": "rehearsal", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:%d", "seed": "8c1f30d27a5be964",
+                 "limits": {"cores": 0.5, "memory_mb": 64, "sockets": 256},
+                 "peer_listen": "127.0.0.1:%d", "peers": ["127.0.0.1:%d"], "peers_all": "127.0.0.1:%d",
+                 "known": {"seq": 1, "whole": true, "hosts": [%s]},
+                 "settings": {"balancers": 2, "rank": 0, "zone": "a", "localities": ["a", "b"], "tick_ms": 5.0,
+                  "discovery": "automatic", "kinds": ["std", "origin"], "weights": "silent", "value_by": "request",
+                  "over_share_worth": 0.05, "domain": {"mode": "aside", "origin_kind": 1},
+                  "customers": [{"name": "rehearsal", "fraction": 1.0, "quota_per_s": 100.0}],
+                  "limits": {"cancelling": true, "connect_timeout_ms": 150.0, "idle_close_ms": 60000.0, "max_open": 20000,
+                   "max_retry_after_ms": 750.0, "peers": true, "probing": true, "retry_after": true, "second_copies": false,
+                   "try_limit": 6},
+                  "obligations": {"answer_slack_ms": 20.0, "ask_within_ms": 10000.0, "cold_from": 0.2, "cold_ms": 24000.0,
+                   "fall_ms": 3000.0, "fall_multiple": 2.5, "stop_sending_within_ms": 2000.0},
+                  "tariffs": {"connection": 0.03, "handshake": 0.03},
+                  "services": [{"name": "read", "objective_ms": 600.0, "deadline_ms": 1500.0, "gain": 2.0, "late_share": 0.25,
+                   "effect": "retryable", "group": "all", "repeat_window_ms": 5000.0, "stream": false}]}}
+                """.formatted(discovery, peers, peers, peers, host("gone", "std", "up"));
+    }
+
+    private static String host(String name, String kind, String health) {
+        return """
+                {"host": "%s", "dial": "127.0.0.1:9", "site": "a", "class": "%s", "block": 0, "health": "%s", "share": 1.0, \
+                "born_ms": 0}""".formatted(name, kind, health);
+    }
+
+    /** Answers each watch with a list and a change of it, and keeps it open. */
+    private static void tell(ServerSocket discovery) {
+        String whole = "{\"seq\": 2, \"whole\": true, \"hosts\": [" + host("one", "std", "up") + ", " + host("two", "std", "up")
+                + ", " + host("store", "origin", "up") + "]}\n";
+        String change = "{\"seq\": 3, \"whole\": false, \"hosts\": [" + host("two", "std", "draining") + "]}\n";
+        try {
+            while (true) {
+                Socket watch = discovery.accept();
+                BufferedReader in = new BufferedReader(new InputStreamReader(watch.getInputStream(), StandardCharsets.US_ASCII));
+                for (String line = in.readLine(); line != null && !line.isEmpty(); line = in.readLine()) {
+                    // The head of the question, of which nothing matters.
+                }
+                String answer = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(whole) + chunk(change);
+                watch.getOutputStream().write(answer.getBytes(StandardCharsets.US_ASCII));
+            }
+        } catch (IOException e) {
+            // The rehearsal is over.
+        }
+    }
+
+    private static String chunk(String text) {
+        return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+    }
+
+    /** The front's question, and one request, whose nodes are not there. */
+    private static void ask(InetSocketAddress proxy) throws IOException {
+        try (Socket client = new Socket(proxy.getAddress(), proxy.getPort())) {
+            client.getOutputStream().write(("GET /up HTTP/1.1\r\nHost: " + Addresses.text(proxy) + "\r\n\r\n"
+                    + "GET /api/1 HTTP/1.1\r\nHost: r\r\nX-Call-Id: 1\r\nX-Call-Class: read\r\nX-Caller: rehearsal\r\n"
+                    + "X-Budget: 1.0\r\nConnection: close\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+            client.getInputStream().readAllBytes();
+        }
+    }
+}
--- a/gateway/src/main/java/ridgemill/gateway/Service.java
+++ b/gateway/src/main/java/ridgemill/gateway/Service.java
@@ -301,14 +301,9 @@
         loop.submit(task).syncUninterruptibly();
     }
 
-    /** Runs what a start runs, without a configuration: the build archives the classes that this loads. */
-    public static void rehearse() throws IOException, InterruptedException {
-        InetAddress loopback = InetAddress.getLoopbackAddress();
-        InetSocketAddress any = new InetSocketAddress(loopback, 0);
-        Warmup.run(Warmup.anySettings(), any);
-        Config config = new Config("rehearsal", any, any, 0, 0, null, List.of(), null, null, Warmup.anySettings(), 1);
-        Service service = start(config, new Decide(config.settings(), 0));
-        service.kill();
+    /** Runs what a start runs, without a deployment: the build archives the classes that this loads. */
+    public static void rehearse() throws ConfigException, IOException, InterruptedException {
+        Rehearsal.run();
     }
 
     /** Runs the proxy's own path on requests that stay inside the process, before one is started. */
@@ -316,10 +311,18 @@
         Warmup.run(config.settings(), config.peerListen());
     }
 
-    /** Starts a proxy with the project's decisions. */
+    /**
+     * Starts a proxy with the project's decisions. It asks discovery before it warms up: what discovery says takes seconds
+     * when a whole fleet starts anew and asks at once, and the list that a restarted proxy knows has many that are gone.
+     */
     public static Service start(Config config) throws IOException, InterruptedException {
-        warmUp(config);
-        return start(config, new Decide(config.settings(), config.seed()));
+        Service service = new Service(config, new Decide(config.settings(), config.seed()), new PlatformGate(config.settings()));
+        return service.opened(() -> warmUp(config));
+    }
+
+    /** What a start does between asking discovery and taking clients. */
+    interface Preparation {
+        void run() throws IOException, InterruptedException;
     }
 
     /** Starts a proxy with decisions of the caller's, and without a warm-up. */
@@ -329,25 +332,30 @@
 
     /** Starts a proxy whose requests go through a gate of the caller's, without a warm-up. */
     public static Service start(Config config, Router router, Gate gate) throws IOException, InterruptedException {
-        Service service = new Service(config, router, gate);
+        return new Service(config, router, gate).opened(() -> { });
+    }
+
+    /** Opens it, with something to be done before clients are taken. */
+    Service opened(Preparation preparation) throws IOException, InterruptedException {
         try {
-            service.open();
+            open(preparation);
         } catch (IOException e) {
-            service.group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+            group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
             throw e;
         }
-        return service;
+        return this;
     }
 
-    private void open() throws IOException, InterruptedException {
+    private void open(Preparation preparation) throws IOException, InterruptedException {
+        // The module knows its list before the first client can come, and asks for a newer one.
+        loop.submit(this::tellStart).sync();
+        loop.execute(discovery::start);
+        preparation.run();
         if (peers != null) {
             bound(peers.listen(), config.peerListen());
         }
-        // The module knows its list before the first client can come.
-        loop.submit(this::tellStart).sync();
         listening = (InetSocketAddress) bound(front.listen(Transport.TCP, config.listen()), config.listen()).channel().localAddress();
         Log.info("listening on " + Addresses.text(listening));
-        loop.execute(discovery::start);
         clients.watch(loop);
         long patience = config.settings().mustSubscribe() ? 0 : FIRST_NEWS_MS;
         loop.schedule(front::ready, patience, TimeUnit.MILLISECONDS);
--- a/gateway/src/main/java/ridgemill/gateway/Warmup.java
+++ b/gateway/src/main/java/ridgemill/gateway/Warmup.java
@@ -23,7 +23,9 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.nio.channels.ClosedSelectorException;
 import java.util.ArrayList;
 import java.util.List;
@@ -43,18 +45,13 @@
 import ridgemill.gateway.net.Log;
 import ridgemill.gateway.net.LogFaults;
 import ridgemill.gateway.net.LoopTimers;
+import ridgemill.gateway.net.SocketKind;
 import ridgemill.gateway.net.Transport;
 import ridgemill.policy.Decide;
 import ridgemill.policy.Router.Availability;
-import ridgemill.policy.Router.Effect;
-import ridgemill.policy.Router.Group;
-import ridgemill.policy.Router.Limits;
 import ridgemill.policy.Router.ListKind;
 import ridgemill.policy.Router.Node;
-import ridgemill.policy.Router.Rules;
-import ridgemill.policy.Router.ServiceClass;
 import ridgemill.policy.Router.Settings;
-import ridgemill.policy.Router.Weights;
 
 /**
  * Runs the proxy's own path before clients come, with a proxy of its own and nothing that leaves the process. On part of
@@ -66,25 +63,38 @@
 
     /** A bound on memory and time where nothing else ends it. */
     private static final long GIVE_UP_MS = 20_000;
-    /** Requests between two looks at the time and at what peers say. */
+    /** Requests between two rests, at which it looks at the time and at what peers say. */
     private static final int ROUND = 50;
+    /** A rest after each round, in which the proxy's own loop hears discovery, though one core has no room for both. */
+    private static final long REST_MS = 1;
     private static final int AT_ONCE = 4;
     private static final int NODES = 4;
+    /** So many that clients which rest are no quarter of it, which would end their connections. */
+    private static final int TABLE = 8 * AT_ONCE;
     /** One of so many requests is a miss at its cache node. */
     private static final int MISS = 4;
     private static final double CONNECT_MS = 1000;
 
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, LocalIoHandler.newFactory());
-    private final EventLoop loop = group.next();
+    private final Transport transport;
+    private final MultiThreadIoEventLoopGroup group;
+    private final EventLoop loop;
     private final CountDownLatch done = new CountDownLatch(1);
     private final Settings settings;
     private final WarmupEnd end;
     private final PeerEar ear;
+    private final List<Asks> resting = new ArrayList<>();
     private long began;
     private int sent;
+    private int out;
+    private int roundEnd = ROUND;
+    private boolean restEnds;
     private volatile int served;
 
-    private Warmup(Settings settings, WarmupEnd end, PeerEar ear) {
+    private Warmup(Transport transport, Settings settings, WarmupEnd end, PeerEar ear) {
+        this.transport = transport;
+        this.group = new MultiThreadIoEventLoopGroup(1, transport == Transport.IN_PROCESS ? LocalIoHandler.newFactory()
+                : SocketKind.chosen().handlers());
+        this.loop = group.next();
         this.settings = settings;
         this.end = end;
         this.ear = ear;
@@ -92,12 +102,14 @@
 
     /** Returns how many requests were answered, when it has run long enough; a fault in it costs its gain alone. */
     static int run(Settings settings, InetSocketAddress peerListen) throws IOException, InterruptedException {
-        return run(settings, peerListen, WarmupEnd.usual());
+        return run(Transport.IN_PROCESS, settings, peerListen, WarmupEnd.usual());
     }
 
-    static int run(Settings settings, InetSocketAddress peerListen, WarmupEnd end) throws IOException, InterruptedException {
+    /** The same over sockets, as a rehearsal wants it, or until another end. */
+    static int run(Transport transport, Settings settings, InetSocketAddress peerListen, WarmupEnd end)
+            throws IOException, InterruptedException {
         PeerEar ear = new PeerEar(peerListen);
-        Warmup warmup = new Warmup(settings, end, ear);
+        Warmup warmup = new Warmup(transport, settings, end, ear);
         try (ear) {
             warmup.start();
             // The loop ends it. This thread may not get to run before the loop rests, which in a warm-up it never does.
@@ -109,29 +121,19 @@
         }
     }
 
-    /** Settings under which it runs where there is no configuration, as when the class archive is made. */
-    static Settings anySettings() {
-        return new Settings(0, 1, "", 1,
-                List.of(new ServiceClass("read", 500, 0, 1500, 1, 0, Effect.SAFE, Group.ALL, 0, false)), List.of(), 1,
-                false, new Limits(NODES, true, false, false, true, 1000, false, CONNECT_MS),
-                new Rules(0, 1, 0, 1, 1000, 0, 0), false, Weights.NONE, "origin");
-    }
-
     private void start() throws InterruptedException {
-        NodePool pool = new NodePool(loop, Transport.IN_PROCESS, HttpNodeConnection::new, CONNECT_MS,
+        NodePool pool = new NodePool(loop, transport, HttpNodeConnection::new, CONNECT_MS,
                 settings.connections().idleMs(), new Sockets(NODES * AT_ONCE));
         LoopTimers timers = new LoopTimers(loop, new Clock());
         Intake<Content> intake = new Intake<>(timers, new PlatformGate(settings));
         Dispatcher<Content> dispatcher = new Dispatcher<>(timers, settings, new Decide(settings, 0), pool, new LogFaults(),
                 intake::settled, AT_ONCE + 1);
         intake.group(Intake.PLATFORM, dispatcher);
-        HttpFront clients = new HttpFront(loop, intake, new ClientTable(2 * AT_ONCE, () -> Integer.MAX_VALUE));
-        LocalAddress front = new LocalAddress("warm-up");
+        HttpFront clients = new HttpFront(loop, intake, new ClientTable(TABLE, () -> Integer.MAX_VALUE));
         List<HostList.Host> hosts = new ArrayList<>();
         for (int i = 0; i <= NODES; i++) {
-            LocalAddress address = new LocalAddress("warm-up-" + i);
             boolean origin = i == NODES && settings.originModel() != null;
-            node(address, origin, i % 2 == 0);
+            SocketAddress address = node(place("warm-up-" + i), origin, i % 2 == 0);
             hosts.add(new HostList.Host(new Node("warm-up-" + i, origin ? settings.originModel() : "", settings.zone(), 0,
                     1, 0, Availability.UP), address));
         }
@@ -141,22 +143,27 @@
             pool.list(list);
             dispatcher.nodes(ListKind.FULL, list.version(), list.nodes());
         }).sync();
-        clients.listen(Transport.IN_PROCESS, front).sync();
+        SocketAddress front = clients.listen(transport, place("warm-up")).sync().channel().localAddress();
         began = System.nanoTime();
         for (int i = 0; i < AT_ONCE; i++) {
             client(front);
         }
     }
 
-    private void node(LocalAddress address, boolean origin, boolean whole) throws InterruptedException {
-        Transport.IN_PROCESS.server(loop)
+    private SocketAddress place(String name) {
+        return transport == Transport.IN_PROCESS ? new LocalAddress(name)
+                : new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+    }
+
+    private SocketAddress node(SocketAddress place, boolean origin, boolean whole) throws InterruptedException {
+        return transport.server(loop)
                 .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(Content.MAX_BYTES),
                                 new Answers(origin, whole));
                     }
-                }).bind(address).sync();
+                }).bind(place).sync().channel().localAddress();
     }
 
     private void answered() {
@@ -165,8 +172,8 @@
         served = next;
     }
 
-    private void client(LocalAddress front) {
-        Transport.IN_PROCESS.client(loop).handler(new ChannelInitializer<>() {
+    private void client(SocketAddress front) {
+        transport.client(loop).handler(new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel channel) {
                 channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(Content.MAX_BYTES),
@@ -217,11 +224,39 @@
         }
     }
 
-    /** A client that asks again as soon as it has its answer, and comes back on a new connection if need be. */
+    /** The clients rest between rounds, all at once: the loop then waits, and looks at the time itself before it goes on. */
+    private void rest() {
+        loop.schedule(() -> {
+            restEnds = false;
+            double elapsedMs = TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - began) / 1000.0;
+            List<Asks> rested = List.copyOf(resting);
+            if (rested.isEmpty() || end.over(sent, elapsedMs, peersServe())) {
+                done.countDown();
+                return;
+            }
+            resting.clear();
+            roundEnd = sent + ROUND;
+            rested.forEach(Asks::ask);
+        }, REST_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private boolean peersServe() {
+        try {
+            return ear.heard(0);
+        } catch (IOException | ClosedSelectorException e) {
+            return false;
+        }
+    }
+
+    /** A client that asks again as soon as it has its answer, until its round is over. */
     private final class Asks extends SimpleChannelInboundHandler<FullHttpResponse> {
+        private ChannelHandlerContext context;
+        private boolean waits;
+
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
-            ask(ctx);
+            context = ctx;
+            ask();
         }
 
         @Override
@@ -229,39 +264,44 @@
             if (answer.status().equals(HttpResponseStatus.OK)) {
                 answered();
             }
-            if (done.getCount() > 0 && !ends()) {
-                ask(ctx);
+            settled();
+            if (sent < roundEnd) {
+                ask();
+            } else {
+                resting.add(this);
             }
+            restIfAllDo();
         }
 
-        /** Looks at the time on the loop itself, at the end of each round. */
-        private boolean ends() {
-            if (sent % ROUND != 0) {
-                return false;
-            }
-            boolean over = end.over(sent, TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - began) / 1000.0, peersServe());
-            if (over) {
-                done.countDown();
-            }
-            return over;
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            settled();
+            resting.remove(this);
+            restIfAllDo();
         }
 
-        private boolean peersServe() {
-            try {
-                return ear.heard(0);
-            } catch (IOException | ClosedSelectorException e) {
-                return false;
+        private void restIfAllDo() {
+            if (out == 0 && !restEnds) {
+                restEnds = true;
+                rest();
             }
         }
 
-        private void ask(ChannelHandlerContext ctx) {
+        private void settled() {
+            out -= waits ? 1 : 0;
+            waits = false;
+        }
+
+        private void ask() {
             int number = sent++;
+            out++;
+            waits = true;
             FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
                     "/api/warm-up-" + number % 512);
             request.headers().set(HttpHeaderNames.HOST, "service.internal").set("X-Call-Id", "warm-up-" + number)
                     .set("X-Call-Class", settings.classes().get(number % settings.classes().size()).name())
                     .set("X-Caller", "warm-up").set("X-Budget", "1.000");
-            ctx.writeAndFlush(request);
+            context.writeAndFlush(request);
         }
     }
 }
--- a/gateway/src/test/java/ridgemill/gateway/WarmupTest.java
+++ b/gateway/src/test/java/ridgemill/gateway/WarmupTest.java
@@ -6,6 +6,7 @@
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import ridgemill.gateway.net.Transport;
 
 /** The warm-up runs the whole path: requests are served by its nodes, some through its origin; and it ends by itself. */
 class WarmupTest {
@@ -24,7 +25,7 @@
     @Timeout(15)
     void theLoopItselfEndsIt() throws Exception {
         try (Site site = new Site()) {
-            int served = Warmup.run(site.config("automatic", "60000", "").settings(), null,
+            int served = Warmup.run(Transport.IN_PROCESS, site.config("automatic", "60000", "").settings(), null,
                     new WarmupEnd(Integer.MAX_VALUE, 1, 1));
             assertTrue(served <= 2 * ROUND, "served " + served);
         }
