--- a/gateway/src/main/java/ridgemill/gateway/Service.java
+++ b/gateway/src/main/java/ridgemill/gateway/Service.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import ridgemill.connections.RoomCalls;
 import ridgemill.core.Dispatcher;
 import ridgemill.core.Faults;
 import ridgemill.core.Gate;
@@ -76,6 +77,7 @@
     private final Deadlines deadlines;
     private final Intake<Content> intake;
     private final Sockets nodeSockets;
+    private final NodePool pool;
     private final Upstream platform;
     private final ClientTable clients;
     private final List<Runnable> stops = new ArrayList<>();
@@ -102,8 +104,9 @@
         deadlines = new Deadlines(DeadlinePolicy.USUAL);
         intake = new Intake<>(timers, gate, deadlines);
         nodeSockets = new Sockets(Math.max(1, sockets - clientSockets));
-        platform = upstream(Intake.PLATFORM, settings, router, new NodePool(loop, Transport.TCP, HttpNodeConnection::new,
-                settings.limits().connectTimeoutMs(), settings.connections().idleMs(), nodeSockets), faults(outside));
+        pool = new NodePool(loop, Transport.TCP, HttpNodeConnection::new,
+                settings.limits().connectTimeoutMs(), settings.connections().idleMs(), nodeSockets);
+        platform = upstream(Intake.PLATFORM, settings, router, pool, faults(outside));
         intake.group(Intake.PLATFORM, platform.dispatcher());
         clients = new ClientTable(clientSockets, gate::connectionsPerClient);
         front = new HttpFront(loop, intake, clients);
@@ -112,11 +115,27 @@
             discovery = null;
             peers = null;
             platform.dispatcher().wire(outside::subscribe, outside::tell);
+            callForRoom(outside::tell);
             return;
         }
         discovery = new Discovery(loop, config.discovery(), config.known(), !settings.mustSubscribe(), new Told());
-        peers = config.peerListen() == null ? null : new Peers(loop, config, platform.dispatcher()::peerMessage);
-        platform.dispatcher().wire(discovery::subscribe, peers == null ? contents -> { } : peers::tell);
+        peers = config.peerListen() == null ? null : new Peers(loop, config, this::peerMessage);
+        Consumer<byte[]> tell = peers == null ? contents -> { } : peers::tell;
+        platform.dispatcher().wire(discovery::subscribe, tell);
+        callForRoom(tell);
+    }
+
+    /** Nodes that have no place for a connection of ours: the other proxies hear of it, if the settings let us speak. */
+    private void callForRoom(Consumer<byte[]> tell) {
+        RoomCalls calls = new RoomCalls();
+        if (config.settings().limits().peers()) {
+            pool.onTurnedAway((node, fresh) -> {
+                byte[] call = calls.turnedAway(node, fresh, timers.now());
+                if (call != null) {
+                    tell.accept(call);
+                }
+            });
+        }
     }
 
     private Upstream upstream(String name, Settings settings, Router router, NodeBack back, Faults faults) {
@@ -206,7 +225,11 @@
 
     /** A message of another proxy, or of another loop of this process; on the loop. */
     void peerMessage(int from, byte[] contents) {
-        platform.dispatcher().peerMessage(from, contents);
+        if (RoomCalls.isCall(contents)) {
+            pool.makeRoom(node -> RoomCalls.isFor(contents, node), RoomCalls.LONG_IDLE_MS);
+        } else {
+            platform.dispatcher().peerMessage(from, contents);
+        }
     }
 
     /** Takes in another group of nodes, under decisions of its own; to be called on the loop. */
--- a/gateway/src/main/java/ridgemill/gateway/back/NodeConnection.java
+++ b/gateway/src/main/java/ridgemill/gateway/back/NodeConnection.java
@@ -57,6 +57,9 @@
         NodeExchange exchange = current;
         current = null;
         exchange.leftEnded();
+        if (outcome == Outcome.REJECTED) {
+            pool.turnedAway(target, exchange.isFirst());
+        }
         if (clean && target.isCurrent()) {
             pool.rest(this);
         } else {
--- a/gateway/src/main/java/ridgemill/gateway/back/NodeExchange.java
+++ b/gateway/src/main/java/ridgemill/gateway/back/NodeExchange.java
@@ -46,6 +46,11 @@
         return written;
     }
 
+    /** Whether its connection had carried none before it. */
+    boolean isFirst() {
+        return idleMs <= 0;
+    }
+
     /** The first bytes of an answer have come: a break from here on is not one of an old connection. */
     public void answering() {
         answering = true;
--- a/gateway/src/main/java/ridgemill/gateway/back/NodePool.java
+++ b/gateway/src/main/java/ridgemill/gateway/back/NodePool.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import ridgemill.core.Attempt;
 import ridgemill.gateway.membership.HostList;
@@ -42,6 +43,7 @@
     private final Deque<NodeConnection> resting = new ArrayDeque<>();
     private final IdleAges ages = new IdleAges();
     private final LongSupplier nanos;
+    private TurnedAway onTurnedAway = (node, fresh) -> { };
     private boolean restsWatched;
     private boolean idleWatched;
     private int connections;
@@ -81,6 +83,32 @@
         targets.closeIdle(node);
     }
 
+    /** Is told of each attempt that a node turned away. */
+    public interface TurnedAway {
+
+        /** By which node, and whether on a connection that was opened for it. */
+        void by(String node, boolean fresh);
+    }
+
+    /** Tells {@code then} from now on. */
+    public void onTurnedAway(TurnedAway then) {
+        onTurnedAway = then;
+    }
+
+    void turnedAway(Target target, boolean fresh) {
+        onTurnedAway.by(target.name(), fresh);
+    }
+
+    /** Closes the connections to the nodes of those names that have been idle for longer than {@code olderMs}. */
+    public void makeRoom(Predicate<String> nodes, double olderMs) {
+        long now = nanos.getAsLong();
+        for (Target target : targets.all()) {
+            if (nodes.test(target.name())) {
+                closeOlder(target, now, olderMs);
+            }
+        }
+    }
+
     /** Connections that are open or opening. */
     public int connections() {
         return connections;
@@ -148,10 +176,7 @@
         double limit = Math.min(idleMs, ages.limitMs(now));
         boolean left = false;
         for (Target target : targets.all()) {
-            for (NodeConnection c = target.idle.peekLast(); c != null && c.idleMs(now) >= limit; c = target.idle.peekLast()) {
-                target.idle.removeLast();
-                c.close();
-            }
+            closeOlder(target, now, limit);
             left |= !target.idle.isEmpty();
         }
         idleWatched = false;
@@ -160,6 +185,14 @@
         }
     }
 
+    /** The newest are first, so that the others age. */
+    private static void closeOlder(Target target, long now, double limitMs) {
+        for (NodeConnection c = target.idle.peekLast(); c != null && c.idleMs(now) >= limitMs; c = target.idle.peekLast()) {
+            target.idle.removeLast();
+            c.close();
+        }
+    }
+
     private void connect(Target target, NodeExchange exchange) {
         NodeConnection connection = protocol.get();
         connection.join(this, target);
--- /dev/null
+++ b/gateway/src/test/java/ridgemill/gateway/RoomTest.java
@@ -0,0 +1,74 @@
+package ridgemill.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.util.Arrays;
+import org.junit.jupiter.api.Test;
+import ridgemill.connections.RoomCalls;
+import ridgemill.policy.Router.Outcome;
+
+/** A node that takes no more connections: who is turned away says so, and who keeps an idle one there gives it up. */
+class RoomTest {
+
+    private static final int CALL_EACH_MS = 50;
+
+    private static DatagramSocket socket() throws Exception {
+        DatagramSocket socket = new DatagramSocket(0, InetAddress.getLoopbackAddress());
+        socket.setSoTimeout((int) (Peer.PATIENCE_S * 1000));
+        return socket;
+    }
+
+    private static Site site(DatagramSocket peer) throws Exception {
+        Site site = new Site();
+        site.start("automatic", "60000", "\"peer_listen\":\"127.0.0.1:0\",\"peers\":[\"127.0.0.1:9\",\"127.0.0.1:"
+                + peer.getLocalPort() + "\"],");
+        return site;
+    }
+
+    @Test
+    void oneThatIsTurnedAwayOnANewConnectionCallsForRoom() throws Exception {
+        try (DatagramSocket peer = socket(); Site site = site(peer); Peer.Wire client = site.client()) {
+            client.write(site.get(Site.LONG_S));
+            site.node.await().wire().answer(503, "", "X-Rejected: 1");
+            assertEquals(Outcome.REJECTED, Scripted.next(site.router.ends).outcome());
+            DatagramPacket packet = new DatagramPacket(new byte[1000], 1000);
+            peer.receive(packet);
+            assertTrue(RoomCalls.isFor(Arrays.copyOf(packet.getData(), packet.getLength()), "c0"));
+        }
+    }
+
+    @Test
+    void anIdleConnectionIsGivenUpForOneWhoCalls() throws Exception {
+        try (DatagramSocket peer = socket(); Site site = site(peer); Peer.Wire client = site.client()) {
+            client.write(site.get(Site.LONG_S));
+            site.node.await().wire().answer(200, "v");
+            assertEquals(Outcome.OK, Scripted.next(site.router.ends).outcome());
+            byte[] call = new RoomCalls().turnedAway("c0", true, 0);
+            // Called for until it has been idle for long enough; nothing else would close it for 45 s.
+            Thread calls = new Thread(() -> {
+                try {
+                    while (!Thread.currentThread().isInterrupted()) {
+                        peer.send(new DatagramPacket(call, call.length, InetAddress.getLoopbackAddress(),
+                                site.service.peerListening().getPort()));
+                        Thread.sleep(CALL_EACH_MS);
+                    }
+                } catch (Exception e) {
+                    // The test is over.
+                }
+            });
+            calls.start();
+            try {
+                assertNull(site.node.next().text(), "the connection has ended");
+            } finally {
+                calls.interrupt();
+                calls.join();
+            }
+            assertTrue(site.router.heard.isEmpty(), "a call is not the decisions' matter");
+        }
+    }
+}
