--- a/core/src/main/java/ridgemill/connections/RoomCalls.java
+++ b/core/src/main/java/ridgemill/connections/RoomCalls.java
@@ -28,13 +28,12 @@
     private final Map<String, Double> called = new HashMap<>();
 
     /**
-     * A node turned an attempt away. Returns the call to make, or null where none is due.
-     *
-     * @param fresh whether the attempt's connection was opened for it; on a kept one it is not for want of connections
+     * A node turned an attempt away on a connection that was opened for it; on a kept one it is not for want of places.
+     * Returns the call to make, or null where none is due.
      */
-    public byte[] turnedAway(String node, boolean fresh, double nowMs) {
+    public byte[] noPlace(String node, double nowMs) {
         Double last = called.get(node);
-        if (!fresh || last != null && nowMs - last < AGAIN_MS) {
+        if (last != null && nowMs - last < AGAIN_MS) {
             return null;
         }
         if (called.size() >= MOST_NODES) {
--- a/core/src/main/java/ridgemill/policy/Decide.java
+++ b/core/src/main/java/ridgemill/policy/Decide.java
@@ -56,6 +56,13 @@
     static final double PACED_SMOOTH = 0.3;
     /** Failures in a row before a node is spared, and how long, doubling up to the last. */
     static final int STRIKES = 2;
+    /**
+     * What a node without a place for our connection counts as failures in a row: one that drains unsaid turns us away
+     * in the same way, while one whose table is full still answers those who have a place.
+     */
+    static final double NO_PLACE_STRIKE = 0.5;
+    /** After how long a fetch that found no place is tried once more: others hear our call and make room meanwhile. */
+    static final double PLACE_MS = 50;
     /**
      * Running share of errors above which a node is spared though it answers, and the weight of an outcome:
      * one that spoils half of its answers has no failures in a row. Prevents a repeat for each of them; could
@@ -289,13 +296,13 @@
             if (!fetched && answered) {
                 // An error too is an answer: a node that spoils some of its own is no fleet that is overrun.
                 cacheAnswers.add(now, 1);
-            } else if (!fetched && (broke(end.outcome()) || end.outcome() == Outcome.NEVER_SENT)) {
+            } else if (!fetched && (broke(end.outcome()) || neverThere(end.outcome()))) {
                 cacheSends.add(now, -1);
             }
         }
         if (fetched || !hasOrigin && end.note() > 1) {
             double aim = r == null ? INTERVAL_MS : r.service.aimMs();
-            boolean called = end.outcome() == Outcome.CANCELLED || end.outcome() == Outcome.NEVER_SENT;
+            boolean called = end.outcome() == Outcome.CANCELLED || neverThere(end.outcome());
             if (!called && (r == null || !r.overdue) && broke(end.outcome())) {
                 control.countBroken();
             } else if (!called && (r == null || !r.overdue)) {
@@ -488,6 +495,12 @@
     }
 
     private void afterFetch(double now, Held r, Outcome outcome, Actions out) {
+        if (outcome == Outcome.NO_PLACE && r.fetchTries++ == 0 && mayRepeat(now, r)
+                && now + PLACE_MS + guardMs < r.guard) {
+            r.refetches = true;
+            out.timer(now + PLACE_MS, "w" + r.in.id());
+            return;
+        }
         boolean again = outcome != Outcome.OK && outcome != Outcome.TIMEOUT && outcome != Outcome.REJECTED;
         // What the network breaks is repeated while throttled too: the token that it draws bounds the load.
         boolean may = control.level == 0 || broke(outcome) && usualBreaks > BREAKING;
@@ -1016,7 +1029,7 @@
         void ended(double now, AttemptEnd end, List<NodeView> peers) {
             inFlight = Math.max(0, inFlight - 1);
             lastEnd = now;
-            if (end.outcome() != Outcome.CANCELLED && end.outcome() != Outcome.NEVER_SENT) {
+            if (end.outcome() != Outcome.CANCELLED && !neverThere(end.outcome())) {
                 broken += BROKEN_SMOOTH * ((broke(end.outcome()) ? 1 : 0) - broken);
             }
             switch (end.outcome()) {
@@ -1031,6 +1044,7 @@
                 }
                 case CONNECT_FAILED, RESET -> strike(now, peers, STRIKES / runOfBreaks());
                 case REJECTED -> strike(now, peers, 1);
+                case NO_PLACE -> strike(now, peers, NO_PLACE_STRIKE);
                 case TIMEOUT -> {
                     timed(Math.max(end.elapsedMs(), eachMs * (inFlight + 1)));
                     silent += SILENT_SMOOTH * (1 - silent);
@@ -1104,6 +1118,11 @@
         }
     }
 
+    /** The attempt met nothing of the node's: its load, its queue and its health remain unknown. */
+    private static boolean neverThere(Outcome outcome) {
+        return outcome == Outcome.NEVER_SENT || outcome == Outcome.NO_PLACE;
+    }
+
     private static boolean broke(Outcome outcome) {
         return outcome == Outcome.RESET || outcome == Outcome.CONNECT_FAILED;
     }
--- a/core/src/main/java/ridgemill/policy/Router.java
+++ b/core/src/main/java/ridgemill/policy/Router.java
@@ -41,10 +41,13 @@
     /** How a node's weight is meant. */
     enum Weights { NONE, SIZE, LIVE }
 
-    /** How an attempt ended. */
+    /**
+     * How an attempt ended. {@code NO_PLACE} is a rejection on a connection that was opened for the attempt: as a rule the
+     * node has as many as it takes, which says nothing of its load or health.
+     */
     enum Outcome {
         OK(false), ERROR(false), REJECTED(true), TIMEOUT(false), CONNECT_FAILED(true), RESET(false),
-        CANCELLED(false), NEVER_SENT(true), MISS(true);
+        CANCELLED(false), NEVER_SENT(true), MISS(true), NO_PLACE(true);
 
         private final boolean provesNotRun;
 
--- a/core/src/test/java/ridgemill/connections/RoomCallsTest.java
+++ b/core/src/test/java/ridgemill/connections/RoomCallsTest.java
@@ -13,18 +13,17 @@
 class RoomCallsTest {
 
     @Test
-    void onlyANewConnectionThatIsTurnedAwayCallsAndNotTooOften() {
+    void oneWithoutAPlaceCallsAndNotTooOften() {
         RoomCalls calls = new RoomCalls();
-        assertNull(calls.turnedAway("n1", false, 0));
-        assertNotNull(calls.turnedAway("n1", true, 0));
-        assertNull(calls.turnedAway("n1", true, 99));
-        assertNotNull(calls.turnedAway("n2", true, 99));
-        assertNotNull(calls.turnedAway("n1", true, 100));
+        assertNotNull(calls.noPlace("n1", 0));
+        assertNull(calls.noPlace("n1", 99));
+        assertNotNull(calls.noPlace("n2", 99));
+        assertNotNull(calls.noPlace("n1", 100));
     }
 
     @Test
     void aCallIsForItsNodeAloneAndNoOtherMessageIsOne() {
-        byte[] call = new RoomCalls().turnedAway("s-0265a7b5", true, 0);
+        byte[] call = new RoomCalls().noPlace("s-0265a7b5", 0);
         assertTrue(RoomCalls.isCall(call));
         assertTrue(RoomCalls.isFor(call, "s-0265a7b5"));
         assertFalse(RoomCalls.isFor(call, "s-0265a7b6"));
@@ -72,7 +71,7 @@
                     continue;
                 }
                 refused[p]++;
-                byte[] call = calls[p].turnedAway("n", true, now);
+                byte[] call = calls[p].noPlace("n", now);
                 for (int other = 0; calling && call != null && other < proxies; other++) {
                     // One datagram in ten is lost.
                     if (now - idleSince[other] >= RoomCalls.LONG_IDLE_MS && random.nextInt(10) > 0) {
--- a/gateway/src/main/java/ridgemill/benchlink/Link.java
+++ b/gateway/src/main/java/ridgemill/benchlink/Link.java
@@ -23,7 +23,9 @@
     private static final int HINT_VALID = 1;
     private static final int REPEAT = 2;
     private static final int WRITE = 4;
-    private static final Outcome[] OUTCOMES = Outcome.values();
+    /** By the wire's numbers; the wire has none for what only a proxy's own connections can show. */
+    private static final Outcome[] OUTCOMES = {Outcome.OK, Outcome.ERROR, Outcome.REJECTED, Outcome.TIMEOUT,
+        Outcome.CONNECT_FAILED, Outcome.RESET, Outcome.CANCELLED, Outcome.NEVER_SENT, Outcome.MISS};
 
     private final Map<Integer, Router> routers = new HashMap<>();
     private final StringBuilder reply = new StringBuilder();
--- a/gateway/src/main/java/ridgemill/gateway/Service.java
+++ b/gateway/src/main/java/ridgemill/gateway/Service.java
@@ -129,8 +129,8 @@
     private void callForRoom(Consumer<byte[]> tell) {
         RoomCalls calls = new RoomCalls();
         if (config.settings().limits().peers()) {
-            pool.onTurnedAway((node, fresh) -> {
-                byte[] call = calls.turnedAway(node, fresh, timers.now());
+            pool.onNoPlace(node -> {
+                byte[] call = calls.noPlace(node, timers.now());
                 if (call != null) {
                     tell.accept(call);
                 }
--- a/gateway/src/main/java/ridgemill/gateway/back/NodeConnection.java
+++ b/gateway/src/main/java/ridgemill/gateway/back/NodeConnection.java
@@ -57,15 +57,16 @@
         NodeExchange exchange = current;
         current = null;
         exchange.leftEnded();
-        if (outcome == Outcome.REJECTED) {
-            pool.turnedAway(target, exchange.isFirst());
+        boolean noPlace = outcome == Outcome.REJECTED && exchange.isFirst();
+        if (noPlace) {
+            pool.noPlace(target);
         }
         if (clean && target.isCurrent()) {
             pool.rest(this);
         } else {
             context.close();
         }
-        exchange.end(outcome, answer);
+        exchange.end(noPlace ? Outcome.NO_PLACE : outcome, answer);
     }
 
     /** Ends the exchange, if there is one, as the connection's own end. */
--- a/gateway/src/main/java/ridgemill/gateway/back/NodePool.java
+++ b/gateway/src/main/java/ridgemill/gateway/back/NodePool.java
@@ -7,6 +7,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
@@ -43,7 +44,7 @@
     private final Deque<NodeConnection> resting = new ArrayDeque<>();
     private final IdleAges ages = new IdleAges();
     private final LongSupplier nanos;
-    private TurnedAway onTurnedAway = (node, fresh) -> { };
+    private Consumer<String> onNoPlace = node -> { };
     private boolean restsWatched;
     private boolean idleWatched;
     private int connections;
@@ -83,20 +84,13 @@
         targets.closeIdle(node);
     }
 
-    /** Is told of each attempt that a node turned away. */
-    public interface TurnedAway {
-
-        /** By which node, and whether on a connection that was opened for it. */
-        void by(String node, boolean fresh);
-    }
-
-    /** Tells {@code then} from now on. */
-    public void onTurnedAway(TurnedAway then) {
-        onTurnedAway = then;
+    /** Tells {@code then} from now on which node turned an attempt away on a connection that was opened for it. */
+    public void onNoPlace(Consumer<String> then) {
+        onNoPlace = then;
     }
 
-    void turnedAway(Target target, boolean fresh) {
-        onTurnedAway.by(target.name(), fresh);
+    void noPlace(Target target) {
+        onNoPlace.accept(target.name());
     }
 
     /** Closes the connections to the nodes of those names that have been idle for longer than {@code olderMs}. */
--- a/gateway/src/test/java/ridgemill/gateway/OutcomeTest.java
+++ b/gateway/src/test/java/ridgemill/gateway/OutcomeTest.java
@@ -20,8 +20,8 @@
 class OutcomeTest extends WithSite {
 
     @ParameterizedTest
-    @CsvSource({"200, X-Other: 1, OK", "404, X-Other: 1, MISS", "500, X-Other: 1, ERROR", "503, X-Rejected: 1, REJECTED",
-        "504, X-Rejected: 1, REJECTED", "503, X-Rejected: 0, ERROR", "503, X-Other: 1, ERROR", "504, X-Other: 1, ERROR",
+    @CsvSource({"200, X-Other: 1, OK", "404, X-Other: 1, MISS", "500, X-Other: 1, ERROR", "503, X-Rejected: 1, NO_PLACE",
+        "504, X-Rejected: 1, NO_PLACE", "503, X-Rejected: 0, ERROR", "503, X-Other: 1, ERROR", "504, X-Other: 1, ERROR",
         "500, X-Rejected: 1, ERROR", "302, X-Other: 1, ERROR"})
     void statusIsReadAsTheProtocolSays(int status, String header, Outcome outcome) throws Exception {
         client.write(site.get(Site.LONG_S));
@@ -30,6 +30,24 @@
         assertEquals(outcome == Outcome.OK ? 200 : 502, Site.status(client.read()));
     }
 
+    /** Whoever has a place and is turned away met a full queue; on a new connection it was for want of a place. */
+    @Test
+    void turnedAwayOnAKeptConnectionIsARejection() throws Exception {
+        client.write(site.get(Site.LONG_S));
+        site.node.await().wire().answer(200, "v");
+        assertEquals(Outcome.OK, Scripted.next(site.router.ends).outcome());
+        assertEquals(200, Site.status(client.read()));
+        for (Outcome seen = null; seen != Outcome.REJECTED;) {
+            client.write(site.get(Site.LONG_S));
+            Peer.Message asked = site.node.await();
+            boolean kept = asked.wire().number() == 0;
+            asked.wire().answer(kept ? 503 : 200, "v", "X-Rejected: 1");
+            seen = Scripted.next(site.router.ends).outcome();
+            assertEquals(kept ? Outcome.REJECTED : Outcome.OK, seen);
+            client.read();
+        }
+    }
+
     @Test
     void closingAfterTheRequestIsAReset() throws Exception {
         client.write(site.get(Site.LONG_S));
--- a/gateway/src/test/java/ridgemill/gateway/RoomTest.java
+++ b/gateway/src/test/java/ridgemill/gateway/RoomTest.java
@@ -35,7 +35,7 @@
         try (DatagramSocket peer = socket(); Site site = site(peer); Peer.Wire client = site.client()) {
             client.write(site.get(Site.LONG_S));
             site.node.await().wire().answer(503, "", "X-Rejected: 1");
-            assertEquals(Outcome.REJECTED, Scripted.next(site.router.ends).outcome());
+            assertEquals(Outcome.NO_PLACE, Scripted.next(site.router.ends).outcome());
             DatagramPacket packet = new DatagramPacket(new byte[1000], 1000);
             peer.receive(packet);
             assertTrue(RoomCalls.isFor(Arrays.copyOf(packet.getData(), packet.getLength()), "c0"));
@@ -48,7 +48,7 @@
             client.write(site.get(Site.LONG_S));
             site.node.await().wire().answer(200, "v");
             assertEquals(Outcome.OK, Scripted.next(site.router.ends).outcome());
-            byte[] call = new RoomCalls().turnedAway("c0", true, 0);
+            byte[] call = new RoomCalls().noPlace("c0", 0);
             // Called for until it has been idle for long enough; nothing else would close it for 45 s.
             Thread calls = new Thread(() -> {
                 try {
