A write without a place at the store is refused at once, alike over HTTP and RESP

Cause: afterFetch took NO_PLACE for an outcome to repeat at once, as it names those that are not; and a store that drains turns new connections away just as one whose table is full.

--- a/core/src/main/java/ridgemill/policy/Decide.java
+++ b/core/src/main/java/ridgemill/policy/Decide.java
@@ -495,13 +495,15 @@
     }
 
     private void afterFetch(double now, Held r, Outcome outcome, Actions out) {
-        if (outcome == Outcome.NO_PLACE && r.fetchTries++ == 0 && mayRepeat(now, r)
+        // Not a write: a store that drains unsaid refuses in the same way.
+        if (outcome == Outcome.NO_PLACE && !r.in.write() && r.fetchTries++ == 0 && mayRepeat(now, r)
                 && now + PLACE_MS + guardMs < r.guard) {
             r.refetches = true;
             out.timer(now + PLACE_MS, "w" + r.in.id());
             return;
         }
-        boolean again = outcome != Outcome.OK && outcome != Outcome.TIMEOUT && outcome != Outcome.REJECTED;
+        boolean again = outcome != Outcome.OK && outcome != Outcome.TIMEOUT
+                && outcome != Outcome.REJECTED && outcome != Outcome.NO_PLACE;
         // What the network breaks is repeated while throttled too: the token that it draws bounds the load.
         boolean may = control.level == 0 || broke(outcome) && usualBreaks > BREAKING;
         if (again && may && r.fetchTries++ == 0 && mayRepeat(now, r)) {
--- a/core/src/test/java/ridgemill/policy/NoPlaceTest.java
+++ b/core/src/test/java/ridgemill/policy/NoPlaceTest.java
@@ -32,6 +32,16 @@
         assertEquals(1, b.out.answers(id), "a second refusal ends it, at once");
     }
 
+    @Test
+    void aWriteIsRefusedAtOnceAndHasNotRun() {
+        Bench b = Bench.withCaches(4);
+        String id = b.ask("keyed", 1, true);
+        assertEquals("db", b.nodeOf(id));
+        b.end(id, Outcome.NO_PLACE);
+        assertTrue(b.out.refused.contains(id));
+        assertEquals(1, b.sendsOf(id));
+    }
+
     @Test
     void oneWhoseTimeEndsBeforeThatIsAnsweredAtOnce() {
         Bench b = Bench.withCaches(4);
