--- a/core/src/main/java/ridgemill/core/Attempt.java
+++ b/core/src/main/java/ridgemill/core/Attempt.java
@@ -25,4 +25,7 @@
 
     /** It is being written, on a connection that was opened for it or on one that was there. */
     default void begun(boolean fresh) { }
+
+    /** Its last byte is with the system: from now on the node may run it. */
+    default void written() { }
 }
--- a/core/src/main/java/ridgemill/core/Dispatcher.java
+++ b/core/src/main/java/ridgemill/core/Dispatcher.java
@@ -152,10 +152,10 @@
 
     /** Takes a request, whose id must not be open; {@code client} gets its one final answer, maybe before this returns. */
     public void request(Request in, Command<C> command, Client<C> client) {
-        tally.requests++;
+        tally.took();
         if (calls.size() >= maxOpen) {
             // Beyond what the settings allow the module is not asked; nothing ran, so this promise is true.
-            tally.refused++;
+            tally.ended(in.service(), Tally.End.REFUSED);
             tally.because(in.service(), Reason.TOO_MANY_OPEN);
             settled.accept(in.service());
             client.because(Reason.TOO_MANY_OPEN);
@@ -173,7 +173,7 @@
     public void clientGone(String id) {
         Call<C> call = calls.get(id);
         if (call != null && !call.over) {
-            tally.gone++;
+            tally.ended(call.in.service(), Tally.End.GONE);
             call.kind.left(timers.now(), timers.now() - call.bornMs);
             settle(call);
             tell(now -> router.clientGone(now, id, this), () -> { });
@@ -220,7 +220,7 @@
         }
         tally.count(outcome);
         if (outcome == Outcome.OK && !call.over) {
-            tally.served++;
+            tally.ended(call.in.service(), Tally.End.SERVED);
             call.kind.finished(now, now - call.bornMs);
             settle(call);
             call.client.served(answer);
@@ -396,7 +396,7 @@
     }
 
     private void refuseNow(Call<C> call, double retryAfterMs) {
-        tally.refused++;
+        tally.ended(call.in.service(), Tally.End.REFUSED);
         call.kind.finished(timers.now(), timers.now() - call.bornMs);
         settle(call);
         say(call);
@@ -408,7 +408,7 @@
     }
 
     private void failNow(Call<C> call) {
-        tally.failed++;
+        tally.ended(call.in.service(), Tally.End.FAILED);
         call.kind.finished(timers.now(), timers.now() - call.bornMs);
         settle(call);
         say(call);
@@ -457,7 +457,7 @@
             report(request, call, attempt, node, Outcome.NEVER_SENT, 0, Answer.NO_NOTE);
             return;
         }
-        Sent<C> sent = new Sent<>(call, now, now + wait, timers, times, atStore);
+        Sent<C> sent = new Sent<>(call, now, now + wait, timers, times, atStore, tally);
         call.out = sent;
         sent.exchange = back.send(node, sent, wait, (outcome, answer) -> ended(call, attempt, node, now, outcome, answer));
     }
@@ -478,16 +478,18 @@
         private final Timers timers;
         private final GroupTimes times;
         private final boolean atStore;
+        private final Tally tally;
         private boolean fresh;
         private Back.Exchange exchange;
 
-        Sent(Call<C> call, double sentMs, double giveUpMs, Timers timers, GroupTimes times, boolean atStore) {
+        Sent(Call<C> call, double sentMs, double giveUpMs, Timers timers, GroupTimes times, boolean atStore, Tally tally) {
             this.call = call;
             this.sentMs = sentMs;
             this.giveUpMs = giveUpMs;
             this.timers = timers;
             this.times = times;
             this.atStore = atStore;
+            this.tally = tally;
         }
 
         void leave() {
@@ -533,6 +535,11 @@
         public void begun(boolean onFresh) {
             fresh = onFresh;
         }
+
+        @Override
+        public void written() {
+            tally.wrote();
+        }
     }
 
     /** A request in the table: open until its final answer, kept on until its last attempt has ended. */
--- a/core/src/main/java/ridgemill/core/Intake.java
+++ b/core/src/main/java/ridgemill/core/Intake.java
@@ -28,6 +28,8 @@
  */
 public final class Intake<C> {
 
+    /** Counted in place of a class that is not known. */
+    private static final String NO_CLASS = "";
     /** The group of nodes that the platform lists. */
     public static final String PLATFORM = "";
 
@@ -150,14 +152,14 @@
         displace(go);
     }
 
-    /** A limit has turned a request away; the front answers it. */
-    public void turnedAway() {
-        tally.requests++;
-        tally.refused++;
+    /** A limit has turned a request of this class away; the front answers it. */
+    public void turnedAway(String service) {
+        tally.took();
+        tally.ended(service == null ? NO_CLASS : service, Tally.End.REFUSED);
     }
 
     private void turnedAway(String service, Reason why) {
-        turnedAway();
+        turnedAway(service);
         tally.because(service, why);
     }
 
@@ -268,8 +270,8 @@
         if (w != null) {
             w.patience().cancel();
             gate.withdrawn(timers.now(), id);
-            tally.requests++;
-            tally.gone++;
+            tally.took();
+            tally.ended(w.in().service(), Tally.End.GONE);
         } else if (recorder == null || !recorder.clientGone(id, () -> mayHaveRun(id))) {
             leave(id);
         }
--- a/core/src/main/java/ridgemill/core/Recorder.java
+++ b/core/src/main/java/ridgemill/core/Recorder.java
@@ -75,22 +75,22 @@
         }
         tally.took();
         if (ask instanceof Outcomes.Join join && runs.containsKey(join.call())) {
-            Asker asker = new Asker(in.id(), client, settled, runs.get(join.call()));
+            Asker asker = new Asker(in, client, settled, runs.get(join.call()));
             asker.run.joined.add(asker);
             waiting.put(in.id(), asker);
             asker.timeUp = timers.at(now + in.budgetMs(), () -> asker.end(Tally.End.REFUSED, () -> client.refusedUnproven(0)));
         } else if (ask instanceof Outcomes.Tell tell && tell.known().state() == Known.State.RECORDED) {
-            settle(settled, Tally.End.SERVED, () -> client.recorded(tell.known().call()));
+            settle(in, settled, Tally.End.SERVED, () -> client.recorded(tell.known().call()));
         } else if (ask instanceof Outcomes.Conflict) {
-            settle(settled, Tally.End.FAILED, client::conflict);
+            settle(in, settled, Tally.End.FAILED, client::conflict);
         } else {
-            settle(settled, Tally.End.FAILED, client::failed);
+            settle(in, settled, Tally.End.FAILED, client::failed);
         }
         return null;
     }
 
-    private void settle(Runnable settled, Tally.End end, Runnable answer) {
-        tally.ended(end);
+    private void settle(Request in, Runnable settled, Tally.End end, Runnable answer) {
+        tally.ended(in.service(), end);
         settled.run();
         answer.run();
     }
@@ -137,24 +137,24 @@
 
     /** One that waits for a call of another's. */
     private final class Asker {
-        private final String id;
+        private final Request in;
         private final Client<C> client;
         private final Runnable settled;
         private final Run run;
         private Timers.Timer timeUp;
 
-        Asker(String id, Client<C> client, Runnable settled, Run run) {
-            this.id = id;
+        Asker(Request in, Client<C> client, Runnable settled, Run run) {
+            this.in = in;
             this.client = client;
             this.settled = settled;
             this.run = run;
         }
 
         void end(Tally.End end, Runnable answer) {
-            if (waiting.remove(id) != null) {
+            if (waiting.remove(in.id()) != null) {
                 run.joined.remove(this);
                 timeUp.cancel();
-                settle(settled, end, answer);
+                settle(in, settled, end, answer);
             }
         }
     }
--- a/core/src/main/java/ridgemill/core/Tally.java
+++ b/core/src/main/java/ridgemill/core/Tally.java
@@ -12,12 +12,10 @@
 public final class Tally {
 
     private final Map<String, long[]> reasons = new HashMap<>();
+    private final Map<String, long[]> ends = new HashMap<>();
     private final long[] outcomes = new long[Outcome.values().length];
-    long requests;
-    long served;
-    long refused;
-    long failed;
-    long gone;
+    private long requests;
+    private long written;
 
     /** How a request ended. */
     public enum End { SERVED, REFUSED, FAILED, GONE }
@@ -27,24 +25,40 @@
         requests++;
     }
 
-    /** One that was taken has ended so. */
-    public void ended(End end) {
-        add(end, 1);
+    /** One of this class that was taken has ended so. */
+    public void ended(String service, End end) {
+        add(service, end, 1);
     }
 
     /** One that was counted as ended in one way has ended in another. */
-    public void changed(End from, End to) {
-        add(from, -1);
-        add(to, 1);
+    public void changed(String service, End from, End to) {
+        add(service, from, -1);
+        add(service, to, 1);
     }
 
-    private void add(End end, int by) {
-        switch (end) {
-            case SERVED -> served += by;
-            case REFUSED -> refused += by;
-            case FAILED -> failed += by;
-            case GONE -> gone += by;
-        }
+    private void add(String service, End end, int by) {
+        ends.computeIfAbsent(service, s -> new long[End.values().length])[end.ordinal()] += by;
+    }
+
+    /** The last byte of an attempt was written to its node. */
+    void wrote() {
+        written++;
+    }
+
+    /** Attempts whose last byte was written to their node, however they ended. */
+    public long written() {
+        return written;
+    }
+
+    /** Requests of a class that ended so. */
+    public long of(String service, End end) {
+        long[] of = ends.get(service);
+        return of == null ? 0 : of[end.ordinal()];
+    }
+
+    /** Requests of all classes that ended so. */
+    public long of(End end) {
+        return ends.values().stream().mapToLong(of -> of[end.ordinal()]).sum();
     }
 
     /** One of this class was refused or has failed, and why. */
@@ -79,10 +93,13 @@
     /** Adds what another counted. */
     public Tally plus(Tally other) {
         requests += other.requests;
-        served += other.served;
-        refused += other.refused;
-        failed += other.failed;
-        gone += other.gone;
+        written += other.written;
+        other.ends.forEach((service, counts) -> {
+            long[] own = ends.computeIfAbsent(service, s -> new long[counts.length]);
+            for (int i = 0; i < counts.length; i++) {
+                own[i] += counts[i];
+            }
+        });
         for (int i = 0; i < outcomes.length; i++) {
             outcomes[i] += other.outcomes[i];
         }
@@ -101,20 +118,20 @@
     }
 
     public long served() {
-        return served;
+        return of(End.SERVED);
     }
 
     public long refused() {
-        return refused;
+        return of(End.REFUSED);
     }
 
     public long failed() {
-        return failed;
+        return of(End.FAILED);
     }
 
     /** Requests whose client left before its answer. */
     public long gone() {
-        return gone;
+        return of(End.GONE);
     }
 
     /** Attempts that ended so. */
@@ -124,8 +141,8 @@
 
     @Override
     public String toString() {
-        return "requests=" + requests + " served=" + served + " refused=" + refused + " failed=" + failed + " gone="
-                + gone + " attempts: " + Arrays.stream(Outcome.values()).filter(o -> attempts(o) > 0)
+        return "requests=" + requests + " served=" + served() + " refused=" + refused() + " failed=" + failed() + " gone="
+                + gone() + " attempts: " + Arrays.stream(Outcome.values()).filter(o -> attempts(o) > 0)
                 .map(o -> o + "=" + attempts(o)).collect(Collectors.joining(" ")) + (reasons.isEmpty() ? "" : " reasons: "
                 + Arrays.stream(Reason.values()).filter(r -> because(r) > 0).map(r -> r.word() + "=" + because(r))
                 .collect(Collectors.joining(" ")));
--- a/core/src/main/java/ridgemill/policy/Decide.java
+++ b/core/src/main/java/ridgemill/policy/Decide.java
@@ -210,6 +210,12 @@
         return control.level;
     }
 
+    @Override
+    public boolean avoids(double now, String node) {
+        NodeView n = nodes.get(node);
+        return n == null || !n.listed || now < n.sparedUntil;
+    }
+
     @Override
     public void classes(double now, List<ServiceClass> next) {
         classes.clear();
--- a/core/src/main/java/ridgemill/policy/Router.java
+++ b/core/src/main/java/ridgemill/policy/Router.java
@@ -215,6 +215,11 @@
         return 0;
     }
 
+    /** Whether a node that the list names gets nothing now, for whoever watches. */
+    default boolean avoids(double now, String node) {
+        return false;
+    }
+
     /** The proxy has started; comes first. */
     void started(double now, Actions out);
 
--- a/core/src/test/java/ridgemill/core/IntakeTest.java
+++ b/core/src/test/java/ridgemill/core/IntakeTest.java
@@ -195,7 +195,7 @@
         Told told = new Told();
         Gate.Entry entry = intake.enter(new Gate.Arrival(id, new Query("GET", path, tenant), "read", false, 0, budgetMs));
         if (entry instanceof Gate.Refuse refuse) {
-            intake.turnedAway();
+            intake.turnedAway(null);
             told.limited(refuse.retryAfterMs());
         } else {
             Gate.Go go = assertInstanceOf(Gate.Go.class, entry);
--- a/gateway/src/main/java/ridgemill/gateway/Config.java
+++ b/gateway/src/main/java/ridgemill/gateway/Config.java
@@ -22,11 +22,12 @@
 
 /**
  * What the deployment tells a proxy. {@code peerListen} and {@code peersAll} are null and {@code peers} empty where
- * proxies may not talk to one another; {@code known} is null where the proxy has never had a list.
+ * proxies may not talk to one another; {@code known} is null where the proxy has never had a list;
+ * {@code console} is null where operators have no address of their own.
  */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
                      InetSocketAddress peerListen, List<InetSocketAddress> peers, InetSocketAddress peersAll,
-                     HostList known, Settings settings, int maxOpen) {
+                     HostList known, Settings settings, int maxOpen, InetSocketAddress console) {
 
     private static final int DEFAULT_SOCKETS = 1024;
     private static final int HEX = 16;
@@ -51,7 +52,7 @@
                 heard, settings.rules(), settings.mustSubscribe(), settings.weights(), settings.originModel(),
                 settings.connections());
         return new Config(name, listen, discovery, seed + loop, Math.max(2, (sockets - reserved) / loops) + reserved, peerListen,
-                peers, peersAll, known, part, Math.max(1, maxOpen / loops));
+                peers, peersAll, known, part, Math.max(1, maxOpen / loops), console);
     }
 
     /** Reads the file that BALANCER_CONFIG names; the other variables override what it says. */
@@ -96,10 +97,11 @@
                     at("listen", () -> required(o, "listen", environment.get("BALANCER_LISTEN"))),
                     at("discovery", () -> required(o, "discovery", environment.get("BALANCER_DISCOVERY"))),
                     at("seed", () -> seed(o)), at("limits", () -> sockets(o)),
-                    at("peer_listen", () -> optional(o, "peer_listen")), at("peers", () -> peers(o)),
-                    at("peers_all", () -> optional(o, "peers_all")), at("known", () -> known(o)),
+                    at("peer_listen", () -> optional(o, "peer_listen", null)), at("peers", () -> peers(o)),
+                    at("peers_all", () -> optional(o, "peers_all", null)), at("known", () -> known(o)),
                     SettingsReader.read(o.get("settings")),
-                    at("settings: limits: max_open", () -> maxOpen(o.getAsJsonObject("settings"))));
+                    at("settings: limits: max_open", () -> maxOpen(o.getAsJsonObject("settings"))),
+                    at("console", () -> optional(o, "console", environment.get("BALANCER_CONSOLE"))));
         } catch (RuntimeException e) {
             throw new ConfigException(reason(e));
         }
@@ -139,9 +141,9 @@
         return Addresses.parse(value);
     }
 
-    private static InetSocketAddress optional(JsonObject o, String field) {
-        String value = text(o, field, null);
-        return value == null ? null : Addresses.parse(value);
+    private static InetSocketAddress optional(JsonObject o, String field, String override) {
+        String value = text(o, field, override);
+        return value == null || value.isEmpty() ? null : Addresses.parse(value);
     }
 
     private static List<InetSocketAddress> peers(JsonObject o) {
--- a/gateway/src/main/java/ridgemill/gateway/Rehearsal.java
+++ b/gateway/src/main/java/ridgemill/gateway/Rehearsal.java
@@ -38,6 +38,8 @@
             Service service = Service.start(config);
             Warmup.run(Transport.TCP, config.settings(), null, new WarmupEnd(REQUESTS, PATIENCE_MS, PATIENCE_MS));
             ask(service.listening());
+            call(service.consoleListening(), "/status");
+            call(service.consoleListening(), "/status/metrics");
             service.peerMessage(0, new byte[Integer.BYTES]);
             // Nothing tells of a step; and nobody waits for a build's rehearsal to be short.
             TimeUnit.MILLISECONDS.sleep(STEPS_MS);
@@ -48,7 +50,7 @@
     /** As a deployment gives it, with every part that one may have. */
     private static String configuration(int discovery) {
         return """
-                {"name": "rehearsal", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:%d", "seed": "8c1f30d27a5be964",
+                {"name": "rehearsal", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:%d", "console": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
                  "limits": {"cores": 0.5, "memory_mb": 64, "sockets": 256},
                  "peer_listen": "127.0.0.1:0", "peers": ["127.0.0.1:9"], "peers_all": "127.0.0.1:9",
                  "known": {"seq": 1, "whole": true, "hosts": [%s]},
@@ -97,6 +99,14 @@
         return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
     }
 
+    /** An operator's call. */
+    private static void call(InetSocketAddress console, String path) throws IOException {
+        try (Socket caller = new Socket(console.getAddress(), console.getPort())) {
+            caller.getOutputStream().write(("GET " + path + " HTTP/1.1\r\nHost: r\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+            caller.getInputStream().readAllBytes();
+        }
+    }
+
     /** The front's question, and one request, whose nodes are not there. */
     private static void ask(InetSocketAddress proxy) throws IOException {
         try (Socket client = new Socket(proxy.getAddress(), proxy.getPort())) {
--- a/gateway/src/main/java/ridgemill/gateway/Service.java
+++ b/gateway/src/main/java/ridgemill/gateway/Service.java
@@ -32,6 +32,7 @@
 import ridgemill.gateway.back.NodePool;
 import ridgemill.gateway.back.Sockets;
 import ridgemill.gateway.back.http.HttpNodeConnection;
+import ridgemill.gateway.console.Console;
 import ridgemill.gateway.front.ClientTable;
 import ridgemill.gateway.front.Listeners;
 import ridgemill.gateway.front.http.HttpFront;
@@ -53,7 +54,10 @@
 import ridgemill.policy.Router.ListKind;
 import ridgemill.policy.Router.Outcome;
 import ridgemill.policy.Router.Settings;
+import ridgemill.policy.Router.ServiceClass;
 import ridgemill.policy.Router;
+import ridgemill.watch.Figures;
+import ridgemill.watch.Readiness;
 
 /** One running proxy: puts the parts together on one event loop, and takes them down without losing a request. */
 public final class Service {
@@ -87,7 +91,9 @@
     private final Map<String, HostList.Host> hosts = new LinkedHashMap<>();
     private Runnable onHosts = () -> { };
     private volatile Runnable beforeEnd = () -> { };
+    private Readiness reached = Readiness.STARTING;
     private InetSocketAddress listening;
+    private InetSocketAddress consoleListening;
 
     /** A proxy that reaches the outside by itself. */
     private Service(Config config, Router router, Gate gate) {
@@ -377,15 +383,21 @@
 
     private void open(Preparation preparation) throws IOException, InterruptedException {
         free(config.listen());
+        if (config.console() != null) {
+            Console console = new Console(loop, this::readiness, this::figures);
+            consoleListening = (InetSocketAddress) bound(console.listen(config.console()), config.console()).channel().localAddress();
+        }
         // The module knows its list before the first client can come, and asks for a newer one.
         loop.submit(this::tellStart).sync();
         loop.execute(discovery::start);
+        loop.execute(() -> reached = reached.then(Readiness.WARMING_UP));
         preparation.run();
         if (peers != null) {
             bound(peers.listen(), config.peerListen());
         }
         listening = (InetSocketAddress) bound(front.listen(Transport.TCP, config.listen()), config.listen()).channel().localAddress();
         Log.info("listening on " + Addresses.text(listening));
+        loop.execute(() -> reached = reached.then(Readiness.WAITING_FOR_LIST));
         clients.watch(loop);
         long patience = config.settings().mustSubscribe() ? 0 : FIRST_NEWS_MS;
         loop.schedule(front::ready, patience, TimeUnit.MILLISECONDS);
@@ -423,6 +435,26 @@
         return peers.listening();
     }
 
+    /** Where operators call; null where they have no address. */
+    public InetSocketAddress consoleListening() {
+        return consoleListening;
+    }
+
+    /** Whether clients may come, and why not; on the loop. */
+    private Readiness readiness() {
+        return clients.isDraining() ? Readiness.DRAINING
+                : reached == Readiness.WAITING_FOR_LIST && front.isUp() ? Readiness.SERVING : reached;
+    }
+
+    /** On the loop. */
+    private Figures figures() {
+        String store = config.settings().originModel();
+        List<String> nodes = hosts.values().stream().filter(h -> store == null || !store.equals(h.node().model()))
+                .map(h -> h.node().id()).toList();
+        return Figures.of(intake.tally(), config.settings().classes().stream().map(ServiceClass::name).toList(), intake.owed(),
+                nodes, id -> platform.router().avoids(timers.now(), id));
+    }
+
     /** Where clients connect. */
     public InetSocketAddress listening() {
         return listening;
@@ -582,6 +614,20 @@
         platform.dispatcher().start();
         if (config.known() != null) {
             platform.hosts(ListKind.REMEMBERED, config.known());
+            know(config.known());
+        }
+    }
+
+    private void know(HostList list) {
+        if (list.whole()) {
+            hosts.clear();
+        }
+        for (HostList.Host h : list.hosts()) {
+            if (h.node().availability() == Availability.GONE) {
+                hosts.remove(h.node().id());
+            } else {
+                hosts.put(h.node().id(), h);
+            }
         }
     }
 
@@ -590,16 +636,7 @@
         @Override
         public void hosts(ListKind kind, HostList list) {
             platform.hosts(kind, list);
-            if (list.whole()) {
-                hosts.clear();
-            }
-            for (HostList.Host h : list.hosts()) {
-                if (h.node().availability() == Availability.GONE) {
-                    hosts.remove(h.node().id());
-                } else {
-                    hosts.put(h.node().id(), h);
-                }
-            }
+            know(list);
             onHosts.run();
         }
 
--- a/gateway/src/main/java/ridgemill/gateway/back/NodeConnection.java
+++ b/gateway/src/main/java/ridgemill/gateway/back/NodeConnection.java
@@ -98,7 +98,7 @@
         // The promise covers the whole message: it fails if the connection breaks before the last byte is written.
         send(message(exchange)).addListener(f -> {
             if (f.isSuccess()) {
-                exchange.written = true;
+                exchange.wrote();
             } else {
                 context.close();
                 exchange.broken();
--- a/gateway/src/main/java/ridgemill/gateway/back/NodeExchange.java
+++ b/gateway/src/main/java/ridgemill/gateway/back/NodeExchange.java
@@ -46,6 +46,13 @@
         return written;
     }
 
+    void wrote() {
+        written = true;
+        if (attempt != null) {
+            attempt.written();
+        }
+    }
+
     /** Whether its connection had carried none before it. */
     boolean isFirst() {
         return idleMs <= 0;
--- a/gateway/src/main/java/ridgemill/gateway/back/resp/RespConnection.java
+++ b/gateway/src/main/java/ridgemill/gateway/back/resp/RespConnection.java
@@ -119,6 +119,9 @@
         context.write(message(exchange)).addListener(f -> {
             if (f.isSuccess()) {
                 exchange.written = true;
+                if (exchange.attempt() != null && !needsGuard(exchange)) {
+                    exchange.attempt().written();
+                }
             } else {
                 close();
             }
--- /dev/null
+++ b/gateway/src/main/java/ridgemill/gateway/console/Console.java
@@ -0,0 +1,61 @@
+package ridgemill.gateway.console;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
+import java.util.function.Supplier;
+import ridgemill.gateway.net.Transport;
+import ridgemill.watch.Callers;
+import ridgemill.watch.Figures;
+import ridgemill.watch.Readiness;
+
+/**
+ * The address for operators alone: HTTP/1.1, one call to a connection. It answers from the loop's own state, from before the
+ * first list has come until the loop ends. Used on the loop.
+ */
+public final class Console {
+
+    /** Callers that may be there at a time; their descriptors are among those that clients can't take. */
+    public static final int PLACES = 16;
+
+    private final EventLoop loop;
+    private final Callers<Channel> callers = new Callers<>(PLACES);
+    private final Supplier<Readiness> readiness;
+    private final Supplier<Figures> figures;
+
+    /** A console that reads what it tells when it is asked. */
+    public Console(EventLoop loop, Supplier<Readiness> readiness, Supplier<Figures> figures) {
+        this.loop = loop;
+        this.readiness = readiness;
+        this.figures = figures;
+    }
+
+    /** Starts to listen; the future fails where the address can't be had. From any thread. */
+    public ChannelFuture listen(InetSocketAddress address) {
+        return Transport.TCP.server(loop).childHandler(new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                take(channel);
+            }
+        }).bind(address);
+    }
+
+    private void take(Channel channel) {
+        ConsoleCall.install(channel, this);
+        Channel goes = callers.come(channel);
+        channel.closeFuture().addListener(f -> callers.gone(channel));
+        if (goes != null) {
+            goes.close();
+        }
+    }
+
+    Readiness readiness() {
+        return readiness.get();
+    }
+
+    Figures figures() {
+        return figures.get();
+    }
+}
--- a/gateway/src/main/java/ridgemill/gateway/front/http/HttpClientConnection.java
+++ b/gateway/src/main/java/ridgemill/gateway/front/http/HttpClientConnection.java
@@ -157,14 +157,14 @@
 
     private void begin(FullHttpRequest in, double passedMs) {
         Exchange exchange = new Exchange(HttpUtil.isKeepAlive(in), isRead(in));
-        if (!isTurnedAway(exchange)) {
+        if (!isTurnedAway(exchange, in.headers().get("X-Call-Class"))) {
             act(exchange, front.requests().read(in, said -> left(said, passedMs), front.intake()::isOpen));
         }
     }
 
     private void begin(LeanHttp in, ByteBuf all) {
         Exchange exchange = new Exchange(in.isKeepAlive(), !in.isPut());
-        if (isTurnedAway(exchange)) {
+        if (isTurnedAway(exchange, in.get("X-Call-Class"))) {
             return;
         }
         ByteBuf body = in.body(all);
@@ -176,11 +176,11 @@
         }
     }
 
-    private boolean isTurnedAway(Exchange exchange) {
+    private boolean isTurnedAway(Exchange exchange, String service) {
         if (!isSurplus()) {
             return false;
         }
-        front.intake().turnedAway();
+        front.intake().turnedAway(service);
         busy();
         last = true;
         open(exchange, Double.POSITIVE_INFINITY);
@@ -202,7 +202,7 @@
             front.intake().request(call.go(), call.request(), call.command(), exchange);
             order.watch();
         } else if (read instanceof HttpRequests.Refused refused) {
-            front.intake().turnedAway();
+            front.intake().turnedAway(refused.service());
             busy();
             open(exchange, Double.POSITIVE_INFINITY);
             exchange.because(Reason.LIMIT);
--- a/gateway/src/main/java/ridgemill/gateway/front/http/HttpFront.java
+++ b/gateway/src/main/java/ridgemill/gateway/front/http/HttpFront.java
@@ -84,7 +84,8 @@
         return wayBack;
     }
 
-    boolean isUp() {
+    /** Whether clients are told that this proxy may be used. */
+    public boolean isUp() {
         return ready && !table.isDraining();
     }
 
--- a/gateway/src/main/java/ridgemill/gateway/front/http/HttpRequests.java
+++ b/gateway/src/main/java/ridgemill/gateway/front/http/HttpRequests.java
@@ -54,8 +54,8 @@
     /** A request for the decision module, and how the gate let it on. */
     record Call(Gate.Go go, Request request, Command<Content> command) implements Read { }
 
-    /** A request that a limit turns away, and when its client may come back. */
-    record Refused(double retryAfterMs) implements Read { }
+    /** A request that a limit turns away, the class that it names, and when its client may come back. */
+    record Refused(String service, double retryAfterMs) implements Read { }
 
     /** A look at whether the proxy is up. */
     record Up() implements Read { }
@@ -191,7 +191,7 @@
                 headers.get("X-Call-Class"), retry, body.readableBytes(),
                 Double.isInfinite(saidMs) ? Double.MAX_VALUE : left.applyAsDouble(saidMs)));
         if (entry instanceof Gate.Refuse refuse) {
-            return new Refused(refuse.retryAfterMs());
+            return new Refused(headers.get("X-Call-Class"), refuse.retryAfterMs());
         }
         if (!(entry instanceof Gate.Go go)) {
             return new Bad(entry instanceof Gate.Unfit unfit && unfit.reason() == Gate.Reason.TOO_LARGE
--- a/gateway/src/main/java/ridgemill/gateway/front/resp/RespClientConnection.java
+++ b/gateway/src/main/java/ridgemill/gateway/front/resp/RespClientConnection.java
@@ -114,7 +114,7 @@
         }
         if (isSurplus()) {
             ((Resp) message).release();
-            front.intake().turnedAway();
+            front.intake().turnedAway(null);
             busy();
             end(Replies.refused(Replies.Why.LIMIT, SURPLUS_BACK_MS));
             return;
@@ -278,7 +278,7 @@
         Gate.Entry entry = front.intake().enter(new Gate.Arrival(id, new Query(method(action), path, session.tenant(),
                 NO_HEADERS), options.service(), options.again(), value.readableBytes(), budget));
         if (entry instanceof Gate.Refuse refused) {
-            front.intake().turnedAway();
+            front.intake().turnedAway(options.service());
             client.because(Reason.LIMIT);
             client.limited(refused.retryAfterMs());
             return;
--- a/gateway/src/main/java/ridgemill/gateway/halls/HallCrossings.java
+++ b/gateway/src/main/java/ridgemill/gateway/halls/HallCrossings.java
@@ -423,10 +423,10 @@
             halls.over(passing);
             if (homeCounted == null) {
                 tally.took();
-                tally.ended(end);
+                tally.ended(in.service(), end);
                 settled.accept(in.service());
             } else if (homeCounted != end) {
-                tally.changed(homeCounted, end);
+                tally.changed(in.service(), homeCounted, end);
             }
             answer.run();
         }
--- a/gateway/src/main/java/ridgemill/gateway/halls/HallFront.java
+++ b/gateway/src/main/java/ridgemill/gateway/halls/HallFront.java
@@ -396,7 +396,7 @@
             Gate.Entry entry = intake.enter(new Gate.Arrival(call.id(), new Query(headers.method().toString(), path, call.tenant(),
                     name -> null), call.service(), call.again(), command.content().bytes().readableBytes(), left));
             if (entry instanceof Gate.Refuse refuse) {
-                intake.turnedAway();
+                intake.turnedAway(call.service());
                 turnAway(429, false, refuse.retryAfterMs());
             } else if (entry instanceof Gate.Go go) {
                 if (go.needsKey(command.write()) && command.idempotencyKey() == null) {
