--- a/gateway/src/main/java/ridgemill/gateway/Crew.java
+++ b/gateway/src/main/java/ridgemill/gateway/Crew.java
@@ -28,6 +28,7 @@
 import ridgemill.policy.Router.ListKind;
 import ridgemill.policy.Router.Settings;
 import ridgemill.policy.Router;
+import ridgemill.succession.LeavePlan;
 
 /**
  * One process of several event loops, each a complete proxy with decisions and state of its own: nothing is shared on a
@@ -95,7 +96,7 @@
 
     private void open() throws IOException, InterruptedException {
         if (peers != null) {
-            Service.bound(peers.listen(), config.peerListen());
+            Service.bound(peers.listen(false), config.peerListen());
         }
         members.forEach(Service::begin);
         listening = listen(config.listen(), Service::httpListeners);
@@ -218,7 +219,7 @@
         Log.info("draining");
         each(m -> m.clients().drain());
         try {
-            Thread.sleep(Service.LINGER_MS);
+            Thread.sleep((long) LeavePlan.of(false, List.of()).idleMs());
             // The door first: a connection that it dealt is with its loop before that hears of the end.
             door.submit(dealer::close).sync();
             members.forEach(Service::endDrain);
--- a/gateway/src/main/java/ridgemill/gateway/Peers.java
+++ b/gateway/src/main/java/ridgemill/gateway/Peers.java
@@ -26,6 +26,7 @@
     private final int self;
     private final Log log = new Log();
     private Channel channel;
+    private boolean left;
 
     /** {@code heard} is told the number of the proxy that speaks, and what it says; on the loop. */
     Peers(EventLoop loop, Config config, BiConsumer<Integer, byte[]> heard) {
@@ -35,9 +36,13 @@
         this.self = config.settings().index();
     }
 
-    ChannelFuture listen() {
-        ChannelFuture bound = new Bootstrap().group(loop).channel(SocketKind.of(loop).datagram()).handler(new Inbox())
-                .bind(config.peerListen());
+    /** Listens for the others; {@code shared} where another process of this proxy may do so too. */
+    ChannelFuture listen(boolean shared) {
+        Bootstrap bootstrap = new Bootstrap().group(loop).channel(SocketKind.of(loop).datagram()).handler(new Inbox());
+        if (shared) {
+            bootstrap.option(SocketKind.of(loop).sharedPort(), true);
+        }
+        ChannelFuture bound = bootstrap.bind(config.peerListen());
         channel = bound.channel();
         return bound;
     }
@@ -46,8 +51,17 @@
         return (InetSocketAddress) channel.localAddress();
     }
 
+    /** Hears and says nothing any more: another process of this proxy does. On the loop. */
+    void leave() {
+        left = true;
+        channel.close();
+    }
+
     /** Sends to every other proxy. */
     void tell(byte[] contents) {
+        if (left) {
+            return;
+        }
         if (channel == null || contents.length > MAX_MESSAGE) {
             log.odd("a message to peers was not sent: " + contents.length + " bytes");
         } else if (config.peersAll() != null) {
--- a/gateway/src/main/java/ridgemill/gateway/Service.java
+++ b/gateway/src/main/java/ridgemill/gateway/Service.java
@@ -48,6 +48,7 @@
 import ridgemill.gateway.net.LoopTimers;
 import ridgemill.gateway.net.SocketKind;
 import ridgemill.gateway.net.Transport;
+import ridgemill.gateway.succession.ServingMark;
 import ridgemill.outcome.Outcomes;
 import ridgemill.policy.Decide;
 import ridgemill.policy.Router.Availability;
@@ -56,6 +57,7 @@
 import ridgemill.policy.Router.Settings;
 import ridgemill.policy.Router.ServiceClass;
 import ridgemill.policy.Router;
+import ridgemill.succession.LeavePlan;
 import ridgemill.watch.Figures;
 import ridgemill.watch.Readiness;
 
@@ -66,8 +68,6 @@
     static final int RESERVED_SOCKETS = 48;
     /** Part of the other descriptors that is for clients; each of their requests has one attempt out at most. */
     private static final double CLIENT_PART = 0.5;
-    /** New connections still come for 0.4 s after SIGTERM; requests on them for a little longer. */
-    static final long LINGER_MS = 600;
     private static final long DRAIN_POLL_MS = 10;
     /** How long readiness waits for discovery: a list from the configuration serves if it says nothing. */
     static final long FIRST_NEWS_MS = 2000;
@@ -92,6 +92,7 @@
     private Runnable onHosts = () -> { };
     private volatile Runnable beforeEnd = () -> { };
     private Readiness reached = Readiness.STARTING;
+    private boolean marked;
     private InetSocketAddress listening;
     private InetSocketAddress consoleListening;
 
@@ -339,7 +340,8 @@
 
     /** Runs the proxy's own path on requests that stay inside the process, before one is started. */
     public static void warmUp(Config config) throws IOException, InterruptedException {
-        Warmup.run(config.settings(), config.peerListen());
+        boolean succeeds = config.console() != null && ServingMark.of(config.listen()).another().isPresent();
+        Warmup.run(config.settings(), succeeds ? null : config.peerListen(), succeeds);
     }
 
     /**
@@ -382,7 +384,7 @@
     }
 
     private void open(Preparation preparation) throws IOException, InterruptedException {
-        free(config.listen());
+        free(config.listen(), isShared());
         if (config.console() != null) {
             Console console = new Console(loop, this::readiness, this::figures);
             consoleListening = (InetSocketAddress) bound(console.listen(config.console()), config.console()).channel().localAddress();
@@ -393,11 +395,14 @@
         loop.execute(() -> reached = reached.then(Readiness.WARMING_UP));
         preparation.run();
         if (peers != null) {
-            bound(peers.listen(), config.peerListen());
+            bound(peers.listen(isShared()), config.peerListen());
         }
-        listening = (InetSocketAddress) bound(front.listen(Transport.TCP, config.listen()), config.listen()).channel().localAddress();
+        listening = (InetSocketAddress) bound(front.listen(isShared() ? Transport.SHARED_TCP : Transport.TCP, config.listen()), config.listen()).channel().localAddress();
         Log.info("listening on " + Addresses.text(listening));
-        loop.execute(() -> reached = reached.then(Readiness.WAITING_FOR_LIST));
+        loop.execute(() -> {
+            reached = reached.then(Readiness.WAITING_FOR_LIST);
+            markServing();
+        });
         clients.watch(loop);
         long patience = config.settings().mustSubscribe() ? 0 : FIRST_NEWS_MS;
         loop.schedule(front::ready, patience, TimeUnit.MILLISECONDS);
@@ -418,8 +423,9 @@
      * Finds out early whether nobody listens there: bound, but not listening, as whoever connected now would wait for all of
      * the start.
      */
-    private static void free(InetSocketAddress address) throws IOException {
+    private static void free(InetSocketAddress address, boolean shared) throws IOException {
         try (SocketChannel tried = SocketChannel.open()) {
+            tried.setOption(StandardSocketOptions.SO_REUSEPORT, shared);
             tried.setOption(StandardSocketOptions.SO_REUSEADDR, true).bind(address);
         } catch (BindException e) {
             throw cannotListen(address, e);
@@ -440,10 +446,28 @@
         return consoleListening;
     }
 
+    /** Whether another process of this proxy may listen at its addresses too: where operators can see which of them serves. */
+    private boolean isShared() {
+        return config.console() != null;
+    }
+
+    private boolean readyToServe() {
+        return reached == Readiness.WAITING_FOR_LIST && front.isUp();
+    }
+
+    /** This process has become the one that serves; before the console says so, as the other is told to end then. */
+    private void markServing() {
+        if (isShared() && !marked && readyToServe()) {
+            marked = true;
+            ServingMark.of(listening).set();
+        }
+    }
+
     /** Whether clients may come, and why not; on the loop. */
     private Readiness readiness() {
+        markServing();
         return clients.isDraining() ? Readiness.DRAINING
-                : reached == Readiness.WAITING_FOR_LIST && front.isUp() ? Readiness.SERVING : reached;
+                : readyToServe() ? Readiness.SERVING : reached;
     }
 
     /** On the loop. */
@@ -495,8 +519,7 @@
     /** The same with something to be done when nothing is owed any more, before the loop ends; not on the loop. */
     public void drainThen(Runnable last) {
         beforeEnd = last;
-        beginDrain();
-        loop.schedule(this::endDrain, LINGER_MS, TimeUnit.MILLISECONDS);
+        leave(LeavePlan.of(isShared() && ServingMark.of(listening).another().isPresent(), config.settings().classes()));
         try {
             ended.await();
         } catch (InterruptedException e) {
@@ -504,6 +527,23 @@
         }
     }
 
+    /** Leaves by a plan; returns at once. */
+    void leave(LeavePlan plan) {
+        if (plan.succeeded()) {
+            Log.info("succeeded by another process");
+            loop.execute(() -> {
+                front.succeeded();
+                clients.answersWithin(plan.answerMs());
+                if (peers != null) {
+                    peers.leave();
+                }
+            });
+        }
+        beginDrain();
+        loop.schedule(() -> stops.forEach(Runnable::run), (long) plan.listenMs(), TimeUnit.MILLISECONDS);
+        loop.schedule(this::endDrain, (long) plan.idleMs(), TimeUnit.MILLISECONDS);
+    }
+
     /** Still serves whoever comes, but each for the last time. */
     void beginDrain() {
         Log.info("draining");
--- a/gateway/src/main/java/ridgemill/gateway/Warmup.java
+++ b/gateway/src/main/java/ridgemill/gateway/Warmup.java
@@ -101,8 +101,8 @@
     }
 
     /** Returns how many requests were answered, when it has run long enough; a fault in it costs its gain alone. */
-    static int run(Settings settings, InetSocketAddress peerListen) throws IOException, InterruptedException {
-        return run(Transport.IN_PROCESS, settings, peerListen, WarmupEnd.usual());
+    static int run(Settings settings, InetSocketAddress peerListen, boolean succeeds) throws IOException, InterruptedException {
+        return run(Transport.IN_PROCESS, settings, peerListen, succeeds ? WarmupEnd.succeeding() : WarmupEnd.usual());
     }
 
     /** The same over sockets, as a rehearsal wants it, or until another end. */
--- a/gateway/src/main/java/ridgemill/gateway/WarmupEnd.java
+++ b/gateway/src/main/java/ridgemill/gateway/WarmupEnd.java
@@ -35,6 +35,11 @@
         return new WarmupEnd(REQUESTS, PATIENCE_MS, ALONE_MS);
     }
 
+    /** Where another process of this proxy serves meanwhile: it has a core to share with it, and a time in which to be ready. */
+    static WarmupEnd succeeding() {
+        return new WarmupEnd(REQUESTS, PATIENCE_MS, PATIENCE_MS);
+    }
+
     /** Whether it is over after so many requests in all, so many milliseconds after its begin; once a round. */
     boolean over(int sent, double elapsedMs, boolean peersServe) {
         double each = (elapsedMs - lastMs) / Math.max(1, sent - lastRequests);
--- a/gateway/src/main/java/ridgemill/gateway/front/ClientTable.java
+++ b/gateway/src/main/java/ridgemill/gateway/front/ClientTable.java
@@ -35,6 +35,7 @@
     private final List<Consumer<Boolean>> accepting = new ArrayList<>();
     private double idleMs;
     private boolean full;
+    private double endsAt = Double.POSITIVE_INFINITY;
     private boolean draining;
     private boolean stopped;
     int idle;
@@ -96,6 +97,16 @@
         draining = true;
     }
 
+    /** Requests that come must have their answers within so many milliseconds from now; infinite for no such bound. */
+    public void answersWithin(double ms) {
+        endsAt = ms == Double.POSITIVE_INFINITY ? ms : System.nanoTime() / 1e6 + ms;
+    }
+
+    /** What a request that comes now has until then, in milliseconds. */
+    public double leftMs() {
+        return endsAt == Double.POSITIVE_INFINITY ? endsAt : Math.max(0, endsAt - System.nanoTime() / 1e6);
+    }
+
     /** Whether each answer is its connection's last because the proxy goes down. */
     public boolean isDraining() {
         return draining;
--- a/gateway/src/main/java/ridgemill/gateway/front/OpenAddresses.java
+++ b/gateway/src/main/java/ridgemill/gateway/front/OpenAddresses.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import ridgemill.gateway.net.SocketKind;
 
 /** The listeners that a loop has open, which accept or stop accepting together. Used on that loop, but for {@link #add}. */
 final class OpenAddresses {
@@ -47,7 +48,11 @@
     /** No new connections, now and from whatever is bound later. */
     void close() {
         over = true;
-        List.copyOf(open.values()).forEach(Channel::close);
+        for (Channel listener : List.copyOf(open.values())) {
+            // In one step: what comes between the two is reset.
+            SocketKind.of(loop).takeWaiting(listener);
+            listener.close();
+        }
     }
 
     /** Whether new connections are taken; those that are not wait with the system. */
--- a/gateway/src/main/java/ridgemill/gateway/front/http/HttpClientConnection.java
+++ b/gateway/src/main/java/ridgemill/gateway/front/http/HttpClientConnection.java
@@ -122,7 +122,7 @@
 
     /** What a client's time comes to here, of which so much has passed already. */
     private double left(double saidMs, double passedMs) {
-        return front.intake().deadlines().leftMs(saidMs, passedMs, front.wayBack());
+        return Math.min(front.intake().deadlines().leftMs(saidMs, passedMs, front.wayBack()), front.table().leftMs());
     }
 
     /** Begins what may be begun beside what is open: reads beside reads. */
--- a/gateway/src/main/java/ridgemill/gateway/front/http/HttpFront.java
+++ b/gateway/src/main/java/ridgemill/gateway/front/http/HttpFront.java
@@ -22,6 +22,7 @@
     private final WayBack wayBack;
     private HttpTerms terms = HttpTerms.PLATFORM;
     private boolean ready;
+    private boolean succeeded;
 
     /** A front whose connections go into a table that it may share with others. */
     public HttpFront(EventLoop loop, Intake<Content> intake, ClientTable table) {
@@ -54,6 +55,11 @@
         ready = true;
     }
 
+    /** Another process of this proxy serves at its address: whoever asks here too is told that the proxy may be used. */
+    public void succeeded() {
+        succeeded = true;
+    }
+
     /** Where its connections come in. */
     public Listeners listeners() {
         return listeners;
@@ -86,7 +92,7 @@
 
     /** Whether clients are told that this proxy may be used. */
     public boolean isUp() {
-        return ready && !table.isDraining();
+        return ready && (succeeded || !table.isDraining());
     }
 
     Intake<Content> intake() {
--- a/gateway/src/main/java/ridgemill/gateway/net/SocketKind.java
+++ b/gateway/src/main/java/ridgemill/gateway/net/SocketKind.java
@@ -1,5 +1,7 @@
 package ridgemill.gateway.net;
 
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.IoEventLoop;
 import io.netty.channel.IoHandlerFactory;
@@ -13,12 +15,17 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.DatagramChannel;
 import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import io.netty.channel.socket.nio.NioServerDomainSocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.channel.unix.DomainSocketAddress;
+import io.netty.channel.unix.Socket;
+import io.netty.channel.unix.UnixChannelOption;
+import java.io.IOException;
 import java.net.SocketAddress;
+import java.net.StandardSocketOptions;
 import java.net.UnixDomainSocketAddress;
 import java.nio.file.Path;
 import java.util.Locale;
@@ -61,6 +68,16 @@
         public SocketAddress localAddress(Path path) {
             return UnixDomainSocketAddress.of(path);
         }
+
+        @Override
+        public ChannelOption<Boolean> sharedPort() {
+            return NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT);
+        }
+
+        @Override
+        public void takeWaiting(Channel listener) {
+            // The JDK's listeners are read by their selector alone.
+        }
     },
 
     /** Linux's epoll. */
@@ -94,6 +111,25 @@
         public SocketAddress localAddress(Path path) {
             return new DomainSocketAddress(path.toFile());
         }
+
+        @Override
+        public ChannelOption<Boolean> sharedPort() {
+            return UnixChannelOption.SO_REUSEPORT;
+        }
+
+        @Override
+        public void takeWaiting(Channel listener) {
+            if (listener instanceof EpollServerSocketChannel epoll && epoll.fd() instanceof Socket socket) {
+                byte[] address = new byte[ADDRESS_BYTES];
+                try {
+                    for (int fd = socket.accept(address); fd >= 0; fd = socket.accept(address)) {
+                        listener.pipeline().fireChannelRead(new EpollSocketChannel(fd));
+                    }
+                } catch (IOException e) {
+                    Log.info("what waited at a listener was not taken: " + e.getMessage());
+                }
+            }
+        }
     };
 
     /**
@@ -102,6 +138,9 @@
      */
     public static final String PROPERTY = "ridgemill.sockets";
 
+    /** An address with its length, as Netty's library hands one back. */
+    private static final int ADDRESS_BYTES = 26;
+
     /** What makes the part of a loop that waits for sockets. */
     public abstract IoHandlerFactory handlers();
 
@@ -120,6 +159,12 @@
     /** A Unix socket's address as this kind's channels want it. */
     public abstract SocketAddress localAddress(Path path);
 
+    /** Lets several processes of one user listen at an address. */
+    public abstract ChannelOption<Boolean> sharedPort();
+
+    /** Takes in the connections that wait at a listener, as closing it would reset them; on its loop. */
+    public abstract void takeWaiting(Channel listener);
+
     /** The kind of a loop that is there. */
     public static SocketKind of(EventLoop loop) {
         // Asked of the JDK's first: where those serve, no class of the other is loaded.
--- a/gateway/src/main/java/ridgemill/gateway/net/Transport.java
+++ b/gateway/src/main/java/ridgemill/gateway/net/Transport.java
@@ -22,6 +22,18 @@
             return new Bootstrap().group(loop).channel(SocketKind.of(loop).client()).option(ChannelOption.TCP_NODELAY, true);
         }
     },
+    /** At an address that another process of this proxy may listen at too. */
+    SHARED_TCP {
+        @Override
+        public ServerBootstrap server(EventLoop loop) {
+            return TCP.server(loop).option(SocketKind.of(loop).sharedPort(), true);
+        }
+
+        @Override
+        public Bootstrap client(EventLoop loop) {
+            return TCP.client(loop);
+        }
+    },
     IN_PROCESS {
         @Override
         public ServerBootstrap server(EventLoop loop) {
--- /dev/null
+++ b/gateway/src/main/java/ridgemill/gateway/succession/ServingMark.java
@@ -0,0 +1,72 @@
+package ridgemill.gateway.succession;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.Optional;
+import ridgemill.gateway.net.Log;
+
+/**
+ * A file that says which process serves at an address: the last one that became ready there. It is put in place whole; one that
+ * can't be read or written, or makes no sense, says nothing, and each process then acts as if it were alone.
+ */
+public final class ServingMark {
+
+    /** Longer than any process id with its line. */
+    private static final int MOST_BYTES = 32;
+
+    private final Path file;
+
+    private ServingMark(Path file) {
+        this.file = file;
+    }
+
+    /** The mark of an address, in the process's temporary directory. */
+    public static ServingMark of(InetSocketAddress address) {
+        String directory = System.getenv("TMPDIR");
+        return in(Path.of(directory == null || directory.isEmpty() ? System.getProperty("java.io.tmpdir") : directory), address);
+    }
+
+    /** The mark of an address in a directory. */
+    public static ServingMark in(Path directory, InetSocketAddress address) {
+        return new ServingMark(directory.resolve("ridgemill-" + address.getAddress().getHostAddress().replace(':', '_') + "-"
+                + address.getPort() + ".serving"));
+    }
+
+    /** This process serves from now on. */
+    public void set() {
+        Path next = file.resolveSibling(file.getFileName() + "." + ProcessHandle.current().pid());
+        try {
+            Files.writeString(next, ProcessHandle.current().pid() + "\n");
+            Files.move(next, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+        } catch (IOException e) {
+            Log.info("no mark of who serves, an upgrade will be taken for a restart: " + e);
+            drop(next);
+        }
+    }
+
+    private static void drop(Path file) {
+        try {
+            Files.deleteIfExists(file);
+        } catch (IOException e) {
+            Log.info("cannot remove " + file + ": " + e.getMessage());
+        }
+    }
+
+    /** Another process that lives and was the last to serve; empty where there is none. */
+    public Optional<ProcessHandle> another() {
+        try (var in = Files.newInputStream(file)) {
+            String text = new String(in.readNBytes(MOST_BYTES), StandardCharsets.US_ASCII).trim();
+            return ProcessHandle.of(Long.parseLong(text)).filter(p -> p.pid() != ProcessHandle.current().pid() && p.isAlive());
+        } catch (NoSuchFileException e) {
+            return Optional.empty();
+        } catch (IOException | NumberFormatException e) {
+            Log.info("the mark of who serves can't be read: " + e);
+            return Optional.empty();
+        }
+    }
+}
--- a/gateway/src/test/java/ridgemill/gateway/Site.java
+++ b/gateway/src/test/java/ridgemill/gateway/Site.java
@@ -22,6 +22,7 @@
     Service service;
     int sockets = 256;
     int maxOpen = 4;
+    String listen = "127.0.0.1:0";
     private int calls;
 
     Site() throws IOException { }
@@ -37,7 +38,7 @@
     }
 
     Config config(String mode, String idleMs, String more) throws ConfigException {
-        return Config.parse("{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"" + discovery.dial() + "\","
+        return Config.parse("{\"name\":\"n0\",\"listen\":\"" + listen + "\",\"discovery\":\"" + discovery.dial() + "\","
                 + "\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":" + sockets + "}," + more
                 + "\"known\":" + list(7, true, host("c0", node.dial(), "up", 0)) + ",\"settings\":"
                 + SETTINGS.formatted(mode, idleMs).replace("\"max_open\": 4", "\"max_open\": " + maxOpen) + "}", Map.of());
--- a/gateway/src/test/java/ridgemill/gateway/WarmupTest.java
+++ b/gateway/src/test/java/ridgemill/gateway/WarmupTest.java
@@ -16,7 +16,7 @@
     @Test
     void itsRequestsAreServedAndItEnds() throws Exception {
         try (Site site = new Site()) {
-            assertTrue(Warmup.run(site.config("automatic", "60000", "").settings(), null) > 0);
+            assertTrue(Warmup.run(site.config("automatic", "60000", "").settings(), null, false) > 0);
         }
     }
 
