--- a/core/src/main/java/ridgemill/core/Attempt.java
+++ b/core/src/main/java/ridgemill/core/Attempt.java
@@ -20,6 +20,11 @@
         return remainingMs() > 0;
     }
 
+    /** Whether an answer may be given on before it is whole. */
+    default boolean takesParts() {
+        return false;
+    }
+
     /** A connection was opened for it, which took so long, in milliseconds. */
     default void connected(double ms) { }
 
--- a/core/src/main/java/ridgemill/core/Back.java
+++ b/core/src/main/java/ridgemill/core/Back.java
@@ -13,6 +13,14 @@
 
         /** {@code answer} is null where no whole answer came. */
         void ended(Outcome outcome, Answer<C> answer);
+
+        /**
+         * A good answer has begun, whose content comes by and by; {@link #ended} follows when it has ended or broken off, without
+         * an answer. Called only where {@link Attempt#takesParts}. Returns whether anybody takes it.
+         */
+        default boolean begun(Answer<C> answer) {
+            return false;
+        }
     }
 
     /** An attempt that is out. */
--- a/core/src/main/java/ridgemill/core/Client.java
+++ b/core/src/main/java/ridgemill/core/Client.java
@@ -8,6 +8,11 @@
     /** Served with the answer that a node made for this request; its content holds until this returns. */
     void served(Answer<C> answer);
 
+    /** Whether it takes an answer that is not whole yet; what breaks off then is told by the content itself. */
+    default boolean takesParts() {
+        return false;
+    }
+
     /**
      * Refused: trying again is harmless.
      *
--- a/core/src/main/java/ridgemill/core/Dispatcher.java
+++ b/core/src/main/java/ridgemill/core/Dispatcher.java
@@ -189,7 +189,7 @@
     /** An open request needs its final answer now; what is out for it is of no use any more. */
     public void giveUp(String id) {
         Call<C> call = calls.get(id);
-        if (call != null && !call.over) {
+        if (call != null && !call.over && !call.hasBegun()) {
             call.why = Reason.HELD_UP_ANOTHER;
             endNow(call);
             if (call.out != null) {
@@ -208,9 +208,39 @@
         }
     }
 
+    /** An answer has begun: it is the request's final one, however long its rest takes, and whether or not that comes. */
+    private boolean begun(Call<C> call, int attempt, String node, Answer<C> answer) {
+        if (call.over) {
+            return false;
+        }
+        double now = timers.now();
+        call.backstop.cancel();
+        call.begunMs = now;
+        call.kind.answered(now, now - call.out.sentMs, call.out.atStore, call.out.fresh);
+        call.client.served(answer);
+        tell(at -> router.streamStarted(at, call.in.id(), attempt, node, this), () -> { });
+        return true;
+    }
+
+    /** One that had begun has ended or broken off; its client has seen which. */
+    private void endedBegun(Call<C> call, int attempt, String node, double sentAt, Outcome outcome) {
+        tally.count(outcome);
+        if (!call.over) {
+            double now = timers.now();
+            tally.ended(call.in.service(), outcome == Outcome.OK ? Tally.End.SERVED : Tally.End.FAILED);
+            call.kind.finished(now, call.begunMs - call.bornMs);
+            settle(call);
+        }
+        report(call.in.id(), call, attempt, node, outcome, call.begunMs - sentAt, Answer.NO_NOTE);
+    }
+
     private void ended(Call<C> call, int attempt, String node, double sentAt, Outcome outcome, Answer<C> answer) {
         Sent<C> sent = call.out;
         call.out = null;
+        if (call.hasBegun()) {
+            endedBegun(call, attempt, node, sentAt, outcome);
+            return;
+        }
         call.proven &= outcome.provesNotRun();
         double now = timers.now();
         if (outcome == Outcome.OK) {
@@ -385,7 +415,7 @@
 
     private void ifOpen(String request, Consumer<Call<C>> action) {
         Call<C> call = calls.get(request);
-        if (call != null && !call.over) {
+        if (call != null && !call.over && !call.hasBegun()) {
             action.accept(call);
         }
     }
@@ -459,7 +489,17 @@
         }
         Sent<C> sent = new Sent<>(call, now, now + wait, timers, times, atStore, tally);
         call.out = sent;
-        sent.exchange = back.send(node, sent, wait, (outcome, answer) -> ended(call, attempt, node, now, outcome, answer));
+        sent.exchange = back.send(node, sent, wait, new Back.Done<>() {
+            @Override
+            public void ended(Outcome outcome, Answer<C> answer) {
+                Dispatcher.this.ended(call, attempt, node, now, outcome, answer);
+            }
+
+            @Override
+            public boolean begun(Answer<C> answer) {
+                return Dispatcher.this.begun(call, attempt, node, answer);
+            }
+        });
     }
 
     private void probeNow(String node) {
@@ -526,6 +566,11 @@
             return !call.over && call.kind.mayWrite(now, call.deadline - now, atStore) == Verdict.GO;
         }
 
+        @Override
+        public boolean takesParts() {
+            return call.client.takesParts();
+        }
+
         @Override
         public void connected(double ms) {
             times.connected(ms);
@@ -553,6 +598,7 @@
         Timers.Timer backstop;
         Sent<C> out;
         int attempts;
+        double begunMs = Double.NaN;
         Reason why = Reason.UNSAID;
         boolean proven = true;
         boolean over;
@@ -565,5 +611,10 @@
             this.deadline = bornMs + in.budgetMs();
             this.kind = kind;
         }
+
+        /** Whether its final answer has begun. */
+        boolean hasBegun() {
+            return !Double.isNaN(begunMs);
+        }
     }
 }
--- /dev/null
+++ b/core/src/main/java/ridgemill/flow/AnswerPace.java
@@ -0,0 +1,48 @@
+package ridgemill.flow;
+
+/**
+ * Judges a node's answer that comes in pieces. One that comes slowly is no dead node's; one that stands still is. While it is
+ * held whole it may be asked for elsewhere, so it stands still soon; once it has begun to go on it can't be replaced, and is
+ * given all the time in which it may yet go on. Times are in milliseconds.
+ */
+public final class AnswerPace {
+
+    /** Silence within an answer that is held whole, after which it is spoilt: nodes write theirs without a rest. */
+    public static final double HELD_MS = 400;
+    /** Silence within one that goes on already. */
+    public static final double STREAMED_MS = 4000;
+    /** How often it is to be looked at. */
+    public static final double LOOK_MS = 100;
+
+    private double lastMs;
+    private double startMs;
+    private boolean streamed;
+
+    /** Begins, as its first bytes come. */
+    public void begin(double nowMs) {
+        startMs = nowMs;
+        lastMs = nowMs;
+        streamed = false;
+    }
+
+    /** It goes on to its client from now on. */
+    public void stream(double nowMs) {
+        lastMs = nowMs;
+        streamed = true;
+    }
+
+    /** More of it has come, or could not have come as it was not read. */
+    public void progress(double nowMs) {
+        lastMs = nowMs;
+    }
+
+    /** Whether it stands still for good. */
+    public boolean standsStill(double nowMs) {
+        return nowMs - lastMs >= (streamed ? STREAMED_MS : HELD_MS);
+    }
+
+    /** How long it has taken so far. */
+    public double ageMs(double nowMs) {
+        return nowMs - startMs;
+    }
+}
--- a/core/src/main/java/ridgemill/policy/Decide.java
+++ b/core/src/main/java/ridgemill/policy/Decide.java
@@ -280,15 +280,33 @@
     @Override
     public void streamStarted(double now, String request, int attempt, String node, Actions out) {
         Held r = requests.get(request);
-        if (r != null) {
-            r.streaming = true;
+        NodeView at = nodes.get(node);
+        if (r == null || r.streaming) {
+            return;
+        }
+        // The node has done its work: how long the rest takes is its client's doing as much as its own.
+        r.streaming = true;
+        List<Held> waiting = r.fetches ? fetching.remove(r.in.key()) : null;
+        r.fetches = false;
+        if (at != null) {
+            at.ended(now, new AttemptEnd(request, attempt, node, Outcome.OK, now - r.sentAt, false, 0, Map.of()), caches);
+            if (at.isOrigin() && !r.overdue) {
+                control.count(now - r.sentAt <= r.service.aimMs());
+            } else if (!at.isOrigin()) {
+                cacheAnswers.add(now, 1);
+            }
         }
+        release(now, waiting, true, out);
     }
 
     @Override
     public void attemptEnded(double now, AttemptEnd end, Actions out) {
-        NodeView node = nodes.get(end.node());
         Held r = requests.get(end.request());
+        if (r != null && r.streaming) {
+            requests.remove(r.in.id());
+            return;
+        }
+        NodeView node = nodes.get(end.node());
         boolean fetched = node != null && node.isOrigin();
         if (node != null) {
             node.ended(now, end, caches);
@@ -343,7 +361,9 @@
             // Others wait for what it fetches: a new fetch for them would cost the origin the same once more.
             return;
         }
-        requests.remove(request);
+        if (!r.streaming) {
+            requests.remove(request);
+        }
         letGo(now, r, out);
     }
 
@@ -728,7 +748,7 @@
      */
     private void countOverdue(double now) {
         for (Held r : requests.values()) {
-            if (r.out && !r.overdue && r.at == origin && now - r.sentAt > r.service.aimMs()) {
+            if (r.out && !r.overdue && !r.streaming && r.at == origin && now - r.sentAt > r.service.aimMs()) {
                 r.overdue = true;
                 control.count(false);
             }
--- a/gateway/src/main/java/ridgemill/gateway/back/NodeExchange.java
+++ b/gateway/src/main/java/ridgemill/gateway/back/NodeExchange.java
@@ -20,6 +20,7 @@
     boolean written;
     private boolean over;
     private boolean left;
+    private boolean begun;
     private Future<?> timeUp;
     /** How long its connection had been idle, 0 for a new one; and whether bytes of an answer have come. */
     double idleMs;
@@ -72,6 +73,23 @@
         return attempt.mayBeWritten();
     }
 
+    /**
+     * A good answer has begun that goes on by parts: its time was the time to here. Returns whether anybody takes it.
+     */
+    public boolean begin(Answer<Content> answer) {
+        if (over || attempt == null || !attempt.takesParts()) {
+            return false;
+        }
+        timer.cancel(false);
+        begun = true;
+        return done.begun(answer);
+    }
+
+    /** Whether its answer has begun and goes on by parts. */
+    public boolean hasBegun() {
+        return begun;
+    }
+
     /** Whether nobody waits for it any more, but its connection waits for its answer. */
     public boolean isLeft() {
         return left;
@@ -81,7 +99,7 @@
     @Override
     public void leave() {
         double leftMs = attempt == null ? 0 : attempt.remainingMs();
-        if (over || !written || channel == null || leftMs <= 0) {
+        if (over || begun || !written || channel == null || leftMs <= 0) {
             cancel();
             return;
         }
--- a/gateway/src/main/java/ridgemill/gateway/front/http/HttpClientConnection.java
+++ b/gateway/src/main/java/ridgemill/gateway/front/http/HttpClientConnection.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.channel.socket.SocketChannelConfig;
@@ -36,6 +37,7 @@
 import ridgemill.core.Client;
 import ridgemill.gateway.front.ClientConnection;
 import ridgemill.gateway.front.OrderWatch;
+import ridgemill.gateway.net.BodyStream;
 import ridgemill.gateway.net.Content;
 import ridgemill.gateway.net.LeanHttp;
 import ridgemill.gateway.net.Log;
@@ -62,6 +64,8 @@
     private final OrderWatch<Exchange> order;
     private int held;
     private boolean beginning;
+    /** The rest of the answer that is being written. */
+    private BodyStream streamed;
     /** No further request is begun; with the answer of the last the connection closes. */
     private boolean last;
     /** The client sends nothing more, and reads on. */
@@ -156,14 +160,14 @@
     }
 
     private void begin(FullHttpRequest in, double passedMs) {
-        Exchange exchange = new Exchange(HttpUtil.isKeepAlive(in), isRead(in));
+        Exchange exchange = new Exchange(HttpUtil.isKeepAlive(in), isRead(in), in.protocolVersion().compareTo(HttpVersion.HTTP_1_1) >= 0);
         if (!isTurnedAway(exchange, in.headers().get("X-Call-Class"))) {
             act(exchange, front.requests().read(in, said -> left(said, passedMs), front.intake()::isOpen));
         }
     }
 
     private void begin(LeanHttp in, ByteBuf all) {
-        Exchange exchange = new Exchange(in.isKeepAlive(), !in.isPut());
+        Exchange exchange = new Exchange(in.isKeepAlive(), !in.isPut(), true);
         if (isTurnedAway(exchange, in.get("X-Call-Class"))) {
             return;
         }
@@ -230,6 +234,10 @@
     /** Writes the answers that no earlier one holds up. */
     private void writeReady() {
         while (!slots.isEmpty() && slots.peek().done && phase() != Phase.CLOSING) {
+            if (slots.peek().content.rest() != null) {
+                stream(slots.peek());
+                return;
+            }
             Exchange e = slots.poll();
             order.left();
             if (e.rejection != null) {
@@ -268,6 +276,69 @@
         }
     }
 
+    /** Writes what there is of an answer; the rest follows as it comes, and until then nothing else is written. */
+    private void stream(Exchange e) {
+        if (streamed != null) {
+            return;
+        }
+        BodyStream rest = e.content.rest();
+        boolean closes = last || mustClose() || inputEnded || rest.length() < 0 && !e.chunks;
+        last |= closes;
+        boolean chunked = rest.length() < 0 && e.chunks;
+        streamed = rest;
+        writing(bytes.beginStream(e.content, chunked, closes));
+        e.release();
+        rest.drain(new BodyStream.Sink() {
+            @Override
+            public void part(ByteBuf part) {
+                writing(bytes.writePart(part, chunked));
+                rest.wants(channel().isWritable());
+            }
+
+            @Override
+            public void end() {
+                streamed = null;
+                ChannelFuture written = bytes.endStream(chunked);
+                writing(written);
+                endStream(e, written);
+            }
+
+            @Override
+            public void broken() {
+                // What is missing shows in the length, or the last chunk; without either a reset has to.
+                if (rest.length() < 0 && !chunked) {
+                    channel().config().setOption(ChannelOption.SO_LINGER, 0);
+                }
+                streamed = null;
+                channel().close();
+            }
+        });
+    }
+
+    private void endStream(Exchange e, ChannelFuture written) {
+        if (slots.peek() != e) {
+            return;
+        }
+        slots.poll();
+        order.left();
+        if (slots.isEmpty() && last) {
+            enter(Phase.CLOSING);
+            written.addListener(ChannelFutureListener.CLOSE);
+        } else if (slots.isEmpty()) {
+            enter(Phase.IDLE);
+            used();
+        }
+        writeReady();
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext ctx) throws Exception {
+        if (streamed != null) {
+            streamed.wants(channel().isWritable());
+        }
+        super.channelWritabilityChanged(ctx);
+    }
+
     /** By way of Netty's encoder, which knows what becomes of a media type that is no plain text. */
     private ChannelFuture writeEncoded(HttpResponseStatus status, Content content, boolean closes) {
         FullHttpResponse answer = response(status, content.bytes().retain());
@@ -344,6 +415,8 @@
     private final class Exchange implements Client<Content> {
         private final boolean keepAlive;
         private final boolean read;
+        /** Whether its client knows chunks, which came with version 1.1. */
+        private final boolean chunks;
         private String id;
         private boolean done;
         private boolean holds;
@@ -354,9 +427,10 @@
         private String note;
         private String why;
 
-        Exchange(boolean keepAlive, boolean read) {
+        Exchange(boolean keepAlive, boolean read, boolean chunks) {
             this.keepAlive = keepAlive;
             this.read = read;
+            this.chunks = chunks;
         }
 
         private void ready(HttpResponseStatus how, double backMs) {
@@ -400,6 +474,10 @@
         /** Its client has left. */
         private void drop() {
             release();
+            if (content != null && content.rest() != null) {
+                content.rest().drop();
+                front.intake().clientGone(id);
+            }
             if (!done) {
                 done = true;
                 if (id != null) {
@@ -408,6 +486,11 @@
             }
         }
 
+        @Override
+        public boolean takesParts() {
+            return true;
+        }
+
         @Override
         public void served(Answer<Content> answer) {
             if (answer.content().isAbsent()) {
@@ -472,6 +555,11 @@
         private static final int COPIED = 2048;
         private static final int HEAD = 256;
         private static final byte[] OK = ascii("HTTP/1.1 200 OK\r\ncontent-length: ");
+        private static final byte[] CHUNKED = ascii("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked");
+        private static final byte[] UNFRAMED = ascii("HTTP/1.1 200 OK");
+        private static final byte[] LINE = ascii("\r\n");
+        private static final byte[] LAST_CHUNK = ascii("0\r\n\r\n");
+        private static final int CHUNK_HEAD = 16;
         private static final byte[] VERSION = ascii("HTTP/1.1 ");
         private static final byte[] LENGTH = ascii("\r\ncontent-length: ");
         private static final byte[] TYPE = ascii("\r\ncontent-type: ");
@@ -521,6 +609,44 @@
             ctx.fireChannelRead(message);
         }
 
+        /** Writes the head of an answer whose body follows, and what there is of that. */
+        ChannelFuture beginStream(Content content, boolean chunked, boolean last) {
+            ByteBuf out = context.alloc().ioBuffer(HEAD);
+            long length = content.rest().length();
+            if (chunked) {
+                out.writeBytes(CHUNKED);
+            } else if (length < 0) {
+                out.writeBytes(UNFRAMED);
+            } else {
+                LeanHttp.writeNumber(out.writeBytes(OK), length);
+            }
+            if (content.mediaType() != null && LeanHttp.isPlain(content.mediaType(), true)) {
+                out.writeBytes(TYPE).writeCharSequence(content.mediaType(), StandardCharsets.US_ASCII);
+            }
+            if (last) {
+                out.writeBytes(CLOSE);
+            }
+            ChannelFuture head = context.writeAndFlush(out.writeBytes(END));
+            return content.bytes().isReadable() ? writePart(content.bytes().retainedDuplicate(), chunked) : head;
+        }
+
+        /** Writes the next part of a body, which it takes over. */
+        ChannelFuture writePart(ByteBuf part, boolean chunked) {
+            if (!chunked) {
+                return context.writeAndFlush(part);
+            }
+            ByteBuf size = context.alloc().ioBuffer(CHUNK_HEAD);
+            size.writeCharSequence(Integer.toHexString(part.readableBytes()), StandardCharsets.US_ASCII);
+            context.write(size.writeBytes(LINE), context.voidPromise());
+            context.write(part, context.voidPromise());
+            return context.writeAndFlush(Unpooled.wrappedBuffer(LINE));
+        }
+
+        /** The body is whole. */
+        ChannelFuture endStream(boolean chunked) {
+            return context.writeAndFlush(chunked ? Unpooled.wrappedBuffer(LAST_CHUNK) : Unpooled.EMPTY_BUFFER);
+        }
+
         /** Closes when all that was written is out. */
         void end() {
             context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
--- a/gateway/src/main/java/ridgemill/gateway/net/StrictHttp.java
+++ b/gateway/src/main/java/ridgemill/gateway/net/StrictHttp.java
@@ -13,6 +13,8 @@
 public final class StrictHttp {
 
     private static final int MAX_HEAD = 8192;
+    /** Bytes of a body that are handed on at once: as many as one read brings. */
+    private static final int MAX_PART = 64 * 1024;
 
     private StrictHttp() { }
 
@@ -62,7 +64,7 @@
     }
 
     private static HttpDecoderConfig config() {
-        return new HttpDecoderConfig().setMaxHeaderSize(MAX_HEAD);
+        return new HttpDecoderConfig().setMaxHeaderSize(MAX_HEAD).setMaxChunkSize(MAX_PART);
     }
 
     /** The length of a header's name, which a colon must follow: Netty takes any line for one, and so spoilt heads. */
--- /dev/null
+++ b/gateway/src/test/java/ridgemill/gateway/LargeAnswersTest.java
@@ -0,0 +1,246 @@
+package ridgemill.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Answers larger than what is held whole go on as they come, unchanged, and a broken one shows as such. */
+@Timeout(Peer.PATIENCE_S)
+class LargeAnswersTest {
+
+    private static final int LARGE = 3 << 20;
+    private static final long SEED = 20261201;
+
+    private Site site;
+
+    @BeforeEach
+    void start() throws Exception {
+        site = new Site();
+        site.maxOpen = 100;
+        site.start("automatic", "60000", "");
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        site.close();
+    }
+
+    private static byte[] value(int bytes) {
+        byte[] value = new byte[bytes];
+        new Random(SEED).nextBytes(value);
+        return value;
+    }
+
+    /** How a node may frame its answer. */
+    private enum Framing { LENGTH, CHUNKS, CLOSE }
+
+    private static void answer(Socket node, Framing framing, byte[] value, int from, int to) throws IOException {
+        OutputStream out = node.getOutputStream();
+        if (from == 0) {
+            out.write(("HTTP/1.1 200 OK\r\n" + switch (framing) {
+                case LENGTH -> "Content-Length: " + value.length + "\r\n\r\n";
+                case CHUNKS -> "Transfer-Encoding: chunked\r\n\r\n";
+                case CLOSE -> "Connection: close\r\n\r\n";
+            }).getBytes(StandardCharsets.US_ASCII));
+        }
+        for (int at = from; at < to;) {
+            int n = Math.min(to - at, 50_000);
+            if (framing == Framing.CHUNKS) {
+                out.write((Integer.toHexString(n) + ";ext=\"a\"\r\n").getBytes(StandardCharsets.US_ASCII));
+            }
+            out.write(value, at, n);
+            if (framing == Framing.CHUNKS) {
+                out.write("\r\n".getBytes(StandardCharsets.US_ASCII));
+            }
+            at += n;
+        }
+        if (to == value.length && framing == Framing.CHUNKS) {
+            out.write("0\r\nX-Trailer: t\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+        }
+        if (to == value.length && framing == Framing.CLOSE) {
+            node.close();
+        }
+    }
+
+    /** A client's reading, by the letter of RFC 9112. */
+    private static final class Reader {
+        final DataInputStream in;
+        final String head;
+        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+
+        Reader(InputStream from) throws IOException {
+            in = new DataInputStream(from);
+            StringBuilder text = new StringBuilder();
+            while (text.indexOf("\r\n\r\n") < 0) {
+                text.append((char) in.readUnsignedByte());
+            }
+            head = text.toString();
+        }
+
+        /** All of the body, or an exception where its end does not show. */
+        byte[] body() throws IOException {
+            int at = head.toLowerCase().indexOf("content-length: ");
+            if (at >= 0) {
+                body.write(in.readNBytes(Integer.parseInt(head.substring(at + 16, head.indexOf('\r', at)))));
+                return body.toByteArray();
+            }
+            if (!head.toLowerCase().contains("transfer-encoding: chunked")) {
+                body.write(in.readAllBytes());
+                return body.toByteArray();
+            }
+            while (true) {
+                StringBuilder size = new StringBuilder();
+                while (size.indexOf("\r\n") < 0) {
+                    size.append((char) in.readUnsignedByte());
+                }
+                int n = Integer.parseInt(size.toString().trim(), 16);
+                byte[] chunk = new byte[n];
+                in.readFully(chunk);
+                body.write(chunk);
+                in.readUnsignedShort();
+                if (n == 0) {
+                    return body.toByteArray();
+                }
+            }
+        }
+    }
+
+    @Test
+    void everyFramingArrivesWhole() throws Exception {
+        for (Framing framing : Framing.values()) {
+            for (int size : new int[] {0, 1, 65_536, 65_537, LARGE}) {
+                byte[] value = value(size);
+                for (String version : List.of("HTTP/1.1", "HTTP/1.0")) {
+                    try (Peer.Wire client = site.client()) {
+                        client.write(site.get(Site.LONG_S).replace("HTTP/1.1", version));
+                        Socket node = site.node.next().wire().socket();
+                        CompletableFuture<Void> wrote = CompletableFuture.runAsync(() -> {
+                            try {
+                                answer(node, framing, value, 0, size);
+                            } catch (IOException e) {
+                                throw new java.io.UncheckedIOException(e);
+                            }
+                        });
+                        Reader reader = new Reader(client.socket().getInputStream());
+                        assertTrue(reader.head.startsWith("HTTP/1.1 200"), reader.head);
+                        assertArrayEquals(value, reader.body(), framing + " " + size + " " + version);
+                        wrote.get();
+                    }
+                }
+            }
+        }
+    }
+
+    @Test
+    void theFirstBytesGoOnBeforeTheRestHasCome() throws Exception {
+        byte[] value = value(LARGE);
+        try (Peer.Wire client = site.client()) {
+            client.write(site.get(Site.LONG_S));
+            Socket node = site.node.next().wire().socket();
+            answer(node, Framing.LENGTH, value, 0, 1000);
+            Reader reader = new Reader(client.socket().getInputStream());
+            byte[] first = reader.in.readNBytes(1000);
+            assertArrayEquals(java.util.Arrays.copyOf(value, 1000), first);
+            answer(node, Framing.LENGTH, value, 1000, LARGE);
+            assertArrayEquals(java.util.Arrays.copyOfRange(value, 1000, LARGE), reader.in.readNBytes(LARGE - 1000));
+            // The connection is whole, and so is the node's.
+            client.write(site.get(Site.LONG_S));
+            answer(node, Framing.LENGTH, value(10), 0, 10);
+            assertArrayEquals(value(10), new Reader(client.socket().getInputStream()).body());
+        }
+    }
+
+    @Test
+    void aClientCanTellThatAnAnswerBrokeOff() throws Exception {
+        byte[] value = value(LARGE);
+        for (Framing framing : List.of(Framing.LENGTH, Framing.CHUNKS)) {
+            try (Peer.Wire client = site.client()) {
+                client.write(site.get(Site.LONG_S));
+                Socket node = site.node.next().wire().socket();
+                answer(node, framing, value, 0, 200_000);
+                Reader reader = new Reader(client.socket().getInputStream());
+                node.close();
+                byte[] got;
+                try {
+                    got = reader.body();
+                } catch (java.io.EOFException e) {
+                    got = new byte[0];
+                }
+                assertTrue(got.length < LARGE, framing + ": not taken for whole");
+            }
+        }
+        long failed = site.service.status().failed();
+        assertEquals(2, failed, "counted as failed");
+    }
+
+    /** A slow reader's node is not read further than some buffers hold, and the next client is served meanwhile. */
+    @Test
+    void aSlowReaderHoldsNobodyUp() throws Exception {
+        byte[] value = value(32 << 20);
+        List<Peer.Wire> slow = new ArrayList<>();
+        List<CompletableFuture<Void>> nodes = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            Peer.Wire client = site.client();
+            slow.add(client);
+            client.write(site.get(Site.LONG_S));
+            Socket node = site.node.next().wire().socket();
+            nodes.add(CompletableFuture.runAsync(() -> {
+                try {
+                    answer(node, Framing.LENGTH, value, 0, value.length);
+                } catch (IOException e) {
+                    throw new java.io.UncheckedIOException(e);
+                }
+            }));
+        }
+        try (Peer.Wire quick = site.client()) {
+            for (int i = 0; i < 20; i++) {
+                quick.write(site.get(Site.LONG_S));
+                answer(site.node.next().wire().socket(), Framing.LENGTH, value(10), 0, 10);
+                assertArrayEquals(value(10), new Reader(quick.socket().getInputStream()).body());
+            }
+        }
+        for (CompletableFuture<Void> node : nodes) {
+            assertFalse(node.isDone(), "32 MB do not fit between the two");
+        }
+        for (Peer.Wire client : slow) {
+            assertArrayEquals(value, new Reader(client.socket().getInputStream()).body());
+            client.close();
+        }
+        for (CompletableFuture<Void> node : nodes) {
+            node.get(Peer.PATIENCE_S, TimeUnit.SECONDS);
+        }
+    }
+
+    @Test
+    void aClientThatLeavesEndsTheNodesAnswer() throws Exception {
+        byte[] value = value(LARGE);
+        Peer.Wire client = site.client();
+        client.write(site.get(Site.LONG_S));
+        Peer.Wire node = site.node.next().wire();
+        answer(node.socket(), Framing.LENGTH, value, 0, 100_000);
+        new Reader(client.socket().getInputStream());
+        client.close();
+        while (site.service.status().owed() > 0) {
+            Thread.onSpinWait();
+        }
+        assertEquals(1, site.service.status().gone());
+    }
+}
