--- a/core/src/main/java/ridgemill/policy/Decide.java
+++ b/core/src/main/java/ridgemill/policy/Decide.java
@@ -289,9 +289,11 @@
         List<Held> waiting = r.fetches ? fetching.remove(r.in.key()) : null;
         r.fetches = false;
         if (at != null) {
-            at.ended(now, new AttemptEnd(request, attempt, node, Outcome.OK, now - r.sentAt, false, 0, Map.of()), caches);
+            double elapsed = now - r.sentAt;
+            at.ended(now, new AttemptEnd(request, attempt, node, Outcome.OK, elapsed, false, 0,
+                    Map.of()), caches);
             if (at.isOrigin() && !r.overdue) {
-                control.count(now - r.sentAt <= r.service.aimMs());
+                control.count(elapsed <= r.service.aimMs());
             } else if (!at.isOrigin()) {
                 cacheAnswers.add(now, 1);
             }
