--- a/core/src/main/java/ridgemill/core/Attempt.java
+++ b/core/src/main/java/ridgemill/core/Attempt.java
@@ -20,6 +20,11 @@
         return remainingMs() > 0;
     }
 
+    /** Whether its content is still coming, so that it can be carried once, on a connection of its own. */
+    default boolean isOpen() {
+        return false;
+    }
+
     /** Whether an answer may be given on before it is whole. */
     default boolean takesParts() {
         return false;
--- a/core/src/main/java/ridgemill/core/Dispatcher.java
+++ b/core/src/main/java/ridgemill/core/Dispatcher.java
@@ -165,10 +165,30 @@
         Call<C> call = new Call<>(in, command, client, timers.now(), times.of(in.service()));
         calls.put(in.id(), call);
         owed++;
-        call.backstop = timers.at(call.deadline + settings.rules().answerSlackMs(), () -> overdue(call));
+        if (in.open()) {
+            call.deadline = Double.POSITIVE_INFINITY;
+        } else {
+            watch(call);
+        }
         tell(now -> router.request(now, in, this), () -> answerInstead(call));
     }
 
+    private void watch(Call<C> call) {
+        call.backstop = timers.at(call.deadline + settings.rules().answerSlackMs(), () -> overdue(call));
+    }
+
+    /** The last byte of a request that came open is here: its time begins. */
+    public void complete(String id) {
+        Call<C> call = calls.get(id);
+        if (call != null && !call.over && call.isOpen()) {
+            call.completeMs = timers.now();
+            call.deadline = call.completeMs + call.in.budgetMs();
+            if (!call.hasBegun()) {
+                watch(call);
+            }
+        }
+    }
+
     /** The client of an open request has left; nothing is owed any more. */
     public void clientGone(String id) {
         Call<C> call = calls.get(id);
@@ -214,9 +234,9 @@
             return false;
         }
         double now = timers.now();
-        call.backstop.cancel();
+        call.unwatch();
         call.begunMs = now;
-        call.kind.answered(now, now - call.out.sentMs, call.out.atStore, call.out.fresh);
+        call.kind.answered(now, now - call.since(call.out.sentMs), call.out.atStore, call.out.fresh);
         call.client.served(answer);
         tell(at -> router.streamStarted(at, call.in.id(), attempt, node, this), () -> { });
         return true;
@@ -231,7 +251,7 @@
             call.kind.finished(now, call.begunMs - call.bornMs);
             settle(call);
         }
-        report(call.in.id(), call, attempt, node, outcome, call.begunMs - sentAt, Answer.NO_NOTE);
+        report(call.in.id(), call, attempt, node, outcome, call.begunMs - call.since(sentAt), Answer.NO_NOTE);
     }
 
     private void ended(Call<C> call, int attempt, String node, double sentAt, Outcome outcome, Answer<C> answer) {
@@ -243,10 +263,11 @@
         }
         call.proven &= outcome.provesNotRun();
         double now = timers.now();
+        double since = Math.min(now, call.since(sentAt));
         if (outcome == Outcome.OK) {
-            call.kind.answered(now, now - sentAt, sent.atStore, sent.fresh);
+            call.kind.answered(now, now - since, sent.atStore, sent.fresh);
         } else if (outcome == Outcome.CANCELLED || outcome == Outcome.TIMEOUT) {
-            call.kind.givenUp(now, now - sentAt, sent.atStore);
+            call.kind.givenUp(now, now - since, sent.atStore);
         }
         tally.count(outcome);
         if (outcome == Outcome.OK && !call.over) {
@@ -255,7 +276,7 @@
             settle(call);
             call.client.served(answer);
         }
-        report(call.in.id(), call, attempt, node, outcome, timers.now() - sentAt,
+        report(call.in.id(), call, attempt, node, outcome, timers.now() - since,
                 answer == null ? Answer.NO_NOTE : answer.note());
     }
 
@@ -449,7 +470,7 @@
         call.over = true;
         owed--;
         settled.accept(call.in.service());
-        call.backstop.cancel();
+        call.unwatch();
         forgetIfDone(call);
     }
 
@@ -556,7 +577,7 @@
 
         @Override
         public double remainingMs() {
-            double left = giveUpMs - timers.now();
+            double left = call.isOpen() ? call.in.budgetMs() : giveUpMs - timers.now();
             return left - times.wayBackMs(left);
         }
 
@@ -566,6 +587,11 @@
             return !call.over && call.kind.mayWrite(now, call.deadline - now, atStore) == Verdict.GO;
         }
 
+        @Override
+        public boolean isOpen() {
+            return call.in.open();
+        }
+
         @Override
         public boolean takesParts() {
             return call.client.takesParts();
@@ -593,7 +619,9 @@
         final Command<C> command;
         final Client<C> client;
         final double bornMs;
-        final double deadline;
+        double deadline;
+        /** When the last byte of its body came; infinite while one that came open is. */
+        double completeMs;
         final ClassTimes kind;
         Timers.Timer backstop;
         Sent<C> out;
@@ -609,9 +637,26 @@
             this.client = client;
             this.bornMs = bornMs;
             this.deadline = bornMs + in.budgetMs();
+            this.completeMs = in.open() ? Double.POSITIVE_INFINITY : bornMs;
             this.kind = kind;
         }
 
+        /** Whether its body is still coming. */
+        boolean isOpen() {
+            return completeMs == Double.POSITIVE_INFINITY;
+        }
+
+        /** From when on an attempt that was begun then counts: a node begins with the last byte. */
+        double since(double sentMs) {
+            return Math.max(sentMs, completeMs);
+        }
+
+        void unwatch() {
+            if (backstop != null) {
+                backstop.cancel();
+            }
+        }
+
         /** Whether its final answer has begun. */
         boolean hasBegun() {
             return !Double.isNaN(begunMs);
--- a/core/src/main/java/ridgemill/core/Intake.java
+++ b/core/src/main/java/ridgemill/core/Intake.java
@@ -283,6 +283,16 @@
         }
     }
 
+    /** The last byte of a request that came open is here. */
+    public void complete(String id) {
+        dispatchers.forEach(d -> d.complete(id));
+    }
+
+    /** Whether a request's content may still be coming: who records or passes requests on to other halls looks at all of it. */
+    public boolean takesOpen(Gate.Go go) {
+        return recorder == null && detour == null && go.group().equals(PLATFORM);
+    }
+
     private boolean mayHaveRun(String id) {
         return detour != null && detour.mayHaveRun(id) || dispatchers.stream().anyMatch(d -> d.mayHaveRun(id));
     }
--- a/core/src/main/java/ridgemill/policy/Decide.java
+++ b/core/src/main/java/ridgemill/policy/Decide.java
@@ -104,6 +104,8 @@
     static final double SOONEST = 0.4;
     /** Mean deviations by which an answer may be late and still be usual, as in TCP. */
     static final double DEVIATIONS = 4;
+    /** A request whose body is still coming may take so long: its sender's pace is judged elsewhere. */
+    static final double OPEN_MS = 600_000;
     /** Weight of an attempt in a node's running share of silence; shares that count as losses and as dead. */
     static final double SILENT_SMOOTH = 0.2;
     static final double SILENT = 0.5;
@@ -292,7 +294,7 @@
             double elapsed = now - r.sentAt;
             at.ended(now, new AttemptEnd(request, attempt, node, Outcome.OK, elapsed, false, 0,
                     Map.of()), caches);
-            if (at.isOrigin() && !r.overdue) {
+            if (at.isOrigin() && !r.overdue && !r.in.open()) {
                 control.count(elapsed <= r.service.aimMs());
             } else if (!at.isOrigin()) {
                 cacheAnswers.add(now, 1);
@@ -710,7 +712,8 @@
     }
 
     private boolean mayRepeat(double now, Held r) {
-        return hasTime(now, r) && r.service.retry().allows(r.failed) && switch (r.service.effect()) {
+        boolean can = hasTime(now, r) && !r.in.open();
+        return can && r.service.retry().allows(r.failed) && switch (r.service.effect()) {
             case SAFE -> true;
             case UNSAFE -> r.proven;
             case KEYED -> r.proven || r.service.group() == Group.ALL
@@ -750,7 +753,8 @@
      */
     private void countOverdue(double now) {
         for (Held r : requests.values()) {
-            if (r.out && !r.overdue && !r.streaming && r.at == origin && now - r.sentAt > r.service.aimMs()) {
+            if (r.out && !r.overdue && !r.streaming && !r.in.open()
+                    && r.at == origin && now - r.sentAt > r.service.aimMs()) {
                 r.overdue = true;
                 control.count(false);
             }
@@ -850,7 +854,7 @@
         Held(Request in, ServiceClass service, double now, double guardMs) {
             this.in = in;
             this.service = service;
-            double budget = in.budgetMs() >= 0 ? in.budgetMs() : service.deadlineMs();
+            double budget = in.open() ? OPEN_MS : in.budgetMs() >= 0 ? in.budgetMs() : service.deadlineMs();
             this.draw = unit(hashText(in.id()));
             this.place = in.key() >= 0 ? in.key() : hashText(in.id());
             this.guard = now + Math.max(0, budget - guardMs);
--- a/core/src/main/java/ridgemill/policy/Router.java
+++ b/core/src/main/java/ridgemill/policy/Router.java
@@ -156,14 +156,21 @@
 
     /**
      * A client's request. {@code key} is negative where it names none; {@code workMs} is 0 without a hint;
-     * {@code budgetMs}, the time until the client gives up this try, is negative where only the class tells.
+     * {@code budgetMs}, the time until the client gives up this try, is negative where only the class tells. Of one that is
+     * {@code open} the body is still coming: one attempt alone can carry it, and its time begins with its last byte.
      */
     record Request(String id, String service, String tenant, long key, double workMs, double budgetMs,
-                   boolean write, boolean repeat) {
+                   boolean write, boolean repeat, boolean open) {
+
+        /** One that has come whole. */
+        public Request(String id, String service, String tenant, long key, double workMs, double budgetMs,
+                       boolean write, boolean repeat) {
+            this(id, service, tenant, key, workMs, budgetMs, write, repeat, false);
+        }
 
         /** The same with another budget, as when part of it was spent before. */
         public Request within(double otherBudgetMs) {
-            return new Request(id, service, tenant, key, workMs, otherBudgetMs, write, repeat);
+            return new Request(id, service, tenant, key, workMs, otherBudgetMs, write, repeat, open);
         }
     }
 
--- a/gateway/src/main/java/ridgemill/gateway/back/NodePool.java
+++ b/gateway/src/main/java/ridgemill/gateway/back/NodePool.java
@@ -126,7 +126,8 @@
             exchange.end(Outcome.CONNECT_FAILED, null);
             return exchange;
         }
-        NodeConnection idle = newestIdle(target);
+        // One that can be carried once goes on a connection that no node is about to close.
+        NodeConnection idle = attempt != null && attempt.isOpen() ? null : newestIdle(target);
         if (idle != null) {
             idle.write(exchange);
         } else if (sockets.makeRoom()) {
--- a/gateway/src/main/java/ridgemill/gateway/back/http/HttpNodeConnection.java
+++ b/gateway/src/main/java/ridgemill/gateway/back/http/HttpNodeConnection.java
@@ -7,11 +7,13 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
+import io.netty.channel.ChannelPromise;
 import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequestEncoder;
@@ -45,6 +47,7 @@
     /** Heads that are this long, and bodies up to this behind them, are written in one piece. */
     private static final int HEAD = 512;
     private static final int COPIED = 2048;
+    private static final int CHUNK_HEAD = 16;
     private static final byte[] START = "HTTP/1.".getBytes(StandardCharsets.US_ASCII);
 
     private final boolean missIsAnswer;
@@ -59,6 +62,8 @@
     /** Of an answer that comes in pieces: its head, and what has come of its body while that is held whole. */
     private HttpResponse head;
     private ByteBuf body;
+    /** The rest of the request that is being written. */
+    private BodyStream upload;
     /** The rest of an answer that goes on to its client already. */
     private BodyStream stream;
 
@@ -88,6 +93,7 @@
 
     @Override
     protected void begin() {
+        upload = null;
         begun = 0;
     }
 
@@ -97,6 +103,9 @@
         if (attempt == null) {
             return ByteBufUtil.writeAscii(context().alloc(), "GET /alive HTTP/1.1\r\n\r\n");
         }
+        if (attempt.isOpen() && attempt.command().content().rest() != null) {
+            return head(attempt);
+        }
         if (isPlain(attempt)) {
             return plain(attempt);
         }
@@ -137,6 +146,72 @@
         return out.writeBytes(body, body.readerIndex(), length);
     }
 
+    /** The head of a request whose body follows as it comes. */
+    private ByteBuf head(Attempt<Content> attempt) {
+        FullHttpRequest request = request(attempt);
+        Content content = attempt.command().content();
+        HttpHeaders headers = request.headers();
+        if (content.rest().length() < 0) {
+            headers.remove(HttpHeaderNames.CONTENT_LENGTH).set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+        } else {
+            headers.set(HttpHeaderNames.CONTENT_LENGTH, content.rest().length());
+        }
+        ByteBuf out = context().alloc().ioBuffer(HEAD);
+        text(out, request.method().name() + " ", request.uri());
+        text(out, " HTTP/1.1", "");
+        headers.forEach(h -> text(out, "\r\n" + h.getKey() + ": ", h.getValue()));
+        text(out, "\r\n\r\n", "");
+        request.release();
+        return out;
+    }
+
+    /** Writes a body on as it comes; the promise is kept with its last byte. */
+    private final class Upload implements BodyStream.Sink {
+        private final BodyStream rest;
+        private final ChannelPromise whole;
+        private final boolean chunked;
+
+        Upload(BodyStream rest, ChannelPromise whole) {
+            this.rest = rest;
+            this.whole = whole;
+            this.chunked = rest.length() < 0;
+        }
+
+        @Override
+        public void part(ByteBuf part) {
+            if (chunked) {
+                ByteBuf size = context().alloc().ioBuffer(CHUNK_HEAD);
+                text(size, Integer.toHexString(part.readableBytes()), "\r\n");
+                bytes.context.write(size, bytes.context.voidPromise());
+                bytes.context.write(part, bytes.context.voidPromise());
+                bytes.context.writeAndFlush(ByteBufUtil.writeAscii(context().alloc(), "\r\n"), bytes.context.voidPromise());
+            } else {
+                bytes.context.writeAndFlush(part, bytes.context.voidPromise());
+            }
+            rest.wants(context().channel().isWritable());
+        }
+
+        @Override
+        public void end() {
+            upload = null;
+            bytes.context.writeAndFlush(chunked ? ByteBufUtil.writeAscii(context().alloc(), "0\r\n\r\n") : Unpooled.EMPTY_BUFFER, whole);
+        }
+
+        @Override
+        public void broken() {
+            upload = null;
+            whole.tryFailure(new IOException("the request's rest never came"));
+        }
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext ctx) throws Exception {
+        if (upload != null) {
+            upload.wants(ctx.channel().isWritable());
+        }
+        super.channelWritabilityChanged(ctx);
+    }
+
     private static void text(ByteBuf out, String fixed, String given) {
         ByteBufUtil.writeAscii(out, fixed);
         ByteBufUtil.writeAscii(out, given);
@@ -144,6 +219,19 @@
 
     @Override
     protected ChannelFuture send(Object message) {
+        Attempt<Content> attempt = current().attempt();
+        if (attempt != null && attempt.isOpen()) {
+            Content content = attempt.command().content();
+            ChannelPromise whole = context().newPromise();
+            bytes.context.writeAndFlush(message, bytes.context.voidPromise());
+            upload = content.rest();
+            Upload goesOn = new Upload(upload, whole);
+            if (content.bytes().isReadable()) {
+                goesOn.part(content.bytes().retainedDuplicate());
+            }
+            upload.drain(goesOn);
+            return whole;
+        }
         return message instanceof ByteBuf ? bytes.context.writeAndFlush(message) : super.send(message);
     }
 
@@ -177,7 +265,7 @@
     /** Whether bytes that have come can belong to the answer that is awaited. */
     private boolean expected(ByteBuf in) {
         NodeExchange current = current();
-        if (current == null || current.isOver() && !current.isLeft() || !current.isWritten()) {
+        if (current == null || current.isOver() && !current.isLeft() || !current.isWritten() && upload == null) {
             return false;
         }
         for (int i = in.readerIndex(); begun < START.length && i < in.writerIndex(); i++, begun++) {
@@ -373,7 +461,7 @@
             Outcome outcome = outcome(reply);
             boolean absent = missIsAnswer && outcome == Outcome.MISS;
             finish(absent ? Outcome.OK : outcome, new Answer<>(absent ? Content.ABSENT : new Content(reply.bytes(),
-                    reply.mediaType()), note(reply.hit())), !more && !decoder.leftOver() && reply.keepAlive());
+                    reply.mediaType()), note(reply.hit())), upload == null && !more && !decoder.leftOver() && reply.keepAlive());
         } finally {
             reply.bytes().release();
         }
@@ -387,6 +475,11 @@
             broken();
         }
         dropPieces();
+        if (upload != null) {
+            BodyStream unread = upload;
+            upload = null;
+            unread.drop();
+        }
     }
 
     @Override
--- a/gateway/src/main/java/ridgemill/gateway/front/ClientConnection.java
+++ b/gateway/src/main/java/ridgemill/gateway/front/ClientConnection.java
@@ -6,16 +6,17 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
+import ridgemill.connections.Crowd;
+import ridgemill.flow.RequestPace;
 
 /** One client's connection and what it is doing: what all protocols have in common, which is their limits in time. */
-public abstract class ClientConnection extends ChannelInboundHandlerAdapter {
+public abstract class ClientConnection extends ChannelInboundHandlerAdapter implements Crowd.Guest {
 
     /** What a connection is doing; the limits in time go by it. */
     protected enum Phase { SILENT, READING, BUSY, IDLE, CLOSING }
 
-    /** How long a connection may say nothing at first, take for one request, or leave its answer unread. */
-    private static final long SILENT_MS = 2000;
-    private static final long READING_MS = 2000;
+    /** How long a connection may say nothing at first, or leave its answer unread. */
+    private static final long SILENT_MS = 2500;
     private static final long UNREAD_MS = 3000;
     /** How long one that was served is kept for its next request: some clients ask once and stay for good. */
     private static final long IDLE_MS = 4000;
@@ -36,7 +37,9 @@
     private long since = System.nanoTime();
     private ChannelFuture written;
     private long writtenSince;
-    private boolean proven;
+    /** When bytes came last, and how many since the phase began. */
+    private long heard = since;
+    private long bytes;
     private boolean hadChance;
     private boolean surplus;
 
@@ -50,11 +53,12 @@
 
     private void chance() {
         hadChance = true;
-        table.hadChance(this);
+        table.hadChance();
     }
 
     /** Whether the loop has come round to read it since it was accepted. */
-    final boolean hadChance() {
+    @Override
+    public final boolean hadChance() {
         return hadChance;
     }
 
@@ -83,6 +87,11 @@
         return false;
     }
 
+    /** Whether the request in hand is still coming, and is read. */
+    protected boolean isUploading() {
+        return false;
+    }
+
     /** Whether a connection without a request is to close now: the proxy goes down. */
     protected final boolean mustEnd() {
         return table.isStopped();
@@ -102,15 +111,12 @@
         }
         phase = next;
         since = System.nanoTime();
+        bytes = 0;
     }
 
     /** A request was taken: this is a client that asks for something. */
     protected final void busy() {
         enter(Phase.BUSY);
-        if (!proven) {
-            proven = true;
-            table.proven(this);
-        }
     }
 
     /** The last bytes that the client is to read are on their way. */
@@ -131,17 +137,36 @@
         table.used(this);
     }
 
-    final boolean isBusy() {
+    @Override
+    public final boolean isBusy() {
         return phase == Phase.BUSY;
     }
 
-    /** Whether it ever had a request that could be taken. */
-    final boolean isProven() {
-        return proven;
+    @Override
+    public final boolean isKept() {
+        return phase == Phase.IDLE;
+    }
+
+    @Override
+    public final boolean hasBegun() {
+        return phase == Phase.READING;
     }
 
-    final long since() {
-        return since;
+    @Override
+    public final double lastMs() {
+        return Math.max(since, heard) / 1e6;
+    }
+
+    /** The pace of what comes counts from now. */
+    protected final void paceAgain() {
+        since = System.nanoTime();
+        bytes = 0;
+    }
+
+    /** So many bytes have come. */
+    protected final void heard(int more) {
+        heard = System.nanoTime();
+        bytes += more;
     }
 
     final void close() {
@@ -163,11 +188,15 @@
             case IDLE -> closeAfter(ms, unread ? UNREAD_MS : idleMs());
             case CLOSING -> closeAfter(ms, unread ? UNREAD_MS : LINGER_MS);
             case READING -> {
-                if (ms >= READING_MS) {
+                if (RequestPace.isTooSlow(ms, bytes)) {
                     tooSlow();
                 }
             }
             case BUSY -> {
+                if (isUploading() && RequestPace.isTooSlow(ms, bytes)) {
+                    tooSlow();
+                    return;
+                }
                 // Requests behind one another may go on while none of their answers is read.
                 if (staysIdle() && unread && TimeUnit.NANOSECONDS.toMillis(now - writtenSince) >= UNREAD_MS) {
                     channel.close();
--- a/gateway/src/main/java/ridgemill/gateway/front/ClientTable.java
+++ b/gateway/src/main/java/ridgemill/gateway/front/ClientTable.java
@@ -2,14 +2,13 @@
 
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
+import ridgemill.connections.Crowd;
 
 /**
  * The clients' connections of one front, held below the descriptors that are theirs. It says which one goes when
@@ -24,12 +23,8 @@
      */
     private static final int KEPT_PART = 4;
     private static final long SWEEP_MS = 250;
-    /** Part of the connections that may have no request and never had a good one. */
-    private static final int UNPROVEN_PART = 4;
 
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
-    /** Those of them that never had a good request: each that comes looks for room among these alone, not among all. */
-    private final Set<ClientConnection> unproven = new LinkedHashSet<>();
     private final int maxConnections;
     private final IntSupplier perClient;
     private final List<Consumer<Boolean>> accepting = new ArrayList<>();
@@ -63,12 +58,6 @@
             holdToShare(connection, most);
         }
         connections.add(connection);
-        unproven.add(connection);
-    }
-
-    /** It has had a good request. */
-    void proven(ClientConnection connection) {
-        unproven.remove(connection);
     }
 
     /** Past a client's share its own idle connection goes; if it has none, the new one is one too many. */
@@ -131,6 +120,7 @@
     /** Holds each connection to the limits in time. */
     private void sweep(long nowNanos) {
         List.copyOf(connections).forEach(c -> c.sweep(nowNanos));
+        retryRoom();
     }
 
     /** Whether no connection may be kept: while clients wait to be accepted, one that is kept keeps one of them out. */
@@ -164,7 +154,6 @@
 
     void closed(ClientConnection connection) {
         connections.remove(connection);
-        unproven.remove(connection);
         if (full && connections.size() < maxConnections) {
             full = false;
             accept(true);
@@ -172,36 +161,39 @@
     }
 
     /**
-     * Of those that never had a good request a part may stay, so that a crowd that says nothing takes no usual client's
-     * place; then the one that has waited longest goes. One that has had no chance to be read yet stays: after a pause a
-     * crowd of usual clients is accepted in one go, each with its request already there. If every one is busy the next
-     * clients wait in the listener's backlog until one has its answer: accepting past the limit would fail for all.
+     * Closes one for the next that comes. If each has a request in hand, or goes on sending one, the next clients wait in the
+     * listener's backlog until one has its answer: accepting past the limit would fail for all.
      */
     private void makeRoom() {
-        boolean crowded = connections.size() + 1 >= maxConnections;
-        Optional<ClientConnection> goes = Optional.empty();
-        if (crowded || unproven.size() >= Math.max(1, maxConnections / UNPROVEN_PART)) {
-            goes = unproven.stream().filter(ClientConnection::hadChance)
-                    .min(Comparator.comparingLong(ClientConnection::since));
-        }
-        if (unproven.isEmpty() && crowded) {
-            goes = connections.stream().filter(c -> !c.isBusy()).findFirst();
+        if (connections.size() + 1 < maxConnections) {
+            return;
         }
-        if (goes.isPresent()) {
-            evict(goes.get());
-        } else if (crowded) {
+        ClientConnection goes = Crowd.goes(connections, nowMs());
+        if (goes != null) {
+            evict(goes);
+        } else {
             full = true;
             accept(false);
         }
     }
 
-    /** A connection may have been read by now; if it says nothing and others wait for its place, it goes. */
-    void hadChance(ClientConnection connection) {
-        if (full && !connection.isProven() && !connection.isBusy() && connections.contains(connection)) {
-            evict(connection);
+    /** While others wait: one may have stopped, or have been read, since. */
+    private void retryRoom() {
+        ClientConnection goes = full ? Crowd.goes(connections, nowMs()) : null;
+        if (goes != null) {
+            evict(goes);
         }
     }
 
+    static double nowMs() {
+        return System.nanoTime() / 1e6;
+    }
+
+    /** A connection may have been read by now; if it says nothing and others wait for its place, it goes. */
+    void hadChance() {
+        retryRoom();
+    }
+
     /**
      * Out of the table at once: its end is told of only after the next few have been accepted, which would all choose it
      * again, and a crowd that says nothing would fill the table until its own time is up.
--- /dev/null
+++ b/gateway/src/main/java/ridgemill/gateway/front/http/Bodies.java
@@ -0,0 +1,159 @@
+package ridgemill.gateway.front.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpContentException;
+import io.netty.util.ReferenceCountUtil;
+import ridgemill.gateway.net.BodyStream;
+import ridgemill.gateway.net.Content;
+
+/**
+ * Puts requests together. One whose body is no larger than what is held whole goes on as a {@link FullHttpRequest}; of a larger
+ * one an {@link Open} goes on as soon as that is known, and the rest of its body follows by its stream.
+ */
+final class Bodies extends ChannelInboundHandlerAdapter {
+
+    /** A request whose body is still coming; {@code first} is what there is of it and belongs to whoever takes this. */
+    record Open(HttpRequest head, ByteBuf first, BodyStream rest) { }
+
+    private HttpRequest head;
+    private ByteBuf held = Unpooled.EMPTY_BUFFER;
+    private BodyStream stream;
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
+        try {
+            if (message instanceof HttpRequest begins) {
+                begin(ctx, begins);
+            }
+            if (message instanceof HttpContent part) {
+                read(ctx, part);
+            }
+        } finally {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    private void begin(ChannelHandlerContext ctx, HttpRequest begins) {
+        drop();
+        if (begins.decoderResult().isFailure()) {
+            whole(ctx, begins, Unpooled.EMPTY_BUFFER, begins.decoderResult());
+            return;
+        }
+        head = begins;
+        long length = HttpUtil.getContentLength(begins, -1L);
+        if (length > Content.MOST_BYTES) {
+            head = null;
+            ctx.fireExceptionCaught(new TooLongHttpContentException("body over " + Content.MOST_BYTES + " bytes"));
+        } else {
+            if (HttpUtil.is100ContinueExpected(begins)) {
+                ctx.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+            }
+            if (length > Content.MAX_BYTES) {
+                open(ctx, length);
+            }
+        }
+    }
+
+    private void read(ChannelHandlerContext ctx, HttpContent part) {
+        if (head == null) {
+            return;
+        }
+        boolean last = part instanceof LastHttpContent;
+        if (part.decoderResult().isFailure()) {
+            HttpRequest spoilt = head;
+            boolean begun = stream != null;
+            drop();
+            if (!begun) {
+                whole(ctx, spoilt, Unpooled.EMPTY_BUFFER, part.decoderResult());
+            }
+        } else if (stream != null) {
+            BodyStream goesOn = stream;
+            if (last) {
+                stream = null;
+                head = null;
+            }
+            goesOn.feed(part.content().retain());
+            if (goesOn.fed() > Content.MOST_BYTES) {
+                goesOn.broke();
+            } else if (last) {
+                goesOn.end();
+            }
+        } else if (last && !held.isReadable()) {
+            HttpRequest request = head;
+            head = null;
+            whole(ctx, request, part.content().retain(), DecoderResult.SUCCESS);
+        } else {
+            hold(ctx, part.content());
+            if (last && stream == null) {
+                HttpRequest request = head;
+                ByteBuf body = held;
+                head = null;
+                held = Unpooled.EMPTY_BUFFER;
+                whole(ctx, request, body, DecoderResult.SUCCESS);
+            } else if (last) {
+                BodyStream ends = stream;
+                stream = null;
+                head = null;
+                ends.end();
+            }
+        }
+    }
+
+    private void hold(ChannelHandlerContext ctx, ByteBuf part) {
+        if (!part.isReadable()) {
+            return;
+        }
+        if (held.capacity() == 0) {
+            held = ctx.alloc().buffer(part.readableBytes());
+        }
+        held.writeBytes(part);
+        if (held.readableBytes() > Content.MAX_BYTES) {
+            open(ctx, -1);
+        }
+    }
+
+    private void open(ChannelHandlerContext ctx, long length) {
+        stream = new BodyStream(length, flows -> ctx.channel().config().setAutoRead(flows));
+        ByteBuf first = held;
+        held = Unpooled.EMPTY_BUFFER;
+        ctx.fireChannelRead(new Open(head, first, stream));
+    }
+
+    private static void whole(ChannelHandlerContext ctx, HttpRequest head, ByteBuf body, DecoderResult result) {
+        FullHttpRequest request = new DefaultFullHttpRequest(head.protocolVersion(), head.method(), head.uri(), body, head.headers(),
+                new DefaultHttpHeaders());
+        request.setDecoderResult(result);
+        ctx.fireChannelRead(request);
+    }
+
+    private void drop() {
+        head = null;
+        held.release();
+        held = Unpooled.EMPTY_BUFFER;
+        if (stream != null) {
+            BodyStream broken = stream;
+            stream = null;
+            broken.broke();
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) throws Exception {
+        drop();
+        super.channelInactive(ctx);
+    }
+}
--- a/gateway/src/main/java/ridgemill/gateway/front/http/HttpClientConnection.java
+++ b/gateway/src/main/java/ridgemill/gateway/front/http/HttpClientConnection.java
@@ -17,9 +17,7 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
@@ -64,6 +62,11 @@
     private final OrderWatch<Exchange> order;
     private int held;
     private boolean beginning;
+    /** The rest of the request that is being read; with its end the connection goes where its answer was the last. */
+    private BodyStream upload;
+    /** One that waits for the answers of those before it. */
+    private Bodies.Open waitingOpen;
+    private boolean closesAfterUpload;
     /** The rest of the answer that is being written. */
     private BodyStream streamed;
     /** No further request is begun; with the answer of the last the connection closes. */
@@ -86,6 +89,10 @@
 
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
+        if (message instanceof Bodies.Open open) {
+            take(open);
+            return;
+        }
         FullHttpRequest request = (FullHttpRequest) message;
         try {
             if (phase() == Phase.CLOSING || last) {
@@ -106,6 +113,48 @@
         }
     }
 
+    /** A request whose body is still coming; nothing behind it is read before its end. */
+    private void take(Bodies.Open open) {
+        if (phase() == Phase.CLOSING || last) {
+            open.first().release();
+            open.rest().drop();
+        } else if (slots.isEmpty() && waiting.isEmpty()) {
+            begin(open);
+        } else {
+            waitingOpen = open;
+        }
+    }
+
+    private void begin(Bodies.Open open) {
+        upload = open.rest();
+        try {
+            Exchange exchange = new Exchange(HttpUtil.isKeepAlive(open.head()), false, true);
+            if (!isTurnedAway(exchange, open.head().headers().get("X-Call-Class"))) {
+                act(exchange, front.requests().read(open, said -> left(said, 0), front.intake()::isOpen, front.intake()::takesOpen));
+            }
+            exchange.upload(open.rest());
+        } finally {
+            open.first().release();
+        }
+    }
+
+    /** The body of the request in hand is whole, or will never be. */
+    private void uploaded(Exchange exchange, boolean whole) {
+        upload = null;
+        if (whole && exchange.id != null) {
+            front.intake().complete(exchange.id);
+        }
+        if (!whole && phase() != Phase.CLOSING) {
+            // Nothing that follows could be told from the rest of it.
+            channel().close();
+        } else if (closesAfterUpload) {
+            channel().close();
+        } else if (slots.isEmpty() && phase() == Phase.READING) {
+            enter(Phase.IDLE);
+            used();
+        }
+    }
+
     @Override
     public void userEventTriggered(ChannelHandlerContext ctx, Object event) throws Exception {
         if (event instanceof ChannelInputShutdownEvent) {
@@ -136,6 +185,11 @@
         }
         beginning = true;
         try {
+            if (waiting.isEmpty() && slots.isEmpty() && waitingOpen != null && phase() != Phase.CLOSING && !last) {
+                Bodies.Open next = waitingOpen;
+                waitingOpen = null;
+                begin(next);
+            }
             while (!waiting.isEmpty() && phase() != Phase.CLOSING && !last && mayBegin(waiting.peek().request())) {
                 Waiting next = waiting.poll();
                 channel().config().setAutoRead(true);
@@ -253,7 +307,11 @@
 
     private void write(Exchange e) {
         boolean closes = slots.isEmpty() && (last || mustClose() || inputEnded && waiting.isEmpty());
-        if (closes) {
+        boolean uploading = upload != null && upload.isOpen();
+        if (uploading) {
+            upload.drop();
+            enter(Phase.READING);
+        } else if (closes) {
             enter(Phase.CLOSING);
         } else if (slots.isEmpty()) {
             enter(Phase.IDLE);
@@ -269,7 +327,10 @@
         } else {
             written.addListener(f -> front.wayBack().took((System.nanoTime() - began) / 1e6));
         }
-        if (closes) {
+        if (uploading) {
+            // Its answer is out before its rest has come: that is read to its end, as cutting it off would take the answer along.
+            closesAfterUpload = closes;
+        } else if (closes) {
             written.addListener(ChannelFutureListener.CLOSE);
         } else if (slots.isEmpty()) {
             used();
@@ -379,10 +440,28 @@
     private void dropWaiting() {
         waiting.forEach(w -> w.request().release());
         waiting.clear();
+        if (waitingOpen != null) {
+            waitingOpen.first().release();
+            waitingOpen.rest().drop();
+            waitingOpen = null;
+        }
+    }
+
+    @Override
+    protected boolean isUploading() {
+        if (upload != null && upload.isOpen() && !upload.isFlowing()) {
+            // It is the node that is slow: the client's pace counts from when it is read again.
+            paceAgain();
+            return false;
+        }
+        return upload != null && upload.isOpen();
     }
 
     @Override
     protected void tooSlow() {
+        List<Exchange> open = List.copyOf(slots);
+        slots.clear();
+        open.forEach(Exchange::drop);
         reject(HttpResponseStatus.REQUEST_TIMEOUT);
     }
 
@@ -433,6 +512,14 @@
             this.chunks = chunks;
         }
 
+        /** The rest of its body: told of its end where nobody else drains it, or behind whoever does. */
+        private void upload(BodyStream rest) {
+            rest.onEnd(whole -> uploaded(this, whole));
+            if (done || id == null) {
+                rest.drop();
+            }
+        }
+
         private void ready(HttpResponseStatus how, double backMs) {
             ready(how, backMs, Content.EMPTY, null);
         }
@@ -534,18 +621,6 @@
     /** A request that came while another was open on its connection, when, and how old it may have been by then. */
     private record Waiting(FullHttpRequest request, long arrived, double stalledMs) { }
 
-    /** Puts requests together; one whose body is too long is told of by an exception, and its rest is dropped. */
-    static final class Bodies extends HttpObjectAggregator {
-        Bodies() {
-            super(Content.MAX_BYTES);
-        }
-
-        @Override
-        protected void handleOversizedMessage(ChannelHandlerContext ctx, HttpMessage oversized) {
-            ctx.fireExceptionCaught(new TooLongHttpContentException("body over " + Content.MAX_BYTES + " bytes"));
-        }
-    }
-
     /**
      * Sees bytes first: the clock for a request runs from its first. One that is plain is read here; from the first one on
      * that is not, Netty's decoder reads all that this connection brings, as it may hold the beginning of the next.
@@ -594,6 +669,9 @@
             if (next) {
                 enter(Phase.READING);
             }
+            if (message instanceof ByteBuf in) {
+                heard(in.readableBytes());
+            }
             if (plain && next && message instanceof ByteBuf in) {
                 LeanHttp request = LeanHttp.request(in);
                 if (request != null) {
--- a/gateway/src/main/java/ridgemill/gateway/front/http/HttpRequests.java
+++ b/gateway/src/main/java/ridgemill/gateway/front/http/HttpRequests.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.math.BigDecimal;
 import java.net.URLDecoder;
@@ -18,6 +19,7 @@
 import ridgemill.core.Gate;
 import ridgemill.deadline.TimeSaid;
 import ridgemill.deadline.TimeSaid.Form;
+import ridgemill.gateway.net.BodyStream;
 import ridgemill.gateway.net.Content;
 import ridgemill.gateway.net.LeanHttp;
 import ridgemill.gateway.net.StrictHttp;
@@ -102,7 +104,30 @@
             public boolean repeats(String name) {
                 return in.headers().getAll(name).size() > 1;
             }
-        }, in.content(), left, isOpen);
+        }, in.content(), null, left, isOpen, go -> true);
+    }
+
+    /**
+     * The same of one whose body is still coming.
+     *
+     * @param takesOpen whether one that the gate lets on may go on before it is whole
+     */
+    Read read(Bodies.Open in, DoubleUnaryOperator left, Predicate<String> isOpen, Predicate<Gate.Go> takesOpen) {
+        HttpRequest head = in.head();
+        if (head.decoderResult().isFailure() || StrictHttp.oddCoding(head)) {
+            return new Bad(HttpResponseStatus.BAD_REQUEST);
+        }
+        return read(head.method().name(), head.uri(), new Lines() {
+            @Override
+            public String get(String name) {
+                return head.headers().get(name);
+            }
+
+            @Override
+            public boolean repeats(String name) {
+                return head.headers().getAll(name).size() > 1;
+            }
+        }, in.first(), in.rest(), left, isOpen, takesOpen);
     }
 
     /** The same of one that was read as it came; {@code body} stays its holder's. */
@@ -117,11 +142,12 @@
             public boolean repeats(String name) {
                 return in.repeats(name);
             }
-        }, body, left, isOpen);
+        }, body, null, left, isOpen, go -> true);
     }
 
-    private Read read(String method, String target, Lines headers, ByteBuf body, DoubleUnaryOperator left,
-                      Predicate<String> isOpen) {
+    private Read read(String method, String asked, Lines headers, ByteBuf body, BodyStream rest, DoubleUnaryOperator left,
+                      Predicate<String> isOpen, Predicate<Gate.Go> takesOpen) {
+        String target = Targets.origin(asked);
         String path = Targets.path(target);
         if (path.startsWith(OUTCOME) && outcomes) {
             return method.equals(GET) ? outcome(path.substring(OUTCOME.length()), headers.get("X-Caller"))
@@ -134,7 +160,7 @@
         if (!method.equals(GET) && !(api && method.equals(PUT))) {
             return new Bad(HttpResponseStatus.METHOD_NOT_ALLOWED);
         }
-        return api ? call(method, target, path, headers, body, left, isOpen) : new Up();
+        return api ? call(method, target, path, headers, body, rest, left, isOpen, takesOpen) : new Up();
     }
 
     /** Outcomes of idempotency keys may be asked for from now on. */
@@ -177,8 +203,8 @@
                 : reading instanceof TimeSaid.Unsaid && terms.unsaid() ? Double.POSITIVE_INFINITY : Double.NaN;
     }
 
-    private Read call(String method, String target, String path, Lines headers, ByteBuf body, DoubleUnaryOperator left,
-                      Predicate<String> isOpen) {
+    private Read call(String method, String target, String path, Lines headers, ByteBuf body, BodyStream rest,
+                      DoubleUnaryOperator left, Predicate<String> isOpen, Predicate<Gate.Go> takesOpen) {
         String id = headers.get("X-Call-Id");
         double saidMs = saidMs(headers);
         if (!isId(id) || isOpen.test(id) || Double.isNaN(saidMs)) {
@@ -188,7 +214,7 @@
         boolean retry = "1".equals(headers.get("X-Again"));
         String tenant = headers.get("X-Caller");
         Gate.Entry entry = gate.apply(new Gate.Arrival(id, new Query(method, path, tenant, headers::get),
-                headers.get("X-Call-Class"), retry, body.readableBytes(),
+                headers.get("X-Call-Class"), retry, size(body, rest),
                 Double.isInfinite(saidMs) ? Double.MAX_VALUE : left.applyAsDouble(saidMs)));
         if (entry instanceof Gate.Refuse refuse) {
             return new Refused(headers.get("X-Call-Class"), refuse.retryAfterMs());
@@ -197,6 +223,10 @@
             return new Bad(entry instanceof Gate.Unfit unfit && unfit.reason() == Gate.Reason.TOO_LARGE
                     ? HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE : HttpResponseStatus.BAD_REQUEST);
         }
+        if (rest != null && !takesOpen.test(go)) {
+            leave.accept(go, id);
+            return new Bad(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+        }
         String key = headers.get("Idempotency-Key");
         if (go.needsKey(write) && (key == null || key.isEmpty())) {
             leave.accept(go, id);
@@ -205,13 +235,18 @@
         double budgetMs = Double.isInfinite(saidMs) ? left.applyAsDouble(Math.min(go.budgetMs(), go.service().deadlineMs()))
                 : go.budgetMs();
         Request request = new Request(id, go.service().name(), tenant, Targets.hash(path),
-                Math.max(0, number(headers.get("X-Call-Cost"), 0)) / 1000, budgetMs, write, retry);
+                Math.max(0, number(headers.get("X-Call-Cost"), 0)) / 1000, budgetMs, write, retry, rest != null);
         String mediaType = headers.get("Content-Type");
-        Content content = !body.isReadable() && mediaType == null ? Content.EMPTY
-                : new Content(Unpooled.wrappedBuffer(ByteBufUtil.getBytes(body)), mediaType);
+        Content content = !body.isReadable() && mediaType == null && rest == null ? Content.EMPTY
+                : new Content(Unpooled.wrappedBuffer(ByteBufUtil.getBytes(body)), mediaType, rest);
         return new Call(go, request, new Command<>(write, target, key, content));
     }
 
+    /** Of a body in all; the greatest number where only its end tells. */
+    private static long size(ByteBuf body, BodyStream rest) {
+        return rest == null ? body.readableBytes() : rest.length() < 0 ? Long.MAX_VALUE : rest.length();
+    }
+
     private static boolean isId(String text) {
         if (text == null || text.isEmpty() || text.length() > LONGEST_ID) {
             return false;
--- a/gateway/src/main/java/ridgemill/gateway/net/BodyStream.java
+++ b/gateway/src/main/java/ridgemill/gateway/net/BodyStream.java
@@ -37,6 +37,9 @@
     private int heldBytes;
     private long fed;
     private boolean flowing = true;
+    private boolean over;
+    private boolean whole;
+    private Consumer<Boolean> onEnd = whole -> { };
 
     /**
      * A body of which nothing has come.
@@ -61,7 +64,7 @@
 
     /** Whether more of it may come. */
     public boolean isOpen() {
-        return state == State.OPEN;
+        return !over;
     }
 
     /** Whether more of it may be read now: where it may not, nobody can blame the feeding side for silence. */
@@ -69,6 +72,22 @@
         return flowing;
     }
 
+    /** Told once when all of it has come, dropped or not, or when the rest never will; at once where that is known. */
+    public void onEnd(Consumer<Boolean> told) {
+        onEnd = told;
+        if (over) {
+            told.accept(whole);
+        }
+    }
+
+    private void over(boolean all) {
+        if (!over) {
+            over = true;
+            whole = all;
+            onEnd.accept(all);
+        }
+    }
+
     /** The next part has come; it is the stream's from now on. */
     public void feed(ByteBuf part) {
         fed += part.readableBytes();
@@ -93,6 +112,7 @@
                 sink.end();
             }
         }
+        over(true);
     }
 
     /** The rest will never come. */
@@ -104,6 +124,7 @@
                 sink.broken();
             }
         }
+        over(false);
     }
 
     /** From now on {@code to} has it, with what has come already. */
--- a/gateway/src/main/java/ridgemill/gateway/net/Targets.java
+++ b/gateway/src/main/java/ridgemill/gateway/net/Targets.java
@@ -55,6 +55,18 @@
         return key.toByteArray();
     }
 
+    /** A request's target as nodes are asked: of an absolute one (RFC 9112, section 3.2.2) what follows the authority. */
+    public static String origin(String target) {
+        int authority = target.startsWith("/") || target.equals("*") ? -1 : target.indexOf("://");
+        if (authority < 0) {
+            return target;
+        }
+        int path = target.indexOf('/', authority + 3);
+        int query = target.indexOf('?', authority + 3);
+        return path >= 0 && (query < 0 || path < query) ? target.substring(path)
+                : query >= 0 ? "/" + target.substring(query) : "/";
+    }
+
     /** A target's path, without the query that may follow it. */
     public static String path(String target) {
         int query = target.indexOf('?');
--- a/gateway/src/test/java/ridgemill/gateway/Peer.java
+++ b/gateway/src/test/java/ridgemill/gateway/Peer.java
@@ -59,6 +59,8 @@
 
     private final ServerSocket server;
     private final BlockingQueue<Message> messages = new LinkedBlockingQueue<>();
+    private final BlockingQueue<Wire> accepted = new LinkedBlockingQueue<>();
+    private volatile boolean raw;
     private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
     private final Thread accepting = new Thread(this::accept, "peer");
 
@@ -85,6 +87,20 @@
         return message;
     }
 
+    /** From now on connections that come are left unread, for {@link #accepted}. */
+    void raw() {
+        raw = true;
+    }
+
+    /** The next connection that is left unread. */
+    Wire accepted() throws InterruptedException {
+        Wire wire = accepted.poll(PATIENCE_S, TimeUnit.SECONDS);
+        if (wire == null) {
+            throw new AssertionError("nobody came");
+        }
+        return wire;
+    }
+
     /** The next message, whenever it comes. */
     Message await() throws InterruptedException {
         return messages.take();
@@ -105,6 +121,10 @@
             for (int number = 0;; number++) {
                 Wire wire = new Wire(server.accept(), number);
                 sockets.add(wire.socket());
+                if (raw) {
+                    accepted.add(wire);
+                    continue;
+                }
                 Thread reading = new Thread(() -> read(wire), "peer-" + number);
                 reading.setDaemon(true);
                 reading.start();
