--- a/gateway/src/test/java/ridgemill/gateway/ConsoleTest.java
+++ b/gateway/src/test/java/ridgemill/gateway/ConsoleTest.java
@@ -65,6 +65,7 @@
     void tellsWhenItServesAndWhenItDrains() throws Exception {
         untilUp();
         site.service.beginDrain();
+        site.service.between(() -> { });
         String answer = get("/status");
         assertEquals(503, Site.status(answer));
         assertTrue(answer.contains("draining"), answer);
--- a/gateway/src/test/java/ridgemill/gateway/UpgradeTest.java
+++ b/gateway/src/test/java/ridgemill/gateway/UpgradeTest.java
@@ -91,6 +91,8 @@
             }
             long began = System.nanoTime();
             old.service.leave(SUCCEEDED);
+            // The plan holds from the loop's next turn on; the request must not overtake it.
+            old.service.between(() -> { });
             kept.write(old.get(Site.LONG_S));
             Peer.Message message = old.node.next();
             assertTrue(Double.parseDouble(message.header("X-Budget")) <= SUCCEEDED.answerMs() / 1000, "it ends before its client's time");
