An answer that goes on keeps its 4 s of silence: the pace no longer forgets that it streams

Confirmed by a test that fails before this (broken pipe at the node) and passes with it. Cause: state that could be derived. Change: AnswerPace keeps one time, and is told whether the answer streams.

--- a/core/src/main/java/ridgemill/flow/AnswerPace.java
+++ b/core/src/main/java/ridgemill/flow/AnswerPace.java
@@ -15,34 +15,14 @@
     public static final double LOOK_MS = 100;
 
     private double lastMs;
-    private double startMs;
-    private boolean streamed;
 
-    /** Begins, as its first bytes come. */
-    public void begin(double nowMs) {
-        startMs = nowMs;
-        lastMs = nowMs;
-        streamed = false;
-    }
-
-    /** It goes on to its client from now on. */
-    public void stream(double nowMs) {
-        lastMs = nowMs;
-        streamed = true;
-    }
-
-    /** More of it has come, or could not have come as it was not read. */
+    /** Some of it has come, or could not have come as it was not read. */
     public void progress(double nowMs) {
         lastMs = nowMs;
     }
 
-    /** Whether it stands still for good. */
-    public boolean standsStill(double nowMs) {
+    /** Whether it stands still for good; {@code streamed} says whether it goes on to its client already. */
+    public boolean standsStill(double nowMs, boolean streamed) {
         return nowMs - lastMs >= (streamed ? STREAMED_MS : HELD_MS);
     }
-
-    /** How long it has taken so far. */
-    public double ageMs(double nowMs) {
-        return nowMs - startMs;
-    }
 }
--- a/gateway/src/main/java/ridgemill/gateway/back/http/HttpNodeConnection.java
+++ b/gateway/src/main/java/ridgemill/gateway/back/http/HttpNodeConnection.java
@@ -370,7 +370,6 @@
         });
         ByteBuf first = body == null ? Unpooled.EMPTY_BUFFER : body;
         body = null;
-        pace.stream(now());
         boolean taken;
         try {
             Answer<Content> begins = new Answer<>(new Content(first, head.headers().get(HttpHeaderNames.CONTENT_TYPE), stream),
@@ -429,7 +428,6 @@
         } else if (current() != null && begun > 0) {
             pace.progress(now());
             if (paceTimer == null) {
-                pace.begin(now());
                 watch(current());
             }
         }
@@ -444,7 +442,7 @@
             if (stream != null && !stream.isFlowing()) {
                 pace.progress(now());
             }
-            if (pace.standsStill(now())) {
+            if (pace.standsStill(now(), stream != null)) {
                 spoilt();
             } else {
                 watch(watched);
--- a/gateway/src/test/java/ridgemill/gateway/LargeAnswersTest.java
+++ b/gateway/src/test/java/ridgemill/gateway/LargeAnswersTest.java
@@ -21,6 +21,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import ridgemill.flow.AnswerPace;
 
 /** Answers larger than what is held whole go on as they come, unchanged, and a broken one shows as such. */
 @Timeout(Peer.PATIENCE_S)
@@ -177,6 +178,21 @@
         }
     }
 
+    /** A pause that would spoil an answer which is held whole: it is longer than that, and looked at some times. */
+    @Test
+    void aPauseDoesNotEndAnAnswerThatGoesOnAlready() throws Exception {
+        byte[] value = value(LARGE);
+        try (Peer.Wire client = site.client()) {
+            client.write(site.get(Site.LONG_S));
+            Socket node = node().socket();
+            answer(node, Framing.LENGTH, value, 0, 1000);
+            Reader reader = new Reader(client.socket().getInputStream());
+            TimeUnit.MILLISECONDS.sleep((long) (AnswerPace.HELD_MS + 4 * AnswerPace.LOOK_MS));
+            answer(node, Framing.LENGTH, value, 1000, LARGE);
+            assertArrayEquals(value, reader.body());
+        }
+    }
+
     @Test
     void aClientCanTellThatAnAnswerBrokeOff() throws Exception {
         byte[] value = value(LARGE);
