Start the CDN's modules: configuration items, routing table, instances, control interfaces

Two artifacts beside core and gateway hold it: cdn-core for decisions without I/O, clocks or threads, cdn for the programs. Ruled out: new packages in gateway, which is half of all code already.

--- /dev/null
+++ b/cdn-core/src/main/java/ridgemill/cdn/config/ItemSet.java
@@ -0,0 +1,70 @@
+package ridgemill.cdn.config;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.List;
+import java.util.TreeMap;
+
+/**
+ * A replica's copy of the configuration: the newest known version of each item, dropped items included. Merging is
+ * associative, commutative and idempotent, so replicas that have seen the same versions hold the same set.
+ */
+public final class ItemSet {
+
+    private static final long HASH_MULTIPLIER = 0x100000001b3L;
+
+    private final TreeMap<ItemName, Item> items = new TreeMap<>();
+
+    /** Merges one version. Returns whether it was newer than the one that was held. */
+    public boolean merge(Item item) {
+        if (!item.supersedes(items.get(item.name()))) {
+            return false;
+        }
+        items.put(item.name(), item);
+        return true;
+    }
+
+    /** Merges all versions and returns those that were newer than what was held. */
+    public List<Item> mergeAll(Collection<Item> versions) {
+        List<Item> changed = new ArrayList<>();
+        for (Item version : versions) {
+            if (merge(version)) {
+                changed.add(version);
+            }
+        }
+        return changed;
+    }
+
+    /** The newest known version of an item, which may be a drop; null if the item is unknown. */
+    public Item get(ItemName name) {
+        return items.get(name);
+    }
+
+    /** All items in order of their names, drops included. */
+    public Collection<Item> all() {
+        return Collections.unmodifiableCollection(items.values());
+    }
+
+    /** Whether no item was ever set or dropped. */
+    public boolean isEmpty() {
+        return items.isEmpty();
+    }
+
+    /** A copy that changes independently. */
+    public ItemSet copy() {
+        ItemSet copy = new ItemSet();
+        copy.items.putAll(items);
+        return copy;
+    }
+
+    /** A checksum over all names and versions: replicas with equal digests hold equal sets but for hash collisions. */
+    public long digest() {
+        long hash = 0;
+        for (Item item : items.values()) {
+            hash = hash * HASH_MULTIPLIER + item.hashCode();
+            hash ^= hash >>> 29;
+        }
+        return hash;
+    }
+}
