Wire between the system's processes: typed MessagePack messages, held links, calls

The change: one record for each message, numbered kinds, frames with a size bound, links that are opened again, calls whose failure says whether they may have been carried out. Ruled out: bare maps, and one message with optional fields.

--- /dev/null
+++ b/cdn-core/src/main/java/ridgemill/cdn/keys/KeyRecord.java
@@ -0,0 +1,21 @@
+package ridgemill.cdn.keys;
+
+import java.util.Objects;
+
+/**
+ * What one voter knows of one operation key.
+ *
+ * @param key the operation key, scoped by its host
+ * @param state how far the operation is
+ * @param claimId the claim that the state is about; empty for {@link KeyState#CONFLICT}
+ * @param answer the recorded answer for {@link KeyState#FINISHED}, in the encoding of the edge proxies; else null
+ * @param updatedAtMs when this voter last changed the record, in Unix milliseconds of its own clock
+ */
+public record KeyRecord(String key, KeyState state, String claimId, byte[] answer, long updatedAtMs) {
+
+    public KeyRecord {
+        Objects.requireNonNull(key, "key");
+        Objects.requireNonNull(state, "state");
+        Objects.requireNonNull(claimId, "claimId");
+    }
+}
--- /dev/null
+++ b/cdn-core/src/main/java/ridgemill/cdn/purge/Purge.java
@@ -0,0 +1,27 @@
+package ridgemill.cdn.purge;
+
+/**
+ * An order to stop serving cached copies.
+ *
+ * @param id a random identifier, the same on all replicas, by which a repeated delivery is recognised
+ * @param hostname the host of the object to purge; null where a tag is purged
+ * @param path the path and query of the object to purge; null where a tag is purged
+ * @param tag the tag whose objects are purged; null where one object is purged
+ */
+public record Purge(String id, String hostname, String path, String tag) {
+
+    /** A purge of one object. */
+    public static Purge ofPath(String id, String hostname, String path) {
+        return new Purge(id, hostname, path, null);
+    }
+
+    /** A purge of all objects that carry a tag. */
+    public static Purge ofTag(String id, String tag) {
+        return new Purge(id, null, null, tag);
+    }
+
+    /** Whether this purges by tag. */
+    public boolean isByTag() {
+        return tag != null;
+    }
+}
--- /dev/null
+++ b/cdn/src/main/java/ridgemill/cdn/wire/Fields.java
@@ -0,0 +1,82 @@
+package ridgemill.cdn.wire;
+
+import java.io.IOException;
+import ridgemill.cdn.config.Item;
+import ridgemill.cdn.config.ItemKind;
+import ridgemill.cdn.config.ItemName;
+import ridgemill.cdn.instances.Instance;
+import ridgemill.cdn.instances.InstanceState;
+import ridgemill.cdn.keys.KeyRecord;
+import ridgemill.cdn.keys.KeyState;
+import ridgemill.cdn.purge.Purge;
+
+/** How values that several messages hold are written; the disk of the store uses the same form. */
+public final class Fields {
+
+    private Fields() { }
+
+    /** Writes an item version. */
+    public static void writeItem(Item item, FieldWriter out) throws IOException {
+        out.number(item.name().kind().ordinal())
+                .text(item.name().name())
+                .number(item.version())
+                .text(item.content());
+    }
+
+    /** Reads an item version. */
+    public static Item readItem(FieldReader in) throws IOException {
+        ItemName name = new ItemName(in.oneOf(ItemKind.values()), in.text());
+        return new Item(name, in.number(), in.text());
+    }
+
+    /** Writes a purge. */
+    public static void writePurge(Purge purge, FieldWriter out) throws IOException {
+        out.text(purge.id()).text(purge.hostname()).text(purge.path()).text(purge.tag());
+    }
+
+    /** Reads a purge. */
+    public static Purge readPurge(FieldReader in) throws IOException {
+        return new Purge(in.text(), in.text(), in.text(), in.text());
+    }
+
+    /** Writes a key record. */
+    public static void writeKeyRecord(KeyRecord record, FieldWriter out) throws IOException {
+        out.text(record.key())
+                .number(record.state().ordinal())
+                .text(record.claimId())
+                .bytes(record.answer())
+                .number(record.updatedAtMs());
+    }
+
+    /** Reads a key record. */
+    public static KeyRecord readKeyRecord(FieldReader in) throws IOException {
+        return new KeyRecord(in.text(), in.oneOf(KeyState.values()), in.text(), in.bytes(), in.number());
+    }
+
+    /** Writes an instance. */
+    public static void writeInstance(Instance instance, FieldWriter out) throws IOException {
+        out.text(instance.id())
+                .text(instance.service())
+                .text(instance.address())
+                .text(instance.zone())
+                .text(instance.softwareVersion())
+                .number(instance.slots())
+                .number(instance.state().ordinal())
+                .number(instance.sequence())
+                .number(instance.coldUntilMs());
+    }
+
+    /** Reads an instance. */
+    public static Instance readInstance(FieldReader in) throws IOException {
+        return new Instance(
+                in.text(),
+                in.text(),
+                in.text(),
+                in.text(),
+                in.text(),
+                in.smallNumber(),
+                in.oneOf(InstanceState.values()),
+                in.number(),
+                in.number());
+    }
+}
--- /dev/null
+++ b/cdn/src/main/java/ridgemill/cdn/wire/HeldLink.java
@@ -0,0 +1,170 @@
+package ridgemill.cdn.wire;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
+import io.vavr.control.Either;
+import java.net.InetSocketAddress;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.LongFunction;
+import ridgemill.gateway.net.SocketKind;
+
+/**
+ * Keeps a link to one process open: connects, connects again after it ended, and ends a link over which nothing has come
+ * for too long. All methods are called on the event loop.
+ */
+public final class HeldLink implements LinkListener {
+
+    private static final int CONNECT_TIMEOUT_MS = 1_000;
+    private static final long RECONNECT_DELAY_MS = 300;
+    private static final long CHECK_INTERVAL_MS = 500;
+    /** Silence after which the other side is asked whether it still answers. */
+    private static final long PING_AFTER_MS = 900;
+    /** Silence after which the link is given up. */
+    private static final long SILENT_LIMIT_MS = 2_000;
+
+    private final EventLoop loop;
+    private final SocketKind sockets;
+    private final InetSocketAddress address;
+    private final LinkMessages.Hello hello;
+    private final LinkListener listener;
+    private Link link;
+    private Future<?> check;
+    private boolean closed;
+
+    /**
+     * A link that is opened by {@link #start}.
+     *
+     * @param address the process to connect to
+     * @param hello what this process says of itself
+     * @param listener told of each link that is opened, of its messages and of its end
+     */
+    public HeldLink(
+            EventLoop loop,
+            SocketKind sockets,
+            InetSocketAddress address,
+            LinkMessages.Hello hello,
+            LinkListener listener) {
+        this.loop = loop;
+        this.sockets = sockets;
+        this.address = address;
+        this.hello = hello;
+        this.listener = listener;
+    }
+
+    /** The address of the other process. */
+    public InetSocketAddress address() {
+        return address;
+    }
+
+    /** Whether the link is open now. */
+    public boolean isOpen() {
+        return link != null && link.isOpen();
+    }
+
+    /** Opens the link and keeps it open. */
+    public void start() {
+        check = loop.scheduleWithFixedDelay(this::check, CHECK_INTERVAL_MS, CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
+        connect();
+    }
+
+    /** Ends the link for good. */
+    public void close() {
+        closed = true;
+        if (check != null) {
+            check.cancel(false);
+        }
+        if (link != null) {
+            link.close();
+        }
+    }
+
+    /** Sends a message; it is dropped while the link is not open. */
+    public void send(Message message) {
+        if (link != null) {
+            link.send(message);
+        }
+    }
+
+    /** Sends a call, see {@link Link#call}. */
+    public void call(
+            LongFunction<? extends Message.Call> message,
+            long timeoutMs,
+            Consumer<Either<CallFailure, Message.Reply>> callback) {
+        if (link == null) {
+            callback.accept(Either.left(CallFailure.NOT_SENT));
+        } else {
+            link.call(message, timeoutMs, callback);
+        }
+    }
+
+    private void connect() {
+        if (closed) {
+            return;
+        }
+        Link next = new Link(this, hello);
+        new Bootstrap()
+                .group(loop)
+                .channel(sockets.client())
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+                .handler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        channel.pipeline().addLast(new MessageCodec(), next);
+                    }
+                })
+                .connect(address)
+                .addListener(connected -> {
+                    if (!connected.isSuccess()) {
+                        reconnectLater();
+                    }
+                });
+    }
+
+    private void reconnectLater() {
+        if (!closed) {
+            loop.schedule(this::connect, RECONNECT_DELAY_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void check() {
+        if (link == null) {
+            return;
+        }
+        long silentMs = link.silentMs();
+        if (silentMs > SILENT_LIMIT_MS) {
+            link.close();
+        } else if (silentMs > PING_AFTER_MS) {
+            link.send(new LinkMessages.Ping());
+        }
+    }
+
+    @Override
+    public void opened(Link opened) {
+        if (closed) {
+            opened.close();
+            return;
+        }
+        link = opened;
+        listener.opened(opened);
+    }
+
+    @Override
+    public void received(Link from, Message message) {
+        listener.received(from, message);
+    }
+
+    @Override
+    public void closed(Link ended) {
+        if (link == ended) {
+            link = null;
+            listener.closed(ended);
+            reconnectLater();
+        }
+    }
+}
--- /dev/null
+++ b/cdn/src/main/java/ridgemill/cdn/wire/RegistryMessages.java
@@ -0,0 +1,200 @@
+package ridgemill.cdn.wire;
+
+import java.io.IOException;
+import java.util.List;
+import ridgemill.cdn.instances.Instance;
+
+/** Messages to and from the registry. */
+public final class RegistryMessages {
+
+    private RegistryMessages() { }
+
+    /**
+     * That an instance was heard.
+     *
+     * @param instanceId the instance
+     * @param sequence the number of its heartbeat
+     */
+    public record Beat(String instanceId, long sequence) {
+
+        void write(FieldWriter out) throws IOException {
+            out.text(instanceId).number(sequence);
+        }
+
+        static Beat read(FieldReader in) throws IOException {
+            return new Beat(in.text(), in.number());
+        }
+    }
+
+    /**
+     * An edge proxy asks for instances, core members and the number of proxies, now and from now on.
+     *
+     * @param lifeId the life of the registry that was heard last; empty if none was
+     * @param number the last number that was taken in that life
+     */
+    public record Subscribe(String lifeId, long number) implements Message {
+
+        @Override
+        public MessageKind kind() {
+            return MessageKind.REGISTRY_SUBSCRIBE;
+        }
+
+        @Override
+        public void write(FieldWriter out) throws IOException {
+            out.text(lifeId).number(number);
+        }
+
+        static Subscribe read(FieldReader in) throws IOException {
+            return new Subscribe(in.text(), in.number());
+        }
+    }
+
+    /**
+     * All that a registry knows; the numbered changes after it continue from its number.
+     *
+     * @param lifeId the life of the registry
+     * @param number the number of the last change that the snapshot holds
+     * @param settled whether the registry has run for long enough to know all instances
+     * @param registries the IP addresses of all known core machines
+     * @param voters the IP addresses of the voting stores; empty while unknown
+     * @param proxyCount how many edge proxies were heard lately
+     * @param instances all known instances, those that left included
+     * @param silent identifiers of instances that have not been heard for too long
+     */
+    public record Snapshot(String lifeId, long number, boolean settled, List<String> registries, List<String> voters, int proxyCount, List<Instance> instances, List<String> silent) implements Message {
+
+        @Override
+        public MessageKind kind() {
+            return MessageKind.REGISTRY_SNAPSHOT;
+        }
+
+        @Override
+        public void write(FieldWriter out) throws IOException {
+            out.text(lifeId).number(number).flag(settled).texts(registries).texts(voters).number(proxyCount).list(instances, Fields::writeInstance).texts(silent);
+        }
+
+        static Snapshot read(FieldReader in) throws IOException {
+            return new Snapshot(in.text(), in.number(), in.flag(), in.texts(), in.texts(), in.smallNumber(), in.list(Fields::readInstance), in.texts());
+        }
+    }
+
+    /**
+     * A numbered change; numbers follow one another without a gap.
+     *
+     * @param number the number of this change
+     * @param settled whether the registry has run for long enough to know all instances
+     * @param registries the IP addresses of all known core machines
+     * @param voters the IP addresses of the voting stores; empty while unknown
+     * @param proxyCount how many edge proxies were heard lately
+     * @param instances instances that changed
+     * @param silent identifiers of all instances that have not been heard for too long
+     */
+    public record News(long number, boolean settled, List<String> registries, List<String> voters, int proxyCount, List<Instance> instances, List<String> silent) implements Message {
+
+        @Override
+        public MessageKind kind() {
+            return MessageKind.REGISTRY_NEWS;
+        }
+
+        @Override
+        public void write(FieldWriter out) throws IOException {
+            out.number(number).flag(settled).texts(registries).texts(voters).number(proxyCount).list(instances, Fields::writeInstance).texts(silent);
+        }
+
+        static News read(FieldReader in) throws IOException {
+            return new News(in.number(), in.flag(), in.texts(), in.texts(), in.smallNumber(), in.list(Fields::readInstance), in.texts());
+        }
+    }
+
+    /**
+     * The subscriber has carried out all changes up to a number.
+     *
+     * @param number the last number that was carried out
+     */
+    public record NewsAcknowledged(long number) implements Message {
+
+        @Override
+        public MessageKind kind() {
+            return MessageKind.REGISTRY_NEWS_ACKNOWLEDGED;
+        }
+
+        @Override
+        public void write(FieldWriter out) throws IOException {
+            out.number(number);
+        }
+
+        static NewsAcknowledged read(FieldReader in) throws IOException {
+            return new NewsAcknowledged(in.number());
+        }
+    }
+
+    /**
+     * A registry tells another of instances that changed and of machines that it knows; answered by {@link PeerUpdateTaken}.
+     *
+     * @param callId the number of the call
+     * @param registries the IP addresses of all known core machines
+     * @param voters the IP addresses of the voting stores; empty while unknown
+     * @param proxies names of the edge proxies that are connected to the sender
+     * @param instances instances that changed, or all of them
+     */
+    public record PeerUpdate(long callId, List<String> registries, List<String> voters, List<String> proxies, List<Instance> instances) implements Message.Call {
+
+        @Override
+        public MessageKind kind() {
+            return MessageKind.PEER_UPDATE;
+        }
+
+        @Override
+        public void write(FieldWriter out) throws IOException {
+            out.number(callId).texts(registries).texts(voters).texts(proxies).list(instances, Fields::writeInstance);
+        }
+
+        static PeerUpdate read(FieldReader in) throws IOException {
+            return new PeerUpdate(in.number(), in.texts(), in.texts(), in.texts(), in.list(Fields::readInstance));
+        }
+    }
+
+    /**
+     * Answers {@link PeerUpdate} once the update is merged.
+     *
+     * @param callId the number of the call
+     */
+    public record PeerUpdateTaken(long callId) implements Message.Reply {
+
+        @Override
+        public MessageKind kind() {
+            return MessageKind.PEER_UPDATE_TAKEN;
+        }
+
+        @Override
+        public void write(FieldWriter out) throws IOException {
+            out.number(callId);
+        }
+
+        static PeerUpdateTaken read(FieldReader in) throws IOException {
+            return new PeerUpdateTaken(in.number());
+        }
+    }
+
+    /**
+     * The newest heartbeats that a registry has taken itself since it last told.
+     *
+     * @param beats the heartbeats
+     */
+    public record PeerBeats(List<Beat> beats) implements Message {
+
+        @Override
+        public MessageKind kind() {
+            return MessageKind.PEER_BEATS;
+        }
+
+        @Override
+        public void write(FieldWriter out) throws IOException {
+            out.list(beats, Beat::write);
+        }
+
+        static PeerBeats read(FieldReader in) throws IOException {
+            return new PeerBeats(in.list(Beat::read));
+        }
+    }
+}
