Registry, control client, command line and packaging of the system's programs

The registry takes heartbeats, configuration calls and purges, shares instances with its peers and pushes them to edge proxies; the proxy's control client follows registries and stores. Ruled out: a leader among registries (no log, no leader), pushing configuration through the registry.

--- /dev/null
+++ b/cdn-core/src/main/java/ridgemill/cdn/membership/CoreMembers.java
@@ -0,0 +1,58 @@
+package ridgemill.cdn.membership;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeSet;
+
+/** What a process knows of the other processes: core machines, the voting stores, and edge proxies heard lately. */
+public final class CoreMembers {
+
+    /** For how long a proxy that is not heard counts among those that share limits, in milliseconds. */
+    static final double PROXY_MEMORY_MS = 15_000;
+
+    private final TreeSet<String> coreHosts = new TreeSet<>();
+    private final Map<String, Double> proxyHeardAtMs = new HashMap<>();
+    private List<String> voters = List.of();
+
+    /** Adds core machines by their IP addresses. Returns whether one was new. */
+    public boolean addCoreHosts(Collection<String> hosts) {
+        return coreHosts.addAll(hosts);
+    }
+
+    /** The IP addresses of all known core machines, in order. */
+    public List<String> coreHosts() {
+        return List.copyOf(coreHosts);
+    }
+
+    /** How many core machines are a majority of the known ones. */
+    public int coreMajority() {
+        return coreHosts.size() / 2 + 1;
+    }
+
+    /** Learns the voters if they are not known yet. Returns whether they were learned now. */
+    public boolean learnVoters(List<String> hosts) {
+        if (!voters.isEmpty() || hosts.isEmpty()) {
+            return false;
+        }
+        voters = List.copyOf(hosts);
+        return true;
+    }
+
+    /** The IP addresses of the voting stores; empty while unknown. */
+    public List<String> voters() {
+        return voters;
+    }
+
+    /** Notes that an edge proxy was heard. */
+    public void proxyHeard(String name, double nowMs) {
+        proxyHeardAtMs.put(name, nowMs);
+    }
+
+    /** How many edge proxies were heard lately; at least 1. */
+    public int proxyCount(double nowMs) {
+        proxyHeardAtMs.values().removeIf(heardAt -> nowMs - heardAt > PROXY_MEMORY_MS);
+        return Math.max(1, proxyHeardAtMs.size());
+    }
+}
--- /dev/null
+++ b/cdn-core/src/main/java/ridgemill/cdn/membership/package-info.java
@@ -0,0 +1,2 @@
+/** Which processes the system consists of. */
+package ridgemill.cdn.membership;
--- /dev/null
+++ b/cdn-core/src/main/java/ridgemill/cdn/purge/PurgeCoverage.java
@@ -0,0 +1,35 @@
+package ridgemill.cdn.purge;
+
+import java.util.HashMap;
+import java.util.Map;
+import ridgemill.cdn.keys.ClaimVote;
+
+/**
+ * Since when a cache has heard of all purges. An acknowledged purge is known to a majority of the stores, so a cache that
+ * has followed a majority of them without a gap has heard of it. A store that starts anew, or that can't continue from
+ * the last number, leaves a gap: its coverage begins again.
+ */
+public final class PurgeCoverage {
+
+    private final Map<String, Double> coveredSinceMs = new HashMap<>();
+    private int voters;
+
+    /** Sets how many stores vote. */
+    public void setVoters(int count) {
+        voters = count;
+    }
+
+    /** The news of a store begin again, with a possible gap before. */
+    public void restarted(String store, double nowMs) {
+        coveredSinceMs.put(store, nowMs);
+    }
+
+    /** Whether every purge that was acknowledged after a moment has been heard of, or will be on a held connection. */
+    public boolean covers(double sinceMs) {
+        int covering = 0;
+        for (double since : coveredSinceMs.values()) {
+            covering += since <= sinceMs ? 1 : 0;
+        }
+        return voters > 0 && covering >= ClaimVote.majority(voters);
+    }
+}
--- /dev/null
+++ b/cdn-core/src/test/java/ridgemill/cdn/config/ItemSetTest.java
@@ -0,0 +1,64 @@
+package ridgemill.cdn.config;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+class ItemSetTest {
+
+    private static final int SEEDS = 200;
+
+    private static Item set(String name, long version, String content) {
+        return new Item(new ItemName(ItemKind.ROUTE, name), version, content);
+    }
+
+    @Test
+    void theHighestVersionWinsWhetherItSetsOrDrops() {
+        ItemSet items = new ItemSet();
+        assertThat(items.merge(set("r", 5, "a"))).isTrue();
+        assertThat(items.merge(set("r", 7, null))).isTrue();
+        assertThat(items.merge(set("r", 6, "b"))).isFalse();
+        assertThat(items.get(new ItemName(ItemKind.ROUTE, "r")).isDrop()).isTrue();
+        assertThat(items.merge(set("r", 8, "c"))).isTrue();
+        assertThat(items.get(new ItemName(ItemKind.ROUTE, "r")).content()).isEqualTo("c");
+    }
+
+    @Test
+    void replicasThatSawTheSameVersionsInAnyOrderAndOftenAreEqual() {
+        for (int seed = 0; seed < SEEDS; seed++) {
+            Random random = new Random(seed);
+            List<Item> versions = new ArrayList<>();
+            for (int i = 0; i < 30; i++) {
+                String content = random.nextInt(4) == 0 ? null : "c" + random.nextInt(3);
+                versions.add(set("r" + random.nextInt(4), random.nextInt(6), content));
+            }
+            ItemSet one = new ItemSet();
+            one.mergeAll(versions);
+            ItemSet left = new ItemSet();
+            left.mergeAll(versions.subList(0, 17));
+            ItemSet right = new ItemSet();
+            right.mergeAll(versions.subList(10, 30));
+            Collections.shuffle(versions, random);
+            ItemSet other = new ItemSet();
+            other.mergeAll(versions);
+            other.mergeAll(versions);
+            left.mergeAll(right.all());
+            assertThat(List.copyOf(other.all())).as("seed %d", seed).isEqualTo(List.copyOf(one.all()));
+            assertThat(List.copyOf(left.all())).as("seed %d", seed).isEqualTo(List.copyOf(one.all()));
+            assertThat(other.digest()).isEqualTo(one.digest());
+        }
+    }
+
+    @Test
+    void theDigestTellsSetsApart() {
+        ItemSet one = new ItemSet();
+        one.merge(set("r", 1, "a"));
+        ItemSet other = new ItemSet();
+        other.merge(set("r", 2, "a"));
+        assertThat(one.digest()).isNotEqualTo(other.digest());
+    }
+}
--- /dev/null
+++ b/cdn-core/src/test/java/ridgemill/cdn/instances/InstanceTableTest.java
@@ -0,0 +1,64 @@
+package ridgemill.cdn.instances;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class InstanceTableTest {
+
+    private final InstanceTable table = new InstanceTable();
+
+    private static Instance beat(String id, String address, InstanceState state, long sequence) {
+        return new Instance(id, "s", address, "z", "v1", 4, state, sequence, 0);
+    }
+
+    @Test
+    void aHeartbeatThatChangesNothingIsNoNews() {
+        assertThat(table.merge(beat("i", "a:1", InstanceState.READY, 1), 0)).hasSize(1);
+        assertThat(table.merge(beat("i", "a:1", InstanceState.READY, 2), 10)).isEmpty();
+    }
+
+    @Test
+    void aLateHeartbeatTakesNoDrainBack() {
+        table.merge(beat("i", "a:1", InstanceState.READY, 1), 0);
+        assertThat(table.merge(beat("i", "a:1", InstanceState.DRAINING, 5), 10)).hasSize(1);
+        assertThat(table.merge(beat("i", "a:1", InstanceState.READY, 4), 20)).isEmpty();
+        assertThat(table.get("i").state()).isEqualTo(InstanceState.DRAINING);
+    }
+
+    @Test
+    void anInstanceThatHasLeftDoesNotComeBack() {
+        table.merge(beat("i", "a:1", InstanceState.READY, 1), 0);
+        assertThat(table.merge(table.get("i").gone(), 10)).hasSize(1);
+        assertThat(table.merge(beat("i", "a:1", InstanceState.READY, 9), 20)).isEmpty();
+        assertThat(table.get("i").state()).isEqualTo(InstanceState.GONE);
+    }
+
+    @Test
+    void whoeverHadAnAddressBeforeHasEnded() {
+        table.merge(beat("old", "a:1", InstanceState.READY, 7), 0);
+        List<Instance> changed = table.merge(beat("new", "a:1", InstanceState.READY, 1), 10);
+        assertThat(changed).extracting(Instance::id).containsExactly("old", "new");
+        assertThat(table.get("old").state()).isEqualTo(InstanceState.GONE);
+        assertThat(table.merge(beat("old", "a:1", InstanceState.READY, 8), 20)).isEmpty();
+    }
+
+    @Test
+    void silenceCountsFromTheLastHeartbeatThatAnybodyHeard() {
+        table.merge(beat("i", "a:1", InstanceState.READY, 1), 0);
+        table.merge(beat("j", "a:2", InstanceState.READY, 1), 0);
+        table.heard("i", 2, 4000);
+        table.heard("j", 1, 4000);
+        assertThat(table.silent(5000, 5500)).containsExactly("j");
+    }
+
+    @Test
+    void theDepartedAreForgottenInTheEnd() {
+        table.merge(beat("i", "a:1", InstanceState.GONE, 1), 0);
+        table.forgetOld(InstanceTable.FORGET_GONE_MS);
+        assertThat(table.get("i")).isNotNull();
+        table.forgetOld(InstanceTable.FORGET_GONE_MS + 1);
+        assertThat(table.get("i")).isNull();
+    }
+}
--- /dev/null
+++ b/cdn/src/main/java/ridgemill/cdn/app/Main.java
@@ -0,0 +1,99 @@
+package ridgemill.cdn.app;
+
+import io.vavr.control.Either;
+import java.nio.file.Path;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.HelpFormatter;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import ridgemill.cdn.settings.Settings;
+import ridgemill.cdn.settings.SettingsError;
+import ridgemill.cdn.settings.SettingsReader;
+
+/** The command line of the system's programs. Bad input is one line on standard error and exit code 2. */
+public final class Main {
+
+    private static final String SETTINGS_VARIABLE = "RIDGEMILL_CONFIG";
+    private static final String DEFAULT_SETTINGS = "/etc/ridgemill/local.toml";
+    private static final int BAD_INPUT = 2;
+    private static final String USAGE = "ridgemill-cdn [--settings FILE] proxy|registry|store|check|rehearse|version";
+    private static final String ABOUT = "proxy serves clients; registry takes the calls of instances and operators; store "
+            + "keeps the configuration; check reads the settings and says what is wrong with them.";
+
+    private Main() { }
+
+    /** Runs the program that the command line names. */
+    public static void main(String[] arguments) throws Exception {
+        // The usual command line of a deployment is one word: reading it by hand spares each start the parser's classes.
+        if (arguments.length == 1 && !arguments[0].startsWith("-")) {
+            run(arguments[0], settingsPath());
+            return;
+        }
+        Options options = new Options();
+        options.addOption(Option.builder()
+                .longOpt("settings")
+                .hasArg()
+                .argName("FILE")
+                .desc("the settings file; else the variable " + SETTINGS_VARIABLE + ", else " + DEFAULT_SETTINGS)
+                .build());
+        options.addOption(Option.builder("h").longOpt("help").desc("print this text").build());
+        CommandLine line = parse(options, arguments);
+        if (line.hasOption("help")) {
+            new HelpFormatter().printHelp(USAGE, null, options, ABOUT);
+            return;
+        }
+        if (line.getArgs().length != 1) {
+            fail("one command is needed: " + USAGE);
+        }
+        run(line.getArgs()[0], Path.of(line.getOptionValue("settings", settingsPath().toString())));
+    }
+
+    private static CommandLine parse(Options options, String[] arguments) {
+        try {
+            return new DefaultParser().parse(options, arguments);
+        } catch (ParseException malformed) {
+            fail(malformed.getMessage());
+            throw new IllegalStateException(malformed);
+        }
+    }
+
+    private static Path settingsPath() {
+        String named = System.getenv(SETTINGS_VARIABLE);
+        return Path.of(named == null || named.isEmpty() ? DEFAULT_SETTINGS : named);
+    }
+
+    private static void run(String command, Path settingsPath) throws Exception {
+        switch (command) {
+            case "proxy" -> new Process(settings(settingsPath), settingsPath).runProxy();
+            case "registry" -> new Process(settings(settingsPath), settingsPath).runRegistry();
+            case "store" -> new Process(settings(settingsPath), settingsPath).runStore();
+            case "check" -> {
+                Settings settings = settings(settingsPath);
+                System.out.println(settingsPath + ": good; machine " + settings.nodeName());
+            }
+            case "rehearse" -> Rehearsal.run();
+            case "version" -> System.out.println(version());
+            default -> fail("unknown command " + command + ": " + USAGE);
+        }
+    }
+
+    private static String version() {
+        String version = Main.class.getPackage().getImplementationVersion();
+        return version == null ? "unknown" : version;
+    }
+
+    private static Settings settings(Path path) {
+        Either<SettingsError, Settings> read = SettingsReader.read(path);
+        if (read.isLeft()) {
+            fail(read.getLeft().describe());
+        }
+        return read.get();
+    }
+
+    static void fail(String reason) {
+        System.err.println("ridgemill-cdn: " + reason);
+        System.exit(BAD_INPUT);
+    }
+}
--- /dev/null
+++ b/cdn/src/main/java/ridgemill/cdn/app/Process.java
@@ -0,0 +1,79 @@
+package ridgemill.cdn.app;
+
+import io.netty.channel.ChannelException;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import java.nio.file.Path;
+import ridgemill.cdn.proxy.ProxyProgram;
+import ridgemill.cdn.registry.RegistryProgram;
+import ridgemill.cdn.settings.Settings;
+import ridgemill.cdn.settings.SettingsReader;
+import ridgemill.cdn.store.StoreProgram;
+import ridgemill.gateway.net.Clock;
+import ridgemill.gateway.net.SocketKind;
+import sun.misc.Signal;
+
+/** One of the programs as a process of its own: its event loop, its signals, its end. */
+final class Process {
+
+    private static final System.Logger LOG = System.getLogger(Process.class.getName());
+
+    private final Settings settings;
+    private final Path settingsPath;
+    private final SocketKind sockets = SocketKind.chosen();
+    private final Clock clock = new Clock();
+    private final EventLoop loop = new MultiThreadIoEventLoopGroup(1, sockets.handlers()).next();
+
+    Process(Settings settings, Path settingsPath) {
+        this.settings = settings;
+        this.settingsPath = settingsPath;
+    }
+
+    void runProxy() {
+        ProxyProgram proxy = new ProxyProgram(settings, loop, sockets, clock);
+        started(proxy::start);
+        onTermination(() -> proxy.drain(Process::end));
+    }
+
+    void runRegistry() {
+        RegistryProgram registry = new RegistryProgram(settings, loop, sockets, clock);
+        started(registry::start);
+        onTermination(() -> {
+            registry.stop();
+            end();
+        });
+    }
+
+    void runStore() {
+        StoreProgram store = new StoreProgram(settings, loop, sockets, clock);
+        started(store::start);
+        onTermination(() -> {
+            store.stop();
+            end();
+        });
+    }
+
+    private static void started(Runnable start) {
+        try {
+            start.run();
+        } catch (RuntimeException failed) {
+            if (failed instanceof ChannelException || failed.getCause() instanceof java.io.IOException) {
+                Main.fail("can't listen: " + failed.getMessage());
+            }
+            throw failed;
+        }
+    }
+
+    private void onTermination(Runnable task) {
+        Signal.handle(new Signal("TERM"), signal -> task.run());
+        Signal.handle(new Signal("INT"), signal -> task.run());
+        Signal.handle(new Signal("HUP"), signal -> SettingsReader.read(settingsPath)
+                .peek(read -> LOG.log(System.Logger.Level.INFO, "event=settings_read machine=" + read.nodeName()))
+                .peekLeft(error -> LOG.log(System.Logger.Level.WARNING, "event=settings_bad " + error.describe())));
+    }
+
+    private static void end() {
+        LOG.log(System.Logger.Level.INFO, "event=ended");
+        Runtime.getRuntime().halt(0);
+    }
+}
--- /dev/null
+++ b/cdn/src/main/java/ridgemill/cdn/configuration/ChangeReader.java
@@ -0,0 +1,121 @@
+package ridgemill.cdn.configuration;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.networknt.schema.JsonSchema;
+import com.networknt.schema.JsonSchemaFactory;
+import com.networknt.schema.SpecVersion;
+import com.networknt.schema.ValidationMessage;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import ridgemill.cdn.config.Item;
+import ridgemill.cdn.config.ItemKind;
+import ridgemill.cdn.config.ItemName;
+
+/** Reads changes of the configuration from JSON and checks their form against the schema. */
+public final class ChangeReader {
+
+    private static final String SCHEMA = "configuration.schema.json";
+    private static final String ROUTES = "routeTable";
+    private static final String SERVICES = "serviceTable";
+    private static final String LIMITS = "limits";
+
+    private final ObjectMapper json = new ObjectMapper()
+            .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+            .enable(DeserializationFeature.FAIL_ON_READING_DUP_TREE_KEY)
+            .enable(DeserializationFeature.USE_BIG_DECIMAL_FOR_FLOATS);
+    private final JsonSchema schema;
+
+    /** A reader with the schema that this build brings. */
+    public ChangeReader() {
+        try (InputStream in = ChangeReader.class.getResourceAsStream(SCHEMA)) {
+            schema = JsonSchemaFactory.getInstance(SpecVersion.VersionFlag.V202012).getSchema(json.readTree(in));
+        } catch (IOException missing) {
+            throw new UncheckedIOException(missing);
+        }
+    }
+
+    /** Reads a change. */
+    public Either<InvalidChange, ConfigurationChange> read(byte[] body) {
+        JsonNode root;
+        try {
+            root = json.readTree(body);
+        } catch (IOException malformed) {
+            return Either.left(new InvalidChange("", "the body is no JSON: " + firstLine(malformed.getMessage())));
+        }
+        if (root == null || !root.isObject()) {
+            return Either.left(new InvalidChange("", "the body is no JSON object"));
+        }
+        Set<ValidationMessage> faults = schema.validate(root);
+        if (!faults.isEmpty()) {
+            ValidationMessage first = faults.iterator().next();
+            return Either.left(new InvalidChange(first.getInstanceLocation().toString(), first.getMessage()));
+        }
+        return Either.right(new ConfigurationChange(items(root)));
+    }
+
+    private static String firstLine(String text) {
+        int end = text.indexOf('\n');
+        return end < 0 ? text : text.substring(0, end);
+    }
+
+    private List<Item> items(JsonNode root) {
+        List<Item> items = new ArrayList<>();
+        JsonNode upsert = root.path("upsert");
+        addSets(upsert.path(ROUTES), ItemKind.ROUTE, items);
+        addSets(upsert.path(SERVICES), ItemKind.SERVICE, items);
+        if (upsert.path(LIMITS).isObject()) {
+            items.add(set(ItemName.LIMITS, upsert.path(LIMITS)));
+        }
+        JsonNode remove = root.path("remove");
+        addDrops(remove.path(ROUTES), ItemKind.ROUTE, items);
+        addDrops(remove.path(SERVICES), ItemKind.SERVICE, items);
+        return items;
+    }
+
+    private void addSets(JsonNode table, ItemKind kind, List<Item> items) {
+        table.fields().forEachRemaining(entry -> items.add(set(new ItemName(kind, entry.getKey()), entry.getValue())));
+    }
+
+    private Item set(ItemName name, JsonNode content) {
+        return new Item(name, content.path("version").asLong(), content.toString());
+    }
+
+    private static void addDrops(JsonNode list, ItemKind kind, List<Item> items) {
+        for (JsonNode drop : list) {
+            ItemName name = new ItemName(kind, drop.path("name").asText());
+            items.add(new Item(name, drop.path("version").asLong(), null));
+        }
+    }
+
+    /** All items that stand, as JSON laid out as a change's {@code upsert}. */
+    public byte[] write(Iterable<Item> items) {
+        ObjectNode root = json.createObjectNode();
+        ObjectNode routes = root.putObject(ROUTES);
+        ObjectNode services = root.putObject(SERVICES);
+        try {
+            for (Item item : items) {
+                if (item.isDrop()) {
+                    continue;
+                }
+                JsonNode content = json.readTree(item.content());
+                switch (item.name().kind()) {
+                    case ROUTE -> routes.set(item.name().name(), content);
+                    case SERVICE -> services.set(item.name().name(), content);
+                    case LIMITS -> root.set(LIMITS, content);
+                }
+            }
+            return json.writeValueAsBytes(root);
+        } catch (JsonProcessingException impossible) {
+            throw new IllegalStateException("a stored item is no JSON", impossible);
+        }
+    }
+}
--- /dev/null
+++ b/cdn/src/main/java/ridgemill/cdn/http/CallServer.java
@@ -0,0 +1,152 @@
+package ridgemill.cdn.http;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.net.InetSocketAddress;
+import java.util.function.Consumer;
+import ridgemill.gateway.net.SocketKind;
+
+/** The HTTP/1.1 server at which a process answers calls from outside the data path; one request at a time a connection. */
+public final class CallServer {
+
+    /** The longest body of a call, in bytes. */
+    private static final int MAX_BODY_BYTES = 8 * 1024 * 1024;
+
+    private static final int BACKLOG = 512;
+
+    private final Channel listener;
+
+    private CallServer(Channel listener) {
+        this.listener = listener;
+    }
+
+    /**
+     * A call that waits for its answer.
+     *
+     * @param method the HTTP method
+     * @param path the path without its query
+     * @param body the whole body
+     * @param answer takes the answer; called once, on the event loop
+     */
+    public record Call(String method, String path, byte[] body, Consumer<Answer> answer) { }
+
+    /**
+     * An answer to a call.
+     *
+     * @param status the HTTP status
+     * @param body the body, which is JSON; may be empty
+     */
+    public record Answer(int status, byte[] body) {
+
+        /** An answer without a body. */
+        public static Answer empty(int status) {
+            return new Answer(status, new byte[0]);
+        }
+    }
+
+    /**
+     * Listens at an address and passes each call to the handler on the event loop.
+     *
+     * @throws io.netty.channel.ChannelException if the address can't be had
+     */
+    public static CallServer listen(
+            EventLoopGroup loop, SocketKind sockets, InetSocketAddress address, Consumer<Call> handler) {
+        ServerBootstrap bootstrap = new ServerBootstrap()
+                .group(loop)
+                .channel(sockets.server())
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        channel.pipeline()
+                                .addLast(
+                                        new HttpServerCodec(),
+                                        new HttpObjectAggregator(MAX_BODY_BYTES),
+                                        new Handler(handler));
+                    }
+                });
+        return new CallServer(bootstrap.bind(address).syncUninterruptibly().channel());
+    }
+
+    /** The address that is listened at. */
+    public InetSocketAddress address() {
+        return (InetSocketAddress) listener.localAddress();
+    }
+
+    /** Stops accepting connections. */
+    public void close() {
+        listener.close();
+    }
+
+    private static final class Handler extends SimpleChannelInboundHandler<FullHttpRequest> {
+
+        private final Consumer<Call> handler;
+
+        Handler(Consumer<Call> handler) {
+            this.handler = handler;
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+            boolean keepAlive = HttpUtil.isKeepAlive(request);
+            if (!request.decoderResult().isSuccess()) {
+                answer(context, Answer.empty(HttpResponseStatus.BAD_REQUEST.code()), false);
+                return;
+            }
+            context.channel().config().setAutoRead(false);
+            byte[] body = ByteBufUtil.getBytes(request.content());
+            handler.accept(new Call(
+                    request.method().name(), path(request.uri()), body, answer -> answer(context, answer, keepAlive)));
+        }
+
+        private static String path(String uri) {
+            int query = uri.indexOf('?');
+            return query < 0 ? uri : uri.substring(0, query);
+        }
+
+        private static void answer(ChannelHandlerContext context, Answer answer, boolean keepAlive) {
+            FullHttpResponse response = new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1,
+                    HttpResponseStatus.valueOf(answer.status()),
+                    Unpooled.wrappedBuffer(answer.body()));
+            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, answer.body().length);
+            if (answer.body().length > 0) {
+                response.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
+            }
+            if (keepAlive) {
+                context.writeAndFlush(response);
+                context.channel().config().setAutoRead(true);
+                context.read();
+            } else {
+                response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+                context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+    }
+}
--- /dev/null
+++ b/cdn/src/main/java/ridgemill/cdn/log/package-info.java
@@ -0,0 +1,2 @@
+/** The log: one line of key=value pairs for each event. */
+package ridgemill.cdn.log;
--- /dev/null
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/control/ControlClient.java
@@ -0,0 +1,233 @@
+package ridgemill.cdn.proxy.control;
+
+import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.UUID;
+import ridgemill.cdn.config.Item;
+import ridgemill.cdn.config.ItemSet;
+import ridgemill.cdn.config.RoutingTable;
+import ridgemill.cdn.configuration.ItemParser;
+import ridgemill.cdn.instances.Instance;
+import ridgemill.cdn.instances.InstanceState;
+import ridgemill.cdn.instances.InstanceTable;
+import ridgemill.cdn.keys.ClaimVote;
+import ridgemill.cdn.membership.CoreMembers;
+import ridgemill.cdn.purge.Purge;
+import ridgemill.cdn.purge.PurgeCoverage;
+import ridgemill.cdn.settings.Settings;
+import ridgemill.cdn.wire.HeldLink;
+import ridgemill.cdn.wire.LinkListener;
+import ridgemill.cdn.wire.LinkMessages;
+import ridgemill.gateway.net.Clock;
+import ridgemill.gateway.net.SocketKind;
+
+/**
+ * An edge proxy's connections to the control plane: follows every registry and every voting configuration store, and
+ * merges what they say. Nothing that was learned is lost in one life of the process, whoever is cut off. Everything runs
+ * on the proxy's event loop.
+ */
+public final class ControlClient implements ControlView, StoreFeed.Receiver, RegistryFeed.Receiver {
+
+    private static final System.Logger LOG = System.getLogger(ControlClient.class.getName());
+
+    /** After so long a start goes on with fewer stores than a read quorum, in milliseconds. */
+    private static final double QUORUM_PATIENCE_MS = 2_500;
+
+    private final Settings settings;
+    private final EventLoop loop;
+    private final SocketKind sockets;
+    private final Clock clock;
+    private final LinkMessages.Hello hello;
+    private final CoreMembers members = new CoreMembers();
+    private final Map<String, RegistryFeed> registries = new LinkedHashMap<>();
+    private final Map<String, StoreFeed> stores = new LinkedHashMap<>();
+    private final ItemSet items = new ItemSet();
+    private final InstanceTable instances = new InstanceTable();
+    private final PurgeCoverage coverage = new PurgeCoverage();
+    private final List<ControlListener> listeners = new ArrayList<>();
+    private final Map<String, List<Instance>> readyByService = new HashMap<>();
+    private RoutingTable routing = RoutingTable.EMPTY;
+    private double startedAtMs;
+
+    /** A client that connects when it is started. */
+    public ControlClient(Settings settings, EventLoop loop, SocketKind sockets, Clock clock) {
+        this.settings = settings;
+        this.loop = loop;
+        this.sockets = sockets;
+        this.clock = clock;
+        this.hello = new LinkMessages.Hello(
+                LinkMessages.Hello.PROTOCOL,
+                "proxy",
+                settings.nodeName(),
+                settings.ipAddress(),
+                UUID.randomUUID().toString());
+    }
+
+    /** Connects to the seeds; other core machines are learned from them. */
+    public void start() {
+        startedAtMs = clock.now();
+        members.addCoreHosts(settings.seedHosts());
+        connectRegistries();
+    }
+
+    private void connectRegistries() {
+        for (String host : members.coreHosts()) {
+            if (!registries.containsKey(host)) {
+                RegistryFeed feed = new RegistryFeed(this);
+                registries.put(host, feed);
+                feed.start(held(host, settings.registryPort(), feed));
+            }
+        }
+    }
+
+    private HeldLink held(String host, int port, LinkListener listener) {
+        return new HeldLink(loop, sockets, new InetSocketAddress(host, port), hello, listener);
+    }
+
+    @Override
+    public void membersReceived(List<String> coreHosts, List<String> voters) {
+        if (members.addCoreHosts(coreHosts)) {
+            connectRegistries();
+        }
+        if (members.learnVoters(voters)) {
+            coverage.setVoters(voters.size());
+            for (String host : voters) {
+                StoreFeed feed = new StoreFeed(host, this);
+                stores.put(host, feed);
+                feed.start(held(host, settings.storePort(), feed));
+            }
+        }
+    }
+
+    /** The voting stores; empty while they are not known. */
+    List<StoreFeed> stores() {
+        return List.copyOf(stores.values());
+    }
+
+    @Override
+    public void snapshotReceived(StoreFeed feed, List<Item> all) {
+        coverage.restarted(feed.host(), clock.now());
+        itemsReceived(all);
+    }
+
+    @Override
+    public void newsReceived(List<Item> changed, List<Purge> purges) {
+        itemsReceived(changed);
+        for (Purge purge : purges) {
+            for (ControlListener listener : listeners) {
+                if (purge.isByTag()) {
+                    listener.tagPurged(purge.tag());
+                } else {
+                    listener.pathPurged(purge.hostname(), purge.path());
+                }
+            }
+        }
+    }
+
+    private void itemsReceived(List<Item> received) {
+        if (items.mergeAll(received).isEmpty()) {
+            return;
+        }
+        routing = ItemParser.routingTable(items.all());
+        LOG.log(
+                System.Logger.Level.INFO,
+                "event=configuration_in_force items=" + items.all().size() + " digest=" + items.digest());
+        for (ControlListener listener : listeners) {
+            listener.configurationChanged();
+        }
+    }
+
+    @Override
+    public void instancesReceived(List<Instance> received) {
+        for (Instance instance : received) {
+            instances.merge(instance, clock.now());
+        }
+        readyByService.clear();
+        for (ControlListener listener : listeners) {
+            listener.instancesChanged();
+        }
+    }
+
+    @Override
+    public RoutingTable routing() {
+        return routing;
+    }
+
+    @Override
+    public List<Instance> readyInstances(String service) {
+        return readyByService.computeIfAbsent(service, this::findReady);
+    }
+
+    private List<Instance> findReady(String service) {
+        List<Instance> ready = new ArrayList<>();
+        for (Instance instance : instances.all()) {
+            boolean serves = instance.state() == InstanceState.READY && instance.service().equals(service);
+            if (serves && !isSilent(instance.id())) {
+                ready.add(instance);
+            }
+        }
+        ready.sort(java.util.Comparator.comparing(Instance::id));
+        return List.copyOf(ready);
+    }
+
+    /** An instance counts as silent if every registry that could know says so. */
+    private boolean isSilent(String instanceId) {
+        boolean silent = false;
+        for (RegistryFeed registry : registries.values()) {
+            if (registry.isSettled()) {
+                if (!registry.isSilent(instanceId)) {
+                    return false;
+                }
+                silent = true;
+            }
+        }
+        return silent;
+    }
+
+    @Override
+    public int proxyCount() {
+        int most = 1;
+        for (RegistryFeed registry : registries.values()) {
+            most = Math.max(most, registry.proxyCount());
+        }
+        return most;
+    }
+
+    @Override
+    public boolean isReady() {
+        return !routing.isEmpty() && knowsInstances() && knowsNewestItems();
+    }
+
+    private boolean knowsInstances() {
+        for (RegistryFeed registry : registries.values()) {
+            if (registry.isSettled()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private boolean knowsNewestItems() {
+        int heard = 0;
+        for (StoreFeed store : stores.values()) {
+            heard += store.wasHeard() ? 1 : 0;
+        }
+        boolean patient = clock.now() - startedAtMs < QUORUM_PATIENCE_MS;
+        return heard > 0 && (heard >= ClaimVote.majority(stores.size()) || !patient);
+    }
+
+    @Override
+    public boolean isCoveredSince(double fetchStartedMs) {
+        return coverage.covers(fetchStartedMs);
+    }
+
+    @Override
+    public void addListener(ControlListener listener) {
+        listeners.add(listener);
+    }
+}
--- /dev/null
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/control/RecordedAnswerCodec.java
@@ -0,0 +1,42 @@
+package ridgemill.cdn.proxy.control;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
+
+/** The form in which stores keep recorded answers, which they do not read. */
+final class RecordedAnswerCodec {
+
+    private RecordedAnswerCodec() { }
+
+    static byte[] encode(OperationRegister.RecordedAnswer answer) throws IOException {
+        try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+            packer.packInt(answer.status());
+            packer.packArrayHeader(answer.headers().size());
+            for (String header : answer.headers()) {
+                packer.packString(header);
+            }
+            packer.packBinaryHeader(answer.body().length);
+            packer.writePayload(answer.body());
+            return packer.toByteArray();
+        }
+    }
+
+    static OperationRegister.RecordedAnswer decode(byte[] encoded) throws IOException {
+        try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(encoded)) {
+            int status = unpacker.unpackInt();
+            int count = unpacker.unpackArrayHeader();
+            List<String> headers = new ArrayList<>(count);
+            for (int i = 0; i < count; i++) {
+                headers.add(unpacker.unpackString());
+            }
+            byte[] body = unpacker.readPayload(unpacker.unpackBinaryHeader());
+            return new OperationRegister.RecordedAnswer(status, headers, body);
+        } catch (RuntimeException malformed) {
+            throw new IOException("a recorded answer can't be read", malformed);
+        }
+    }
+}
--- /dev/null
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/control/RegistryFeed.java
@@ -0,0 +1,88 @@
+package ridgemill.cdn.proxy.control;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import ridgemill.cdn.instances.Instance;
+import ridgemill.cdn.wire.HeldLink;
+import ridgemill.cdn.wire.Link;
+import ridgemill.cdn.wire.LinkListener;
+import ridgemill.cdn.wire.Message;
+import ridgemill.cdn.wire.RegistryMessages;
+
+/** Follows the numbered news of one registry. */
+final class RegistryFeed implements LinkListener {
+
+    /** Told what a registry says. */
+    interface Receiver {
+
+        /** The registry told of instances that are new to it or changed; its own state is read from the feed. */
+        void instancesReceived(List<Instance> instances);
+
+        /** The registry told of core machines and voters. */
+        void membersReceived(List<String> coreHosts, List<String> voters);
+    }
+
+    private final Receiver receiver;
+    private HeldLink link;
+    private Set<String> silent = Set.of();
+    private boolean settled;
+    private boolean connected;
+    private int proxyCount = 1;
+
+    RegistryFeed(Receiver receiver) {
+        this.receiver = receiver;
+    }
+
+    void start(HeldLink held) {
+        link = held;
+        held.start();
+    }
+
+    /** Whether the registry is connected and has run for long enough to know all instances. */
+    boolean isSettled() {
+        return connected && settled && link.isOpen();
+    }
+
+    /** Whether the registry has not heard an instance for too long. */
+    boolean isSilent(String instanceId) {
+        return silent.contains(instanceId);
+    }
+
+    /** How many edge proxies the registry has heard lately. */
+    int proxyCount() {
+        return proxyCount;
+    }
+
+    @Override
+    public void opened(Link opened) {
+        opened.send(new RegistryMessages.Subscribe("", 0));
+    }
+
+    @Override
+    public void received(Link from, Message message) {
+        if (message instanceof RegistryMessages.Snapshot snapshot) {
+            connected = true;
+            update(snapshot.settled(), snapshot.silent(), snapshot.proxyCount());
+            receiver.membersReceived(snapshot.registries(), snapshot.voters());
+            receiver.instancesReceived(snapshot.instances());
+            from.send(new RegistryMessages.NewsAcknowledged(snapshot.number()));
+        } else if (message instanceof RegistryMessages.News news) {
+            update(news.settled(), news.silent(), news.proxyCount());
+            receiver.membersReceived(news.registries(), news.voters());
+            receiver.instancesReceived(news.instances());
+            from.send(new RegistryMessages.NewsAcknowledged(news.number()));
+        }
+    }
+
+    private void update(boolean nowSettled, List<String> nowSilent, int nowProxies) {
+        settled = nowSettled;
+        silent = nowSilent.isEmpty() ? Set.of() : new HashSet<>(nowSilent);
+        proxyCount = nowProxies;
+    }
+
+    @Override
+    public void closed(Link ended) {
+        connected = false;
+    }
+}
--- /dev/null
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/control/StoreFeed.java
@@ -0,0 +1,100 @@
+package ridgemill.cdn.proxy.control;
+
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.function.LongFunction;
+import ridgemill.cdn.config.Item;
+import ridgemill.cdn.purge.Purge;
+import ridgemill.cdn.wire.CallFailure;
+import ridgemill.cdn.wire.HeldLink;
+import ridgemill.cdn.wire.Link;
+import ridgemill.cdn.wire.LinkListener;
+import ridgemill.cdn.wire.Message;
+import ridgemill.cdn.wire.StoreMessages;
+
+/** Follows the numbered news of one configuration store, without a gap where the store can continue. */
+final class StoreFeed implements LinkListener {
+
+    /** Told what a store says. */
+    interface Receiver {
+
+        /** The store told all its items; purges before this moment are not told any more. */
+        void snapshotReceived(StoreFeed feed, List<Item> items);
+
+        /** The store told of changes. */
+        void newsReceived(List<Item> items, List<Purge> purges);
+    }
+
+    private final String host;
+    private final Receiver receiver;
+    private HeldLink link;
+    private String lifeId = "";
+    private long number;
+    private boolean heard;
+
+    StoreFeed(String host, Receiver receiver) {
+        this.host = host;
+        this.receiver = receiver;
+    }
+
+    void start(HeldLink held) {
+        link = held;
+        held.start();
+    }
+
+    /** The IP address of the store's machine. */
+    String host() {
+        return host;
+    }
+
+    /** Whether the store has told all its items in this life of the proxy. */
+    boolean wasHeard() {
+        return heard;
+    }
+
+    void call(
+            LongFunction<? extends Message.Call> message,
+            long timeoutMs,
+            Consumer<Either<CallFailure, Message.Reply>> callback) {
+        link.call(message, timeoutMs, callback);
+    }
+
+    boolean isOpen() {
+        return link.isOpen();
+    }
+
+    @Override
+    public void opened(Link opened) {
+        opened.send(new StoreMessages.Subscribe(lifeId, number));
+    }
+
+    @Override
+    public void received(Link from, Message message) {
+        if (message instanceof StoreMessages.Snapshot snapshot) {
+            lifeId = snapshot.lifeId();
+            number = snapshot.number();
+            heard = true;
+            receiver.snapshotReceived(this, snapshot.items());
+        } else if (message instanceof StoreMessages.News news) {
+            newsReceived(from, news);
+        }
+    }
+
+    private void newsReceived(Link from, StoreMessages.News news) {
+        if (news.number() <= number) {
+            return;
+        }
+        if (news.number() != number + 1) {
+            // A gap would hide purges: asking anew brings what is missing, or a snapshot.
+            from.send(new StoreMessages.Subscribe(lifeId, number));
+            return;
+        }
+        number = news.number();
+        receiver.newsReceived(news.items(), news.purges());
+        from.send(new StoreMessages.NewsAcknowledged(number));
+    }
+
+    @Override
+    public void closed(Link ended) { }
+}
--- /dev/null
+++ b/cdn/src/main/java/ridgemill/cdn/registry/CallRouter.java
@@ -0,0 +1,39 @@
+package ridgemill.cdn.registry;
+
+import java.util.function.Consumer;
+import ridgemill.cdn.http.CallServer;
+
+/** Passes each call from outside to what answers it, by its method and path; see {@code api/control.openapi.yaml}. */
+final class CallRouter implements Consumer<CallServer.Call> {
+
+    private static final String INSTANCES = "/ridgemill/instances/";
+    private static final String CONFIGURATION = "/ridgemill/configuration";
+    private static final String PURGES = "/ridgemill/purges";
+    private static final int NOT_FOUND = 404;
+    private static final int METHOD_NOT_ALLOWED = 405;
+
+    private final InstanceCalls instances;
+    private final OperatorCalls operators;
+
+    CallRouter(InstanceCalls instances, OperatorCalls operators) {
+        this.instances = instances;
+        this.operators = operators;
+    }
+
+    @Override
+    public void accept(CallServer.Call call) {
+        String path = call.path();
+        if (path.startsWith(INSTANCES) && path.length() > INSTANCES.length()) {
+            instances.accept(path.substring(INSTANCES.length()), call);
+        } else if (path.equals(CONFIGURATION) && call.method().equals("GET")) {
+            operators.readConfiguration(call);
+        } else if (path.equals(CONFIGURATION) && call.method().equals("PATCH")) {
+            operators.changeConfiguration(call);
+        } else if (path.equals(PURGES) && call.method().equals("POST")) {
+            operators.purge(call);
+        } else {
+            boolean known = path.equals(CONFIGURATION) || path.equals(PURGES);
+            call.answer().accept(CallServer.Answer.empty(known ? METHOD_NOT_ALLOWED : NOT_FOUND));
+        }
+    }
+}
--- /dev/null
+++ b/cdn/src/main/java/ridgemill/cdn/registry/InstanceCalls.java
@@ -0,0 +1,74 @@
+package ridgemill.cdn.registry;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import ridgemill.cdn.http.CallServer;
+import ridgemill.cdn.instances.Instance;
+import ridgemill.cdn.instances.InstanceState;
+import ridgemill.cdn.settings.Durations;
+
+/** Answers the heartbeats of instances and their leaving. */
+final class InstanceCalls {
+
+    private static final int OK = 200;
+    private static final int BAD_REQUEST = 400;
+    private static final int METHOD_NOT_ALLOWED = 405;
+    private static final int UNAVAILABLE = 503;
+    private static final CallServer.Answer TAKEN =
+            new CallServer.Answer(OK, "{}".getBytes(StandardCharsets.US_ASCII));
+
+    private final RegistryProgram registry;
+    private final ObjectMapper json = new ObjectMapper();
+
+    InstanceCalls(RegistryProgram registry) {
+        this.registry = registry;
+    }
+
+    void accept(String id, CallServer.Call call) {
+        Instance instance =
+                switch (call.method()) {
+                    case "PUT" -> heartbeat(id, call.body());
+                    case "DELETE" -> departure(id);
+                    default -> null;
+                };
+        if (instance == null) {
+            boolean known = call.method().equals("PUT") || call.method().equals("DELETE");
+            call.answer().accept(CallServer.Answer.empty(known ? BAD_REQUEST : METHOD_NOT_ALLOWED));
+            return;
+        }
+        registry.take(instance, confirmed -> call.answer()
+                .accept(confirmed ? TAKEN : CallServer.Answer.empty(UNAVAILABLE)));
+    }
+
+    private Instance heartbeat(String id, byte[] body) {
+        try {
+            JsonNode root = json.readTree(body);
+            JsonNode information = root.path("information");
+            JsonNode status = root.path("status");
+            String state = status.path("state").asText();
+            if (!root.path("address").isTextual() || !information.path("service").isTextual()) {
+                return null;
+            }
+            long coldMs = Durations.parseMillis(status.path("coldRemaining").asText("0ms"));
+            return new Instance(
+                    id,
+                    information.path("service").asText(),
+                    root.path("address").asText(),
+                    information.path("zone").asText(),
+                    information.path("version").asText(),
+                    information.path("slotCount").asInt(1),
+                    state.equals("draining") ? InstanceState.DRAINING : InstanceState.READY,
+                    status.path("sequence").asLong(),
+                    coldMs <= 0 ? 0 : (long) registry.nowMs() + coldMs);
+        } catch (IOException | IllegalArgumentException malformed) {
+            return null;
+        }
+    }
+
+    private Instance departure(String id) {
+        Instance known = registry.instances().get(id);
+        return known == null ? new Instance(id, "", "", "", "", 0, InstanceState.GONE, 0, 0) : known.gone();
+    }
+}
--- /dev/null
+++ b/cdn/src/main/java/ridgemill/cdn/registry/Subscribers.java
@@ -0,0 +1,89 @@
+package ridgemill.cdn.registry;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import ridgemill.cdn.wire.Link;
+import ridgemill.cdn.wire.RegistryMessages;
+
+/** The edge proxies that are connected: pushes numbered news to them and counts what they acknowledge. */
+final class Subscribers {
+
+    private final String lifeId;
+    private final Map<Link, Long> acknowledged = new HashMap<>();
+    private final Deque<Waiter> waiters = new ArrayDeque<>();
+    private long number;
+
+    private record Waiter(long number, Runnable done) { }
+
+    Subscribers(String lifeId) {
+        this.lifeId = lifeId;
+    }
+
+    /** The number of the last news. */
+    long number() {
+        return number;
+    }
+
+    /** This life, in which the numbers count. */
+    String lifeId() {
+        return lifeId;
+    }
+
+    void add(Link link, RegistryMessages.Snapshot snapshot) {
+        acknowledged.put(link, number - 1);
+        link.send(snapshot);
+    }
+
+    void remove(Link link) {
+        if (acknowledged.remove(link) != null) {
+            release();
+        }
+    }
+
+    /** The names of the connected proxies. */
+    Collection<String> names() {
+        List<String> names = new ArrayList<>();
+        for (Link link : acknowledged.keySet()) {
+            names.add(link.peer().nodeName());
+        }
+        return names;
+    }
+
+    /** Numbers the next news. */
+    long nextNumber() {
+        return ++number;
+    }
+
+    /** Sends news to all. */
+    void push(RegistryMessages.News news) {
+        for (Link link : acknowledged.keySet()) {
+            link.send(news);
+        }
+    }
+
+    void acknowledged(Link link, long upTo) {
+        acknowledged.computeIfPresent(link, (key, before) -> Math.max(before, upTo));
+        release();
+    }
+
+    /** Runs a task once all connected proxies have acknowledged all news so far; those that disconnect don't count. */
+    void whenAcknowledged(Runnable task) {
+        waiters.add(new Waiter(number, task));
+        release();
+    }
+
+    private void release() {
+        long least = Long.MAX_VALUE;
+        for (long upTo : acknowledged.values()) {
+            least = Math.min(least, upTo);
+        }
+        while (!waiters.isEmpty() && waiters.peek().number() <= least) {
+            waiters.poll().done().run();
+        }
+    }
+}
--- /dev/null
+++ b/cdn/src/test/java/ridgemill/cdn/wire/MessageCodecTest.java
@@ -0,0 +1,98 @@
+package ridgemill.cdn.wire;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import ridgemill.cdn.config.Item;
+import ridgemill.cdn.config.ItemKind;
+import ridgemill.cdn.config.ItemName;
+import ridgemill.cdn.instances.Instance;
+import ridgemill.cdn.instances.InstanceState;
+import ridgemill.cdn.keys.KeyRecord;
+import ridgemill.cdn.keys.KeyState;
+import ridgemill.cdn.purge.Purge;
+
+/** Each message survives the way through its bytes, and each of its bytes may be spoilt without harm to the reader. */
+class MessageCodecTest {
+
+    private static final List<Item> ITEMS = List.of(
+            new Item(new ItemName(ItemKind.ROUTE, "r"), 7, "{\"a\":1}"), new Item(ItemName.LIMITS, -1, null));
+    private static final List<Instance> INSTANCES =
+            List.of(new Instance("i", "s", "10.0.0.1:80", "z", "v", 4, InstanceState.DRAINING, 9, 1_800_000_000_000L));
+    private static final Purge PURGE = Purge.ofPath("p", "h.example", "/x");
+    private static final List<String> HOSTS = List.of("10.0.0.1", "10.0.0.2");
+
+    static Stream<Message> messages() {
+        return Stream.of(
+                new LinkMessages.Hello(1, "proxy", "n", "10.0.0.1", "life"),
+                new LinkMessages.Ping(),
+                new LinkMessages.Pong(),
+                new StoreMessages.Subscribe("life", 3),
+                new StoreMessages.Snapshot("life", 4, HOSTS, ITEMS),
+                new StoreMessages.News(5, ITEMS, List.of(PURGE, Purge.ofTag("q", "t"))),
+                new StoreMessages.NewsAcknowledged(5),
+                new StoreMessages.WriteItems(1, ITEMS),
+                new StoreMessages.Written(1, true),
+                new StoreMessages.ReadItems(2),
+                new StoreMessages.ItemsRead(2, true, ITEMS),
+                new StoreMessages.WritePurge(3, PURGE),
+                new StoreMessages.ClaimKey(4, "k", "c"),
+                new StoreMessages.PullState(7, -12345678901L, true, "k"),
+                new RegistryMessages.Subscribe("life", 1),
+                new RegistryMessages.Snapshot("life", 1, true, HOSTS, HOSTS, 9, INSTANCES, List.of("i")),
+                new RegistryMessages.News(2, false, HOSTS, List.of(), 9, INSTANCES, List.of()),
+                new RegistryMessages.NewsAcknowledged(2),
+                new RegistryMessages.PeerUpdate(5, HOSTS, HOSTS, List.of("edge-1"), INSTANCES),
+                new RegistryMessages.PeerUpdateTaken(5),
+                new RegistryMessages.PeerBeats(List.of(new RegistryMessages.Beat("i", 12))));
+    }
+
+    @ParameterizedTest
+    @MethodSource("messages")
+    void aMessageIsReadAsItWasWritten(Message message) throws IOException {
+        assertThat(MessageCodec.decode(MessageCodec.encode(message))).isEqualTo(message);
+    }
+
+    @ParameterizedTest
+    @MethodSource("messages")
+    void aSpoiltByteIsAnErrorOrAnotherMessageAndNothingElse(Message message) throws IOException {
+        byte[] whole = MessageCodec.encode(message);
+        for (int at = 0; at < whole.length; at++) {
+            for (int flip = 1; flip < 256; flip <<= 1) {
+                byte[] spoilt = whole.clone();
+                spoilt[at] ^= (byte) flip;
+                try {
+                    assertThat(MessageCodec.decode(spoilt)).isNotNull();
+                } catch (IOException refused) {
+                    assertThat(refused).hasMessageNotContaining("null");
+                }
+            }
+        }
+    }
+
+    @ParameterizedTest
+    @MethodSource("messages")
+    void aMessageThatEndsEarlyOrGoesOnIsRefused(Message message) throws IOException {
+        byte[] whole = MessageCodec.encode(message);
+        byte[] longer = java.util.Arrays.copyOf(whole, whole.length + 1);
+        assertThatThrownBy(() -> MessageCodec.decode(longer)).isInstanceOf(IOException.class);
+        if (whole.length > 1) {
+            byte[] shorter = java.util.Arrays.copyOf(whole, whole.length - 1);
+            assertThatThrownBy(() -> MessageCodec.decode(shorter)).isInstanceOf(IOException.class);
+        }
+    }
+
+    @org.junit.jupiter.api.Test
+    void bytesInRecordsAreCarriedToo() throws IOException {
+        KeyRecord record = new KeyRecord("k", KeyState.FINISHED, "c", new byte[] {1, 2, 3}, 99);
+        StoreMessages.StatePage page = new StoreMessages.StatePage(1, true, HOSTS, ITEMS, List.of(record), false);
+        StoreMessages.StatePage read = (StoreMessages.StatePage) MessageCodec.decode(MessageCodec.encode(page));
+        assertThat(read.records().get(0).answer()).containsExactly(1, 2, 3);
+        assertThat(read.records().get(0).state()).isEqualTo(KeyState.FINISHED);
+    }
+}
