Store: a passive replica of items and operation keys on each core machine

Need: the configuration and the register of operation keys have to outlive the loss of machines, disks and power; coordinators count replicas, so the replica itself has to say only what it can stand by.

Ruled out: letting a voter with a wiped disk vote at once. Two majorities of three may meet only on that voter, so it first takes all that the other voters hold (all but majority - 2 of them). It takes nothing for three seconds after its start, as a call that had counted it may still be under way elsewhere.

Change: pure key register and merge, quorum arithmetic; a disk thread with group commit over Xodus; numbered news to subscribers; comparison of items once a second; recovery of a wiped voter. LinkServer can open without waiting, Link tells the bytes that wait, Fields turns values into bytes.

Smoke tests with three stores on loopback addresses pass. Loss of power is not tested yet.

--- /dev/null
+++ b/cdn-core/src/main/java/ridgemill/cdn/keys/KeyReplica.java
@@ -0,0 +1,184 @@
+package ridgemill.cdn.keys;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Objects;
+import java.util.PriorityQueue;
+import java.util.TreeMap;
+
+/**
+ * One voter's register of operation keys. A key is granted to one claim at a time, so of all claims of a key at most one
+ * collects a majority of the voters. Times are Unix milliseconds and are passed in.
+ */
+public final class KeyReplica {
+
+    private static final int WITHDRAWN_CAPACITY = 20_000;
+    /** What a record costs beside its texts and its answer, roughly, in bytes. */
+    private static final int RECORD_OVERHEAD_BYTES = 200;
+
+    private final KeyLimits limits;
+    private final TreeMap<String, KeyRecord> records = new TreeMap<>();
+    private final PriorityQueue<Expiry> expiries = new PriorityQueue<>(Comparator.comparingLong(Expiry::atMs));
+    private final WithdrawnClaims withdrawn = new WithdrawnClaims(WITHDRAWN_CAPACITY);
+    private long bytes;
+
+    private record Expiry(long atMs, String key) { }
+
+    /** An empty register. */
+    public KeyReplica(KeyLimits limits) {
+        this.limits = limits;
+    }
+
+    /**
+     * A claim asks for this voter's vote. A claim that holds the key is granted again, so a repeated call has the answer
+     * of the first; a claim that was given back is never granted.
+     */
+    public KeyVote claim(String key, String claimId, long nowMs) {
+        KeyRecord held = get(key, nowMs);
+        if (held != null && held.state() != KeyState.RELEASED) {
+            boolean own = held.state() == KeyState.HELD && held.claimId().equals(claimId);
+            return new KeyVote(own ? KeyVote.Outcome.GRANTED : KeyVote.Outcome.DENIED, held, false);
+        }
+        if (withdrawn.contains(claimId) || held != null && held.claimId().equals(claimId)) {
+            return new KeyVote(KeyVote.Outcome.DENIED, released(key, claimId, nowMs), false);
+        }
+        if (held == null && isFull()) {
+            return new KeyVote(KeyVote.Outcome.FULL, null, false);
+        }
+        KeyRecord granted = new KeyRecord(key, KeyState.HELD, claimId, null, nowMs);
+        put(granted);
+        return new KeyVote(KeyVote.Outcome.GRANTED, granted, true);
+    }
+
+    /**
+     * Records the answer of an operation that ran. It replaces whatever was known, since only a claim that a majority
+     * granted has run, but for another recorded answer: that one is kept.
+     *
+     * @return the record that is held now; it is of another claim if an answer was recorded before
+     */
+    public KeyRecord finish(String key, String claimId, byte[] answer, long nowMs) {
+        Objects.requireNonNull(answer, "answer");
+        KeyRecord held = get(key, nowMs);
+        if (held != null && held.state() == KeyState.FINISHED) {
+            return held;
+        }
+        KeyRecord finished = new KeyRecord(key, KeyState.FINISHED, claimId, answer, nowMs);
+        put(finished);
+        return finished;
+    }
+
+    /**
+     * Takes a claim back under which nothing ran and nothing will.
+     *
+     * @return the record to store; null if the key is not this claim's and nothing changes
+     */
+    public KeyRecord release(String key, String claimId, long nowMs) {
+        withdrawn.add(claimId);
+        KeyRecord held = get(key, nowMs);
+        boolean own = held != null && held.state() == KeyState.HELD && held.claimId().equals(claimId);
+        if (!own && held != null) {
+            return null;
+        }
+        KeyRecord released = released(key, claimId, nowMs);
+        put(released);
+        return released;
+    }
+
+    /** Takes records over as they are, from the disk or from a recovery. */
+    public void restore(Collection<KeyRecord> restored) {
+        restored.forEach(this::put);
+    }
+
+    /** What is known of a key; null if nothing is, or if it has expired. */
+    public KeyRecord get(String key, long nowMs) {
+        KeyRecord held = records.get(key);
+        return held == null || expiresAt(held) <= nowMs ? null : held;
+    }
+
+    /**
+     * A page of the records in order of their keys.
+     *
+     * @param afterKey the last key of the page before; empty for the first page
+     * @param maxRecords how many records the page holds at most
+     * @param maxBytes after how many bytes the page ends
+     */
+    public List<KeyRecord> page(String afterKey, int maxRecords, long maxBytes) {
+        List<KeyRecord> page = new ArrayList<>();
+        long pageBytes = 0;
+        for (KeyRecord record : records.tailMap(afterKey, false).values()) {
+            if (page.size() >= maxRecords || pageBytes >= maxBytes) {
+                break;
+            }
+            page.add(record);
+            pageBytes += sizeOf(record);
+        }
+        return page;
+    }
+
+    /** Whether no record has a higher key. */
+    public boolean isLast(String key) {
+        return records.higherKey(key) == null;
+    }
+
+    /**
+     * Forgets records whose time is over.
+     *
+     * @param atMost how many are looked at in this call
+     * @return the keys that are forgotten
+     */
+    public List<String> expire(long nowMs, int atMost) {
+        List<String> expired = new ArrayList<>();
+        for (int i = 0; i < atMost && !expiries.isEmpty() && expiries.peek().atMs() <= nowMs; i++) {
+            Expiry due = expiries.poll();
+            KeyRecord record = records.get(due.key());
+            if (record != null && expiresAt(record) <= nowMs) {
+                records.remove(due.key());
+                bytes -= sizeOf(record);
+                expired.add(due.key());
+            }
+        }
+        return expired;
+    }
+
+    /** All records in order of their keys. */
+    public List<KeyRecord> all() {
+        return new ArrayList<>(records.values());
+    }
+
+    /** How many records are held. */
+    public int size() {
+        return records.size();
+    }
+
+    /** How many bytes the records take, roughly. */
+    public long bytes() {
+        return bytes;
+    }
+
+    private boolean isFull() {
+        return records.size() >= limits.maxRecords() || bytes >= limits.maxBytes();
+    }
+
+    private void put(KeyRecord record) {
+        KeyRecord before = records.put(record.key(), record);
+        bytes += sizeOf(record) - (before == null ? 0 : sizeOf(before));
+        if (before == null || before.updatedAtMs() != record.updatedAtMs()) {
+            expiries.add(new Expiry(expiresAt(record), record.key()));
+        }
+    }
+
+    private long expiresAt(KeyRecord record) {
+        return record.updatedAtMs() + limits.keepMs();
+    }
+
+    private static KeyRecord released(String key, String claimId, long nowMs) {
+        return new KeyRecord(key, KeyState.RELEASED, claimId, null, nowMs);
+    }
+
+    private static long sizeOf(KeyRecord record) {
+        int answer = record.answer() == null ? 0 : record.answer().length;
+        return RECORD_OVERHEAD_BYTES + record.key().length() + record.claimId().length() + answer;
+    }
+}
--- /dev/null
+++ b/cdn/src/main/java/ridgemill/cdn/store/NewsHub.java
@@ -0,0 +1,176 @@
+package ridgemill.cdn.store;
+
+import java.lang.System.Logger.Level;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Supplier;
+import ridgemill.cdn.config.Item;
+import ridgemill.cdn.purge.Purge;
+import ridgemill.cdn.wire.Link;
+import ridgemill.cdn.wire.StoreMessages;
+
+/**
+ * Numbers the changes of items and the purges of this life and passes them to the subscribers. Changes of late are kept,
+ * so that a subscriber that comes back goes on without a gap.
+ */
+final class NewsHub {
+
+    private static final System.Logger LOG = System.getLogger(NewsHub.class.getName());
+    private static final int KEPT_NEWS = 20_000;
+    private static final int KEPT_CHARACTERS = 4 << 20;
+    private static final int KNOWN_PURGES = 20_000;
+    /** A subscriber that lets more bytes wait is dropped; it comes back for a snapshot. */
+    private static final long MAX_PENDING_BYTES = 8L << 20;
+    /** How long a subscriber may take before it is logged. */
+    private static final long LAG_LOGGED_MS = 2_000;
+
+    private final String lifeId;
+    private final Supplier<StoreMessages.Snapshot> snapshot;
+    private final ArrayDeque<StoreMessages.News> kept = new ArrayDeque<>();
+    private final Set<String> purgeIds = new LinkedHashSet<>();
+    private final Map<Link, Subscriber> subscribers = new LinkedHashMap<>();
+    private long number;
+    private long keptCharacters;
+
+    private static final class Subscriber {
+
+        private long acknowledged;
+        private long behindSinceMs;
+        private boolean logged;
+    }
+
+    /**
+     * A hub without subscribers.
+     *
+     * @param lifeId names this life of the store
+     * @param snapshot makes a message with all items as they are now, see {@link #number}
+     */
+    NewsHub(String lifeId, Supplier<StoreMessages.Snapshot> snapshot) {
+        this.lifeId = lifeId;
+        this.snapshot = snapshot;
+    }
+
+    /** The number of the last change. */
+    long number() {
+        return number;
+    }
+
+    /** The name of this life. */
+    String lifeId() {
+        return lifeId;
+    }
+
+    /** Sends what the link has missed, or everything, and each change from now on. */
+    void subscribe(Link link, String heardLife, long heardNumber, long nowMs) {
+        Subscriber subscriber = new Subscriber();
+        subscriber.behindSinceMs = nowMs;
+        subscribers.put(link, subscriber);
+        long firstKept = number - kept.size() + 1;
+        if (lifeId.equals(heardLife) && heardNumber <= number && heardNumber >= firstKept - 1) {
+            subscriber.acknowledged = heardNumber;
+            for (StoreMessages.News news : kept) {
+                if (news.number() > heardNumber) {
+                    link.send(news);
+                }
+            }
+        } else {
+            link.send(snapshot.get());
+        }
+    }
+
+    /** Takes note of how far a subscriber is. */
+    void acknowledged(Link link, long upTo, long nowMs) {
+        Subscriber subscriber = subscribers.get(link);
+        if (subscriber != null && upTo > subscriber.acknowledged) {
+            subscriber.acknowledged = upTo;
+            subscriber.behindSinceMs = nowMs;
+            subscriber.logged = false;
+        }
+    }
+
+    /** Forgets a link that has ended. */
+    void closed(Link link) {
+        subscribers.remove(link);
+    }
+
+    /** Passes changed items on. */
+    void publishItems(List<Item> changed, long nowMs) {
+        if (!changed.isEmpty()) {
+            publish(new StoreMessages.News(number + 1, List.copyOf(changed), List.of()), nowMs);
+        }
+    }
+
+    /** Passes a purge on, unless it was before. */
+    void publishPurge(Purge purge, long nowMs) {
+        if (purgeIds.add(purge.id())) {
+            trimPurges();
+            publish(new StoreMessages.News(number + 1, List.of(), List.of(purge)), nowMs);
+        }
+    }
+
+    /** Logs subscribers that have not carried out changes for long. */
+    void logLaggards(long nowMs) {
+        subscribers.forEach((link, subscriber) -> {
+            if (subscriber.acknowledged < number
+                    && !subscriber.logged
+                    && nowMs - subscriber.behindSinceMs > LAG_LOGGED_MS) {
+                subscriber.logged = true;
+                LOG.log(Level.INFO, "event=subscriber_lags node=" + link.peer().nodeName() + " acknowledged="
+                        + subscriber.acknowledged + " number=" + number);
+            }
+        });
+    }
+
+    private void publish(StoreMessages.News news, long nowMs) {
+        keep(news);
+        for (Map.Entry<Link, Subscriber> entry : new ArrayList<>(subscribers.entrySet())) {
+            Subscriber subscriber = entry.getValue();
+            if (subscriber.acknowledged >= number) {
+                subscriber.behindSinceMs = nowMs;
+            }
+            send(entry.getKey(), news);
+        }
+        number = news.number();
+    }
+
+    private void send(Link link, StoreMessages.News news) {
+        if (link.pendingBytes() > MAX_PENDING_BYTES) {
+            LOG.log(Level.WARNING, "event=subscriber_dropped node=" + link.peer().nodeName() + " pending_bytes="
+                    + link.pendingBytes());
+            subscribers.remove(link);
+            link.close();
+        } else {
+            link.send(news);
+        }
+    }
+
+    private void keep(StoreMessages.News news) {
+        kept.add(news);
+        keptCharacters += charactersOf(news);
+        while (kept.size() > KEPT_NEWS || keptCharacters > KEPT_CHARACTERS) {
+            keptCharacters -= charactersOf(kept.poll());
+        }
+    }
+
+    private static long charactersOf(StoreMessages.News news) {
+        long characters = 0;
+        for (Item item : news.items()) {
+            characters += item.name().name().length() + (item.isDrop() ? 0 : item.content().length());
+        }
+        return characters;
+    }
+
+    private void trimPurges() {
+        if (purgeIds.size() > KNOWN_PURGES) {
+            Iterator<String> oldest = purgeIds.iterator();
+            oldest.next();
+            oldest.remove();
+        }
+    }
+}
--- /dev/null
+++ b/cdn/src/main/java/ridgemill/cdn/store/StorePeers.java
@@ -0,0 +1,52 @@
+package ridgemill.cdn.store;
+
+import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import ridgemill.cdn.wire.HeldLink;
+import ridgemill.cdn.wire.Link;
+import ridgemill.cdn.wire.LinkListener;
+import ridgemill.cdn.wire.LinkMessages;
+import ridgemill.cdn.wire.Message;
+import ridgemill.gateway.net.SocketKind;
+
+/** The links to other stores, opened when they are first asked for and kept. On the event loop. */
+final class StorePeers implements LinkListener {
+
+    private final EventLoop loop;
+    private final SocketKind sockets;
+    private final LinkMessages.Hello hello;
+    private final int port;
+    private final Map<String, HeldLink> links = new LinkedHashMap<>();
+
+    StorePeers(EventLoop loop, SocketKind sockets, LinkMessages.Hello hello, int port) {
+        this.loop = loop;
+        this.sockets = sockets;
+        this.hello = hello;
+        this.port = port;
+    }
+
+    /** The link to the store on the machine with this IP address. */
+    HeldLink to(String address) {
+        return links.computeIfAbsent(address, host -> {
+            HeldLink link = new HeldLink(loop, sockets, new InetSocketAddress(host, port), hello, this);
+            link.start();
+            return link;
+        });
+    }
+
+    /** Ends all links. */
+    void close() {
+        links.values().forEach(HeldLink::close);
+    }
+
+    @Override
+    public void opened(Link link) { }
+
+    @Override
+    public void received(Link link, Message message) { }
+
+    @Override
+    public void closed(Link link) { }
+}
--- a/cdn/src/main/java/ridgemill/cdn/wire/Fields.java
+++ b/cdn/src/main/java/ridgemill/cdn/wire/Fields.java
@@ -1,6 +1,9 @@
 package ridgemill.cdn.wire;
 
 import java.io.IOException;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
 import ridgemill.cdn.config.Item;
 import ridgemill.cdn.config.ItemKind;
 import ridgemill.cdn.config.ItemName;
@@ -15,6 +18,27 @@
 
     private Fields() { }
 
+    /** The bytes of one value, for the disk. */
+    public static <T> byte[] toBytes(T value, FieldWriter.ElementWriter<T> writer) throws IOException {
+        try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+            writer.write(value, new FieldWriter(packer));
+            return packer.toByteArray();
+        }
+    }
+
+    /**
+     * The value that {@link #toBytes} wrote.
+     *
+     * @throws IOException if the bytes are no such value
+     */
+    public static <T> T fromBytes(byte[] bytes, FieldReader.ElementReader<T> reader) throws IOException {
+        try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+            return reader.read(new FieldReader(unpacker));
+        } catch (RuntimeException malformed) {
+            throw new IOException("a stored value can't be read: " + malformed.getMessage(), malformed);
+        }
+    }
+
     /** Writes an item version. */
     public static void writeItem(Item item, FieldWriter out) throws IOException {
         out.number(item.name().kind().ordinal())
--- a/cdn/src/main/java/ridgemill/cdn/wire/Link.java
+++ b/cdn/src/main/java/ridgemill/cdn/wire/Link.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.vavr.control.Either;
 import java.util.ArrayList;
@@ -60,6 +61,12 @@
         return isOpen() && channel.isWritable();
     }
 
+    /** How many bytes wait to be written to the other side; 0 if the link has ended. */
+    public long pendingBytes() {
+        ChannelOutboundBuffer waiting = isOpen() ? channel.unsafe().outboundBuffer() : null;
+        return waiting == null ? 0 : waiting.totalPendingWriteBytes();
+    }
+
     /** Sends a message; it is dropped if the link has ended. */
     public void send(Message message) {
         if (isOpen()) {
--- a/cdn/src/main/java/ridgemill/cdn/wire/LinkServer.java
+++ b/cdn/src/main/java/ridgemill/cdn/wire/LinkServer.java
@@ -2,11 +2,14 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
 import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
 import ridgemill.gateway.net.SocketKind;
 
 /** Accepts links from other processes of the system. */
@@ -21,13 +24,32 @@
     }
 
     /**
-     * Listens at an address and reports each link to the listener.
+     * Listens at an address and reports each link to the listener. Waits, so not to be called on the loop.
      *
      * @throws io.netty.channel.ChannelException if the address can't be had
      */
     public static LinkServer listen(
             EventLoopGroup loop, SocketKind sockets, InetSocketAddress address, LinkListener listener) {
-        ServerBootstrap bootstrap = new ServerBootstrap()
+        return new LinkServer(bind(loop, sockets, address, listener).syncUninterruptibly().channel());
+    }
+
+    /** As {@link #listen}, without waiting: may be called on the loop. Fails if the address can't be had. */
+    public static CompletableFuture<LinkServer> open(
+            EventLoopGroup loop, SocketKind sockets, InetSocketAddress address, LinkListener listener) {
+        CompletableFuture<LinkServer> opened = new CompletableFuture<>();
+        bind(loop, sockets, address, listener).addListener((ChannelFutureListener) bound -> {
+            if (bound.isSuccess()) {
+                opened.complete(new LinkServer(bound.channel()));
+            } else {
+                opened.completeExceptionally(bound.cause());
+            }
+        });
+        return opened;
+    }
+
+    private static ChannelFuture bind(
+            EventLoopGroup loop, SocketKind sockets, InetSocketAddress address, LinkListener listener) {
+        return new ServerBootstrap()
                 .group(loop)
                 .channel(sockets.server())
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
@@ -38,8 +60,8 @@
                     protected void initChannel(SocketChannel channel) {
                         channel.pipeline().addLast(new MessageCodec(), new Link(listener, null));
                     }
-                });
-        return new LinkServer(bootstrap.bind(address).syncUninterruptibly().channel());
+                })
+                .bind(address);
     }
 
     /** The address that is listened at. */
--- /dev/null
+++ b/cdn/src/test/java/ridgemill/cdn/store/StoreCluster.java
@@ -0,0 +1,182 @@
+package ridgemill.cdn.store;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongFunction;
+import ridgemill.cdn.settings.Bounds;
+import ridgemill.cdn.settings.Settings;
+import ridgemill.cdn.wire.HeldLink;
+import ridgemill.cdn.wire.Link;
+import ridgemill.cdn.wire.LinkListener;
+import ridgemill.cdn.wire.LinkMessages;
+import ridgemill.cdn.wire.Message;
+import ridgemill.gateway.net.Clock;
+import ridgemill.gateway.net.SocketKind;
+
+/** Three stores on loopback addresses, and links to them. */
+final class StoreCluster implements AutoCloseable {
+
+    static final List<String> HOSTS = List.of("127.0.0.1", "127.0.0.2", "127.0.0.3");
+
+    private static final int CALL_TIMEOUT_MS = 10_000;
+
+    private final Path folder;
+    private final int port;
+    private final MultiThreadIoEventLoopGroup loops =
+            new MultiThreadIoEventLoopGroup(2, SocketKind.NIO.handlers());
+    private final StoreProgram[] programs = new StoreProgram[HOSTS.size()];
+    private final List<HeldLink> links = new ArrayList<>();
+
+    StoreCluster(Path folder) throws IOException {
+        this.folder = folder;
+        this.port = freePort();
+    }
+
+    /** A port that is free on all addresses. */
+    private static int freePort() throws IOException {
+        while (true) {
+            try (ServerSocket first = new ServerSocket()) {
+                first.bind(new InetSocketAddress(HOSTS.get(0), 0));
+                int candidate = first.getLocalPort();
+                try (ServerSocket second = new ServerSocket();
+                        ServerSocket third = new ServerSocket()) {
+                    second.bind(new InetSocketAddress(HOSTS.get(1), candidate));
+                    third.bind(new InetSocketAddress(HOSTS.get(2), candidate));
+                    return candidate;
+                } catch (IOException taken) {
+                    continue;
+                }
+            }
+        }
+    }
+
+    void start(int index, boolean firstStart) {
+        start(index, firstStart, new XodusDisk(folderOf(index).resolve("store")));
+    }
+
+    void start(int index, boolean firstStart, StoreDisk disk) {
+        programs[index] =
+                new StoreProgram(settings(index, firstStart), loops, SocketKind.NIO, new Clock(), disk);
+        programs[index].start().orTimeout(CALL_TIMEOUT_MS, TimeUnit.MILLISECONDS).join();
+    }
+
+    void startAll() {
+        for (int i = 0; i < HOSTS.size(); i++) {
+            start(i, true);
+        }
+    }
+
+    void stop(int index) {
+        programs[index].stop();
+        programs[index] = null;
+    }
+
+    void wipe(int index) throws IOException {
+        try (var inside = Files.walk(folderOf(index))) {
+            for (Path path : inside.sorted(Comparator.reverseOrder()).toList()) {
+                Files.delete(path);
+            }
+        }
+    }
+
+    Path folderOf(int index) {
+        return folder.resolve("machine-" + index);
+    }
+
+    private Settings settings(int index, boolean firstStart) {
+        List<String> seeds = HOSTS.stream().map(host -> host + ":1").toList();
+        return new Settings("core-" + index, HOSTS.get(index), "zone", Map.of(), port - 1, port + 1, seeds, firstStart,
+                folderOf(index), null, null, null, 1_000, new Bounds(Map.of()), 1_000, 1);
+    }
+
+    /** A link to a store; what it receives beside answers can be taken from it. */
+    Caller caller(int index) {
+        EventLoop loop = loops.next();
+        Caller caller = new Caller(loop);
+        LinkMessages.Hello hello =
+                new LinkMessages.Hello(LinkMessages.Hello.PROTOCOL, "test", "test", "127.0.0.1", "life");
+        InetSocketAddress address = new InetSocketAddress(HOSTS.get(index), port);
+        caller.link = new HeldLink(loop, SocketKind.NIO, address, hello, caller);
+        links.add(caller.link);
+        loop.execute(caller.link::start);
+        caller.opened.orTimeout(CALL_TIMEOUT_MS, TimeUnit.MILLISECONDS).join();
+        return caller;
+    }
+
+    @Override
+    public void close() {
+        links.forEach(HeldLink::close);
+        for (StoreProgram program : programs) {
+            if (program != null) {
+                program.stop();
+            }
+        }
+        loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+
+    /** One link, called from the test's thread. */
+    static final class Caller implements LinkListener {
+
+        private final EventLoop loop;
+        private final CompletableFuture<Void> opened = new CompletableFuture<>();
+        private final BlockingQueue<Message> received = new LinkedBlockingQueue<>();
+        private HeldLink link;
+
+        private Caller(EventLoop loop) {
+            this.loop = loop;
+        }
+
+        <R extends Message.Reply> CompletableFuture<R> begin(LongFunction<? extends Message.Call> message, Class<R> type) {
+            CompletableFuture<R> answer = new CompletableFuture<>();
+            loop.execute(() -> link.call(message, CALL_TIMEOUT_MS, reply -> complete(answer, type, reply)));
+            return answer;
+        }
+
+        private static <R> void complete(CompletableFuture<R> answer, Class<R> type, Either<?, Message.Reply> reply) {
+            if (reply.isRight()) {
+                answer.complete(type.cast(reply.get()));
+            } else {
+                answer.completeExceptionally(new IOException(String.valueOf(reply.getLeft())));
+            }
+        }
+
+        <R extends Message.Reply> R call(LongFunction<? extends Message.Call> message, Class<R> type) {
+            return begin(message, type).join();
+        }
+
+        void send(Message message) {
+            loop.execute(() -> link.send(message));
+        }
+
+        <M extends Message> M take(Class<M> type) throws InterruptedException {
+            return type.cast(received.poll(CALL_TIMEOUT_MS, TimeUnit.MILLISECONDS));
+        }
+
+        @Override
+        public void opened(Link openedLink) {
+            opened.complete(null);
+        }
+
+        @Override
+        public void received(Link from, Message message) {
+            received.add(message);
+        }
+
+        @Override
+        public void closed(Link ended) { }
+    }
+}
