Give the admission level, the token bank and the rendezvous hashing files of their own

Need: the edge proxies of the content delivery network use the same four parts of the design, and must not copy them. Ruled out: leaving them nested in Decide, as only its package could reach them; parameters for everything, as no caller needs other thresholds. Tests name the classes at their new places and check what they checked.

--- a/core/src/main/java/ridgemill/policy/Decide.java
+++ b/core/src/main/java/ridgemill/policy/Decide.java
@@ -10,7 +10,8 @@
 import java.util.SplittableRandom;
 
 /**
- * Every decision of ridgemill; its events, actions and types stand in Router.java beside this file.
+ * Every decision of ridgemill; its events, actions and types stand in Router.java beside this file, the
+ * level, the bank and the hashing in AdmissionLevel.java, TokenBank.java and Rendezvous.java.
  *
  * <p>A read goes to the less busy of its key's two top cache nodes by rendezvous hash; on a miss it draws a
  * token and fetches from the origin. A write draws on arrival. One hysteresis level, stepped once an interval
@@ -21,36 +22,6 @@
 
     /** Length of a control interval: long enough for a sample, short against an overload of seconds. */
     static final double INTERVAL_MS = 1000;
-    /** Shares of bad fetches above which the level rises and below which it falls. */
-    static final double RISE = 0.10;
-    static final double FALL = 0.05;
-    /** Fewer outcomes than this in an interval are a thin sample. */
-    static final int THIN = 4;
-    /** Standard deviations by which broken fetches may exceed what breaks elsewhere. */
-    static final double CHANCE = 2;
-    /** Intervals that a thin sample with a bad fetch waits to grow where balancers outnumber nodes. */
-    static final int SPAN = 6;
-    /** Refill rates of levels 1 and up, as multiples of the base. */
-    static final double[] LADDER = {1.25, 1.0, 0.8, 0.6, 0.45, 0.3};
-    /** Tokens the bank holds: a few, so that a pause buys no burst. */
-    static final double BANK = 4;
-    /** What is left of the base after an interval at level 0 that did not reach it. */
-    static final double BASE_DECAY = 0.98;
-    /**
-     * Growth of the base in an interval that could go to level 0 but in which the bank still refused: level 0
-     * would let all that in at once and throttle again. Could harm where the origin recovers at a bound.
-     */
-    static final double BASE_GROWTH = 1.15;
-    /**
-     * Intervals with a sample that the base is learned from before the level may rise for the first time. A
-     * base that has seen little is far too low: a start with a few late fetches then refused most misses for
-     * half a minute. Could harm where a balancer starts while the origin is slow.
-     */
-    static final int LEARNED = 4;
-    /** Smoothing of the rate whose peak the base is: one interval's peak is mostly luck. */
-    static final double RATE_SMOOTH = 0.3;
-    /** No base is lower, in fetches a second: a balancer that saw little must still try. */
-    static final double BASE_FLOOR = 1;
     /** Weight of a new value in running means; faster at nodes that are paced. */
     static final double SMOOTH = 0.1;
     static final double PACED_SMOOTH = 0.3;
@@ -151,8 +122,8 @@
     private final Map<Long, List<Held>> fetching = new HashMap<>();
     private final Map<String, Held> requests = new LinkedHashMap<>();
     private final Map<Long, Double> missing = new LinkedHashMap<>();
-    private final Control control = new Control();
-    private final Bank bank = new Bank();
+    private final AdmissionLevel control = new AdmissionLevel();
+    private final TokenBank bank = new TokenBank(TokenBank.FEW);
     private final double guardMs;
     private final double shortestAim;
     private final ServiceClass unknown;
@@ -209,7 +180,7 @@
 
     @Override
     public int level() {
-        return control.level;
+        return control.level();
     }
 
     @Override
@@ -527,7 +498,7 @@
     }
 
     private boolean draw(double now, Held r) {
-        r.hasToken = r.hasToken || control.level == 0 || bank.draw(now, r.low);
+        r.hasToken = r.hasToken || control.level() == 0 || bank.draw(now, r.low);
         return r.hasToken;
     }
 
@@ -536,7 +507,7 @@
      * on arrival, so that clients' retries cost no further misses. Could harm where another has filled it.
      */
     private boolean knownMissing(double now, Held r) {
-        Double at = r.in.write() || r.in.key() < 0 || control.level == 0 ? null : missing.get(r.in.key());
+        Double at = r.in.write() || r.in.key() < 0 || control.level() == 0 ? null : missing.get(r.in.key());
         return at != null && now - at < MISSING_MS;
     }
 
@@ -551,7 +522,7 @@
         boolean again = outcome != Outcome.OK && outcome != Outcome.TIMEOUT
                 && outcome != Outcome.REJECTED && outcome != Outcome.NO_PLACE;
         // What the network breaks is repeated while throttled too: the token that it draws bounds the load.
-        boolean may = control.level == 0 || broke(outcome) && usualBreaks > BREAKING;
+        boolean may = control.level() == 0 || broke(outcome) && usualBreaks > BREAKING;
         if (again && may && r.fetchTries++ == 0 && mayRepeat(now, r)) {
             again(now, r, true, out);
         } else {
@@ -618,9 +589,9 @@
         double secondScore = 0;
         // A draw below this can't reach the second score with a usual share: it needs no logarithm.
         double least = 0;
-        long key = mix(r.place);
+        long key = Rendezvous.mix(r.place);
         for (NodeView n : caches) {
-            double draw = unit(n.hash ^ key);
+            double draw = Rendezvous.unit(n.hash ^ key);
             if (draw < least && n.share(now) <= 1 || !n.usable(now)) {
                 continue;
             }
@@ -652,7 +623,7 @@
      * again by luck: it costs a miss for each pair.
      */
     private void heat(Held r, Actions out) {
-        int key = (int) mix(r.in.key());
+        int key = (int) Rendezvous.mix(r.in.key());
         int known = Math.min(seen, lately.length);
         int same = 0;
         for (int i = 0; i < known; i++) {
@@ -673,8 +644,8 @@
             double share = same / Math.max(known, LATELY / 2.0);
             double most = HOT_SPREAD * Math.min(caches.size(), settings.proxies());
             r.variants = 1 + (int) Math.min(caches.size() / 2.0, share * most);
-            int variant = (int) (unit(r.place ^ Double.doubleToLongBits(r.draw)) * r.variants);
-            r.place = variant == 0 ? r.place : mix(r.place + variant);
+            int variant = (int) (Rendezvous.unit(r.place ^ Double.doubleToLongBits(r.draw)) * r.variants);
+            r.place = variant == 0 ? r.place : Rendezvous.mix(r.place + variant);
         }
     }
 
@@ -709,7 +680,8 @@
             case UNSAFE -> r.proven && !r.out;
         };
         if (harmless) {
-            double wait = control.level == 0 || !settings.limits().retryAfter() ? 0 : 1000 / bank.ratePerS;
+            boolean free = control.level() == 0 || !settings.limits().retryAfter();
+            double wait = free ? 0 : 1000 / bank.ratePerS();
             out.refuse(r.in.id(), Math.min(wait, settings.limits().maxRetryAfterMs()));
         } else {
             out.fail(r.in.id());
@@ -746,11 +718,11 @@
             return;
         }
         countOverdue(now);
-        control.floor = BASE_FLOOR * Math.min(1, caches.size() / (double) settings.proxies());
+        control.floor = AdmissionLevel.BASE_FLOOR * Math.min(1, caches.size() / (double) settings.proxies());
         double[] broken = caches.stream().mapToDouble(n -> n.broken).sorted().toArray();
         usualBreaks = broken.length == 0 ? 0 : broken[(broken.length - 1) / 2];
         control.judgeBroken(usualBreaks);
-        control.step(INTERVAL_MS, bank.refusals);
+        control.step(INTERVAL_MS, bank.refusals());
         bank.rate(now, control.rate());
         weighModels();
         double answered = cacheAnswers.perS(now) + TRIAL_PER_S;
@@ -871,8 +843,8 @@
             this.in = in;
             this.service = service;
             double budget = in.open() ? OPEN_MS : in.budgetMs() >= 0 ? in.budgetMs() : service.deadlineMs();
-            this.draw = unit(hashText(in.id()));
-            this.place = in.key() >= 0 ? in.key() : hashText(in.id());
+            this.draw = Rendezvous.unit(Rendezvous.hashText(in.id()));
+            this.place = in.key() >= 0 ? in.key() : Rendezvous.hashText(in.id());
             this.guard = now + Math.max(0, budget - guardMs);
             this.patience = now + PATIENCE * Math.min(service.aimMs(), budget);
         }
@@ -882,95 +854,6 @@
         }
     }
 
-    /** The hysteresis level and the base its rates are multiples of. */
-    static final class Control {
-        int level;
-        double floor = BASE_FLOOR;
-        double base = BASE_FLOOR;
-        private double rate = -1;
-        private int good, bad, broken, spans, learned;
-
-        void count(boolean wasGood) {
-            good += wasGood ? 1 : 0;
-            bad += wasGood ? 0 : 1;
-        }
-
-        void countBroken() {
-            broken++;
-        }
-
-        /**
-         * Of broken fetches only those count, as bad, that neither the share which breaks at the cache nodes
-         * too nor chance explains: a network that breaks connections says nothing of the
-         * origin's load, while an origin that cuts off what it can't take must still be throttled. Could
-         * harm where origin and caches are overrun alike: late answers and time-outs alone then throttle.
-         */
-        void judgeBroken(double usualBreaks) {
-            double expected = usualBreaks * (good + bad + broken);
-            bad += (int) Math.ceil(Math.max(0, broken - expected - CHANCE * Math.sqrt(expected)));
-            broken = 0;
-        }
-
-        void step(double intervalMs, int refusals) {
-            int all = good + bad;
-            if (level == 0) {
-                double perS = good * 1000 / intervalMs;
-                rate = rate < 0 ? perS : rate + RATE_SMOOTH * (perS - rate);
-                base = Math.max(floor, Math.max(base * BASE_DECAY, rate));
-                learned += all >= THIN ? 1 : 0;
-            }
-            if (floor < BASE_FLOOR && all < THIN && bad > 0 && ++spans < SPAN) {
-                return;
-            }
-            spans = 0;
-            if (all >= THIN && bad > RISE * all && (level > 0 || learned >= LEARNED)) {
-                level = Math.min(level + 1, LADDER.length);
-            } else if (all < THIN || bad < FALL * all) {
-                if (level == 1 && refusals > 0) {
-                    base *= BASE_GROWTH;
-                } else {
-                    level = Math.max(level - 1, 0);
-                }
-            }
-            good = 0;
-            bad = 0;
-        }
-
-        double rate() {
-            return level == 0 ? Double.POSITIVE_INFINITY : base * LADDER[level - 1];
-        }
-    }
-
-    static final class Bank {
-        double tokens = BANK;
-        double ratePerS = Double.POSITIVE_INFINITY;
-        private double filledAt;
-        private int refusals;
-
-        void rate(double now, double perS) {
-            fill(now);
-            ratePerS = perS;
-            refusals = 0;
-        }
-
-        /** Takes a token; low worth only while more than one is there. */
-        boolean draw(double now, boolean low) {
-            fill(now);
-            if (tokens < (low ? 2 : 1)) {
-                refusals++;
-                return false;
-            }
-            tokens--;
-            return true;
-        }
-
-        private void fill(double now) {
-            double gained = ratePerS == Double.POSITIVE_INFINITY ? BANK : (now - filledAt) * ratePerS / 1000;
-            tokens = Math.min(BANK, tokens + gained);
-            filledAt = now;
-        }
-    }
-
     /** An exponentially forgetting rate. */
     private static final class Meter {
         private static final double MEMORY_MS = 3000;
@@ -1012,7 +895,7 @@
 
         NodeView(Node entry) {
             this.entry = entry;
-            this.hash = mix(hashText(entry.id()));
+            this.hash = Rendezvous.mix(Rendezvous.hashText(entry.id()));
             this.eachMs = FIRST_GUESS * shortestAim;
         }
 
@@ -1199,23 +1082,4 @@
     private static boolean broke(Outcome outcome) {
         return outcome == Outcome.RESET || outcome == Outcome.CONNECT_FAILED;
     }
-
-    private static long hashText(String text) {
-        long h = 0xcbf29ce484222325L;
-        for (int i = 0; i < text.length(); i++) {
-            h = (h ^ text.charAt(i)) * 0x100000001b3L;
-        }
-        return h;
-    }
-
-    /** A number in (0, 1] that depends on {@code z} alone. */
-    private static double unit(long z) {
-        return ((mix(z) >>> 11) + 1) * 0x1.0p-53;
-    }
-
-    private static long mix(long z) {
-        z = (z ^ (z >>> 33)) * 0xff51afd7ed558ccdL;
-        z = (z ^ (z >>> 33)) * 0xc4ceb9fe1a85ec53L;
-        return z ^ (z >>> 33);
-    }
 }
--- a/core/src/test/java/ridgemill/policy/AdmissionTest.java
+++ b/core/src/test/java/ridgemill/policy/AdmissionTest.java
@@ -11,8 +11,8 @@
 /** The level, the base, the bank. */
 class AdmissionTest {
 
-    private static Decide.Control stepped(int good, int bad, int startLevel) {
-        var control = new Decide.Control();
+    private static AdmissionLevel stepped(int good, int bad, int startLevel) {
+        var control = new AdmissionLevel();
         control.level = startLevel;
         for (int i = 0; i < good; i++) {
             control.count(true);
@@ -40,12 +40,12 @@
     void levelFallsOnAThinSampleAndStaysInBounds() {
         assertEquals(1, stepped(3, 0, 2).level);
         assertEquals(0, stepped(0, 0, 0).level);
-        assertEquals(Decide.LADDER.length, stepped(0, 50, Decide.LADDER.length).level);
+        assertEquals(AdmissionLevel.LADDER.length, stepped(0, 50, AdmissionLevel.LADDER.length).level);
     }
 
-    private static Decide.Control outnumbering() {
-        var control = new Decide.Control();
-        control.floor = Decide.BASE_FLOOR / 2;
+    private static AdmissionLevel outnumbering() {
+        var control = new AdmissionLevel();
+        control.floor = AdmissionLevel.BASE_FLOOR / 2;
         control.level = 1;
         control.count(false);
         control.count(false);
@@ -62,7 +62,7 @@
         control.step(1000, 0);
         assertEquals(2, control.level);
         var alone = outnumbering();
-        for (int i = 1; i < Decide.SPAN; i++) {
+        for (int i = 1; i < AdmissionLevel.SPAN; i++) {
             alone.step(1000, 0);
         }
         assertEquals(0, alone.level, "too old to wait for more");
@@ -70,11 +70,11 @@
 
     @Test
     void ladderStartsAboveTheBaseAndEndsBelow() {
-        assertTrue(Decide.LADDER[0] > 1);
-        for (int i = 1; i < Decide.LADDER.length; i++) {
-            assertTrue(Decide.LADDER[i] < Decide.LADDER[i - 1]);
+        assertTrue(AdmissionLevel.LADDER[0] > 1);
+        for (int i = 1; i < AdmissionLevel.LADDER.length; i++) {
+            assertTrue(AdmissionLevel.LADDER[i] < AdmissionLevel.LADDER[i - 1]);
         }
-        assertTrue(Decide.LADDER[Decide.LADDER.length - 1] < 1);
+        assertTrue(AdmissionLevel.LADDER[AdmissionLevel.LADDER.length - 1] < 1);
     }
 
     @Test
@@ -82,19 +82,19 @@
         var control = stepped(40, 0, 0);
         assertEquals(40, control.base);
         control.step(1000, 0);
-        assertEquals(40 * Decide.BASE_DECAY, control.base, 1e-9);
+        assertEquals(40 * AdmissionLevel.BASE_DECAY, control.base, 1e-9);
         control.level = 3;
         control.step(1000, 0);
-        assertEquals(40 * Decide.BASE_DECAY, control.base, 1e-9);
+        assertEquals(40 * AdmissionLevel.BASE_DECAY, control.base, 1e-9);
         assertEquals(1, stepped(0, 0, 0).base);
     }
 
     @Test
     void theLevelWaitsUntilTheBaseIsLearned() {
-        var control = new Decide.Control();
-        for (int i = 0; i < Decide.LEARNED; i++) {
+        var control = new AdmissionLevel();
+        for (int i = 0; i < AdmissionLevel.LEARNED; i++) {
             assertEquals(0, control.level);
-            for (int j = 0; j < Decide.THIN; j++) {
+            for (int j = 0; j < AdmissionLevel.THIN; j++) {
                 control.count(false);
             }
             control.step(1000, 0);
@@ -104,21 +104,21 @@
 
     @Test
     void bankRefillsEvenlyAndHoldsAFewTokens() {
-        var bank = new Decide.Bank();
+        var bank = new TokenBank(TokenBank.FEW);
         bank.rate(0, 10);
-        for (int i = 0; i < Decide.BANK; i++) {
+        for (int i = 0; i < TokenBank.FEW; i++) {
             assertTrue(bank.draw(0, false));
         }
         assertFalse(bank.draw(0, false));
         assertFalse(bank.draw(99, false));
         assertTrue(bank.draw(100, false));
         bank.draw(1_000_000, false);
-        assertEquals(Decide.BANK - 1, bank.tokens, 1e-9);
+        assertEquals(TokenBank.FEW - 1, bank.tokens, 1e-9);
     }
 
     @Test
     void theLastTokenIsKeptForHigherWorth() {
-        var bank = new Decide.Bank();
+        var bank = new TokenBank(TokenBank.FEW);
         bank.rate(0, 1);
         bank.tokens = 1;
         assertFalse(bank.draw(0, true));
@@ -128,7 +128,7 @@
     @Test
     void anEmptyBankRefusesAtOnceWithAdviceAndLowWorthGoesFirst() {
         Bench b = Bench.withCaches(4);
-        for (int i = 1; i < Decide.LEARNED; i++) {
+        for (int i = 1; i < AdmissionLevel.LEARNED; i++) {
             b.interval(5, 0);
         }
         b.interval(3, 4);
@@ -156,7 +156,7 @@
     @Test
     void aRefusedReadThatComesBackCostsNoFurtherMissWhileThrottled() {
         Bench b = Bench.withCaches(4);
-        for (int i = 1; i < Decide.LEARNED; i++) {
+        for (int i = 1; i < AdmissionLevel.LEARNED; i++) {
             b.interval(5, 0);
         }
         b.interval(3, 4);
@@ -178,8 +178,8 @@
 
     @Test
     void theLastLevelIsLeftOnlyOnceTheBankRefusesNoMore() {
-        var control = new Decide.Control();
-        for (int i = 0; i < Decide.LEARNED; i++) {
+        var control = new AdmissionLevel();
+        for (int i = 0; i < AdmissionLevel.LEARNED; i++) {
             for (int j = 0; j < 40; j++) {
                 control.count(true);
             }
@@ -189,7 +189,7 @@
         control.level = 1;
         control.step(1000, 3);
         assertEquals(1, control.level);
-        assertEquals(40 * Decide.BASE_GROWTH, control.base, 1e-9);
+        assertEquals(40 * AdmissionLevel.BASE_GROWTH, control.base, 1e-9);
         control.step(1000, 0);
         assertEquals(0, control.level);
     }
@@ -201,7 +201,7 @@
         Bench b = new Bench(new Router.Settings(0, 2, "z", 5, s.classes(), tenants, 0.05, false, s.limits(), s.rules(),
                 false, Router.Weights.NONE, "origin"));
         b.list(4);
-        for (int i = 1; i < Decide.LEARNED; i++) {
+        for (int i = 1; i < AdmissionLevel.LEARNED; i++) {
             b.interval(5, 0);
         }
         b.interval(3, 4);
--- a/core/src/test/java/ridgemill/policy/LimitsTest.java
+++ b/core/src/test/java/ridgemill/policy/LimitsTest.java
@@ -5,23 +5,36 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
 /** Whoever is on call must be able to read the module at night. */
 class LimitsTest {
 
-    private static final Path MODULE = Path.of("src/main/java/ridgemill/policy/Decide.java");
+    private static final Path FOLDER = Path.of("src/main/java/ridgemill/policy");
+    private static final Path MODULE = FOLDER.resolve("Decide.java");
+    /** All files that hold the decision logic, as the deploy file lists them. */
+    private static final List<Path> FILES = List.of(MODULE, FOLDER.resolve("AdmissionLevel.java"),
+            FOLDER.resolve("TokenBank.java"), FOLDER.resolve("Rendezvous.java"));
+
+    private static List<String> lines() throws IOException {
+        List<String> all = new ArrayList<>();
+        for (Path file : FILES) {
+            all.addAll(Files.readAllLines(file));
+        }
+        return all;
+    }
 
     @Test
     void moduleStaysShort() throws IOException {
-        long lines = Files.readAllLines(MODULE).stream().filter(l -> !l.isBlank()).count();
+        long lines = lines().stream().filter(l -> !l.isBlank()).count();
         assertTrue(lines > 0 && lines <= 1200, lines + " non-blank lines");
     }
 
     @Test
     void moduleLinesStayNarrow() throws IOException {
-        List<String> wide = Files.readAllLines(MODULE).stream().filter(l -> l.length() > 110).toList();
+        List<String> wide = lines().stream().filter(l -> l.length() > 110).toList();
         assertTrue(wide.isEmpty(), wide.toString());
     }
 
@@ -29,7 +42,15 @@
     void moduleNamesItsInterfaceAndUsesTheJdkAlone() throws IOException {
         String text = Files.readString(MODULE);
         assertTrue(text.indexOf("Router.java") < text.indexOf("class Decide"));
-        assertTrue(text.lines().filter(l -> l.startsWith("import "))
+        assertTrue(lines().stream().filter(l -> l.startsWith("import "))
                 .allMatch(l -> l.startsWith("import java.util.") || l.equals("import java.nio.ByteBuffer;")));
     }
+
+    @Test
+    void deployFileListsTheFilesOfTheModule() throws IOException {
+        String deploy = Files.readString(Path.of("../deploy/balancer.toml"));
+        for (Path file : FILES) {
+            assertTrue(deploy.contains("\"core/" + file + "\""), file + " is not listed");
+        }
+    }
 }
