--- /dev/null
+++ b/cdn-core/src/main/java/ridgemill/cdn/edge/CachedObject.java
@@ -0,0 +1,35 @@
+package ridgemill.cdn.edge;
+
+import java.util.List;
+
+/**
+ * A whole object as an instance answered it.
+ *
+ * @param key host and path with query
+ * @param headers names and values of the headers to give again, in turn
+ * @param etag its entity tag; null if it has none
+ * @param tags the tags by which it may be purged
+ * @param body its bytes
+ * @param fetchStartedMs when the fetch that brought or confirmed it began, in milliseconds
+ */
+public record CachedObject(
+        String key, List<String> headers, String etag, List<String> tags, byte[] body, double fetchStartedMs) {
+
+    /** What a copy costs besides its body, in bytes, roughly. */
+    private static final int OVERHEAD = 1_024;
+
+    /** The memory it takes, in bytes, roughly. */
+    public long size() {
+        return OVERHEAD + body.length;
+    }
+
+    /** Whether it may be given out at this time on a route that keeps copies so long. */
+    public boolean isFresh(double nowMs, long cacheTtlMs) {
+        return nowMs - fetchStartedMs < cacheTtlMs;
+    }
+
+    /** The same copy after a fetch that began then found it unchanged. */
+    public CachedObject confirmed(double startedMs) {
+        return new CachedObject(key, headers, etag, tags, body, startedMs);
+    }
+}
--- /dev/null
+++ b/cdn-core/src/main/java/ridgemill/cdn/edge/EntityTags.java
@@ -0,0 +1,31 @@
+package ridgemill.cdn.edge;
+
+/** Compares entity tags as RFC 9110 says. */
+public final class EntityTags {
+
+    private EntityTags() { }
+
+    /** Whether an If-None-Match header names this tag. Weak tags count as the strong ones. */
+    public static boolean matches(String header, String etag) {
+        if (header == null || etag == null) {
+            return false;
+        }
+        if (header.trim().equals("*")) {
+            return true;
+        }
+        int start = 0;
+        while (start <= header.length()) {
+            int comma = header.indexOf(',', start);
+            int end = comma < 0 ? header.length() : comma;
+            if (strong(header.substring(start, end).trim()).equals(strong(etag))) {
+                return true;
+            }
+            start = end + 1;
+        }
+        return false;
+    }
+
+    private static String strong(String tag) {
+        return tag.startsWith("W/") ? tag.substring(2) : tag;
+    }
+}
--- /dev/null
+++ b/cdn-core/src/main/java/ridgemill/cdn/edge/InstancePicker.java
@@ -0,0 +1,128 @@
+package ridgemill.cdn.edge;
+
+import java.util.Collection;
+import java.util.List;
+import ridgemill.policy.Rendezvous;
+
+/**
+ * Picks the instance for a request: of the two best by rendezvous hash of its key, the one with fewer requests in flight.
+ * Instances of this proxy's own region come first where one of them can take the request.
+ */
+public final class InstancePicker {
+
+    /** One of so many instances may be left alone at once. */
+    private static final int SPARED_PART = 2;
+
+    /** What a pick came to. */
+    public sealed interface Pick {
+
+        /** The request goes there. */
+        record Chosen(InstanceStats instance) implements Pick { }
+
+        /** All that could run it hold as many requests as they should. */
+        record Crowded() implements Pick { }
+
+        /** There is none left to try. */
+        record None() implements Pick { }
+    }
+
+    private static final Pick CROWDED = new Pick.Crowded();
+    private static final Pick NONE = new Pick.None();
+
+    private List<InstanceStats> instances = List.of();
+
+    /** Picks from these instances from now on. */
+    public void instances(List<InstanceStats> ready) {
+        instances = List.copyOf(ready);
+    }
+
+    /** The instances that it picks from. */
+    public List<InstanceStats> instances() {
+        return instances;
+    }
+
+    /**
+     * Picks an instance.
+     *
+     * @param key a hash of the object or of the attempt's id
+     * @param tried instances that are not to be picked again
+     */
+    public Pick pick(double nowMs, long key, Collection<InstanceStats> tried) {
+        boolean anyUsable = false;
+        boolean anyLeft = false;
+        boolean localOpen = false;
+        boolean remoteOpen = false;
+        for (InstanceStats instance : instances) {
+            if (tried.contains(instance)) {
+                continue;
+            }
+            anyLeft = true;
+            if (instance.isUsable(nowMs)) {
+                anyUsable = true;
+                boolean open = instance.isOpen(nowMs);
+                localOpen |= open && instance.isLocal();
+                remoteOpen |= open && !instance.isLocal();
+            }
+        }
+        if (localOpen || remoteOpen) {
+            return new Pick.Chosen(best(nowMs, key, tried, localOpen));
+        }
+        return anyUsable || anyLeft ? CROWDED : NONE;
+    }
+
+    private InstanceStats best(double nowMs, long key, Collection<InstanceStats> tried, boolean local) {
+        double meanMs = meanMs();
+        long mixed = Rendezvous.mix(key);
+        InstanceStats first = null;
+        InstanceStats second = null;
+        double firstScore = 0;
+        double secondScore = 0;
+        for (InstanceStats instance : instances) {
+            if (instance.isLocal() != local || tried.contains(instance)
+                    || !instance.isUsable(nowMs) || !instance.isOpen(nowMs)) {
+                continue;
+            }
+            double score = -instance.share(nowMs, meanMs) / Math.log(instance.draw(mixed));
+            if (first == null || score > firstScore) {
+                second = first;
+                secondScore = firstScore;
+                first = instance;
+                firstScore = score;
+            } else if (second == null || score > secondScore) {
+                second = instance;
+                secondScore = score;
+            }
+        }
+        return second != null && second.load(nowMs) < first.load(nowMs) ? second : first;
+    }
+
+    private double meanMs() {
+        double sum = 0;
+        int known = 0;
+        for (InstanceStats instance : instances) {
+            if (!Double.isNaN(instance.usualMs())) {
+                sum += instance.usualMs();
+                known++;
+            }
+        }
+        return known == 0 ? Double.NaN : sum / known;
+    }
+
+    /** Whether one more instance may be left alone without the others being overrun. */
+    public boolean maySpare(double nowMs) {
+        int spared = 0;
+        for (InstanceStats instance : instances) {
+            spared += instance.isUsable(nowMs) ? 0 : 1;
+        }
+        return SPARED_PART * (spared + 1) <= instances.size() + 1;
+    }
+
+    /** The share of instances whose connections broke lately; what breaks at a few alone is not the service's load. */
+    public boolean isBreakingWidely(double nowMs, double withinMs) {
+        int broken = 0;
+        for (InstanceStats instance : instances) {
+            broken += nowMs - instance.lastBrokenMs() <= withinMs ? 1 : 0;
+        }
+        return 2 * broken > instances.size();
+    }
+}
--- /dev/null
+++ b/cdn-core/src/main/java/ridgemill/cdn/edge/OriginShare.java
@@ -0,0 +1,57 @@
+package ridgemill.cdn.edge;
+
+import ridgemill.limit.Rate;
+import ridgemill.limit.TokenBucket;
+
+/**
+ * This proxy's share of the rate that all instances of one service together may receive. It refuses at once when the share
+ * is used up. A burst stays well below what the rules tolerate over their window if all proxies have theirs at once.
+ */
+public final class OriginShare {
+
+    /** The burst, as seconds' worth of the share. */
+    private static final double BURST_SECONDS = 0.35;
+    private static final double LEAST_BURST = 1;
+    /** Left of the share, as clocks and counts differ. */
+    private static final double USED = 0.98;
+    private static final double LEAST_RATE = 0.01;
+
+    private double perSecond;
+    private TokenBucket bucket;
+
+    /** Sets the share, in requests a second; 0 or less where there is no bound. */
+    public void setShare(double requestsPerSecond, double nowMs) {
+        if (requestsPerSecond == perSecond) {
+            return;
+        }
+        perSecond = requestsPerSecond;
+        if (requestsPerSecond <= 0) {
+            bucket = null;
+            return;
+        }
+        double used = Math.max(LEAST_RATE, USED * requestsPerSecond);
+        Rate rate = new Rate(used, Math.max(LEAST_BURST, BURST_SECONDS * used));
+        if (bucket == null) {
+            bucket = new TokenBucket(rate, nowMs);
+        } else {
+            bucket.changeTo(rate, nowMs);
+        }
+    }
+
+    /** Takes one arrival from the share if it allows one. */
+    public boolean tryTake(double nowMs) {
+        return bucket == null || bucket.tryTake(nowMs);
+    }
+
+    /** Gives back an arrival that did not take place. */
+    public void giveBack(double nowMs) {
+        if (bucket != null) {
+            bucket.giveBack(nowMs);
+        }
+    }
+
+    /** How long until the share allows another arrival, in milliseconds. */
+    public double waitMs(double nowMs) {
+        return bucket == null ? 0 : bucket.waitMs(nowMs);
+    }
+}
--- /dev/null
+++ b/cdn-core/src/main/java/ridgemill/cdn/edge/ServiceAdmission.java
@@ -0,0 +1,88 @@
+package ridgemill.cdn.edge;
+
+import ridgemill.policy.AdmissionLevel;
+import ridgemill.policy.TokenBank;
+
+/**
+ * Whether a request that has to go to a service is let on or refused at once. A hysteresis level, stepped once an interval
+ * from the outcomes of this proxy's own attempts, sets how fast a token bank refills; level 0 is unthrottled. Requests of
+ * low worth take a token only while more than one remains.
+ */
+public final class ServiceAdmission {
+
+    /** Length of a control interval, in milliseconds: long enough for a sample at a few requests a second. */
+    public static final double INTERVAL_MS = 1_500;
+    /** The greatest wait that a refused client is told, in milliseconds. */
+    private static final double MOST_WAIT_MS = 1_000;
+    private static final double SMOOTH = 0.02;
+
+    private final AdmissionLevel level = new AdmissionLevel();
+    private final TokenBank bank = new TokenBank(TokenBank.FEW);
+    private double stepAtMs;
+    private double meanPriority = Double.NaN;
+
+    /**
+     * An unthrottled admission.
+     *
+     * @param phase where in an interval its steps lie, from 0 to 1; proxies differ so that they do not move in unison
+     */
+    public ServiceAdmission(double phase, double nowMs) {
+        stepAtMs = nowMs + INTERVAL_MS * (0.5 + phase);
+    }
+
+    /** Draws a token. Returns false if the request has to be refused. */
+    public boolean draw(double nowMs, int priorityLevel) {
+        meanPriority = Double.isNaN(meanPriority)
+                ? priorityLevel
+                : meanPriority + SMOOTH * (priorityLevel - meanPriority);
+        return level.level() == 0 || bank.draw(nowMs, priorityLevel > meanPriority);
+    }
+
+    /** Counts the outcome of an attempt; good if it was answered with success within the route's target. */
+    public void count(boolean good) {
+        level.count(good);
+    }
+
+    /** Counts an attempt whose connection broke. */
+    public void countBroken() {
+        level.countBroken();
+    }
+
+    /** Whether an interval has ended and {@link #step} is due. */
+    public boolean isDue(double nowMs) {
+        return nowMs >= stepAtMs;
+    }
+
+    /**
+     * Ends an interval.
+     *
+     * @param usualBreaks the share of attempts whose connections break for reasons other than the service's load
+     */
+    public void step(double nowMs, double usualBreaks) {
+        level.judgeBroken(usualBreaks);
+        level.step(INTERVAL_MS, bank.refusals());
+        bank.rate(nowMs, level.rate());
+        stepAtMs = Math.max(stepAtMs + INTERVAL_MS, nowMs + INTERVAL_MS / 2);
+    }
+
+    /** How long a refused client should wait before its next try, in milliseconds. */
+    public double waitMs() {
+        return level.level() == 0 ? 0 : Math.min(MOST_WAIT_MS, 1_000 / bank.ratePerS());
+    }
+
+    /** The level; 0 is unthrottled. */
+    public int level() {
+        return level.level();
+    }
+
+    /** What outlives a restart of the process. */
+    public AdmissionLevel.Snapshot snapshot() {
+        return level.snapshot();
+    }
+
+    /** Goes on where an earlier life of the process was. */
+    public void restore(AdmissionLevel.Snapshot kept, double nowMs) {
+        level.restore(kept);
+        bank.rate(nowMs, level.rate());
+    }
+}
--- /dev/null
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/Attempt.java
@@ -0,0 +1,178 @@
+package ridgemill.cdn.proxy;
+
+import java.util.function.Consumer;
+import ridgemill.cdn.edge.InstanceStats;
+import ridgemill.cdn.edge.Verdict;
+import ridgemill.core.Timers;
+
+/** One request at one instance, from the wish for a connection to its verdict. Reports what came of it to the statistics. */
+final class Attempt implements ConnectionListener {
+
+    private static final double LEAST_LEFT_MS = 1;
+
+    private final ProxyContext context;
+    private final ServiceState service;
+    private final InstanceStats instance;
+    private final InstancePool pool;
+    private final OutgoingRequest request;
+    private final boolean repeatable;
+    private final Consumer<Attempt> callback;
+    private InstanceConnection connection;
+    private Timers.Timer timer;
+    private double deadlineMs;
+    private double endMs;
+    private double sentAtMs = Double.NaN;
+    private Verdict verdict;
+    private InstanceAnswer answer;
+    private boolean over;
+
+    Attempt(
+            ProxyContext context,
+            ServiceState service,
+            InstanceStats instance,
+            OutgoingRequest request,
+            boolean repeatable,
+            Consumer<Attempt> callback) {
+        this.context = context;
+        this.service = service;
+        this.instance = instance;
+        this.pool = service.pool(instance);
+        this.request = request;
+        this.repeatable = repeatable;
+        this.callback = callback;
+    }
+
+    InstanceStats instance() {
+        return instance;
+    }
+
+    /** How it ended. */
+    Verdict verdict() {
+        return verdict;
+    }
+
+    /** The answer, if the verdict is that there is one. */
+    InstanceAnswer answer() {
+        return answer;
+    }
+
+    /** Whether the request was handed to a connection, so that it may have arrived. */
+    boolean isSent() {
+        return !Double.isNaN(sentAtMs) && verdict != Verdict.NEVER_WRITTEN;
+    }
+
+    /**
+     * Begins.
+     *
+     * @param requestDeadlineMs when the request's sender gives up
+     * @param silentUntilMs until when silence is borne
+     */
+    void start(double requestDeadlineMs, double silentUntilMs) {
+        deadlineMs = requestDeadlineMs;
+        endMs = silentUntilMs;
+        instance.began();
+        pool.acquire(repeatable, this::connected);
+    }
+
+    private void connected(InstanceConnection given) {
+        double nowMs = context.now();
+        if (over) {
+            if (given != null) {
+                pool.release(given);
+            }
+        } else if (given == null) {
+            end(Verdict.CONNECT_FAILED, null);
+        } else if (deadlineMs - nowMs < LEAST_LEFT_MS) {
+            // This process may have stood still: what is sent now would run after its sender has given up.
+            pool.release(given);
+            end(Verdict.NEVER_WRITTEN, null);
+        } else {
+            connection = given;
+            sentAtMs = nowMs;
+            if (endMs < Double.POSITIVE_INFINITY) {
+                timer = context.timers().at(endMs, this::silent);
+            }
+            given.send(
+                    request.bytes(context.allocator(), instance.instance().id(), deadlineMs - nowMs),
+                    request.attemptId(), request.isHead(), nowMs, this);
+        }
+    }
+
+    private void silent() {
+        if (!over) {
+            connection.abort();
+            end(Verdict.SILENT, null);
+        }
+    }
+
+    /** Gives it up without a word to the callback. */
+    void cancel(boolean late) {
+        if (over) {
+            return;
+        }
+        over = true;
+        stopTimer();
+        if (connection != null) {
+            connection.abort();
+        }
+        if (isSent() && late) {
+            report(Verdict.SILENT);
+        } else {
+            instance.withdrawn();
+            giveBackShare();
+        }
+        service.recall();
+    }
+
+    @Override
+    public void ended(Verdict how, InstanceAnswer whole, String load) {
+        if (load != null) {
+            LoadHeader.tell(instance, load, context.now());
+        }
+        pool.used(connection, how == Verdict.RESET || how == Verdict.NEVER_WRITTEN);
+        end(how, whole);
+    }
+
+    private void end(Verdict how, InstanceAnswer whole) {
+        if (over) {
+            return;
+        }
+        over = true;
+        stopTimer();
+        verdict = how;
+        answer = whole;
+        report(how);
+        giveBackShare();
+        callback.accept(this);
+        service.recall();
+    }
+
+    private void giveBackShare() {
+        if (!isSent()) {
+            service.originShare().giveBack(context.now());
+        }
+    }
+
+    private void report(Verdict how) {
+        double nowMs = context.now();
+        double elapsedMs = nowMs - sentAtMs;
+        boolean failedInside = answer != null && answer.isFailure();
+        boolean timely = elapsedMs <= request.targetMs();
+        instance.ended(nowMs, how, elapsedMs, failedInside, service.picker().maySpare(nowMs));
+        switch (how) {
+            case ANSWERED -> service.admission().count(!failedInside && timely);
+            case SILENT, GARBLED -> service.admission().count(false);
+            case RESET, CONNECT_FAILED -> service.admission().countBroken();
+            case DECLINED -> service.admission().count(false);
+            case MISDIRECTED, NEVER_WRITTEN -> { }
+            default -> throw new IllegalStateException(how.name());
+        }
+    }
+
+    private void stopTimer() {
+        if (timer != null) {
+            timer.cancel();
+            timer = null;
+        }
+    }
+}
--- /dev/null
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/DataPath.java
@@ -0,0 +1,229 @@
+package ridgemill.cdn.proxy;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.Set;
+import ridgemill.cdn.config.Limits;
+import ridgemill.cdn.config.Route;
+import ridgemill.cdn.config.RouteKind;
+import ridgemill.cdn.proxy.control.ControlListener;
+import ridgemill.cdn.proxy.control.ControlView;
+import ridgemill.cdn.proxy.control.OperationRegister;
+import ridgemill.cdn.settings.Settings;
+import ridgemill.core.Timers;
+import ridgemill.gateway.net.Addresses;
+import ridgemill.gateway.net.Clock;
+import ridgemill.gateway.net.SocketKind;
+import ridgemill.policy.AdmissionLevel;
+import ridgemill.policy.Rendezvous;
+
+/** The data path of an edge proxy: takes clients' requests in and answers each once. Used on its event loop only. */
+public final class DataPath {
+
+    private static final double TICK_MS = 250;
+    private static final int BACKLOG = 1_024;
+    /** The part of the heap that copies of objects may take. */
+    private static final double CACHE_PART = 0.45;
+
+    private final ProxyContext context;
+    private final Set<FrontConnection> clients = new LinkedHashSet<>();
+    private Channel listener;
+    private Timers.Timer tick;
+
+    /** A data path that keeps copies of objects in a part of the heap. */
+    public DataPath(
+            EventLoop loop,
+            SocketKind sockets,
+            Clock clock,
+            Settings settings,
+            ControlView control,
+            OperationRegister register) {
+        this(loop, sockets, clock, settings, control, register,
+                (long) (CACHE_PART * Runtime.getRuntime().maxMemory()));
+    }
+
+    /**
+     * A data path.
+     *
+     * @param cacheBytes the memory that copies of objects may take, in bytes
+     */
+    public DataPath(
+            EventLoop loop,
+            SocketKind sockets,
+            Clock clock,
+            Settings settings,
+            ControlView control,
+            OperationRegister register,
+            long cacheBytes) {
+        context = new ProxyContext(loop, sockets, clock, settings, control, register, cacheBytes);
+        control.addListener(context.objects());
+        control.addListener(new ControlListener() {
+            @Override
+            public void configurationChanged() {
+                refresh();
+            }
+
+            @Override
+            public void instancesChanged() {
+                refresh();
+            }
+        });
+    }
+
+    private void refresh() {
+        for (ServiceState service : context.services()) {
+            service.refresh();
+        }
+    }
+
+    /** Serves clients at the front address; the future fails if it can't be had. */
+    public ChannelFuture listen() {
+        ChannelFuture bound = new ServerBootstrap()
+                .group(context.loop())
+                .channel(context.sockets().server())
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline().addLast(new FrontConnection(DataPath.this));
+                    }
+                })
+                .bind(Addresses.parse(context.settings().frontAddress()));
+        listener = bound.channel();
+        scheduleTick();
+        return bound;
+    }
+
+    /** Where clients are served, once {@link #listen} has succeeded. */
+    public InetSocketAddress address() {
+        return (InetSocketAddress) listener.localAddress();
+    }
+
+    /** Takes no new connections; those that wait to be taken are taken first. */
+    public void stopAccepting() {
+        if (listener != null) {
+            context.sockets().takeWaiting(listener);
+            listener.close();
+        }
+    }
+
+    /** From now on answers say that their connection is closed behind them; idle connections are closed. */
+    public void drain() {
+        context.startDraining();
+        for (FrontConnection client : new ArrayList<>(clients)) {
+            client.closeIfIdle();
+        }
+    }
+
+    /** How many requests are not over: their answer is not out, or their operation still runs. */
+    public int inFlight() {
+        return context.inFlight();
+    }
+
+    /** Sets this proxy's share of a service's bound on its requests in place of an even one, in requests a second. */
+    public void setShare(String service, double perSecond) {
+        context.service(service).lend(perSecond);
+    }
+
+    /** What of a service's admission outlives a restart. */
+    public AdmissionLevel.Snapshot admission(String service) {
+        return context.service(service).admission().snapshot();
+    }
+
+    /** Takes in what of a service's admission an earlier life of this proxy left. */
+    public void restoreAdmission(String service, AdmissionLevel.Snapshot kept) {
+        context.service(service).admission().restore(kept, context.now());
+    }
+
+    /** Closes the listener and all connections. */
+    public void close() {
+        if (listener != null) {
+            listener.close();
+        }
+        if (tick != null) {
+            tick.cancel();
+        }
+        new ArrayList<>(clients).forEach(FrontConnection::close);
+        for (ServiceState service : context.services()) {
+            service.close();
+        }
+    }
+
+    private void scheduleTick() {
+        tick = context.timers().at(context.now() + TICK_MS, () -> {
+            double nowMs = context.now();
+            for (FrontConnection client : new ArrayList<>(clients)) {
+                client.tick(nowMs);
+            }
+            for (ServiceState service : context.services()) {
+                service.tick(nowMs);
+            }
+            scheduleTick();
+        });
+    }
+
+    /** The exchange for a request; null if it was answered at once. */
+    Exchange route(FrontConnection client, ClientRequest request) {
+        if (request.attemptId() == null || request.attemptId().isEmpty()
+                || request.headers().count(ClientRequest.ATTEMPT_ID) != 1) {
+            client.answer(null, FinalAnswer.own(400, null));
+            return null;
+        }
+        Route route = context.control().routing().match(request.host(), request.path());
+        if (route == null) {
+            boolean knows = context.control().isReady();
+            client.answer(null, knows
+                    ? FinalAnswer.own(404, request.attemptId())
+                    : FinalAnswer.later(503, request.attemptId(), TICK_MS));
+            return null;
+        }
+        String operationKey = request.headers().get(ClientRequest.OPERATION_KEY);
+        if (route.kind() == RouteKind.KEYED_IDEMPOTENT && (operationKey == null || operationKey.isEmpty())) {
+            client.answer(null, FinalAnswer.own(400, request.attemptId()));
+            return null;
+        }
+        double draw = 1 - Rendezvous.unit(Rendezvous.hashText(request.attemptId()));
+        ServiceState service = context.service(route.destination(draw));
+        service.budget().countRequest(context.now());
+        return switch (route.kind()) {
+            case KEYED_IDEMPOTENT -> new KeyedExchange(context, client, request, route, service, operationKey);
+            case CACHEABLE -> request.method().equals("GET") && request.body().length == 0
+                    ? new CachedExchange(context, client, request, route, service, context.objects())
+                    : new PassingExchange(context, client, request, route, service);
+            default -> new PassingExchange(context, client, request, route, service);
+        };
+    }
+
+    void opened(FrontConnection client) {
+        clients.add(client);
+    }
+
+    void closed(FrontConnection client) {
+        clients.remove(client);
+    }
+
+    double now() {
+        return context.now();
+    }
+
+    Limits limits() {
+        return context.control().routing().limits();
+    }
+
+    boolean isDraining() {
+        return context.isDraining();
+    }
+
+    EventLog log() {
+        return context.log();
+    }
+}
--- /dev/null
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/Delivery.java
@@ -0,0 +1,246 @@
+package ridgemill.cdn.proxy;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import ridgemill.cdn.config.Route;
+import ridgemill.cdn.edge.InstancePicker.Pick;
+import ridgemill.cdn.edge.InstanceStats;
+import ridgemill.cdn.edge.Verdict;
+import ridgemill.core.Timers;
+
+/**
+ * Brings one request to an instance of its service and its answer back, over as many instances as the route, the deadline
+ * and the retry budget allow. Another one is tried only where the request has not run, or may run more than once.
+ */
+final class Delivery {
+
+    /** Time that must be left for an attempt to make sense, in milliseconds. */
+    private static final double LEAST_LEFT_MS = 2;
+    /** Connections that may fail to come up before a request is given up. */
+    private static final int MOST_CONNECT_FAILURES = 4;
+    /** Part of the route's target that a request waits for room at an instance. */
+    private static final double PATIENCE = 0.2;
+    /** Part of the time left after which a silent attempt is given up where another one is possible. */
+    private static final double FIRST_PART = 0.6;
+    /** How much later than nearly all answers a silent attempt is given up. */
+    private static final double LATE = 2;
+
+    /** How a delivery ended. */
+    sealed interface Result {
+
+        /** A whole answer of an instance that ran the request. */
+        record Answered(InstanceAnswer answer) implements Result { }
+
+        /**
+         * There is no answer to pass on.
+         *
+         * @param mayHaveRun whether the request may have run, or may still
+         * @param outOfTime whether the deadline ended it
+         * @param waitMs when another try makes sense, in milliseconds
+         */
+        record Failed(boolean mayHaveRun, boolean outOfTime, double waitMs) implements Result { }
+    }
+
+    private final ProxyContext context;
+    private final ServiceState service;
+    private final Route route;
+    private final OutgoingRequest request;
+    private final boolean repeatable;
+    private final double deadlineMs;
+    private final Consumer<Result> callback;
+    private final List<InstanceStats> tried = new ArrayList<>(2);
+    private InstanceAnswer lastAnswer;
+    private Attempt current;
+    private Timers.Timer patience;
+    private boolean outOfPatience;
+    private boolean over;
+    private boolean noRepeats;
+    private boolean mayHaveRun;
+    private int sent;
+    private int connectFailures;
+
+    /**
+     * A delivery that has not started.
+     *
+     * @param repeatable whether the request may run more than once
+     * @param deadlineMs when its sender gives up, on the proxy's clock
+     * @param callback told the result exactly once, unless the delivery is cancelled
+     */
+    Delivery(
+            ProxyContext context,
+            ServiceState service,
+            Route route,
+            OutgoingRequest request,
+            boolean repeatable,
+            double deadlineMs,
+            Consumer<Result> callback) {
+        this.context = context;
+        this.service = service;
+        this.route = route;
+        this.request = request;
+        this.repeatable = repeatable;
+        this.deadlineMs = deadlineMs;
+        this.callback = callback;
+    }
+
+    /** Whether the request may have run, or may be running. */
+    boolean mayHaveRun() {
+        return mayHaveRun || current != null && current.isSent();
+    }
+
+    /** Sends the request, or tells at once why it can't. */
+    void start() {
+        tryNext();
+    }
+
+    /** Lets an attempt that is under way end, and makes no further one. */
+    void stopRepeating() {
+        noRepeats = true;
+    }
+
+    /**
+     * Gives the request up without a word to the callback.
+     *
+     * @param late whether its time has passed, which tells of the instance
+     */
+    void cancel(boolean late) {
+        over = true;
+        stopWaiting();
+        if (current != null) {
+            Attempt ended = current;
+            current = null;
+            ended.cancel(late);
+        }
+    }
+
+    /** An instance may have room now. */
+    void roomAgain() {
+        if (!over && current == null) {
+            tryNext();
+        }
+    }
+
+    private void tryNext() {
+        double nowMs = context.now();
+        if (deadlineMs - nowMs < LEAST_LEFT_MS) {
+            fail(true, 0);
+            return;
+        }
+        Pick pick = service.picker().pick(nowMs, request.placeKey(), tried);
+        if (pick instanceof Pick.Chosen chosen) {
+            stopWaiting();
+            begin(chosen.instance(), nowMs);
+        } else if (pick instanceof Pick.Crowded && !outOfPatience) {
+            awaitRoom(nowMs);
+        } else {
+            stopWaiting();
+            fail(false, route.targetLatencyMs() * PATIENCE);
+        }
+    }
+
+    private void awaitRoom(double nowMs) {
+        service.await(this);
+        if (patience == null) {
+            double untilMs = Math.min(deadlineMs - LEAST_LEFT_MS, nowMs + PATIENCE * route.targetLatencyMs());
+            patience = context.timers().at(untilMs, () -> {
+                outOfPatience = true;
+                service.forget(this);
+                roomAgain();
+            });
+        }
+    }
+
+    private void stopWaiting() {
+        if (patience != null) {
+            patience.cancel();
+            patience = null;
+            service.forget(this);
+        }
+    }
+
+    private void begin(InstanceStats instance, double nowMs) {
+        if (!service.originShare().tryTake(nowMs)) {
+            fail(false, service.originShare().waitMs(nowMs));
+        } else if (sent > 0 && !service.budget().tryRepeat(nowMs, context.control().proxyCount())) {
+            service.originShare().giveBack(nowMs);
+            fail(false, route.targetLatencyMs());
+        } else {
+            current = new Attempt(context, service, instance, request, repeatable, this::ended);
+            current.start(deadlineMs, attemptEndMs(instance, nowMs));
+        }
+    }
+
+    /** When a silent attempt is given up: at the deadline, or sooner if a repeat makes sense. */
+    private double attemptEndMs(InstanceStats instance, double nowMs) {
+        boolean last = !repeatable || sent + 1 >= route.maxAttempts() || context.isDraining();
+        if (last || Double.isNaN(instance.usualMs())) {
+            return Double.POSITIVE_INFINITY;
+        }
+        double late = Math.max(route.targetLatencyMs(), LATE * instance.lateMs());
+        double part = FIRST_PART * (deadlineMs - nowMs);
+        return late < part ? nowMs + late : Double.POSITIVE_INFINITY;
+    }
+
+    private void ended(Attempt attempt) {
+        if (over || attempt != current) {
+            return;
+        }
+        current = null;
+        Verdict verdict = attempt.verdict();
+        tried.add(attempt.instance());
+        sent += attempt.isSent() ? 1 : 0;
+        if (!attempt.isSent() && sent > 0) {
+            service.budget().giveBack(context.now());
+        }
+        mayHaveRun |= verdict.mayHaveRun();
+        if (verdict == Verdict.ANSWERED) {
+            answered(attempt.answer());
+        } else if (verdict == Verdict.CONNECT_FAILED && ++connectFailures >= MOST_CONNECT_FAILURES) {
+            fail(false, route.targetLatencyMs());
+        } else {
+            repeatOrFail();
+        }
+    }
+
+    private void answered(InstanceAnswer answer) {
+        lastAnswer = answer;
+        if (answer.isFailure() && mayRepeat()) {
+            tryNext();
+        } else {
+            finish(result());
+        }
+    }
+
+    private void repeatOrFail() {
+        if (mayRepeat()) {
+            tryNext();
+        } else {
+            fail(context.now() >= deadlineMs - LEAST_LEFT_MS, 0);
+        }
+    }
+
+    private boolean mayRepeat() {
+        return !noRepeats && sent < route.maxAttempts() && (repeatable || !mayHaveRun);
+    }
+
+    private void fail(boolean outOfTime, double waitMs) {
+        finish(lastAnswer != null ? result() : new Result.Failed(mayHaveRun, outOfTime, waitMs));
+    }
+
+    /** An instance's answer, unless its status would promise what is not so: that the request has not run. */
+    private Result result() {
+        return switch (lastAnswer.status()) {
+            case 408, 421, 429, 503 -> new Result.Failed(true, false, 0);
+            default -> new Result.Answered(lastAnswer);
+        };
+    }
+
+    private void finish(Result result) {
+        if (!over) {
+            over = true;
+            stopWaiting();
+            callback.accept(result);
+        }
+    }
+}
--- /dev/null
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/EventLog.java
@@ -0,0 +1,41 @@
+package ridgemill.cdn.proxy;
+
+/** The log: one line of key=value pairs for each event, with a brake on their number. */
+final class EventLog {
+
+    private static final System.Logger LOGGER = System.getLogger("ridgemill.cdn.proxy");
+    private static final double WINDOW_MS = 10_000;
+    private static final int LINES_A_WINDOW = 20;
+
+    private double windowStartMs = Double.NEGATIVE_INFINITY;
+    private int lines;
+    private int dropped;
+    private final ridgemill.gateway.net.Clock clock;
+
+    EventLog(ridgemill.gateway.net.Clock clock) {
+        this.clock = clock;
+    }
+
+    /** Logs an event; past a few lines each ten seconds they are only counted. */
+    void line(String event) {
+        double nowMs = clock.now();
+        if (nowMs - windowStartMs > WINDOW_MS) {
+            if (dropped > 0) {
+                LOGGER.log(System.Logger.Level.INFO, "event=lines-left-out count=" + dropped);
+            }
+            windowStartMs = nowMs;
+            lines = 0;
+            dropped = 0;
+        }
+        if (lines++ < LINES_A_WINDOW) {
+            LOGGER.log(System.Logger.Level.INFO, event);
+        } else {
+            dropped++;
+        }
+    }
+
+    /** Logs a fault of this program. */
+    static void fault(String event, Throwable cause) {
+        LOGGER.log(System.Logger.Level.ERROR, event, cause);
+    }
+}
--- /dev/null
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/InstanceConnection.java
@@ -0,0 +1,230 @@
+package ridgemill.cdn.proxy;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.ByteToMessageDecoder;
+import ridgemill.cdn.edge.Verdict;
+import ridgemill.cdn.proxy.http.AnswerReader;
+import ridgemill.cdn.proxy.http.BadMessageException;
+import ridgemill.cdn.proxy.http.Headers;
+
+/** One connection to an instance; it carries one request at a time. */
+final class InstanceConnection extends ChannelInboundHandlerAdapter {
+
+    private static final int MISDIRECTED = 421;
+    /** Surplus answers of earlier requests that are passed over before the one that is due. */
+    private static final int MOST_SURPLUS = 2;
+    private static final double MS_PER_SECOND = 1_000;
+
+    private final InstancePool pool;
+    private final AnswerReader reader = new AnswerReader();
+    private Channel channel;
+    private ByteBuf pending = Unpooled.EMPTY_BUFFER;
+    private ConnectionListener listener;
+    private String attemptId;
+    private boolean written;
+    private int surplus;
+    private boolean spent;
+    private boolean countsOpen;
+    private double idleSinceMs;
+    private double idleBeforeMs;
+    private double statedIdleMs = Double.NaN;
+
+    InstanceConnection(InstancePool pool) {
+        this.pool = pool;
+    }
+
+    /** Whether a request may be sent on it. */
+    boolean isUsable() {
+        return channel != null && channel.isActive() && listener == null && !spent;
+    }
+
+    /** How long it has been idle, in milliseconds. */
+    double idleMs(double nowMs) {
+        return nowMs - idleSinceMs;
+    }
+
+    /** After which idle time the instance said it would close it, in milliseconds; not a number if it did not say. */
+    double statedIdleMs() {
+        return statedIdleMs;
+    }
+
+    /** How long it had been idle before its current or last request; 0 for its first. */
+    double idleBeforeMs() {
+        return idleBeforeMs;
+    }
+
+    /**
+     * Sends a request.
+     *
+     * @param bytes the whole request
+     * @param id the id that its answer must carry
+     * @param isHead whether its answer has no body
+     */
+    void send(ByteBuf bytes, String id, boolean isHead, double nowMs, ConnectionListener to) {
+        listener = to;
+        attemptId = id;
+        written = false;
+        surplus = 0;
+        idleBeforeMs = countsOpen ? idleMs(nowMs) : 0;
+        countsOpen = true;
+        reader.reset();
+        reader.toHead(isHead);
+        channel.writeAndFlush(bytes).addListener((ChannelFuture future) -> {
+            if (listener != to) {
+                return;
+            }
+            if (future.isSuccess()) {
+                written = true;
+            } else {
+                end(Verdict.NEVER_WRITTEN, null, null);
+            }
+        });
+    }
+
+    /** Gives up the exchange without a word to its listener and closes the connection. */
+    void abort() {
+        listener = null;
+        close();
+    }
+
+    /** Closes the connection. */
+    void close() {
+        spent = true;
+        if (channel != null) {
+            channel.close();
+        }
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext context) {
+        channel = context.channel();
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        ByteBuf bytes = (ByteBuf) message;
+        if (listener == null || !written) {
+            // Nothing is awaited: it belongs to no request.
+            bytes.release();
+            if (listener != null) {
+                end(Verdict.GARBLED, null, null);
+            }
+            close();
+            return;
+        }
+        pending = ByteToMessageDecoder.MERGE_CUMULATOR.cumulate(context.alloc(), pending, bytes);
+        read();
+    }
+
+    private void read() {
+        try {
+            while (listener != null && reader.read(pending)) {
+                answered();
+            }
+        } catch (BadMessageException e) {
+            end(Verdict.GARBLED, null, null);
+        }
+        if (listener == null || !pending.isReadable()) {
+            drop();
+        }
+    }
+
+    private void drop() {
+        if (pending.isReadable()) {
+            close();
+        }
+        pending.release();
+        pending = Unpooled.EMPTY_BUFFER;
+    }
+
+    private void answered() {
+        Headers headers = reader.headers();
+        spent |= !reader.isKeepAlive();
+        if (!attemptId.equals(headers.get("X-Attempt-Id"))) {
+            spent = true;
+            if (++surplus > MOST_SURPLUS || !reader.isKeepAlive()) {
+                end(Verdict.GARBLED, null, null);
+            } else {
+                reader.reset();
+            }
+            return;
+        }
+        statedIdleMs = statedIdle(headers.get("Keep-Alive"));
+        if (pending.isReadable()) {
+            spent = true;
+        }
+        String load = headers.get("X-Server-Load");
+        InstanceAnswer answer = new InstanceAnswer(reader.status(), headers.endToEnd(), length(headers), reader.body());
+        end(verdict(answer, headers), answer, load);
+    }
+
+    private static Verdict verdict(InstanceAnswer answer, Headers headers) {
+        if (answer.status() == MISDIRECTED) {
+            return Verdict.MISDIRECTED;
+        }
+        if (headers.get("X-Not-Executed") != null) {
+            return answer.isSuccess() ? Verdict.GARBLED : Verdict.DECLINED;
+        }
+        boolean garbled = headers.get("Content-Encoding") != null || answer.isSuccess() && !answer.isSealed();
+        return garbled ? Verdict.GARBLED : Verdict.ANSWERED;
+    }
+
+    private static long length(Headers headers) {
+        String text = headers.get("Content-Length");
+        try {
+            return text == null ? -1 : Long.parseLong(text);
+        } catch (NumberFormatException e) {
+            return -1;
+        }
+    }
+
+    private static double statedIdle(String keepAlive) {
+        int at = keepAlive == null ? -1 : keepAlive.indexOf("timeout=");
+        if (at < 0) {
+            return Double.NaN;
+        }
+        double seconds = 0;
+        for (int i = at + "timeout=".length(); i < keepAlive.length() && Character.isDigit(keepAlive.charAt(i)); i++) {
+            seconds = 10 * seconds + keepAlive.charAt(i) - '0';
+        }
+        return seconds * MS_PER_SECOND;
+    }
+
+    private void end(Verdict verdict, InstanceAnswer answer, String load) {
+        ConnectionListener told = listener;
+        listener = null;
+        if (verdict != Verdict.ANSWERED && verdict != Verdict.DECLINED) {
+            spent = true;
+        }
+        idleSinceMs = pool.now();
+        if (spent) {
+            close();
+        } else {
+            pool.release(this);
+        }
+        if (told != null) {
+            told.ended(verdict, answer, load);
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        spent = true;
+        pool.closed(this);
+        if (listener != null) {
+            end(written ? Verdict.RESET : Verdict.NEVER_WRITTEN, null, null);
+        }
+        pending.release();
+        pending = Unpooled.EMPTY_BUFFER;
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        close();
+    }
+}
--- /dev/null
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/LoadHeader.java
@@ -0,0 +1,41 @@
+package ridgemill.cdn.proxy;
+
+import ridgemill.cdn.edge.InstanceStats;
+
+/** Reads the header in which instances tell their load: running, waiting and slots, separated by commas. */
+final class LoadHeader {
+
+    private static final int MOST_DIGITS = 6;
+
+    private LoadHeader() { }
+
+    /** Tells an instance's load to its statistics; what can't be read is ignored. */
+    static void tell(InstanceStats instance, String text, double nowMs) {
+        int first = text.indexOf(',');
+        int second = text.indexOf(',', first + 1);
+        if (first < 0 || second < 0) {
+            return;
+        }
+        int running = number(text.substring(0, first).trim());
+        int waiting = number(text.substring(first + 1, second).trim());
+        int slots = number(text.substring(second + 1).trim());
+        if (running >= 0 && waiting >= 0 && slots > 0) {
+            instance.toldLoad(nowMs, running, waiting, slots);
+        }
+    }
+
+    private static int number(String text) {
+        if (text.isEmpty() || text.length() > MOST_DIGITS) {
+            return -1;
+        }
+        int value = 0;
+        for (int i = 0; i < text.length(); i++) {
+            char c = text.charAt(i);
+            if (c < '0' || c > '9') {
+                return -1;
+            }
+            value = 10 * value + c - '0';
+        }
+        return value;
+    }
+}
--- /dev/null
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/ObjectFetches.java
@@ -0,0 +1,167 @@
+package ridgemill.cdn.proxy;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import ridgemill.cdn.edge.CachedObject;
+import ridgemill.cdn.edge.ObjectCache;
+import ridgemill.cdn.proxy.control.ControlListener;
+import ridgemill.cdn.proxy.http.Headers;
+import ridgemill.policy.Rendezvous;
+
+/** Copies of objects and the fetches that bring them: one fetch at a time for each object, for all that ask for it. */
+final class ObjectFetches implements ControlListener {
+
+    private static final int OK = 200;
+    private static final int NOT_MODIFIED = 304;
+
+    private final ProxyContext context;
+    private final ObjectCache cache;
+    private final Map<String, ObjectFetch> joinable = new HashMap<>();
+    private final Set<ObjectFetch> running = new LinkedHashSet<>();
+
+    ObjectFetches(ProxyContext context, ObjectCache cache) {
+        this.context = context;
+        this.cache = cache;
+    }
+
+    /** Answers a request from a copy, or lets it wait for a fetch, which is returned. */
+    ObjectFetch ask(CachedExchange exchange) {
+        double nowMs = context.now();
+        String key = exchange.request().objectKey();
+        CachedObject copy = cache.get(key);
+        if (copy != null
+                && copy.isFresh(nowMs, exchange.route().cacheTtlMs())
+                && context.control().isCoveredSince(copy.fetchStartedMs())) {
+            exchange.found(copy);
+            return null;
+        }
+        ObjectFetch underWay = joinable.get(key);
+        if (underWay != null && context.control().isCoveredSince(underWay.startedMs())) {
+            underWay.join(exchange);
+            return underWay;
+        }
+        return fetch(exchange, key, copy, nowMs);
+    }
+
+    private ObjectFetch fetch(CachedExchange exchange, String key, CachedObject copy, double nowMs) {
+        ServiceState service = exchange.service();
+        if (!service.admission().draw(nowMs, exchange.route().priorityLevel())) {
+            exchange.refuse(service.admission().waitMs());
+            return null;
+        }
+        CachedObject older = copy != null && copy.etag() != null ? copy : null;
+        ObjectFetch fetch = new ObjectFetch(key, exchange, older, nowMs);
+        joinable.put(key, fetch);
+        running.add(fetch);
+        OutgoingRequest outgoing = OutgoingRequest.fetch(
+                exchange.request(),
+                older == null ? null : older.etag(),
+                Rendezvous.hashText(key),
+                exchange.route().targetLatencyMs());
+        double deadlineMs = Math.max(exchange.deadlineMs(), nowMs + exchange.route().timeoutMs());
+        Delivery delivery = new Delivery(
+                context, service, exchange.route(), outgoing, true, deadlineMs, result -> fetched(fetch, result));
+        fetch.deliverBy(delivery);
+        delivery.start();
+        return running.contains(fetch) ? fetch : null;
+    }
+
+    /** A fetch is over or was given up. */
+    void ended(ObjectFetch fetch) {
+        running.remove(fetch);
+        joinable.remove(fetch.key(), fetch);
+    }
+
+    private void fetched(ObjectFetch fetch, Delivery.Result result) {
+        ended(fetch);
+        CachedObject copy = result instanceof Delivery.Result.Answered answered ? copy(fetch, answered.answer()) : null;
+        if (copy == null) {
+            failed(fetch, result);
+            return;
+        }
+        CachedObject kept = cache.get(copy.key());
+        if (fetch.isStorable(copy) && (kept == null || kept.fetchStartedMs() <= copy.fetchStartedMs())) {
+            cache.put(copy);
+        }
+        double purgedMs = fetch.purgedMs(copy);
+        for (CachedExchange waiter : fetch.takeWaiters()) {
+            if (waiter.askedMs() <= purgedMs) {
+                waiter.found(copy);
+            } else {
+                waiter.again(result);
+            }
+        }
+    }
+
+    private void failed(ObjectFetch fetch, Delivery.Result result) {
+        boolean unasked = result instanceof Delivery.Result.Answered answered
+                && answered.answer().status() == NOT_MODIFIED;
+        Delivery.Result told = unasked ? new Delivery.Result.Failed(true, false, 0) : result;
+        for (CachedExchange waiter : fetch.takeWaiters()) {
+            if (fetch.isOf(waiter)) {
+                waiter.failed(told);
+            } else {
+                waiter.again(told);
+            }
+        }
+    }
+
+    /** The copy that an answer brings or confirms; null if it does neither. */
+    private static CachedObject copy(ObjectFetch fetch, InstanceAnswer answer) {
+        if (answer.status() == NOT_MODIFIED && fetch.older() != null) {
+            String etag = answer.headers().get("ETag");
+            boolean same = etag == null || etag.equals(fetch.older().etag());
+            return same ? fetch.older().confirmed(fetch.startedMs()) : null;
+        }
+        if (answer.status() != OK || !answer.isSealed()) {
+            return null;
+        }
+        Headers headers = answer.headers();
+        return new CachedObject(
+                fetch.key(),
+                OwnHeaders.without(headers.lines(), true),
+                headers.get("ETag"),
+                tags(headers.get("X-Object-Tags")),
+                answer.body(),
+                fetch.startedMs());
+    }
+
+    private static List<String> tags(String header) {
+        List<String> tags = new ArrayList<>(4);
+        int start = 0;
+        while (header != null && start < header.length()) {
+            int space = header.indexOf(' ', start);
+            int end = space < 0 ? header.length() : space;
+            if (end > start) {
+                tags.add(header.substring(start, end));
+            }
+            start = end + 1;
+        }
+        return tags;
+    }
+
+    @Override
+    public void pathPurged(String hostname, String path) {
+        String key = hostname.toLowerCase(java.util.Locale.ROOT) + path;
+        cache.remove(key);
+        joinable.remove(key);
+        for (ObjectFetch fetch : running) {
+            if (fetch.key().equals(key)) {
+                fetch.purge();
+            }
+        }
+    }
+
+    @Override
+    public void tagPurged(String tag) {
+        cache.removeTagged(tag);
+        double nowMs = context.now();
+        for (ObjectFetch fetch : running) {
+            fetch.purgeTag(tag, nowMs);
+        }
+    }
+}
--- /dev/null
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/ProxyContext.java
@@ -0,0 +1,135 @@
+package ridgemill.cdn.proxy;
+
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.channel.EventLoop;
+import java.util.HashMap;
+import java.util.Map;
+import ridgemill.cdn.edge.ObjectCache;
+import ridgemill.cdn.instances.Instance;
+import ridgemill.cdn.proxy.control.ControlView;
+import ridgemill.cdn.proxy.control.OperationRegister;
+import ridgemill.cdn.settings.Settings;
+import ridgemill.core.Timers;
+import ridgemill.gateway.net.Clock;
+import ridgemill.gateway.net.LoopTimers;
+import ridgemill.gateway.net.SocketKind;
+
+/** What the parts of the data path share. Used on the event loop only. */
+final class ProxyContext {
+
+    private final EventLoop loop;
+    private final SocketKind sockets;
+    private final Clock clock;
+    private final Timers timers;
+    private final Settings settings;
+    private final ControlView control;
+    private final OperationRegister register;
+    private final EventLog log;
+    private final String region;
+    private final Map<String, ServiceState> services = new HashMap<>();
+    private final ObjectFetches objects;
+    private boolean draining;
+    private int inFlight;
+
+    ProxyContext(
+            EventLoop loop,
+            SocketKind sockets,
+            Clock clock,
+            Settings settings,
+            ControlView control,
+            OperationRegister register,
+            long cacheBytes) {
+        this.loop = loop;
+        this.sockets = sockets;
+        this.clock = clock;
+        this.timers = new LoopTimers(loop, clock);
+        this.settings = settings;
+        this.control = control;
+        this.register = register;
+        this.log = new EventLog(clock);
+        this.objects = new ObjectFetches(this, new ObjectCache(cacheBytes));
+        this.region = settings.regionOf(settings.zone());
+    }
+
+    EventLoop loop() {
+        return loop;
+    }
+
+    SocketKind sockets() {
+        return sockets;
+    }
+
+    /** The time now, in milliseconds. */
+    double now() {
+        return clock.now();
+    }
+
+    /** Where buffers for writing come from. */
+    ByteBufAllocator allocator() {
+        return ByteBufAllocator.DEFAULT;
+    }
+
+    Timers timers() {
+        return timers;
+    }
+
+    Settings settings() {
+        return settings;
+    }
+
+    ControlView control() {
+        return control;
+    }
+
+    OperationRegister register() {
+        return register;
+    }
+
+    EventLog log() {
+        return log;
+    }
+
+    /** Whether an instance is in this proxy's region. */
+    boolean isLocal(Instance instance) {
+        return region.equals(settings.regionOf(instance.zone()));
+    }
+
+    /** The copies of objects and the fetches that bring them. */
+    ObjectFetches objects() {
+        return objects;
+    }
+
+    /** The state of a service, which is made when it is first asked for. */
+    ServiceState service(String name) {
+        ServiceState state = services.get(name);
+        if (state == null) {
+            state = new ServiceState(this, name);
+            services.put(name, state);
+        }
+        return state;
+    }
+
+    /** The states of all services that were asked for. */
+    Iterable<ServiceState> services() {
+        return services.values();
+    }
+
+    /** Whether connections are to be closed behind their next answer. */
+    boolean isDraining() {
+        return draining;
+    }
+
+    void startDraining() {
+        draining = true;
+    }
+
+    /** Requests that are not over: their answer is not out, or their operation still runs. */
+    int inFlight() {
+        return inFlight;
+    }
+
+    /** Counts a request as begun (1) or over (-1). */
+    void countInFlight(int change) {
+        inFlight += change;
+    }
+}
--- /dev/null
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/http/HeaderLine.java
@@ -0,0 +1,78 @@
+package ridgemill.cdn.proxy.http;
+
+import java.nio.charset.StandardCharsets;
+
+/** Reads single header lines and their values. */
+final class HeaderLine {
+
+    private static final String TOKEN_MARKS = "!#$%&'*+-.^_`|~";
+    private static final int MOST_DIGITS = 18;
+    private static final boolean[] TOKEN = new boolean[128];
+
+    static {
+        for (int c = 0; c < TOKEN.length; c++) {
+            TOKEN[c] = c >= '0' && c <= '9' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z'
+                    || TOKEN_MARKS.indexOf(c) >= 0;
+        }
+    }
+
+    private HeaderLine() { }
+
+    /** Reads a line into the headers. A line that goes on with the one before it is refused, as is any odd name. */
+    static void read(byte[] bytes, int start, int end, Headers into) throws BadMessageException {
+        int colon = start;
+        while (colon < end && isToken(bytes[colon])) {
+            colon++;
+        }
+        if (colon == start || colon == end || bytes[colon] != ':') {
+            throw new BadMessageException(400, "a line of the head is no header");
+        }
+        int from = colon + 1;
+        int to = end;
+        while (from < to && isSpace(bytes[from])) {
+            from++;
+        }
+        while (to > from && isSpace(bytes[to - 1])) {
+            to--;
+        }
+        for (int i = from; i < to; i++) {
+            if (bytes[i] >= 0 && bytes[i] < ' ' && bytes[i] != '\t' || bytes[i] == 127) {
+                throw new BadMessageException(400, "a header holds a control character");
+            }
+        }
+        into.add(
+                new String(bytes, start, colon - start, StandardCharsets.ISO_8859_1),
+                new String(bytes, from, to - from, StandardCharsets.ISO_8859_1));
+    }
+
+    /** The value of a Content-Length header. */
+    static long length(String text) throws BadMessageException {
+        if (text.isEmpty() || text.length() > MOST_DIGITS) {
+            throw new BadMessageException(text.isEmpty() ? 400 : 413, "a length out of bounds");
+        }
+        for (int i = 0; i < text.length(); i++) {
+            if (text.charAt(i) < '0' || text.charAt(i) > '9') {
+                throw new BadMessageException(400, "the length is no number");
+            }
+        }
+        return Long.parseLong(text);
+    }
+
+    /** Whether a text is a token, as methods and names of headers are. */
+    static boolean isToken(String text) {
+        for (int i = 0; i < text.length(); i++) {
+            if (text.charAt(i) >= TOKEN.length || !TOKEN[text.charAt(i)]) {
+                return false;
+            }
+        }
+        return !text.isEmpty();
+    }
+
+    private static boolean isToken(byte b) {
+        return b >= 0 && TOKEN[b];
+    }
+
+    private static boolean isSpace(byte b) {
+        return b == ' ' || b == '\t';
+    }
+}
--- /dev/null
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/http/Headers.java
@@ -0,0 +1,122 @@
+package ridgemill.cdn.proxy.http;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+
+/** Header lines in their order; names compare without regard to case. */
+public final class Headers {
+
+    private static final String[] HOP_BY_HOP = {
+        "Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "TE", "Trailer",
+        "Transfer-Encoding", "Upgrade", "Content-Length", "Expect"
+    };
+
+    private final List<String> lines;
+
+    public Headers() {
+        this(new ArrayList<>());
+    }
+
+    private Headers(List<String> lines) {
+        this.lines = lines;
+    }
+
+    /** Headers of names and values in turn. */
+    public static Headers of(List<String> namesAndValues) {
+        return new Headers(new ArrayList<>(namesAndValues));
+    }
+
+    /** Adds a line. */
+    public Headers add(String name, String value) {
+        lines.add(name);
+        lines.add(value);
+        return this;
+    }
+
+    /** Puts one line in place of all of its name. */
+    public Headers set(String name, String value) {
+        remove(name);
+        return add(name, value);
+    }
+
+    /** Drops all lines of a name. */
+    public Headers remove(String name) {
+        for (int i = lines.size() - 2; i >= 0; i -= 2) {
+            if (lines.get(i).equalsIgnoreCase(name)) {
+                lines.remove(i + 1);
+                lines.remove(i);
+            }
+        }
+        return this;
+    }
+
+    /** The value of the first line of a name; null if there is none. */
+    public String get(String name) {
+        for (int i = 0; i < lines.size(); i += 2) {
+            if (lines.get(i).equalsIgnoreCase(name)) {
+                return lines.get(i + 1);
+            }
+        }
+        return null;
+    }
+
+    /** How many lines have a name. */
+    public int count(String name) {
+        int count = 0;
+        for (int i = 0; i < lines.size(); i += 2) {
+            count += lines.get(i).equalsIgnoreCase(name) ? 1 : 0;
+        }
+        return count;
+    }
+
+    /** Names and values in turn. */
+    public List<String> lines() {
+        return lines;
+    }
+
+    /** Whether a line of this name lists this word, which is given in lower case. */
+    public boolean lists(String name, String word) {
+        for (int i = 0; i < lines.size(); i += 2) {
+            if (lines.get(i).equalsIgnoreCase(name) && listed(lines.get(i + 1), word)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** The lines that concern more than one connection, without the length of the body. */
+    public Headers endToEnd() {
+        Headers kept = new Headers(new ArrayList<>(lines.size() + 8));
+        boolean names = get("Connection") != null;
+        for (int i = 0; i < lines.size(); i += 2) {
+            String name = lines.get(i);
+            if (!isHopByHop(name) && !(names && lists("Connection", name.toLowerCase(Locale.ROOT)))) {
+                kept.add(name, lines.get(i + 1));
+            }
+        }
+        return kept;
+    }
+
+    private static boolean isHopByHop(String name) {
+        for (String hop : HOP_BY_HOP) {
+            if (hop.equalsIgnoreCase(name)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private static boolean listed(String value, String word) {
+        int start = 0;
+        while (start <= value.length()) {
+            int comma = value.indexOf(',', start);
+            int end = comma < 0 ? value.length() : comma;
+            if (value.substring(start, end).trim().equalsIgnoreCase(word)) {
+                return true;
+            }
+            start = end + 1;
+        }
+        return false;
+    }
+}
--- /dev/null
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/http/MessageReader.java
@@ -0,0 +1,263 @@
+package ridgemill.cdn.proxy.http;
+
+import io.netty.buffer.ByteBuf;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+
+/**
+ * Reads one HTTP/1.1 message at a time from the bytes of a connection, and refuses all framing that two readers could
+ * understand differently.
+ */
+public abstract class MessageReader {
+
+    private static final byte[] EMPTY = {};
+    private static final int LONGEST_CHUNK_LINE = 1_024;
+    private static final int MOST_CHUNK_DIGITS = 8;
+    /** A body takes this much at once at most, whatever length its head states. */
+    private static final int FIRST_PIECE = 256 * 1_024;
+
+    private enum State { HEAD, FIXED, CHUNK_LINE, CHUNK, CHUNK_END, TRAILER, WHOLE }
+
+    private State state = State.HEAD;
+    private int scanned;
+    private int trailerBytes;
+    private byte[] body = EMPTY;
+    private int filled;
+    private long left;
+    private Headers headers;
+
+    /** Reads the first line of a head. */
+    abstract void startLine(String line) throws BadMessageException;
+
+    /** Whether no body follows this head, whatever it says. */
+    abstract boolean isBodiless();
+
+    /** Whether a head that states no length has no body; else it can't be read. */
+    abstract boolean isEmptyWithoutLength();
+
+    /** The most bytes a head may have. */
+    abstract int maxHeadBytes();
+
+    /** The most bytes a body may have. */
+    abstract long maxBodyBytes();
+
+    /**
+     * Reads on; bytes that belong to the message are taken from the buffer.
+     *
+     * @return whether the message is whole
+     * @throws BadMessageException if it can't be one; the connection is of no use any more
+     */
+    public final boolean read(ByteBuf in) throws BadMessageException {
+        while (state != State.WHOLE) {
+            boolean more = switch (state) {
+                case HEAD -> readHead(in);
+                case FIXED -> readBody(in, State.WHOLE);
+                case CHUNK_LINE -> readChunkLine(in);
+                case CHUNK -> readBody(in, State.CHUNK_END);
+                case CHUNK_END -> readChunkEnd(in);
+                case TRAILER -> readTrailer(in);
+                case WHOLE -> false;
+            };
+            if (!more) {
+                return state == State.WHOLE;
+            }
+        }
+        return true;
+    }
+
+    /** Whether the head has been read. */
+    public final boolean hasHead() {
+        return state != State.HEAD;
+    }
+
+    /** The header lines, once the head has been read. */
+    public final Headers headers() {
+        return headers;
+    }
+
+    /** The body, once the message is whole. */
+    public final byte[] body() {
+        return body.length == filled ? body : Arrays.copyOf(body, filled);
+    }
+
+    /** Makes ready for the next message. */
+    public void reset() {
+        state = State.HEAD;
+        scanned = 0;
+        trailerBytes = 0;
+        body = EMPTY;
+        filled = 0;
+        left = 0;
+        headers = null;
+    }
+
+    private boolean readHead(ByteBuf in) throws BadMessageException {
+        int end = endOfHead(in);
+        if (end < 0) {
+            return false;
+        }
+        byte[] bytes = new byte[end];
+        in.readBytes(bytes);
+        scanned = 0;
+        int lineEnd = endOfLine(bytes, 0);
+        startLine(new String(bytes, 0, lineEnd, StandardCharsets.ISO_8859_1));
+        headers = new Headers();
+        for (int start = lineEnd + 2; bytes[start] != '\r'; start = lineEnd + 2) {
+            lineEnd = endOfLine(bytes, start);
+            HeaderLine.read(bytes, start, lineEnd, headers);
+        }
+        frame();
+        return true;
+    }
+
+    /** The number of bytes up to the empty line and with it; negative where it has not come. Ends of lines are CR LF. */
+    private int endOfHead(ByteBuf in) throws BadMessageException {
+        int start = in.readerIndex();
+        int readable = in.readableBytes();
+        for (; scanned < readable; scanned++) {
+            if (scanned >= maxHeadBytes()) {
+                throw new BadMessageException(431, "the head is too long");
+            }
+            byte b = in.getByte(start + scanned);
+            if (b == '\n') {
+                if (scanned == 0 || in.getByte(start + scanned - 1) != '\r') {
+                    throw new BadMessageException(400, "a line ends without CR");
+                }
+                if (scanned >= 3 && in.getByte(start + scanned - 2) == '\n') {
+                    return scanned + 1;
+                }
+            } else if (scanned > 0 && in.getByte(start + scanned - 1) == '\r') {
+                throw new BadMessageException(400, "a CR without LF");
+            }
+        }
+        return -1;
+    }
+
+    private static int endOfLine(byte[] bytes, int start) {
+        int at = start;
+        while (bytes[at] != '\r') {
+            at++;
+        }
+        return at;
+    }
+
+    private void frame() throws BadMessageException {
+        int codings = headers.count("Transfer-Encoding");
+        int lengths = headers.count("Content-Length");
+        if (codings > 0) {
+            if (lengths > 0 || codings > 1 || !"chunked".equalsIgnoreCase(headers.get("Transfer-Encoding"))) {
+                throw new BadMessageException(400, "the coding leaves the length open");
+            }
+            state = isBodiless() ? State.WHOLE : State.CHUNK_LINE;
+        } else if (lengths > 1) {
+            throw new BadMessageException(400, "more than one length");
+        } else if (lengths == 1) {
+            fixed(HeaderLine.length(headers.get("Content-Length")));
+        } else if (isBodiless() || isEmptyWithoutLength()) {
+            state = State.WHOLE;
+        } else {
+            throw new BadMessageException(400, "nothing tells the end of the body");
+        }
+    }
+
+    private void fixed(long length) throws BadMessageException {
+        if (isBodiless()) {
+            state = State.WHOLE;
+            return;
+        }
+        if (length > maxBodyBytes()) {
+            throw new BadMessageException(413, "the body is too long");
+        }
+        left = length;
+        body = length == 0 ? EMPTY : new byte[(int) Math.min(length, FIRST_PIECE)];
+        state = length == 0 ? State.WHOLE : State.FIXED;
+    }
+
+    private boolean readBody(ByteBuf in, State next) {
+        int take = (int) Math.min(left, in.readableBytes());
+        if (take == 0) {
+            return false;
+        }
+        if (filled + take > body.length) {
+            long wanted = Math.max(filled + take, Math.min(2L * body.length, filled + left));
+            body = Arrays.copyOf(body, (int) wanted);
+        }
+        in.readBytes(body, filled, take);
+        filled += take;
+        left -= take;
+        if (left == 0) {
+            state = next;
+        }
+        return left == 0;
+    }
+
+    private boolean readChunkLine(ByteBuf in) throws BadMessageException {
+        String line = line(in, LONGEST_CHUNK_LINE);
+        if (line == null) {
+            return false;
+        }
+        int digits = 0;
+        while (digits < line.length() && Character.digit(line.charAt(digits), 16) >= 0 && line.charAt(digits) < 128) {
+            digits++;
+        }
+        if (digits == 0 || digits > MOST_CHUNK_DIGITS || digits < line.length() && line.charAt(digits) != ';') {
+            throw new BadMessageException(400, "a chunk without a length");
+        }
+        left = Long.parseLong(line.substring(0, digits), 16);
+        if (filled + left > maxBodyBytes()) {
+            throw new BadMessageException(413, "the body is too long");
+        }
+        state = left == 0 ? State.TRAILER : State.CHUNK;
+        return true;
+    }
+
+    private boolean readChunkEnd(ByteBuf in) throws BadMessageException {
+        if (in.readableBytes() < 2) {
+            return false;
+        }
+        if (in.readByte() != '\r' || in.readByte() != '\n') {
+            throw new BadMessageException(400, "a chunk is longer than it says");
+        }
+        state = State.CHUNK_LINE;
+        return true;
+    }
+
+    /** Reads and drops the lines behind the last chunk. */
+    private boolean readTrailer(ByteBuf in) throws BadMessageException {
+        String line = line(in, maxHeadBytes());
+        if (line == null) {
+            return false;
+        }
+        trailerBytes += line.length() + 2;
+        if (trailerBytes > maxHeadBytes()) {
+            throw new BadMessageException(431, "the trailer is too long");
+        }
+        if (line.isEmpty()) {
+            state = State.WHOLE;
+        } else {
+            byte[] bytes = line.getBytes(StandardCharsets.ISO_8859_1);
+            HeaderLine.read(bytes, 0, bytes.length, new Headers());
+        }
+        return true;
+    }
+
+    private static String line(ByteBuf in, int most) throws BadMessageException {
+        int start = in.readerIndex();
+        int lineFeed = in.indexOf(start, in.writerIndex(), (byte) '\n');
+        if (lineFeed < 0) {
+            if (in.readableBytes() > most) {
+                throw new BadMessageException(400, "a line is too long");
+            }
+            return null;
+        }
+        if (lineFeed - start > most || lineFeed == start || in.getByte(lineFeed - 1) != '\r') {
+            throw new BadMessageException(400, "a line ends without CR or is too long");
+        }
+        String line = in.toString(start, lineFeed - 1 - start, StandardCharsets.ISO_8859_1);
+        if (line.indexOf('\r') >= 0) {
+            throw new BadMessageException(400, "a CR without LF");
+        }
+        in.readerIndex(lineFeed + 1);
+        return line;
+    }
+}
--- /dev/null
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/http/MessageWriter.java
@@ -0,0 +1,110 @@
+package ridgemill.cdn.proxy.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+
+/** Writes messages. */
+public final class MessageWriter {
+
+    /** Bodies up to this are copied behind their heads, so that one write takes both. */
+    private static final int COPIED = 8 * 1_024;
+    private static final int HEAD = 1_024;
+
+    private MessageWriter() { }
+
+    /** The bytes of a request; {@code headers} have no length of the body, which is added. */
+    public static ByteBuf request(
+            ByteBufAllocator allocator, String method, String target, Headers headers, byte[] body) {
+        ByteBuf out = allocator.buffer(HEAD + Math.min(COPIED, body.length));
+        text(out, method);
+        out.writeByte(' ');
+        text(out, target);
+        text(out, " HTTP/1.1\r\n");
+        lines(out, headers.lines());
+        boolean hasLength = body.length > 0 || !method.equals("GET") && !method.equals("HEAD");
+        return end(out, hasLength ? body.length : -1, body);
+    }
+
+    /**
+     * The bytes of an answer.
+     *
+     * @param headers names and values in turn, without the length of the body
+     * @param more further lines, whole and with their ends
+     * @param length the length to state; negative for none
+     */
+    public static ByteBuf answer(
+            ByteBufAllocator allocator, int status, List<String> headers, String more, long length, byte[] body) {
+        ByteBuf out = allocator.buffer(HEAD + Math.min(COPIED, body.length));
+        text(out, "HTTP/1.1 ");
+        text(out, Integer.toString(status));
+        out.writeByte(' ');
+        text(out, reason(status));
+        text(out, "\r\n");
+        lines(out, headers);
+        text(out, more);
+        return end(out, length, body);
+    }
+
+    private static ByteBuf end(ByteBuf out, long length, byte[] body) {
+        if (length >= 0) {
+            text(out, "Content-Length: ");
+            text(out, Long.toString(length));
+            text(out, "\r\n");
+        }
+        text(out, "\r\n");
+        if (body.length <= COPIED) {
+            return out.writeBytes(body);
+        }
+        return Unpooled.wrappedBuffer(out, Unpooled.wrappedBuffer(body));
+    }
+
+    private static void lines(ByteBuf out, List<String> headers) {
+        for (int i = 0; i < headers.size(); i += 2) {
+            text(out, headers.get(i));
+            text(out, ": ");
+            text(out, headers.get(i + 1));
+            text(out, "\r\n");
+        }
+    }
+
+    private static void text(ByteBuf out, String text) {
+        if (isAscii(text)) {
+            ByteBufUtil.writeAscii(out, text);
+        } else {
+            out.writeBytes(text.getBytes(StandardCharsets.ISO_8859_1));
+        }
+    }
+
+    private static boolean isAscii(String text) {
+        for (int i = 0; i < text.length(); i++) {
+            if (text.charAt(i) >= 128) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static String reason(int status) {
+        return switch (status) {
+            case 200 -> "OK";
+            case 206 -> "Partial Content";
+            case 304 -> "Not Modified";
+            case 400 -> "Bad Request";
+            case 404 -> "Not Found";
+            case 408 -> "Request Timeout";
+            case 409 -> "Conflict";
+            case 413 -> "Content Too Large";
+            case 416 -> "Range Not Satisfiable";
+            case 431 -> "Request Header Fields Too Large";
+            case 500 -> "Internal Server Error";
+            case 502 -> "Bad Gateway";
+            case 503 -> "Service Unavailable";
+            case 504 -> "Gateway Timeout";
+            default -> "Status";
+        };
+    }
+}
--- /dev/null
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/http/RequestReader.java
@@ -0,0 +1,82 @@
+package ridgemill.cdn.proxy.http;
+
+/** Reads requests. */
+public final class RequestReader extends MessageReader {
+
+    private int maxHeadBytes;
+    private long maxBodyBytes;
+    private String method;
+    private String target;
+    private boolean oldVersion;
+
+    /** Bounds what is read from now on. */
+    public void limits(int headBytes, long bodyBytes) {
+        maxHeadBytes = headBytes;
+        maxBodyBytes = bodyBytes;
+    }
+
+    /** The method. */
+    public String method() {
+        return method;
+    }
+
+    /** The path with its query, as it came. */
+    public String target() {
+        return target;
+    }
+
+    /** Whether the client wants the connection to stay open. */
+    public boolean isKeepAlive() {
+        return !oldVersion && !headers().lists("Connection", "close");
+    }
+
+    /** Whether the client waits for a word before it sends the body. */
+    public boolean expectsContinue() {
+        return "100-continue".equalsIgnoreCase(headers().get("Expect"));
+    }
+
+    @Override
+    void startLine(String line) throws BadMessageException {
+        int first = line.indexOf(' ');
+        int second = line.indexOf(' ', first + 1);
+        if (first <= 0 || second < 0 || line.indexOf(' ', second + 1) >= 0) {
+            throw new BadMessageException(400, "the request line has other than three parts");
+        }
+        method = line.substring(0, first);
+        target = line.substring(first + 1, second);
+        String version = line.substring(second + 1);
+        oldVersion = version.equals("HTTP/1.0");
+        if (!HeaderLine.isToken(method) || !isPath(target) || !oldVersion && !version.equals("HTTP/1.1")) {
+            throw new BadMessageException(400, "the request line makes no sense");
+        }
+    }
+
+    private static boolean isPath(String text) {
+        for (int i = 0; i < text.length(); i++) {
+            if (text.charAt(i) <= ' ' || text.charAt(i) >= 127 || text.charAt(i) == '#') {
+                return false;
+            }
+        }
+        return text.startsWith("/");
+    }
+
+    @Override
+    boolean isBodiless() {
+        return false;
+    }
+
+    @Override
+    boolean isEmptyWithoutLength() {
+        return true;
+    }
+
+    @Override
+    int maxHeadBytes() {
+        return maxHeadBytes;
+    }
+
+    @Override
+    long maxBodyBytes() {
+        return maxBodyBytes;
+    }
+}
--- a/gateway/src/main/java/ridgemill/gateway/back/IdleAges.java
+++ b/gateway/src/main/java/ridgemill/gateway/back/IdleAges.java
@@ -9,7 +9,7 @@
  * translators that forget. Could do harm where a request and not its connection is what breaks, at one age by chance: it
  * costs handshakes, so ages under a floor are never too old, and what was learned fades.
  */
-final class IdleAges {
+public final class IdleAges {
 
     private static final double FIRST_MS = 10;
     private static final double STEP = 1.4;
@@ -29,7 +29,7 @@
     private long updated;
 
     /** An exchange on a connection that had been idle for so long, or 0 on a new one, ended. */
-    void used(double idleMs, boolean broke, long nowNanos) {
+    public void used(double idleMs, boolean broke, long nowNanos) {
         fade(nowNanos);
         int age = idleMs <= 0 ? 0 : ageOf(idleMs);
         uses[age]++;
@@ -37,7 +37,7 @@
     }
 
     /** The idle time from which on a connection is not used any more. */
-    double limitMs(long nowNanos) {
+    public double limitMs(long nowNanos) {
         if (nowNanos - updated > TimeUnit.MILLISECONDS.toNanos(100)) {
             fade(nowNanos);
         }
