--- a/cdn/src/main/java/ridgemill/cdn/app/Process.java
+++ b/cdn/src/main/java/ridgemill/cdn/app/Process.java
@@ -46,7 +46,7 @@
 
     void runStore() {
         StoreProgram store = new StoreProgram(settings, loop, sockets, clock);
-        started(store::start);
+        started(() -> store.start().join());
         onTermination(() -> {
             store.stop();
             end();
@@ -57,7 +57,10 @@
         try {
             start.run();
         } catch (RuntimeException failed) {
-            if (failed instanceof ChannelException || failed.getCause() instanceof java.io.IOException) {
+            boolean taken = failed instanceof ChannelException
+                    || failed.getCause() instanceof ChannelException
+                    || failed.getCause() instanceof java.io.IOException;
+            if (taken) {
                 Main.fail("can't listen: " + failed.getMessage());
             }
             throw failed;
