--- a/cdn/src/main/java/ridgemill/cdn/store/DiskQueue.java
+++ b/cdn/src/main/java/ridgemill/cdn/store/DiskQueue.java
@@ -27,6 +27,7 @@
     private final ArrayDeque<Submission> waiting = new ArrayDeque<>();
     private final PendingChanges unwritten = new PendingChanges();
     private Consumer<StoredState> opened;
+    private Runnable lost;
     private boolean failing;
     private boolean stopped;
 
@@ -43,9 +44,14 @@
         thread.setDaemon(true);
     }
 
-    /** Opens the disk and reports what it holds; repeated until the disk lets itself be opened. */
-    void start(Consumer<StoredState> whenOpened) {
+    /**
+     * Opens the disk and reports what it holds; repeated until the disk lets itself be opened.
+     *
+     * @param whenLost called if the disk became unreadable later and was begun anew: all has to be written again
+     */
+    void start(Consumer<StoredState> whenOpened, Runnable whenLost) {
         opened = whenOpened;
+        lost = whenLost;
         thread.start();
     }
 
@@ -153,12 +159,12 @@
         }
         try {
             disk.write(unwritten.toBatch());
-            unwritten.clear();
-            if (failing) {
-                LOG.log(Level.INFO, "event=disk_writes_again");
+        } catch (DiskCorruptException corrupt) {
+            LOG.log(Level.ERROR, "event=disk_unreadable cause=\"" + corrupt.getMessage() + "\"");
+            if (moveAside()) {
+                loop.execute(lost);
             }
-            failing = false;
-            return true;
+            return false;
         } catch (IOException refused) {
             if (!failing) {
                 LOG.log(Level.ERROR, "event=disk_refuses cause=\"" + refused.getMessage() + "\"");
@@ -166,6 +172,12 @@
             failing = true;
             return false;
         }
+        unwritten.clear();
+        if (failing) {
+            LOG.log(Level.INFO, "event=disk_writes_again");
+        }
+        failing = false;
+        return true;
     }
 
     private void report(List<Submission> taken, boolean written) {
--- a/cdn/src/main/java/ridgemill/cdn/store/StoreProgram.java
+++ b/cdn/src/main/java/ridgemill/cdn/store/StoreProgram.java
@@ -70,7 +70,7 @@
      * @return done once this store answers calls, though perhaps not yet as a voter; failed if its address is taken
      */
     public CompletableFuture<Void> start() {
-        disk.start(this::opened);
+        disk.start(this::opened, replica::writeAll);
         return listening;
     }
 
--- a/cdn/src/main/java/ridgemill/cdn/store/StoreReplica.java
+++ b/cdn/src/main/java/ridgemill/cdn/store/StoreReplica.java
@@ -95,14 +95,23 @@
     /** Takes over what the other voters hold; this store votes once all of it is on disk. */
     void recovered(List<KeyRecord> merged, Consumer<Boolean> done) {
         keys.restore(merged);
-        DiskBatch all = new DiskBatch(new ArrayList<>(items.all()), keys.all(), List.of(), quorum.voters());
-        disk.submit(all, written -> {
+        disk.submit(everything(), written -> {
             complete |= written;
             LOG.log(Level.INFO, "event=recovered durable=" + written + " keys=" + keys.size());
             done.accept(written);
         });
     }
 
+    /** Writes all that is in memory to a disk that was begun anew. */
+    void writeAll() {
+        disk.submit(everything(), written -> { });
+    }
+
+    private DiskBatch everything() {
+        List<String> voters = quorum.isKnown() ? quorum.voters() : null;
+        return new DiskBatch(new ArrayList<>(items.all()), keys.all(), List.of(), voters);
+    }
+
     /** Merges item versions, passes on what was new, and tells whether all of them are on disk. */
     void mergeItems(Collection<Item> versions, Consumer<Boolean> done) {
         List<Item> changed = items.mergeAll(versions);
--- a/cdn/src/main/java/ridgemill/cdn/store/XodusDisk.java
+++ b/cdn/src/main/java/ridgemill/cdn/store/XodusDisk.java
@@ -10,7 +10,6 @@
 import java.util.stream.Stream;
 import jetbrains.exodus.ArrayByteIterable;
 import jetbrains.exodus.ByteIterable;
-import jetbrains.exodus.ExodusException;
 import jetbrains.exodus.env.Cursor;
 import jetbrains.exodus.env.Environment;
 import jetbrains.exodus.env.EnvironmentConfig;
@@ -18,14 +17,18 @@
 import jetbrains.exodus.env.Store;
 import jetbrains.exodus.env.StoreConfig;
 import jetbrains.exodus.env.Transaction;
+import jetbrains.exodus.log.LogConfig;
 import ridgemill.cdn.config.Item;
 import ridgemill.cdn.config.ItemName;
 import ridgemill.cdn.keys.KeyRecord;
+import ridgemill.cdn.store.log.BrokenLogException;
+import ridgemill.cdn.store.log.CheckedFolder;
+import ridgemill.cdn.store.log.DiskFile;
 import ridgemill.cdn.wire.FieldReader;
 import ridgemill.cdn.wire.FieldWriter;
 import ridgemill.cdn.wire.Fields;
 
-/** Keeps the store's state in a Xodus environment in one folder. */
+/** Keeps the store's state in a Xodus environment in one folder, over files with checksums. */
 final class XodusDisk implements StoreDisk {
 
     private static final long FORMAT = 1;
@@ -37,6 +40,10 @@
     private static final ByteIterable VOTERS_KEY = bytes("voters");
 
     private final Path folder;
+    private final DiskFile.Opener opener;
+    private CheckedFolder files;
+    /** Up to which address the log was on disk when this process closed it; what it wrote behind may be lost. */
+    private long knownSynced = Long.MAX_VALUE;
     private Environment environment;
     private Store meta;
     private Store items;
@@ -44,7 +51,12 @@
 
     /** A disk at a folder, which is made when it is opened. */
     XodusDisk(Path folder) {
+        this(folder, DiskFile::of);
+    }
+
+    XodusDisk(Path folder, DiskFile.Opener opener) {
         this.folder = folder;
+        this.opener = opener;
     }
 
     @Override
@@ -52,7 +64,8 @@
         close();
         Files.createDirectories(folder);
         try {
-            environment = Environments.newInstance(folder.toFile(), configuration());
+            files = CheckedFolder.open(folder, LOG_FILE_KB << 10, knownSynced, opener);
+            environment = Environments.newInstance(LogConfig.create(files, files), configuration());
             environment.executeInTransaction(this::openStores);
             StoredState state = environment.computeInReadonlyTransaction(this::readAll);
             if (state == null) {
@@ -62,15 +75,19 @@
         } catch (RuntimeException failure) {
             close();
             throw explain(failure);
-        } catch (DiskCorruptException unreadable) {
+        } catch (BrokenLogException broken) {
+            close();
+            throw new DiskCorruptException(broken.getMessage(), broken);
+        } catch (IOException failure) {
             close();
-            throw unreadable;
+            throw failure;
         }
     }
 
     @Override
     public void moveAside() throws IOException {
         close();
+        knownSynced = Long.MAX_VALUE;
         Path aside = folder.resolveSibling(folder.getFileName() + ".unreadable");
         if (Files.exists(aside)) {
             try (Stream<Path> inside = Files.walk(aside)) {
@@ -89,7 +106,7 @@
         }
         try {
             environment.executeInTransaction(transaction -> put(batch, transaction));
-        } catch (UncheckedWrite | ExodusException failure) {
+        } catch (RuntimeException failure) {
             close();
             throw explain(failure);
         }
@@ -106,6 +123,11 @@
             }
             environment = null;
         }
+        if (files != null) {
+            files.closeBlocks();
+            knownSynced = files.syncedAddress();
+            files = null;
+        }
     }
 
     private static EnvironmentConfig configuration() {
--- a/cdn/src/test/java/ridgemill/cdn/store/StoreProgramTest.java
+++ b/cdn/src/test/java/ridgemill/cdn/store/StoreProgramTest.java
@@ -10,6 +10,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import ridgemill.cdn.config.Item;
 import ridgemill.cdn.config.ItemKind;
 import ridgemill.cdn.config.ItemName;
@@ -126,6 +128,56 @@
         assertThat(write(wiped, item).durable()).isTrue();
     }
 
+    @ParameterizedTest
+    @CsvSource({"true,false", "false,true"})
+    void aDiskThatRefusesIsSaidSoAndIsUsedAgainLater(boolean writes, boolean syncs) {
+        TroubledDisk trouble = new TroubledDisk();
+        restartOn(trouble);
+        StoreCluster.Caller caller = cluster.caller(0);
+        Item item = item("r1", 1);
+        assertThat(claim(caller, "c1").available()).isTrue();
+        trouble.refuse(writes, syncs);
+        assertThat(write(caller, item).durable()).isFalse();
+        assertThat(finish(caller, "c1").durable()).isFalse();
+        assertThat(claim(caller, "c2").state()).isEqualTo(KeyState.FINISHED);
+        trouble.refuse(false, false);
+        while (!write(caller, item).durable()) {
+            continue;
+        }
+        cluster.stop(0);
+        cluster.start(0, false);
+        StoreCluster.Caller after = cluster.caller(0);
+        assertThat(claim(after, "c2").state()).isEqualTo(KeyState.FINISHED);
+        assertThat(after.call(StoreMessages.ReadItems::new, StoreMessages.ItemsRead.class).items())
+                .containsExactly(item);
+    }
+
+    @Test
+    void aDiskThatHangsHoldsUpWritesOnly() throws Exception {
+        TroubledDisk trouble = new TroubledDisk();
+        restartOn(trouble);
+        StoreCluster.Caller caller = cluster.caller(0);
+        caller.send(new StoreMessages.Subscribe("", 0));
+        caller.take(StoreMessages.Snapshot.class);
+        trouble.hang();
+        var granted = caller.begin(
+                id -> new StoreMessages.ClaimKey(id, "key", "c1"), StoreMessages.KeyStatus.class);
+        var stored = caller.begin(
+                id -> new StoreMessages.WriteItems(id, List.of(item("r1", 1))), StoreMessages.Written.class);
+        assertThat(claim(caller, "c2").claimId()).isEqualTo("c1");
+        assertThat(caller.take(StoreMessages.News.class).items()).containsExactly(item("r1", 1));
+        assertThat(granted).isNotDone();
+        assertThat(stored).isNotDone();
+        trouble.goOn();
+        assertThat(granted.join().claimId()).isEqualTo("c1");
+        assertThat(stored.join().durable()).isTrue();
+    }
+
+    private void restartOn(TroubledDisk trouble) {
+        cluster.stop(0);
+        cluster.start(0, false, new XodusDisk(cluster.folderOf(0).resolve("store"), trouble));
+    }
+
     private static Item item(String name, long version) {
         return new Item(new ItemName(ItemKind.ROUTE, name), version, "{\"version\":" + version + "}");
     }
--- /dev/null
+++ b/cdn/src/test/java/ridgemill/cdn/store/TroubledDisk.java
@@ -0,0 +1,74 @@
+package ridgemill.cdn.store;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.file.Path;
+import java.util.concurrent.Semaphore;
+import ridgemill.cdn.store.log.DiskFile;
+
+/** Opens files of a disk that refuses or hangs when it is told to. */
+final class TroubledDisk implements DiskFile.Opener {
+
+    private final Semaphore working = new Semaphore(1);
+    private volatile boolean refusesWrites;
+    private volatile boolean refusesSyncs;
+
+    void refuse(boolean writes, boolean syncs) {
+        refusesWrites = writes;
+        refusesSyncs = syncs;
+    }
+
+    void hang() {
+        working.acquireUninterruptibly();
+    }
+
+    void goOn() {
+        working.release();
+    }
+
+    @Override
+    public DiskFile open(Path path) throws IOException {
+        DiskFile file = DiskFile.of(path);
+        return new DiskFile() {
+            @Override
+            public long size() throws IOException {
+                return file.size();
+            }
+
+            @Override
+            public void read(ByteBuffer into, long position) throws IOException {
+                file.read(into, position);
+            }
+
+            @Override
+            public void write(ByteBuffer bytes, long position) throws IOException {
+                if (refusesWrites) {
+                    bytes.limit(bytes.position() + bytes.remaining() / 2);
+                    file.write(bytes, position);
+                    throw new IOException("No space left on device");
+                }
+                file.write(bytes, position);
+            }
+
+            @Override
+            public void truncate(long size) throws IOException {
+                file.truncate(size);
+            }
+
+            @Override
+            public void force() throws IOException {
+                working.acquireUninterruptibly();
+                working.release();
+                if (refusesSyncs) {
+                    throw new IOException("Input/output error");
+                }
+                file.force();
+            }
+
+            @Override
+            public void close() throws IOException {
+                file.close();
+            }
+        };
+    }
+}
