Test what an edge proxy decides; shares of a few arrivals a second stay under the ceiling

The test of the origin's ceiling found a fault: 60 proxies at 20 requests a second let 120 arrive in 5 s where 115 are allowed, as each one's bucket holds a whole arrival, which is more than its part of a small share. The share's rate now leaves room for that burst. Shares of 1.7 a second and more are as before. A bucket smaller than one arrival was ruled out: it would never allow any.

--- a/cdn-core/src/main/java/ridgemill/cdn/edge/OriginShare.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/edge/OriginShare.java
@@ -5,8 +5,7 @@
 
 /**
  * This proxy's share of the rate that all instances of one service together may receive. It refuses at once when the
- * share
- * is used up. A burst stays well below what the rules tolerate over their window if all proxies have theirs at once.
+ * share is used up. A burst stays well below what the rules tolerate over their window if all proxies have theirs at once.
  */
 public final class OriginShare {
 
@@ -16,6 +15,9 @@
     /** Left of the share, as clocks and counts differ. */
     private static final double USED = 0.98;
     private static final double LEAST_RATE = 0.01;
+    /** What the rules tolerate: this multiple of the rate over any window of so many seconds. */
+    private static final double CEILING = 1.1;
+    private static final double WINDOW_SECONDS = 5;
 
     private double perSecond;
     private TokenBucket bucket;
@@ -30,8 +32,10 @@
             bucket = null;
             return;
         }
-        double used = Math.max(LEAST_RATE, USED * requestsPerSecond);
-        Rate rate = new Rate(used, Math.max(LEAST_BURST, BURST_SECONDS * used));
+        double burst = Math.max(LEAST_BURST, BURST_SECONDS * USED * requestsPerSecond);
+        // A burst of one is more than its part of a small share: many proxies' bursts together would pass the ceiling.
+        double beyondBurst = CEILING * requestsPerSecond - burst / WINDOW_SECONDS;
+        Rate rate = new Rate(Math.max(LEAST_RATE, Math.min(USED * requestsPerSecond, beyondBurst)), burst);
         if (bucket == null) {
             bucket = new TokenBucket(rate, nowMs);
         } else {
--- /dev/null
+++ b/cdn-core/src/test/java/ridgemill/cdn/edge/InstancePickerTest.java
@@ -0,0 +1,185 @@
+package ridgemill.cdn.edge;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import ridgemill.cdn.edge.InstancePicker.Pick;
+import ridgemill.cdn.instances.Instance;
+import ridgemill.cdn.instances.InstanceState;
+
+class InstancePickerTest {
+
+    private static final int SLOTS = 4;
+    private static final double NOW = 100_000;
+
+    private final InstancePicker picker = new InstancePicker();
+    private final List<InstanceStats> all = new ArrayList<>();
+
+    private InstanceStats add(String id, boolean local, long coldUntilMs) {
+        Instance instance = new Instance(
+                id, "s", "a:" + all.size(), "z", "v1", SLOTS, InstanceState.READY, 1, coldUntilMs);
+        InstanceStats stats = new InstanceStats(instance);
+        stats.learn(instance, local, 100);
+        all.add(stats);
+        picker.instances(all);
+        return stats;
+    }
+
+    private InstanceStats pick(double nowMs, long key, InstanceStats... tried) {
+        return ((Pick.Chosen) picker.pick(nowMs, key, List.of(tried))).instance();
+    }
+
+    private static void fill(InstanceStats instance) {
+        while (instance.isOpen(NOW)) {
+            instance.began();
+        }
+    }
+
+    /** Two requests go there and meet silence. */
+    private void fail(InstanceStats instance, double nowMs) {
+        for (int i = 0; i < 2; i++) {
+            instance.began();
+            instance.ended(nowMs, Verdict.SILENT, 100, false, true);
+        }
+    }
+
+    @Test
+    void ofTheKeysTwoCandidatesTheOneWithFewerInFlightWins() {
+        for (int i = 0; i < 10; i++) {
+            add("i" + i, true, 0);
+        }
+        for (long key = 0; key < 100; key++) {
+            InstanceStats first = pick(NOW, key);
+            assertThat(pick(NOW, key)).as("a tie goes to the first").isSameAs(first);
+            first.began();
+            InstanceStats second = pick(NOW, key);
+            assertThat(second).isNotSameAs(first);
+            second.began();
+            second.began();
+            assertThat(pick(NOW, key)).as("no third, though idle").isSameAs(first);
+            first.withdrawn();
+            second.withdrawn();
+            second.withdrawn();
+        }
+    }
+
+    @Test
+    void aToldLoadBreaksATie() {
+        add("a", true, 0);
+        add("b", true, 0);
+        InstanceStats first = pick(NOW, 7);
+        first.toldLoad(NOW, 3, 0, SLOTS);
+        assertThat(pick(NOW, 7)).isNotSameAs(first);
+        assertThat(pick(NOW + 300, 7)).as("old news").isSameAs(first);
+    }
+
+    @Test
+    void theOwnRegionComesFirstWhileItCanTakeTheRequest() {
+        InstanceStats here = add("a", true, 0);
+        InstanceStats alsoHere = add("b", true, 0);
+        add("c", false, 0);
+        for (long key = 0; key < 50; key++) {
+            assertThat(pick(NOW, key).isLocal()).isTrue();
+        }
+        fill(here);
+        assertThat(pick(NOW, 1)).isSameAs(alsoHere);
+        fail(alsoHere, NOW);
+        assertThat(pick(NOW, 1).isLocal()).isFalse();
+        assertThat(pick(NOW + 600, 1)).as("on trial once its time is over").isSameAs(alsoHere);
+    }
+
+    @Test
+    void aFailingInstanceIsSparedThenTriedByOneRequest() {
+        InstanceStats failing = add("a", true, 0);
+        InstanceStats other = add("b", true, 0);
+        add("c", true, 0);
+        fail(failing, NOW);
+        for (long key = 0; key < 50; key++) {
+            assertThat(pick(NOW + 400, key)).isNotSameAs(failing);
+        }
+        assertThat(failing.isUsable(NOW + 600)).isTrue();
+        failing.began();
+        assertThat(failing.isUsable(NOW + 600)).as("one on trial is enough").isFalse();
+        failing.ended(NOW + 700, Verdict.ANSWERED, 100, false, true);
+        failing.began();
+        assertThat(failing.isUsable(NOW + 700)).as("it is well again").isTrue();
+        assertThat(other.isUsable(NOW)).isTrue();
+    }
+
+    @Test
+    void whereAllAreSparedOneIsBetterThanNone() {
+        fail(add("a", true, 0), NOW);
+        assertThat(pick(NOW, 1)).isNotNull();
+        fail(add("b", true, 0), NOW);
+        assertThat(picker.maySpare(NOW)).isFalse();
+    }
+
+    @Test
+    void atMostHalfMayBeSpared() {
+        InstanceStats one = add("a", true, 0);
+        InstanceStats two = add("b", true, 0);
+        add("c", true, 0);
+        add("d", true, 0);
+        assertThat(picker.maySpare(NOW)).isTrue();
+        fail(one, NOW);
+        assertThat(picker.maySpare(NOW)).isTrue();
+        fail(two, NOW);
+        assertThat(picker.maySpare(NOW)).isFalse();
+    }
+
+    @Test
+    void aColdInstanceGetsFewerKeys() {
+        InstanceStats cold = add("cold", true, (long) NOW + 1_000);
+        add("b", true, 0);
+        add("c", true, 0);
+        Map<InstanceStats, Integer> counts = new HashMap<>();
+        for (long key = 0; key < 6_000; key++) {
+            counts.merge(pick(NOW, key), 1, Integer::sum);
+        }
+        assertThat(counts.get(cold)).isBetween(600, 1_200);
+        int warm = 0;
+        for (long key = 0; key < 6_000; key++) {
+            warm += pick(NOW + 1_000, key) == cold ? 1 : 0;
+        }
+        assertThat(warm).as("once warm").isBetween(1_800, 2_200);
+    }
+
+    @Test
+    void aFullInstanceGetsNothingAndAllFullIsACrowd() {
+        InstanceStats full = add("a", true, 0);
+        fill(full);
+        assertThat(picker.pick(NOW, 1, List.of())).isInstanceOf(Pick.Crowded.class);
+        InstanceStats other = add("b", true, 0);
+        for (long key = 0; key < 20; key++) {
+            assertThat(pick(NOW, key)).isSameAs(other);
+        }
+        other.toldLoad(NOW, SLOTS, 1, SLOTS);
+        assertThat(picker.pick(NOW, 1, List.of())).isInstanceOf(Pick.Crowded.class);
+    }
+
+    @Test
+    void oneThatTurnedARequestAwayIsFullForAMoment() {
+        InstanceStats full = add("a", true, 0);
+        full.began();
+        full.ended(NOW, Verdict.DECLINED, 1, false, true);
+        assertThat(picker.pick(NOW + 10, 1, List.of())).isInstanceOf(Pick.Crowded.class);
+        assertThat(pick(NOW + 100, 1)).isSameAs(full);
+    }
+
+    @Test
+    void whoeverWasTriedOrIsGoneIsNotPicked() {
+        InstanceStats tried = add("a", true, 0);
+        InstanceStats gone = add("b", true, 0);
+        for (long key = 0; key < 20; key++) {
+            assertThat(pick(NOW, key, tried)).isSameAs(gone);
+        }
+        gone.began();
+        gone.ended(NOW, Verdict.MISDIRECTED, 1, false, true);
+        assertThat(picker.pick(NOW + 4_900, 1, List.of(tried))).isInstanceOf(Pick.None.class);
+        assertThat(pick(NOW + 5_100, 1, tried)).isSameAs(gone);
+    }
+}
--- /dev/null
+++ b/cdn-core/src/test/java/ridgemill/cdn/edge/RetryBudgetTest.java
@@ -0,0 +1,113 @@
+package ridgemill.cdn.edge;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+class RetryBudgetTest {
+
+    private static final double WINDOW_MS = 10_000;
+
+    private static int takeAll(RetryBudget budget, double nowMs, int proxies) {
+        int taken = 0;
+        while (budget.tryRepeat(nowMs, proxies)) {
+            taken++;
+        }
+        return taken;
+    }
+
+    @Test
+    void theSlackIsAllThereIsWithoutRequests() {
+        assertThat(takeAll(new RetryBudget(0.2, 50, WINDOW_MS), 0, 1)).isBetween(25, 50);
+        assertThat(takeAll(new RetryBudget(0.2, 50, WINDOW_MS), 0, 10)).isBetween(2, 5);
+        assertThat(takeAll(new RetryBudget(0.2, 0, WINDOW_MS), 0, 1)).isZero();
+    }
+
+    @Test
+    void whatWasTakenIsThereAgainOnlyAfterAWholeWindow() {
+        RetryBudget budget = new RetryBudget(0, 20, WINDOW_MS);
+        int whole = takeAll(budget, 0, 1);
+        assertThat(whole).isPositive();
+        assertThat(takeAll(budget, WINDOW_MS, 1)).isZero();
+        assertThat(takeAll(budget, WINDOW_MS * 1.06, 1)).isEqualTo(whole);
+        assertThat(takeAll(budget, WINDOW_MS * 1.5, 1)).isZero();
+        assertThat(takeAll(budget, WINDOW_MS * 9, 1)).as("after a long pause").isEqualTo(whole);
+    }
+
+    @Test
+    void requestsCountForAWindowAndNoLonger() {
+        RetryBudget budget = new RetryBudget(0.2, 0, WINDOW_MS);
+        for (int i = 0; i < 100; i++) {
+            budget.countRequest(0);
+        }
+        assertThat(budget.tryRepeat(WINDOW_MS * 0.9, 1)).isTrue();
+        assertThat(budget.tryRepeat(WINDOW_MS, 1)).isFalse();
+    }
+
+    @Test
+    void whatIsGivenBackMayBeTakenAgainOnce() {
+        RetryBudget budget = new RetryBudget(0, 20, WINDOW_MS);
+        takeAll(budget, 0, 1);
+        budget.giveBack(0);
+        assertThat(takeAll(budget, 0, 1)).isEqualTo(1);
+        for (int i = 0; i < 100; i++) {
+            budget.giveBack(WINDOW_MS * 3);
+        }
+        assertThat(takeAll(budget, WINDOW_MS * 3, 1)).as("no credit from nothing").isEqualTo(14);
+    }
+
+    /** Uneven loads that jump: the sum stays under the bound in each window, however it lies. */
+    @Test
+    void allProxiesTogetherStayUnderTheBound() {
+        double ratio = 0.2;
+        double slack = 50;
+        int proxies = 7;
+        for (int seed = 0; seed < 20; seed++) {
+            Random random = new Random(seed);
+            List<RetryBudget> budgets = new ArrayList<>();
+            for (int i = 0; i < proxies; i++) {
+                budgets.add(new RetryBudget(ratio, slack, WINDOW_MS));
+            }
+            int steps = 600;
+            double stepMs = 100;
+            int[] requests = new int[steps];
+            int[] repeats = new int[steps];
+            for (int step = 0; step < steps; step++) {
+                double load = step / 100 % 2 == 0 ? 0.6 : 0.1;
+                for (int i = 0; i < proxies; i++) {
+                    for (int tries = 0; tries < 10; tries++) {
+                        double nowMs = (step + random.nextDouble() * 0.001) * stepMs + i;
+                        if (random.nextDouble() < load / (1 + i)) {
+                            budgets.get(i).countRequest(nowMs);
+                            requests[step]++;
+                        }
+                        repeats[step] += budgets.get(i).tryRepeat(nowMs, proxies) ? 1 : 0;
+                    }
+                }
+            }
+            int window = (int) (WINDOW_MS / stepMs);
+            int all = 0;
+            for (int end = 2 * window; end <= steps; end++) {
+                int sent = sum(repeats, end - window, end);
+                int seen = Math.max(sum(requests, end - window, end), Math.max(
+                        sum(requests, end - 3 * window / 2, end - window / 2),
+                        sum(requests, end - 2 * window, end - window)));
+                assertThat((double) sent).as("seed %d, window to step %d", seed, end)
+                        .isLessThanOrEqualTo(ratio * seen + slack);
+                all += sent;
+            }
+            assertThat(all).as("the bound was pressed against").isPositive();
+        }
+    }
+
+    private static int sum(int[] counts, int from, int to) {
+        int sum = 0;
+        for (int i = from; i < to; i++) {
+            sum += counts[i];
+        }
+        return sum;
+    }
+}
