Send nothing to an instance that began to leave while its connection came up

Change: the attempt looks at the pool again before it sends; the request goes elsewhere and counts as not sent. The data path takes its time and timers from outside, so that tests can move time on.

--- a/cdn/src/main/java/ridgemill/cdn/proxy/Attempt.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/Attempt.java
@@ -85,8 +85,9 @@
             }
         } else if (given == null) {
             end(Verdict.CONNECT_FAILED, null);
-        } else if (deadlineMs - nowMs < LEAST_LEFT_MS) {
-            // This process may have stood still: what is sent now would run after its sender has given up.
+        } else if (pool.isClosed() || deadlineMs - nowMs < LEAST_LEFT_MS) {
+            // The instance began to leave while the connection came up, or this process stood still: what is sent now
+            // would run too late.
             pool.release(given);
             end(Verdict.NEVER_WRITTEN, null);
         } else {
--- a/cdn/src/main/java/ridgemill/cdn/proxy/DataPath.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/DataPath.java
@@ -20,6 +20,7 @@
 import ridgemill.core.Timers;
 import ridgemill.gateway.net.Addresses;
 import ridgemill.gateway.net.Clock;
+import ridgemill.gateway.net.LoopTimers;
 import ridgemill.gateway.net.SocketKind;
 import ridgemill.policy.AdmissionLevel;
 import ridgemill.policy.Rendezvous;
@@ -45,24 +46,25 @@
             Settings settings,
             ControlView control,
             OperationRegister register) {
-        this(loop, sockets, clock, settings, control, register,
+        this(loop, sockets, new LoopTimers(loop, clock), settings, control, register,
                 (long) (CACHE_PART * Runtime.getRuntime().maxMemory()));
     }
 
     /**
      * A data path.
      *
+     * @param timers its time and its timers, which run on the loop
      * @param cacheBytes the memory that copies of objects may take, in bytes
      */
-    public DataPath(
+    DataPath(
             EventLoop loop,
             SocketKind sockets,
-            Clock clock,
+            Timers timers,
             Settings settings,
             ControlView control,
             OperationRegister register,
             long cacheBytes) {
-        context = new ProxyContext(loop, sockets, clock, settings, control, register, cacheBytes);
+        context = new ProxyContext(loop, sockets, timers, settings, control, register, cacheBytes);
         control.addListener(context.objects());
         control.addListener(new ControlListener() {
             @Override
--- a/cdn/src/main/java/ridgemill/cdn/proxy/EventLog.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/EventLog.java
@@ -1,5 +1,7 @@
 package ridgemill.cdn.proxy;
 
+import ridgemill.core.Timers;
+
 /** The log: one line of key=value pairs for each event, with a brake on their number. */
 final class EventLog {
 
@@ -7,18 +9,18 @@
     private static final double WINDOW_MS = 10_000;
     private static final int LINES_A_WINDOW = 20;
 
+    private final Timers timers;
     private double windowStartMs = Double.NEGATIVE_INFINITY;
     private int lines;
     private int dropped;
-    private final ridgemill.gateway.net.Clock clock;
 
-    EventLog(ridgemill.gateway.net.Clock clock) {
-        this.clock = clock;
+    EventLog(Timers timers) {
+        this.timers = timers;
     }
 
     /** Logs an event; past a few lines each ten seconds they are only counted. */
     void line(String event) {
-        double nowMs = clock.now();
+        double nowMs = timers.now();
         if (nowMs - windowStartMs > WINDOW_MS) {
             if (dropped > 0) {
                 LOGGER.log(System.Logger.Level.INFO, "event=lines-left-out count=" + dropped);
--- a/cdn/src/main/java/ridgemill/cdn/proxy/InstancePool.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/InstancePool.java
@@ -83,6 +83,11 @@
         connecting.addListener(done -> callback.accept(done.isSuccess() ? connection : null));
     }
 
+    /** Whether the instance may be sent no new requests any more: it is leaving, gone or silent. */
+    boolean isClosed() {
+        return closed;
+    }
+
     /** Learns from how an exchange on a connection ended. */
     void used(InstanceConnection connection, boolean broke) {
         ages.used(connection.idleBeforeMs(), broke, System.nanoTime());
--- a/cdn/src/main/java/ridgemill/cdn/proxy/ProxyContext.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/ProxyContext.java
@@ -10,8 +10,6 @@
 import ridgemill.cdn.proxy.control.OperationRegister;
 import ridgemill.cdn.settings.Settings;
 import ridgemill.core.Timers;
-import ridgemill.gateway.net.Clock;
-import ridgemill.gateway.net.LoopTimers;
 import ridgemill.gateway.net.SocketKind;
 
 /** What the parts of the data path share. Used on the event loop only. */
@@ -19,7 +17,6 @@
 
     private final EventLoop loop;
     private final SocketKind sockets;
-    private final Clock clock;
     private final Timers timers;
     private final Settings settings;
     private final ControlView control;
@@ -34,19 +31,18 @@
     ProxyContext(
             EventLoop loop,
             SocketKind sockets,
-            Clock clock,
+            Timers timers,
             Settings settings,
             ControlView control,
             OperationRegister register,
             long cacheBytes) {
         this.loop = loop;
         this.sockets = sockets;
-        this.clock = clock;
-        this.timers = new LoopTimers(loop, clock);
+        this.timers = timers;
         this.settings = settings;
         this.control = control;
         this.register = register;
-        this.log = new EventLog(clock);
+        this.log = new EventLog(timers);
         this.objects = new ObjectFetches(this, new ObjectCache(cacheBytes));
         this.region = settings.regionOf(settings.zone());
     }
@@ -61,7 +57,7 @@
 
     /** The time now, in milliseconds. */
     double now() {
-        return clock.now();
+        return timers.now();
     }
 
     /** Where buffers for writing come from. */
--- a/cdn/src/test/java/ridgemill/cdn/proxy/CacheTest.java
+++ b/cdn/src/test/java/ridgemill/cdn/proxy/CacheTest.java
@@ -84,7 +84,7 @@
     @Test
     void aCopyThatMayHaveMissedAPurgeIsConfirmedBeforeItsUse() throws Exception {
         proxy.ask("GET", "/c/1", "1", "");
-        proxy.control.coveredSinceMs = proxy.clock.now();
+        proxy.control.coveredSinceMs = proxy.timers.now();
         assertThat(proxy.ask("GET", "/c/1", "2", "").body()).isEqualTo("0123456789");
         proxy.ask("GET", "/c/1", "3", "");
         assertThat(origin.take().header("If-None-Match")).isNull();
--- a/cdn/src/test/java/ridgemill/cdn/proxy/FakeRegister.java
+++ b/cdn/src/test/java/ridgemill/cdn/proxy/FakeRegister.java
@@ -2,7 +2,9 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Queue;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.function.Consumer;
 import ridgemill.cdn.proxy.control.OperationRegister;
@@ -10,11 +12,24 @@
 /** A register of operations in memory that tells what was called. */
 final class FakeRegister implements OperationRegister {
 
+    final BlockingQueue<String> claims = new LinkedBlockingQueue<>();
     final BlockingQueue<String> calls = new LinkedBlockingQueue<>();
+    final Queue<Runnable> held = new ConcurrentLinkedQueue<>();
+    /** Whether claims wait in {@link #held} for the test. */
+    volatile boolean holding;
     private final Map<String, Object> states = new HashMap<>();
 
     @Override
     public void claim(String key, double deadlineMs, Consumer<ClaimOutcome> callback) {
+        claims.add(key);
+        if (holding) {
+            held.add(() -> decide(key, callback));
+        } else {
+            decide(key, callback);
+        }
+    }
+
+    private void decide(String key, Consumer<ClaimOutcome> callback) {
         Object state = states.get(key);
         if (state instanceof RecordedAnswer answer) {
             callback.accept(new ClaimOutcome.Finished(answer));
--- a/cdn/src/test/java/ridgemill/cdn/proxy/ProxyFixture.java
+++ b/cdn/src/test/java/ridgemill/cdn/proxy/ProxyFixture.java
@@ -18,7 +18,6 @@
 import ridgemill.cdn.proxy.control.ControlListener;
 import ridgemill.cdn.settings.Bounds;
 import ridgemill.cdn.settings.Settings;
-import ridgemill.gateway.net.Clock;
 import ridgemill.gateway.net.SocketKind;
 
 /** A data path on a loop of its own, between stand-in instances and plain sockets. */
@@ -28,26 +27,36 @@
 
     final FakeControl control = new FakeControl();
     final FakeRegister register = new FakeRegister();
-    final Clock clock = new Clock();
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     final EventLoop loop = group.next();
+    final JumpingTimers timers = new JumpingTimers(loop);
+    final Settings settings;
     final DataPath path;
     private final List<StandInInstance> instances = new ArrayList<>();
     private final List<Socket> clients = new ArrayList<>();
 
     ProxyFixture() throws Exception {
-        Settings settings = new Settings(
+        this(1_000);
+    }
+
+    /** One whose process may have so many descriptors open. */
+    ProxyFixture(int fileDescriptors) throws Exception {
+        settings = new Settings(
                 "edge-1", "127.0.0.1", "z", Map.of("z", "r"), 1, 2, List.of(), true, null, "127.0.0.1:0", null, null,
-                1_000, new Bounds(Map.of("retryBudgetRatio", "0.2", "retryBudgetSlack", "50")), 1_000, 0);
+                1_000, new Bounds(Map.of("retryBudgetRatio", "0.2", "retryBudgetSlack", "50")), fileDescriptors, 0);
         control.routes(LIMITS, 0, route(RouteKind.CACHEABLE, "/c/", 2), route(RouteKind.IDEMPOTENT, "/i/", 2),
                 route(RouteKind.NON_IDEMPOTENT, "/n/", 2), route(RouteKind.KEYED_IDEMPOTENT, "/k/", 2));
-        path = new DataPath(loop, SocketKind.NIO, clock, settings, control, register, 1_000_000);
+        path = new DataPath(loop, SocketKind.NIO, timers, settings, control, register, 1_000_000);
         path.listen().sync();
     }
 
     static Route route(RouteKind kind, String prefix, int maxAttempts) {
+        return route(kind, prefix, maxAttempts, 400);
+    }
+
+    static Route route(RouteKind kind, String prefix, int maxAttempts, long targetLatencyMs) {
         return new Route(
-                prefix, "h.example", prefix, kind, 2_000, 400, 0, List.of(new Destination("s", 1)), maxAttempts,
+                prefix, "h.example", prefix, kind, 2_000, targetLatencyMs, 0, List.of(new Destination("s", 1)), maxAttempts,
                 60_000, 1);
     }
 
@@ -61,6 +70,29 @@
         return instance;
     }
 
+    /** Puts other routes in place. */
+    void routes(Route... routes) throws Exception {
+        onLoop(() -> {
+            control.routes(LIMITS, 0, routes);
+            control.listeners.forEach(ControlListener::configurationChanged);
+        });
+    }
+
+    /** The instances that are ready from now on. */
+    void ready(StandInInstance... ready) throws Exception {
+        onLoop(() -> {
+            control.instances = java.util.Arrays.stream(ready).map(i -> i.instance("s")).toList();
+            control.listeners.forEach(ControlListener::instancesChanged);
+        });
+    }
+
+    /** Waits until so many requests are under way. */
+    void awaitInFlight(int count) throws Exception {
+        while (loop.submit(path::inFlight).get() != count) {
+            Thread.onSpinWait();
+        }
+    }
+
     void onLoop(Runnable task) throws Exception {
         loop.submit(task).sync();
     }
