Bound the connections of clients by the descriptors; the longest idle one ends first

Need: clients could take all descriptors of the process, and requests to instances would then find none. Change: at most the descriptors less 200 and less a quarter of them, which is kept for connections to instances. One more ends the connection that has been idle for longest, or itself where all are at work. Not reading the listener was ruled out: the platform's new connections would wait there until their clients give up.

--- /dev/null
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/ClientConnections.java
@@ -0,0 +1,65 @@
+package ridgemill.cdn.proxy;
+
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.Set;
+
+/**
+ * The connections of clients, within a bound: where one more would pass it, the one that has been idle for longest is
+ * closed, and where none is idle the new one. Descriptors that clients took would be missing for requests to instances.
+ */
+final class ClientConnections {
+
+    /** Descriptors for the links to the control plane, listeners, files and the like. */
+    private static final int OWN_DESCRIPTORS = 200;
+    /** One in so many descriptors is kept for connections to instances. */
+    private static final int UPSTREAM_PART = 4;
+    private static final int LEAST = 4;
+
+    private final int most;
+    /** In the order in which they last became idle, or were opened. */
+    private final Set<FrontConnection> open = new LinkedHashSet<>();
+
+    /** No connections yet, in a process that may have so many descriptors open. */
+    ClientConnections(int fileDescriptors) {
+        most = Math.max(LEAST, fileDescriptors - OWN_DESCRIPTORS - fileDescriptors / UPSTREAM_PART);
+    }
+
+    /** A connection was opened; it is closed if there is no place for it. */
+    void opened(FrontConnection client) {
+        if (open.size() >= most && !closeLongestIdle()) {
+            client.close();
+            return;
+        }
+        open.add(client);
+    }
+
+    private boolean closeLongestIdle() {
+        for (FrontConnection client : open) {
+            if (client.isIdle()) {
+                // It is counted as closed from now on: the news of its end comes later.
+                open.remove(client);
+                client.close();
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** A connection's request was answered, and it waits for the next. */
+    void becameIdle(FrontConnection client) {
+        if (open.remove(client)) {
+            open.add(client);
+        }
+    }
+
+    /** A connection has ended. */
+    void closed(FrontConnection client) {
+        open.remove(client);
+    }
+
+    /** All that are open, of which some may be closed while they are gone through. */
+    Iterable<FrontConnection> all() {
+        return new ArrayList<>(open);
+    }
+}
--- a/cdn/src/main/java/ridgemill/cdn/proxy/DataPath.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/DataPath.java
@@ -7,9 +7,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
-import java.util.LinkedHashSet;
-import java.util.Set;
 import ridgemill.cdn.config.Limits;
 import ridgemill.cdn.config.Route;
 import ridgemill.cdn.config.RouteKind;
@@ -34,7 +31,7 @@
     private static final double CACHE_PART = 0.45;
 
     private final ProxyContext context;
-    private final Set<FrontConnection> clients = new LinkedHashSet<>();
+    private final ClientConnections clients;
     private Channel listener;
     private Timers.Timer tick;
 
@@ -65,6 +62,7 @@
             OperationRegister register,
             long cacheBytes) {
         context = new ProxyContext(loop, sockets, timers, settings, control, register, cacheBytes);
+        clients = new ClientConnections(settings.fileDescriptors());
         control.addListener(context.objects());
         control.addListener(new ControlListener() {
             @Override
@@ -121,7 +119,7 @@
     /** From now on answers say that their connection is closed behind them; idle connections are closed. */
     public void drain() {
         context.startDraining();
-        for (FrontConnection client : new ArrayList<>(clients)) {
+        for (FrontConnection client : clients.all()) {
             client.closeIfIdle();
         }
     }
@@ -154,7 +152,7 @@
         if (tick != null) {
             tick.cancel();
         }
-        new ArrayList<>(clients).forEach(FrontConnection::close);
+        clients.all().forEach(FrontConnection::close);
         for (ServiceState service : context.services()) {
             service.close();
         }
@@ -163,7 +161,7 @@
     private void scheduleTick() {
         tick = context.timers().at(context.now() + TICK_MS, () -> {
             double nowMs = context.now();
-            for (FrontConnection client : new ArrayList<>(clients)) {
+            for (FrontConnection client : clients.all()) {
                 client.tick(nowMs);
             }
             for (ServiceState service : context.services()) {
@@ -206,11 +204,15 @@
     }
 
     void opened(FrontConnection client) {
-        clients.add(client);
+        clients.opened(client);
+    }
+
+    void becameIdle(FrontConnection client) {
+        clients.becameIdle(client);
     }
 
     void closed(FrontConnection client) {
-        clients.remove(client);
+        clients.closed(client);
     }
 
     double now() {
--- a/cdn/src/main/java/ridgemill/cdn/proxy/FrontConnection.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/FrontConnection.java
@@ -159,6 +159,7 @@
         write(answer, keepAliveLine());
         reader.reset();
         idle();
+        path.becameIdle(this);
         channel.config().setAutoRead(true);
         process();
     }
@@ -206,6 +207,11 @@
         }
     }
 
+    /** Whether no request is under way or coming. */
+    boolean isIdle() {
+        return state == State.IDLE && !pending.isReadable();
+    }
+
     /** Closes it if no request is under way or coming. */
     void closeIfIdle() {
         if (state == State.IDLE) {
--- a/cdn/src/test/java/ridgemill/cdn/proxy/FrontTest.java
+++ b/cdn/src/test/java/ridgemill/cdn/proxy/FrontTest.java
@@ -93,6 +93,47 @@
         assertThat(client.ask("POST", "/k/1", "1", "").status()).as("without its key").isEqualTo(400);
     }
 
+    @Test
+    void beyondTheBoundTheLongestIdleConnectionEnds() throws Exception {
+        proxy.close();
+        proxy = new ProxyFixture(272);
+        proxy.instance("a", StandInInstance.sealed("x"));
+        ProxyFixture.Client[] clients = new ProxyFixture.Client[4];
+        for (int i = 0; i < clients.length; i++) {
+            clients[i] = proxy.client();
+            assertThat(clients[i].ask("GET", "/i/1", "a" + i, "").status()).isEqualTo(200);
+        }
+        assertThat(clients[0].ask("GET", "/i/1", "again", "").status()).isEqualTo(200);
+        ProxyFixture.Client fifth = proxy.client();
+        assertThat(fifth.ask("GET", "/i/1", "b", "").status()).isEqualTo(200);
+        assertThat(clients[1].isEnded()).as("idle for longest").isTrue();
+        for (ProxyFixture.Client open : new ProxyFixture.Client[] {clients[0], clients[2], clients[3], fifth}) {
+            assertThat(open.ask("GET", "/i/1", "c", "").status()).isEqualTo(200);
+        }
+    }
+
+    @Test
+    void whereNoConnectionIsIdleANewOneEnds() throws Exception {
+        proxy.close();
+        proxy = new ProxyFixture(272);
+        java.util.concurrent.CountDownLatch go = new java.util.concurrent.CountDownLatch(1);
+        proxy.instance("a", (request, socket) -> {
+            go.await();
+            return StandInInstance.sealed("x").answer(request, socket);
+        });
+        ProxyFixture.Client[] clients = new ProxyFixture.Client[4];
+        for (int i = 0; i < clients.length; i++) {
+            clients[i] = proxy.client();
+            clients[i].send("GET /i/1 HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: " + i + "\r\n\r\n");
+            proxy.awaitInFlight(i + 1);
+        }
+        assertThat(proxy.client().isEnded()).isTrue();
+        go.countDown();
+        for (ProxyFixture.Client client : clients) {
+            assertThat(client.read().body()).isEqualTo("x");
+        }
+    }
+
     @Test
     void aDrainingProxyAnswersWhatItHasAndCloses() throws Exception {
         proxy.instance("a", StandInInstance.sealed("x"));
