Pass on a whole answer that comes before the whole request was taken

Need: an instance that refuses or answers a large body early was judged garbled, and its answer lost. Change: the answer is read as any other, by its id and its length, and the connection is closed behind it. Where such an answer breaks off, the request may have run: the instance began to work on it.

--- a/cdn/src/main/java/ridgemill/cdn/proxy/InstanceConnection.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/InstanceConnection.java
@@ -27,6 +27,7 @@
     private ConnectionListener listener;
     private String attemptId;
     private boolean written;
+    private boolean answersEarly;
     private int surplus;
     private boolean spent;
     private boolean countsOpen;
@@ -69,6 +70,7 @@
         listener = to;
         attemptId = id;
         written = false;
+        answersEarly = false;
         surplus = 0;
         idleBeforeMs = countsOpen ? idleMs(nowMs) : 0;
         countsOpen = true;
@@ -81,7 +83,7 @@
             if (future.isSuccess()) {
                 written = true;
             } else {
-                end(Verdict.NEVER_WRITTEN, null, null);
+                end(brokenOff(), null, null);
             }
         });
     }
@@ -113,15 +115,17 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         ByteBuf bytes = (ByteBuf) message;
-        if (listener == null || !written) {
+        if (listener == null) {
             // Nothing is awaited: it belongs to no request.
             bytes.release();
-            if (listener != null) {
-                end(Verdict.GARBLED, null, null);
-            }
             close();
             return;
         }
+        if (!written) {
+            // It answers before it has taken the whole request, of which the rest may still be on its way.
+            spent = true;
+            answersEarly = true;
+        }
         pending = ByteToMessageDecoder.MERGE_CUMULATOR.cumulate(context.alloc(), pending, bytes);
         read();
     }
@@ -200,6 +204,11 @@
         return seconds * MS_PER_SECOND;
     }
 
+    /** What a connection's end before a whole answer means: an instance that began to answer may have run the request. */
+    private Verdict brokenOff() {
+        return written || answersEarly ? Verdict.RESET : Verdict.NEVER_WRITTEN;
+    }
+
     private void end(Verdict verdict, InstanceAnswer answer, String load) {
         ConnectionListener told = listener;
         listener = null;
@@ -222,7 +231,7 @@
         spent = true;
         pool.closed(this);
         if (listener != null) {
-            end(written ? Verdict.RESET : Verdict.NEVER_WRITTEN, null, null);
+            end(brokenOff(), null, null);
         }
         pending.release();
         pending = Unpooled.EMPTY_BUFFER;
--- a/cdn/src/test/java/ridgemill/cdn/proxy/DeliveryTest.java
+++ b/cdn/src/test/java/ridgemill/cdn/proxy/DeliveryTest.java
@@ -98,6 +98,57 @@
         assertThat(instance.received).hasSize(spoilt.length);
     }
 
+    @Test
+    void anAnswerBeforeTheWholeRequestWasTakenIsPassedOnIfItIsWhole() throws Exception {
+        int bytes = 16_000_000;
+        proxy.onLoop(() -> proxy.control.routes(
+                new ridgemill.cdn.config.Limits(2_000, bytes, 300, 2_000), 0, ProxyFixture.route(
+                        ridgemill.cdn.config.RouteKind.NON_IDEMPOTENT, "/n/", 2)));
+        CountDownLatch over = new CountDownLatch(1);
+        StandInInstance instance = proxy.instance("a", RESETS);
+        String[] answers = {
+            "HTTP/1.1 413 X\r\nX-Attempt-Id: ID\r\nContent-Length: 3\r\n\r\nbig",
+            "HTTP/1.1 200 X\r\nX-Attempt-Id: ID\r\n" + SEAL + "Content-Length: 3\r\n\r\nyes",
+            "HTTP/1.1 200 X\r\nX-Attempt-Id: other\r\n" + SEAL + "Content-Length: 3\r\n\r\nyes",
+            "HTTP/1.1 200 X\r\nX-Attempt-Id: ID\r\n" + SEAL + "Content-Length: 4\r\n\r\nyes",
+        };
+        int[] statuses = {413, 200, 504, 504};
+        for (int i = 0; i < answers.length; i++) {
+            String text = answers[i];
+            instance.early = (request, socket) -> {
+                StandInInstance.write(socket, text.replace("ID", request.id()));
+                over.await();
+                return false;
+            };
+            ProxyFixture.Client client = proxy.client();
+            client.send("POST /n/1 HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: " + i
+                    + "\r\nX-Deadline-Remaining: 1500\r\nContent-Length: " + bytes + "\r\n\r\n" + "x".repeat(bytes));
+            assertThat(client.read().status()).as(text).isEqualTo(statuses[i]);
+        }
+        over.countDown();
+    }
+
+    @Test
+    void anAnswerThatBreaksOffBeforeTheWholeRequestWasTakenMayMeanARun() throws Exception {
+        int bytes = 16_000_000;
+        proxy.onLoop(() -> proxy.control.routes(
+                new ridgemill.cdn.config.Limits(2_000, bytes, 300, 2_000), 0, ProxyFixture.route(
+                        ridgemill.cdn.config.RouteKind.NON_IDEMPOTENT, "/n/", 2)));
+        StandInInstance instance = proxy.instance("a", RESETS);
+        CountDownLatch over = new CountDownLatch(1);
+        instance.early = (request, socket) -> {
+            StandInInstance.write(socket, "HTTP/1.1 200 X\r\nX-Attempt-Id: " + request.id() + "\r\n");
+            socket.shutdownOutput();
+            over.await();
+            return false;
+        };
+        ProxyFixture.Client client = proxy.client();
+        client.send("POST /n/1 HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: 1\r\nContent-Length: " + bytes
+                + "\r\n\r\n" + "x".repeat(bytes));
+        assertThat(client.read().status()).isEqualTo(502);
+        over.countDown();
+    }
+
     @Test
     void aSurplusAnswerIsPassedOverForTheOneThatIsDue() throws Exception {
         StandInInstance instance = proxy.instance("a", (request, socket) -> StandInInstance.write(socket,
--- a/cdn/src/test/java/ridgemill/cdn/proxy/StandInInstance.java
+++ b/cdn/src/test/java/ridgemill/cdn/proxy/StandInInstance.java
@@ -45,6 +45,8 @@
     private final String id;
     private final List<Socket> sockets = new ArrayList<>();
     volatile Script script;
+    /** Answers by heads alone, before the bodies are read, if it is set. */
+    volatile Script early;
 
     StandInInstance(String id, Script script) throws IOException {
         this.id = id;
@@ -103,7 +105,7 @@
     private void serve(Socket socket) {
         try (socket) {
             InputStream in = socket.getInputStream();
-            for (Received next = read(in); next != null; next = read(in)) {
+            for (Received next = read(in, socket); next != null; next = read(in, socket)) {
                 received.add(next);
                 if (!script.answer(next, socket)) {
                     return;
@@ -114,7 +116,7 @@
         }
     }
 
-    private static Received read(InputStream in) throws IOException {
+    private Received read(InputStream in, Socket socket) throws Exception {
         ByteArrayOutputStream head = new ByteArrayOutputStream();
         while (!head.toString(StandardCharsets.ISO_8859_1).endsWith("\r\n\r\n")) {
             int b = in.read();
@@ -124,6 +126,9 @@
             head.write(b);
         }
         Received request = new Received(head.toString(StandardCharsets.ISO_8859_1), "");
+        if (early != null && !early.answer(request, socket)) {
+            return null;
+        }
         String length = request.header("Content-Length");
         byte[] body = length == null ? new byte[0] : in.readNBytes(Integer.parseInt(length));
         return new Received(request.head(), new String(body, StandardCharsets.ISO_8859_1));
