Repeats of a keyed operation wait at their proxy for the first one's outcome

Need: each repeat asked the register again every 120 ms, which is a vote and a sync at each store. Change: one request for each key leads at a proxy and alone asks the register. The others wait as long as for another proxy's claim and receive the leader's answer; where it ends without one, the next of them leads. An answer too large to be recorded is not handed on either, so that all repeats hear the same.

--- a/cdn/src/main/java/ridgemill/cdn/proxy/KeyedExchange.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/KeyedExchange.java
@@ -9,8 +9,8 @@
 
 /**
  * A request of a keyed operation. It runs only under a claim of the register; the claim is given back only where
- * nothing
- * ran, and what ran is recorded, also after the client has left.
+ * nothing ran, and what ran is recorded, also after the client has left. Of several requests with one key at this proxy
+ * one leads, see {@link OperationsUnderWay}; the others wait a while for its answer.
  */
 final class KeyedExchange extends Exchange {
 
@@ -22,10 +22,14 @@
     private static final int MOST_RECORDED_BYTES = 1024 * 1024;
 
     private final ServiceState service;
+    private final OperationsUnderWay operations;
     private final String key;
     private Claim claim;
     private Delivery delivery;
     private Timers.Timer timer;
+    /** Whether it leads and an answer of the register is due. */
+    private boolean claiming;
+    private boolean leads;
     private boolean lingers;
 
     KeyedExchange(
@@ -37,6 +41,7 @@
             String operationKey) {
         super(context, client, request, route);
         this.service = service;
+        this.operations = context.operations();
         this.key = request.host() + "\n" + operationKey;
     }
 
@@ -45,35 +50,83 @@
         double nowMs = context().now();
         if (!service.admission().draw(nowMs, route().priorityLevel())) {
             refuse(service.admission().waitMs());
-        } else {
+            return;
+        }
+        leads = operations.lead(key, this);
+        if (leads) {
             claim();
+        } else {
+            timer = context().timers().at(Math.max(nowMs, patienceEndMs()), this::outOfPatience);
+        }
+    }
+
+    /** Until when a repeat waits for the first one's answer. */
+    private double patienceEndMs() {
+        return Math.min(deadlineMs(), arrivedMs() + PATIENCE * route().targetLatencyMs());
+    }
+
+    private void outOfPatience() {
+        operations.forget(key, this);
+        answerBusy();
+    }
+
+    private void answerBusy() {
+        answer(FinalAnswer.later(409, request().attemptId(), PATIENCE * route().targetLatencyMs()));
+    }
+
+    /** The request that led has run the operation; its answer is this one's too. */
+    void leaderFinished(RecordedAnswer answer) {
+        stopTimer();
+        answer(FinalAnswer.of(answer, request().attemptId()));
+    }
+
+    /** The request that led has ended without an answer; this one leads from now on. */
+    void leadOn() {
+        stopTimer();
+        leads = true;
+        claim();
+    }
+
+    /** Ceases to lead; what was learned goes to those that wait. */
+    private void stopLeading(RecordedAnswer answer) {
+        if (!leads) {
+            return;
+        }
+        leads = false;
+        if (answer != null) {
+            operations.finished(key, answer);
+        } else {
+            operations.leftOpen(key);
         }
     }
 
     private void claim() {
         timer = null;
-        if (!isOver()) {
-            context().register().claim(key, deadlineMs(), this::claimed);
-        }
+        claiming = true;
+        context().register().claim(key, deadlineMs(), this::claimed);
     }
 
     private void claimed(ClaimOutcome outcome) {
+        claiming = false;
         if (outcome instanceof ClaimOutcome.Granted granted) {
             granted(granted.claim());
-        } else if (isOver()) {
-            return;
         } else if (outcome instanceof ClaimOutcome.Finished finished) {
             answer(FinalAnswer.of(finished.answer(), request().attemptId()));
+            stopLeading(finished.answer());
+        } else if (isOver()) {
+            stopLeading(null);
         } else if (outcome instanceof ClaimOutcome.Busy) {
             busy();
         } else {
             refuse(PATIENCE * route().targetLatencyMs());
+            stopLeading(null);
         }
     }
 
     private void granted(Claim given) {
         if (isOver()) {
             context().register().release(given);
+            stopLeading(null);
             return;
         }
         claim = given;
@@ -83,54 +136,59 @@
         delivery.start();
     }
 
+    /** Another proxy's claim holds the key. */
     private void busy() {
         double nextMs = context().now() + CLAIM_AGAIN_MS;
-        if (nextMs < Math.min(deadlineMs(), arrivedMs() + PATIENCE * route().targetLatencyMs())) {
+        if (nextMs < patienceEndMs()) {
             timer = context().timers().at(nextMs, this::claim);
         } else {
-            answer(FinalAnswer.later(409, request().attemptId(), PATIENCE * route().targetLatencyMs()));
+            answerBusy();
+            stopLeading(null);
         }
     }
 
     private void delivered(Delivery.Result result) {
         if (lingers) {
             lingers = false;
-            timer.cancel();
+            stopTimer();
             context().countInFlight(-1);
         }
+        RecordedAnswer recorded = null;
         if (result instanceof Delivery.Result.Answered answered) {
-            record(answered.answer());
+            recorded = record(answered.answer());
         } else if (result instanceof Delivery.Result.Failed failed && !failed.mayHaveRun()) {
             context().register().release(claim);
         }
         answer(result);
+        stopLeading(recorded);
     }
 
-    private void record(InstanceAnswer answer) {
-        if (answer.body().length <= MOST_RECORDED_BYTES) {
-            context().register().finish(
-                    claim,
-                    new RecordedAnswer(
-                            answer.status(),
-                            OwnHeaders.without(answer.headers().lines(), false),
-                            answer.body()));
+    private RecordedAnswer record(InstanceAnswer answer) {
+        if (answer.body().length > MOST_RECORDED_BYTES) {
+            return null;
         }
+        RecordedAnswer recorded = new RecordedAnswer(
+                answer.status(), OwnHeaders.without(answer.headers().lines(), false), answer.body());
+        context().register().finish(claim, recorded);
+        return recorded;
     }
 
     @Override
     void giveUp(boolean late) {
-        if (timer != null) {
-            timer.cancel();
-        }
-        if (delivery == null) {
+        stopTimer();
+        if (delivery != null && delivery.mayHaveRun()) {
+            linger();
             return;
         }
-        if (delivery.mayHaveRun()) {
-            linger();
-        } else {
+        if (delivery != null) {
             delivery.cancel(late);
             context().register().release(claim);
         }
+        if (!leads) {
+            operations.forget(key, this);
+        } else if (!claiming) {
+            stopLeading(null);
+        }
     }
 
     /** Lets the operation end, so that repeats receive its answer. */
@@ -142,9 +200,17 @@
             lingers = false;
             context().countInFlight(-1);
             delivery.cancel(true);
+            stopLeading(null);
         });
     }
 
+    private void stopTimer() {
+        if (timer != null) {
+            timer.cancel();
+            timer = null;
+        }
+    }
+
     @Override
     boolean mayHaveRun() {
         return delivery != null && delivery.mayHaveRun();
--- a/cdn/src/main/java/ridgemill/cdn/proxy/ProxyContext.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/ProxyContext.java
@@ -25,6 +25,7 @@
     private final String region;
     private final Map<String, ServiceState> services = new HashMap<>();
     private final ObjectFetches objects;
+    private final OperationsUnderWay operations = new OperationsUnderWay();
     private boolean draining;
     private int inFlight;
 
@@ -95,6 +96,11 @@
         return objects;
     }
 
+    /** The keyed operations that this proxy claims or runs. */
+    OperationsUnderWay operations() {
+        return operations;
+    }
+
     /** The state of a service, which is made when it is first asked for. */
     ServiceState service(String name) {
         ServiceState state = services.get(name);
