Fetch copies that are asked for often anew shortly before they end

Need: at a popular copy's end its readers waited for the origin. Change: past 0.85 of its time a copy with eight uses or more is fetched once in the background. It is fetched only where half of the origin's burst is left beside it and with a token of the lowest worth, never twice, and after a failure only after as many uses again.

--- a/cdn-core/src/main/java/ridgemill/cdn/edge/CachedObject.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/edge/CachedObject.java
@@ -17,6 +17,10 @@
 
     /** What a copy costs besides its body, in bytes, roughly. */
     private static final int OVERHEAD = 1_024;
+    /** The part of the time that a copy is kept for after which it may be fetched anew. */
+    private static final double AHEAD_PART = 0.85;
+    /** Uses of a copy from which on it is asked for often: more than one is due in the part that is left. */
+    private static final int OFTEN = 8;
 
     /** The memory it takes, in bytes, roughly. */
     public long size() {
@@ -28,6 +32,16 @@
         return nowMs - fetchStartedMs < cacheTtlMs;
     }
 
+    /**
+     * Whether it is to be fetched anew ahead of its end, so that nobody has to wait for that: its end is near, and it is
+     * asked for so often that somebody will ask after it.
+     *
+     * @param uses how often it was given out since it was fetched
+     */
+    public boolean isDueAhead(double nowMs, long cacheTtlMs, int uses) {
+        return uses >= OFTEN && nowMs - fetchStartedMs >= AHEAD_PART * cacheTtlMs;
+    }
+
     /** The same copy after a fetch that began then found it unchanged. */
     public CachedObject confirmed(double startedMs) {
         return new CachedObject(key, headers, etag, tags, body, startedMs);
--- a/cdn-core/src/main/java/ridgemill/cdn/edge/ObjectCache.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/edge/ObjectCache.java
@@ -2,7 +2,6 @@
 
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
@@ -13,8 +12,18 @@
     /** An object may take this part of the memory at most. */
     private static final int LARGEST_PART = 4;
 
+    /** A copy and how often it was used. */
+    private static final class Kept {
+        private final CachedObject copy;
+        private int uses;
+
+        private Kept(CachedObject copy) {
+            this.copy = copy;
+        }
+    }
+
     private final long capacity;
-    private final LinkedHashMap<String, CachedObject> byKey = new LinkedHashMap<>(64, 0.75f, true);
+    private final LinkedHashMap<String, Kept> byKey = new LinkedHashMap<>(64, 0.75f, true);
     private final Map<String, Set<String>> keysByTag = new HashMap<>();
     private long size;
 
@@ -25,7 +34,22 @@
 
     /** The copy under a key; null if there is none. */
     public CachedObject get(String key) {
-        return byKey.get(key);
+        Kept kept = byKey.get(key);
+        return kept == null ? null : kept.copy;
+    }
+
+    /** Counts a use of the copy under a key and returns how many there were; 0 if there is no copy. */
+    public int use(String key) {
+        Kept kept = byKey.get(key);
+        return kept == null ? 0 : ++kept.uses;
+    }
+
+    /** Counts the uses of the copy under a key anew. */
+    public void forgetUses(String key) {
+        Kept kept = byKey.get(key);
+        if (kept != null) {
+            kept.uses = 0;
+        }
     }
 
     /** Keeps a copy in place of an older one. A copy that is too large is not kept, and the older one goes too. */
@@ -34,23 +58,23 @@
         if (copy.size() > capacity / LARGEST_PART) {
             return;
         }
-        byKey.put(copy.key(), copy);
+        byKey.put(copy.key(), new Kept(copy));
         size += copy.size();
         for (String tag : copy.tags()) {
             keysByTag.computeIfAbsent(tag, t -> new HashSet<>()).add(copy.key());
         }
         while (size > capacity) {
-            Iterator<CachedObject> oldest = byKey.values().iterator();
-            remove(oldest.next().key());
+            remove(byKey.values().iterator().next().copy.key());
         }
     }
 
     /** Drops the copy under a key. */
     public void remove(String key) {
-        CachedObject copy = byKey.remove(key);
-        if (copy == null) {
+        Kept kept = byKey.remove(key);
+        if (kept == null) {
             return;
         }
+        CachedObject copy = kept.copy;
         size -= copy.size();
         for (String tag : copy.tags()) {
             Set<String> keys = keysByTag.get(tag);
--- a/cdn-core/src/main/java/ridgemill/cdn/edge/OriginShare.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/edge/OriginShare.java
@@ -18,6 +18,8 @@
     /** What the rules tolerate: this multiple of the rate over any window of so many seconds. */
     private static final double CEILING = 1.1;
     private static final double WINDOW_SECONDS = 5;
+    /** The part of the burst that is kept for clients who wait. */
+    private static final double CLIENTS_PART = 0.5;
 
     private double perSecond;
     private TokenBucket bucket;
@@ -48,6 +50,11 @@
         return bucket == null || bucket.tryTake(nowMs);
     }
 
+    /** Whether so much of the share is left that work may be done which no client waits for. */
+    public boolean hasSpare(double nowMs) {
+        return bucket == null || bucket.tokens(nowMs) >= 1 + bucket.rate().burst() * CLIENTS_PART;
+    }
+
     /** Gives back an arrival that did not take place. */
     public void giveBack(double nowMs) {
         if (bucket != null) {
--- a/cdn-core/src/main/java/ridgemill/cdn/edge/ServiceAdmission.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/edge/ServiceAdmission.java
@@ -40,6 +40,11 @@
         return level.level() == 0 || bank.draw(nowMs, priorityLevel > meanPriority);
     }
 
+    /** Draws a token for work that no client waits for, which has the lowest worth. Returns false if there is none. */
+    public boolean drawForNobody(double nowMs) {
+        return level.level() == 0 || bank.draw(nowMs, true);
+    }
+
     /** Counts the outcome of an attempt; good if it was answered with success within the route's target. */
     public void count(boolean good) {
         level.count(good);
--- a/cdn-core/src/test/java/ridgemill/cdn/edge/ObjectCacheTest.java
+++ b/cdn-core/src/test/java/ridgemill/cdn/edge/ObjectCacheTest.java
@@ -70,6 +70,27 @@
         assertThat(cache.size()).isZero();
     }
 
+    @Test
+    void usesCountForACopyAndBeginAnewWithTheNext() {
+        ObjectCache cache = new ObjectCache(100_000);
+        assertThat(cache.use("a")).isZero();
+        cache.put(copy("a", 10));
+        assertThat(cache.use("a")).isEqualTo(1);
+        assertThat(cache.use("a")).isEqualTo(2);
+        cache.forgetUses("a");
+        assertThat(cache.use("a")).isEqualTo(1);
+        cache.put(copy("a", 10));
+        assertThat(cache.use("a")).isEqualTo(1);
+    }
+
+    @Test
+    void aCopyIsDueAheadNearItsEndIfItIsUsedOften() {
+        CachedObject copy = copy("a", 1);
+        assertThat(copy.isDueAhead(900, 1_000, 8)).isTrue();
+        assertThat(copy.isDueAhead(900, 1_000, 7)).isFalse();
+        assertThat(copy.isDueAhead(800, 1_000, 100)).isFalse();
+    }
+
     @Test
     void aCopyIsFreshFromTheStartOfItsFetch() {
         CachedObject copy = copy("a", 1).confirmed(1_000);
--- a/cdn-core/src/test/java/ridgemill/cdn/edge/OriginShareTest.java
+++ b/cdn-core/src/test/java/ridgemill/cdn/edge/OriginShareTest.java
@@ -80,6 +80,24 @@
         assertThat(share.tryTake(waitMs + 1)).isTrue();
     }
 
+    @Test
+    void halfOfTheBurstIsKeptForClientsWhoWait() {
+        OriginShare share = share(100);
+        int spare = 0;
+        while (share.hasSpare(0)) {
+            assertThat(share.tryTake(0)).isTrue();
+            spare++;
+        }
+        int left = 0;
+        while (share.tryTake(0)) {
+            left++;
+        }
+        assertThat(spare).isPositive();
+        assertThat(left).isGreaterThanOrEqualTo(spare);
+        assertThat(share(1).hasSpare(0)).isFalse();
+        assertThat(share(0).hasSpare(0)).isTrue();
+    }
+
     @Test
     void whatDidNotTakePlaceIsGivenBack() {
         OriginShare share = share(10);
--- a/cdn-core/src/test/java/ridgemill/cdn/edge/ServiceAdmissionTest.java
+++ b/cdn-core/src/test/java/ridgemill/cdn/edge/ServiceAdmissionTest.java
@@ -122,6 +122,19 @@
         assertThat(admission.draw(nowMs, 0)).as("higher worth, empty").isFalse();
     }
 
+    @Test
+    void workForNobodyLeavesTheLastTokenToo() {
+        assertThat(admission.drawForNobody(nowMs)).isTrue();
+        rise(TOP);
+        nowMs += 10_000;
+        int drawn = 0;
+        while (admission.drawForNobody(nowMs)) {
+            drawn++;
+        }
+        assertThat(drawn).isEqualTo(3);
+        assertThat(admission.draw(nowMs, 0)).isTrue();
+    }
+
     @Test
     void anEmptyBankRefusesAtOnceAndTellsAWait() {
         rise(TOP);
--- a/cdn/src/main/java/ridgemill/cdn/proxy/ObjectFetch.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/ObjectFetch.java
@@ -4,7 +4,7 @@
 import java.util.List;
 import ridgemill.cdn.edge.CachedObject;
 
-/** A fetch of one object under way, and the requests that wait for it. */
+/** A fetch of one object under way, and the requests that wait for it; none at first if it is made ahead of need. */
 final class ObjectFetch {
 
     private record PurgedTag(String tag, double atMs) { }
@@ -21,6 +21,7 @@
     /**
      * A fetch that has not started.
      *
+     * @param starter the request that it is made for; null if no client waits for it
      * @param older a copy that it may confirm; null if there is none
      */
     ObjectFetch(String key, CachedExchange starter, CachedObject older, double startedMs) {
@@ -28,7 +29,9 @@
         this.starter = starter;
         this.older = older;
         this.startedMs = startedMs;
-        waiters.add(starter);
+        if (starter != null) {
+            waiters.add(starter);
+        }
     }
 
     String key() {
--- a/cdn/src/main/java/ridgemill/cdn/proxy/ObjectFetches.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/ObjectFetches.java
@@ -36,6 +36,7 @@
         if (copy != null
                 && copy.isFresh(nowMs, exchange.route().cacheTtlMs())
                 && context.control().isCoveredSince(copy.fetchStartedMs())) {
+            fetchAhead(exchange, copy, nowMs);
             exchange.found(copy);
             return null;
         }
@@ -55,19 +56,46 @@
         }
         CachedObject older = copy != null && copy.etag() != null ? copy : null;
         ObjectFetch fetch = new ObjectFetch(key, exchange, older, nowMs);
-        joinable.put(key, fetch);
+        double deadlineMs = Math.max(exchange.deadlineMs(), nowMs + exchange.route().timeoutMs());
+        delivery(fetch, exchange, deadlineMs).start();
+        return running.contains(fetch) ? fetch : null;
+    }
+
+    /** The delivery of a fetch for an object that a request asks for; it has not started. */
+    private Delivery delivery(ObjectFetch fetch, CachedExchange exchange, double deadlineMs) {
+        joinable.put(fetch.key(), fetch);
         running.add(fetch);
         OutgoingRequest outgoing = OutgoingRequest.fetch(
                 exchange.request(),
-                older == null ? null : older.etag(),
-                Rendezvous.hashText(key),
+                fetch.older() == null ? null : fetch.older().etag(),
+                Rendezvous.hashText(fetch.key()),
                 exchange.route().targetLatencyMs());
-        double deadlineMs = Math.max(exchange.deadlineMs(), nowMs + exchange.route().timeoutMs());
         Delivery delivery = new Delivery(
-                context, service, exchange.route(), outgoing, true, deadlineMs, result -> fetched(fetch, result));
+                context, exchange.service(), exchange.route(), outgoing, true, deadlineMs,
+                result -> fetched(fetch, result));
         fetch.deliverBy(delivery);
+        return delivery;
+    }
+
+    /**
+     * Fetches a copy anew that ends soon and is asked for often, once for all that ask. It is made only from what the
+     * origin's share and the admission leave over, is sent once, and bears the id of the request that showed the need.
+     */
+    private void fetchAhead(CachedExchange exchange, CachedObject copy, double nowMs) {
+        ServiceState service = exchange.service();
+        int uses = cache.use(copy.key());
+        boolean due = copy.isDueAhead(nowMs, exchange.route().cacheTtlMs(), uses)
+                && !joinable.containsKey(copy.key())
+                && !context.isDraining();
+        if (!due || !service.originShare().hasSpare(nowMs) || !service.admission().drawForNobody(nowMs)) {
+            return;
+        }
+        // Should it fail, the next one needs as many uses again.
+        cache.forgetUses(copy.key());
+        ObjectFetch fetch = new ObjectFetch(copy.key(), null, copy.etag() == null ? null : copy, nowMs);
+        Delivery delivery = delivery(fetch, exchange, nowMs + exchange.route().timeoutMs());
+        delivery.stopRepeating();
         delivery.start();
-        return running.contains(fetch) ? fetch : null;
     }
 
     /** A fetch is over or was given up. */
--- a/cdn/src/test/java/ridgemill/cdn/proxy/CacheTest.java
+++ b/cdn/src/test/java/ridgemill/cdn/proxy/CacheTest.java
@@ -12,6 +12,8 @@
 
     private static final String HEADERS = "X-Response-Seal: s\r\nETag: \"1\"\r\nX-Object-Tags: t1 t2\r\n";
 
+    private static final double CACHE_TTL_MS = 60_000;
+
     private ProxyFixture proxy;
     private StandInInstance origin;
 
@@ -147,6 +149,57 @@
         assertThat(origin.received).hasSize(2);
     }
 
+    @Test
+    void aCopyThatIsAskedForOftenIsFetchedAnewOnceBeforeItsEnd() throws Exception {
+        for (int i = 0; i < 8; i++) {
+            proxy.ask("GET", "/c/1", "a" + i, "");
+        }
+        proxy.timers.jump(CACHE_TTL_MS * 0.8);
+        proxy.ask("GET", "/c/1", "early", "");
+        assertThat(origin.received).hasSize(1);
+        CountDownLatch go = new CountDownLatch(1);
+        origin.script = (request, socket) -> {
+            go.await();
+            return object("x").answer(request, socket);
+        };
+        proxy.timers.jump(CACHE_TTL_MS * 0.1);
+        for (int i = 0; i < 20; i++) {
+            assertThat(proxy.ask("GET", "/c/1", "b" + i, "").body()).as("nobody waits").isEqualTo("0123456789");
+        }
+        assertThat(origin.take().header("If-None-Match")).isNull();
+        assertThat(origin.take().header("If-None-Match")).isEqualTo("\"1\"");
+        assertThat(origin.received).isEmpty();
+        go.countDown();
+        proxy.timers.jump(CACHE_TTL_MS * 0.2);
+        assertThat(proxy.ask("GET", "/c/1", "last", "").body()).isEqualTo("0123456789");
+        assertThat(origin.received).as("the copy lives on").isEmpty();
+    }
+
+    @Test
+    void aCopyThatIsSeldomAskedForIsNotFetchedAnewBeforeItsEnd() throws Exception {
+        proxy.ask("GET", "/c/1", "1", "");
+        proxy.timers.jump(CACHE_TTL_MS * 0.95);
+        for (int i = 0; i < 7; i++) {
+            proxy.ask("GET", "/c/1", "a" + i, "");
+        }
+        assertThat(origin.received).hasSize(1);
+    }
+
+    @Test
+    void nothingIsFetchedAheadFromAShareThatClientsNeed() throws Exception {
+        proxy.onLoop(() -> {
+            proxy.control.routes(ProxyFixture.LIMITS, 1, ProxyFixture.route(
+                    ridgemill.cdn.config.RouteKind.CACHEABLE, "/c/", 2));
+            proxy.control.listeners.forEach(l -> l.configurationChanged());
+        });
+        for (int i = 0; i < 9; i++) {
+            proxy.ask("GET", "/c/1", "a" + i, "");
+        }
+        proxy.timers.jump(CACHE_TTL_MS * 0.9);
+        proxy.ask("GET", "/c/1", "b", "");
+        assertThat(origin.received).as("a share of one at a time has nothing to spare").hasSize(1);
+    }
+
     @Test
     void whatIsNoReadIsNotKept() throws Exception {
         proxy.ask("POST", "/c/1", "1", "");
