Store: a write of no bytes makes no frame in the log's files

Cause: Xodus writes pieces of no bytes at times. Such a frame ended the block at the next opening, and a read that met it never ended. A load of writes on the disk alone hung after 580 of them; the test of torn images had not met it.

--- a/cdn/src/main/java/ridgemill/cdn/store/log/CheckedBlock.java
+++ b/cdn/src/main/java/ridgemill/cdn/store/log/CheckedBlock.java
@@ -87,7 +87,11 @@
         return length + (long) frames * HEAD_BYTES;
     }
 
+    /** Adds a frame. Xodus also writes nothing at times, which makes none: a frame of no bytes ends the block. */
     synchronized void append(byte[] bytes, int offset, int count) throws IOException {
+        if (count == 0) {
+            return;
+        }
         int checksum = checksumOf(bytes, offset, count);
         ByteBuffer frame = ByteBuffer.allocate(HEAD_BYTES + count)
                 .putInt(count)
