--- a/cdn-core/src/main/java/ridgemill/cdn/edge/CachedObject.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/edge/CachedObject.java
@@ -33,8 +33,8 @@
     }
 
     /**
-     * Whether it is to be fetched anew ahead of its end, so that nobody has to wait for that: its end is near, and it is
-     * asked for so often that somebody will ask after it.
+     * Whether it is to be fetched anew ahead of its end, so that nobody has to wait: its end is near, and it is asked
+     * for so often that somebody will ask after that.
      *
      * @param uses how often it was given out since it was fetched
      */
--- a/cdn-core/src/main/java/ridgemill/cdn/edge/OriginShare.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/edge/OriginShare.java
@@ -5,7 +5,8 @@
 
 /**
  * This proxy's share of the rate that all instances of one service together may receive. It refuses at once when the
- * share is used up. A burst stays well below what the rules tolerate over their window if all proxies have theirs at once.
+ * share is used up. A burst stays well below what the rules tolerate over their window if all proxies have theirs at
+ * once.
  */
 public final class OriginShare {
 
--- a/cdn-core/src/main/java/ridgemill/cdn/edge/RetryBudget.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/edge/RetryBudget.java
@@ -1,9 +1,12 @@
 package ridgemill.cdn.edge;
 
+import java.util.Arrays;
+
 /**
  * Bounds, for one service, the arrivals at its instances beyond the first of each request. All proxies share the bound
- * of
- * the rules: each allows itself a ratio of its own requests and an even part of the fixed slack.
+ * of the rules: each allows itself a ratio of its own requests and an even part of the fixed slack. The window slides
+ * by a twentieth of its length at a time; repeats count for one such span longer than a window, requests for no
+ * longer.
  */
 public final class RetryBudget {
 
@@ -72,8 +75,8 @@
     private int moveTo(double nowMs) {
         long span = (long) Math.floor(nowMs / spanMs);
         if (currentSpan == Long.MIN_VALUE || span - currentSpan > SPANS) {
-            java.util.Arrays.fill(requests, 0);
-            java.util.Arrays.fill(repeats, 0);
+            Arrays.fill(requests, 0);
+            Arrays.fill(repeats, 0);
             currentSpan = span;
         }
         while (currentSpan < span) {
--- a/cdn-core/src/main/java/ridgemill/cdn/edge/ServiceAdmission.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/edge/ServiceAdmission.java
@@ -5,10 +5,9 @@
 
 /**
  * Whether a request that has to go to a service is let on or refused at once. A hysteresis level, stepped once an
- * interval
- * from the outcomes of this proxy's own attempts, sets how fast a token bank refills; level 0 is unthrottled. Requests
- * of
- * low worth take a token only while more than one remains.
+ * interval from the outcomes of this proxy's own attempts, sets how fast a token bank refills: level 0 is unthrottled,
+ * the others are rungs of a ladder of multiples of the base, which is held while throttled. Requests of low worth take
+ * a token only while more than one remains.
  */
 public final class ServiceAdmission {
 
--- a/cdn/src/main/java/ridgemill/cdn/proxy/DataPath.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/DataPath.java
@@ -8,8 +8,6 @@
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
 import ridgemill.cdn.config.Limits;
-import ridgemill.cdn.config.Route;
-import ridgemill.cdn.config.RouteKind;
 import ridgemill.cdn.proxy.control.ControlListener;
 import ridgemill.cdn.proxy.control.ControlView;
 import ridgemill.cdn.proxy.control.OperationRegister;
@@ -20,9 +18,11 @@
 import ridgemill.gateway.net.LoopTimers;
 import ridgemill.gateway.net.SocketKind;
 import ridgemill.policy.AdmissionLevel;
-import ridgemill.policy.Rendezvous;
 
-/** The data path of an edge proxy: takes clients' requests in and answers each once. Used on its event loop only. */
+/**
+ * The data path of an edge proxy: takes clients' requests in and answers each once. This class starts and ends it and
+ * sees to what is due from time to time. Used on its event loop only.
+ */
 public final class DataPath {
 
     private static final double TICK_MS = 250;
@@ -31,6 +31,7 @@
     private static final double CACHE_PART = 0.45;
 
     private final ProxyContext context;
+    private final RequestRouter router;
     private final ClientConnections clients;
     private Channel listener;
     private Timers.Timer tick;
@@ -62,6 +63,7 @@
             OperationRegister register,
             long cacheBytes) {
         context = new ProxyContext(loop, sockets, timers, settings, control, register, cacheBytes);
+        router = new RequestRouter(context);
         clients = new ClientConnections(settings.fileDescriptors());
         control.addListener(context.objects());
         control.addListener(new ControlListener() {
@@ -173,34 +175,7 @@
 
     /** The exchange for a request; null if it was answered at once. */
     Exchange route(FrontConnection client, ClientRequest request) {
-        if (request.attemptId() == null || request.attemptId().isEmpty()
-                || request.headers().count(ClientRequest.ATTEMPT_ID) != 1) {
-            client.answer(null, FinalAnswer.own(400, null));
-            return null;
-        }
-        Route route = context.control().routing().match(request.host(), request.path());
-        if (route == null) {
-            boolean knows = context.control().isReady();
-            client.answer(null, knows
-                    ? FinalAnswer.own(404, request.attemptId())
-                    : FinalAnswer.later(503, request.attemptId(), TICK_MS));
-            return null;
-        }
-        String operationKey = request.headers().get(ClientRequest.OPERATION_KEY);
-        if (route.kind() == RouteKind.KEYED_IDEMPOTENT && (operationKey == null || operationKey.isEmpty())) {
-            client.answer(null, FinalAnswer.own(400, request.attemptId()));
-            return null;
-        }
-        double draw = 1 - Rendezvous.unit(Rendezvous.hashText(request.attemptId()));
-        ServiceState service = context.service(route.destination(draw));
-        service.budget().countRequest(context.now());
-        return switch (route.kind()) {
-            case KEYED_IDEMPOTENT -> new KeyedExchange(context, client, request, route, service, operationKey);
-            case CACHEABLE -> request.method().equals("GET") && request.body().length == 0
-                    ? new CachedExchange(context, client, request, route, service, context.objects())
-                    : new PassingExchange(context, client, request, route, service);
-            default -> new PassingExchange(context, client, request, route, service);
-        };
+        return router.route(client, request);
     }
 
     void opened(FrontConnection client) {
--- a/cdn/src/main/java/ridgemill/cdn/proxy/Delivery.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/Delivery.java
@@ -11,8 +11,8 @@
 
 /**
  * Brings one request to an instance of its service and its answer back, over as many instances as the route, the
- * deadline
- * and the retry budget allow. Another one is tried only where the request has not run, or may run more than once.
+ * deadline and the retry budget allow. Another one is tried only where the request has not run, or may run more than
+ * once.
  */
 final class Delivery {
 
--- a/cdn/src/main/java/ridgemill/cdn/proxy/FinalAnswer.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/FinalAnswer.java
@@ -1,6 +1,7 @@
 package ridgemill.cdn.proxy;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import ridgemill.cdn.edge.ByteRange;
 import ridgemill.cdn.edge.CachedObject;
@@ -77,7 +78,7 @@
         int from = (int) range.first();
         int to = (int) range.lastWithin(length) + 1;
         headers.add("bytes " + from + "-" + (to - 1) + "/" + length);
-        return new FinalAnswer(206, headers, to - from, java.util.Arrays.copyOfRange(copy.body(), from, to));
+        return new FinalAnswer(206, headers, to - from, Arrays.copyOfRange(copy.body(), from, to));
     }
 
     private static ByteRange range(CachedObject copy, Headers asked) {
--- a/cdn/src/main/java/ridgemill/cdn/proxy/FrontConnection.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/FrontConnection.java
@@ -9,6 +9,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.ByteToMessageDecoder;
+import java.io.IOException;
 import java.util.Locale;
 import ridgemill.cdn.config.Limits;
 import ridgemill.cdn.proxy.http.BadMessageException;
@@ -238,7 +239,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        if (!(cause instanceof java.io.IOException)) {
+        if (!(cause instanceof IOException)) {
             EventLog.fault("event=fault place=front", cause);
         }
         context.close();
--- a/cdn/src/main/java/ridgemill/cdn/proxy/InstanceConnection.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/InstanceConnection.java
@@ -204,7 +204,7 @@
         return seconds * MS_PER_SECOND;
     }
 
-    /** What a connection's end before a whole answer means: an instance that began to answer may have run the request. */
+    /** What the end of a connection before a whole answer means: who began to answer may have run the request. */
     private Verdict brokenOff() {
         return written || answersEarly ? Verdict.RESET : Verdict.NEVER_WRITTEN;
     }
--- a/cdn/src/main/java/ridgemill/cdn/proxy/ObjectFetches.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/ObjectFetches.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import ridgemill.cdn.edge.CachedObject;
@@ -174,7 +175,7 @@
 
     @Override
     public void pathPurged(String hostname, String path) {
-        String key = hostname.toLowerCase(java.util.Locale.ROOT) + path;
+        String key = hostname.toLowerCase(Locale.ROOT) + path;
         cache.remove(key);
         joinable.remove(key);
         for (ObjectFetch fetch : running) {
--- a/cdn/src/main/java/ridgemill/cdn/proxy/ProxyProgram.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/ProxyProgram.java
@@ -80,8 +80,8 @@
     }
 
     /**
-     * Leaves in order: says that it is not ready, goes on serving until the platform has noticed, answers what it has, and
-     * runs the task at the latest shortly before the grace period ends.
+     * Leaves in order: says that it is not ready, goes on serving until the platform has noticed, answers what it has,
+     * and runs the task at the latest shortly before the grace period ends.
      */
     public void drain(Runnable ended) {
         loop.execute(() -> {
--- /dev/null
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/RequestRouter.java
@@ -0,0 +1,53 @@
+package ridgemill.cdn.proxy;
+
+import ridgemill.cdn.config.Route;
+import ridgemill.cdn.config.RouteKind;
+import ridgemill.policy.Rendezvous;
+
+/** Finds the route and the service of each request, and makes the exchange that its route's kind asks for. */
+final class RequestRouter {
+
+    /** When a client is asked to come back while the configuration is not known yet, in milliseconds. */
+    private static final double UNKNOWN_WAIT_MS = 250;
+
+    private final ProxyContext context;
+
+    RequestRouter(ProxyContext context) {
+        this.context = context;
+    }
+
+    /** The exchange for a request; null if it was answered at once, as it has no id, no route or no key. */
+    Exchange route(FrontConnection client, ClientRequest request) {
+        if (request.attemptId() == null || request.attemptId().isEmpty()
+                || request.headers().count(ClientRequest.ATTEMPT_ID) != 1) {
+            client.answer(null, FinalAnswer.own(400, null));
+            return null;
+        }
+        Route route = context.control().routing().match(request.host(), request.path());
+        if (route == null) {
+            client.answer(null, context.control().isReady()
+                    ? FinalAnswer.own(404, request.attemptId())
+                    : FinalAnswer.later(503, request.attemptId(), UNKNOWN_WAIT_MS));
+            return null;
+        }
+        String operationKey = request.headers().get(ClientRequest.OPERATION_KEY);
+        if (route.kind() == RouteKind.KEYED_IDEMPOTENT && (operationKey == null || operationKey.isEmpty())) {
+            client.answer(null, FinalAnswer.own(400, request.attemptId()));
+            return null;
+        }
+        double draw = 1 - Rendezvous.unit(Rendezvous.hashText(request.attemptId()));
+        ServiceState service = context.service(route.destination(draw));
+        service.budget().countRequest(context.now());
+        return switch (route.kind()) {
+            case KEYED_IDEMPOTENT -> new KeyedExchange(context, client, request, route, service, operationKey);
+            case CACHEABLE -> isRead(request)
+                    ? new CachedExchange(context, client, request, route, service, context.objects())
+                    : new PassingExchange(context, client, request, route, service);
+            default -> new PassingExchange(context, client, request, route, service);
+        };
+    }
+
+    private static boolean isRead(ClientRequest request) {
+        return request.method().equals("GET") && request.body().length == 0;
+    }
+}
