Two tests of the edge proxy that breaking the code did not fail

Need: with the origin's spare share ignored, and with a repeat that gave up left among those that wait, all tests passed. Change: the first looks at what is left for a client instead of at arrivals that may still come; the second is new.

--- a/cdn/src/test/java/ridgemill/cdn/proxy/CacheTest.java
+++ b/cdn/src/test/java/ridgemill/cdn/proxy/CacheTest.java
@@ -193,7 +193,11 @@
         }
         proxy.timers.jump(CACHE_TTL_MS * 0.9);
         proxy.ask("GET", "/c/1", "b", "");
-        assertThat(origin.received).as("a share of one at a time has nothing to spare").hasSize(1);
+        assertThat(proxy.ask("GET", "/c/2", "client", "").status())
+                .as("a share of one at a time has nothing to spare").isEqualTo(200);
+        assertThat(origin.take().id()).isEqualTo("a0");
+        assertThat(origin.take().id()).isEqualTo("client");
+        assertThat(origin.received).isEmpty();
     }
 
     @Test
--- a/cdn/src/test/java/ridgemill/cdn/proxy/KeyedTest.java
+++ b/cdn/src/test/java/ridgemill/cdn/proxy/KeyedTest.java
@@ -92,6 +92,21 @@
         assertThat(proxy.ask("POST", "/k/1", "later", KEY).body()).isEqualTo("done");
     }
 
+    @Test
+    void aRepeatThatWaitsNoMoreClaimsNothing() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        proxy.instance("a", (request, socket) -> {
+            go.await();
+            return false;
+        });
+        ProxyFixture.Client[] clients = send(2);
+        assertThat(clients[1].read().status()).isEqualTo(409);
+        go.countDown();
+        assertThat(clients[0].read().status()).isEqualTo(502);
+        proxy.awaitInFlight(0);
+        assertThat(proxy.register.claims).hasSize(1);
+    }
+
     @Test
     void whereTheFirstLeavesUnsentTheNextClaims() throws Exception {
         proxy.routes(ProxyFixture.route(ridgemill.cdn.config.RouteKind.KEYED_IDEMPOTENT, "/k/", 2, 8_000));
