--- a/cdn/src/main/java/ridgemill/cdn/proxy/ProxyProgram.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/ProxyProgram.java
@@ -21,7 +21,7 @@
     private static final int OK = 200;
     private static final int NOT_FOUND = 404;
     private static final int UNAVAILABLE = 503;
-    private static final long CHECK_INTERVAL_MS = 50;
+    private static final long CHECK_INTERVAL_MS = 20;
     /** The share of the grace period after which no new connections are accepted; the platform has noticed by then. */
     private static final double ACCEPT_SHARE = 0.45;
     /** The share of the grace period after which the process ends whatever is left. */
