--- a/cdn/src/main/java/ridgemill/cdn/app/Main.java
+++ b/cdn/src/main/java/ridgemill/cdn/app/Main.java
@@ -18,7 +18,7 @@
     private static final String SETTINGS_VARIABLE = "RIDGEMILL_CONFIG";
     private static final String DEFAULT_SETTINGS = "/etc/ridgemill/local.toml";
     private static final int BAD_INPUT = 2;
-    private static final String USAGE = "ridgemill-cdn [--settings FILE] proxy|registry|store|check|rehearse|version";
+    private static final String USAGE = "ridgemill-cdn [--settings FILE] proxy|registry|store|check|demo|version";
     private static final String ABOUT = "proxy serves clients; registry takes the calls of instances and operators; store "
             + "keeps the configuration; check reads the settings and says what is wrong with them.";
 
@@ -73,6 +73,7 @@
                 Settings settings = settings(settingsPath);
                 System.out.println(settingsPath + ": good; machine " + settings.nodeName());
             }
+            case "demo" -> Demonstration.run();
             case "rehearse" -> Rehearsal.run();
             case "version" -> System.out.println(version());
             default -> fail("unknown command " + command + ": " + USAGE);
