--- a/cdn-core/src/main/java/ridgemill/cdn/config/Destination.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/config/Destination.java
@@ -6,4 +6,4 @@
  * @param service the service's name
  * @param weight its share of the route's requests relative to the other destinations, 0 or more
  */
-public record Destination(String service, double weight) { }
+public record Destination(String service, double weight) {}
--- a/cdn-core/src/main/java/ridgemill/cdn/config/Service.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/config/Service.java
@@ -11,4 +11,4 @@
  * @param version the item's version
  */
 public record Service(
-        String name, String healthPath, int connectionCap, boolean deduplicates, double ratePerSecond, long version) { }
+        String name, String healthPath, int connectionCap, boolean deduplicates, double ratePerSecond, long version) {}
--- a/cdn-core/src/main/java/ridgemill/cdn/edge/EntityTags.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/edge/EntityTags.java
@@ -3,7 +3,7 @@
 /** Compares entity tags as RFC 9110 says. */
 public final class EntityTags {
 
-    private EntityTags() { }
+    private EntityTags() {}
 
     /** Whether an If-None-Match header names this tag. Weak tags count as the strong ones. */
     public static boolean matches(String header, String etag) {
--- a/cdn-core/src/main/java/ridgemill/cdn/edge/InstancePicker.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/edge/InstancePicker.java
@@ -18,13 +18,13 @@
     public sealed interface Pick {
 
         /** The request goes there. */
-        record Chosen(InstanceStats instance) implements Pick { }
+        record Chosen(InstanceStats instance) implements Pick {}
 
         /** All that could run it hold as many requests as they should. */
-        record Crowded() implements Pick { }
+        record Crowded() implements Pick {}
 
         /** There is none left to try. */
-        record None() implements Pick { }
+        record None() implements Pick {}
     }
 
     private static final Pick CROWDED = new Pick.Crowded();
--- a/cdn-core/src/main/java/ridgemill/cdn/edge/InstanceStats.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/edge/InstanceStats.java
@@ -8,12 +8,14 @@
 
     /** Failures in a row before an instance is spared, and for how long, doubling up to the last. */
     static final double STRIKES = 2;
+
     static final double SPARE_MS = 500;
     static final double SPARE_MOST_MS = 4_000;
     /** How long an instance is left alone after another one answered at its address. */
     static final double MISDIRECTED_MS = 5_000;
     /** How long an instance that turned a request away is taken to be full: about until a slot is free again. */
     private static final double FULL_MS = 50;
+
     private static final double SMOOTH = 0.1;
     /** A running share of spoilt answers beyond this spares an instance though it answers. */
     private static final double SPOILING = 0.35;
@@ -21,6 +23,7 @@
     private static final double LOAD_MS = 250;
     /** What a cold instance gets of its share at its start. */
     private static final double COLD_SHARE = 0.35;
+
     private static final double SLOWEST_SHARE = 0.2;
     /** Requests beyond its slots that an instance is sent. */
     private static final int QUEUE = 1;
--- a/cdn-core/src/main/java/ridgemill/cdn/edge/OriginShare.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/edge/OriginShare.java
@@ -12,12 +12,15 @@
 
     /** The burst, as seconds' worth of the share. */
     private static final double BURST_SECONDS = 0.35;
+
     private static final double LEAST_BURST = 1;
     /** Left of the share, as clocks and counts differ. */
     private static final double USED = 0.98;
+
     private static final double LEAST_RATE = 0.01;
     /** What the rules tolerate: this multiple of the rate over any window of so many seconds. */
     private static final double CEILING = 1.1;
+
     private static final double WINDOW_SECONDS = 5;
     /** The part of the burst that is kept for clients who wait. */
     private static final double CLIENTS_PART = 0.5;
--- a/cdn-core/src/main/java/ridgemill/cdn/edge/RetryBudget.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/edge/RetryBudget.java
@@ -12,6 +12,7 @@
 
     /** What this proxy leaves of the bounds, as others count from other moments and on other clocks. */
     private static final double RATIO_USED = 0.8;
+
     private static final double SLACK_USED = 0.7;
     private static final int SPANS = 20;
 
--- a/cdn-core/src/main/java/ridgemill/cdn/edge/ServiceAdmission.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/edge/ServiceAdmission.java
@@ -15,6 +15,7 @@
     public static final double INTERVAL_MS = 1_500;
     /** The greatest wait that a refused client is told, in milliseconds. */
     private static final double MOST_WAIT_MS = 1_000;
+
     private static final double SMOOTH = 0.02;
 
     private final AdmissionLevel level = new AdmissionLevel();
@@ -33,9 +34,8 @@
 
     /** Draws a token. Returns false if the request has to be refused. */
     public boolean draw(double nowMs, int priorityLevel) {
-        meanPriority = Double.isNaN(meanPriority)
-                ? priorityLevel
-                : meanPriority + SMOOTH * (priorityLevel - meanPriority);
+        meanPriority =
+                Double.isNaN(meanPriority) ? priorityLevel : meanPriority + SMOOTH * (priorityLevel - meanPriority);
         return level.level() == 0 || bank.draw(nowMs, priorityLevel > meanPriority);
     }
 
--- a/cdn-core/src/main/java/ridgemill/cdn/instances/InstanceTable.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/instances/InstanceTable.java
@@ -109,7 +109,8 @@
 
     /** Forgets instances that left, or fell silent, long ago. */
     public void forgetOld(double nowMs) {
-        entries.values().removeIf(entry -> nowMs - entry.heardAtMs
-                > (entry.instance.state() == InstanceState.GONE ? FORGET_GONE_MS : FORGET_SILENT_MS));
+        entries.values()
+                .removeIf(entry -> nowMs - entry.heardAtMs
+                        > (entry.instance.state() == InstanceState.GONE ? FORGET_GONE_MS : FORGET_SILENT_MS));
     }
 }
--- a/cdn-core/src/main/java/ridgemill/cdn/keys/KeyMerge.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/keys/KeyMerge.java
@@ -46,8 +46,8 @@
             case HELD -> held.add(record.claimId());
             case RELEASED -> released.add(record.claimId());
             case CONFLICT -> conflict = true;
-            case FINISHED -> finished =
-                    finished == null || FINISHED_ORDER.compare(record, finished) < 0 ? record : finished;
+            case FINISHED ->
+                finished = finished == null || FINISHED_ORDER.compare(record, finished) < 0 ? record : finished;
         }
     }
 
--- a/cdn-core/src/main/java/ridgemill/cdn/keys/KeyReplica.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/keys/KeyReplica.java
@@ -24,7 +24,7 @@
     private final WithdrawnClaims withdrawn = new WithdrawnClaims(WITHDRAWN_CAPACITY);
     private long bytes;
 
-    private record Expiry(long atMs, String key) { }
+    private record Expiry(long atMs, String key) {}
 
     /** An empty register. */
     public KeyReplica(KeyLimits limits) {
@@ -77,7 +77,8 @@
     public KeyRecord release(String key, String claimId, long nowMs) {
         withdrawn.add(claimId);
         KeyRecord held = get(key, nowMs);
-        boolean own = held != null && held.state() == KeyState.HELD && held.claimId().equals(claimId);
+        boolean own =
+                held != null && held.state() == KeyState.HELD && held.claimId().equals(claimId);
         if (!own && held != null) {
             return null;
         }
--- a/cdn-core/src/test/java/ridgemill/cdn/edge/ByteRangeTest.java
+++ b/cdn-core/src/test/java/ridgemill/cdn/edge/ByteRangeTest.java
@@ -16,8 +16,20 @@
     @Test
     void whatElseStandsThereIsIgnored() {
         String[] others = {
-            null, "", "bytes", "bytes=", "bytes=-", "bytes=-5", "bytes=5-4", "bytes=1-2,4-5", "bytes=a-b", "bytes=+1-2",
-            "bytes= 1-2", "items=1-2", "bytes=1234567890123456789-", "bytes=1-2-3"
+            null,
+            "",
+            "bytes",
+            "bytes=",
+            "bytes=-",
+            "bytes=-5",
+            "bytes=5-4",
+            "bytes=1-2,4-5",
+            "bytes=a-b",
+            "bytes=+1-2",
+            "bytes= 1-2",
+            "items=1-2",
+            "bytes=1234567890123456789-",
+            "bytes=1-2-3"
         };
         for (String other : others) {
             assertThat(ByteRange.parse(other)).as("%s", other).isNull();
--- a/cdn-core/src/test/java/ridgemill/cdn/edge/InstancePickerTest.java
+++ b/cdn-core/src/test/java/ridgemill/cdn/edge/InstancePickerTest.java
@@ -20,8 +20,8 @@
     private final List<InstanceStats> all = new ArrayList<>();
 
     private InstanceStats add(String id, boolean local, long coldUntilMs) {
-        Instance instance = new Instance(
-                id, "s", "a:" + all.size(), "z", "v1", SLOTS, InstanceState.READY, 1, coldUntilMs);
+        Instance instance =
+                new Instance(id, "s", "a:" + all.size(), "z", "v1", SLOTS, InstanceState.READY, 1, coldUntilMs);
         InstanceStats stats = new InstanceStats(instance);
         stats.learn(instance, local, 100);
         all.add(stats);
--- a/cdn-core/src/test/java/ridgemill/cdn/edge/OriginShareTest.java
+++ b/cdn-core/src/test/java/ridgemill/cdn/edge/OriginShareTest.java
@@ -59,7 +59,8 @@
     void allProxiesTogetherStayUnderTheCeilingInEveryWindow() {
         for (int proxies : new int[] {1, 5, 20, 60}) {
             for (double rate : new double[] {20, 90, 590}) {
-                assertThat(most(arrivals(rate, proxies))).as("%d proxies, %s a second", proxies, rate)
+                assertThat(most(arrivals(rate, proxies)))
+                        .as("%d proxies, %s a second", proxies, rate)
                         .isLessThanOrEqualTo((int) (rate * 1.1 * WINDOW_MS / 1_000) + 5);
             }
         }
--- a/cdn-core/src/test/java/ridgemill/cdn/edge/RetryBudgetTest.java
+++ b/cdn-core/src/test/java/ridgemill/cdn/edge/RetryBudgetTest.java
@@ -56,7 +56,9 @@
         for (int i = 0; i < 100; i++) {
             budget.giveBack(WINDOW_MS * 3);
         }
-        assertThat(takeAll(budget, WINDOW_MS * 3, 1)).as("no credit from nothing").isEqualTo(14);
+        assertThat(takeAll(budget, WINDOW_MS * 3, 1))
+                .as("no credit from nothing")
+                .isEqualTo(14);
     }
 
     /** Uneven loads that jump: the sum stays under the bound in each window, however it lies. */
@@ -92,10 +94,13 @@
             int all = 0;
             for (int end = 2 * window; end <= steps; end++) {
                 int sent = sum(repeats, end - window, end);
-                int seen = Math.max(sum(requests, end - window, end), Math.max(
-                        sum(requests, end - 3 * window / 2, end - window / 2),
-                        sum(requests, end - 2 * window, end - window)));
-                assertThat((double) sent).as("seed %d, window to step %d", seed, end)
+                int seen = Math.max(
+                        sum(requests, end - window, end),
+                        Math.max(
+                                sum(requests, end - 3 * window / 2, end - window / 2),
+                                sum(requests, end - 2 * window, end - window)));
+                assertThat((double) sent)
+                        .as("seed %d, window to step %d", seed, end)
                         .isLessThanOrEqualTo(ratio * seen + slack);
                 all += sent;
             }
--- a/cdn-core/src/test/java/ridgemill/cdn/keys/KeyReplicaTest.java
+++ b/cdn-core/src/test/java/ridgemill/cdn/keys/KeyReplicaTest.java
@@ -125,7 +125,9 @@
                 }
                 calls.get(i).accept((long) i);
             }
-            long winners = votes.values().stream().filter(granted -> granted.size() >= 2).count();
+            long winners = votes.values().stream()
+                    .filter(granted -> granted.size() >= 2)
+                    .count();
             assertThat(winners).isLessThanOrEqualTo(1);
         }
 
@@ -153,8 +155,10 @@
             Map<String, KeyMerge> merges = new HashMap<>();
             for (int i = 0; i < voters.length; i++) {
                 if (i != lost) {
-                    voters[i].all().forEach(record ->
-                            merges.computeIfAbsent(record.key(), KeyMerge::new).add(record));
+                    voters[i]
+                            .all()
+                            .forEach(record -> merges.computeIfAbsent(record.key(), KeyMerge::new)
+                                    .add(record));
                 }
             }
             voters[lost] = new KeyReplica(LIMITS);
--- a/cdn-core/src/test/java/ridgemill/cdn/quorum/QuorumTest.java
+++ b/cdn-core/src/test/java/ridgemill/cdn/quorum/QuorumTest.java
@@ -11,7 +11,8 @@
     @Test
     void anyReplicasThatARecoveryAsksMeetEachMajorityThatCountedTheLostOne() {
         for (int n = 2; n <= 9; n++) {
-            Quorum quorum = new Quorum(IntStream.range(0, n).mapToObj(Integer::toString).toList());
+            Quorum quorum =
+                    new Quorum(IntStream.range(0, n).mapToObj(Integer::toString).toList());
             int othersOfAMajority = quorum.majority() - 1;
             assertThat(quorum.recoveryAnswers() + othersOfAMajority).isGreaterThan(n - 1);
             assertThat(quorum.recoveryAnswers()).isLessThanOrEqualTo(n - 1);
--- a/cdn/src/main/java/ridgemill/cdn/app/Main.java
+++ b/cdn/src/main/java/ridgemill/cdn/app/Main.java
@@ -19,14 +19,16 @@
     private static final String DEFAULT_SETTINGS = "/etc/ridgemill/local.toml";
     private static final int BAD_INPUT = 2;
     private static final String USAGE = "ridgemill-cdn [--settings FILE] proxy|registry|store|check|rehearse|version";
-    private static final String ABOUT = "proxy serves clients; registry takes the calls of instances and operators; store "
-            + "keeps the configuration; check reads the settings and says what is wrong with them.";
+    private static final String ABOUT =
+            "proxy serves clients; registry takes the calls of instances and operators; store "
+                    + "keeps the configuration; check reads the settings and says what is wrong with them.";
 
-    private Main() { }
+    private Main() {}
 
     /** Runs the program that the command line names. */
     public static void main(String[] arguments) throws Exception {
-        // The usual command line of a deployment is one word: reading it by hand spares each start the parser's classes.
+        // The usual command line of a deployment is one word: reading it by hand spares each start the parser's
+        // classes.
         if (arguments.length == 1 && !arguments[0].startsWith("-")) {
             run(arguments[0], settingsPath());
             return;
@@ -38,7 +40,8 @@
                 .argName("FILE")
                 .desc("the settings file; else the variable " + SETTINGS_VARIABLE + ", else " + DEFAULT_SETTINGS)
                 .build());
-        options.addOption(Option.builder("h").longOpt("help").desc("print this text").build());
+        options.addOption(
+                Option.builder("h").longOpt("help").desc("print this text").build());
         CommandLine line = parse(options, arguments);
         if (line.hasOption("help")) {
             new HelpFormatter().printHelp(USAGE, null, options, ABOUT);
@@ -47,7 +50,9 @@
         if (line.getArgs().length != 1) {
             fail("one command is needed: " + USAGE);
         }
-        run(line.getArgs()[0], Path.of(line.getOptionValue("settings", settingsPath().toString())));
+        run(
+                line.getArgs()[0],
+                Path.of(line.getOptionValue("settings", settingsPath().toString())));
     }
 
     private static CommandLine parse(Options options, String[] arguments) {
--- a/cdn/src/main/java/ridgemill/cdn/app/Process.java
+++ b/cdn/src/main/java/ridgemill/cdn/app/Process.java
@@ -70,9 +70,13 @@
     private void onTermination(Runnable task) {
         Signal.handle(new Signal("TERM"), signal -> task.run());
         Signal.handle(new Signal("INT"), signal -> task.run());
-        Signal.handle(new Signal("HUP"), signal -> SettingsReader.read(settingsPath)
-                .peek(read -> LOG.log(System.Logger.Level.INFO, "event=settings_read machine=" + read.nodeName()))
-                .peekLeft(error -> LOG.log(System.Logger.Level.WARNING, "event=settings_bad " + error.describe())));
+        Signal.handle(
+                new Signal("HUP"),
+                signal -> SettingsReader.read(settingsPath)
+                        .peek(read ->
+                                LOG.log(System.Logger.Level.INFO, "event=settings_read machine=" + read.nodeName()))
+                        .peekLeft(error ->
+                                LOG.log(System.Logger.Level.WARNING, "event=settings_bad " + error.describe())));
     }
 
     private static void end() {
--- a/cdn/src/main/java/ridgemill/cdn/app/Rehearsal.java
+++ b/cdn/src/main/java/ridgemill/cdn/app/Rehearsal.java
@@ -80,7 +80,8 @@
     private void play(Path directory, int instancePort) throws Exception {
         SocketKind sockets = SocketKind.chosen();
         Clock clock = new Clock();
-        Settings settings = SettingsReader.parse(settings(directory), "rehearsal").get();
+        Settings settings =
+                SettingsReader.parse(settings(directory), "rehearsal").get();
         StoreProgram store = new StoreProgram(settings, loop(sockets), sockets, clock);
         RegistryProgram registry = new RegistryProgram(settings, loop(sockets), sockets, clock);
         ProxyProgram proxy = new ProxyProgram(settings, loop(sockets), sockets, clock);
@@ -104,9 +105,8 @@
     }
 
     private static EventLoop loop(SocketKind sockets) {
-        MultiThreadIoEventLoopGroup group =
-                new MultiThreadIoEventLoopGroup(1, new io.netty.util.concurrent.DefaultThreadFactory("loop", true),
-                        sockets.handlers());
+        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(
+                1, new io.netty.util.concurrent.DefaultThreadFactory("loop", true), sockets.handlers());
         return group.next();
     }
 
@@ -131,8 +131,7 @@
                 fileDescriptors = 1024
                 [toleratedLosses]
                 machines = 0
-                """
-                .formatted(internal, internal + 1, control, directory, front, ready, control);
+                """.formatted(internal, internal + 1, control, directory, front, ready, control);
     }
 
     private static String configuration() {
@@ -154,8 +153,7 @@
         return """
                 {"address":"127.0.0.1:%d","information":{"service":"s","version":"v1","zone":"a","slotCount":32},
                 "status":{"state":"ready","sequence":4,"coldRemaining":"0ms"}}
-                """
-                .formatted(port);
+                """.formatted(port);
     }
 
     private static String request(int number) {
@@ -217,7 +215,8 @@
                 int at = head.toLowerCase(java.util.Locale.ROOT).indexOf("x-attempt-id: ") + "x-attempt-id: ".length();
                 String id = head.substring(at, head.indexOf('\r', at));
                 String answer = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id + "\r\nX-Response-Seal: s\r\nETag: \"e\"\r\n"
-                        + "X-Object-Tags: t1 t2\r\nX-Server-Load: 1,0,32\r\nContent-Length: " + ANSWER_BYTES + "\r\n\r\n"
+                        + "X-Object-Tags: t1 t2\r\nX-Server-Load: 1,0,32\r\nContent-Length: " + ANSWER_BYTES
+                        + "\r\n\r\n"
                         + "x".repeat(ANSWER_BYTES);
                 socket.getOutputStream().write(answer.getBytes(StandardCharsets.US_ASCII));
                 read = in.read(buffer);
@@ -229,7 +228,8 @@
 
     private static void delete(Path directory) {
         try (Stream<Path> files = Files.walk(directory)) {
-            files.sorted(Comparator.reverseOrder()).forEach(file -> file.toFile().delete());
+            files.sorted(Comparator.reverseOrder())
+                    .forEach(file -> file.toFile().delete());
         } catch (IOException undeletable) {
             throw new UncheckedIOException(undeletable);
         }
--- a/cdn/src/main/java/ridgemill/cdn/configuration/ChangeReader.java
+++ b/cdn/src/main/java/ridgemill/cdn/configuration/ChangeReader.java
@@ -39,7 +39,8 @@
     /** A reader with the schema that this build brings. */
     public ChangeReader() {
         try (InputStream in = ChangeReader.class.getResourceAsStream(SCHEMA)) {
-            schema = JsonSchemaFactory.getInstance(SpecVersion.VersionFlag.V202012).getSchema(json.readTree(in));
+            schema = JsonSchemaFactory.getInstance(SpecVersion.VersionFlag.V202012)
+                    .getSchema(json.readTree(in));
         } catch (IOException missing) {
             throw new UncheckedIOException(missing);
         }
--- a/cdn/src/main/java/ridgemill/cdn/configuration/ChangeValidator.java
+++ b/cdn/src/main/java/ridgemill/cdn/configuration/ChangeValidator.java
@@ -111,6 +111,7 @@
     }
 
     private static Option<InvalidChange> invalid(Item item, String reason) {
-        return Option.of(new InvalidChange(item.name().kind() + " " + item.name().name(), reason));
+        return Option.of(
+                new InvalidChange(item.name().kind() + " " + item.name().name(), reason));
     }
 }
--- a/cdn/src/main/java/ridgemill/cdn/configuration/ItemParser.java
+++ b/cdn/src/main/java/ridgemill/cdn/configuration/ItemParser.java
@@ -20,7 +20,7 @@
 
     private static final ObjectMapper JSON = new ObjectMapper();
 
-    private ItemParser() { }
+    private ItemParser() {}
 
     /**
      * The typed view of a set of items. Items were checked before they were stored; one that can't be read all the same,
@@ -53,7 +53,8 @@
     public static Route route(String name, JsonNode content) {
         RouteKind kind = RouteKind.ofWireName(content.path("routeKind").asText());
         if (kind == null) {
-            throw new IllegalArgumentException("unknown routeKind " + content.path("routeKind").asText());
+            throw new IllegalArgumentException(
+                    "unknown routeKind " + content.path("routeKind").asText());
         }
         return new Route(
                 name,
--- a/cdn/src/main/java/ridgemill/cdn/http/CallServer.java
+++ b/cdn/src/main/java/ridgemill/cdn/http/CallServer.java
@@ -47,7 +47,7 @@
      * @param body the whole body
      * @param answer takes the answer; called once, on the event loop
      */
-    public record Call(String method, String path, byte[] body, Consumer<Answer> answer) { }
+    public record Call(String method, String path, byte[] body, Consumer<Answer> answer) {}
 
     /**
      * An answer to a call.
--- a/cdn/src/main/java/ridgemill/cdn/log/LineLoggerFinder.java
+++ b/cdn/src/main/java/ridgemill/cdn/log/LineLoggerFinder.java
@@ -10,9 +10,8 @@
  */
 public final class LineLoggerFinder extends System.LoggerFinder {
 
-    private static final System.Logger.Level LEAST = "debug".equals(System.getProperty("ridgemill.log"))
-            ? System.Logger.Level.DEBUG
-            : System.Logger.Level.INFO;
+    private static final System.Logger.Level LEAST =
+            "debug".equals(System.getProperty("ridgemill.log")) ? System.Logger.Level.DEBUG : System.Logger.Level.INFO;
 
     private final Map<String, System.Logger> loggers = new ConcurrentHashMap<>();
 
--- a/cdn/src/main/java/ridgemill/cdn/proxy/Attempt.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/Attempt.java
@@ -98,7 +98,10 @@
             }
             given.send(
                     request.bytes(context.allocator(), instance.instance().id(), deadlineMs - nowMs),
-                    request.attemptId(), request.isHead(), nowMs, this);
+                    request.attemptId(),
+                    request.isHead(),
+                    nowMs,
+                    this);
         }
     }
 
@@ -172,7 +175,7 @@
             case SILENT, GARBLED -> service.admission().count(false);
             case RESET, CONNECT_FAILED -> service.admission().countBroken();
             case DECLINED -> service.admission().count(false);
-            case MISDIRECTED, NEVER_WRITTEN -> { }
+            case MISDIRECTED, NEVER_WRITTEN -> {}
             default -> throw new IllegalStateException(how.name());
         }
     }
--- a/cdn/src/main/java/ridgemill/cdn/proxy/ClientConnections.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/ClientConnections.java
@@ -14,6 +14,7 @@
     private static final int OWN_DESCRIPTORS = 200;
     /** One in so many descriptors is kept for connections to instances. */
     private static final int UPSTREAM_PART = 4;
+
     private static final int LEAST = 4;
 
     private final int most;
--- a/cdn/src/main/java/ridgemill/cdn/proxy/DataPath.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/DataPath.java
@@ -44,8 +44,8 @@
             Settings settings,
             ControlView control,
             OperationRegister register) {
-        this(loop, sockets, new LoopTimers(loop, clock), settings, control, register,
-                (long) (CACHE_PART * Runtime.getRuntime().maxMemory()));
+        this(loop, sockets, new LoopTimers(loop, clock), settings, control, register, (long)
+                (CACHE_PART * Runtime.getRuntime().maxMemory()));
     }
 
     /**
--- a/cdn/src/main/java/ridgemill/cdn/proxy/Delivery.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/Delivery.java
@@ -31,7 +31,7 @@
     sealed interface Result {
 
         /** A whole answer of an instance that ran the request. */
-        record Answered(InstanceAnswer answer) implements Result { }
+        record Answered(InstanceAnswer answer) implements Result {}
 
         /**
          * There is no answer to pass on.
@@ -40,7 +40,7 @@
          * @param outOfTime whether the deadline ended it
          * @param waitMs when another try makes sense, in milliseconds
          */
-        record Failed(boolean mayHaveRun, boolean outOfTime, double waitMs) implements Result { }
+        record Failed(boolean mayHaveRun, boolean outOfTime, double waitMs) implements Result {}
     }
 
     private final ProxyContext context;
@@ -163,7 +163,8 @@
     private void begin(InstanceStats instance, double nowMs) {
         if (!service.originShare().tryTake(nowMs)) {
             fail(false, service.originShare().waitMs(nowMs));
-        } else if (sent > 0 && !service.budget().tryRepeat(nowMs, context.control().proxyCount())) {
+        } else if (sent > 0
+                && !service.budget().tryRepeat(nowMs, context.control().proxyCount())) {
             service.originShare().giveBack(nowMs);
             fail(false, route.targetLatencyMs());
         } else {
--- a/cdn/src/main/java/ridgemill/cdn/proxy/FrontConnection.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/FrontConnection.java
@@ -25,11 +25,18 @@
     private static final double LINGER_MS = 1_000;
     /** The stated idle time is this much below the true one, in milliseconds. */
     private static final long IDLE_MARGIN_MS = 1_000;
+
     private static final long MS_PER_SECOND = 1_000;
     private static final String CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n";
     private static final String CLOSE = "Connection: close\r\n";
 
-    private enum State { IDLE, HEAD, BODY, BUSY, CLOSING }
+    private enum State {
+        IDLE,
+        HEAD,
+        BODY,
+        BUSY,
+        CLOSING
+    }
 
     private final DataPath path;
     private final RequestReader reader = new RequestReader();
@@ -200,7 +207,9 @@
         }
         if (state == State.HEAD || state == State.BODY) {
             last(FinalAnswer.own(408, null));
-        } else if (state == State.IDLE || !channel.isWritable() || channel.unsafe().outboundBuffer() == null
+        } else if (state == State.IDLE
+                || !channel.isWritable()
+                || channel.unsafe().outboundBuffer() == null
                 || channel.unsafe().outboundBuffer().isEmpty()) {
             channel.close();
         } else {
--- a/cdn/src/main/java/ridgemill/cdn/proxy/InstanceConnection.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/InstanceConnection.java
@@ -18,6 +18,7 @@
     private static final int MISDIRECTED = 421;
     /** Surplus answers of earlier requests that are passed over before the one that is due. */
     private static final int MOST_SURPLUS = 2;
+
     private static final double MS_PER_SECOND = 1_000;
 
     private final InstancePool pool;
--- a/cdn/src/main/java/ridgemill/cdn/proxy/KeyedExchange.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/KeyedExchange.java
@@ -19,6 +19,7 @@
     private static final double PATIENCE = 0.25;
     /** How long an operation that was sent may take beyond its deadline, so that its answer is recorded. */
     private static final double LINGER_MS = 5_000;
+
     private static final int MOST_RECORDED_BYTES = 1024 * 1024;
 
     private final ServiceState service;
@@ -29,6 +30,7 @@
     private Timers.Timer timer;
     /** Whether it leads and an answer of the register is due. */
     private boolean claiming;
+
     private boolean leads;
     private boolean lingers;
 
--- a/cdn/src/main/java/ridgemill/cdn/proxy/LoadHeader.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/LoadHeader.java
@@ -7,7 +7,7 @@
 
     private static final int MOST_DIGITS = 6;
 
-    private LoadHeader() { }
+    private LoadHeader() {}
 
     /** Tells an instance's load to its statistics; what can't be read is ignored. */
     static void tell(InstanceStats instance, String text, double nowMs) {
--- a/cdn/src/main/java/ridgemill/cdn/proxy/ObjectFetch.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/ObjectFetch.java
@@ -7,7 +7,7 @@
 /** A fetch of one object under way, and the requests that wait for it; none at first if it is made ahead of need. */
 final class ObjectFetch {
 
-    private record PurgedTag(String tag, double atMs) { }
+    private record PurgedTag(String tag, double atMs) {}
 
     private final String key;
     private final CachedExchange starter;
--- a/cdn/src/main/java/ridgemill/cdn/proxy/ObjectFetches.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/ObjectFetches.java
@@ -57,7 +57,8 @@
         }
         CachedObject older = copy != null && copy.etag() != null ? copy : null;
         ObjectFetch fetch = new ObjectFetch(key, exchange, older, nowMs);
-        double deadlineMs = Math.max(exchange.deadlineMs(), nowMs + exchange.route().timeoutMs());
+        double deadlineMs =
+                Math.max(exchange.deadlineMs(), nowMs + exchange.route().timeoutMs());
         delivery(fetch, exchange, deadlineMs).start();
         return running.contains(fetch) ? fetch : null;
     }
@@ -72,7 +73,12 @@
                 Rendezvous.hashText(fetch.key()),
                 exchange.route().targetLatencyMs());
         Delivery delivery = new Delivery(
-                context, exchange.service(), exchange.route(), outgoing, true, deadlineMs,
+                context,
+                exchange.service(),
+                exchange.route(),
+                outgoing,
+                true,
+                deadlineMs,
                 result -> fetched(fetch, result));
         fetch.deliverBy(delivery);
         return delivery;
@@ -88,7 +94,9 @@
         boolean due = copy.isDueAhead(nowMs, exchange.route().cacheTtlMs(), uses)
                 && !joinable.containsKey(copy.key())
                 && !context.isDraining();
-        if (!due || !service.originShare().hasSpare(nowMs) || !service.admission().drawForNobody(nowMs)) {
+        if (!due
+                || !service.originShare().hasSpare(nowMs)
+                || !service.admission().drawForNobody(nowMs)) {
             return;
         }
         // Should it fail, the next one needs as many uses again.
--- a/cdn/src/main/java/ridgemill/cdn/proxy/OutgoingRequest.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/OutgoingRequest.java
@@ -17,13 +17,7 @@
  * @param targetMs the time within which an answer is in time, in milliseconds
  */
 record OutgoingRequest(
-        String method,
-        String target,
-        String attemptId,
-        Headers headers,
-        byte[] body,
-        long placeKey,
-        double targetMs) {
+        String method, String target, String attemptId, Headers headers, byte[] body, long placeKey, double targetMs) {
 
     private static final String EXPECTED_INSTANCE = "X-Expected-Instance";
 
@@ -48,13 +42,7 @@
 
     private static OutgoingRequest of(ClientRequest request, Headers headers, long placeKey, double targetMs) {
         return new OutgoingRequest(
-                request.method(),
-                request.target(),
-                request.attemptId(),
-                headers,
-                request.body(),
-                placeKey,
-                targetMs);
+                request.method(), request.target(), request.attemptId(), headers, request.body(), placeKey, targetMs);
     }
 
     private static Headers passedOn(ClientRequest request) {
--- a/cdn/src/main/java/ridgemill/cdn/proxy/OwnHeaders.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/OwnHeaders.java
@@ -6,7 +6,7 @@
 /** Headers of an answer that belong to the one request that it was given to. */
 final class OwnHeaders {
 
-    private OwnHeaders() { }
+    private OwnHeaders() {}
 
     /**
      * The other headers, to be given again to other requests.
--- a/cdn/src/main/java/ridgemill/cdn/proxy/RequestRouter.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/RequestRouter.java
@@ -18,16 +18,19 @@
 
     /** The exchange for a request; null if it was answered at once, as it has no id, no route or no key. */
     Exchange route(FrontConnection client, ClientRequest request) {
-        if (request.attemptId() == null || request.attemptId().isEmpty()
+        if (request.attemptId() == null
+                || request.attemptId().isEmpty()
                 || request.headers().count(ClientRequest.ATTEMPT_ID) != 1) {
             client.answer(null, FinalAnswer.own(400, null));
             return null;
         }
         Route route = context.control().routing().match(request.host(), request.path());
         if (route == null) {
-            client.answer(null, context.control().isReady()
-                    ? FinalAnswer.own(404, request.attemptId())
-                    : FinalAnswer.later(503, request.attemptId(), UNKNOWN_WAIT_MS));
+            client.answer(
+                    null,
+                    context.control().isReady()
+                            ? FinalAnswer.own(404, request.attemptId())
+                            : FinalAnswer.later(503, request.attemptId(), UNKNOWN_WAIT_MS));
             return null;
         }
         String operationKey = request.headers().get(ClientRequest.OPERATION_KEY);
@@ -40,9 +43,10 @@
         service.budget().countRequest(context.now());
         return switch (route.kind()) {
             case KEYED_IDEMPOTENT -> new KeyedExchange(context, client, request, route, service, operationKey);
-            case CACHEABLE -> isRead(request)
-                    ? new CachedExchange(context, client, request, route, service, context.objects())
-                    : new PassingExchange(context, client, request, route, service);
+            case CACHEABLE ->
+                isRead(request)
+                        ? new CachedExchange(context, client, request, route, service, context.objects())
+                        : new PassingExchange(context, client, request, route, service);
             default -> new PassingExchange(context, client, request, route, service);
         };
     }
--- a/cdn/src/main/java/ridgemill/cdn/proxy/ServiceState.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/ServiceState.java
@@ -24,6 +24,7 @@
 
     /** This proxy's part of an instance's connections may be used up to this share of it. */
     private static final double CONNECTIONS_USED = 0.9;
+
     private static final int LEAST_CONNECTIONS = 2;
     private static final double BREAKS_WITHIN_MS = 3_000;
 
@@ -44,8 +45,7 @@
         Bounds bounds = context.settings().bounds();
         double phase = Rendezvous.unit(Rendezvous.hashText(context.settings().nodeName() + "/" + name));
         this.admission = new ServiceAdmission(phase, context.now());
-        this.budget = new RetryBudget(
-                bounds.retryBudgetRatio(), bounds.retryBudgetSlack(), bounds.retryWindowMs());
+        this.budget = new RetryBudget(bounds.retryBudgetRatio(), bounds.retryBudgetSlack(), bounds.retryWindowMs());
         refresh();
     }
 
@@ -92,8 +92,7 @@
         List<InstanceStats> ready = new ArrayList<>();
         Set<String> ids = new HashSet<>();
         for (Instance instance : context.control().readyInstances(name)) {
-            InstancePool pool = pools.computeIfAbsent(
-                    instance.id(), id -> new InstancePool(context, instance, ages));
+            InstancePool pool = pools.computeIfAbsent(instance.id(), id -> new InstancePool(context, instance, ages));
             pool.stats().learn(instance, context.isLocal(instance), connections);
             ready.add(pool.stats());
             ids.add(instance.id());
--- a/cdn/src/main/java/ridgemill/cdn/proxy/control/ControlClient.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/control/ControlClient.java
@@ -188,7 +188,8 @@
     private List<Instance> findReady(String service) {
         List<Instance> ready = new ArrayList<>();
         for (Instance instance : instances.all()) {
-            boolean serves = instance.state() == InstanceState.READY && instance.service().equals(service);
+            boolean serves = instance.state() == InstanceState.READY
+                    && instance.service().equals(service);
             if (serves && !isSilent(instance.id())) {
                 ready.add(instance);
             }
--- a/cdn/src/main/java/ridgemill/cdn/proxy/control/ControlListener.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/control/ControlListener.java
@@ -4,14 +4,14 @@
 public interface ControlListener {
 
     /** The configuration changed. */
-    default void configurationChanged() { }
+    default void configurationChanged() {}
 
     /** Instances appeared, started to drain, left or fell silent. */
-    default void instancesChanged() { }
+    default void instancesChanged() {}
 
     /** All copies of an object must not be served again, nor what fetches under way bring. */
-    default void pathPurged(String hostname, String path) { }
+    default void pathPurged(String hostname, String path) {}
 
     /** All copies that carry a tag must not be served again, nor what fetches under way bring. */
-    default void tagPurged(String tag) { }
+    default void tagPurged(String tag) {}
 }
--- a/cdn/src/main/java/ridgemill/cdn/proxy/control/OperationRegister.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/control/OperationRegister.java
@@ -25,22 +25,22 @@
     void release(Claim claim);
 
     /** A granted right to run an operation once. */
-    record Claim(String key, String claimId) { }
+    record Claim(String key, String claimId) {}
 
     /** How a call of {@link #claim} ended. */
     sealed interface ClaimOutcome {
 
         /** The caller may run the operation. */
-        record Granted(Claim claim) implements ClaimOutcome { }
+        record Granted(Claim claim) implements ClaimOutcome {}
 
         /** Another claim holds the key; whether its operation runs, or ran without a recorded answer, is not known. */
-        record Busy() implements ClaimOutcome { }
+        record Busy() implements ClaimOutcome {}
 
         /** The operation has run; its answer is to be given again. */
-        record Finished(RecordedAnswer answer) implements ClaimOutcome { }
+        record Finished(RecordedAnswer answer) implements ClaimOutcome {}
 
         /** No quorum answered in time; nothing was granted and nothing will be. */
-        record Unavailable() implements ClaimOutcome { }
+        record Unavailable() implements ClaimOutcome {}
     }
 
     /**
@@ -50,5 +50,5 @@
      * @param headers names and values of the end-to-end headers to give again, in turn
      * @param body the whole body
      */
-    record RecordedAnswer(int status, java.util.List<String> headers, byte[] body) { }
+    record RecordedAnswer(int status, java.util.List<String> headers, byte[] body) {}
 }
--- a/cdn/src/main/java/ridgemill/cdn/proxy/control/QuorumRegister.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/control/QuorumRegister.java
@@ -65,7 +65,7 @@
             voter.call(
                     callId -> new StoreMessages.FinishKey(callId, claim.key(), claim.claimId(), encoded),
                     WRITE_TIMEOUT_MS,
-                    ignored -> { });
+                    ignored -> {});
         }
     }
 
@@ -75,7 +75,7 @@
             voter.call(
                     callId -> new StoreMessages.ReleaseKey(callId, claim.key(), claim.claimId()),
                     WRITE_TIMEOUT_MS,
-                    ignored -> { });
+                    ignored -> {});
         }
     }
 
@@ -110,9 +110,8 @@
         }
 
         private void counted(StoreFeed voter, Either<CallFailure, Message.Reply> result) {
-            boolean voted = result.isRight()
-                    && result.get() instanceof StoreMessages.KeyStatus status
-                    && status.available();
+            boolean voted =
+                    result.isRight() && result.get() instanceof StoreMessages.KeyStatus status && status.available();
             if (voted) {
                 StoreMessages.KeyStatus status = (StoreMessages.KeyStatus) result.get();
                 vote.vote(voter.host(), status.state(), status.claimId(), status.answer());
--- a/cdn/src/main/java/ridgemill/cdn/proxy/control/RecordedAnswerCodec.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/control/RecordedAnswerCodec.java
@@ -10,7 +10,7 @@
 /** The form in which stores keep recorded answers, which they do not read. */
 final class RecordedAnswerCodec {
 
-    private RecordedAnswerCodec() { }
+    private RecordedAnswerCodec() {}
 
     static byte[] encode(OperationRegister.RecordedAnswer answer) throws IOException {
         try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
--- a/cdn/src/main/java/ridgemill/cdn/proxy/control/StoreFeed.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/control/StoreFeed.java
@@ -100,5 +100,5 @@
     }
 
     @Override
-    public void closed(Link ended) { }
+    public void closed(Link ended) {}
 }
--- a/cdn/src/main/java/ridgemill/cdn/proxy/http/HeaderLine.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/http/HeaderLine.java
@@ -11,12 +11,12 @@
 
     static {
         for (int c = 0; c < TOKEN.length; c++) {
-            TOKEN[c] = c >= '0' && c <= '9' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z'
-                    || TOKEN_MARKS.indexOf(c) >= 0;
+            TOKEN[c] =
+                    c >= '0' && c <= '9' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || TOKEN_MARKS.indexOf(c) >= 0;
         }
     }
 
-    private HeaderLine() { }
+    private HeaderLine() {}
 
     /** Reads a line into the headers. A line that goes on with the one before it is refused, as is any odd name. */
     static void read(byte[] bytes, int start, int end, Headers into) throws BadMessageException {
--- a/cdn/src/main/java/ridgemill/cdn/proxy/http/Headers.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/http/Headers.java
@@ -8,8 +8,17 @@
 public final class Headers {
 
     private static final String[] HOP_BY_HOP = {
-        "Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "TE", "Trailer",
-        "Transfer-Encoding", "Upgrade", "Content-Length", "Expect"
+        "Connection",
+        "Keep-Alive",
+        "Proxy-Connection",
+        "Proxy-Authenticate",
+        "Proxy-Authorization",
+        "TE",
+        "Trailer",
+        "Transfer-Encoding",
+        "Upgrade",
+        "Content-Length",
+        "Expect"
     };
 
     private final List<String> lines;
--- a/cdn/src/main/java/ridgemill/cdn/proxy/http/MessageReader.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/http/MessageReader.java
@@ -16,7 +16,15 @@
     /** A body takes this much at once at most, whatever length its head states. */
     private static final int FIRST_PIECE = 256 * 1_024;
 
-    private enum State { HEAD, FIXED, CHUNK_LINE, CHUNK, CHUNK_END, TRAILER, WHOLE }
+    private enum State {
+        HEAD,
+        FIXED,
+        CHUNK_LINE,
+        CHUNK,
+        CHUNK_END,
+        TRAILER,
+        WHOLE
+    }
 
     private State state = State.HEAD;
     private int scanned;
--- a/cdn/src/main/java/ridgemill/cdn/proxy/http/MessageWriter.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/http/MessageWriter.java
@@ -12,9 +12,10 @@
 
     /** Bodies up to this are copied behind their heads, so that one write takes both. */
     private static final int COPIED = 8 * 1_024;
+
     private static final int HEAD = 1_024;
 
-    private MessageWriter() { }
+    private MessageWriter() {}
 
     /** The bytes of a request; {@code headers} have no length of the body, which is added. */
     public static ByteBuf request(
--- a/cdn/src/main/java/ridgemill/cdn/registry/InstanceCalls.java
+++ b/cdn/src/main/java/ridgemill/cdn/registry/InstanceCalls.java
@@ -16,8 +16,7 @@
     private static final int BAD_REQUEST = 400;
     private static final int METHOD_NOT_ALLOWED = 405;
     private static final int UNAVAILABLE = 503;
-    private static final CallServer.Answer TAKEN =
-            new CallServer.Answer(OK, "{}".getBytes(StandardCharsets.US_ASCII));
+    private static final CallServer.Answer TAKEN = new CallServer.Answer(OK, "{}".getBytes(StandardCharsets.US_ASCII));
 
     private final RegistryProgram registry;
     private final ObjectMapper json = new ObjectMapper();
@@ -27,19 +26,18 @@
     }
 
     void accept(String id, CallServer.Call call) {
-        Instance instance =
-                switch (call.method()) {
-                    case "PUT" -> heartbeat(id, call.body());
-                    case "DELETE" -> departure(id);
-                    default -> null;
-                };
+        Instance instance = switch (call.method()) {
+            case "PUT" -> heartbeat(id, call.body());
+            case "DELETE" -> departure(id);
+            default -> null;
+        };
         if (instance == null) {
             boolean known = call.method().equals("PUT") || call.method().equals("DELETE");
             call.answer().accept(CallServer.Answer.empty(known ? BAD_REQUEST : METHOD_NOT_ALLOWED));
             return;
         }
-        registry.take(instance, confirmed -> call.answer()
-                .accept(confirmed ? TAKEN : CallServer.Answer.empty(UNAVAILABLE)));
+        registry.take(
+                instance, confirmed -> call.answer().accept(confirmed ? TAKEN : CallServer.Answer.empty(UNAVAILABLE)));
     }
 
     private Instance heartbeat(String id, byte[] body) {
@@ -48,7 +46,8 @@
             JsonNode information = root.path("information");
             JsonNode status = root.path("status");
             String state = status.path("state").asText();
-            if (!root.path("address").isTextual() || !information.path("service").isTextual()) {
+            if (!root.path("address").isTextual()
+                    || !information.path("service").isTextual()) {
                 return null;
             }
             long coldMs = Durations.parseMillis(status.path("coldRemaining").asText("0ms"));
--- a/cdn/src/main/java/ridgemill/cdn/registry/OperatorCalls.java
+++ b/cdn/src/main/java/ridgemill/cdn/registry/OperatorCalls.java
@@ -34,9 +34,10 @@
 
     void readConfiguration(CallServer.Call call) {
         stores.readItems(items -> call.answer()
-                .accept(items == null
-                        ? CallServer.Answer.empty(UNAVAILABLE)
-                        : new CallServer.Answer(OK, reader.write(items.all()))));
+                .accept(
+                        items == null
+                                ? CallServer.Answer.empty(UNAVAILABLE)
+                                : new CallServer.Answer(OK, reader.write(items.all()))));
     }
 
     /** A change is checked against what a quorum holds, so that it is judged by all changes that were acknowledged. */
@@ -72,8 +73,9 @@
     private void refuse(CallServer.Call call, InvalidChange fault) {
         LOG.log(System.Logger.Level.INFO, "event=configuration_refused reason=\"" + fault.describe() + "\"");
         ObjectNode body = json.createObjectNode().put("errorMessage", fault.describe());
-        call.answer().accept(new CallServer.Answer(BAD_REQUEST, body.toString().getBytes(
-                java.nio.charset.StandardCharsets.UTF_8)));
+        call.answer()
+                .accept(new CallServer.Answer(
+                        BAD_REQUEST, body.toString().getBytes(java.nio.charset.StandardCharsets.UTF_8)));
     }
 
     void purge(CallServer.Call call) {
@@ -92,9 +94,13 @@
             if (root.path("tag").isTextual()) {
                 return Purge.ofTag(id, root.path("tag").textValue());
             }
-            boolean named = root.path("hostname").isTextual() && root.path("path").isTextual();
+            boolean named =
+                    root.path("hostname").isTextual() && root.path("path").isTextual();
             return named
-                    ? Purge.ofPath(id, root.path("hostname").textValue(), root.path("path").textValue())
+                    ? Purge.ofPath(
+                            id,
+                            root.path("hostname").textValue(),
+                            root.path("path").textValue())
                     : null;
         } catch (IOException malformed) {
             return null;
--- a/cdn/src/main/java/ridgemill/cdn/registry/RegistryProgram.java
+++ b/cdn/src/main/java/ridgemill/cdn/registry/RegistryProgram.java
@@ -203,7 +203,7 @@
         freshBeats.forEach((id, sequence) -> beats.add(new RegistryMessages.Beat(id, sequence)));
         freshBeats.clear();
         for (HeldLink peer : peers.values()) {
-            peer.call(callId -> peerUpdate(callId, changed), CONFIRM_TIMEOUT_MS, ignored -> { });
+            peer.call(callId -> peerUpdate(callId, changed), CONFIRM_TIMEOUT_MS, ignored -> {});
             if (!beats.isEmpty()) {
                 peer.send(new RegistryMessages.PeerBeats(beats));
             }
@@ -386,14 +386,14 @@
         @Override
         public void opened(Link link) {
             List<Instance> all = List.copyOf(instances.all());
-            link.call(callId -> peerUpdate(callId, all), CONFIRM_TIMEOUT_MS, ignored -> { });
+            link.call(callId -> peerUpdate(callId, all), CONFIRM_TIMEOUT_MS, ignored -> {});
         }
 
         @Override
-        public void received(Link link, Message message) { }
+        public void received(Link link, Message message) {}
 
         @Override
-        public void closed(Link link) { }
+        public void closed(Link link) {}
     }
 
     /** Links to configuration stores; their snapshots tell a registry that has forgotten it who the voters are. */
@@ -414,6 +414,6 @@
         }
 
         @Override
-        public void closed(Link link) { }
+        public void closed(Link link) {}
     }
 }
--- a/cdn/src/main/java/ridgemill/cdn/registry/StoreClient.java
+++ b/cdn/src/main/java/ridgemill/cdn/registry/StoreClient.java
@@ -79,9 +79,8 @@
         });
         for (HeldLink voter : voters) {
             voter.call(StoreMessages.ReadItems::new, timeoutMs, result -> {
-                boolean complete = result.isRight()
-                        && result.get() instanceof StoreMessages.ItemsRead read
-                        && read.complete();
+                boolean complete =
+                        result.isRight() && result.get() instanceof StoreMessages.ItemsRead read && read.complete();
                 if (complete && !count.isDecided()) {
                     answered.add(voter);
                     digests.add(mergeReplica((StoreMessages.ItemsRead) result.get(), merged));
@@ -104,7 +103,7 @@
         List<Item> items = List.copyOf(merged.all());
         for (int i = 0; i < answered.size(); i++) {
             if (digests.get(i) != newest) {
-                answered.get(i).call(callId -> new StoreMessages.WriteItems(callId, items), timeoutMs, ignored -> { });
+                answered.get(i).call(callId -> new StoreMessages.WriteItems(callId, items), timeoutMs, ignored -> {});
             }
         }
     }
--- a/cdn/src/main/java/ridgemill/cdn/registry/Subscribers.java
+++ b/cdn/src/main/java/ridgemill/cdn/registry/Subscribers.java
@@ -18,7 +18,7 @@
     private final Deque<Waiter> waiters = new ArrayDeque<>();
     private long number;
 
-    private record Waiter(long number, Runnable done) { }
+    private record Waiter(long number, Runnable done) {}
 
     Subscribers(String lifeId) {
         this.lifeId = lifeId;
--- a/cdn/src/main/java/ridgemill/cdn/settings/Addresses.java
+++ b/cdn/src/main/java/ridgemill/cdn/settings/Addresses.java
@@ -5,7 +5,7 @@
 /** Reads addresses as they stand in settings and heartbeats. */
 public final class Addresses {
 
-    private Addresses() { }
+    private Addresses() {}
 
     /**
      * The socket address of a text such as {@code 10.0.0.1:8080}. The host is an IP address, so nothing is looked up.
--- a/cdn/src/main/java/ridgemill/cdn/settings/Durations.java
+++ b/cdn/src/main/java/ridgemill/cdn/settings/Durations.java
@@ -5,7 +5,7 @@
 
     private static final double MS_PER_SECOND = 1000;
 
-    private Durations() { }
+    private Durations() {}
 
     /**
      * The duration in milliseconds.
--- a/cdn/src/main/java/ridgemill/cdn/settings/SettingsReader.java
+++ b/cdn/src/main/java/ridgemill/cdn/settings/SettingsReader.java
@@ -103,7 +103,10 @@
 
     private Map<String, String> zones() {
         Map<String, String> zones = new LinkedHashMap<>();
-        root.path("zones").fields().forEachRemaining(entry -> zones.put(entry.getKey(), entry.getValue().asText()));
+        root.path("zones")
+                .fields()
+                .forEachRemaining(
+                        entry -> zones.put(entry.getKey(), entry.getValue().asText()));
         return Map.copyOf(zones);
     }
 
@@ -175,6 +178,7 @@
         if (equals <= 0) {
             throw new FieldException("bounds", "\"" + entry + "\" is not of the form name=value");
         }
-        bounds.put(entry.substring(0, equals).trim(), entry.substring(equals + 1).trim());
+        bounds.put(
+                entry.substring(0, equals).trim(), entry.substring(equals + 1).trim());
     }
 }
--- a/cdn/src/main/java/ridgemill/cdn/store/DiskFile.java
+++ b/cdn/src/main/java/ridgemill/cdn/store/DiskFile.java
@@ -34,8 +34,8 @@
 
     /** A file of the file system. */
     static DiskFile of(Path path) throws IOException {
-        FileChannel channel = FileChannel.open(
-                path, StandardOpenOption.READ, StandardOpenOption.WRITE, StandardOpenOption.CREATE);
+        FileChannel channel =
+                FileChannel.open(path, StandardOpenOption.READ, StandardOpenOption.WRITE, StandardOpenOption.CREATE);
         return new DiskFile() {
             @Override
             public long size() throws IOException {
--- a/cdn/src/main/java/ridgemill/cdn/store/DiskQueue.java
+++ b/cdn/src/main/java/ridgemill/cdn/store/DiskQueue.java
@@ -19,6 +19,7 @@
     private static final int MAX_WAITING = 20_000;
     /** The least time between attempts on a disk that refuses. */
     private static final long RETRY_MS = 250;
+
     private static final long STOP_WAIT_MS = 3_000;
 
     private final StoreDisk disk;
@@ -31,7 +32,7 @@
     private boolean failing;
     private boolean stopped;
 
-    private record Submission(DiskBatch batch, Consumer<Boolean> done) { }
+    private record Submission(DiskBatch batch, Consumer<Boolean> done) {}
 
     /**
      * A queue that is started by {@link #start}.
--- a/cdn/src/main/java/ridgemill/cdn/store/DiskRecovery.java
+++ b/cdn/src/main/java/ridgemill/cdn/store/DiskRecovery.java
@@ -77,7 +77,7 @@
             return;
         }
         if (!page.items().isEmpty()) {
-            replica.mergeItems(page.items(), written -> { });
+            replica.mergeItems(page.items(), written -> {});
         }
         records.addAll(page.records());
         if (page.lastPage()) {
--- a/cdn/src/main/java/ridgemill/cdn/store/ItemExchange.java
+++ b/cdn/src/main/java/ridgemill/cdn/store/ItemExchange.java
@@ -26,7 +26,8 @@
         this.replica = replica;
         this.peers = peers;
         this.ownAddress = ownAddress;
-        this.seedHosts = seedHosts.stream().filter(host -> !host.equals(ownAddress)).toList();
+        this.seedHosts =
+                seedHosts.stream().filter(host -> !host.equals(ownAddress)).toList();
     }
 
     /** Compares with the next store that can be reached. */
@@ -37,7 +38,8 @@
             HeldLink link = peers.to(partners.get(turn));
             if (link.isOpen()) {
                 long digest = replica.items().digest();
-                link.call(callId -> new StoreMessages.PullState(callId, digest, false, ""), CALL_TIMEOUT_MS, this::take);
+                link.call(
+                        callId -> new StoreMessages.PullState(callId, digest, false, ""), CALL_TIMEOUT_MS, this::take);
                 return;
             }
         }
@@ -49,7 +51,7 @@
                 replica.learn(new Quorum(page.voters()));
             }
             if (!page.items().isEmpty()) {
-                replica.mergeItems(page.items(), written -> { });
+                replica.mergeItems(page.items(), written -> {});
             }
         }
     }
--- a/cdn/src/main/java/ridgemill/cdn/store/JournalDisk.java
+++ b/cdn/src/main/java/ridgemill/cdn/store/JournalDisk.java
@@ -165,9 +165,9 @@
     private void begin(long number) throws IOException {
         close();
         Files.deleteIfExists(pathOf(number));
-        JournalFile next = JournalFile.open(opener.open(pathOf(number)), Long.hashCode(number)).journal();
-        DiskBatch whole =
-                new DiskBatch(List.copyOf(items.values()), List.copyOf(records.values()), List.of(), voters);
+        JournalFile next = JournalFile.open(opener.open(pathOf(number)), Long.hashCode(number))
+                .journal();
+        DiskBatch whole = new DiskBatch(List.copyOf(items.values()), List.copyOf(records.values()), List.of(), voters);
         try {
             byte[] frame = Fields.toBytes(whole, JournalDisk::writeBatch);
             next.append(frame);
@@ -217,10 +217,7 @@
         boolean withVoters = in.flag();
         List<String> batchVoters = in.texts();
         return new DiskBatch(
-                in.list(Fields::readItem),
-                in.list(Fields::readKeyRecord),
-                in.texts(),
-                withVoters ? batchVoters : null);
+                in.list(Fields::readItem), in.list(Fields::readKeyRecord), in.texts(), withVoters ? batchVoters : null);
     }
 
     @Override
@@ -246,9 +243,7 @@
             try {
                 journal.close();
             } catch (IOException failure) {
-                LOG.log(
-                        System.Logger.Level.WARNING,
-                        "event=disk_not_closed cause=\"" + failure.getMessage() + "\"");
+                LOG.log(System.Logger.Level.WARNING, "event=disk_not_closed cause=\"" + failure.getMessage() + "\"");
             }
             journal = null;
         }
--- a/cdn/src/main/java/ridgemill/cdn/store/JournalFile.java
+++ b/cdn/src/main/java/ridgemill/cdn/store/JournalFile.java
@@ -30,7 +30,7 @@
      * @param journal the file, to be appended to
      * @param frames the contents of its whole frames, in order
      */
-    record Opened(JournalFile journal, List<byte[]> frames) { }
+    record Opened(JournalFile journal, List<byte[]> frames) {}
 
     /**
      * Reads a file up to the first frame that is not whole, and cuts it there.
--- a/cdn/src/main/java/ridgemill/cdn/store/NewsHub.java
+++ b/cdn/src/main/java/ridgemill/cdn/store/NewsHub.java
@@ -121,8 +121,10 @@
                     && !subscriber.logged
                     && nowMs - subscriber.behindSinceMs > LAG_LOGGED_MS) {
                 subscriber.logged = true;
-                LOG.log(Level.INFO, "event=subscriber_lags node=" + link.peer().nodeName() + " acknowledged="
-                        + subscriber.acknowledged + " number=" + number);
+                LOG.log(
+                        Level.INFO,
+                        "event=subscriber_lags node=" + link.peer().nodeName() + " acknowledged="
+                                + subscriber.acknowledged + " number=" + number);
             }
         });
     }
@@ -141,8 +143,10 @@
 
     private void send(Link link, StoreMessages.News news) {
         if (link.pendingBytes() > MAX_PENDING_BYTES) {
-            LOG.log(Level.WARNING, "event=subscriber_dropped node=" + link.peer().nodeName() + " pending_bytes="
-                    + link.pendingBytes());
+            LOG.log(
+                    Level.WARNING,
+                    "event=subscriber_dropped node=" + link.peer().nodeName() + " pending_bytes="
+                            + link.pendingBytes());
             subscribers.remove(link);
             link.close();
         } else {
@@ -161,7 +165,8 @@
     private static long charactersOf(StoreMessages.News news) {
         long characters = 0;
         for (Item item : news.items()) {
-            characters += item.name().name().length() + (item.isDrop() ? 0 : item.content().length());
+            characters += item.name().name().length()
+                    + (item.isDrop() ? 0 : item.content().length());
         }
         return characters;
     }
--- a/cdn/src/main/java/ridgemill/cdn/store/PendingChanges.java
+++ b/cdn/src/main/java/ridgemill/cdn/store/PendingChanges.java
@@ -14,6 +14,7 @@
     private final Map<ItemName, Item> items = new LinkedHashMap<>();
     /** Null stands for a key whose record is dropped. */
     private final Map<String, KeyRecord> records = new LinkedHashMap<>();
+
     private List<String> voters;
 
     void add(DiskBatch batch) {
--- a/cdn/src/main/java/ridgemill/cdn/store/StorePeers.java
+++ b/cdn/src/main/java/ridgemill/cdn/store/StorePeers.java
@@ -42,11 +42,11 @@
     }
 
     @Override
-    public void opened(Link link) { }
+    public void opened(Link link) {}
 
     @Override
-    public void received(Link link, Message message) { }
+    public void received(Link link, Message message) {}
 
     @Override
-    public void closed(Link link) { }
+    public void closed(Link link) {}
 }
--- a/cdn/src/main/java/ridgemill/cdn/store/StoreProgram.java
+++ b/cdn/src/main/java/ridgemill/cdn/store/StoreProgram.java
@@ -45,14 +45,22 @@
 
     /** A store that is started by {@link #start}. */
     public StoreProgram(Settings settings, EventLoopGroup loops, SocketKind sockets, Clock clock) {
-        this(settings, loops, sockets, clock, new JournalDisk(settings.dataDirectory().resolve(FOLDER)));
+        this(
+                settings,
+                loops,
+                sockets,
+                clock,
+                new JournalDisk(settings.dataDirectory().resolve(FOLDER)));
     }
 
     StoreProgram(Settings settings, EventLoopGroup loops, SocketKind sockets, Clock clock, StoreDisk storeDisk) {
         this.settings = settings;
         this.loop = loops.next();
         this.sockets = sockets;
-        String lifeId = settings.nodeName() + '-' + (long) clock.now() + '-'
+        String lifeId = settings.nodeName()
+                + '-'
+                + (long) clock.now()
+                + '-'
                 + Long.toHexString(ThreadLocalRandom.current().nextLong());
         this.disk = new DiskQueue(storeDisk, loop);
         KeyLimits limits = KeyLimits.forWindow(
@@ -88,8 +96,10 @@
         if (!replica.quorum().isKnown() && settings.firstStart() && !state.lost()) {
             replica.form(settings.seedHosts());
         }
-        LOG.log(Level.INFO, "event=disk_opened voters=" + state.voters() + " items=" + state.items().size() + " keys="
-                + state.records().size() + " lost=" + state.lost());
+        LOG.log(
+                Level.INFO,
+                "event=disk_opened voters=" + state.voters() + " items="
+                        + state.items().size() + " keys=" + state.records().size() + " lost=" + state.lost());
         InetSocketAddress address = new InetSocketAddress(settings.ipAddress(), settings.storePort());
         LinkServer.open(loop, sockets, address, service).whenComplete((opened, failure) -> {
             if (failure != null) {
--- a/cdn/src/main/java/ridgemill/cdn/store/StoreReplica.java
+++ b/cdn/src/main/java/ridgemill/cdn/store/StoreReplica.java
@@ -79,7 +79,7 @@
         quorum = new Quorum(voters);
         complete = true;
         LOG.log(Level.INFO, "event=formed voters=" + quorum.voters());
-        disk.submit(DiskBatch.ofVoters(quorum.voters()), written -> { });
+        disk.submit(DiskBatch.ofVoters(quorum.voters()), written -> {});
     }
 
     /** The voters were learned from another store. One that is no voter needs no recovery. */
@@ -88,7 +88,7 @@
         LOG.log(Level.INFO, "event=voters_learned voters=" + learned.voters());
         if (!learned.isVoter(ownAddress)) {
             complete = true;
-            disk.submit(DiskBatch.ofVoters(learned.voters()), written -> { });
+            disk.submit(DiskBatch.ofVoters(learned.voters()), written -> {});
         }
     }
 
@@ -104,7 +104,7 @@
 
     /** Writes all that is in memory to a disk that was begun anew. */
     void writeAll() {
-        disk.submit(everything(), written -> { });
+        disk.submit(everything(), written -> {});
     }
 
     private DiskBatch everything() {
@@ -128,12 +128,11 @@
     void expireKeys() {
         List<String> expired = keys.expire(nowMs(), EXPIRED_AT_ONCE);
         if (!expired.isEmpty()) {
-            disk.submit(DiskBatch.ofRemovedKeys(expired), written -> { });
+            disk.submit(DiskBatch.ofRemovedKeys(expired), written -> {});
         }
     }
 
     private StoreMessages.Snapshot snapshot() {
-        return new StoreMessages.Snapshot(
-                news.lifeId(), news.number(), quorum.voters(), new ArrayList<>(items.all()));
+        return new StoreMessages.Snapshot(news.lifeId(), news.number(), quorum.voters(), new ArrayList<>(items.all()));
     }
 }
--- a/cdn/src/main/java/ridgemill/cdn/store/StoreService.java
+++ b/cdn/src/main/java/ridgemill/cdn/store/StoreService.java
@@ -84,9 +84,10 @@
         switch (vote.outcome()) {
             case FULL -> link.send(unavailable(claim));
             case DENIED -> link.send(status(claim, vote.record()));
-            case GRANTED -> replica.store(
-                    vote.changed() ? vote.record() : null,
-                    written -> link.send(written ? status(claim, vote.record()) : unavailable(claim)));
+            case GRANTED ->
+                replica.store(
+                        vote.changed() ? vote.record() : null,
+                        written -> link.send(written ? status(claim, vote.record()) : unavailable(claim)));
         }
     }
 
@@ -103,11 +104,12 @@
             answer(link, finish, false);
             return;
         }
-        KeyRecord held =
-                replica.keys().finish(finish.key(), finish.claimId(), finish.answer(), replica.nowMs());
+        KeyRecord held = replica.keys().finish(finish.key(), finish.claimId(), finish.answer(), replica.nowMs());
         if (!held.claimId().equals(finish.claimId())) {
-            LOG.log(Level.ERROR, "event=finished_twice key=" + finish.key() + " kept=" + held.claimId() + " refused="
-                    + finish.claimId());
+            LOG.log(
+                    Level.ERROR,
+                    "event=finished_twice key=" + finish.key() + " kept=" + held.claimId() + " refused="
+                            + finish.claimId());
         }
         replica.store(held, written -> answer(link, finish, written));
     }
@@ -126,7 +128,8 @@
         boolean itemsDiffer = first && pull.itemsDigest() != replica.items().digest();
         List<KeyRecord> records =
                 pull.withKeys() ? replica.keys().page(pull.afterKey(), PAGE_RECORDS, PAGE_BYTES) : List.of();
-        boolean last = records.isEmpty() || replica.keys().isLast(records.get(records.size() - 1).key());
+        boolean last = records.isEmpty()
+                || replica.keys().isLast(records.get(records.size() - 1).key());
         return new StoreMessages.StatePage(
                 pull.callId(),
                 replica.isVoting(),
--- a/cdn/src/main/java/ridgemill/cdn/wire/Fields.java
+++ b/cdn/src/main/java/ridgemill/cdn/wire/Fields.java
@@ -16,7 +16,7 @@
 /** How values that several messages hold are written; the disk of the store uses the same form. */
 public final class Fields {
 
-    private Fields() { }
+    private Fields() {}
 
     /** The bytes of one value, for the disk. */
     public static <T> byte[] toBytes(T value, FieldWriter.ElementWriter<T> writer) throws IOException {
--- a/cdn/src/main/java/ridgemill/cdn/wire/Link.java
+++ b/cdn/src/main/java/ridgemill/cdn/wire/Link.java
@@ -29,7 +29,7 @@
     private long lastReceivedNanos;
     private boolean open;
 
-    private record PendingCall(Consumer<Either<CallFailure, Message.Reply>> callback, Future<?> timeout) { }
+    private record PendingCall(Consumer<Either<CallFailure, Message.Reply>> callback, Future<?> timeout) {}
 
     /**
      * A link that is not connected yet.
@@ -48,7 +48,9 @@
 
     /** The IP address of the other side. */
     public String remoteAddress() {
-        return ((java.net.InetSocketAddress) channel.remoteAddress()).getAddress().getHostAddress();
+        return ((java.net.InetSocketAddress) channel.remoteAddress())
+                .getAddress()
+                .getHostAddress();
     }
 
     /** Whether messages can be sent. */
--- a/cdn/src/main/java/ridgemill/cdn/wire/LinkMessages.java
+++ b/cdn/src/main/java/ridgemill/cdn/wire/LinkMessages.java
@@ -5,7 +5,7 @@
 /** Messages that open a held connection and keep it alive. */
 public final class LinkMessages {
 
-    private LinkMessages() { }
+    private LinkMessages() {}
 
     /**
      * The first message of the side that opened the connection.
@@ -46,7 +46,7 @@
         }
 
         @Override
-        public void write(FieldWriter out) { }
+        public void write(FieldWriter out) {}
 
         static Ping read(FieldReader in) {
             return new Ping();
@@ -62,7 +62,7 @@
         }
 
         @Override
-        public void write(FieldWriter out) { }
+        public void write(FieldWriter out) {}
 
         static Pong read(FieldReader in) {
             return new Pong();
--- a/cdn/src/main/java/ridgemill/cdn/wire/LinkServer.java
+++ b/cdn/src/main/java/ridgemill/cdn/wire/LinkServer.java
@@ -30,7 +30,8 @@
      */
     public static LinkServer listen(
             EventLoopGroup loop, SocketKind sockets, InetSocketAddress address, LinkListener listener) {
-        return new LinkServer(bind(loop, sockets, address, listener).syncUninterruptibly().channel());
+        return new LinkServer(
+                bind(loop, sockets, address, listener).syncUninterruptibly().channel());
     }
 
     /** As {@link #listen}, without waiting: may be called on the loop. Fails if the address can't be had. */
--- a/cdn/src/main/java/ridgemill/cdn/wire/RegistryMessages.java
+++ b/cdn/src/main/java/ridgemill/cdn/wire/RegistryMessages.java
@@ -7,7 +7,7 @@
 /** Messages to and from the registry. */
 public final class RegistryMessages {
 
-    private RegistryMessages() { }
+    private RegistryMessages() {}
 
     /**
      * That an instance was heard.
@@ -61,7 +61,16 @@
      * @param instances all known instances, those that left included
      * @param silent identifiers of instances that have not been heard for too long
      */
-    public record Snapshot(String lifeId, long number, boolean settled, List<String> registries, List<String> voters, int proxyCount, List<Instance> instances, List<String> silent) implements Message {
+    public record Snapshot(
+            String lifeId,
+            long number,
+            boolean settled,
+            List<String> registries,
+            List<String> voters,
+            int proxyCount,
+            List<Instance> instances,
+            List<String> silent)
+            implements Message {
 
         @Override
         public MessageKind kind() {
@@ -70,11 +79,26 @@
 
         @Override
         public void write(FieldWriter out) throws IOException {
-            out.text(lifeId).number(number).flag(settled).texts(registries).texts(voters).number(proxyCount).list(instances, Fields::writeInstance).texts(silent);
+            out.text(lifeId)
+                    .number(number)
+                    .flag(settled)
+                    .texts(registries)
+                    .texts(voters)
+                    .number(proxyCount)
+                    .list(instances, Fields::writeInstance)
+                    .texts(silent);
         }
 
         static Snapshot read(FieldReader in) throws IOException {
-            return new Snapshot(in.text(), in.number(), in.flag(), in.texts(), in.texts(), in.smallNumber(), in.list(Fields::readInstance), in.texts());
+            return new Snapshot(
+                    in.text(),
+                    in.number(),
+                    in.flag(),
+                    in.texts(),
+                    in.texts(),
+                    in.smallNumber(),
+                    in.list(Fields::readInstance),
+                    in.texts());
         }
     }
 
@@ -89,7 +113,15 @@
      * @param instances instances that changed
      * @param silent identifiers of all instances that have not been heard for too long
      */
-    public record News(long number, boolean settled, List<String> registries, List<String> voters, int proxyCount, List<Instance> instances, List<String> silent) implements Message {
+    public record News(
+            long number,
+            boolean settled,
+            List<String> registries,
+            List<String> voters,
+            int proxyCount,
+            List<Instance> instances,
+            List<String> silent)
+            implements Message {
 
         @Override
         public MessageKind kind() {
@@ -98,11 +130,24 @@
 
         @Override
         public void write(FieldWriter out) throws IOException {
-            out.number(number).flag(settled).texts(registries).texts(voters).number(proxyCount).list(instances, Fields::writeInstance).texts(silent);
+            out.number(number)
+                    .flag(settled)
+                    .texts(registries)
+                    .texts(voters)
+                    .number(proxyCount)
+                    .list(instances, Fields::writeInstance)
+                    .texts(silent);
         }
 
         static News read(FieldReader in) throws IOException {
-            return new News(in.number(), in.flag(), in.texts(), in.texts(), in.smallNumber(), in.list(Fields::readInstance), in.texts());
+            return new News(
+                    in.number(),
+                    in.flag(),
+                    in.texts(),
+                    in.texts(),
+                    in.smallNumber(),
+                    in.list(Fields::readInstance),
+                    in.texts());
         }
     }
 
@@ -137,7 +182,9 @@
      * @param proxies names of the edge proxies that are connected to the sender
      * @param instances instances that changed, or all of them
      */
-    public record PeerUpdate(long callId, List<String> registries, List<String> voters, List<String> proxies, List<Instance> instances) implements Message.Call {
+    public record PeerUpdate(
+            long callId, List<String> registries, List<String> voters, List<String> proxies, List<Instance> instances)
+            implements Message.Call {
 
         @Override
         public MessageKind kind() {
--- a/cdn/src/main/java/ridgemill/cdn/wire/StoreMessages.java
+++ b/cdn/src/main/java/ridgemill/cdn/wire/StoreMessages.java
@@ -10,7 +10,7 @@
 /** Messages to and from the configuration store. */
 public final class StoreMessages {
 
-    private StoreMessages() { }
+    private StoreMessages() {}
 
     /**
      * Asks for the configuration and purges, now and from now on.
@@ -255,7 +255,8 @@
      * @param claimId the claim that the state is about
      * @param answer the recorded answer of a finished operation, else null
      */
-    public record KeyStatus(long callId, boolean available, KeyState state, String claimId, byte[] answer) implements Message.Reply {
+    public record KeyStatus(long callId, boolean available, KeyState state, String claimId, byte[] answer)
+            implements Message.Reply {
 
         @Override
         public MessageKind kind() {
@@ -264,7 +265,11 @@
 
         @Override
         public void write(FieldWriter out) throws IOException {
-            out.number(callId).flag(available).number(state.ordinal()).text(claimId).bytes(answer);
+            out.number(callId)
+                    .flag(available)
+                    .number(state.ordinal())
+                    .text(claimId)
+                    .bytes(answer);
         }
 
         static KeyStatus read(FieldReader in) throws IOException {
@@ -356,7 +361,14 @@
      * @param records a page of key records in order of their keys
      * @param lastPage whether no more key records follow
      */
-    public record StatePage(long callId, boolean complete, List<String> voters, List<Item> items, List<KeyRecord> records, boolean lastPage) implements Message.Reply {
+    public record StatePage(
+            long callId,
+            boolean complete,
+            List<String> voters,
+            List<Item> items,
+            List<KeyRecord> records,
+            boolean lastPage)
+            implements Message.Reply {
 
         @Override
         public MessageKind kind() {
@@ -365,11 +377,22 @@
 
         @Override
         public void write(FieldWriter out) throws IOException {
-            out.number(callId).flag(complete).texts(voters).list(items, Fields::writeItem).list(records, Fields::writeKeyRecord).flag(lastPage);
+            out.number(callId)
+                    .flag(complete)
+                    .texts(voters)
+                    .list(items, Fields::writeItem)
+                    .list(records, Fields::writeKeyRecord)
+                    .flag(lastPage);
         }
 
         static StatePage read(FieldReader in) throws IOException {
-            return new StatePage(in.number(), in.flag(), in.texts(), in.list(Fields::readItem), in.list(Fields::readKeyRecord), in.flag());
+            return new StatePage(
+                    in.number(),
+                    in.flag(),
+                    in.texts(),
+                    in.list(Fields::readItem),
+                    in.list(Fields::readKeyRecord),
+                    in.flag());
         }
     }
 }
--- a/cdn/src/test/java/ridgemill/cdn/configuration/ConfigurationChangeTest.java
+++ b/cdn/src/test/java/ridgemill/cdn/configuration/ConfigurationChangeTest.java
@@ -10,8 +10,7 @@
 
 class ConfigurationChangeTest {
 
-    private static final String GOOD =
-            """
+    private static final String GOOD = """
             {"upsert":{"routeTable":{
             "r-1":{"hostname":"a.example","pathPrefix":"/x/","routeKind":"cacheable","timeout":"1200ms",
             "targetLatency":"100ms","priorityLevel":2,"trafficSplit":[{"service":"s","weight":90},
@@ -29,12 +28,16 @@
         return reader.read(change.getBytes(StandardCharsets.UTF_8))
                 .fold(
                         InvalidChange::describe,
-                        read -> validator.check(read, current).map(InvalidChange::describe).getOrNull());
+                        read -> validator
+                                .check(read, current)
+                                .map(InvalidChange::describe)
+                                .getOrNull());
     }
 
     private ItemSet after(String change) {
         ItemSet items = new ItemSet();
-        items.mergeAll(reader.read(change.getBytes(StandardCharsets.UTF_8)).get().items());
+        items.mergeAll(
+                reader.read(change.getBytes(StandardCharsets.UTF_8)).get().items());
         return items;
     }
 
@@ -42,16 +45,16 @@
     void aGoodChangeIsTakenAndReadBackAsItWasSent() {
         assertThat(fault(GOOD, new ItemSet())).isNull();
         String written = new String(reader.write(after(GOOD).all()), StandardCharsets.UTF_8);
-        assertThat(written).contains("\"ratePerS\":590.0").contains("\"trafficSplit\":[{\"service\":\"s\",\"weight\":90}");
-        assertThat(after("{\"upsert\":" + written + "}").digest()).isEqualTo(after(GOOD).digest());
+        assertThat(written)
+                .contains("\"ratePerS\":590.0")
+                .contains("\"trafficSplit\":[{\"service\":\"s\",\"weight\":90}");
+        assertThat(after("{\"upsert\":" + written + "}").digest())
+                .isEqualTo(after(GOOD).digest());
     }
 
     /** One thing is wrong at a time; each text replaces a part of the good change. */
     @ParameterizedTest
-    @CsvSource(
-            delimiter = '|',
-            textBlock =
-                    """
+    @CsvSource(delimiter = '|', textBlock = """
                     "service":"t" | "service":"unknown" | unknown service
                     "weight":90 | "weight":-1 | minimum
                     "weight":90},{"service":"t","weight":10 | "weight":0},{"service":"t","weight":0 | add up to 0
@@ -73,19 +76,21 @@
     @Test
     void aChangeThatIsCutShortIsRefused() {
         for (int length = 0; length < GOOD.stripTrailing().length(); length += 7) {
-            assertThat(fault(GOOD.substring(0, length), new ItemSet())).as("%d bytes", length).isNotNull();
+            assertThat(fault(GOOD.substring(0, length), new ItemSet()))
+                    .as("%d bytes", length)
+                    .isNotNull();
         }
     }
 
     @Test
     void twoRoutesAtOnePlaceAreRefusedUnlessTheOtherIsDroppedInTheSameCall() {
-        String second =
-                """
+        String second = """
                 {"upsert":{"routeTable":{"r-2":{"hostname":"a.example","pathPrefix":"/x/","routeKind":"idempotent",
                 "service":"s","version":8}}},"remove":{"routeTable":[%s]}}
                 """;
         assertThat(fault(second.formatted(""), after(GOOD))).contains("same host and prefix");
-        assertThat(fault(second.formatted("{\"name\":\"r-1\",\"version\":9}"), after(GOOD))).isNull();
+        assertThat(fault(second.formatted("{\"name\":\"r-1\",\"version\":9}"), after(GOOD)))
+                .isNull();
     }
 
     @Test
@@ -99,7 +104,8 @@
         ItemSet current = after(GOOD.replace("\"version\":7", "\"version\":9"));
         long before = current.digest();
         assertThat(fault(GOOD, current)).isNull();
-        current.mergeAll(reader.read(GOOD.getBytes(StandardCharsets.UTF_8)).get().items());
+        current.mergeAll(
+                reader.read(GOOD.getBytes(StandardCharsets.UTF_8)).get().items());
         assertThat(current.digest()).isEqualTo(before);
     }
 }
--- a/cdn/src/test/java/ridgemill/cdn/proxy/CacheTest.java
+++ b/cdn/src/test/java/ridgemill/cdn/proxy/CacheTest.java
@@ -30,7 +30,8 @@
 
     private static StandInInstance.Script object(String body) {
         return (request, socket) -> StandInInstance.write(
-                socket, "\"1\"".equals(request.header("If-None-Match"))
+                socket,
+                "\"1\"".equals(request.header("If-None-Match"))
                         ? "HTTP/1.1 304 X\r\nX-Attempt-Id: " + request.id() + "\r\nETag: \"1\"\r\n\r\n"
                         : StandInInstance.answer(request, 200, HEADERS, body));
     }
@@ -50,7 +51,8 @@
         assertThat(reply.body()).isEqualTo("0123456789");
         assertThat(reply.header("X-Response-Seal")).isEqualTo("s");
         assertThat(reply.header("X-Attempt-Id")).isEqualTo("2");
-        assertThat(proxy.ask("GET", "/c/1", "3", "If-None-Match: \"1\"\r\n").status()).isEqualTo(304);
+        assertThat(proxy.ask("GET", "/c/1", "3", "If-None-Match: \"1\"\r\n").status())
+                .isEqualTo(304);
         assertThat(origin.received).hasSize(1);
     }
 
@@ -160,7 +162,9 @@
         };
         proxy.timers.jump(CACHE_TTL_MS * 0.1);
         for (int i = 0; i < 20; i++) {
-            assertThat(proxy.ask("GET", "/c/1", "b" + i, "").body()).as("nobody waits").isEqualTo("0123456789");
+            assertThat(proxy.ask("GET", "/c/1", "b" + i, "").body())
+                    .as("nobody waits")
+                    .isEqualTo("0123456789");
         }
         assertThat(origin.take().header("If-None-Match")).isNull();
         assertThat(origin.take().header("If-None-Match")).isEqualTo("\"1\"");
@@ -184,8 +188,8 @@
     @Test
     void nothingIsFetchedAheadFromAShareThatClientsNeed() throws Exception {
         proxy.onLoop(() -> {
-            proxy.control.routes(ProxyFixture.LIMITS, 1, ProxyFixture.route(
-                    ridgemill.cdn.config.RouteKind.CACHEABLE, "/c/", 2));
+            proxy.control.routes(
+                    ProxyFixture.LIMITS, 1, ProxyFixture.route(ridgemill.cdn.config.RouteKind.CACHEABLE, "/c/", 2));
             proxy.control.listeners.forEach(l -> l.configurationChanged());
         });
         for (int i = 0; i < 9; i++) {
@@ -194,7 +198,8 @@
         proxy.timers.jump(CACHE_TTL_MS * 0.9);
         proxy.ask("GET", "/c/1", "b", "");
         assertThat(proxy.ask("GET", "/c/2", "client", "").status())
-                .as("a share of one at a time has nothing to spare").isEqualTo(200);
+                .as("a share of one at a time has nothing to spare")
+                .isEqualTo(200);
         assertThat(origin.take().id()).isEqualTo("a0");
         assertThat(origin.take().id()).isEqualTo("client");
         assertThat(origin.received).isEmpty();
--- a/cdn/src/test/java/ridgemill/cdn/proxy/DeliveryTest.java
+++ b/cdn/src/test/java/ridgemill/cdn/proxy/DeliveryTest.java
@@ -11,8 +11,8 @@
 class DeliveryTest {
 
     private static final String SEAL = "X-Response-Seal: s\r\n";
-    private static final StandInInstance.Script DECLINES = (request, socket) -> StandInInstance.write(
-            socket, StandInInstance.answer(request, 503, "X-Not-Executed: 1\r\n", ""));
+    private static final StandInInstance.Script DECLINES = (request, socket) ->
+            StandInInstance.write(socket, StandInInstance.answer(request, 503, "X-Not-Executed: 1\r\n", ""));
     private static final StandInInstance.Script RESETS = (request, socket) -> false;
 
     private ProxyFixture proxy;
@@ -29,8 +29,11 @@
 
     @Test
     void aRequestIsPassedOnUnchangedButForHopByHopHeaders() throws Exception {
-        StandInInstance instance = proxy.instance("a", (request, socket) -> StandInInstance.write(
-                socket, StandInInstance.answer(request, 201, SEAL + "X-B: c\r\nKeep-Alive: timeout=9\r\n", "ok")));
+        StandInInstance instance = proxy.instance(
+                "a",
+                (request, socket) -> StandInInstance.write(
+                        socket,
+                        StandInInstance.answer(request, 201, SEAL + "X-B: c\r\nKeep-Alive: timeout=9\r\n", "ok")));
         ProxyFixture.Client client = proxy.client();
         client.send("PUT /n/a%20b?q=1 HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: 7\r\nX-Other: o\r\nX-Hop: h\r\n"
                 + "Connection: keep-alive, x-hop\r\nX-Deadline-Remaining: 900\r\nContent-Length: 4\r\n\r\nbody");
@@ -82,8 +85,7 @@
             "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nContent-Length: 1\r\n\r\nx",
             "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\n" + SEAL + "Content-Encoding: gzip\r\nContent-Length: 1\r\n\r\nx",
             "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nX-Response-Seal: s\r\n\r\nto the end",
-            "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\n"
-                    + SEAL + "Content-Length: 0\r\n\r\n",
+            "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\n" + SEAL + "Content-Length: 0\r\n\r\n",
             "no answer at all\r\n\r\n",
         };
         StandInInstance instance = proxy.instance("a", RESETS);
@@ -102,8 +104,9 @@
     void anAnswerBeforeTheWholeRequestWasTakenIsPassedOnIfItIsWhole() throws Exception {
         int bytes = 16_000_000;
         proxy.onLoop(() -> proxy.control.routes(
-                new ridgemill.cdn.config.Limits(2_000, bytes, 300, 2_000), 0, ProxyFixture.route(
-                        ridgemill.cdn.config.RouteKind.NON_IDEMPOTENT, "/n/", 2)));
+                new ridgemill.cdn.config.Limits(2_000, bytes, 300, 2_000),
+                0,
+                ProxyFixture.route(ridgemill.cdn.config.RouteKind.NON_IDEMPOTENT, "/n/", 2)));
         CountDownLatch over = new CountDownLatch(1);
         StandInInstance instance = proxy.instance("a", RESETS);
         String[] answers = {
@@ -132,8 +135,9 @@
     void anAnswerThatBreaksOffBeforeTheWholeRequestWasTakenMayMeanARun() throws Exception {
         int bytes = 16_000_000;
         proxy.onLoop(() -> proxy.control.routes(
-                new ridgemill.cdn.config.Limits(2_000, bytes, 300, 2_000), 0, ProxyFixture.route(
-                        ridgemill.cdn.config.RouteKind.NON_IDEMPOTENT, "/n/", 2)));
+                new ridgemill.cdn.config.Limits(2_000, bytes, 300, 2_000),
+                0,
+                ProxyFixture.route(ridgemill.cdn.config.RouteKind.NON_IDEMPOTENT, "/n/", 2)));
         StandInInstance instance = proxy.instance("a", RESETS);
         CountDownLatch over = new CountDownLatch(1);
         instance.early = (request, socket) -> {
@@ -143,25 +147,28 @@
             return false;
         };
         ProxyFixture.Client client = proxy.client();
-        client.send("POST /n/1 HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: 1\r\nContent-Length: " + bytes
-                + "\r\n\r\n" + "x".repeat(bytes));
+        client.send("POST /n/1 HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: 1\r\nContent-Length: " + bytes + "\r\n\r\n"
+                + "x".repeat(bytes));
         assertThat(client.read().status()).isEqualTo(502);
         over.countDown();
     }
 
     @Test
     void aSurplusAnswerIsPassedOverForTheOneThatIsDue() throws Exception {
-        StandInInstance instance = proxy.instance("a", (request, socket) -> StandInInstance.write(socket,
-                "HTTP/1.1 200 OK\r\nX-Attempt-Id: old\r\nX-Response-Seal: s\r\nContent-Length: 3\r\n\r\nold"
-                        + StandInInstance.answer(request, 200, "X-Response-Seal: s\r\n", "new")));
+        StandInInstance instance = proxy.instance(
+                "a",
+                (request, socket) -> StandInInstance.write(
+                        socket,
+                        "HTTP/1.1 200 OK\r\nX-Attempt-Id: old\r\nX-Response-Seal: s\r\nContent-Length: 3\r\n\r\nold"
+                                + StandInInstance.answer(request, 200, "X-Response-Seal: s\r\n", "new")));
         assertThat(proxy.ask("POST", "/n/1", "1", "").body()).isEqualTo("new");
         instance.take();
     }
 
     @Test
     void aStatusThatPromisesTooMuchIsNotPassedOn() throws Exception {
-        proxy.instance("a", (request, socket) -> StandInInstance.write(
-                socket, StandInInstance.answer(request, 503, "", "")));
+        proxy.instance(
+                "a", (request, socket) -> StandInInstance.write(socket, StandInInstance.answer(request, 503, "", "")));
         assertThat(proxy.ask("POST", "/n/1", "1", "").status()).isEqualTo(502);
     }
 
@@ -172,9 +179,12 @@
             over.await();
             return false;
         });
-        assertThat(proxy.ask("POST", "/n/1", "1", "X-Deadline-Remaining: 150\r\n").status()).isEqualTo(504);
+        assertThat(proxy.ask("POST", "/n/1", "1", "X-Deadline-Remaining: 150\r\n")
+                        .status())
+                .isEqualTo(504);
         assertThat(silent.take().id()).isEqualTo("1");
-        assertThat(proxy.ask("POST", "/n/1", "2", "X-Deadline-Remaining: 0\r\n").status()).isEqualTo(503);
+        assertThat(proxy.ask("POST", "/n/1", "2", "X-Deadline-Remaining: 0\r\n").status())
+                .isEqualTo(503);
         assertThat(silent.received).isEmpty();
         over.countDown();
     }
@@ -220,8 +230,8 @@
     void arrivalsStayUnderTheShareOfTheOriginsRate() throws Exception {
         StandInInstance instance = proxy.instance("a", StandInInstance.sealed("x"));
         proxy.onLoop(() -> {
-            proxy.control.routes(ProxyFixture.LIMITS, 10, ProxyFixture.route(
-                    ridgemill.cdn.config.RouteKind.IDEMPOTENT, "/i/", 2));
+            proxy.control.routes(
+                    ProxyFixture.LIMITS, 10, ProxyFixture.route(ridgemill.cdn.config.RouteKind.IDEMPOTENT, "/i/", 2));
             proxy.control.listeners.forEach(l -> l.configurationChanged());
         });
         ProxyFixture.Client client = proxy.client();
--- a/cdn/src/test/java/ridgemill/cdn/proxy/FakeControl.java
+++ b/cdn/src/test/java/ridgemill/cdn/proxy/FakeControl.java
@@ -2,10 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import ridgemill.cdn.config.Limits;
 import ridgemill.cdn.config.Route;
 import ridgemill.cdn.config.RoutingTable;
 import ridgemill.cdn.config.Service;
-import ridgemill.cdn.config.Limits;
 import ridgemill.cdn.instances.Instance;
 import ridgemill.cdn.proxy.control.ControlListener;
 import ridgemill.cdn.proxy.control.ControlView;
--- a/cdn/src/test/java/ridgemill/cdn/proxy/FakeRegister.java
+++ b/cdn/src/test/java/ridgemill/cdn/proxy/FakeRegister.java
@@ -17,6 +17,7 @@
     final Queue<Runnable> held = new ConcurrentLinkedQueue<>();
     /** Whether claims wait in {@link #held} for the test. */
     volatile boolean holding;
+
     private final Map<String, Object> states = new HashMap<>();
 
     @Override
--- a/cdn/src/test/java/ridgemill/cdn/proxy/FrontTest.java
+++ b/cdn/src/test/java/ridgemill/cdn/proxy/FrontTest.java
@@ -53,8 +53,10 @@
 
     @Test
     void pipelinedRequestsAreAnsweredInOrder() throws Exception {
-        StandInInstance instance = proxy.instance("a", (request, socket) -> StandInInstance.write(
-                socket, StandInInstance.answer(request, 200, "X-Response-Seal: s\r\n", request.body())));
+        StandInInstance instance = proxy.instance(
+                "a",
+                (request, socket) -> StandInInstance.write(
+                        socket, StandInInstance.answer(request, 200, "X-Response-Seal: s\r\n", request.body())));
         ProxyFixture.Client client = proxy.client();
         String head = " HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: ";
         client.send("POST /i/1" + head + "1\r\nContent-Length: 3\r\n\r\noneGET /none" + head + "2\r\n\r\n"
@@ -90,7 +92,9 @@
         client.send("GET /i/1 HTTP/1.1\r\nHost: h.example\r\n\r\n");
         assertThat(client.read().status()).isEqualTo(400);
         assertThat(client.ask("GET", "/nowhere/", "1", "").status()).isEqualTo(404);
-        assertThat(client.ask("POST", "/k/1", "1", "").status()).as("without its key").isEqualTo(400);
+        assertThat(client.ask("POST", "/k/1", "1", "").status())
+                .as("without its key")
+                .isEqualTo(400);
     }
 
     @Test
--- a/cdn/src/test/java/ridgemill/cdn/proxy/KeyedTest.java
+++ b/cdn/src/test/java/ridgemill/cdn/proxy/KeyedTest.java
@@ -49,8 +49,10 @@
 
     @Test
     void whatCertainlyDidNotRunIsGivenBack() throws Exception {
-        StandInInstance instance = proxy.instance("a", (request, socket) -> StandInInstance.write(
-                socket, StandInInstance.answer(request, 429, "X-Not-Executed: 1\r\n", "")));
+        StandInInstance instance = proxy.instance(
+                "a",
+                (request, socket) -> StandInInstance.write(
+                        socket, StandInInstance.answer(request, 429, "X-Not-Executed: 1\r\n", "")));
         assertThat(proxy.ask("POST", "/k/1", "1", KEY).status()).isEqualTo(503);
         assertThat(proxy.register.calls.poll(5, TimeUnit.SECONDS)).isEqualTo("release");
         instance.script = StandInInstance.sealed("done");
--- a/cdn/src/test/java/ridgemill/cdn/proxy/ProxyFixture.java
+++ b/cdn/src/test/java/ridgemill/cdn/proxy/ProxyFixture.java
@@ -42,10 +42,29 @@
     /** One whose process may have so many descriptors open. */
     ProxyFixture(int fileDescriptors) throws Exception {
         settings = new Settings(
-                "edge-1", "127.0.0.1", "z", Map.of("z", "r"), 1, 2, List.of(), true, null, "127.0.0.1:0", null, null,
-                1_000, new Bounds(Map.of("retryBudgetRatio", "0.2", "retryBudgetSlack", "50")), fileDescriptors, 0);
-        control.routes(LIMITS, 0, route(RouteKind.CACHEABLE, "/c/", 2), route(RouteKind.IDEMPOTENT, "/i/", 2),
-                route(RouteKind.NON_IDEMPOTENT, "/n/", 2), route(RouteKind.KEYED_IDEMPOTENT, "/k/", 2));
+                "edge-1",
+                "127.0.0.1",
+                "z",
+                Map.of("z", "r"),
+                1,
+                2,
+                List.of(),
+                true,
+                null,
+                "127.0.0.1:0",
+                null,
+                null,
+                1_000,
+                new Bounds(Map.of("retryBudgetRatio", "0.2", "retryBudgetSlack", "50")),
+                fileDescriptors,
+                0);
+        control.routes(
+                LIMITS,
+                0,
+                route(RouteKind.CACHEABLE, "/c/", 2),
+                route(RouteKind.IDEMPOTENT, "/i/", 2),
+                route(RouteKind.NON_IDEMPOTENT, "/n/", 2),
+                route(RouteKind.KEYED_IDEMPOTENT, "/k/", 2));
         path = new DataPath(loop, SocketKind.NIO, timers, settings, control, register, 1_000_000);
         path.listen().sync();
     }
@@ -56,8 +75,17 @@
 
     static Route route(RouteKind kind, String prefix, int maxAttempts, long targetLatencyMs) {
         return new Route(
-                prefix, "h.example", prefix, kind, 5_000, targetLatencyMs, 0, List.of(new Destination("s", 1)),
-                maxAttempts, 60_000, 1);
+                prefix,
+                "h.example",
+                prefix,
+                kind,
+                5_000,
+                targetLatencyMs,
+                0,
+                List.of(new Destination("s", 1)),
+                maxAttempts,
+                60_000,
+                1);
     }
 
     StandInInstance instance(String id, StandInInstance.Script script) throws Exception {
@@ -81,7 +109,8 @@
     /** The instances that are ready from now on. */
     void ready(StandInInstance... ready) throws Exception {
         onLoop(() -> {
-            control.instances = java.util.Arrays.stream(ready).map(i -> i.instance("s")).toList();
+            control.instances =
+                    java.util.Arrays.stream(ready).map(i -> i.instance("s")).toList();
             control.listeners.forEach(ControlListener::instancesChanged);
         });
     }
@@ -89,7 +118,9 @@
     /** Waits until so many requests are under way. */
     void awaitInFlight(int count) throws Exception {
         long endNanos = System.nanoTime() + 10_000_000_000L;
-        for (int now = loop.submit(path::inFlight).get(); now != count; now = loop.submit(path::inFlight).get()) {
+        for (int now = loop.submit(path::inFlight).get();
+                now != count;
+                now = loop.submit(path::inFlight).get()) {
             if (System.nanoTime() > endNanos) {
                 throw new AssertionError(now + " requests are under way instead of " + count);
             }
@@ -125,8 +156,8 @@
     record Client(Socket socket) {
 
         Reply ask(String method, String target, String id, String more) throws IOException {
-            send(method + " " + target + " HTTP/1.1\r\nHost: h.example\r\n"
-                    + "X-Attempt-Id: " + id + "\r\n" + more + "\r\n");
+            send(method + " " + target + " HTTP/1.1\r\nHost: h.example\r\n" + "X-Attempt-Id: " + id + "\r\n" + more
+                    + "\r\n");
             return read();
         }
 
--- a/cdn/src/test/java/ridgemill/cdn/proxy/SendingTest.java
+++ b/cdn/src/test/java/ridgemill/cdn/proxy/SendingTest.java
@@ -32,7 +32,8 @@
     @BeforeEach
     void start() throws Exception {
         proxy = new ProxyFixture();
-        proxy.routes(ProxyFixture.route(RouteKind.NON_IDEMPOTENT, "/n/", 2, 8_000),
+        proxy.routes(
+                ProxyFixture.route(RouteKind.NON_IDEMPOTENT, "/n/", 2, 8_000),
                 ProxyFixture.route(RouteKind.KEYED_IDEMPOTENT, "/k/", 2, 8_000));
     }
 
@@ -119,8 +120,8 @@
     private Verdict attempt(StandInInstance instance, Runnable meanwhile) throws Exception {
         CompletableFuture<Attempt> ended = new CompletableFuture<>();
         proxy.onLoop(() -> {
-            ProxyContext context = new ProxyContext(proxy.loop, SocketKind.NIO, proxy.timers, proxy.settings,
-                    proxy.control, proxy.register, 1_000);
+            ProxyContext context = new ProxyContext(
+                    proxy.loop, SocketKind.NIO, proxy.timers, proxy.settings, proxy.control, proxy.register, 1_000);
             proxy.control.instances = List.of(instance.instance("s"));
             ServiceState service = context.service("s");
             proxy.control.listeners.add(new ridgemill.cdn.proxy.control.ControlListener() {
@@ -131,8 +132,8 @@
             });
             OutgoingRequest request = new OutgoingRequest(
                     "POST", "/n/1", "1", new Headers().add("X-Attempt-Id", "1"), new byte[0], 1, 400);
-            Attempt attempt = new Attempt(
-                    context, service, service.picker().instances().get(0), request, false, ended::complete);
+            Attempt attempt =
+                    new Attempt(context, service, service.picker().instances().get(0), request, false, ended::complete);
             attempt.start(proxy.timers.now() + 1_000, Double.POSITIVE_INFINITY);
             meanwhile.run();
         });
@@ -155,9 +156,10 @@
     void nothingIsSentOnAConnectionThatComesUpAfterItsInstanceBeganToLeave() throws Exception {
         StandInInstance instance = proxy.instance("a", StandInInstance.sealed("x"));
         assertThat(attempt(instance, () -> {
-            proxy.control.instances = List.of();
-            proxy.control.listeners.forEach(l -> l.instancesChanged());
-        })).isEqualTo(Verdict.NEVER_WRITTEN);
+                    proxy.control.instances = List.of();
+                    proxy.control.listeners.forEach(l -> l.instancesChanged());
+                }))
+                .isEqualTo(Verdict.NEVER_WRITTEN);
         assertThat(instance.received).isEmpty();
     }
 
@@ -194,8 +196,8 @@
 
     @Test
     void whereEveryAddressHasAnotherInstanceTheClaimIsReleased() throws Exception {
-        proxy.instance("a", (request, socket) -> StandInInstance.write(
-                socket, StandInInstance.answer(request, 421, "", "")));
+        proxy.instance(
+                "a", (request, socket) -> StandInInstance.write(socket, StandInInstance.answer(request, 421, "", "")));
         assertThat(proxy.ask("POST", "/k/1", "1", KEY).status()).isEqualTo(503);
         assertThat(proxy.register.calls.poll(5, TimeUnit.SECONDS)).isEqualTo("release");
     }
--- a/cdn/src/test/java/ridgemill/cdn/proxy/StandInInstance.java
+++ b/cdn/src/test/java/ridgemill/cdn/proxy/StandInInstance.java
@@ -58,8 +58,7 @@
     }
 
     Instance instance(String service) {
-        return new Instance(
-                id, service, "127.0.0.1:" + server.getLocalPort(), "z", "v1", 8, InstanceState.READY, 1, 0);
+        return new Instance(id, service, "127.0.0.1:" + server.getLocalPort(), "z", "v1", 8, InstanceState.READY, 1, 0);
     }
 
     Received take() throws InterruptedException {
--- a/cdn/src/test/java/ridgemill/cdn/settings/SettingsReaderTest.java
+++ b/cdn/src/test/java/ridgemill/cdn/settings/SettingsReaderTest.java
@@ -8,8 +8,7 @@
 
 class SettingsReaderTest {
 
-    private static final String GOOD =
-            """
+    private static final String GOOD = """
             nodeName = "edge-a-1"
             ipAddress = "10.1.0.35"
             zone = "a"
@@ -44,15 +43,13 @@
     @Test
     void boundsMayStandOnOneLine() {
         String line = GOOD.replaceFirst("bounds = .*", "bounds = \"drainDeadline=3s,gracePeriod=4s\"");
-        assertThat(SettingsReader.parse(line, "f").get().bounds().drainDeadlineMs()).isEqualTo(3000);
+        assertThat(SettingsReader.parse(line, "f").get().bounds().drainDeadlineMs())
+                .isEqualTo(3000);
     }
 
     /** One line is spoilt at a time. */
     @ParameterizedTest
-    @CsvSource(
-            delimiter = '|',
-            textBlock =
-                    """
+    @CsvSource(delimiter = '|', textBlock = """
                     nodeName = "edge-a-1" | nodeName = 3 | f: nodeName
                     [7660,7675] | [7660] | f: internalPortRange
                     [7660,7675] | [0,9] | f: internalPortRange
--- a/cdn/src/test/java/ridgemill/cdn/store/JournalDiskTest.java
+++ b/cdn/src/test/java/ridgemill/cdn/store/JournalDiskTest.java
@@ -63,8 +63,9 @@
         Map<String, byte[]> found = new HashMap<>();
         state.records().forEach(held -> found.put(held.key(), held.answer()));
         assertThat(state.voters()).containsExactly("a", "b", "c");
-        acknowledged.forEach((key, answer) ->
-                assertThat(found.get(key)).as(image + " " + key).satisfiesAnyOf(
+        acknowledged.forEach((key, answer) -> assertThat(found.get(key))
+                .as(image + " " + key)
+                .satisfiesAnyOf(
                         bytes -> assertThat(bytes).isEqualTo(answer),
                         bytes -> assertThat(bytes).isEqualTo(written.get(key))));
         disk.write(DiskBatch.ofRecord(new KeyRecord("after", KeyState.HELD, "claim", null, 1)));
@@ -85,7 +86,8 @@
         Map<String, byte[]> files = PowerLoss.contents(live);
         assertThat(files).hasSize(1).doesNotContainKey("journal-1");
         assertThat(files.values().iterator().next().length).isLessThan(24 << 20);
-        assertThat(new JournalDisk(live).open().records()).extracting(KeyRecord::key)
+        assertThat(new JournalDisk(live).open().records())
+                .extracting(KeyRecord::key)
                 .containsExactlyInAnyOrder("key-1", "key-2");
     }
 
--- a/cdn/src/test/java/ridgemill/cdn/store/PowerLoss.java
+++ b/cdn/src/test/java/ridgemill/cdn/store/PowerLoss.java
@@ -17,7 +17,7 @@
 
     private static final int SECTOR = 512;
 
-    private PowerLoss() { }
+    private PowerLoss() {}
 
     /** The contents of all files of a folder. */
     static Map<String, byte[]> contents(Path folder) throws IOException {
@@ -52,8 +52,8 @@
         int length = switch (random.nextInt(3)) {
             case 0 -> after.length;
             case 1 -> before.length;
-            default -> Math.min(before.length, after.length)
-                    + random.nextInt(Math.abs(after.length - before.length) + 1);
+            default ->
+                Math.min(before.length, after.length) + random.nextInt(Math.abs(after.length - before.length) + 1);
         };
         byte[] image = Arrays.copyOf(after, length);
         int kept = Math.min(Arrays.mismatch(before, after) < 0 ? length : Arrays.mismatch(before, after), length);
@@ -75,7 +75,7 @@
                 }
             }
             case 2 -> Arrays.fill(image, start + random.nextInt(end - start), end, (byte) 0);
-            default -> { }
+            default -> {}
         }
     }
 }
--- a/cdn/src/test/java/ridgemill/cdn/store/StoreCluster.java
+++ b/cdn/src/test/java/ridgemill/cdn/store/StoreCluster.java
@@ -39,8 +39,7 @@
 
     private final Path folder;
     private final int port;
-    private final MultiThreadIoEventLoopGroup loops =
-            new MultiThreadIoEventLoopGroup(2, SocketKind.NIO.handlers());
+    private final MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(2, SocketKind.NIO.handlers());
     private final StoreProgram[] programs = new StoreProgram[HOSTS.size()];
     private final List<HeldLink> links = new ArrayList<>();
 
@@ -75,9 +74,11 @@
     }
 
     void start(int index, boolean firstStart, StoreDisk disk) {
-        programs[index] =
-                new StoreProgram(settings(index, firstStart), loops, SocketKind.NIO, new Clock(), disk);
-        programs[index].start().orTimeout(CALL_TIMEOUT_MS, TimeUnit.MILLISECONDS).join();
+        programs[index] = new StoreProgram(settings(index, firstStart), loops, SocketKind.NIO, new Clock(), disk);
+        programs[index]
+                .start()
+                .orTimeout(CALL_TIMEOUT_MS, TimeUnit.MILLISECONDS)
+                .join();
     }
 
     void startAll() {
@@ -105,8 +106,23 @@
 
     private Settings settings(int index, boolean firstStart) {
         List<String> seeds = HOSTS.stream().map(host -> host + ":1").toList();
-        return new Settings("core-" + index, HOSTS.get(index), "zone", Map.of(), port - 1, port + 1, seeds, firstStart,
-                folderOf(index), null, null, null, 1_000, new Bounds(Map.of()), 1_000, 1);
+        return new Settings(
+                "core-" + index,
+                HOSTS.get(index),
+                "zone",
+                Map.of(),
+                port - 1,
+                port + 1,
+                seeds,
+                firstStart,
+                folderOf(index),
+                null,
+                null,
+                null,
+                1_000,
+                new Bounds(Map.of()),
+                1_000,
+                1);
     }
 
     /** A link to a store; what it receives beside answers can be taken from it. */
@@ -146,7 +162,8 @@
             this.loop = loop;
         }
 
-        <R extends Message.Reply> CompletableFuture<R> begin(LongFunction<? extends Message.Call> message, Class<R> type) {
+        <R extends Message.Reply> CompletableFuture<R> begin(
+                LongFunction<? extends Message.Call> message, Class<R> type) {
             CompletableFuture<R> answer = new CompletableFuture<>();
             loop.execute(() -> link.call(message, CALL_TIMEOUT_MS, reply -> complete(answer, type, reply)));
             return answer;
@@ -183,6 +200,6 @@
         }
 
         @Override
-        public void closed(Link ended) { }
+        public void closed(Link ended) {}
     }
 }
--- a/cdn/src/test/java/ridgemill/cdn/store/StoreProgramTest.java
+++ b/cdn/src/test/java/ridgemill/cdn/store/StoreProgramTest.java
@@ -115,7 +115,9 @@
         StoreCluster.Caller wiped = cluster.caller(0);
         assertThat(claim(wiped, "c2").available()).isFalse();
         assertThat(write(wiped, item).durable()).isFalse();
-        assertThat(wiped.call(StoreMessages.ReadItems::new, StoreMessages.ItemsRead.class).complete()).isFalse();
+        assertThat(wiped.call(StoreMessages.ReadItems::new, StoreMessages.ItemsRead.class)
+                        .complete())
+                .isFalse();
         cluster.start(2, false);
         StoreMessages.KeyStatus status = claim(wiped, "c2");
         while (!status.available()) {
@@ -148,7 +150,8 @@
         cluster.start(0, false);
         StoreCluster.Caller after = cluster.caller(0);
         assertThat(claim(after, "c2").state()).isEqualTo(KeyState.FINISHED);
-        assertThat(after.call(StoreMessages.ReadItems::new, StoreMessages.ItemsRead.class).items())
+        assertThat(after.call(StoreMessages.ReadItems::new, StoreMessages.ItemsRead.class)
+                        .items())
                 .containsExactly(item);
     }
 
@@ -160,8 +163,7 @@
         caller.send(new StoreMessages.Subscribe("", 0));
         caller.take(StoreMessages.Snapshot.class);
         trouble.hang();
-        var granted = caller.begin(
-                id -> new StoreMessages.ClaimKey(id, "key", "c1"), StoreMessages.KeyStatus.class);
+        var granted = caller.begin(id -> new StoreMessages.ClaimKey(id, "key", "c1"), StoreMessages.KeyStatus.class);
         var stored = caller.begin(
                 id -> new StoreMessages.WriteItems(id, List.of(item("r1", 1))), StoreMessages.Written.class);
         assertThat(claim(caller, "c2").claimId()).isEqualTo("c1");
@@ -195,7 +197,6 @@
     }
 
     private static StoreMessages.Written finish(StoreCluster.Caller caller, String claimId) {
-        return caller.call(
-                id -> new StoreMessages.FinishKey(id, "key", claimId, ANSWER), StoreMessages.Written.class);
+        return caller.call(id -> new StoreMessages.FinishKey(id, "key", claimId, ANSWER), StoreMessages.Written.class);
     }
 }
--- a/cdn/src/test/java/ridgemill/cdn/wire/MessageCodecTest.java
+++ b/cdn/src/test/java/ridgemill/cdn/wire/MessageCodecTest.java
@@ -20,8 +20,8 @@
 /** Each message survives the way through its bytes, and each of its bytes may be spoilt without harm to the reader. */
 class MessageCodecTest {
 
-    private static final List<Item> ITEMS = List.of(
-            new Item(new ItemName(ItemKind.ROUTE, "r"), 7, "{\"a\":1}"), new Item(ItemName.LIMITS, -1, null));
+    private static final List<Item> ITEMS =
+            List.of(new Item(new ItemName(ItemKind.ROUTE, "r"), 7, "{\"a\":1}"), new Item(ItemName.LIMITS, -1, null));
     private static final List<Instance> INSTANCES =
             List.of(new Instance("i", "s", "10.0.0.1:80", "z", "v", 4, InstanceState.DRAINING, 9, 1_800_000_000_000L));
     private static final Purge PURGE = Purge.ofPath("p", "h.example", "/x");
