--- a/cdn/src/main/java/ridgemill/cdn/app/Process.java
+++ b/cdn/src/main/java/ridgemill/cdn/app/Process.java
@@ -11,7 +11,6 @@
 import ridgemill.cdn.store.StoreProgram;
 import ridgemill.gateway.net.Clock;
 import ridgemill.gateway.net.SocketKind;
-import sun.misc.Signal;
 
 /** One of the programs as a process of its own: its event loop, its signals, its end. */
 final class Process {
@@ -32,13 +31,13 @@
     void runProxy() {
         ProxyProgram proxy = new ProxyProgram(settings, loop, sockets, clock);
         started(proxy::start);
-        onTermination(() -> proxy.drain(Process::end));
+        onSignals(() -> proxy.drain(Process::end));
     }
 
     void runRegistry() {
         RegistryProgram registry = new RegistryProgram(settings, loop, sockets, clock);
         started(registry::start);
-        onTermination(() -> {
+        onSignals(() -> {
             registry.stop();
             end();
         });
@@ -47,7 +46,7 @@
     void runStore() {
         StoreProgram store = new StoreProgram(settings, loop, sockets, clock);
         started(() -> store.start().join());
-        onTermination(() -> {
+        onSignals(() -> {
             store.stop();
             end();
         });
@@ -67,16 +66,16 @@
         }
     }
 
-    private void onTermination(Runnable task) {
-        Signal.handle(new Signal("TERM"), signal -> task.run());
-        Signal.handle(new Signal("INT"), signal -> task.run());
-        Signal.handle(
-                new Signal("HUP"),
-                signal -> SettingsReader.read(settingsPath)
-                        .peek(read ->
-                                LOG.log(System.Logger.Level.INFO, "event=settings_read machine=" + read.nodeName()))
-                        .peekLeft(error ->
-                                LOG.log(System.Logger.Level.WARNING, "event=settings_bad " + error.describe())));
+    private void onSignals(Runnable termination) {
+        Signals.onTermination(termination);
+        Signals.onHangup(this::checkSettings);
+    }
+
+    /** Reads the settings file again and logs whether it is good; the process goes on with those it started with. */
+    private void checkSettings() {
+        SettingsReader.read(settingsPath)
+                .peek(read -> LOG.log(System.Logger.Level.INFO, "event=settings_read machine=" + read.nodeName()))
+                .peekLeft(error -> LOG.log(System.Logger.Level.WARNING, "event=settings_bad " + error.describe()));
     }
 
     private static void end() {
--- a/cdn/src/main/java/ridgemill/cdn/app/Rehearsal.java
+++ b/cdn/src/main/java/ridgemill/cdn/app/Rehearsal.java
@@ -78,6 +78,7 @@
     }
 
     private void play(Path directory, int instancePort) throws Exception {
+        Signals.onHangup(() -> {});
         SocketKind sockets = SocketKind.chosen();
         Clock clock = new Clock();
         Settings settings =
--- a/cdn/src/main/java/ridgemill/cdn/configuration/ChangeReader.java
+++ b/cdn/src/main/java/ridgemill/cdn/configuration/ChangeReader.java
@@ -4,7 +4,7 @@
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.cfg.JsonNodeFeature;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.networknt.schema.JsonSchema;
 import com.networknt.schema.JsonSchemaFactory;
@@ -29,11 +29,13 @@
     private static final String SERVICES = "serviceTable";
     private static final String LIMITS = "limits";
 
+    /** Numbers keep the digits they were sent with, trailing zeros included. */
     private final ObjectMapper json = new ObjectMapper()
             .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
             .enable(DeserializationFeature.FAIL_ON_READING_DUP_TREE_KEY)
             .enable(DeserializationFeature.USE_BIG_DECIMAL_FOR_FLOATS)
-            .setNodeFactory(JsonNodeFactory.withExactBigDecimals(true));
+            .configure(JsonNodeFeature.STRIP_TRAILING_BIGDECIMAL_ZEROES, false);
+
     private final JsonSchema schema;
 
     /** A reader with the schema that this build brings. */
--- a/cdn/src/test/java/ridgemill/cdn/proxy/ProxyFixture.java
+++ b/cdn/src/test/java/ridgemill/cdn/proxy/ProxyFixture.java
@@ -189,14 +189,14 @@
     }
 
     @Override
-    public void close() throws Exception {
-        onLoop(path::close);
+    public void close() throws IOException {
+        loop.submit(path::close).syncUninterruptibly();
         for (Socket client : clients) {
             client.close();
         }
         for (StandInInstance instance : instances) {
             instance.close();
         }
-        group.shutdownGracefully(0, 1, java.util.concurrent.TimeUnit.SECONDS).sync();
+        group.shutdownGracefully(0, 1, java.util.concurrent.TimeUnit.SECONDS).syncUninterruptibly();
     }
 }
