--- a/cdn-core/src/main/java/ridgemill/cdn/edge/OriginShare.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/edge/OriginShare.java
@@ -12,10 +12,12 @@
 
     /** The burst, as seconds' worth of the share. */
     private static final double BURST_SECONDS = 0.35;
+
     private static final double LEAST_BURST = 1;
     private static final double MS_PER_SECOND = 1_000;
     /** Left of the share, as clocks and counts differ. */
     private static final double USED = 0.98;
+
     private static final double LEAST_RATE = 0.01;
     /** The part of the burst that is kept for clients who wait. */
     private static final double CLIENTS_PART = 0.5;
--- a/cdn/src/main/java/ridgemill/cdn/proxy/ServiceState.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/ServiceState.java
@@ -24,6 +24,7 @@
 
     /** This proxy's part of an instance's connections may be used up to this share of it. */
     private static final double CONNECTIONS_USED = 0.9;
+
     private static final int LEAST_CONNECTIONS = 2;
     private static final double BREAKS_WITHIN_MS = 3_000;
 
@@ -93,8 +94,7 @@
         List<InstanceStats> ready = new ArrayList<>();
         Set<String> ids = new HashSet<>();
         for (Instance instance : context.control().readyInstances(name)) {
-            InstancePool pool = pools.computeIfAbsent(
-                    instance.id(), id -> new InstancePool(context, instance, ages));
+            InstancePool pool = pools.computeIfAbsent(instance.id(), id -> new InstancePool(context, instance, ages));
             pool.stats().learn(instance, context.isLocal(instance), connections);
             ready.add(pool.stats());
             ids.add(instance.id());
