--- a/cdn/src/main/java/ridgemill/cdn/app/Demonstration.java
+++ b/cdn/src/main/java/ridgemill/cdn/app/Demonstration.java
@@ -35,8 +35,7 @@
         ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
         try (LoopbackInstance one = new LoopbackInstance(HOSTS.get(0));
                 LoopbackInstance two = new LoopbackInstance(HOSTS.get(0))) {
-            timer.scheduleAtFixedRate(
-                    () -> demonstration.beat(one, two), 0, HEARTBEAT_MS, TimeUnit.MILLISECONDS);
+            timer.scheduleAtFixedRate(() -> demonstration.beat(one, two), 0, HEARTBEAT_MS, TimeUnit.MILLISECONDS);
             demonstration.configure();
             demonstration.explain();
             demonstration.takeCommands();
--- a/cdn/src/main/java/ridgemill/cdn/app/LoopbackSystem.java
+++ b/cdn/src/main/java/ridgemill/cdn/app/LoopbackSystem.java
@@ -39,7 +39,7 @@
     private final Clock clock = new Clock();
     private final List<CoreMachine> core = new ArrayList<>();
 
-    private record CoreMachine(StoreProgram store, RegistryProgram registry) { }
+    private record CoreMachine(StoreProgram store, RegistryProgram registry) {}
 
     /**
      * A system that is not started.
@@ -120,10 +120,14 @@
         String host = hosts.get(machine);
         StringBuilder seeds = new StringBuilder();
         for (String seed : hosts) {
-            seeds.append(seeds.isEmpty() ? "" : ",").append('"').append(seed).append(':').append(controlPort()).append('"');
+            seeds.append(seeds.isEmpty() ? "" : ",")
+                    .append('"')
+                    .append(seed)
+                    .append(':')
+                    .append(controlPort())
+                    .append('"');
         }
-        String text =
-                """
+        String text = """
                 nodeName = "core-%d"
                 ipAddress = "%s"
                 zone = "a"
@@ -141,21 +145,20 @@
                 controlAddress = "%s:%d"
                 [limits]
                 fileDescriptors = 1024
-                """
-                        .formatted(
-                                machine + 1,
-                                host,
-                                firstPort + 3,
-                                firstPort + 4,
-                                seeds,
-                                firstStart,
-                                folder.resolve("core-" + (machine + 1)),
-                                host,
-                                frontPort(),
-                                host,
-                                readyPort(),
-                                host,
-                                controlPort());
+                """.formatted(
+                        machine + 1,
+                        host,
+                        firstPort + 3,
+                        firstPort + 4,
+                        seeds,
+                        firstStart,
+                        folder.resolve("core-" + (machine + 1)),
+                        host,
+                        frontPort(),
+                        host,
+                        readyPort(),
+                        host,
+                        controlPort());
         return SettingsReader.parse(text, "loopback").get();
     }
 
@@ -180,8 +183,7 @@
         return """
                 {"address":"%s","information":{"service":"s","version":"v1","zone":"a","slotCount":32},
                 "status":{"state":"ready","sequence":%d,"coldRemaining":"0ms"}}
-                """
-                .formatted(address, sequence);
+                """.formatted(address, sequence);
     }
 
     /**
--- a/cdn/src/main/java/ridgemill/cdn/app/Main.java
+++ b/cdn/src/main/java/ridgemill/cdn/app/Main.java
@@ -19,8 +19,9 @@
     private static final String DEFAULT_SETTINGS = "/etc/ridgemill/local.toml";
     private static final int BAD_INPUT = 2;
     private static final String USAGE = "ridgemill-cdn [--settings FILE] proxy|registry|store|check|demo|version";
-    private static final String ABOUT = "proxy serves clients; registry takes the calls of instances and operators; store "
-            + "keeps the configuration; check reads the settings and says what is wrong with them.";
+    private static final String ABOUT =
+            "proxy serves clients; registry takes the calls of instances and operators; store "
+                    + "keeps the configuration; check reads the settings and says what is wrong with them.";
 
     private Main() {}
 
--- a/cdn/src/main/java/ridgemill/cdn/app/Rehearsal.java
+++ b/cdn/src/main/java/ridgemill/cdn/app/Rehearsal.java
@@ -44,7 +44,8 @@
         untilOk(() -> system.call(0, system.readyPort(), "GET", "/ridgemill/readiness", "", ""));
         for (int i = 0; i < REQUESTS; i++) {
             system.call(0, system.frontPort(), "GET", "/read/" + i % 3, request(i), "");
-            system.call(0, system.frontPort(), "POST", "/write/" + i, request(i) + "X-Operation-Key: k" + i + "\r\n", "b");
+            system.call(
+                    0, system.frontPort(), "POST", "/write/" + i, request(i) + "X-Operation-Key: k" + i + "\r\n", "b");
         }
         control("POST", "/ridgemill/purges", "{\"tag\":\"t1\"}");
         control("POST", "/ridgemill/purges", "{\"hostname\":\"a.example\",\"path\":\"/read/1\"}");
@@ -79,7 +80,8 @@
 
     private static void delete(Path folder) {
         try (Stream<Path> files = Files.walk(folder)) {
-            files.sorted(Comparator.reverseOrder()).forEach(file -> file.toFile().delete());
+            files.sorted(Comparator.reverseOrder())
+                    .forEach(file -> file.toFile().delete());
         } catch (IOException undeletable) {
             throw new UncheckedIOException(undeletable);
         }
--- a/cdn/src/main/java/ridgemill/cdn/proxy/ServiceState.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/ServiceState.java
@@ -45,8 +45,7 @@
         Bounds bounds = context.settings().bounds();
         double phase = Rendezvous.unit(Rendezvous.hashText(context.settings().nodeName() + "/" + name));
         this.admission = new ServiceAdmission(phase, context.now());
-        this.budget = new RetryBudget(
-                bounds.retryBudgetRatio(), bounds.retryBudgetSlack(), bounds.retryWindowMs());
+        this.budget = new RetryBudget(bounds.retryBudgetRatio(), bounds.retryBudgetSlack(), bounds.retryWindowMs());
         this.originShare = new OriginShare(bounds.originCeilingOverage(), bounds.originWindowMs());
         refresh();
     }
--- a/cdn/src/test/java/ridgemill/cdn/app/WholeSystemTest.java
+++ b/cdn/src/test/java/ridgemill/cdn/app/WholeSystemTest.java
@@ -32,9 +32,13 @@
         instance = new LoopbackInstance(HOSTS.get(0));
         system = new LoopbackSystem(folder, HOSTS);
         system.start();
-        until(() -> control(0, "PATCH", "/ridgemill/configuration", LoopbackSystem.configuration()).status() == OK);
+        until(() -> control(0, "PATCH", "/ridgemill/configuration", LoopbackSystem.configuration())
+                        .status()
+                == OK);
         until(() -> heartbeat("i-1", instance, 1).status() == OK);
-        until(() -> system.exchange(0, system.readyPort(), "GET", "/ridgemill/readiness", "", "").status() == OK);
+        until(() -> system.exchange(0, system.readyPort(), "GET", "/ridgemill/readiness", "", "")
+                        .status()
+                == OK);
     }
 
     @AfterEach
@@ -53,7 +57,9 @@
             int gone = machine;
             system.stopCore(gone);
             assertThat(write("k1").body()).as("machine %d gone", gone + 1).isEqualTo(first.body());
-            assertThat(write("new-" + gone).status()).as("machine %d gone", gone + 1).isEqualTo(OK);
+            assertThat(write("new-" + gone).status())
+                    .as("machine %d gone", gone + 1)
+                    .isEqualTo(OK);
             system.startCore(gone, false);
             // The store is a voter again once it grants a claim together with one other.
             until(() -> control(gone, "GET", "/ridgemill/configuration", "").status() == OK);
@@ -63,13 +69,13 @@
 
     @Test
     void aConfigurationIsReadBackFromAnyMachineWhileAnotherIsGone() {
-        String change =
-                """
+        String change = """
                 {"upsert":{"routeTable":{"r-3":{"hostname":"a.example","pathPrefix":"/more/","routeKind":"idempotent",
                 "timeout":"3s","targetLatency":"250ms","priorityLevel":2,"service":"s","maxAttempts":2,"version":5}}},
                 "remove":{"routeTable":[{"name":"r-1","version":5}]}}
                 """;
-        assertThat(control(1, "PATCH", "/ridgemill/configuration", change).status()).isEqualTo(OK);
+        assertThat(control(1, "PATCH", "/ridgemill/configuration", change).status())
+                .isEqualTo(OK);
         system.stopCore(1);
         assertThat(control(0, "GET", "/ridgemill/configuration", "").body())
                 .contains("/more/")
@@ -92,7 +98,8 @@
         until(() -> !get("/read/1").body().equals(before));
         String fresh = get("/read/1").body();
         system.stopCore(2);
-        assertThat(control(0, "POST", "/ridgemill/purges", "{\"tag\":\"t2\"}").status()).isEqualTo(OK);
+        assertThat(control(0, "POST", "/ridgemill/purges", "{\"tag\":\"t2\"}").status())
+                .isEqualTo(OK);
         until(() -> !get("/read/1").body().equals(fresh));
     }
 
@@ -104,7 +111,9 @@
             for (int i = 0; i < 20; i++) {
                 assertThat(write("after-" + i).body()).contains(second.address());
             }
-            assertThat(heartbeat("i-1", instance, 1).status()).as("a late heartbeat").isEqualTo(OK);
+            assertThat(heartbeat("i-1", instance, 1).status())
+                    .as("a late heartbeat")
+                    .isEqualTo(OK);
             assertThat(write("late").body()).contains(second.address());
         }
     }
