Tests of the registry with three of them on loopback

Need: the registry is about to be split by concern, and only the rehearsed start and the trouble of whole systems saw it. The registry itself is as it was.

--- /dev/null
+++ b/cdn/src/test/java/ridgemill/cdn/registry/RegistryCluster.java
@@ -0,0 +1,201 @@
+package ridgemill.cdn.registry;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+import ridgemill.cdn.settings.Bounds;
+import ridgemill.cdn.settings.Settings;
+import ridgemill.cdn.wire.HeldLink;
+import ridgemill.cdn.wire.Link;
+import ridgemill.cdn.wire.LinkListener;
+import ridgemill.cdn.wire.LinkMessages;
+import ridgemill.cdn.wire.Message;
+import ridgemill.cdn.wire.RegistryMessages;
+import ridgemill.gateway.net.Clock;
+import ridgemill.gateway.net.SocketKind;
+
+/** Three registries on loopback addresses, calls to them, and stand-ins of proxies that follow them. */
+final class RegistryCluster implements AutoCloseable {
+
+    static final List<String> HOSTS = List.of("127.0.0.1", "127.0.0.2", "127.0.0.3");
+    static final long HEARTBEAT_INTERVAL_MS = 400;
+
+    private static final int WAIT_MS = 10_000;
+    private static final int LOWEST_PORT = 12_000;
+    private static final int HIGHEST_PORT = 32_000;
+    /** From a machine's registry to where it takes calls; the port between them is the store's. */
+    private static final int CONTROL_PORT_OFFSET = 2;
+
+    private final int port = freePort();
+    private final MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(2, SocketKind.NIO.handlers());
+    private final HttpClient http = HttpClient.newHttpClient();
+    private final List<RegistryProgram> programs = new ArrayList<>();
+    private final List<HeldLink> links = new ArrayList<>();
+
+    /** A port that, with the one for calls, is free on all addresses, below those that connections get. */
+    private static int freePort() {
+        while (true) {
+            int candidate = ThreadLocalRandom.current().nextInt(LOWEST_PORT, HIGHEST_PORT);
+            if (HOSTS.stream()
+                    .allMatch(host -> isFree(host, candidate) && isFree(host, candidate + CONTROL_PORT_OFFSET))) {
+                return candidate;
+            }
+        }
+    }
+
+    private static boolean isFree(String host, int port) {
+        try (ServerSocket socket = new ServerSocket()) {
+            socket.bind(new InetSocketAddress(host, port));
+            return true;
+        } catch (IOException taken) {
+            return false;
+        }
+    }
+
+    void start(int index, boolean firstStart) {
+        RegistryProgram program =
+                new RegistryProgram(settings(index, firstStart), loops.next(), SocketKind.NIO, new Clock());
+        programs.add(program);
+        program.start();
+    }
+
+    void startAll() {
+        for (int index = 0; index < HOSTS.size(); index++) {
+            start(index, true);
+        }
+    }
+
+    private String control(int index) {
+        return HOSTS.get(index) + ":" + (port + CONTROL_PORT_OFFSET);
+    }
+
+    private Settings settings(int index, boolean firstStart) {
+        return new Settings(
+                "core-" + index,
+                HOSTS.get(index),
+                "zone",
+                Map.of(),
+                port,
+                port + 1,
+                List.of(control(0), control(1), control(2)),
+                firstStart,
+                null,
+                null,
+                null,
+                control(index),
+                HEARTBEAT_INTERVAL_MS,
+                new Bounds(Map.of()),
+                1_000,
+                1);
+    }
+
+    /** The status of an instance's heartbeat at a registry. */
+    int heartbeat(int index, String id, String state, long sequence) throws IOException, InterruptedException {
+        String body = """
+                {"address":"127.0.0.9:%d","information":{"service":"s","version":"v","zone":"z","slotCount":4},
+                "status":{"state":"%s","sequence":%d,"coldRemaining":"0ms"}}
+                """.formatted(Math.floorMod(id.hashCode(), 10_000) + 1, state, sequence);
+        return call(index, "PUT", id, body);
+    }
+
+    /** The status of an instance's leaving at a registry. */
+    int leave(int index, String id) throws IOException, InterruptedException {
+        return call(index, "DELETE", id, "");
+    }
+
+    private int call(int index, String method, String id, String body) throws IOException, InterruptedException {
+        HttpRequest request = HttpRequest.newBuilder(
+                        URI.create("http://" + control(index) + "/ridgemill/instances/" + id))
+                .method(method, HttpRequest.BodyPublishers.ofString(body))
+                .build();
+        return http.send(request, HttpResponse.BodyHandlers.discarding()).statusCode();
+    }
+
+    /** A proxy that follows a registry. */
+    Proxy proxy(int index, String name, boolean acknowledging) {
+        EventLoop loop = loops.next();
+        Proxy proxy = new Proxy(acknowledging);
+        LinkMessages.Hello hello =
+                new LinkMessages.Hello(LinkMessages.Hello.PROTOCOL, "proxy", name, "127.0.0.1", name + "-life");
+        HeldLink link = new HeldLink(loop, SocketKind.NIO, new InetSocketAddress(HOSTS.get(index), port), hello, proxy);
+        links.add(link);
+        loop.execute(link::start);
+        return proxy;
+    }
+
+    @Override
+    public void close() {
+        links.forEach(HeldLink::close);
+        programs.forEach(RegistryProgram::stop);
+        loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+
+    /** A stand-in of a proxy: takes what the registry pushes. */
+    static final class Proxy implements LinkListener {
+
+        private final boolean acknowledging;
+        private final BlockingQueue<Message> received = new LinkedBlockingQueue<>();
+
+        private Proxy(boolean acknowledging) {
+            this.acknowledging = acknowledging;
+        }
+
+        /** The snapshot that a subscription begins with. */
+        RegistryMessages.Snapshot snapshot() throws InterruptedException {
+            return (RegistryMessages.Snapshot) received.poll(WAIT_MS, TimeUnit.MILLISECONDS);
+        }
+
+        /** The first news from now on that are as asked for. */
+        RegistryMessages.News news(Predicate<RegistryMessages.News> wanted) throws InterruptedException {
+            long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(WAIT_MS);
+            Message last = null;
+            while (System.nanoTime() < endNanos) {
+                Message message = received.poll(WAIT_MS, TimeUnit.MILLISECONDS);
+                if (message instanceof RegistryMessages.News news && wanted.test(news)) {
+                    return news;
+                }
+                last = message == null ? last : message;
+            }
+            throw new AssertionError("no such news; the last message was " + last);
+        }
+
+        /** Everything that came and was not looked at. */
+        List<RegistryMessages.News> rest() {
+            List<Message> rest = new ArrayList<>();
+            received.drainTo(rest);
+            return rest.stream().map(RegistryMessages.News.class::cast).toList();
+        }
+
+        @Override
+        public void opened(Link link) {
+            link.send(new RegistryMessages.Subscribe("", 0));
+        }
+
+        @Override
+        public void received(Link link, Message message) {
+            received.add(message);
+            if (acknowledging && message instanceof RegistryMessages.News news) {
+                link.send(new RegistryMessages.NewsAcknowledged(news.number()));
+            } else if (acknowledging && message instanceof RegistryMessages.Snapshot snapshot) {
+                link.send(new RegistryMessages.NewsAcknowledged(snapshot.number()));
+            }
+        }
+
+        @Override
+        public void closed(Link link) {}
+    }
+}
--- /dev/null
+++ b/cdn/src/test/java/ridgemill/cdn/registry/RegistryProgramTest.java
@@ -0,0 +1,165 @@
+package ridgemill.cdn.registry;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import ridgemill.cdn.instances.Instance;
+import ridgemill.cdn.instances.InstanceState;
+import ridgemill.cdn.wire.RegistryMessages;
+
+class RegistryProgramTest {
+
+    private static final int OK = 200;
+    private static final int UNAVAILABLE = 503;
+    private static final long CONFIRM_TIMEOUT_MS = 600;
+
+    private final RegistryCluster cluster = new RegistryCluster();
+
+    @AfterEach
+    void stop() {
+        cluster.close();
+    }
+
+    @Test
+    void aProxyIsToldOfMachinesVotersAndWhenTheRegistryKnowsAll() throws Exception {
+        cluster.startAll();
+        RegistryCluster.Proxy proxy = cluster.proxy(0, "p", true);
+        RegistryMessages.Snapshot snapshot = proxy.snapshot();
+        assertThat(snapshot.registries()).isEqualTo(RegistryCluster.HOSTS);
+        assertThat(snapshot.voters()).isEqualTo(RegistryCluster.HOSTS);
+        assertThat(snapshot.proxyCount()).isEqualTo(1);
+        if (!snapshot.settled()) {
+            assertThat(proxy.news(RegistryMessages.News::settled).number()).isGreaterThan(snapshot.number());
+        }
+    }
+
+    @Test
+    void proxiesAtOtherRegistriesCountToo() throws Exception {
+        cluster.startAll();
+        RegistryCluster.Proxy proxy = cluster.proxy(0, "p", true);
+        cluster.proxy(1, "q", true);
+        proxy.news(news -> news.proxyCount() == 2);
+    }
+
+    @Test
+    void aNewInstanceIsToldToProxiesAtAllRegistries() throws Exception {
+        cluster.startAll();
+        RegistryCluster.Proxy here = cluster.proxy(0, "p", true);
+        RegistryCluster.Proxy there = cluster.proxy(1, "q", true);
+        here.snapshot();
+        there.snapshot();
+        awaitLinks();
+        assertThat(cluster.heartbeat(0, "i", "ready", 1)).isEqualTo(OK);
+        for (RegistryCluster.Proxy proxy : List.of(here, there)) {
+            Instance told = instance(proxy.news(news -> instance(news) != null));
+            assertThat(told.state()).isEqualTo(InstanceState.READY);
+            assertThat(told.slots()).isEqualTo(4);
+        }
+        assertThat(cluster.proxy(2, "r", true).snapshot().instances())
+                .extracting(Instance::id)
+                .contains("i");
+    }
+
+    /** What news tell of the instance that the tests are about, or null. */
+    private static Instance instance(RegistryMessages.News news) {
+        return news.instances().stream()
+                .filter(instance -> instance.id().equals("i"))
+                .findFirst()
+                .orElse(null);
+    }
+
+    @Test
+    void statesThatChangeAreToldAndMereHeartbeatsAreNot() throws Exception {
+        cluster.startAll();
+        RegistryCluster.Proxy proxy = cluster.proxy(0, "p", true);
+        awaitLinks();
+        cluster.heartbeat(0, "i", "ready", 1);
+        proxy.news(news -> instance(news) != null);
+        cluster.heartbeat(0, "i", "ready", 2);
+        cluster.heartbeat(0, "i", "draining", 3);
+        assertThat(instance(proxy.news(news -> instance(news) != null)).state()).isEqualTo(InstanceState.DRAINING);
+        assertThat(cluster.leave(0, "i")).isEqualTo(OK);
+        assertThat(instance(proxy.news(news -> instance(news) != null)).state()).isEqualTo(InstanceState.GONE);
+    }
+
+    @Test
+    void aProxyThatDoesNotAcknowledgeHoldsAnAnswerUpForABoundedTime() throws Exception {
+        cluster.startAll();
+        cluster.proxy(0, "p", false).snapshot();
+        awaitLinks();
+        long startNanos = System.nanoTime();
+        assertThat(cluster.heartbeat(0, "i", "ready", 1)).isEqualTo(OK);
+        assertThat(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos))
+                .isBetween(CONFIRM_TIMEOUT_MS - 50, 5 * CONFIRM_TIMEOUT_MS);
+    }
+
+    @Test
+    void aChangeThatNoMajorityHasIsNotAcknowledged() throws Exception {
+        cluster.start(0, true);
+        assertThat(cluster.heartbeat(0, "i", "ready", 1)).isEqualTo(UNAVAILABLE);
+        assertThat(cluster.heartbeat(0, "i", "ready", 2))
+                .as("a heartbeat while the change is not confirmed")
+                .isEqualTo(UNAVAILABLE);
+        cluster.start(1, true);
+        awaitOk("i");
+    }
+
+    private void awaitOk(String id) throws Exception {
+        int status = UNAVAILABLE;
+        for (int sequence = 3; status != OK && sequence < 50; sequence++) {
+            status = cluster.heartbeat(0, id, "ready", sequence);
+            Thread.sleep(20);
+        }
+        assertThat(status).isEqualTo(OK);
+    }
+
+    @Test
+    void anInstanceIsSilentUntilItIsHeardAgain() throws Exception {
+        cluster.startAll();
+        RegistryCluster.Proxy proxy = cluster.proxy(0, "p", true);
+        awaitLinks();
+        cluster.heartbeat(0, "i", "ready", 1);
+        proxy.news(news -> news.silent().contains("i"));
+        cluster.heartbeat(0, "i", "ready", 2);
+        proxy.news(news -> !news.silent().contains("i"));
+    }
+
+    @Test
+    void whatOneRegistryHearsIsNotSilentAtAnother() throws Exception {
+        cluster.startAll();
+        RegistryCluster.Proxy proxy = cluster.proxy(1, "p", true);
+        awaitLinks();
+        for (int sequence = 1; sequence < 40; sequence++) {
+            assertThat(cluster.heartbeat(0, "i", "ready", sequence)).isEqualTo(OK);
+            Thread.sleep(RegistryCluster.HEARTBEAT_INTERVAL_MS / 5);
+        }
+        proxy.snapshot();
+        assertThat(proxy.rest()).isNotEmpty().noneMatch(news -> news.silent().contains("i"));
+        proxy.news(news -> news.silent().contains("i"));
+    }
+
+    @Test
+    void aRegistryThatForgotTheVotersLearnsThemFromAnother() throws Exception {
+        cluster.start(2, false);
+        RegistryCluster.Proxy proxy = cluster.proxy(2, "p", true);
+        assertThat(proxy.snapshot().voters()).isEmpty();
+        cluster.start(0, true);
+        proxy.news(news -> news.voters().equals(RegistryCluster.HOSTS));
+    }
+
+    /** Waits until each registry has links to the others, as it only then can pass on what it takes. */
+    private void awaitLinks() throws Exception {
+        for (int index = 0; index < RegistryCluster.HOSTS.size(); index++) {
+            String id = "link-" + index;
+            int status = 0;
+            for (int sequence = 1; status != OK && sequence < 50; sequence++) {
+                status = cluster.heartbeat(index, id, "ready", sequence);
+                Thread.sleep(20);
+            }
+            assertThat(status).isEqualTo(OK);
+        }
+    }
+}
