Registry split by concern: news to proxies, other registries, reports of instances, confirmation, stores

Ruled out: an event bus between the parts, which would hide who is told what; a class for the shared state, as members and instances are that already. Messages, their order and all times are as they were.

--- /dev/null
+++ b/cdn/src/main/java/ridgemill/cdn/registry/Confirmation.java
@@ -0,0 +1,68 @@
+package ridgemill.cdn.registry;
+
+import io.netty.channel.EventLoop;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import ridgemill.cdn.instances.Instance;
+import ridgemill.cdn.membership.CoreMembers;
+
+/**
+ * Waits until everybody that can be reached has a change of an instance's state, for a bounded time. The change is
+ * confirmed if a majority of the registries has it by then, whatever the proxies say: they may be out of reach.
+ */
+final class Confirmation {
+
+    /** How long a change of an instance's state may take to reach everybody before its call is answered. */
+    static final long TIMEOUT_MS = 600;
+
+    private final PeerRegistries peers;
+    private final ProxyNews news;
+    private final CoreMembers members;
+    private final Consumer<Boolean> callback;
+    /** The registries that have the change, this one included. */
+    private int registries = 1;
+
+    private int outstanding;
+    private boolean proxiesHaveIt;
+    private boolean done;
+
+    /** A confirmation that waits from {@link #begin} on. The callback is told once whether the change is confirmed. */
+    Confirmation(PeerRegistries peers, ProxyNews news, CoreMembers members, Consumer<Boolean> callback) {
+        this.peers = peers;
+        this.news = news;
+        this.members = members;
+        this.callback = callback;
+    }
+
+    /** Tells the other registries of the change; the news of it to the proxies are pushed already. */
+    void begin(List<Instance> change, EventLoop loop) {
+        outstanding = peers.count();
+        peers.confirm(change, this::answered);
+        news.whenAcknowledged(() -> {
+            proxiesHaveIt = true;
+            finishIfAllHaveIt();
+        });
+        loop.schedule(this::finish, TIMEOUT_MS, TimeUnit.MILLISECONDS);
+        finishIfAllHaveIt();
+    }
+
+    private void answered(boolean merged) {
+        registries += merged ? 1 : 0;
+        outstanding--;
+        finishIfAllHaveIt();
+    }
+
+    private void finishIfAllHaveIt() {
+        if (proxiesHaveIt && outstanding == 0) {
+            finish();
+        }
+    }
+
+    private void finish() {
+        if (!done) {
+            done = true;
+            callback.accept(registries >= members.coreMajority());
+        }
+    }
+}
--- /dev/null
+++ b/cdn/src/main/java/ridgemill/cdn/registry/IncomingLinks.java
@@ -0,0 +1,82 @@
+package ridgemill.cdn.registry;
+
+import java.util.ArrayList;
+import java.util.List;
+import ridgemill.cdn.instances.Instance;
+import ridgemill.cdn.instances.InstanceTable;
+import ridgemill.cdn.membership.CoreMembers;
+import ridgemill.cdn.wire.Link;
+import ridgemill.cdn.wire.LinkListener;
+import ridgemill.cdn.wire.Message;
+import ridgemill.cdn.wire.RegistryMessages;
+import ridgemill.gateway.net.Clock;
+
+/** Takes the messages that proxies and other registries send over links that they opened. */
+final class IncomingLinks implements LinkListener {
+
+    private final CoreMembers members;
+    private final InstanceTable instances;
+    private final ProxyNews news;
+    private final PeerRegistries peers;
+    private final VotingStores stores;
+    private final Clock clock;
+
+    IncomingLinks(
+            CoreMembers members,
+            InstanceTable instances,
+            ProxyNews news,
+            PeerRegistries peers,
+            VotingStores stores,
+            Clock clock) {
+        this.members = members;
+        this.instances = instances;
+        this.news = news;
+        this.peers = peers;
+        this.stores = stores;
+        this.clock = clock;
+    }
+
+    @Override
+    public void opened(Link link) {
+        if (link.peer().program().equals("registry")) {
+            peers.heardOf(List.of(link.peer().address()));
+        }
+    }
+
+    @Override
+    public void received(Link link, Message message) {
+        if (message instanceof RegistryMessages.Subscribe) {
+            news.subscribe(link);
+        } else if (message instanceof RegistryMessages.NewsAcknowledged acknowledged) {
+            news.acknowledged(link, acknowledged.number());
+        } else if (message instanceof RegistryMessages.PeerUpdate update) {
+            merge(update);
+            link.send(new RegistryMessages.PeerUpdateTaken(update.callId()));
+        } else if (message instanceof RegistryMessages.PeerBeats beats) {
+            for (RegistryMessages.Beat beat : beats.beats()) {
+                instances.heard(beat.instanceId(), beat.sequence(), clock.now());
+            }
+        }
+    }
+
+    /** Takes what another registry knows; what is new in it goes on to the proxies, the other registries tell themselves. */
+    private void merge(RegistryMessages.PeerUpdate update) {
+        peers.heardOf(update.registries());
+        stores.learn(update.voters());
+        for (String proxy : update.proxies()) {
+            members.proxyHeard(proxy, clock.now());
+        }
+        List<Instance> changed = new ArrayList<>();
+        for (Instance instance : update.instances()) {
+            changed.addAll(instances.merge(instance, clock.now()));
+        }
+        if (!changed.isEmpty()) {
+            news.push(changed);
+        }
+    }
+
+    @Override
+    public void closed(Link link) {
+        news.closed(link);
+    }
+}
--- a/cdn/src/main/java/ridgemill/cdn/registry/InstanceCalls.java
+++ b/cdn/src/main/java/ridgemill/cdn/registry/InstanceCalls.java
@@ -7,7 +7,9 @@
 import ridgemill.cdn.http.CallServer;
 import ridgemill.cdn.instances.Instance;
 import ridgemill.cdn.instances.InstanceState;
+import ridgemill.cdn.instances.InstanceTable;
 import ridgemill.cdn.settings.Durations;
+import ridgemill.gateway.net.Clock;
 
 /** Answers the heartbeats of instances and their leaving. */
 final class InstanceCalls {
@@ -18,13 +20,18 @@
     private static final int UNAVAILABLE = 503;
     private static final CallServer.Answer TAKEN = new CallServer.Answer(OK, "{}".getBytes(StandardCharsets.US_ASCII));
 
-    private final RegistryProgram registry;
+    private final InstanceReports reports;
+    private final InstanceTable instances;
+    private final Clock clock;
     private final ObjectMapper json = new ObjectMapper();
 
-    InstanceCalls(RegistryProgram registry) {
-        this.registry = registry;
+    InstanceCalls(InstanceReports reports, InstanceTable instances, Clock clock) {
+        this.reports = reports;
+        this.instances = instances;
+        this.clock = clock;
     }
 
+    /** Answers a call about the instance with this identifier. */
     void accept(String id, CallServer.Call call) {
         Instance instance = switch (call.method()) {
             case "PUT" -> heartbeat(id, call.body());
@@ -36,10 +43,11 @@
             call.answer().accept(CallServer.Answer.empty(known ? BAD_REQUEST : METHOD_NOT_ALLOWED));
             return;
         }
-        registry.take(
+        reports.take(
                 instance, confirmed -> call.answer().accept(confirmed ? TAKEN : CallServer.Answer.empty(UNAVAILABLE)));
     }
 
+    /** What a heartbeat says of its instance, or null if it can't be read. */
     private Instance heartbeat(String id, byte[] body) {
         try {
             JsonNode root = json.readTree(body);
@@ -60,14 +68,15 @@
                     information.path("slotCount").asInt(1),
                     state.equals("draining") ? InstanceState.DRAINING : InstanceState.READY,
                     status.path("sequence").asLong(),
-                    coldMs <= 0 ? 0 : (long) registry.nowMs() + coldMs);
+                    coldMs <= 0 ? 0 : (long) clock.now() + coldMs);
         } catch (IOException | IllegalArgumentException malformed) {
             return null;
         }
     }
 
+    /** An instance that leaves before it was ever heard is noted too: a heartbeat that comes late doesn't bring it back. */
     private Instance departure(String id) {
-        Instance known = registry.instances().get(id);
+        Instance known = instances.get(id);
         return known == null ? new Instance(id, "", "", "", "", 0, InstanceState.GONE, 0, 0) : known.gone();
     }
 }
--- /dev/null
+++ b/cdn/src/main/java/ridgemill/cdn/registry/InstanceReports.java
@@ -0,0 +1,102 @@
+package ridgemill.cdn.registry;
+
+import io.netty.channel.EventLoop;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import ridgemill.cdn.instances.Instance;
+import ridgemill.cdn.instances.InstanceTable;
+import ridgemill.cdn.membership.CoreMembers;
+import ridgemill.cdn.wire.RegistryMessages;
+import ridgemill.gateway.net.Clock;
+
+/**
+ * Takes what instances say in calls to this registry, and keeps what the other registries are still to be told of it: new
+ * heartbeats once, changes again for a while, as a registry may have missed them.
+ */
+final class InstanceReports {
+
+    private static final System.Logger LOG = System.getLogger(InstanceReports.class.getName());
+
+    /** For how long a changed instance is told again to the other registries, in milliseconds. */
+    private static final double RETELL_MS = 3_000;
+
+    private final InstanceTable instances;
+    private final CoreMembers members;
+    private final PeerRegistries peers;
+    private final ProxyNews news;
+    private final EventLoop loop;
+    private final Clock clock;
+    private final Map<String, Double> changedAtMs = new HashMap<>();
+    private final Map<String, Long> newBeats = new HashMap<>();
+
+    InstanceReports(
+            InstanceTable instances,
+            CoreMembers members,
+            PeerRegistries peers,
+            ProxyNews news,
+            EventLoop loop,
+            Clock clock) {
+        this.instances = instances;
+        this.members = members;
+        this.peers = peers;
+        this.news = news;
+        this.loop = loop;
+        this.clock = clock;
+    }
+
+    /**
+     * Takes what an instance said. The callback is told whether the call may be acknowledged: at once for a heartbeat that
+     * changes nothing, else once the connected proxies and a majority of the registries have the change.
+     */
+    void take(Instance instance, Consumer<Boolean> callback) {
+        newBeats.merge(instance.id(), instance.sequence(), Math::max);
+        List<Instance> changed = instances.merge(instance, clock.now());
+        boolean changedLately = changedAtMs.containsKey(instance.id());
+        if (changed.isEmpty() && !changedLately) {
+            callback.accept(true);
+            return;
+        }
+        spread(changed);
+        Instance newest = instances.get(instance.id());
+        new Confirmation(peers, news, members, callback).begin(newest == null ? List.of() : List.of(newest), loop);
+    }
+
+    private void spread(List<Instance> changed) {
+        if (changed.isEmpty()) {
+            return;
+        }
+        for (Instance instance : changed) {
+            changedAtMs.put(instance.id(), clock.now());
+            LOG.log(
+                    System.Logger.Level.INFO,
+                    "event=instance id=" + instance.id() + " service=" + instance.service() + " state="
+                            + instance.state());
+        }
+        news.push(changed);
+    }
+
+    /** The instances whose changes are to be told again. */
+    List<Instance> changedLately() {
+        double now = clock.now();
+        changedAtMs.values().removeIf(changedAt -> now - changedAt > RETELL_MS);
+        List<Instance> changed = new ArrayList<>();
+        for (String id : changedAtMs.keySet()) {
+            Instance instance = instances.get(id);
+            if (instance != null) {
+                changed.add(instance);
+            }
+        }
+        return changed;
+    }
+
+    /** The newest heartbeat of each instance that was heard since the last call of this method. */
+    List<RegistryMessages.Beat> drainNewBeats() {
+        List<RegistryMessages.Beat> beats = new ArrayList<>();
+        newBeats.forEach((id, sequence) -> beats.add(new RegistryMessages.Beat(id, sequence)));
+        newBeats.clear();
+        return beats;
+    }
+}
--- /dev/null
+++ b/cdn/src/main/java/ridgemill/cdn/registry/LinkOpener.java
@@ -0,0 +1,25 @@
+package ridgemill.cdn.registry;
+
+import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
+import ridgemill.cdn.wire.HeldLink;
+import ridgemill.cdn.wire.LinkListener;
+import ridgemill.cdn.wire.LinkMessages;
+import ridgemill.gateway.net.SocketKind;
+
+/**
+ * Opens the registry's links to other processes.
+ *
+ * @param loop the event loop that all of the registry runs on
+ * @param sockets the kind of sockets to use
+ * @param hello what the registry says of itself
+ */
+record LinkOpener(EventLoop loop, SocketKind sockets, LinkMessages.Hello hello) {
+
+    /** Opens a link and keeps it open. */
+    HeldLink open(String host, int port, LinkListener listener) {
+        HeldLink link = new HeldLink(loop, sockets, new InetSocketAddress(host, port), hello, listener);
+        link.start();
+        return link;
+    }
+}
--- a/cdn/src/main/java/ridgemill/cdn/registry/OperatorCalls.java
+++ b/cdn/src/main/java/ridgemill/cdn/registry/OperatorCalls.java
@@ -6,6 +6,7 @@
 import io.vavr.control.Either;
 import io.vavr.control.Option;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.UUID;
 import ridgemill.cdn.config.ItemSet;
 import ridgemill.cdn.configuration.ChangeReader;
@@ -32,6 +33,7 @@
         this.stores = stores;
     }
 
+    /** Answers with what a quorum of the stores holds. */
     void readConfiguration(CallServer.Call call) {
         stores.readItems(items -> call.answer()
                 .accept(
@@ -73,11 +75,10 @@
     private void refuse(CallServer.Call call, InvalidChange fault) {
         LOG.log(System.Logger.Level.INFO, "event=configuration_refused reason=\"" + fault.describe() + "\"");
         ObjectNode body = json.createObjectNode().put("errorMessage", fault.describe());
-        call.answer()
-                .accept(new CallServer.Answer(
-                        BAD_REQUEST, body.toString().getBytes(java.nio.charset.StandardCharsets.UTF_8)));
+        call.answer().accept(new CallServer.Answer(BAD_REQUEST, body.toString().getBytes(StandardCharsets.UTF_8)));
     }
 
+    /** Orders a purge; the call is acknowledged once a majority of the stores has passed it on. */
     void purge(CallServer.Call call) {
         Purge purge = readPurge(call.body());
         if (purge == null) {
@@ -87,6 +88,7 @@
         stores.purge(purge, passedOn -> call.answer().accept(CallServer.Answer.empty(passedOn ? OK : UNAVAILABLE)));
     }
 
+    /** The purge of a call, or null if it can't be read. */
     private Purge readPurge(byte[] body) {
         try {
             JsonNode root = json.readTree(body);
--- a/cdn/src/main/java/ridgemill/cdn/registry/Subscribers.java
+++ b/cdn/src/main/java/ridgemill/cdn/registry/Subscribers.java
@@ -34,11 +34,13 @@
         return lifeId;
     }
 
+    /** Adds a proxy and sends it all that is known. */
     void add(Link link, RegistryMessages.Snapshot snapshot) {
         acknowledged.put(link, number - 1);
         link.send(snapshot);
     }
 
+    /** Forgets a link; those who wait for it wait no longer. */
     void remove(Link link) {
         if (acknowledged.remove(link) != null) {
             release();
@@ -66,6 +68,7 @@
         }
     }
 
+    /** A proxy has carried out the news up to a number. */
     void acknowledged(Link link, long upTo) {
         acknowledged.computeIfPresent(link, (key, before) -> Math.max(before, upTo));
         release();
