--- a/cdn/src/main/java/ridgemill/cdn/app/Process.java
+++ b/cdn/src/main/java/ridgemill/cdn/app/Process.java
@@ -3,6 +3,7 @@
 import io.netty.channel.ChannelException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import java.io.IOException;
 import java.nio.file.Path;
 import ridgemill.cdn.proxy.ProxyProgram;
 import ridgemill.cdn.registry.RegistryProgram;
@@ -52,13 +53,14 @@
         });
     }
 
+    /** Starts a program. An address that is taken is the operator's fault and ends the process with one line. */
     private static void started(Runnable start) {
         try {
             start.run();
         } catch (RuntimeException failed) {
             boolean taken = failed instanceof ChannelException
                     || failed.getCause() instanceof ChannelException
-                    || failed.getCause() instanceof java.io.IOException;
+                    || failed.getCause() instanceof IOException;
             if (taken) {
                 Main.fail("can't listen: " + failed.getMessage());
             }
--- a/cdn/src/main/java/ridgemill/cdn/app/Rehearsal.java
+++ b/cdn/src/main/java/ridgemill/cdn/app/Rehearsal.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -106,8 +107,8 @@
     }
 
     private static EventLoop loop(SocketKind sockets) {
-        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(
-                1, new io.netty.util.concurrent.DefaultThreadFactory("loop", true), sockets.handlers());
+        MultiThreadIoEventLoopGroup group =
+                new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("loop", true), sockets.handlers());
         return group.next();
     }
 
--- a/cdn/src/main/java/ridgemill/cdn/http/package-info.java
+++ b/cdn/src/main/java/ridgemill/cdn/http/package-info.java
@@ -1,2 +1,6 @@
-/** The HTTP server for calls from outside the data path. */
+/**
+ * HTTP beside the data path: {@code CallServer} takes whole calls, one at a time a connection, of instances,
+ * operators and whoever asks for readiness. Clients' requests are read by {@link ridgemill.cdn.proxy.http}, which is
+ * strict.
+ */
 package ridgemill.cdn.http;
--- a/cdn/src/main/java/ridgemill/cdn/store/DiskFile.java
+++ b/cdn/src/main/java/ridgemill/cdn/store/DiskFile.java
@@ -34,44 +34,51 @@
 
     /** A file of the file system. */
     static DiskFile of(Path path) throws IOException {
-        FileChannel channel =
-                FileChannel.open(path, StandardOpenOption.READ, StandardOpenOption.WRITE, StandardOpenOption.CREATE);
-        return new DiskFile() {
-            @Override
-            public long size() throws IOException {
-                return channel.size();
-            }
+        return new ChannelFile(
+                FileChannel.open(path, StandardOpenOption.READ, StandardOpenOption.WRITE, StandardOpenOption.CREATE));
+    }
 
-            @Override
-            public void read(ByteBuffer into, long position) throws IOException {
-                long at = position;
-                for (int read = 0; read >= 0 && into.hasRemaining(); at += read) {
-                    read = channel.read(into, at);
-                }
-            }
+    /**
+     * A file of the file system.
+     *
+     * @param channel the open file
+     */
+    record ChannelFile(FileChannel channel) implements DiskFile {
 
-            @Override
-            public void write(ByteBuffer bytes, long position) throws IOException {
-                long at = position;
-                while (bytes.hasRemaining()) {
-                    at += channel.write(bytes, at);
-                }
-            }
+        @Override
+        public long size() throws IOException {
+            return channel.size();
+        }
 
-            @Override
-            public void truncate(long size) throws IOException {
-                channel.truncate(size);
+        @Override
+        public void read(ByteBuffer into, long position) throws IOException {
+            long at = position;
+            for (int read = 0; read >= 0 && into.hasRemaining(); at += read) {
+                read = channel.read(into, at);
             }
+        }
 
-            @Override
-            public void force() throws IOException {
-                channel.force(false);
+        @Override
+        public void write(ByteBuffer bytes, long position) throws IOException {
+            long at = position;
+            while (bytes.hasRemaining()) {
+                at += channel.write(bytes, at);
             }
+        }
 
-            @Override
-            public void close() throws IOException {
-                channel.close();
-            }
-        };
+        @Override
+        public void truncate(long size) throws IOException {
+            channel.truncate(size);
+        }
+
+        @Override
+        public void force() throws IOException {
+            channel.force(false);
+        }
+
+        @Override
+        public void close() throws IOException {
+            channel.close();
+        }
     }
 }
--- a/cdn/src/main/java/ridgemill/cdn/store/JournalDisk.java
+++ b/cdn/src/main/java/ridgemill/cdn/store/JournalDisk.java
@@ -120,6 +120,7 @@
         return new StoredState(voters, List.copyOf(items.values()), List.copyOf(records.values()), false);
     }
 
+    /** Takes a batch into the state in memory. */
     private void apply(DiskBatch batch) {
         for (Item item : batch.items()) {
             items.put(item.name(), item);
@@ -155,6 +156,7 @@
         }
     }
 
+    /** Writes a batch as part of the whole state, where the journal can't be appended to any more. */
     private void rewrite(DiskBatch batch) throws IOException {
         apply(batch);
         begin(generation + 1);
@@ -194,6 +196,7 @@
         }
     }
 
+    /** Returns once the names of files that were made and removed survive a loss of power. */
     private void syncFolder() throws IOException {
         try (FileChannel channel = FileChannel.open(folder, StandardOpenOption.READ)) {
             channel.force(true);
--- a/cdn/src/main/java/ridgemill/cdn/store/JournalFile.java
+++ b/cdn/src/main/java/ridgemill/cdn/store/JournalFile.java
@@ -56,6 +56,7 @@
         return new Opened(journal, frames);
     }
 
+    /** Takes the next frame into the chain, or null if it is not whole. */
     private byte[] nextFrame(ByteBuffer contents) {
         if (contents.remaining() < HEAD_BYTES) {
             return null;
--- a/cdn/src/main/java/ridgemill/cdn/store/PendingChanges.java
+++ b/cdn/src/main/java/ridgemill/cdn/store/PendingChanges.java
@@ -17,6 +17,7 @@
 
     private List<String> voters;
 
+    /** Adds a batch that comes after all added before. */
     void add(DiskBatch batch) {
         batch.items().forEach(item -> items.put(item.name(), item));
         batch.removedKeys().forEach(key -> records.put(key, null));
@@ -30,12 +31,14 @@
         return items.isEmpty() && records.isEmpty() && voters == null;
     }
 
+    /** Forgets all: it is on disk. */
     void clear() {
         items.clear();
         records.clear();
         voters = null;
     }
 
+    /** All that was added, as one batch. */
     DiskBatch toBatch() {
         List<KeyRecord> kept = new ArrayList<>();
         List<String> removed = new ArrayList<>();
--- a/cdn/src/main/java/ridgemill/cdn/store/StoreReplica.java
+++ b/cdn/src/main/java/ridgemill/cdn/store/StoreReplica.java
@@ -107,6 +107,7 @@
         disk.submit(everything(), written -> {});
     }
 
+    /** All that is in memory, as a batch. */
     private DiskBatch everything() {
         List<String> voters = quorum.isKnown() ? quorum.voters() : null;
         return new DiskBatch(new ArrayList<>(items.all()), keys.all(), List.of(), voters);
--- a/cdn/src/main/java/ridgemill/cdn/store/StoreService.java
+++ b/cdn/src/main/java/ridgemill/cdn/store/StoreService.java
@@ -75,6 +75,7 @@
         link.send(new StoreMessages.Written(call.callId(), written && replica.isVoting()));
     }
 
+    /** Grants a key, or says who has it; a grant is sent once it is on disk. */
     private void claim(Link link, StoreMessages.ClaimKey claim) {
         if (!replica.isVoting()) {
             link.send(unavailable(claim));
@@ -99,6 +100,7 @@
         return new StoreMessages.KeyStatus(claim.callId(), false, KeyState.RELEASED, "", null);
     }
 
+    /** Records the answer of an operation. A second answer for a key is a fault of the system, which is logged. */
     private void finish(Link link, StoreMessages.FinishKey finish) {
         if (!replica.isVoting()) {
             answer(link, finish, false);
@@ -123,6 +125,7 @@
         replica.store(changed, written -> answer(link, release, written));
     }
 
+    /** A page of what this store holds; the items come with the first one, unless the caller has the same. */
     private StoreMessages.StatePage page(StoreMessages.PullState pull) {
         boolean first = pull.afterKey().isEmpty();
         boolean itemsDiffer = first && pull.itemsDigest() != replica.items().digest();
--- a/cdn/src/main/java/ridgemill/cdn/wire/Link.java
+++ b/cdn/src/main/java/ridgemill/cdn/wire/Link.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.vavr.control.Either;
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -48,9 +49,7 @@
 
     /** The IP address of the other side. */
     public String remoteAddress() {
-        return ((java.net.InetSocketAddress) channel.remoteAddress())
-                .getAddress()
-                .getHostAddress();
+        return ((InetSocketAddress) channel.remoteAddress()).getAddress().getHostAddress();
     }
 
     /** Whether messages can be sent. */
