--- a/cdn/src/main/java/ridgemill/cdn/registry/InstanceCalls.java
+++ b/cdn/src/main/java/ridgemill/cdn/registry/InstanceCalls.java
@@ -1,13 +1,13 @@
 package ridgemill.cdn.registry;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import ridgemill.cdn.http.CallServer;
 import ridgemill.cdn.instances.Instance;
 import ridgemill.cdn.instances.InstanceState;
 import ridgemill.cdn.instances.InstanceTable;
+import ridgemill.cdn.json.TreeReader;
 import ridgemill.cdn.settings.Durations;
 import ridgemill.gateway.net.Clock;
 
@@ -23,7 +23,6 @@
     private final InstanceReports reports;
     private final InstanceTable instances;
     private final Clock clock;
-    private final ObjectMapper json = new ObjectMapper();
 
     InstanceCalls(InstanceReports reports, InstanceTable instances, Clock clock) {
         this.reports = reports;
@@ -50,7 +49,7 @@
     /** What a heartbeat says of its instance, or null if it can't be read. */
     private Instance heartbeat(String id, byte[] body) {
         try {
-            JsonNode root = json.readTree(body);
+            JsonNode root = TreeReader.json(body);
             JsonNode information = root.path("information");
             JsonNode status = root.path("status");
             String state = status.path("state").asText();
