--- a/cdn/src/main/java/ridgemill/cdn/app/Rehearsal.java
+++ b/cdn/src/main/java/ridgemill/cdn/app/Rehearsal.java
@@ -37,6 +37,7 @@
     }
 
     private void play(String instanceAddress) throws IOException, InterruptedException {
+        Signals.onHangup(() -> {});
         system.start();
         String heartbeat = LoopbackSystem.heartbeat(instanceAddress, 1);
         untilOk(() -> control("PATCH", "/ridgemill/configuration", LoopbackSystem.configuration()));
