The programs read addresses by the gateway's Addresses, not by a twin of their own

Need: found on reading the change again: ridgemill.cdn.settings.Addresses wrote again what ridgemill.gateway.net.Addresses has, which the data path calls already and which never looks a host up. Ruled out: keeping both, as they differ in how they refuse. Behaviour for the numeric addresses of settings is the same.

--- a/cdn/src/main/java/ridgemill/cdn/proxy/ProxyProgram.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/ProxyProgram.java
@@ -5,8 +5,8 @@
 import ridgemill.cdn.http.CallServer;
 import ridgemill.cdn.proxy.control.ControlClient;
 import ridgemill.cdn.proxy.control.QuorumRegister;
-import ridgemill.cdn.settings.Addresses;
 import ridgemill.cdn.settings.Settings;
+import ridgemill.gateway.net.Addresses;
 import ridgemill.gateway.net.Clock;
 import ridgemill.gateway.net.SocketKind;
 
--- a/cdn/src/main/java/ridgemill/cdn/registry/RegistryProgram.java
+++ b/cdn/src/main/java/ridgemill/cdn/registry/RegistryProgram.java
@@ -8,10 +8,10 @@
 import ridgemill.cdn.http.CallServer;
 import ridgemill.cdn.instances.InstanceTable;
 import ridgemill.cdn.membership.CoreMembers;
-import ridgemill.cdn.settings.Addresses;
 import ridgemill.cdn.settings.Settings;
 import ridgemill.cdn.wire.LinkMessages;
 import ridgemill.cdn.wire.LinkServer;
+import ridgemill.gateway.net.Addresses;
 import ridgemill.gateway.net.Clock;
 import ridgemill.gateway.net.SocketKind;
 
