--- a/bench/src/main/java/ridgemill/bench/scale/HollowLink.java
+++ b/bench/src/main/java/ridgemill/bench/scale/HollowLink.java
@@ -44,6 +44,7 @@
     private Channel channel;
     private long lastReceivedNanos;
     private long nextCall = 1;
+    private long epoch;
 
     /**
      * A link that is opened by {@link #connect}.
@@ -59,6 +60,11 @@
         this.meter = meter;
     }
 
+    /** The epoch of the voters that the store told of last. */
+    long epoch() {
+        return epoch;
+    }
+
     EventLoop loop() {
         return loop;
     }
@@ -139,7 +145,8 @@
             send(new RegistryMessages.NewsAcknowledged(snapshot.number()));
         } else if (message instanceof RegistryMessages.News news) {
             send(new RegistryMessages.NewsAcknowledged(news.number()));
-        } else if (message instanceof StoreMessages.Snapshot) {
+        } else if (message instanceof StoreMessages.Snapshot snapshot) {
+            epoch = snapshot.voters().epoch();
             meter.subscribed();
         } else if (message instanceof StoreMessages.News news) {
             carriedOut(news);
@@ -149,6 +156,7 @@
     }
 
     private void carriedOut(StoreMessages.News news) {
+        epoch = news.voters().epoch();
         for (Item item : news.items()) {
             meter.changeCarriedOut(Load.changeName(item.name().name(), item.version()));
         }
--- a/bench/src/main/java/ridgemill/bench/scale/HollowProxy.java
+++ b/bench/src/main/java/ridgemill/bench/scale/HollowProxy.java
@@ -49,7 +49,7 @@
             claims.started(key, majority);
             int[] granted = {0};
             for (HollowLink store : stores) {
-                store.call(callId -> new StoreMessages.ClaimKey(callId, key, key), reply -> {
+                store.call(callId -> new StoreMessages.ClaimKey(callId, store.epoch(), key, key), reply -> {
                     if (isGranted(reply, key)) {
                         claims.acknowledged(key);
                         granted[0]++;
@@ -64,7 +64,7 @@
 
     private static boolean isGranted(Message.Reply reply, String key) {
         return reply instanceof StoreMessages.KeyStatus status
-                && status.available()
+                && status.availability() == StoreMessages.KeyStatus.Availability.VOTES
                 && status.state() == KeyState.HELD
                 && key.equals(status.claimId());
     }
--- /dev/null
+++ b/cdn-core/src/main/java/ridgemill/cdn/agreement/AgreementMessage.java
@@ -0,0 +1,97 @@
+package ridgemill.cdn.agreement;
+
+import java.util.List;
+import ridgemill.cdn.config.VersionedItem;
+import ridgemill.cdn.quorum.Voter;
+import ridgemill.cdn.quorum.VoterSet;
+
+/** A message between stores. Each says who sent it; any of them may be lost, doubled or late. */
+public sealed interface AgreementMessage {
+
+    /** The store that sent the message. */
+    Voter from();
+
+    /**
+     * What a store says of itself, at intervals and after changes.
+     *
+     * @param zone the zone of its machine
+     * @param eligible whether it may be chosen as a voter
+     * @param leaving whether it is about to end for a while or for good
+     * @param leading whether it proposes states at present
+     * @param promised its highest promise
+     * @param accepted the newest state that it has on disk
+     * @param decided the newest state that it knows to be decided
+     * @param voters the voters of the newest state that it accepted
+     * @param completeEpoch the newest epoch for which it has all operation keys on disk; 0 for none
+     * @param known the IP addresses of the stores that it has heard lately
+     */
+    record Status(
+            Voter from,
+            String zone,
+            boolean eligible,
+            boolean leaving,
+            boolean leading,
+            Ballot promised,
+            Stamp accepted,
+            Stamp decided,
+            VoterSet voters,
+            long completeEpoch,
+            List<String> known)
+            implements AgreementMessage {}
+
+    /** Asks for the promise to accept nothing of a lower ballot. */
+    record Prepare(Voter from, Ballot ballot) implements AgreementMessage {}
+
+    /** The promise, and what was accepted before it. */
+    record Promise(Voter from, Ballot ballot, Stamp accepted, VoterSet voters) implements AgreementMessage {}
+
+    /** Proposes a state as a difference. Its ballot is that of the step's stamp. */
+    record Accept(Voter from, Step step) implements AgreementMessage {}
+
+    /** A state, and under the same ballot all before it, is accepted and on disk. */
+    record Accepted(Voter from, Stamp stamp) implements AgreementMessage {}
+
+    /** A ballot came too late: a higher one was promised. */
+    record Refused(Voter from, Ballot asked, Ballot promised) implements AgreementMessage {}
+
+    /** Asks whether a ballot is still the highest one. */
+    record Confirm(Voter from, Ballot ballot, long number) implements AgreementMessage {}
+
+    /** It is. */
+    record Confirmed(Voter from, Ballot ballot, long number) implements AgreementMessage {}
+
+    /**
+     * Asks for a page of the accepted state.
+     *
+     * @param transfer names the transfer among those of this sender
+     * @param have the state that the asking store holds
+     * @param page the number of the page, from 0
+     */
+    record Pull(Voter from, String transfer, Stamp have, int page) implements AgreementMessage {}
+
+    /** Answers {@link Pull} with the steps that are missing, where they are few. */
+    record Difference(Voter from, String transfer, Stamp decided, List<Step> steps) implements AgreementMessage {}
+
+    /**
+     * Answers {@link Pull} with a page of a snapshot.
+     *
+     * @param decided the newest state that the sender knows to be decided
+     * @param page the number of the page, from 0
+     * @param pages how many there are
+     * @param stamp the state that the snapshot is of
+     * @param voters its voters
+     * @param items the items of this page
+     * @param digest {@link ControlState#digest} of the whole snapshot
+     */
+    record Page(
+            Voter from,
+            String transfer,
+            Stamp decided,
+            int page,
+            int pages,
+            Stamp stamp,
+            VoterSet voters,
+            List<VersionedItem> items,
+            long digest)
+            implements AgreementMessage {}
+}
--- /dev/null
+++ b/cdn-core/src/main/java/ridgemill/cdn/agreement/AgreementNode.java
@@ -0,0 +1,533 @@
+package ridgemill.cdn.agreement;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+import ridgemill.cdn.config.Item;
+import ridgemill.cdn.config.ItemSet;
+import ridgemill.cdn.quorum.Voter;
+import ridgemill.cdn.quorum.VoterSet;
+
+/**
+ * One store's part in the agreement on the control state. Single-threaded: messages, the passing of time and the disk's
+ * answers are passed in. Times are milliseconds of a clock that never steps back.
+ */
+public final class AgreementNode {
+
+    /** How often {@link #tick} is to be called, in milliseconds. */
+    public static final long TICK_MS = 100;
+
+    private static final double STATUS_INTERVAL_MS = 400;
+    /** After so long without a leader a voter tries to lead: the first one in order first, in milliseconds. */
+    private static final double LEADERLESS_MS = 1_200;
+
+    private static final double LEADERLESS_STEP_MS = 250;
+    /** A leader that was heard within this time is the one to ask, in milliseconds. */
+    private static final double LEADER_FRESH_MS = 1_000;
+    /** A leader that was heard within this time keeps leading although somebody could not reach it, in milliseconds. */
+    private static final double LEADER_KEPT_MS = 600;
+    /** How long a pull of a newer state waits for the usual messages to bring it, in milliseconds. */
+    private static final double BEHIND_PATIENCE_MS = 250;
+    /** How long a change of the voters keeps off the next one, in milliseconds. */
+    private static final double VOTERS_PAUSE_MS = 300;
+
+    private final NodeSettings settings;
+    private final Voter self;
+    private final AgreementEnvironment environment;
+    private final Acceptor acceptor;
+    private final DecidedView view;
+    private final Leadership leadership;
+    private final StateSource source;
+    private final StatePull pull;
+    private final Peers peers;
+    private final VoterPlan plan;
+    private boolean leaving;
+    private long completeEpoch;
+    private double statusAtMs = Double.NEGATIVE_INFINITY;
+    private double leaderHeardAtMs;
+    private double behindSinceMs = Double.NaN;
+    private double votersChangedAtMs = Double.NEGATIVE_INFINITY;
+    private double electionJitterMs;
+    /** A state of the present epoch, which newcomers have to hold; newer ones come all the time. */
+    private Stamp changeStamp = Stamp.NONE;
+
+    private long changeEpoch;
+    private Stamp announced = Stamp.NONE;
+
+    /** A node that begins with {@link #start}. */
+    public AgreementNode(NodeSettings settings, AgreementEnvironment environment, ChangeRules rules) {
+        this.settings = settings;
+        this.self = settings.self();
+        this.environment = environment;
+        this.acceptor = new Acceptor(environment);
+        this.view = new DecidedView(environment);
+        this.leadership = new Leadership(self, settings.lifeId(), environment, acceptor, view, rules);
+        this.source = new StateSource(self, acceptor, view);
+        this.pull = new StatePull(self, settings.lifeId(), environment);
+        this.peers = new Peers(self, settings.seeds());
+        this.plan = new VoterPlan(peers, settings.toleratedLosses());
+    }
+
+    /** Begins with what the disk held. */
+    public void start(AcceptorRecord record, double nowMs) {
+        if (!record.accepted().equals(Stamp.NONE)) {
+            acceptor.restore(record);
+            view.installed(acceptor.state());
+        }
+        leadership.roundSeen(record.promised().round());
+        peers.start(nowMs);
+        leaderHeardAtMs = nowMs;
+        electionJitterMs = environment.random() * LEADERLESS_STEP_MS;
+        sendStatus(nowMs);
+    }
+
+    /** The voters of the newest accepted state, decided or not: their epoch is the one that counts for keys and purges. */
+    public VoterSet voters() {
+        return acceptor.state().voters();
+    }
+
+    /** The voters of the newest state that is known to be decided. */
+    public VoterSet decidedVoters() {
+        return view.voters();
+    }
+
+    /** The items of the newest state that is known to be decided. */
+    public ItemSet decidedItems() {
+        return view.items();
+    }
+
+    /** Whether this store votes. */
+    public boolean isVoter() {
+        return voters().contains(self);
+    }
+
+    /** Whether this store leads at present. */
+    public boolean isLeading() {
+        return leadership.isLeading();
+    }
+
+    /** Whether this store may vote on operation keys: as a newcomer only once it holds all of them. */
+    public boolean mayVoteOnKeys() {
+        VoterSet voters = voters();
+        boolean whole = !voters.newcomers().contains(self) || completeEpoch >= voters.epoch();
+        return voters.contains(self) && whole;
+    }
+
+    /**
+     * The change of voters for which this store still has to fetch the operation keys, once that change is decided; null
+     * if there is none.
+     */
+    public VoterSet changeThatNeedsKeys() {
+        VoterSet voters = view.voters();
+        boolean wanted = voters.newcomers().contains(self) && completeEpoch < voters.epoch();
+        return wanted && voters.equals(voters()) ? voters : null;
+    }
+
+    /** All operation keys of an epoch are on disk here. */
+    public void keysComplete(long epoch, double nowMs) {
+        completeEpoch = Math.max(completeEpoch, epoch);
+        sendStatus(nowMs);
+    }
+
+    /** This store is about to end: another one is to vote in its place. */
+    public void leave(double nowMs) {
+        leaving = true;
+        sendStatus(nowMs);
+    }
+
+    /** Whether this store may end without harm: it votes no more, or nobody could take its place. */
+    public boolean mayEnd(double nowMs) {
+        boolean out = !voters().contains(self) && !view.voters().contains(self);
+        return out || !plan.hasCandidate(voters(), status(nowMs), nowMs);
+    }
+
+    /** The IP addresses of the stores that were heard lately. */
+    public List<String> knownAddresses(double nowMs) {
+        return peers.known(nowMs);
+    }
+
+    /**
+     * Decides an order, see {@link OrderResult}. With {@code insist}, which says that the leader could not be reached, this
+     * store tries to lead unless it has just heard that leader itself.
+     */
+    public void order(
+            List<Item> items, boolean insist, double nowMs, double deadlineMs, Consumer<OrderResult> callback) {
+        String leader = otherLeader(insist, nowMs);
+        if (leader != null) {
+            callback.accept(OrderResult.notLeader(leader));
+            return;
+        }
+        leadership.order(items, deadlineMs, callback);
+        leadership.serve(nowMs);
+        afterWork(nowMs);
+    }
+
+    /** Reads the newest decided items; the callback is told null if no majority confirms in time that they are. */
+    public void read(
+            boolean insist,
+            double nowMs,
+            double deadlineMs,
+            Consumer<Collection<Item>> callback,
+            Consumer<String> other) {
+        String leader = otherLeader(insist, nowMs);
+        if (leader != null) {
+            other.accept(leader);
+            return;
+        }
+        leadership.confirm(
+                () -> callback.accept(new ArrayList<>(view.items().all())), () -> callback.accept(null), deadlineMs);
+        leadership.serve(nowMs);
+        afterWork(nowMs);
+    }
+
+    /** The store to ask in this one's place, empty if none is known; null if this one leads or begins to. */
+    private String otherLeader(boolean insist, double nowMs) {
+        if (!leadership.isFollowing()) {
+            return null;
+        }
+        AgreementMessage.Status leader = leader(insist ? LEADER_KEPT_MS : LEADER_FRESH_MS, nowMs);
+        if (!isVoter() || leaving) {
+            return leader == null ? "" : leader.from().address();
+        }
+        if (leader != null) {
+            return leader.from().address();
+        }
+        leadership.begin(nowMs);
+        return null;
+    }
+
+    private AgreementMessage.Status leader(double freshMs, double nowMs) {
+        AgreementMessage.Status best = null;
+        for (AgreementMessage.Status status : peers.within(freshMs, nowMs)) {
+            if (status.leading() && (best == null || status.promised().compareTo(best.promised()) > 0)) {
+                best = status;
+            }
+        }
+        return best;
+    }
+
+    /** Takes a message. */
+    public void receive(AgreementMessage message, double nowMs) {
+        if (message.from().equals(self)) {
+            return;
+        }
+        switch (kindOf(message)) {
+            case STATUS -> heard((AgreementMessage.Status) message, nowMs);
+            case ACCEPTING -> acceptorMessage(message, nowMs);
+            case LEADING -> leadershipMessage(message, nowMs);
+            case TRANSFER -> transferMessage(message, nowMs);
+        }
+        leadership.checkPromised();
+        leadership.serve(nowMs);
+        afterWork(nowMs);
+    }
+
+    private enum Kind {
+        STATUS,
+        ACCEPTING,
+        LEADING,
+        TRANSFER
+    }
+
+    private static Kind kindOf(AgreementMessage message) {
+        if (message instanceof AgreementMessage.Status) {
+            return Kind.STATUS;
+        }
+        if (message instanceof AgreementMessage.Prepare
+                || message instanceof AgreementMessage.Accept
+                || message instanceof AgreementMessage.Confirm) {
+            return Kind.ACCEPTING;
+        }
+        boolean transfer = message instanceof AgreementMessage.Pull
+                || message instanceof AgreementMessage.Difference
+                || message instanceof AgreementMessage.Page;
+        return transfer ? Kind.TRANSFER : Kind.LEADING;
+    }
+
+    private void heard(AgreementMessage.Status status, double nowMs) {
+        peers.heard(status, nowMs);
+        leadership.roundSeen(status.promised().round());
+        if (status.leading()) {
+            leaderHeardAtMs = nowMs;
+        }
+        view.decide(status.decided());
+        decideIfAllHoldTheSame(nowMs);
+        formIfSeedsAreEmpty(nowMs);
+    }
+
+    /** After a restart of all nobody knows what was decided: what a majority has accepted is. */
+    private void decideIfAllHoldTheSame(double nowMs) {
+        Stamp own = acceptor.durable();
+        if (own.revision() < 1
+                || own.compareTo(view.decided()) <= 0
+                || !own.equals(acceptor.state().stamp())) {
+            return;
+        }
+        boolean decided = voters().isMajority(voter -> {
+            AgreementMessage.Status status = peers.of(voter, Peers.GONE_MS, nowMs);
+            return voter.equals(self) || status != null && status.accepted().equals(own);
+        });
+        if (decided && isVoter()) {
+            view.decide(own);
+        }
+    }
+
+    /**
+     * The first voters are the seeds, once all of them have said that nothing was ever decided there. Each has its disk's
+     * name on disk before it says so; so a kill at any moment leaves either nothing or a state that goes on.
+     */
+    private void formIfSeedsAreEmpty(double nowMs) {
+        if (acceptor.state().stamp().revision() > 0 || !peers.seeds().contains(self.address())) {
+            return;
+        }
+        List<Voter> founders = new ArrayList<>();
+        founders.add(self);
+        for (AgreementMessage.Status status : peers.within(Peers.GONE_MS, nowMs)) {
+            if (status.accepted().revision() > 0 || status.voters().epoch() > 1) {
+                return;
+            }
+            if (peers.seeds().contains(status.from().address())) {
+                founders.add(status.from());
+            }
+        }
+        if (founders.size() < peers.seeds().size()) {
+            return;
+        }
+        founders.sort(null);
+        VoterSet first = new VoterSet(1, founders, List.of());
+        if (!first.equals(voters())) {
+            Stamp stamp = new Stamp(new Ballot(0, founders.toString()), 0);
+            acceptor.form(stamp, first, () -> {});
+            view.installed(acceptor.state());
+            sendStatus(nowMs);
+        }
+    }
+
+    private void acceptorMessage(AgreementMessage message, double nowMs) {
+        String address = message.from().address();
+        if (message instanceof AgreementMessage.Prepare prepare) {
+            leadership.roundSeen(prepare.ballot().round());
+            Stamp accepted = acceptor.state().stamp();
+            VoterSet voters = acceptor.state().voters();
+            AgreementMessage.Promise promise = new AgreementMessage.Promise(self, prepare.ballot(), accepted, voters);
+            if (!acceptor.promise(prepare.ballot(), () -> environment.send(address, promise))) {
+                refuse(address, prepare.ballot());
+            }
+        } else if (message instanceof AgreementMessage.Accept accept) {
+            accept(accept, nowMs);
+        } else if (message instanceof AgreementMessage.Confirm confirm) {
+            if (acceptor.promised().compareTo(confirm.ballot()) > 0) {
+                refuse(address, confirm.ballot());
+            } else {
+                environment.send(address, new AgreementMessage.Confirmed(self, confirm.ballot(), confirm.number()));
+            }
+        }
+    }
+
+    private void refuse(String address, Ballot asked) {
+        environment.send(address, new AgreementMessage.Refused(self, asked, acceptor.promised()));
+    }
+
+    private void accept(AgreementMessage.Accept accept, double nowMs) {
+        Step step = accept.step();
+        leadership.roundSeen(step.stamp().ballot().round());
+        Stamp before = acceptor.state().stamp();
+        Acceptor.Outcome outcome = acceptor.accept(step, sayAccepted(accept.from(), step.stamp()));
+        switch (outcome) {
+            case REFUSED -> refuse(accept.from().address(), step.stamp().ballot());
+            case BEHIND -> pullFrom(accept.from(), nowMs);
+            case ACCEPTED -> {
+                if (!before.equals(acceptor.state().stamp())) {
+                    view.accepted(step);
+                    view.decide(view.heard());
+                }
+            }
+        }
+    }
+
+    private Runnable sayAccepted(Voter leader, Stamp stamp) {
+        return () -> environment.send(leader.address(), new AgreementMessage.Accepted(self, stamp));
+    }
+
+    private void pullFrom(Voter store, double nowMs) {
+        if (!pull.isActive()) {
+            pull.begin(store, acceptor.state().stamp(), nowMs);
+        }
+    }
+
+    private void leadershipMessage(AgreementMessage message, double nowMs) {
+        if (message instanceof AgreementMessage.Promise promise) {
+            leadership.promised(promise, nowMs);
+        } else if (message instanceof AgreementMessage.Accepted accepted) {
+            leadership.accepted(accepted, nowMs);
+        } else if (message instanceof AgreementMessage.Confirmed confirmed) {
+            leadership.confirmed(confirmed, nowMs);
+        } else if (message instanceof AgreementMessage.Refused refused) {
+            leadership.refused(refused);
+        }
+    }
+
+    private void transferMessage(AgreementMessage message, double nowMs) {
+        if (message instanceof AgreementMessage.Pull asked) {
+            environment.send(asked.from().address(), source.answer(asked, nowMs));
+        } else if (message instanceof AgreementMessage.Difference difference) {
+            pull.take(difference).ifPresent(pulled -> follow(pulled));
+            leadership.fetch().take(difference).ifPresent(pulled -> leadership.fetched(pulled, nowMs));
+        } else if (message instanceof AgreementMessage.Page page) {
+            pull.take(page, nowMs).ifPresent(pulled -> follow(pulled));
+            leadership.fetch().take(page, nowMs).ifPresent(pulled -> leadership.fetched(pulled, nowMs));
+        }
+    }
+
+    /** Takes over what another store holds, as far as it is decided or its ballot is the highest. */
+    private void follow(Pulled pulled) {
+        behindSinceMs = Double.NaN;
+        if (pulled.whole() != null) {
+            Stamp stamp = pulled.whole().stamp();
+            boolean decided = stamp.leadsTo(pulled.decided());
+            if (acceptor.install(pulled.whole(), decided, sayAccepted(pulled.source(), stamp))) {
+                view.installed(pulled.whole());
+            }
+        }
+        int settled = 0;
+        for (int i = 0; i < pulled.steps().size(); i++) {
+            settled = pulled.steps().get(i).stamp().leadsTo(pulled.decided()) ? i + 1 : settled;
+        }
+        for (int i = 0; i < pulled.steps().size(); i++) {
+            Step step = pulled.steps().get(i);
+            if (acceptor.follow(step, i < settled, sayAccepted(pulled.source(), step.stamp()))) {
+                view.accepted(step);
+            }
+        }
+        view.decide(pulled.decided());
+        view.decide(view.heard());
+    }
+
+    /** Goes on as time passes; to be called every {@link #TICK_MS}. */
+    public void tick(double nowMs) {
+        peers.tick(nowMs);
+        source.tick(nowMs);
+        pull.tick(nowMs);
+        leadership.tick(nowMs);
+        formIfSeedsAreEmpty(nowMs);
+        pullIfBehind(nowMs);
+        leadIfNobodyDoes(nowMs);
+        leadership.serve(nowMs);
+        replaceVoters(nowMs);
+        if (nowMs - statusAtMs >= STATUS_INTERVAL_MS) {
+            sendStatus(nowMs);
+        }
+        afterWork(nowMs);
+    }
+
+    private void pullIfBehind(double nowMs) {
+        if (view.heard().compareTo(acceptor.state().stamp()) <= 0) {
+            behindSinceMs = Double.NaN;
+            return;
+        }
+        if (Double.isNaN(behindSinceMs)) {
+            behindSinceMs = nowMs;
+        } else if (nowMs - behindSinceMs > BEHIND_PATIENCE_MS && !pull.isActive()) {
+            for (AgreementMessage.Status status : peers.within(Peers.FRESH_MS, nowMs)) {
+                if (status.decided().compareTo(acceptor.state().stamp()) > 0) {
+                    pullFrom(status.from(), nowMs);
+                    return;
+                }
+            }
+        }
+    }
+
+    private void leadIfNobodyDoes(double nowMs) {
+        int rank = voters().members().indexOf(self);
+        if (rank < 0 || leaving || !leadership.isFollowing()) {
+            return;
+        }
+        double patienceMs = LEADERLESS_MS + rank * LEADERLESS_STEP_MS + electionJitterMs;
+        boolean begins = acceptor.state().stamp().revision() == 0 && rank == 0;
+        if (begins || nowMs - leaderHeardAtMs > patienceMs) {
+            leaderHeardAtMs = nowMs;
+            electionJitterMs = environment.random() * LEADERLESS_STEP_MS;
+            leadership.begin(nowMs);
+        }
+    }
+
+    /** The one that leads changes the voters: first a joint set, then, once its newcomers hold all, the new one alone. */
+    private void replaceVoters(double nowMs) {
+        if (!leadership.isIdle() || nowMs - votersChangedAtMs < VOTERS_PAUSE_MS) {
+            return;
+        }
+        VoterSet current = voters();
+        if (current.epoch() != changeEpoch) {
+            changeEpoch = current.epoch();
+            changeStamp = acceptor.state().stamp();
+        }
+        AgreementMessage.Status own = status(nowMs);
+        Optional<List<Voter>> next = plan.next(current, own, nowMs);
+        if (next.isPresent()) {
+            votersChangedAtMs = nowMs;
+            leadership.proposeVoters(current.changedTo(next.get()), nowMs);
+        } else if (current.isJoint() && current.newcomers().stream().allMatch(voter -> isWhole(voter, nowMs))) {
+            votersChangedAtMs = nowMs;
+            leadership.proposeVoters(current.settled(), nowMs);
+        }
+    }
+
+    private boolean isWhole(Voter newcomer, double nowMs) {
+        long epoch = voters().epoch();
+        if (newcomer.equals(self)) {
+            return completeEpoch >= epoch;
+        }
+        AgreementMessage.Status status = peers.of(newcomer, Peers.FRESH_MS, nowMs);
+        return status != null
+                && status.completeEpoch() >= epoch
+                && status.accepted().compareTo(changeStamp) >= 0;
+    }
+
+    /** Tells the others at once of what was decided, and serves what waited for it. */
+    private void afterWork(double nowMs) {
+        if (leadership.isLeading() && !view.decided().equals(announced)) {
+            announced = view.decided();
+            sendStatus(nowMs);
+            leadership.serve(nowMs);
+        }
+    }
+
+    /** Goes on after the disk has answered. */
+    public void persisted(double nowMs) {
+        leadership.serve(nowMs);
+        afterWork(nowMs);
+    }
+
+    private AgreementMessage.Status status(double nowMs) {
+        return new AgreementMessage.Status(
+                self,
+                settings.zone(),
+                settings.eligible(),
+                leaving,
+                leadership.isLeading(),
+                acceptor.promised(),
+                acceptor.durable(),
+                view.decided(),
+                acceptor.state().voters(),
+                completeEpoch,
+                peers.known(nowMs));
+    }
+
+    /** How far this store is, for logs. */
+    public String describe() {
+        return "leading=" + leadership.isLeading() + " following=" + leadership.isFollowing() + " accepted="
+                + acceptor.state().stamp() + " decided=" + view.decided() + " promised=" + acceptor.promised()
+                + " epoch=" + voters().epoch() + " complete_epoch=" + completeEpoch;
+    }
+
+    /** Tells all stores how far this one is. */
+    public void sendStatus(double nowMs) {
+        statusAtMs = nowMs;
+        AgreementMessage.Status status = status(nowMs);
+        for (String address : peers.addresses(acceptor.state().voters(), view.voters())) {
+            environment.send(address, status);
+        }
+    }
+}
--- /dev/null
+++ b/cdn-core/src/main/java/ridgemill/cdn/agreement/OrderEvaluator.java
@@ -0,0 +1,93 @@
+package ridgemill.cdn.agreement;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import ridgemill.cdn.config.Item;
+import ridgemill.cdn.config.ItemName;
+import ridgemill.cdn.config.VersionedItem;
+
+/**
+ * Says what orders come to, one after the other, each on top of those before it. A call is taken whole or not at all. For
+ * each name the highest version stands; a lower one changes nothing, and its content is remembered, so that no other
+ * content is confirmed under the same number later.
+ */
+final class OrderEvaluator {
+
+    /** All items together take no more, so that a message can hold them. */
+    static final long MAX_CHARACTERS = 4 << 20;
+
+    private final ControlState state;
+    private final ChangeRules rules;
+    private final Map<ItemName, VersionedItem> changed = new LinkedHashMap<>();
+    private long addedCharacters;
+
+    /** Evaluates orders on top of a state, which is not changed. */
+    OrderEvaluator(ControlState state, ChangeRules rules) {
+        this.state = state;
+        this.rules = rules;
+    }
+
+    /** The items that changed through all orders that were taken. */
+    Collection<VersionedItem> changed() {
+        return changed.values();
+    }
+
+    /** Takes an order, or says why it can't be taken. */
+    OrderResult take(List<Item> order) {
+        Map<ItemName, VersionedItem> entries = new LinkedHashMap<>();
+        Map<ItemName, Item> newer = new LinkedHashMap<>();
+        for (Item item : order) {
+            VersionedItem held = entries.getOrDefault(item.name(), held(item.name()));
+            if (held != null && held.conflictsWith(item)) {
+                return refused(OrderResult.Outcome.CONFLICT, describe(item) + " is held with other content");
+            }
+            if (held == null) {
+                entries.put(item.name(), VersionedItem.first(item));
+                newer.put(item.name(), item);
+            } else if (item.version() > held.item().version()) {
+                entries.put(item.name(), held.overtakenBy(item));
+                newer.put(item.name(), item);
+            } else if (!held.remembers(item)) {
+                entries.put(item.name(), held.confirming(item));
+            }
+        }
+        return newer.isEmpty() ? taken(entries, newer.values()) : check(entries, newer.values());
+    }
+
+    private OrderResult check(Map<ItemName, VersionedItem> entries, Collection<Item> newer) {
+        long added =
+                entries.values().stream().mapToLong(ControlState::charactersOf).sum();
+        if (state.characters() + addedCharacters + added > MAX_CHARACTERS) {
+            return refused(OrderResult.Outcome.INVALID, "the configuration would be too large");
+        }
+        Optional<String> fault = rules.fault(newer);
+        if (fault.isPresent()) {
+            return refused(OrderResult.Outcome.INVALID, fault.get());
+        }
+        addedCharacters += added;
+        return taken(entries, newer);
+    }
+
+    private OrderResult taken(Map<ItemName, VersionedItem> entries, Collection<Item> newer) {
+        changed.putAll(entries);
+        rules.changed(new ArrayList<>(newer));
+        return OrderResult.CONFIRMED;
+    }
+
+    private VersionedItem held(ItemName name) {
+        VersionedItem own = changed.get(name);
+        return own == null ? state.get(name) : own;
+    }
+
+    private static OrderResult refused(OrderResult.Outcome outcome, String reason) {
+        return new OrderResult(outcome, reason);
+    }
+
+    private static String describe(Item item) {
+        return item.name().kind() + " " + item.name().name() + " version " + item.version();
+    }
+}
--- /dev/null
+++ b/cdn-core/src/main/java/ridgemill/cdn/agreement/Pulled.java
@@ -0,0 +1,14 @@
+package ridgemill.cdn.agreement;
+
+import java.util.List;
+import ridgemill.cdn.quorum.Voter;
+
+/**
+ * What another store sent of its state.
+ *
+ * @param source the store
+ * @param decided the newest state that it knows to be decided
+ * @param steps the steps that lead to its state, or empty if it sent the whole state
+ * @param whole its whole state, or null if it sent steps
+ */
+record Pulled(Voter source, Stamp decided, List<Step> steps, ControlState whole) {}
--- /dev/null
+++ b/cdn-core/src/main/java/ridgemill/cdn/agreement/Step.java
@@ -0,0 +1,25 @@
+package ridgemill.cdn.agreement;
+
+import java.util.List;
+import ridgemill.cdn.config.VersionedItem;
+import ridgemill.cdn.quorum.VoterSet;
+
+/**
+ * How a state differs from the one before it.
+ *
+ * @param base the state before
+ * @param stamp the state after
+ * @param voters the voters after
+ * @param items the items that changed
+ */
+public record Step(Stamp base, Stamp stamp, VoterSet voters, List<VersionedItem> items) {
+
+    public Step {
+        items = List.copyOf(items);
+    }
+
+    /** How many characters the changed items have, by which messages are bounded. */
+    public long characters() {
+        return items.stream().mapToLong(ControlState::charactersOf).sum();
+    }
+}
--- /dev/null
+++ b/cdn-core/src/main/java/ridgemill/cdn/agreement/VoterPlan.java
@@ -0,0 +1,116 @@
+package ridgemill.cdn.agreement;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import ridgemill.cdn.quorum.Voter;
+import ridgemill.cdn.quorum.VoterSet;
+
+/**
+ * Who should vote. A voter that is gone gives way to a store that follows already; there are as many voters as the losses
+ * that are tolerated need, an odd number, spread over the zones.
+ */
+final class VoterPlan {
+
+    /** There are no fewer voters where there are as many stores. */
+    private static final int LEAST_VOTERS = 3;
+
+    private final Peers peers;
+    private final int wanted;
+
+    /**
+     * A plan.
+     *
+     * @param toleratedLosses how many counted machines may be lost at once
+     */
+    VoterPlan(Peers peers, int toleratedLosses) {
+        this.peers = peers;
+        this.wanted = Math.max(LEAST_VOTERS, 2 * toleratedLosses + 1);
+    }
+
+    /**
+     * The voters that should take the place of those that stand.
+     *
+     * @param own what this store says of itself
+     * @return the voters, or nothing if the present ones, or the change that is under way, will do
+     */
+    Optional<List<Voter>> next(VoterSet current, AgreementMessage.Status own, double nowMs) {
+        if (current.isJoint() && current.newcomers().stream().noneMatch(voter -> isGone(voter, own, nowMs))) {
+            return Optional.empty();
+        }
+        List<Voter> standing = current.standing();
+        List<AgreementMessage.Status> candidates = candidates(standing, own, nowMs);
+        Map<Voter, String> zones = zones(own, nowMs);
+        List<Voter> next = new ArrayList<>();
+        for (Voter voter : standing) {
+            if (!isGone(voter, own, nowMs)) {
+                next.add(voter);
+            }
+        }
+        int lost = standing.size() - next.size();
+        fill(next, standing.size(), candidates, zones);
+        for (Voter voter : standing) {
+            // Nobody can take the place: a voter that is gone may come back.
+            if (next.size() < standing.size() && !next.contains(voter)) {
+                next.add(voter);
+                lost--;
+            }
+        }
+        int grown = Math.min(wanted, next.size() + candidates.size());
+        fill(next, grown % 2 == 1 || grown <= next.size() ? grown : grown - 1, candidates, zones);
+        boolean same = lost == 0 && next.size() == standing.size();
+        return same && !current.isJoint() ? Optional.empty() : Optional.of(List.copyOf(next));
+    }
+
+    /** Adds candidates until there are enough, from the zones that have the fewest voters first. */
+    private static void fill(
+            List<Voter> next, int size, List<AgreementMessage.Status> candidates, Map<Voter, String> zones) {
+        while (next.size() < size && !candidates.isEmpty()) {
+            AgreementMessage.Status best = candidates.stream()
+                    .min(Comparator.comparingLong(
+                                    (AgreementMessage.Status status) -> inZone(next, zones, status.zone()))
+                            .thenComparing(AgreementMessage.Status::from))
+                    .orElseThrow();
+            candidates.remove(best);
+            next.add(best.from());
+        }
+    }
+
+    private static long inZone(List<Voter> voters, Map<Voter, String> zones, String zone) {
+        return voters.stream().filter(voter -> zone.equals(zones.get(voter))).count();
+    }
+
+    private Map<Voter, String> zones(AgreementMessage.Status own, double nowMs) {
+        Map<Voter, String> zones = new HashMap<>();
+        zones.put(own.from(), own.zone());
+        for (AgreementMessage.Status status : peers.within(Double.MAX_VALUE, nowMs)) {
+            zones.put(status.from(), status.zone());
+        }
+        return zones;
+    }
+
+    private List<AgreementMessage.Status> candidates(List<Voter> standing, AgreementMessage.Status own, double nowMs) {
+        List<AgreementMessage.Status> candidates = new ArrayList<>();
+        List<AgreementMessage.Status> all = new ArrayList<>(peers.within(Peers.FRESH_MS, nowMs));
+        all.add(own);
+        for (AgreementMessage.Status status : all) {
+            if (status.eligible() && !status.leaving() && !standing.contains(status.from())) {
+                candidates.add(status);
+            }
+        }
+        return candidates;
+    }
+
+    /** Whether another store could take this one's place. */
+    boolean hasCandidate(VoterSet current, AgreementMessage.Status own, double nowMs) {
+        return candidates(current.standing(), own, nowMs).stream()
+                .anyMatch(status -> !status.from().equals(own.from()));
+    }
+
+    private boolean isGone(Voter voter, AgreementMessage.Status own, double nowMs) {
+        return voter.equals(own.from()) ? own.leaving() : peers.isGone(voter, nowMs);
+    }
+}
--- a/cdn-core/src/main/java/ridgemill/cdn/config/Item.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/config/Item.java
@@ -11,6 +11,9 @@
  */
 public record Item(ItemName name, long version, String content) {
 
+    private static final long DIGEST_BASIS = 0xcbf29ce484222325L;
+    private static final long DIGEST_PRIME = 0x100000001b3L;
+
     public Item {
         Objects.requireNonNull(name, "name");
     }
@@ -20,21 +23,20 @@
         return content == null;
     }
 
-    /**
-     * Whether this version replaces the other one. Two different contents under one version number are ordered by their
-     * text, so that all replicas choose the same one in whichever order they arrive.
-     */
+    /** Whether this version replaces the other one. No two contents are ever confirmed under one version. */
     public boolean supersedes(Item other) {
-        if (other == null) {
-            return true;
-        }
-        if (version != other.version) {
-            return version > other.version;
-        }
-        return rank().compareTo(other.rank()) > 0;
+        return other == null || version > other.version;
     }
 
-    private String rank() {
-        return content == null ? "" : content;
+    /** A 64-bit digest (FNV-1a) of what this version sets, or that it drops the item; the same in every process. */
+    public long contentDigest() {
+        if (isDrop()) {
+            return 0;
+        }
+        long hash = DIGEST_BASIS;
+        for (int i = 0; i < content.length(); i++) {
+            hash = (hash ^ content.charAt(i)) * DIGEST_PRIME;
+        }
+        return hash;
     }
 }
--- a/cdn-core/src/main/java/ridgemill/cdn/keys/ClaimVote.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/keys/ClaimVote.java
@@ -4,6 +4,8 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import ridgemill.cdn.quorum.Voter;
+import ridgemill.cdn.quorum.VoterSet;
 
 /**
  * Counts the votes of one claim. The claim is granted once a majority of the voters holds the key for it; as two
@@ -28,44 +30,46 @@
     }
 
     private final String claimId;
-    private final int voters;
-    private final Set<String> granted = new HashSet<>();
-    private final Map<String, Integer> heldByOthers = new HashMap<>();
-    private int refused;
-    private int unavailable;
+    private final VoterSet voters;
+    private final Set<Voter> granted = new HashSet<>();
+    private final Map<String, Set<Voter>> heldByOthers = new HashMap<>();
+    private final Set<Voter> refused = new HashSet<>();
+    private final Set<Voter> unavailable = new HashSet<>();
+    private boolean moved;
     private byte[] answer;
 
     /**
      * A vote in which nobody has voted.
      *
      * @param claimId the claim that is voted on
-     * @param voters how many voters there are, 1 or more
+     * @param voters those that vote, in the epoch that the claim names
      */
-    public ClaimVote(String claimId, int voters) {
+    public ClaimVote(String claimId, VoterSet voters) {
         this.claimId = claimId;
         this.voters = voters;
     }
 
-    /** How many voters are a majority. */
-    public static int majority(int voters) {
-        return voters / 2 + 1;
-    }
-
     /** Counts the vote of a voter; each voter's vote is counted once. */
-    public void vote(String voter, KeyState state, String holder, byte[] recordedAnswer) {
+    public void vote(Voter voter, KeyState state, String holder, byte[] recordedAnswer) {
         if (state == KeyState.FINISHED) {
             answer = recordedAnswer;
         } else if (state == KeyState.HELD && holder.equals(claimId)) {
             granted.add(voter);
         } else {
-            refused++;
-            heldByOthers.merge(holder, 1, Integer::sum);
+            refused.add(voter);
+            heldByOthers.computeIfAbsent(holder, claim -> new HashSet<>()).add(voter);
         }
     }
 
     /** Counts a voter that can't vote or did not answer in time. */
-    public void unavailable() {
-        unavailable++;
+    public void unavailable(Voter voter) {
+        unavailable.add(voter);
+    }
+
+    /** Counts a voter that is in another epoch than the claim: the claim may be made anew in the newer one. */
+    public void moved(Voter voter) {
+        unavailable.add(voter);
+        moved = true;
     }
 
     /** The recorded answer if the result is {@link Result#FINISHED}. */
@@ -75,25 +79,26 @@
 
     /** What the votes so far amount to. */
     public Result result() {
-        int majority = majority(voters);
         if (answer != null) {
             return Result.FINISHED;
         }
-        if (granted.size() >= majority) {
+        if (voters.isMajority(granted::contains)) {
             return Result.GRANTED;
         }
-        for (int held : heldByOthers.values()) {
-            if (held >= majority) {
+        for (Set<Voter> holders : heldByOthers.values()) {
+            if (voters.isMajority(holders::contains)) {
                 return Result.HELD_BY_OTHER;
             }
         }
-        int outstanding = voters - granted.size() - refused - unavailable;
-        if (granted.size() + outstanding >= majority && outstanding > 0) {
+        boolean allVoted = voters.members().stream().allMatch(this::hasVoted);
+        boolean reachable = voters.isMajority(voter -> granted.contains(voter) || !hasVoted(voter));
+        if (!allVoted && (reachable || !refused.isEmpty())) {
             return Result.OPEN;
         }
-        if (outstanding > 0 && refused > 0) {
-            return Result.OPEN;
-        }
-        return refused > 0 ? Result.SPLIT : Result.UNAVAILABLE;
+        return refused.isEmpty() && !moved ? Result.UNAVAILABLE : Result.SPLIT;
+    }
+
+    private boolean hasVoted(Voter voter) {
+        return granted.contains(voter) || refused.contains(voter) || unavailable.contains(voter);
     }
 }
--- a/cdn-core/src/main/java/ridgemill/cdn/membership/CoreMembers.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/membership/CoreMembers.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeSet;
+import ridgemill.cdn.quorum.VoterSet;
 
 /** What a process knows of the other processes: core machines, the voting stores, and edge proxies heard lately. */
 public final class CoreMembers {
@@ -14,7 +15,7 @@
 
     private final TreeSet<String> coreHosts = new TreeSet<>();
     private final Map<String, Double> proxyHeardAtMs = new HashMap<>();
-    private List<String> voters = List.of();
+    private VoterSet voters = VoterSet.UNKNOWN;
 
     /** Adds core machines by their IP addresses. Returns whether one was new. */
     public boolean addCoreHosts(Collection<String> hosts) {
@@ -26,22 +27,17 @@
         return List.copyOf(coreHosts);
     }
 
-    /** How many core machines are a majority of the known ones. */
-    public int coreMajority() {
-        return coreHosts.size() / 2 + 1;
-    }
-
-    /** Learns the voters if they are not known yet. Returns whether they were learned now. */
-    public boolean learnVoters(List<String> hosts) {
-        if (!voters.isEmpty() || hosts.isEmpty()) {
+    /** Takes newer voters. Returns whether they are newer than those that were known. */
+    public boolean learnVoters(VoterSet learned) {
+        if (!learned.isNewerThan(voters)) {
             return false;
         }
-        voters = List.copyOf(hosts);
+        voters = learned;
         return true;
     }
 
-    /** The IP addresses of the voting stores; empty while unknown. */
-    public List<String> voters() {
+    /** The voting stores, in the newest epoch that was heard of. */
+    public VoterSet voters() {
         return voters;
     }
 
--- a/cdn-core/src/main/java/ridgemill/cdn/purge/PurgeCoverage.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/purge/PurgeCoverage.java
@@ -1,9 +1,9 @@
 package ridgemill.cdn.purge;
 
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
-import ridgemill.cdn.keys.ClaimVote;
+import ridgemill.cdn.quorum.Voter;
+import ridgemill.cdn.quorum.VoterSet;
 
 /**
  * Since when a cache has heard of all purges. An acknowledged purge is known to a majority of the stores, so a cache that
@@ -12,26 +12,24 @@
  */
 public final class PurgeCoverage {
 
-    private final Map<String, Double> coveredSinceMs = new HashMap<>();
-    private List<String> voters = List.of();
+    private final Map<Voter, Double> coveredSinceMs = new HashMap<>();
+    private VoterSet voters = VoterSet.UNKNOWN;
 
     /** Sets the voting stores; what others tell covers nothing. */
-    public void setVoters(List<String> stores) {
-        voters = List.copyOf(stores);
+    public void setVoters(VoterSet stores) {
+        voters = stores;
     }
 
     /** The news of a store begin again, with a possible gap before. */
-    public void restarted(String store, double nowMs) {
+    public void restarted(Voter store, double nowMs) {
         coveredSinceMs.put(store, nowMs);
     }
 
     /** Whether every purge that was acknowledged after a moment has been heard of, or will be on a held connection. */
     public boolean covers(double sinceMs) {
-        int covering = 0;
-        for (String voter : voters) {
+        return voters.isMajority(voter -> {
             Double since = coveredSinceMs.get(voter);
-            covering += since != null && since <= sinceMs ? 1 : 0;
-        }
-        return !voters.isEmpty() && covering >= ClaimVote.majority(voters.size());
+            return since != null && since <= sinceMs;
+        });
     }
 }
--- a/cdn-core/src/main/java/ridgemill/cdn/quorum/package-info.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/quorum/package-info.java
@@ -1,2 +1,2 @@
-/** How many replicas must agree, and when a replica that lost its disk may vote again. */
+/** Which stores vote, and when enough of them agree. */
 package ridgemill.cdn.quorum;
--- /dev/null
+++ b/cdn-core/src/test/java/ridgemill/cdn/agreement/ControlWorld.java
@@ -0,0 +1,793 @@
+package ridgemill.cdn.agreement;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+import ridgemill.cdn.config.Item;
+import ridgemill.cdn.config.ItemKind;
+import ridgemill.cdn.config.ItemName;
+import ridgemill.cdn.keys.ClaimVote;
+import ridgemill.cdn.keys.KeyLimits;
+import ridgemill.cdn.keys.KeyMerge;
+import ridgemill.cdn.keys.KeyRecord;
+import ridgemill.cdn.keys.KeyReplica;
+import ridgemill.cdn.keys.KeyState;
+import ridgemill.cdn.keys.KeyVote;
+import ridgemill.cdn.quorum.Voter;
+import ridgemill.cdn.quorum.VoterSet;
+
+/**
+ * Stores of the real modules in simulated time: their messages are delayed, lost and doubled, their machines cut off,
+ * frozen, killed, without power, wiped and replaced, while operators order and read and edge proxies claim keys. What
+ * outsiders see is checked against what was confirmed. One seed gives one course of events.
+ */
+final class ControlWorld {
+
+    /** Where the rules were broken. */
+    static final class Broken extends AssertionError {
+
+        private static final long serialVersionUID = 1;
+
+        Broken(String what) {
+            super(what);
+        }
+    }
+
+    static final double CATCH_UP_MS = 4_000;
+    private static final boolean TRACE = Boolean.getBoolean("trace");
+    private static final double BUDGET_MS = 900;
+    private static final KeyLimits LIMITS = new KeyLimits(1_000_000, 100_000, 1 << 24);
+
+    final Random random;
+    private final Mutant mutant;
+    private final int tolerated;
+    private final List<String> seeds;
+    final Map<String, Machine> machines = new LinkedHashMap<>();
+    private final PriorityQueue<Event> events =
+            new PriorityQueue<>(Comparator.comparingDouble(Event::atMs).thenComparingLong(Event::order));
+    private final Set<String> cuts = new HashSet<>();
+    private final Map<String, Double> lostUntilMs = new HashMap<>();
+    private long eventCount;
+    private long diskCount;
+    double nowMs;
+    double lossShare = 0.02;
+    private VoterSet edgeVoters = VoterSet.UNKNOWN;
+
+    /** Which content was confirmed, or shown to anybody, under a name and version. */
+    private final Map<String, String> contents = new HashMap<>();
+    /** The highest confirmed version of each name. */
+    private final Map<ItemName, Item> confirmed = new TreeMap<>();
+
+    private final Map<String, Integer> runs = new HashMap<>();
+    long confirmations;
+    long reads;
+    long grants;
+
+    private record Event(double atMs, long order, Runnable task) {}
+
+    /** A machine, its disk and, while it runs, its store. */
+    final class Machine {
+
+        final String address;
+        WorldDisk disk;
+        Process process;
+        boolean frozen;
+        private final List<Runnable> held = new ArrayList<>();
+        private Map<String, KeyRecord> oldKeys = Map.of();
+        private AcceptorRecord oldImage;
+
+        Machine(String address) {
+            this.address = address;
+            this.disk = new WorldDisk("disk-" + ++diskCount);
+        }
+
+        void start() {
+            if (process != null) {
+                return;
+            }
+            frozen = false;
+            held.clear();
+            process = new Process(this);
+            process.begin();
+        }
+
+        /** Ends the process; of what is not synced some may be there, after a loss of power nothing is. */
+        void stop(boolean power) {
+            process = null;
+            frozen = false;
+            held.clear();
+            disk.keepOnly(power ? 0 : random.nextInt(disk.pendingCount() + 1));
+        }
+
+        void wipe() {
+            boolean same = mutant == Mutant.WIPED_ONE_VOTES;
+            disk = new WorldDisk(same ? disk.diskId : "disk-" + ++diskCount);
+        }
+
+        void thaw() {
+            frozen = false;
+            List<Runnable> tasks = new ArrayList<>(held);
+            held.clear();
+            tasks.forEach(Runnable::run);
+        }
+    }
+
+    /** One life of a store. */
+    final class Process implements AgreementEnvironment {
+
+        private final Machine machine;
+        private final WorldDisk disk;
+        final AgreementNode node;
+        final KeyReplica keys = new KeyReplica(LIMITS);
+        private VoterSet transferring = VoterSet.UNKNOWN;
+        private final Map<Voter, List<KeyRecord>> transferred = new HashMap<>();
+        private boolean syncing;
+
+        Process(Machine machine) {
+            this.machine = machine;
+            this.disk = machine.disk;
+            Voter self = new Voter(machine.address, disk.diskId);
+            String life = mutant == Mutant.BALLOT_REUSED ? "same" : "life-" + ++eventCount;
+            NodeSettings settings = new NodeSettings(self, life, "zone-" + machine.address, true, seeds, tolerated);
+            node = new AgreementNode(settings, this, new PlaceRules(mutant));
+        }
+
+        void begin() {
+            AcceptorRecord image = disk.read();
+            if (mutant == Mutant.BALLOT_REUSED) {
+                image = new AcceptorRecord(Ballot.NONE, image.accepted(), image.voters(), image.items(), true);
+            }
+            if (mutant == Mutant.OLD_SNAPSHOT_TAKEN && machine.oldImage != null) {
+                image = machine.oldImage;
+            }
+            keys.restore(disk.keys.values());
+            node.start(image, nowMs);
+            tick();
+        }
+
+        private void tick() {
+            at(AgreementNode.TICK_MS, this, () -> {
+                node.tick(nowMs);
+                transferKeys();
+                tick();
+            });
+        }
+
+        boolean isRunning() {
+            return machine.process == this;
+        }
+
+        @Override
+        public void send(String address, AgreementMessage message) {
+            AgreementMessage sent = mutated(message);
+            transmit(machine.address, address, () -> {
+                Machine target = machines.get(address);
+                if (target != null && target.process != null) {
+                    target.process.receive(sent);
+                }
+            });
+        }
+
+        private AgreementMessage mutated(AgreementMessage message) {
+            if (mutant == Mutant.UNDECIDED_DROPPED && message instanceof AgreementMessage.Promise promise) {
+                Stamp none = new Stamp(Ballot.NONE, promise.accepted().revision() > 0 ? 0 : -1);
+                return new AgreementMessage.Promise(promise.from(), promise.ballot(), none, promise.voters());
+            }
+            return message;
+        }
+
+        private void receive(AgreementMessage message) {
+            AgreementMessage taken = message;
+            if (mutant == Mutant.ANSWER_MATCHED_BY_NUMBER && message instanceof AgreementMessage.Accepted accepted) {
+                // Whatever ballot is proposed here at present: only the number of the revision is compared.
+                Ballot own = disk.read().promised();
+                taken = new AgreementMessage.Accepted(
+                        accepted.from(), new Stamp(own, accepted.stamp().revision()));
+            }
+            if (mutant == Mutant.FROZEN_ONE_GOES_ON && message instanceof AgreementMessage.Refused) {
+                return;
+            }
+            if (mutant == Mutant.FROZEN_ONE_GOES_ON && message instanceof AgreementMessage.Confirm confirm) {
+                AgreementMessage yes = new AgreementMessage.Confirmed(
+                        new Voter(machine.address, disk.diskId), confirm.ballot(), confirm.number());
+                send(confirm.from().address(), yes);
+                return;
+            }
+            node.receive(taken, nowMs);
+        }
+
+        @Override
+        public void persist(AcceptorRecord record, Runnable durable) {
+            if (mutant == Mutant.PUSHES_BEFORE_DECIDED) {
+                record.items().forEach(entry -> shown(entry.item()));
+            }
+            boolean early = mutant == Mutant.CONFIRMS_BEFORE_SYNC;
+            write(record, null, early ? () -> {} : durable);
+            if (early) {
+                at(0, this, durable);
+            }
+        }
+
+        void write(AcceptorRecord record, KeyRecord key, Runnable durable) {
+            disk.write(record, key, durable);
+            sync();
+        }
+
+        private void sync() {
+            if (syncing) {
+                return;
+            }
+            syncing = true;
+            at(1 + random.nextInt(8), this, () -> {
+                syncing = false;
+                if (disk.hasPending()) {
+                    disk.sync().run();
+                    node.persisted(nowMs);
+                }
+                if (disk.hasPending()) {
+                    sync();
+                }
+            });
+        }
+
+        @Override
+        public void decided(List<Item> changed, VoterSet voters) {
+            changed.forEach(ControlWorld.this::shown);
+            trace(() -> machine.address + "/" + disk.diskId + " decided epoch=" + voters.epoch() + " voters="
+                    + voters.voters() + " previous=" + voters.previous());
+            transmit(machine.address, "edge", () -> {
+                if (voters.isNewerThan(edgeVoters)) {
+                    edgeVoters = voters;
+                }
+            });
+        }
+
+        @Override
+        public double random() {
+            return random.nextDouble();
+        }
+
+        /** As the store program does it: from a majority of the voters before, each in the epoch of the change. */
+        private void transferKeys() {
+            VoterSet wanted = node.changeThatNeedsKeys();
+            if (wanted == null) {
+                return;
+            }
+            if (mutant == Mutant.NEWCOMER_COUNTS_AT_ONCE) {
+                node.keysComplete(wanted.epoch(), nowMs);
+                return;
+            }
+            if (!wanted.equals(transferring)) {
+                transferring = wanted;
+                transferred.clear();
+            }
+            for (Voter voter : wanted.previous()) {
+                if (!transferred.containsKey(voter)) {
+                    transmit(machine.address, voter.address(), () -> answerKeys(voter, wanted));
+                }
+            }
+        }
+
+        private void answerKeys(Voter voter, VoterSet wanted) {
+            Process other = processOf(voter);
+            if (other == null || other.node.decidedVoters().epoch() != wanted.epoch()) {
+                return;
+            }
+            List<KeyRecord> records = other.keys.all();
+            transmit(voter.address(), machine.address, () -> {
+                if (isRunning() && transferring.equals(wanted) && transferred.putIfAbsent(voter, records) == null) {
+                    finishTransfer(wanted);
+                }
+            });
+        }
+
+        private void finishTransfer(VoterSet wanted) {
+            VoterSet before = new VoterSet(1, wanted.previous(), List.of());
+            if (!before.isMajority(transferred::containsKey)) {
+                return;
+            }
+            Map<String, KeyMerge> merges = new TreeMap<>();
+            List<KeyRecord> all = new ArrayList<>(keys.all());
+            transferred.values().forEach(all::addAll);
+            all.forEach(record ->
+                    merges.computeIfAbsent(record.key(), KeyMerge::new).add(record));
+            List<KeyRecord> merged =
+                    merges.values().stream().map(KeyMerge::outcome).toList();
+            keys.restore(merged);
+            merged.forEach(record -> write(null, record, () -> {}));
+            write(null, null, () -> node.keysComplete(wanted.epoch(), nowMs));
+        }
+    }
+
+    /** Route items may not stand at one place; the place is the first letter of their content. */
+    static final class PlaceRules implements ChangeRules {
+
+        private final Map<ItemName, Item> items = new TreeMap<>();
+        private final Mutant mutant;
+
+        PlaceRules(Mutant mutant) {
+            this.mutant = mutant;
+        }
+
+        @Override
+        public void reset(Collection<Item> all) {
+            items.clear();
+            all.forEach(item -> items.put(item.name(), item));
+        }
+
+        @Override
+        public void changed(Collection<Item> changed) {
+            if (mutant != Mutant.CHECKS_AGAINST_OLD_ITEMS) {
+                changed.forEach(item -> items.put(item.name(), item));
+            }
+        }
+
+        @Override
+        public Optional<String> fault(Collection<Item> changed) {
+            Map<ItemName, Item> next = new TreeMap<>(items);
+            changed.forEach(item -> next.put(item.name(), item));
+            return clash(next.values());
+        }
+
+        static Optional<String> clash(Collection<Item> items) {
+            Set<Character> places = new HashSet<>();
+            for (Item item : items) {
+                if (!item.isDrop()
+                        && item.content().charAt(0) != '-'
+                        && !places.add(item.content().charAt(0))) {
+                    return Optional.of("two at the place " + item.content().charAt(0));
+                }
+            }
+            return Optional.empty();
+        }
+    }
+
+    ControlWorld(long seed, Mutant mutant, int stores, int tolerated) {
+        this.random = new Random(seed);
+        this.mutant = mutant;
+        this.tolerated = tolerated;
+        this.seeds = List.of("m1", "m2", "m3");
+        for (int i = 1; i <= stores; i++) {
+            add("m" + i);
+        }
+        machines.values().forEach(machine -> at(random.nextInt(300), null, machine::start));
+    }
+
+    Machine add(String address) {
+        Machine machine = new Machine(address);
+        machines.put(address, machine);
+        return machine;
+    }
+
+    /** Runs a task later; one of a process only while that lives, and once it is thawed. */
+    void at(double delayMs, Process owner, Runnable task) {
+        events.add(new Event(nowMs + delayMs, ++eventCount, () -> {
+            if (owner == null) {
+                task.run();
+            } else if (owner.isRunning() && owner.machine.frozen) {
+                owner.machine.held.add(() -> runIfLiving(owner, task));
+            } else {
+                runIfLiving(owner, task);
+            }
+        }));
+    }
+
+    private static void runIfLiving(Process owner, Runnable task) {
+        if (owner.isRunning()) {
+            task.run();
+        }
+    }
+
+    private void transmit(String from, String to, Runnable delivery) {
+        int copies = random.nextDouble() < 0.02 ? 2 : 1;
+        for (int i = 0; i < copies; i++) {
+            double delayMs = random.nextInt(10) == 0 ? random.nextInt(400) : 1 + random.nextInt(20);
+            if (random.nextDouble() < lossShare) {
+                continue;
+            }
+            events.add(new Event(nowMs + delayMs, ++eventCount, () -> {
+                Machine target = machines.get(to);
+                if (cuts.contains(from + ">" + to)) {
+                    return;
+                }
+                if (target != null && target.frozen) {
+                    target.held.add(delivery);
+                } else {
+                    delivery.run();
+                }
+            }));
+        }
+    }
+
+    void run(double forMs) {
+        double endMs = nowMs + forMs;
+        while (!events.isEmpty() && events.peek().atMs() <= endMs) {
+            Event event = events.poll();
+            nowMs = Math.max(nowMs, event.atMs());
+            event.task().run();
+        }
+        nowMs = endMs;
+    }
+
+    /** Runs until something holds. Returns false if it does not within a time. */
+    boolean runUntil(Predicate<ControlWorld> condition, double mostMs) {
+        double endMs = nowMs + mostMs;
+        while (nowMs < endMs && !condition.test(this)) {
+            run(100);
+        }
+        return condition.test(this);
+    }
+
+    Process processOf(Voter voter) {
+        Machine machine = machines.get(voter.address());
+        boolean runs = machine != null && machine.process != null && !machine.frozen;
+        return runs && machine.disk.diskId.equals(voter.diskId()) ? machine.process : null;
+    }
+
+    VoterSet edgeVoters() {
+        return edgeVoters;
+    }
+
+    // Faults
+
+    boolean isLost(String address) {
+        return lostUntilMs.getOrDefault(address, -1.0) > nowMs;
+    }
+
+    /** Whether one more machine may be lost now. */
+    boolean mayLose(String address) {
+        long lost = machines.keySet().stream().filter(this::isLost).count();
+        return machines.containsKey(address) && !isLost(address) && lost < tolerated;
+    }
+
+    void lose(String address, double forMs) {
+        lostUntilMs.put(address, nowMs + forMs + CATCH_UP_MS);
+    }
+
+    /** Keeps an image of a disk that a mutant may start from later. */
+    void remember(String address) {
+        machines.get(address).oldImage = machines.get(address).disk.read();
+    }
+
+    void kill(String address, double forMs, boolean power, boolean wipe) {
+        Machine machine = machines.get(address);
+        lose(address, forMs);
+        trace(() -> "kill " + address + " for " + forMs + " power=" + power + " wipe=" + wipe);
+        machine.stop(power);
+        if (wipe) {
+            machine.wipe();
+        }
+        at(forMs, null, () -> {
+            if (machines.get(address) == machine) {
+                machine.start();
+            }
+        });
+    }
+
+    void powerOffAll() {
+        trace(() -> "power off all");
+        for (Machine machine : machines.values()) {
+            machine.stop(true);
+            at(200 + random.nextInt(800), null, () -> {
+                if (machines.get(machine.address) == machine) {
+                    machine.start();
+                }
+            });
+        }
+    }
+
+    void freeze(String address, double forMs) {
+        Machine machine = machines.get(address);
+        lose(address, forMs);
+        trace(() -> "freeze " + address + " for " + forMs);
+        machine.frozen = true;
+        at(forMs, null, machine::thaw);
+    }
+
+    /** Cuts a machine off from the others, both ways or only what it sends or receives. */
+    void cut(String address, double forMs, boolean sends, boolean receives) {
+        lose(address, forMs);
+        trace(() -> "cut " + address + " for " + forMs + " sends=" + sends + " receives=" + receives);
+        List<String> added = new ArrayList<>();
+        List<String> others = new ArrayList<>(machines.keySet());
+        others.add("edge");
+        others.remove(address);
+        for (String other : others) {
+            if (sends) {
+                added.add(address + ">" + other);
+            }
+            if (receives) {
+                added.add(other + ">" + address);
+            }
+        }
+        cuts.addAll(added);
+        at(forMs, null, () -> cuts.removeAll(added));
+    }
+
+    /** One machine goes for good and an empty one comes, before it if that was planned. */
+    void replace(String address, String successor, boolean planned, double laterMs) {
+        trace(() -> "replace " + address + " by " + successor + " planned=" + planned + " later=" + laterMs);
+        if (planned) {
+            add(successor).start();
+            lose(successor, 0);
+            at(laterMs, null, () -> leaveThenGo(address, nowMs + 3_000));
+        } else {
+            machines.remove(address).stop(true);
+            lostUntilMs.put(successor, nowMs + laterMs + CATCH_UP_MS);
+            add(successor);
+            at(laterMs, null, () -> machines.get(successor).start());
+        }
+    }
+
+    private void leaveThenGo(String address, double latestMs) {
+        Machine machine = machines.get(address);
+        if (machine == null) {
+            return;
+        }
+        if (machine.process != null) {
+            machine.process.node.leave(nowMs);
+        }
+        if (machine.process == null || nowMs >= latestMs || machine.process.node.mayEnd(nowMs)) {
+            machine.stop(true);
+            machines.remove(address);
+        } else {
+            at(100, null, () -> leaveThenGo(address, latestMs));
+        }
+    }
+
+    // What outsiders do and see
+
+    /** Somebody outside the stores saw an item: under one name and version there is one content for ever. */
+    private void shown(Item item) {
+        String key = item.name() + " " + item.version();
+        String content = String.valueOf(item.content());
+        String before = contents.putIfAbsent(key, content);
+        if (before != null && !before.equals(content)) {
+            throw new Broken("two contents of " + key + ": " + before + " and " + content);
+        }
+    }
+
+    Machine anyRunning() {
+        List<Machine> running = machines.values().stream()
+                .filter(machine -> machine.process != null && !machine.frozen)
+                .toList();
+        return running.isEmpty() ? null : running.get(random.nextInt(running.size()));
+    }
+
+    void order(List<Item> items, Consumer<OrderResult> callback) {
+        Machine machine = anyRunning();
+        if (machine != null) {
+            orderAt(machine, items, random.nextInt(3) == 0, callback);
+        }
+    }
+
+    void orderAt(Machine machine, List<Item> items, boolean insist, Consumer<OrderResult> callback) {
+        machine.process.node.order(items, insist, nowMs, nowMs + BUDGET_MS, result -> {
+            // The answer may be lost on its way.
+            if (result.outcome() == OrderResult.Outcome.CONFIRMED && random.nextInt(10) > 0) {
+                confirmed(items);
+            }
+            callback.accept(result);
+        });
+    }
+
+    private void confirmed(List<Item> items) {
+        confirmations++;
+        for (Item item : items) {
+            shown(item);
+            confirmed.merge(item.name(), item, (one, other) -> one.version() >= other.version() ? one : other);
+        }
+    }
+
+    void read() {
+        Machine machine = anyRunning();
+        if (machine == null) {
+            return;
+        }
+        Map<ItemName, Item> before = new TreeMap<>(confirmed);
+        if (mutant == Mutant.READS_AT_ONE) {
+            check(machine.process.node.decidedItems().all(), before);
+            return;
+        }
+        machine.process.node.read(
+                random.nextInt(3) == 0,
+                nowMs,
+                nowMs + BUDGET_MS,
+                items -> {
+                    if (items != null) {
+                        check(items, before);
+                    }
+                },
+                leader -> {});
+    }
+
+    private void check(Collection<Item> items, Map<ItemName, Item> confirmedBefore) {
+        reads++;
+        Map<ItemName, Item> read = new TreeMap<>();
+        items.forEach(item -> read.put(item.name(), item));
+        read.values().forEach(this::shown);
+        for (Item item : confirmedBefore.values()) {
+            Item found = read.get(item.name());
+            if (found == null || found.version() < item.version()) {
+                throw new Broken("read " + found + " after " + item + " was confirmed");
+            }
+        }
+        PlaceRules.clash(read.values()).ifPresent(clash -> {
+            throw new Broken("invalid in force: " + clash);
+        });
+        // What one reader saw, no later one may miss.
+        for (Item item : read.values()) {
+            confirmed.merge(item.name(), item, (one, other) -> one.version() >= other.version() ? one : other);
+        }
+    }
+
+    /** An edge proxy claims a key and, if it is granted, runs its operation. */
+    void claim(String key) {
+        if (edgeVoters.isKnown()) {
+            new Claim(key).begin();
+        }
+    }
+
+    private final class Claim {
+
+        private final String key;
+        private final String claimId = "claim-" + ++eventCount;
+        private final VoterSet voters = edgeVoters;
+        private final ClaimVote vote = new ClaimVote(claimId, voters);
+        private final Set<Voter> counted = new HashSet<>();
+        private boolean decided;
+
+        Claim(String key) {
+            this.key = key;
+        }
+
+        void begin() {
+            for (Voter voter : voters.members()) {
+                transmit("edge", voter.address(), () -> ask(voter));
+            }
+            at(BUDGET_MS, null, () -> voters.members().forEach(voter -> count(voter, () -> vote.unavailable(voter))));
+        }
+
+        private void ask(Voter voter) {
+            Process store = processOf(voter);
+            if (store == null) {
+                return;
+            }
+            boolean otherEpoch = store.node.voters().epoch() != voters.epoch();
+            if (otherEpoch && mutant != Mutant.OLD_EPOCH_ACCEPTED) {
+                reply(voter, () -> vote.moved(voter));
+                return;
+            }
+            if (!store.node.mayVoteOnKeys() && mutant != Mutant.OLD_EPOCH_ACCEPTED) {
+                reply(voter, () -> vote.unavailable(voter));
+                return;
+            }
+            KeyVote answer = store.keys.claim(key, claimId, (long) nowMs);
+            KeyRecord record = answer.record();
+            Runnable told =
+                    () -> reply(voter, () -> vote.vote(voter, record.state(), record.claimId(), record.answer()));
+            if (answer.outcome() == KeyVote.Outcome.GRANTED) {
+                store.write(null, answer.changed() ? record : null, told);
+            } else {
+                told.run();
+            }
+        }
+
+        private void reply(Voter voter, Runnable voted) {
+            transmit(voter.address(), "edge", () -> count(voter, voted));
+        }
+
+        private void count(Voter voter, Runnable voted) {
+            if (decided || !counted.add(voter)) {
+                return;
+            }
+            voted.run();
+            ClaimVote.Result result = vote.result();
+            if (result == ClaimVote.Result.OPEN) {
+                return;
+            }
+            decided = true;
+            if (result == ClaimVote.Result.GRANTED) {
+                ran();
+            } else {
+                release();
+            }
+        }
+
+        private void ran() {
+            grants++;
+            if (runs.merge(key, 1, Integer::sum) > 1) {
+                throw new Broken("the operation of " + key + " ran twice");
+            }
+            if (random.nextInt(3) > 0) {
+                at(
+                        random.nextInt(200),
+                        null,
+                        () -> tell(store -> store.keys.finish(key, claimId, new byte[] {1}, (long) nowMs)));
+            }
+        }
+
+        private void release() {
+            tell(store -> store.keys.release(key, claimId, (long) nowMs));
+        }
+
+        private void tell(java.util.function.Function<Process, KeyRecord> change) {
+            for (Voter voter : edgeVoters.members()) {
+                transmit("edge", voter.address(), () -> {
+                    Process store = processOf(voter);
+                    KeyRecord changed = store == null ? null : change.apply(store);
+                    if (changed != null) {
+                        store.write(null, changed, () -> {});
+                    }
+                });
+            }
+        }
+    }
+
+    /** Everything heals; then orders are confirmed, and all that was confirmed is read at every store. */
+    void checkEnd() {
+        cuts.clear();
+        lossShare = 0;
+        for (Machine machine : machines.values()) {
+            if (machine.frozen) {
+                machine.thaw();
+            }
+            machine.start();
+        }
+        run(12_000);
+        Item last = new Item(new ItemName(ItemKind.SERVICE, "last"), 1_000, "-last");
+        boolean[] done = {false};
+        for (int i = 0; i < 40 && !done[0]; i++) {
+            order(List.of(last), result -> done[0] |= result.outcome() == OrderResult.Outcome.CONFIRMED);
+            run(500);
+        }
+        if (!done[0]) {
+            throw new Broken("no order is confirmed after everything healed: " + edgeVoters + describe());
+        }
+        run(3_000);
+        for (Machine machine : machines.values()) {
+            check(machine.process.node.decidedItems().all(), new TreeMap<>(confirmed));
+        }
+        if (edgeVoters.isJoint()) {
+            throw new Broken("a change of the voters does not end: " + edgeVoters);
+        }
+    }
+
+    /** What each store holds, for the message of a failure. */
+    private String describe() {
+        StringBuilder text = new StringBuilder();
+        for (Machine machine : machines.values()) {
+            text.append('\n').append(machine.address).append('/').append(machine.disk.diskId);
+            text.append(' ').append(machine.process == null ? "down" : machine.process.node.describe());
+        }
+        return text.toString();
+    }
+
+    /** Prints what happens if {@code -Dtrace=true} asks for it. */
+    void trace(java.util.function.Supplier<String> what) {
+        if (TRACE) {
+            System.out.printf("%8.0f %s%n", nowMs, what.get());
+        }
+    }
+
+    static Item route(String name, long version, String content) {
+        return new Item(new ItemName(ItemKind.ROUTE, name), version, content);
+    }
+
+    static KeyState stateOf(KeyReplica keys, String key, double nowMs) {
+        KeyRecord record = keys.get(key, (long) nowMs);
+        return record == null ? null : record.state();
+    }
+}
--- a/cdn/src/main/java/ridgemill/cdn/app/Process.java
+++ b/cdn/src/main/java/ridgemill/cdn/app/Process.java
@@ -47,10 +47,13 @@
     void runStore() {
         StoreProgram store = new StoreProgram(settings, loop, sockets, clock);
         started(() -> store.start().join());
-        onSignals(() -> {
-            store.stop();
-            end();
-        });
+        onSignals(() -> store.leave(() -> {
+            Thread ending = new Thread(() -> {
+                store.stop();
+                end();
+            });
+            ending.start();
+        }));
     }
 
     /** Starts a program. An address that is taken is the operator's fault and ends the process with one line. */
--- /dev/null
+++ b/cdn/src/main/java/ridgemill/cdn/configuration/ConfigurationRules.java
@@ -0,0 +1,171 @@
+package ridgemill.cdn.configuration;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import ridgemill.cdn.agreement.ChangeRules;
+import ridgemill.cdn.config.Destination;
+import ridgemill.cdn.config.Item;
+import ridgemill.cdn.config.ItemKind;
+import ridgemill.cdn.config.ItemName;
+import ridgemill.cdn.config.Route;
+import ridgemill.cdn.json.TreeReader;
+
+/**
+ * Whether a configuration holds together: each route names services that are there, and no two routes have the same host
+ * and prefix. Keeps an index of routes by place and by service, so that a change costs what it touches.
+ */
+public final class ConfigurationRules implements ChangeRules {
+
+    private final Map<ItemName, Route> routes = new HashMap<>();
+    private final Map<String, Set<ItemName>> routesAtPlace = new HashMap<>();
+    private final Map<String, Set<ItemName>> routesOfService = new HashMap<>();
+    private final Set<String> services = new HashSet<>();
+
+    @Override
+    public void reset(Collection<Item> items) {
+        routes.clear();
+        routesAtPlace.clear();
+        routesOfService.clear();
+        services.clear();
+        changed(items);
+    }
+
+    @Override
+    public void changed(Collection<Item> items) {
+        for (Item item : items) {
+            if (item.name().kind() == ItemKind.ROUTE) {
+                forget(item.name(), routes.remove(item.name()));
+                Route route = route(item);
+                if (route != null) {
+                    add(item.name(), route);
+                }
+            } else if (item.name().kind() == ItemKind.SERVICE) {
+                if (item.isDrop()) {
+                    services.remove(item.name().name());
+                } else {
+                    services.add(item.name().name());
+                }
+            }
+        }
+    }
+
+    private void add(ItemName name, Route route) {
+        routes.put(name, route);
+        routesAtPlace.computeIfAbsent(place(route), key -> new HashSet<>()).add(name);
+        for (Destination destination : route.destinations()) {
+            routesOfService
+                    .computeIfAbsent(destination.service(), key -> new HashSet<>())
+                    .add(name);
+        }
+    }
+
+    private void forget(ItemName name, Route route) {
+        if (route == null) {
+            return;
+        }
+        routesAtPlace.get(place(route)).remove(name);
+        for (Destination destination : route.destinations()) {
+            routesOfService.get(destination.service()).remove(name);
+        }
+    }
+
+    private static String place(Route route) {
+        return route.hostname() + "\n" + route.pathPrefix();
+    }
+
+    /** The typed form of an item that sets a route; else null. */
+    private static Route route(Item item) {
+        if (item.isDrop()) {
+            return null;
+        }
+        try {
+            JsonNode content = TreeReader.json(item.content());
+            return ItemParser.route(item.name().name(), content);
+        } catch (IOException | IllegalArgumentException unreadable) {
+            return null;
+        }
+    }
+
+    @Override
+    public Optional<String> fault(Collection<Item> items) {
+        Change change = new Change(items);
+        return change.routeFault().or(change::serviceFault);
+    }
+
+    /** A change on top of the index. */
+    private final class Change {
+
+        /** The routes that change; empty for those that are dropped. */
+        private final Map<ItemName, Optional<Route>> changedRoutes = new HashMap<>();
+        /** Whether the services that change are there afterwards. */
+        private final Map<String, Boolean> changedServices = new HashMap<>();
+
+        Change(Collection<Item> items) {
+            for (Item item : items) {
+                if (item.name().kind() == ItemKind.ROUTE) {
+                    changedRoutes.put(item.name(), Optional.ofNullable(route(item)));
+                } else if (item.name().kind() == ItemKind.SERVICE) {
+                    changedServices.put(item.name().name(), !item.isDrop());
+                }
+            }
+        }
+
+        Optional<String> routeFault() {
+            Map<String, ItemName> places = new HashMap<>();
+            for (Map.Entry<ItemName, Optional<Route>> entry : changedRoutes.entrySet()) {
+                Route route = entry.getValue().orElse(null);
+                if (route == null) {
+                    continue;
+                }
+                ItemName name = entry.getKey();
+                for (Destination destination : route.destinations()) {
+                    if (!hasService(destination.service())) {
+                        return Optional.of(describe(name) + ": names the unknown service " + destination.service());
+                    }
+                }
+                ItemName other = places.put(place(route), name);
+                other = other == null ? standingAt(place(route)) : other;
+                if (other != null) {
+                    return Optional.of(describe(name) + ": has the same host and prefix as " + other.name());
+                }
+            }
+            return Optional.empty();
+        }
+
+        /** A route at a place that the change leaves as it is; null if there is none. */
+        private ItemName standingAt(String place) {
+            for (ItemName name : routesAtPlace.getOrDefault(place, Set.of())) {
+                if (!changedRoutes.containsKey(name)) {
+                    return name;
+                }
+            }
+            return null;
+        }
+
+        private boolean hasService(String service) {
+            return changedServices.getOrDefault(service, services.contains(service));
+        }
+
+        /** A service must not go while a route that stays names it. */
+        Optional<String> serviceFault() {
+            for (Map.Entry<String, Boolean> entry : changedServices.entrySet()) {
+                for (ItemName name : routesOfService.getOrDefault(entry.getKey(), Set.of())) {
+                    if (!entry.getValue() && !changedRoutes.containsKey(name)) {
+                        return Optional.of(describe(name) + ": names the unknown service " + entry.getKey());
+                    }
+                }
+            }
+            return Optional.empty();
+        }
+    }
+
+    private static String describe(ItemName name) {
+        return name.kind() + " " + name.name();
+    }
+}
--- a/cdn/src/main/java/ridgemill/cdn/proxy/control/ControlClient.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/control/ControlClient.java
@@ -16,10 +16,11 @@
 import ridgemill.cdn.instances.Instance;
 import ridgemill.cdn.instances.InstanceState;
 import ridgemill.cdn.instances.InstanceTable;
-import ridgemill.cdn.keys.ClaimVote;
 import ridgemill.cdn.membership.CoreMembers;
 import ridgemill.cdn.purge.Purge;
 import ridgemill.cdn.purge.PurgeCoverage;
+import ridgemill.cdn.quorum.Voter;
+import ridgemill.cdn.quorum.VoterSet;
 import ridgemill.cdn.settings.Settings;
 import ridgemill.cdn.wire.HeldLink;
 import ridgemill.cdn.wire.LinkListener;
@@ -36,9 +37,6 @@
 
     private static final System.Logger LOG = System.getLogger(ControlClient.class.getName());
 
-    /** After so long a start goes on with fewer stores than a read quorum, in milliseconds. */
-    private static final double QUORUM_PATIENCE_MS = 2_500;
-
     private final Settings settings;
     private final EventLoop loop;
     private final SocketKind sockets;
@@ -53,7 +51,6 @@
     private final List<ControlListener> listeners = new ArrayList<>();
     private final Map<String, List<Instance>> readyByService = new HashMap<>();
     private RoutingTable routing = RoutingTable.EMPTY;
-    private double startedAtMs;
 
     /** A client that connects when it is started. */
     public ControlClient(Settings settings, EventLoop loop, SocketKind sockets, Clock clock) {
@@ -71,7 +68,6 @@
 
     /** Connects to the seeds; other core machines are learned from them. */
     public void start() {
-        startedAtMs = clock.now();
         members.addCoreHosts(settings.seedHosts());
         connectRegistries();
         // Voters are among the seeds as a rule: asking them at once spares a restart the way through a registry.
@@ -103,42 +99,57 @@
     }
 
     @Override
-    public void membersReceived(List<String> coreHosts, List<String> voters) {
+    public void membersReceived(List<String> coreHosts, VoterSet voters) {
         if (members.addCoreHosts(coreHosts)) {
             connectRegistries();
         }
         learnVoters(voters);
     }
 
-    private void learnVoters(List<String> voters) {
+    private void learnVoters(VoterSet voters) {
         if (!members.learnVoters(voters)) {
             return;
         }
+        LOG.log(
+                System.Logger.Level.INFO,
+                "event=voters_known epoch=" + voters.epoch() + " voters=" + voters.voters() + " previous="
+                        + voters.previous());
         coverage.setVoters(voters);
-        for (String host : voters) {
-            connectStore(host);
-        }
+        List<String> addresses = voters.addresses();
+        addresses.forEach(this::connectStore);
         for (String host : List.copyOf(stores.keySet())) {
-            if (!voters.contains(host)) {
+            if (!addresses.contains(host)) {
                 stores.remove(host).close();
             }
         }
     }
 
-    /** The voting stores; empty while they are not known. */
-    List<StoreFeed> voters() {
-        return members.voters().isEmpty() ? List.of() : List.copyOf(stores.values());
+    /** The voting stores, in the newest epoch that was heard of. */
+    VoterSet voters() {
+        return members.voters();
+    }
+
+    /** The feeds of the voting stores' machines; empty while they are not known. */
+    List<StoreFeed> voterFeeds() {
+        return members.voters().isKnown() ? List.copyOf(stores.values()) : List.of();
+    }
+
+    /** The feed of a voting store; null if it is not followed, or if its machine has another disk now. */
+    StoreFeed feedOf(Voter voter) {
+        StoreFeed feed = stores.get(voter.address());
+        return feed != null && voter.equals(feed.store()) ? feed : null;
     }
 
     @Override
-    public void snapshotReceived(StoreFeed feed, List<String> voters, List<Item> all) {
+    public void snapshotReceived(StoreFeed feed, VoterSet voters, List<Item> all) {
         learnVoters(voters);
-        coverage.restarted(feed.host(), clock.now());
+        coverage.restarted(feed.store(), clock.now());
         itemsReceived(all);
     }
 
     @Override
-    public void newsReceived(List<Item> changed, List<Purge> purges) {
+    public void newsReceived(VoterSet voters, List<Item> changed, List<Purge> purges) {
+        learnVoters(voters);
         itemsReceived(changed);
         for (Purge purge : purges) {
             for (ControlListener listener : listeners) {
@@ -241,13 +252,9 @@
         return true;
     }
 
+    /** A majority of the voters has told its decided items: each order that was confirmed before is on one of them. */
     private boolean knowsNewestItems() {
-        int heard = 0;
-        for (StoreFeed store : voters()) {
-            heard += store.wasHeard() ? 1 : 0;
-        }
-        boolean patient = clock.now() - startedAtMs < QUORUM_PATIENCE_MS;
-        return heard > 0 && (heard >= ClaimVote.majority(stores.size()) || !patient);
+        return voters().isMajority(voter -> feedOf(voter) != null);
     }
 
     @Override
--- a/cdn/src/main/java/ridgemill/cdn/proxy/control/QuorumRegister.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/control/QuorumRegister.java
@@ -3,12 +3,15 @@
 import io.netty.channel.EventLoop;
 import io.vavr.control.Either;
 import java.io.IOException;
-import java.util.List;
+import java.util.HashSet;
+import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import ridgemill.cdn.keys.ClaimVote;
+import ridgemill.cdn.quorum.Voter;
+import ridgemill.cdn.quorum.VoterSet;
 import ridgemill.cdn.wire.CallFailure;
 import ridgemill.cdn.wire.Message;
 import ridgemill.cdn.wire.StoreMessages;
@@ -24,6 +27,12 @@
     private static final long VOTE_TIMEOUT_MS = 900;
     /** How long a record or a release waits for its confirmation, in milliseconds. */
     private static final long WRITE_TIMEOUT_MS = 3_000;
+    /** After how long a record that not all have is sent again, in milliseconds. */
+    private static final long RECORD_AGAIN_MS = 700;
+    /** How often a record is sent at most, and how often once a majority has it. */
+    private static final int MOST_ROUNDS = 25;
+
+    private static final int ROUNDS_WITH_MAJORITY = 4;
     /** Pause after a split vote, with as much again at random, in milliseconds. */
     private static final long SPLIT_PAUSE_MS = 20;
 
@@ -44,8 +53,8 @@
 
     @Override
     public void claim(String key, double deadlineMs, Consumer<ClaimOutcome> callback) {
-        List<StoreFeed> voters = control.voters();
-        if (voters.isEmpty()) {
+        VoterSet voters = control.voters();
+        if (!voters.isKnown()) {
             callback.accept(new ClaimOutcome.Unavailable());
             return;
         }
@@ -61,17 +70,53 @@
             LOG.log(System.Logger.Level.ERROR, "event=answer_not_recorded key=" + claim.key());
             return;
         }
-        for (StoreFeed voter : control.voters()) {
-            voter.call(
-                    callId -> new StoreMessages.FinishKey(callId, claim.key(), claim.claimId(), encoded),
-                    WRITE_TIMEOUT_MS,
-                    ignored -> {});
+        new Recording(claim, encoded).send();
+    }
+
+    /** Records an answer until a majority of the voters, and each that can be reached, has it on disk. */
+    private final class Recording {
+
+        private final Claim claim;
+        private final byte[] encoded;
+        private final Set<Voter> written = new HashSet<>();
+        private int rounds;
+
+        Recording(Claim claim, byte[] encoded) {
+            this.claim = claim;
+            this.encoded = encoded;
+        }
+
+        void send() {
+            rounds++;
+            for (StoreFeed feed : control.voterFeeds()) {
+                if (feed.store() == null || !written.contains(feed.store())) {
+                    feed.call(
+                            callId -> new StoreMessages.FinishKey(callId, claim.key(), claim.claimId(), encoded),
+                            WRITE_TIMEOUT_MS,
+                            this::answered);
+                }
+            }
+            loop.schedule(this::sendAgain, RECORD_AGAIN_MS, TimeUnit.MILLISECONDS);
+        }
+
+        private void answered(Either<CallFailure, Message.Reply> result) {
+            if (result.isRight() && result.get() instanceof StoreMessages.Written done && done.durable()) {
+                written.add(done.store());
+            }
+        }
+
+        private void sendAgain() {
+            boolean everywhere = control.voters().members().stream().allMatch(written::contains);
+            boolean enough = control.voters().isMajority(written::contains);
+            if (!everywhere && rounds < (enough ? ROUNDS_WITH_MAJORITY : MOST_ROUNDS)) {
+                send();
+            }
         }
     }
 
     @Override
     public void release(Claim claim) {
-        for (StoreFeed voter : control.voters()) {
+        for (StoreFeed voter : control.voterFeeds()) {
             voter.call(
                     callId -> new StoreMessages.ReleaseKey(callId, claim.key(), claim.claimId()),
                     WRITE_TIMEOUT_MS,
@@ -84,45 +129,58 @@
 
         private final String key;
         private final double deadlineMs;
-        private final List<StoreFeed> voters;
+        private final VoterSet voters;
         private final Consumer<ClaimOutcome> callback;
         private final Claim claim;
         private final ClaimVote vote;
         private boolean decided;
 
-        Round(String key, double deadlineMs, List<StoreFeed> voters, Consumer<ClaimOutcome> callback) {
+        Round(String key, double deadlineMs, VoterSet voters, Consumer<ClaimOutcome> callback) {
             this.key = key;
             this.deadlineMs = deadlineMs;
             this.voters = voters;
             this.callback = callback;
             this.claim = new Claim(key, lifeId + "-" + nextClaim++);
-            this.vote = new ClaimVote(claim.claimId(), voters.size());
+            this.vote = new ClaimVote(claim.claimId(), voters);
         }
 
         void begin() {
             long timeoutMs = (long) Math.min(VOTE_TIMEOUT_MS, Math.max(1, deadlineMs - clock.now()));
-            for (StoreFeed voter : voters) {
-                voter.call(
-                        callId -> new StoreMessages.ClaimKey(callId, key, claim.claimId()),
-                        timeoutMs,
-                        result -> counted(voter, result));
+            for (Voter voter : voters.members()) {
+                StoreFeed feed = control.feedOf(voter);
+                if (feed == null) {
+                    vote.unavailable(voter);
+                } else {
+                    feed.call(
+                            callId -> new StoreMessages.ClaimKey(callId, voters.epoch(), key, claim.claimId()),
+                            timeoutMs,
+                            result -> counted(voter, result));
+                }
+            }
+            if (!decided) {
+                decide();
             }
         }
 
-        private void counted(StoreFeed voter, Either<CallFailure, Message.Reply> result) {
-            boolean voted =
-                    result.isRight() && result.get() instanceof StoreMessages.KeyStatus status && status.available();
-            if (voted) {
-                StoreMessages.KeyStatus status = (StoreMessages.KeyStatus) result.get();
-                vote.vote(voter.host(), status.state(), status.claimId(), status.answer());
+        private void counted(Voter voter, Either<CallFailure, Message.Reply> result) {
+            if (result.isRight() && result.get() instanceof StoreMessages.KeyStatus status) {
+                count(voter, status);
             } else {
-                vote.unavailable();
+                vote.unavailable(voter);
             }
             if (!decided) {
                 decide();
             }
         }
 
+        private void count(Voter voter, StoreMessages.KeyStatus status) {
+            switch (status.availability()) {
+                case VOTES -> vote.vote(voter, status.state(), status.claimId(), status.answer());
+                case OTHER_EPOCH -> vote.moved(voter);
+                case UNAVAILABLE -> vote.unavailable(voter);
+            }
+        }
+
         private void decide() {
             ClaimVote.Result result = vote.result();
             if (result == ClaimVote.Result.OPEN) {
--- a/cdn/src/main/java/ridgemill/cdn/proxy/control/RegistryFeed.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/control/RegistryFeed.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Set;
 import ridgemill.cdn.instances.Instance;
+import ridgemill.cdn.quorum.VoterSet;
 import ridgemill.cdn.wire.HeldLink;
 import ridgemill.cdn.wire.Link;
 import ridgemill.cdn.wire.LinkListener;
@@ -20,7 +21,7 @@
         void instancesReceived(List<Instance> instances);
 
         /** The registry told of core machines and voters. */
-        void membersReceived(List<String> coreHosts, List<String> voters);
+        void membersReceived(List<String> coreHosts, VoterSet voters);
     }
 
     private final Receiver receiver;
--- a/cdn/src/main/java/ridgemill/cdn/proxy/control/StoreFeed.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/control/StoreFeed.java
@@ -6,6 +6,8 @@
 import java.util.function.LongFunction;
 import ridgemill.cdn.config.Item;
 import ridgemill.cdn.purge.Purge;
+import ridgemill.cdn.quorum.Voter;
+import ridgemill.cdn.quorum.VoterSet;
 import ridgemill.cdn.wire.CallFailure;
 import ridgemill.cdn.wire.HeldLink;
 import ridgemill.cdn.wire.Link;
@@ -20,10 +22,10 @@
     interface Receiver {
 
         /** The store told all its items; purges before this moment are not told any more. */
-        void snapshotReceived(StoreFeed feed, List<String> voters, List<Item> items);
+        void snapshotReceived(StoreFeed feed, VoterSet voters, List<Item> items);
 
         /** The store told of changes. */
-        void newsReceived(List<Item> items, List<Purge> purges);
+        void newsReceived(VoterSet voters, List<Item> items, List<Purge> purges);
     }
 
     private final String host;
@@ -31,7 +33,7 @@
     private HeldLink link;
     private String lifeId = "";
     private long number;
-    private boolean heard;
+    private Voter store;
 
     StoreFeed(String host, Receiver receiver) {
         this.host = host;
@@ -52,9 +54,9 @@
         return host;
     }
 
-    /** Whether the store has told all its items in this life of the proxy. */
-    boolean wasHeard() {
-        return heard;
+    /** The store that has told all its items, in this life of the proxy and of the store's disk; null if none has. */
+    Voter store() {
+        return store;
     }
 
     void call(
@@ -78,7 +80,7 @@
         if (message instanceof StoreMessages.Snapshot snapshot) {
             lifeId = snapshot.lifeId();
             number = snapshot.number();
-            heard = true;
+            store = snapshot.store();
             receiver.snapshotReceived(this, snapshot.voters(), snapshot.items());
             from.send(new StoreMessages.NewsAcknowledged(number));
         } else if (message instanceof StoreMessages.News news) {
@@ -96,7 +98,7 @@
             return;
         }
         number = news.number();
-        receiver.newsReceived(news.items(), news.purges());
+        receiver.newsReceived(news.voters(), news.items(), news.purges());
         from.send(new StoreMessages.NewsAcknowledged(number));
     }
 
--- a/cdn/src/main/java/ridgemill/cdn/registry/Confirmation.java
+++ b/cdn/src/main/java/ridgemill/cdn/registry/Confirmation.java
@@ -1,7 +1,9 @@
 package ridgemill.cdn.registry;
 
 import io.netty.channel.EventLoop;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import ridgemill.cdn.instances.Instance;
@@ -9,7 +11,7 @@
 
 /**
  * Waits until everybody that can be reached has a change of an instance's state, for a bounded time. The change is
- * confirmed if a majority of the registries has it by then, whatever the proxies say: they may be out of reach.
+ * confirmed if the registries on a majority of the voting machines have it by then, whatever the proxies say: they may be out of reach.
  */
 final class Confirmation {
 
@@ -20,8 +22,8 @@
     private final ProxyNews news;
     private final CoreMembers members;
     private final Consumer<Boolean> callback;
-    /** The registries that have the change, this one included. */
-    private int registries = 1;
+    /** The machines whose registries have the change. */
+    private final Set<String> registries = new HashSet<>();
 
     private int outstanding;
     private boolean proxiesHaveIt;
@@ -30,6 +32,7 @@
     /** A confirmation that waits from {@link #begin} on. The callback is told once whether the change is confirmed. */
     Confirmation(PeerRegistries peers, ProxyNews news, CoreMembers members, Consumer<Boolean> callback) {
         this.peers = peers;
+        registries.add(peers.ownAddress());
         this.news = news;
         this.members = members;
         this.callback = callback;
@@ -47,8 +50,10 @@
         finishIfAllHaveIt();
     }
 
-    private void answered(boolean merged) {
-        registries += merged ? 1 : 0;
+    private void answered(String host, boolean merged) {
+        if (merged) {
+            registries.add(host);
+        }
         outstanding--;
         finishIfAllHaveIt();
     }
@@ -62,7 +67,7 @@
     private void finish() {
         if (!done) {
             done = true;
-            callback.accept(registries >= members.coreMajority());
+            callback.accept(members.voters().isMajorityOfAddresses(registries::contains));
         }
     }
 }
--- a/cdn/src/main/java/ridgemill/cdn/registry/OperatorCalls.java
+++ b/cdn/src/main/java/ridgemill/cdn/registry/OperatorCalls.java
@@ -8,7 +8,6 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.UUID;
-import ridgemill.cdn.config.ItemSet;
 import ridgemill.cdn.configuration.ChangeReader;
 import ridgemill.cdn.configuration.ChangeValidator;
 import ridgemill.cdn.configuration.ConfigurationChange;
@@ -23,6 +22,7 @@
     private static final System.Logger LOG = System.getLogger(OperatorCalls.class.getName());
     private static final int OK = 200;
     private static final int BAD_REQUEST = 400;
+    private static final int CONFLICT = 409;
     private static final int UNAVAILABLE = 503;
 
     private final StoreClient stores;
@@ -43,54 +43,49 @@
 
     /** Answers with what a quorum of the stores holds. */
     void readConfiguration(CallServer.Call call) {
-        stores.readItems(items -> call.answer()
+        stores.read(read -> call.answer()
                 .accept(
-                        items == null
+                        read == null
                                 ? CallServer.Answer.empty(UNAVAILABLE)
-                                : new CallServer.Answer(OK, reader().write(items.all()))));
+                                : new CallServer.Answer(OK, reader().write(read.items()))));
     }
 
-    /** A change is checked against what a quorum holds, so that it is judged by all changes that were acknowledged. */
+    /** Each item of a change is checked here by itself; the rest is decided by the stores together. */
     void changeConfiguration(CallServer.Call call) {
         Either<InvalidChange, ConfigurationChange> change = reader().read(call.body());
         if (change.isLeft()) {
-            refuse(call, change.getLeft());
+            refuse(call, BAD_REQUEST, change.getLeft().describe());
             return;
         }
-        stores.readItems(current -> {
-            if (current == null) {
-                call.answer().accept(CallServer.Answer.empty(UNAVAILABLE));
-            } else {
-                checkAndWrite(call, change.get(), current);
-            }
-        });
-    }
-
-    private void checkAndWrite(CallServer.Call call, ConfigurationChange change, ItemSet current) {
-        Option<InvalidChange> fault = validator.check(change, current);
+        Option<InvalidChange> fault = validator.check(change.get());
         if (fault.isDefined()) {
-            refuse(call, fault.get());
+            refuse(call, BAD_REQUEST, fault.get().describe());
             return;
         }
-        stores.writeItems(change.items(), durable -> {
+        stores.change(change.get().items(), result -> {
             LOG.log(
                     System.Logger.Level.INFO,
-                    "event=configuration items=" + change.items().size() + " durable=" + durable);
-            call.answer().accept(CallServer.Answer.empty(durable ? OK : UNAVAILABLE));
+                    "event=configuration items=" + change.get().items().size() + " outcome=" + result.outcome());
+            switch (result.outcome()) {
+                case CONFIRMED -> call.answer().accept(CallServer.Answer.empty(OK));
+                case CONFLICT -> refuse(call, CONFLICT, result.detail());
+                case INVALID -> refuse(call, BAD_REQUEST, result.detail());
+                default -> call.answer().accept(CallServer.Answer.empty(UNAVAILABLE));
+            }
         });
     }
 
-    private void refuse(CallServer.Call call, InvalidChange fault) {
-        LOG.log(System.Logger.Level.INFO, "event=configuration_refused reason=\"" + fault.describe() + "\"");
-        ObjectNode body = JsonNodeFactory.instance.objectNode().put("errorMessage", fault.describe());
-        call.answer().accept(new CallServer.Answer(BAD_REQUEST, body.toString().getBytes(StandardCharsets.UTF_8)));
+    private void refuse(CallServer.Call call, int status, String reason) {
+        LOG.log(System.Logger.Level.INFO, "event=order_refused status=" + status + " reason=\"" + reason + "\"");
+        ObjectNode body = JsonNodeFactory.instance.objectNode().put("errorMessage", reason);
+        call.answer().accept(new CallServer.Answer(status, body.toString().getBytes(StandardCharsets.UTF_8)));
     }
 
     /** Orders a purge; the call is acknowledged once a majority of the stores has passed it on. */
     void purge(CallServer.Call call) {
         Purge purge = readPurge(call.body());
         if (purge == null) {
-            refuse(call, new InvalidChange("", "a purge needs hostname and path, or tag"));
+            refuse(call, BAD_REQUEST, "a purge needs hostname and path, or tag");
             return;
         }
         stores.purge(purge, passedOn -> call.answer().accept(CallServer.Answer.empty(passedOn ? OK : UNAVAILABLE)));
--- a/cdn/src/main/java/ridgemill/cdn/registry/PeerRegistries.java
+++ b/cdn/src/main/java/ridgemill/cdn/registry/PeerRegistries.java
@@ -3,7 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.Consumer;
+import java.util.function.BiConsumer;
 import ridgemill.cdn.instances.Instance;
 import ridgemill.cdn.instances.InstanceTable;
 import ridgemill.cdn.membership.CoreMembers;
@@ -76,14 +76,18 @@
         }
     }
 
-    /** Tells all others of instances; the callback is told of each of them once whether it has merged them. */
-    void confirm(List<Instance> changed, Consumer<Boolean> callback) {
-        for (HeldLink link : List.copyOf(links.values())) {
-            link.call(
-                    callId -> update(callId, changed),
-                    Confirmation.TIMEOUT_MS,
-                    result -> callback.accept(result.isRight()));
-        }
+    /** Tells all others of instances; the callback is told of each of their machines once whether it has merged them. */
+    void confirm(List<Instance> changed, BiConsumer<String, Boolean> callback) {
+        Map.copyOf(links)
+                .forEach((host, link) -> link.call(
+                        callId -> update(callId, changed),
+                        Confirmation.TIMEOUT_MS,
+                        result -> callback.accept(host, result.isRight())));
+    }
+
+    /** The IP address of this registry's machine. */
+    String ownAddress() {
+        return ownAddress;
     }
 
     private RegistryMessages.PeerUpdate update(long callId, List<Instance> changed) {
--- a/cdn/src/main/java/ridgemill/cdn/registry/RegistryProgram.java
+++ b/cdn/src/main/java/ridgemill/cdn/registry/RegistryProgram.java
@@ -24,8 +24,8 @@
 
     /** How often what other registries may have missed is told again, in milliseconds. */
     private static final long GOSSIP_INTERVAL_MS = 500;
-    /** How long a call to the stores waits for a majority of them, in milliseconds. */
-    private static final long STORE_TIMEOUT_MS = 2_500;
+    /** How long a call to the stores takes at most, in milliseconds: callers go on to another registry after a second. */
+    private static final long STORE_TIMEOUT_MS = 900;
 
     private final Settings settings;
     private final EventLoop loop;
@@ -33,7 +33,7 @@
     private final Clock clock;
     private final InstanceTable instances = new InstanceTable();
     private final CoreMembers members = new CoreMembers();
-    private final StoreClient storeClient = new StoreClient(STORE_TIMEOUT_MS);
+    private final StoreClient storeClient;
     private final ProxyNews news;
     private final PeerRegistries peers;
     private final VotingStores stores;
@@ -51,6 +51,7 @@
         LinkMessages.Hello hello = new LinkMessages.Hello(
                 LinkMessages.Hello.PROTOCOL, "registry", settings.nodeName(), settings.ipAddress(), lifeId);
         LinkOpener opener = new LinkOpener(loop, sockets, hello);
+        storeClient = new StoreClient(loop, STORE_TIMEOUT_MS);
         news = new ProxyNews(lifeId, members, instances, clock, settings.heartbeatIntervalMs());
         peers = new PeerRegistries(settings.ipAddress(), settings.registryPort(), opener, members, instances, news);
         stores = new VotingStores(settings.storePort(), opener, members, news, storeClient);
@@ -84,11 +85,9 @@
     private void join() {
         members.addCoreHosts(List.of(settings.ipAddress()));
         members.addCoreHosts(settings.seedHosts());
-        if (settings.firstStart()) {
-            stores.learn(settings.seedHosts());
-        }
         peers.connect();
         stores.connect(settings.ipAddress());
+        settings.seedHosts().forEach(stores::connect);
         loop.scheduleWithFixedDelay(this::gossip, GOSSIP_INTERVAL_MS, GOSSIP_INTERVAL_MS, TimeUnit.MILLISECONDS);
     }
 
--- a/cdn/src/main/java/ridgemill/cdn/registry/StoreClient.java
+++ b/cdn/src/main/java/ridgemill/cdn/registry/StoreClient.java
@@ -1,147 +1,245 @@
 package ridgemill.cdn.registry;
 
+import io.netty.channel.EventLoop;
 import io.vavr.control.Either;
-import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongFunction;
+import ridgemill.cdn.agreement.OrderResult;
 import ridgemill.cdn.config.Item;
-import ridgemill.cdn.config.ItemSet;
-import ridgemill.cdn.keys.ClaimVote;
 import ridgemill.cdn.purge.Purge;
+import ridgemill.cdn.quorum.Voter;
+import ridgemill.cdn.quorum.VoterSet;
 import ridgemill.cdn.wire.CallFailure;
 import ridgemill.cdn.wire.HeldLink;
 import ridgemill.cdn.wire.Message;
 import ridgemill.cdn.wire.StoreMessages;
 
 /**
- * Reads and writes the replicated state at the voting configuration stores. A write succeeds once a majority has it on
- * disk; a read asks all and merges the answers of a majority, so that it sees each write that succeeded before. Replicas
- * whose answer was older are sent what they lack.
+ * Asks the voting configuration stores. Changes and reads go to the store that leads; where it can't be reached, another
+ * one is asked to lead. An order may be sent to several: it is decided once. Purges go to all voters.
  */
 public final class StoreClient {
 
-    private final long timeoutMs;
-    private List<HeldLink> voters = List.of();
+    /** How long one store is waited for before the next one is asked, in milliseconds. */
+    private static final long ATTEMPT_MS = 450;
+    /** A store is not asked if less time than this is left, in milliseconds. */
+    private static final long LEAST_ATTEMPT_MS = 100;
+    /** How much longer a change may take for each of its items, in milliseconds. */
+    private static final long ITEM_MS = 2;
+    /** How long a purge waits before it is sent again in a newer epoch, in milliseconds. */
+    private static final long PURGE_AGAIN_MS = 60;
+
+    private final EventLoop loop;
+    private final long budgetMs;
+    private final Map<String, HeldLink> links = new HashMap<>();
+    private VoterSet voters = VoterSet.UNKNOWN;
+    private String leader = "";
+
+    /** What a read brought. */
+    public record Read(Collection<Item> items) {}
 
     /**
      * A client without voters, whose calls fail until {@link #setVoters} is called.
      *
-     * @param timeoutMs how long a call waits for a majority, in milliseconds
+     * @param budgetMs how long a call takes at most, in milliseconds
      */
-    public StoreClient(long timeoutMs) {
-        this.timeoutMs = timeoutMs;
+    public StoreClient(EventLoop loop, long budgetMs) {
+        this.loop = loop;
+        this.budgetMs = budgetMs;
     }
 
-    /** Sets the links to all voters. */
-    public void setVoters(Collection<HeldLink> links) {
-        voters = List.copyOf(links);
+    /** Sets the voters and the links to them, by their IP addresses. */
+    public void setVoters(VoterSet newest, Map<String, HeldLink> newestLinks) {
+        voters = newest;
+        links.clear();
+        links.putAll(newestLinks);
     }
 
-    /** Whether the voters are known. */
-    public boolean hasVoters() {
-        return !voters.isEmpty();
+    /** Orders a change. The callback is told what became of it. */
+    public void change(List<Item> items, Consumer<OrderResult> callback) {
+        long patienceMs = ITEM_MS * items.size();
+        new Attempts<OrderResult>(
+                        patienceMs,
+                        (callId, insist, leftMs) -> new StoreMessages.ChangeItems(callId, insist, leftMs, items),
+                        StoreClient::resultOf,
+                        result -> result,
+                        answer -> callback.accept(answer == null ? OrderResult.UNKNOWN : answer))
+                .next();
     }
 
-    /** Writes item versions. The callback is told whether a majority has them on disk. */
-    public void writeItems(List<Item> items, Consumer<Boolean> callback) {
-        writeToMajority(callId -> new StoreMessages.WriteItems(callId, items), callback);
+    private static OrderResult resultOf(Message.Reply reply) {
+        return reply instanceof StoreMessages.ItemsChanged changed ? changed.result() : OrderResult.UNKNOWN;
     }
 
-    /** Orders a purge. The callback is told whether a majority has passed it on. */
-    public void purge(Purge purge, Consumer<Boolean> callback) {
-        writeToMajority(callId -> new StoreMessages.WritePurge(callId, purge), callback);
+    /** Reads the newest decided items. The callback is told null if no majority confirmed them in time. */
+    public void read(Consumer<Read> callback) {
+        new Attempts<StoreMessages.ItemsRead>(
+                        0,
+                        StoreMessages.ReadItems::new,
+                        reply -> (StoreMessages.ItemsRead) reply,
+                        read -> new OrderResult(read.outcome(), read.leader()),
+                        read -> callback.accept(read == null ? null : new Read(read.items())))
+                .next();
     }
 
-    private void writeToMajority(LongFunction<Message.Call> call, Consumer<Boolean> callback) {
-        MajorityCount count = new MajorityCount(voters.size(), callback);
-        for (HeldLink voter : voters) {
-            voter.call(call, timeoutMs, result -> count.add(isDurable(result)));
-        }
-        count.failIfNobodyIsAsked();
-    }
+    /** Makes a call from its number, whether the store is to insist on leading, and how long the caller waits. */
+    private interface CallMaker {
 
-    private static boolean isDurable(Either<CallFailure, Message.Reply> result) {
-        return result.isRight() && result.get() instanceof StoreMessages.Written written && written.durable();
+        Message.Call make(long callId, boolean insist, long leftMs);
     }
 
-    /** Reads all items. The callback is told the merged set, or null if no majority answered. */
-    public void readItems(Consumer<ItemSet> callback) {
-        ItemSet merged = new ItemSet();
-        List<HeldLink> answered = new ArrayList<>();
-        List<Long> digests = new ArrayList<>();
-        MajorityCount count = new MajorityCount(voters.size(), read -> {
-            if (read) {
-                repair(answered, digests, merged);
+    /** One call, tried at one store after another until one of them knows the answer. */
+    private final class Attempts<R> {
+
+        private final long endNanos;
+        private final long patienceMs;
+        private final CallMaker maker;
+        private final java.util.function.Function<Message.Reply, R> reader;
+        private final java.util.function.Function<R, OrderResult> result;
+        private final Consumer<R> callback;
+        private final Set<String> asked = new HashSet<>();
+        private boolean insist;
+
+        Attempts(
+                long patienceMs,
+                CallMaker maker,
+                java.util.function.Function<Message.Reply, R> reader,
+                java.util.function.Function<R, OrderResult> result,
+                Consumer<R> callback) {
+            this.patienceMs = patienceMs;
+            this.endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(budgetMs + patienceMs);
+            this.maker = maker;
+            this.reader = reader;
+            this.result = result;
+            this.callback = callback;
+        }
+
+        void next() {
+            long leftMs = TimeUnit.NANOSECONDS.toMillis(endNanos - System.nanoTime());
+            String host = leftMs < LEAST_ATTEMPT_MS ? null : nextHost();
+            if (host == null) {
+                callback.accept(null);
+                return;
             }
-            callback.accept(read ? merged : null);
-        });
-        for (HeldLink voter : voters) {
-            voter.call(StoreMessages.ReadItems::new, timeoutMs, result -> {
-                boolean complete =
-                        result.isRight() && result.get() instanceof StoreMessages.ItemsRead read && read.complete();
-                if (complete && !count.isDecided()) {
-                    answered.add(voter);
-                    digests.add(mergeReplica((StoreMessages.ItemsRead) result.get(), merged));
+            asked.add(host);
+            long timeoutMs = Math.min(leftMs, ATTEMPT_MS + patienceMs);
+            boolean insists = insist;
+            links.get(host)
+                    .call(callId -> maker.make(callId, insists, timeoutMs), timeoutMs, reply -> answered(host, reply));
+        }
+
+        /** The store that leads, else a voter that can be reached; null if all were asked. */
+        private String nextHost() {
+            if (isOpen(leader) && !asked.contains(leader)) {
+                return leader;
+            }
+            for (Voter voter : voters.members()) {
+                if (isOpen(voter.address()) && !asked.contains(voter.address())) {
+                    return voter.address();
                 }
-                count.add(complete);
-            });
+            }
+            return null;
+        }
+
+        private void answered(String host, Either<CallFailure, Message.Reply> reply) {
+            R answer = reply.isRight() ? reader.apply(reply.get()) : null;
+            OrderResult told = answer == null ? OrderResult.UNKNOWN : result.apply(answer);
+            switch (told.outcome()) {
+                case CONFIRMED, CONFLICT, INVALID -> {
+                    leader = host;
+                    callback.accept(answer);
+                }
+                case NOT_LEADER -> {
+                    leader = told.detail();
+                    insist = asked.contains(leader) || !isOpen(leader);
+                    if (insist) {
+                        asked.remove(host);
+                        leader = host;
+                    }
+                    next();
+                }
+                case UNKNOWN -> {
+                    insist = true;
+                    next();
+                }
+            }
         }
-        count.failIfNobodyIsAsked();
     }
 
-    private static long mergeReplica(StoreMessages.ItemsRead read, ItemSet merged) {
-        ItemSet replica = new ItemSet();
-        replica.mergeAll(read.items());
-        merged.mergeAll(read.items());
-        return replica.digest();
+    private boolean isOpen(String host) {
+        HeldLink link = links.get(host);
+        return link != null && link.isOpen();
     }
 
-    private void repair(List<HeldLink> answered, List<Long> digests, ItemSet merged) {
-        long newest = merged.digest();
-        List<Item> items = List.copyOf(merged.all());
-        for (int i = 0; i < answered.size(); i++) {
-            if (digests.get(i) != newest) {
-                answered.get(i).call(callId -> new StoreMessages.WriteItems(callId, items), timeoutMs, ignored -> {});
+    /** Orders a purge. The callback is told whether a majority of the voters has passed it on. */
+    public void purge(Purge purge, Consumer<Boolean> callback) {
+        purge(purge, System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(budgetMs), callback);
+    }
+
+    private void purge(Purge purge, long endNanos, Consumer<Boolean> callback) {
+        VoterSet asked = voters;
+        long leftMs = TimeUnit.NANOSECONDS.toMillis(endNanos - System.nanoTime());
+        LongFunction<Message.Call> call = callId -> new StoreMessages.WritePurge(callId, asked.epoch(), purge);
+        MajorityCount count = new MajorityCount(asked, passedOn -> {
+            boolean again = !passedOn && leftMs > LEAST_ATTEMPT_MS + PURGE_AGAIN_MS;
+            if (again) {
+                loop.schedule(() -> purge(purge, endNanos, callback), PURGE_AGAIN_MS, TimeUnit.MILLISECONDS);
+            } else {
+                callback.accept(passedOn);
+            }
+        });
+        for (String address : asked.addresses()) {
+            HeldLink link = links.get(address);
+            if (link == null) {
+                count.failed(address);
+            } else {
+                link.call(call, Math.max(1, leftMs), reply -> count.answered(address, reply));
             }
         }
+        count.failIfNobodyIsAsked();
     }
 
-    /** Counts answers and tells once whether a majority succeeded. */
+    /** Counts the voters that have written something and tells once whether they are a majority. */
     private static final class MajorityCount {
 
-        private final int voters;
+        private final VoterSet voters;
         private final Consumer<Boolean> callback;
-        private int succeeded;
-        private int failed;
+        private final Set<Voter> succeeded = new HashSet<>();
+        private final Set<String> failed = new HashSet<>();
         private boolean decided;
 
-        MajorityCount(int voters, Consumer<Boolean> callback) {
+        MajorityCount(VoterSet voters, Consumer<Boolean> callback) {
             this.voters = voters;
             this.callback = callback;
         }
 
-        boolean isDecided() {
-            return decided;
-        }
-
-        void add(boolean success) {
-            if (success) {
-                succeeded++;
+        void answered(String address, Either<CallFailure, Message.Reply> reply) {
+            if (reply.isRight() && reply.get() instanceof StoreMessages.Written written && written.durable()) {
+                succeeded.add(written.store());
+                if (voters.isMajority(succeeded::contains)) {
+                    decide(true);
+                }
             } else {
-                failed++;
+                failed(address);
             }
-            int majority = ClaimVote.majority(voters);
-            if (succeeded >= majority) {
-                decide(true);
-            } else if (failed > voters - majority) {
+        }
+
+        void failed(String address) {
+            failed.add(address);
+            if (!voters.isMajorityOfAddresses(voter -> !failed.contains(voter))) {
                 decide(false);
             }
         }
 
         void failIfNobodyIsAsked() {
-            if (voters == 0) {
+            if (!voters.isKnown()) {
                 decide(false);
             }
         }
--- a/cdn/src/main/java/ridgemill/cdn/registry/VotingStores.java
+++ b/cdn/src/main/java/ridgemill/cdn/registry/VotingStores.java
@@ -1,10 +1,10 @@
 package ridgemill.cdn.registry;
 
-import java.util.ArrayList;
-import java.util.LinkedHashMap;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import ridgemill.cdn.membership.CoreMembers;
+import ridgemill.cdn.quorum.VoterSet;
 import ridgemill.cdn.wire.HeldLink;
 import ridgemill.cdn.wire.Link;
 import ridgemill.cdn.wire.LinkListener;
@@ -12,8 +12,8 @@
 import ridgemill.cdn.wire.StoreMessages;
 
 /**
- * Learns which configuration stores vote, once, and keeps links to them. Another registry may say it, or a store: its
- * snapshots tell a registry that has forgotten it.
+ * Follows which configuration stores vote and keeps links to them. Each store that is linked says it, as do other
+ * registries; the newest epoch counts.
  */
 final class VotingStores implements LinkListener {
 
@@ -24,7 +24,7 @@
     private final CoreMembers members;
     private final ProxyNews news;
     private final StoreClient client;
-    private final Map<String, HeldLink> links = new LinkedHashMap<>();
+    private final Map<String, HeldLink> links = new HashMap<>();
 
     /**
      * Without links until {@link #connect} or {@link #learn}.
@@ -47,32 +47,32 @@
         }
     }
 
-    /** Takes the voters' addresses if they are not known yet; an empty list says nothing. */
-    void learn(List<String> voters) {
+    /** Takes the voters if they are newer than those that are known. */
+    void learn(VoterSet voters) {
         if (!members.learnVoters(voters)) {
             return;
         }
-        LOG.log(System.Logger.Level.INFO, "event=voters_known voters=" + String.join(",", voters));
-        List<HeldLink> voterLinks = new ArrayList<>();
-        for (String voter : voters) {
-            connect(voter);
-            voterLinks.add(links.get(voter));
-        }
-        client.setVoters(voterLinks);
+        LOG.log(
+                System.Logger.Level.INFO,
+                "event=voters_known epoch=" + voters.epoch() + " voters=" + voters.voters() + " previous="
+                        + voters.previous());
+        List<String> addresses = voters.addresses();
+        addresses.forEach(this::connect);
+        Map<String, HeldLink> voterLinks = new HashMap<>(links);
+        voterLinks.keySet().retainAll(addresses);
+        client.setVoters(voters, voterLinks);
         news.push(List.of());
     }
 
     @Override
     public void opened(Link link) {
-        if (members.voters().isEmpty()) {
-            link.send(new StoreMessages.Subscribe("", 0));
-        }
+        link.send(new StoreMessages.FollowVoters());
     }
 
     @Override
     public void received(Link link, Message message) {
-        if (message instanceof StoreMessages.Snapshot snapshot) {
-            learn(snapshot.voters());
+        if (message instanceof StoreMessages.VotersNow now) {
+            learn(now.voters());
         }
     }
 
--- a/cdn/src/main/java/ridgemill/cdn/settings/Settings.java
+++ b/cdn/src/main/java/ridgemill/cdn/settings/Settings.java
@@ -23,6 +23,7 @@
  * @param bounds the figures of the rules
  * @param fileDescriptors how many descriptors the process may have open
  * @param toleratedMachines how many counted machines may be lost at once
+ * @param lossCounted whether this machine is one of those
  */
 public record Settings(
         String nodeName,
@@ -40,7 +41,8 @@
         long heartbeatIntervalMs,
         Bounds bounds,
         int fileDescriptors,
-        int toleratedMachines) {
+        int toleratedMachines,
+        boolean lossCounted) {
 
     /** The port on each core machine at which its registry takes links. */
     public int registryPort() {
--- a/cdn/src/main/java/ridgemill/cdn/settings/SettingsReader.java
+++ b/cdn/src/main/java/ridgemill/cdn/settings/SettingsReader.java
@@ -97,7 +97,8 @@
                 duration("heartbeatInterval", DEFAULT_HEARTBEAT),
                 new Bounds(bounds()),
                 root.path("limits").path("fileDescriptors").asInt(1024),
-                root.path("toleratedLosses").path("machines").asInt(0));
+                root.path("toleratedLosses").path("machines").asInt(0),
+                root.path("lossCounted").asBoolean(true));
     }
 
     private String requiredText(String field) {
--- a/cdn/src/main/java/ridgemill/cdn/store/DiskBatch.java
+++ b/cdn/src/main/java/ridgemill/cdn/store/DiskBatch.java
@@ -1,40 +1,45 @@
 package ridgemill.cdn.store;
 
 import java.util.List;
-import ridgemill.cdn.config.Item;
+import ridgemill.cdn.agreement.AcceptorRecord;
+import ridgemill.cdn.config.VersionedItem;
 import ridgemill.cdn.keys.KeyRecord;
 
 /**
  * Changes that reach the disk together or not at all.
  *
- * @param items item versions that replace those on disk
+ * @param diskId the name that the disk gets; null if it does not change
+ * @param accepted what the store promised and accepted; null if it does not change
  * @param records key records that replace those on disk
  * @param removedKeys keys whose records are dropped
- * @param voters the IP addresses of the voters; null if they do not change. A disk that holds them holds all that this
- *     replica ever acknowledged
  */
-record DiskBatch(List<Item> items, List<KeyRecord> records, List<String> removedKeys, List<String> voters) {
+record DiskBatch(String diskId, AcceptorRecord accepted, List<KeyRecord> records, List<String> removedKeys) {
 
     /** No change: done once all earlier changes are on disk. */
-    static final DiskBatch NONE = new DiskBatch(List.of(), List.of(), List.of(), null);
+    static final DiskBatch NONE = new DiskBatch(null, null, List.of(), List.of());
 
-    static DiskBatch ofItems(List<Item> items) {
-        return new DiskBatch(items, List.of(), List.of(), null);
+    static DiskBatch ofDiskId(String diskId) {
+        return new DiskBatch(diskId, null, List.of(), List.of());
+    }
+
+    static DiskBatch ofAccepted(AcceptorRecord accepted) {
+        return new DiskBatch(null, accepted, List.of(), List.of());
     }
 
     static DiskBatch ofRecord(KeyRecord record) {
-        return new DiskBatch(List.of(), List.of(record), List.of(), null);
+        return new DiskBatch(null, null, List.of(record), List.of());
     }
 
-    static DiskBatch ofRemovedKeys(List<String> keys) {
-        return new DiskBatch(List.of(), List.of(), keys, null);
+    static DiskBatch ofRecords(List<KeyRecord> records) {
+        return new DiskBatch(null, null, records, List.of());
     }
 
-    static DiskBatch ofVoters(List<String> voters) {
-        return new DiskBatch(List.of(), List.of(), List.of(), voters);
+    static DiskBatch ofRemovedKeys(List<String> keys) {
+        return new DiskBatch(null, null, List.of(), keys);
     }
 
-    boolean isEmpty() {
-        return items.isEmpty() && records.isEmpty() && removedKeys.isEmpty() && voters == null;
+    /** The items that change; none if nothing was accepted. */
+    List<VersionedItem> items() {
+        return accepted == null ? List.of() : accepted.items();
     }
 }
--- a/cdn/src/main/java/ridgemill/cdn/store/JournalDisk.java
+++ b/cdn/src/main/java/ridgemill/cdn/store/JournalDisk.java
@@ -12,9 +12,11 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.stream.Stream;
-import ridgemill.cdn.config.Item;
+import ridgemill.cdn.agreement.AcceptorRecord;
 import ridgemill.cdn.config.ItemName;
+import ridgemill.cdn.config.VersionedItem;
 import ridgemill.cdn.keys.KeyRecord;
+import ridgemill.cdn.wire.AgreementCodec;
 import ridgemill.cdn.wire.FieldReader;
 import ridgemill.cdn.wire.FieldWriter;
 import ridgemill.cdn.wire.Fields;
@@ -28,16 +30,17 @@
 final class JournalDisk implements StoreDisk {
 
     private static final System.Logger LOG = System.getLogger(JournalDisk.class.getName());
-    private static final long FORMAT = 1;
+    private static final long FORMAT = 2;
     private static final String PREFIX = "journal-";
     /** A journal begins anew once it is this much longer than its first frame, in bytes. */
     private static final long GROWTH_BYTES = 16L << 20;
 
     private final Path folder;
     private final DiskFile.Opener opener;
-    private final Map<ItemName, Item> items = new TreeMap<>();
+    private final Map<ItemName, VersionedItem> items = new TreeMap<>();
     private final Map<String, KeyRecord> records = new HashMap<>();
-    private List<String> voters = List.of();
+    private String diskId;
+    private AcceptorRecord accepted = AcceptorRecord.EMPTY;
     private JournalFile journal;
     private long generation;
     private long firstFrameBytes;
@@ -101,7 +104,8 @@
         }
         items.clear();
         records.clear();
-        voters = List.of();
+        diskId = null;
+        accepted = AcceptorRecord.EMPTY;
         for (byte[] frame : opened.frames()) {
             try {
                 apply(Fields.fromBytes(frame, JournalDisk::readBatch));
@@ -117,13 +121,24 @@
     }
 
     private StoredState state() {
-        return new StoredState(voters, List.copyOf(items.values()), List.copyOf(records.values()), false);
+        return new StoredState(diskId, acceptedWhole(), List.copyOf(records.values()), false);
+    }
+
+    /** What was promised and accepted, with all items. */
+    private AcceptorRecord acceptedWhole() {
+        return new AcceptorRecord(
+                accepted.promised(), accepted.accepted(), accepted.voters(), List.copyOf(items.values()), true);
     }
 
     /** Takes a batch into the state in memory. */
     private void apply(DiskBatch batch) {
-        for (Item item : batch.items()) {
-            items.put(item.name(), item);
+        if (batch.accepted() != null) {
+            AcceptorRecord next = batch.accepted();
+            accepted = new AcceptorRecord(next.promised(), next.accepted(), next.voters(), List.of(), false);
+            if (next.replaces()) {
+                items.clear();
+            }
+            next.items().forEach(entry -> items.put(entry.item().name(), entry));
         }
         for (KeyRecord keyRecord : batch.records()) {
             records.put(keyRecord.key(), keyRecord);
@@ -131,8 +146,8 @@
         for (String key : batch.removedKeys()) {
             records.remove(key);
         }
-        if (batch.voters() != null) {
-            voters = batch.voters();
+        if (batch.diskId() != null) {
+            diskId = batch.diskId();
         }
     }
 
@@ -169,7 +184,7 @@
         Files.deleteIfExists(pathOf(number));
         JournalFile next = JournalFile.open(opener.open(pathOf(number)), Long.hashCode(number))
                 .journal();
-        DiskBatch whole = new DiskBatch(List.copyOf(items.values()), List.copyOf(records.values()), List.of(), voters);
+        DiskBatch whole = new DiskBatch(diskId, acceptedWhole(), List.copyOf(records.values()), List.of());
         try {
             byte[] frame = Fields.toBytes(whole, JournalDisk::writeBatch);
             next.append(frame);
@@ -204,12 +219,16 @@
     }
 
     private static void writeBatch(DiskBatch batch, FieldWriter out) throws IOException {
-        out.number(FORMAT)
-                .flag(batch.voters() != null)
-                .texts(batch.voters() == null ? List.of() : batch.voters())
-                .list(batch.items(), Fields::writeItem)
-                .list(batch.records(), Fields::writeKeyRecord)
-                .texts(batch.removedKeys());
+        out.number(FORMAT).text(batch.diskId()).flag(batch.accepted() != null);
+        if (batch.accepted() != null) {
+            AcceptorRecord next = batch.accepted();
+            out.value(next.promised(), AgreementCodec::writeBallot)
+                    .value(next.accepted(), AgreementCodec::writeStamp)
+                    .value(next.voters(), AgreementCodec::writeVoterSet)
+                    .list(next.items(), AgreementCodec::writeVersionedItem)
+                    .flag(next.replaces());
+        }
+        out.list(batch.records(), Fields::writeKeyRecord).texts(batch.removedKeys());
     }
 
     private static DiskBatch readBatch(FieldReader in) throws IOException {
@@ -217,10 +236,17 @@
         if (format != FORMAT) {
             throw new IOException("format " + format + " is not known");
         }
-        boolean withVoters = in.flag();
-        List<String> batchVoters = in.texts();
-        return new DiskBatch(
-                in.list(Fields::readItem), in.list(Fields::readKeyRecord), in.texts(), withVoters ? batchVoters : null);
+        String name = in.text();
+        AcceptorRecord next = null;
+        if (in.flag()) {
+            next = new AcceptorRecord(
+                    AgreementCodec.readBallot(in),
+                    AgreementCodec.readStamp(in),
+                    AgreementCodec.readVoterSet(in),
+                    in.list(AgreementCodec::readVersionedItem),
+                    in.flag());
+        }
+        return new DiskBatch(name, next, in.list(Fields::readKeyRecord), in.texts());
     }
 
     @Override
@@ -228,7 +254,8 @@
         close();
         items.clear();
         records.clear();
-        voters = List.of();
+        diskId = null;
+        accepted = AcceptorRecord.EMPTY;
         Path aside = folder.resolveSibling(folder.getFileName() + ".unreadable");
         if (Files.exists(aside)) {
             try (Stream<Path> inside = Files.walk(aside)) {
--- /dev/null
+++ b/cdn/src/main/java/ridgemill/cdn/store/KeyTransfer.java
@@ -0,0 +1,99 @@
+package ridgemill.cdn.store;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import ridgemill.cdn.keys.KeyRecord;
+import ridgemill.cdn.quorum.Voter;
+import ridgemill.cdn.quorum.VoterSet;
+import ridgemill.cdn.wire.CallFailure;
+import ridgemill.cdn.wire.Message;
+import ridgemill.cdn.wire.StoreMessages;
+
+/**
+ * Fetches the operation keys for a store that is to become a voter: from a majority of the voters that it joins, each of
+ * which grants nothing in the epoch before any more. A key that was granted by a majority is then on one of them. On the
+ * event loop.
+ */
+final class KeyTransfer {
+
+    private static final long CALL_TIMEOUT_MS = 1_000;
+
+    private final StoreReplica replica;
+    private final StorePeers peers;
+    private final Map<Voter, List<KeyRecord>> taken = new HashMap<>();
+    private final Set<Voter> asking = new HashSet<>();
+    private VoterSet change = VoterSet.UNKNOWN;
+    private boolean writing;
+
+    KeyTransfer(StoreReplica replica, StorePeers peers) {
+        this.replica = replica;
+        this.peers = peers;
+    }
+
+    /** Goes on with what can be done now; called again and again. */
+    void step() {
+        VoterSet wanted = replica.agreement().changeThatNeedsKeys();
+        if (wanted == null) {
+            return;
+        }
+        if (!wanted.equals(change)) {
+            change = wanted;
+            taken.clear();
+            asking.clear();
+            writing = false;
+        }
+        for (Voter voter : change.previous()) {
+            if (!taken.containsKey(voter) && asking.add(voter)) {
+                ask(change, voter, "", new ArrayList<>());
+            }
+        }
+    }
+
+    private void ask(VoterSet forChange, Voter voter, String afterKey, List<KeyRecord> records) {
+        peers.to(voter.address())
+                .call(
+                        callId -> new StoreMessages.PullKeys(callId, afterKey),
+                        CALL_TIMEOUT_MS,
+                        reply -> take(forChange, voter, records, reply));
+    }
+
+    private void take(
+            VoterSet forChange, Voter voter, List<KeyRecord> records, Either<CallFailure, Message.Reply> reply) {
+        if (!forChange.equals(change)) {
+            return;
+        }
+        boolean usable = reply.isRight()
+                && reply.get() instanceof StoreMessages.KeysPage answer
+                && answer.store().equals(voter)
+                && answer.epoch() == forChange.epoch();
+        if (!usable) {
+            asking.remove(voter);
+            return;
+        }
+        StoreMessages.KeysPage page = (StoreMessages.KeysPage) reply.get();
+        records.addAll(page.records());
+        if (page.lastPage()) {
+            asking.remove(voter);
+            taken.put(voter, records);
+            finishIfEnough();
+        } else {
+            ask(forChange, voter, records.get(records.size() - 1).key(), records);
+        }
+    }
+
+    private void finishIfEnough() {
+        VoterSet before = new VoterSet(change.epoch(), change.previous(), List.of());
+        if (writing || !before.isMajority(taken::containsKey)) {
+            return;
+        }
+        writing = true;
+        List<KeyRecord> all = new ArrayList<>();
+        taken.values().forEach(all::addAll);
+        replica.keysPulled(all, change.epoch());
+    }
+}
--- a/cdn/src/main/java/ridgemill/cdn/store/NewsHub.java
+++ b/cdn/src/main/java/ridgemill/cdn/store/NewsHub.java
@@ -12,12 +12,13 @@
 import java.util.function.Supplier;
 import ridgemill.cdn.config.Item;
 import ridgemill.cdn.purge.Purge;
+import ridgemill.cdn.quorum.VoterSet;
 import ridgemill.cdn.wire.Link;
 import ridgemill.cdn.wire.StoreMessages;
 
 /**
- * Numbers the changes of items and the purges of this life and passes them to the subscribers. Changes of late are kept,
- * so that a subscriber that comes back goes on without a gap.
+ * Numbers the decided changes of items and voters and the purges of this life and passes them to the subscribers. Changes
+ * of late are kept, so that a subscriber that comes back goes on without a gap. Nothing is told before it is decided.
  */
 final class NewsHub {
 
@@ -35,6 +36,11 @@
     private final ArrayDeque<StoreMessages.News> kept = new ArrayDeque<>();
     private final Set<String> purgeIds = new LinkedHashSet<>();
     private final Map<Link, Subscriber> subscribers = new LinkedHashMap<>();
+    private final Set<Link> voterFollowers = new LinkedHashSet<>();
+    /** Those who asked before anything was known to be decided. */
+    private final Set<Link> early = new LinkedHashSet<>();
+
+    private VoterSet voters = VoterSet.UNKNOWN;
     private long number;
     private long keptCharacters;
 
@@ -68,6 +74,10 @@
 
     /** Sends what the link has missed, or everything, and each change from now on. */
     void subscribe(Link link, String heardLife, long heardNumber, long nowMs) {
+        if (!voters.isKnown()) {
+            early.add(link);
+            return;
+        }
         Subscriber subscriber = new Subscriber();
         subscriber.behindSinceMs = nowMs;
         subscribers.put(link, subscriber);
@@ -84,6 +94,14 @@
         }
     }
 
+    /** Tells a link who votes, now if that is known and with each change. */
+    void followVoters(Link link) {
+        voterFollowers.add(link);
+        if (voters.isKnown()) {
+            link.send(new StoreMessages.VotersNow(voters));
+        }
+    }
+
     /** Takes note of how far a subscriber is. */
     void acknowledged(Link link, long upTo, long nowMs) {
         Subscriber subscriber = subscribers.get(link);
@@ -97,20 +115,30 @@
     /** Forgets a link that has ended. */
     void closed(Link link) {
         subscribers.remove(link);
+        voterFollowers.remove(link);
+        early.remove(link);
     }
 
-    /** Passes changed items on. */
-    void publishItems(List<Item> changed, long nowMs) {
-        if (!changed.isEmpty()) {
-            publish(new StoreMessages.News(number + 1, List.copyOf(changed), List.of()), nowMs);
+    /** Passes on what was decided: items that changed, and who votes. */
+    void publishDecided(List<Item> changed, VoterSet newest, long nowMs) {
+        boolean moved = newest.isNewerThan(voters);
+        voters = moved ? newest : voters;
+        if (moved || !changed.isEmpty()) {
+            publish(new StoreMessages.News(number + 1, voters, List.copyOf(changed), List.of()), nowMs);
+        }
+        if (moved) {
+            voterFollowers.forEach(link -> link.send(new StoreMessages.VotersNow(voters)));
         }
+        List<Link> waiting = List.copyOf(early);
+        early.clear();
+        waiting.forEach(link -> subscribe(link, "", 0, nowMs));
     }
 
     /** Passes a purge on, unless it was before. */
     void publishPurge(Purge purge, long nowMs) {
         if (purgeIds.add(purge.id())) {
             trimPurges();
-            publish(new StoreMessages.News(number + 1, List.of(), List.of(purge)), nowMs);
+            publish(new StoreMessages.News(number + 1, voters, List.of(), List.of(purge)), nowMs);
         }
     }
 
--- a/cdn/src/main/java/ridgemill/cdn/store/StoreProgram.java
+++ b/cdn/src/main/java/ridgemill/cdn/store/StoreProgram.java
@@ -10,7 +10,11 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import ridgemill.cdn.agreement.AgreementNode;
+import ridgemill.cdn.agreement.NodeSettings;
+import ridgemill.cdn.configuration.ConfigurationRules;
 import ridgemill.cdn.keys.KeyLimits;
+import ridgemill.cdn.quorum.Voter;
 import ridgemill.cdn.settings.Settings;
 import ridgemill.cdn.wire.LinkMessages;
 import ridgemill.cdn.wire.LinkServer;
@@ -25,13 +29,18 @@
 
     private static final System.Logger LOG = System.getLogger(StoreProgram.class.getName());
     private static final String FOLDER = "store";
-    private static final long EXCHANGE_INTERVAL_MS = 1_000;
-    private static final long RECOVERY_INTERVAL_MS = 200;
+    private static final long KEY_TRANSFER_INTERVAL_MS = 100;
+    /** The part of the grace period in which a store that ends waits for another one to vote in its place. */
+    private static final double LEAVE_SHARE = 0.5;
+
     private static final long UPKEEP_INTERVAL_MS = 1_000;
+    /** After how long a disk that refused its name is tried again, in milliseconds. */
+    private static final long NAME_AGAIN_MS = 100;
     /** The share of the heap that key records may fill. */
     private static final int KEY_HEAP_DIVISOR = 4;
 
     private final Settings settings;
+    private final String lifeId;
     private final EventLoop loop;
     private final SocketKind sockets;
     private final DiskQueue disk;
@@ -62,14 +71,15 @@
                 + (long) clock.now()
                 + '-'
                 + Long.toHexString(ThreadLocalRandom.current().nextLong());
+        this.lifeId = lifeId;
         this.disk = new DiskQueue(storeDisk, loop);
         KeyLimits limits = KeyLimits.forWindow(
                 settings.bounds().keyWindowMs(), Runtime.getRuntime().maxMemory() / KEY_HEAP_DIVISOR);
-        this.replica = new StoreReplica(settings.ipAddress(), lifeId, limits, clock, disk);
         LinkMessages.Hello hello = new LinkMessages.Hello(
                 LinkMessages.Hello.PROTOCOL, "store", settings.nodeName(), settings.ipAddress(), lifeId);
-        this.service = new StoreService(replica);
         this.peers = new StorePeers(loop, sockets, hello, settings.storePort());
+        this.replica = new StoreReplica(lifeId, limits, clock, disk, peers);
+        this.service = new StoreService(replica);
     }
 
     /**
@@ -88,18 +98,41 @@
         disk.stop();
     }
 
+    /** The disk has a name before this store says anything to others. */
     private void opened(StoredState state) {
         if (stopped) {
             return;
         }
-        replica.restore(state);
-        if (!replica.quorum().isKnown() && settings.firstStart() && !state.lost()) {
-            replica.form(settings.seedHosts());
+        if (state.diskId() != null) {
+            named(state, state.diskId());
+            return;
         }
+        String diskId = Long.toHexString(ThreadLocalRandom.current().nextLong());
+        disk.submit(DiskBatch.ofDiskId(diskId), written -> {
+            if (written) {
+                named(state, diskId);
+            } else if (!stopped) {
+                loop.schedule(() -> opened(state), NAME_AGAIN_MS, TimeUnit.MILLISECONDS);
+            }
+        });
+    }
+
+    private void named(StoredState state, String diskId) {
         LOG.log(
                 Level.INFO,
-                "event=disk_opened voters=" + state.voters() + " items="
-                        + state.items().size() + " keys=" + state.records().size() + " lost=" + state.lost());
+                "event=disk_opened disk=" + diskId + " epoch="
+                        + state.accepted().voters().epoch() + " items="
+                        + state.accepted().items().size() + " keys="
+                        + state.records().size() + " lost="
+                        + state.lost());
+        NodeSettings node = new NodeSettings(
+                new Voter(settings.ipAddress(), diskId),
+                lifeId,
+                settings.zone(),
+                settings.lossCounted(),
+                settings.seedHosts(),
+                settings.toleratedMachines());
+        replica.start(state, node, new ConfigurationRules());
         InetSocketAddress address = new InetSocketAddress(settings.ipAddress(), settings.storePort());
         LinkServer.open(loop, sockets, address, service).whenComplete((opened, failure) -> {
             if (failure != null) {
@@ -115,18 +148,35 @@
     }
 
     private void startTimers() {
-        ItemExchange exchange = new ItemExchange(replica, peers, settings.ipAddress(), settings.seedHosts());
-        every(EXCHANGE_INTERVAL_MS, exchange::next);
+        KeyTransfer transfer = new KeyTransfer(replica, peers);
+        every(AgreementNode.TICK_MS, () -> replica.agreement().tick(replica.steadyMs()));
+        every(KEY_TRANSFER_INTERVAL_MS, transfer::step);
         every(UPKEEP_INTERVAL_MS, this::upkeep);
-        if (!replica.quorum().isKnown()) {
-            DiskRecovery recovery = new DiskRecovery(replica, peers, settings.ipAddress());
-            recover(recovery);
-        }
     }
 
-    private void recover(DiskRecovery recovery) {
-        if (!stopped && !recovery.step()) {
-            loop.schedule(() -> recover(recovery), RECOVERY_INTERVAL_MS, TimeUnit.MILLISECONDS);
+    /**
+     * Lets another store vote in this one's place, if there is one, then runs the task; at the latest at half of the grace
+     * period.
+     */
+    public void leave(Runnable ended) {
+        loop.execute(() -> {
+            if (server == null) {
+                ended.run();
+                return;
+            }
+            double nowMs = replica.steadyMs();
+            LOG.log(Level.INFO, "event=leaving voter=" + replica.agreement().isVoter());
+            replica.agreement().leave(nowMs);
+            endOnceReplaced(nowMs + LEAVE_SHARE * settings.bounds().gracePeriodMs(), ended);
+        });
+    }
+
+    private void endOnceReplaced(double latestMs, Runnable ended) {
+        double nowMs = replica.steadyMs();
+        if (nowMs >= latestMs || replica.agreement().mayEnd(nowMs)) {
+            ended.run();
+        } else {
+            loop.schedule(() -> endOnceReplaced(latestMs, ended), AgreementNode.TICK_MS, TimeUnit.MILLISECONDS);
         }
     }
 
--- a/cdn/src/main/java/ridgemill/cdn/store/StoreReplica.java
+++ b/cdn/src/main/java/ridgemill/cdn/store/StoreReplica.java
@@ -2,37 +2,57 @@
 
 import java.lang.System.Logger.Level;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import ridgemill.cdn.agreement.AcceptorRecord;
+import ridgemill.cdn.agreement.AgreementEnvironment;
+import ridgemill.cdn.agreement.AgreementMessage;
+import ridgemill.cdn.agreement.AgreementNode;
+import ridgemill.cdn.agreement.ChangeRules;
+import ridgemill.cdn.agreement.NodeSettings;
 import ridgemill.cdn.config.Item;
-import ridgemill.cdn.config.ItemSet;
 import ridgemill.cdn.keys.KeyLimits;
+import ridgemill.cdn.keys.KeyMerge;
 import ridgemill.cdn.keys.KeyRecord;
 import ridgemill.cdn.keys.KeyReplica;
-import ridgemill.cdn.quorum.Quorum;
+import ridgemill.cdn.quorum.Voter;
+import ridgemill.cdn.quorum.VoterSet;
 import ridgemill.cdn.wire.StoreMessages;
 import ridgemill.gateway.net.Clock;
 
-/** What this store holds in memory, and how it gets to the disk and to the subscribers. On the event loop. */
-final class StoreReplica {
+/**
+ * What this store holds in memory, and how it gets to the disk and to the subscribers: its part in the agreement on the
+ * configuration, and its register of operation keys. On the event loop.
+ */
+final class StoreReplica implements AgreementEnvironment {
 
     private static final System.Logger LOG = System.getLogger(StoreReplica.class.getName());
     private static final int EXPIRED_AT_ONCE = 2_000;
 
-    private final String ownAddress;
     private final Clock clock;
     private final DiskQueue disk;
-    private final ItemSet items = new ItemSet();
+    private final StorePeers peers;
     private final KeyReplica keys;
     private final NewsHub news;
-    private Quorum quorum = Quorum.UNKNOWN;
-    private boolean complete;
+    private final String lifeId;
+    private AgreementNode agreement;
+    private Voter self;
 
-    StoreReplica(String ownAddress, String lifeId, KeyLimits limits, Clock clock, DiskQueue disk) {
-        this.ownAddress = ownAddress;
+    /** What the acceptor has told the disk, to be written whole if the disk is begun anew. */
+    private AcceptorRecord lastAccepted = AcceptorRecord.EMPTY;
+
+    private final Map<ridgemill.cdn.config.ItemName, ridgemill.cdn.config.VersionedItem> acceptedItems =
+            new TreeMap<>();
+
+    StoreReplica(String lifeId, KeyLimits limits, Clock clock, DiskQueue disk, StorePeers peers) {
+        this.lifeId = lifeId;
         this.clock = clock;
         this.disk = disk;
+        this.peers = peers;
         this.keys = new KeyReplica(limits);
         this.news = new NewsHub(lifeId, this::snapshot);
     }
@@ -42,18 +62,27 @@
         return (long) clock.now();
     }
 
-    /** The voters as far as they are known. */
-    Quorum quorum() {
-        return quorum;
+    /** Milliseconds of a clock that never steps back. */
+    double steadyMs() {
+        return System.nanoTime() / (double) TimeUnit.MILLISECONDS.toNanos(1);
+    }
+
+    /** Takes over what the disk held and begins to speak with the other stores. */
+    void start(StoredState state, NodeSettings settings, ChangeRules rules) {
+        self = settings.self();
+        keys.restore(state.records());
+        remember(state.accepted());
+        agreement = new AgreementNode(settings, this, rules);
+        agreement.start(state.accepted(), steadyMs());
     }
 
-    /** Whether this store is a voter that holds all that it ever acknowledged. */
-    boolean isVoting() {
-        return complete && quorum.isVoter(ownAddress);
+    AgreementNode agreement() {
+        return agreement;
     }
 
-    ItemSet items() {
-        return items;
+    /** This store. */
+    Voter self() {
+        return self;
     }
 
     KeyReplica keys() {
@@ -64,60 +93,76 @@
         return news;
     }
 
-    /** Takes over what the disk held. A disk that names the voters is complete. */
-    void restore(StoredState state) {
-        items.mergeAll(state.items());
-        keys.restore(state.records());
-        if (!state.voters().isEmpty()) {
-            quorum = new Quorum(state.voters());
-            complete = true;
-        }
+    /** The epoch in which this store grants keys and takes purges. */
+    long epoch() {
+        return agreement.voters().epoch();
     }
 
-    /** The very first start: there is nothing that this store could have forgotten. */
-    void form(List<String> voters) {
-        quorum = new Quorum(voters);
-        complete = true;
-        LOG.log(Level.INFO, "event=formed voters=" + quorum.voters());
-        disk.submit(DiskBatch.ofVoters(quorum.voters()), written -> {});
+    @Override
+    public void send(String address, AgreementMessage message) {
+        peers.to(address).send(new StoreMessages.Agreement(message));
+    }
+
+    @Override
+    public void persist(AcceptorRecord record, Runnable durable) {
+        remember(record);
+        disk.submit(DiskBatch.ofAccepted(record), written -> {
+            if (written) {
+                durable.run();
+                agreement.persisted(steadyMs());
+            }
+        });
     }
 
-    /** The voters were learned from another store. One that is no voter needs no recovery. */
-    void learn(Quorum learned) {
-        quorum = learned;
-        LOG.log(Level.INFO, "event=voters_learned voters=" + learned.voters());
-        if (!learned.isVoter(ownAddress)) {
-            complete = true;
-            disk.submit(DiskBatch.ofVoters(learned.voters()), written -> {});
+    private void remember(AcceptorRecord record) {
+        lastAccepted = record;
+        if (record.replaces()) {
+            acceptedItems.clear();
         }
+        record.items().forEach(entry -> acceptedItems.put(entry.item().name(), entry));
     }
 
-    /** Takes over what the other voters hold; this store votes once all of it is on disk. */
-    void recovered(List<KeyRecord> merged, Consumer<Boolean> done) {
-        keys.restore(merged);
-        disk.submit(everything(), written -> {
-            complete |= written;
-            LOG.log(Level.INFO, "event=recovered durable=" + written + " keys=" + keys.size());
-            done.accept(written);
-        });
+    @Override
+    public void decided(List<Item> changed, VoterSet voters) {
+        LOG.log(
+                Level.INFO,
+                "event=decided items=" + changed.size() + " epoch=" + voters.epoch() + " voters=" + voters.voters()
+                        + " previous=" + voters.previous());
+        news.publishDecided(changed, voters, nowMs());
     }
 
-    /** Writes all that is in memory to a disk that was begun anew. */
-    void writeAll() {
-        disk.submit(everything(), written -> {});
+    @Override
+    public double random() {
+        return ThreadLocalRandom.current().nextDouble();
     }
 
-    /** All that is in memory, as a batch. */
-    private DiskBatch everything() {
-        List<String> voters = quorum.isKnown() ? quorum.voters() : null;
-        return new DiskBatch(new ArrayList<>(items.all()), keys.all(), List.of(), voters);
+    /** Takes over the keys that other voters hold; this store votes on keys once all of them are on disk. */
+    void keysPulled(List<KeyRecord> pulled, long epoch) {
+        Map<String, KeyMerge> merges = new TreeMap<>();
+        pulled.forEach(
+                record -> merges.computeIfAbsent(record.key(), KeyMerge::new).add(record));
+        for (KeyRecord own : keys.all()) {
+            merges.computeIfAbsent(own.key(), KeyMerge::new).add(own);
+        }
+        List<KeyRecord> merged = merges.values().stream().map(KeyMerge::outcome).toList();
+        keys.restore(merged);
+        disk.submit(DiskBatch.ofRecords(merged), written -> {
+            LOG.log(Level.INFO, "event=keys_complete epoch=" + epoch + " keys=" + keys.size() + " durable=" + written);
+            if (written) {
+                agreement.keysComplete(epoch, steadyMs());
+            }
+        });
     }
 
-    /** Merges item versions, passes on what was new, and tells whether all of them are on disk. */
-    void mergeItems(Collection<Item> versions, Consumer<Boolean> done) {
-        List<Item> changed = items.mergeAll(versions);
-        news.publishItems(changed, nowMs());
-        disk.submit(DiskBatch.ofItems(changed), done);
+    /** Writes all that is in memory to a disk that was begun anew. */
+    void writeAll() {
+        AcceptorRecord whole = new AcceptorRecord(
+                lastAccepted.promised(),
+                lastAccepted.accepted(),
+                lastAccepted.voters(),
+                List.copyOf(acceptedItems.values()),
+                true);
+        disk.submit(new DiskBatch(self.diskId(), whole, keys.all(), List.of()), written -> {});
     }
 
     /** Writes a key record; null waits for what was written before. */
@@ -134,6 +179,11 @@
     }
 
     private StoreMessages.Snapshot snapshot() {
-        return new StoreMessages.Snapshot(news.lifeId(), news.number(), quorum.voters(), new ArrayList<>(items.all()));
+        return new StoreMessages.Snapshot(
+                lifeId,
+                news.number(),
+                self,
+                agreement.decidedVoters(),
+                new ArrayList<>(agreement.decidedItems().all()));
     }
 }
--- a/cdn/src/main/java/ridgemill/cdn/store/StoreService.java
+++ b/cdn/src/main/java/ridgemill/cdn/store/StoreService.java
@@ -5,7 +5,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
-import ridgemill.cdn.config.Item;
+import ridgemill.cdn.agreement.OrderResult;
 import ridgemill.cdn.keys.KeyRecord;
 import ridgemill.cdn.keys.KeyState;
 import ridgemill.cdn.keys.KeyVote;
@@ -46,7 +46,9 @@
 
     @Override
     public void received(Link link, Message message) {
-        if (message instanceof StoreMessages.ClaimKey claim) {
+        if (message instanceof StoreMessages.Agreement agreement) {
+            replica.agreement().receive(agreement.content(), replica.steadyMs());
+        } else if (message instanceof StoreMessages.ClaimKey claim) {
             claim(link, claim);
         } else if (message instanceof StoreMessages.FinishKey finish) {
             finish(link, finish);
@@ -56,14 +58,15 @@
             replica.news().acknowledged(link, acknowledged.number(), replica.nowMs());
         } else if (message instanceof StoreMessages.Subscribe subscribe) {
             replica.news().subscribe(link, subscribe.lifeId(), subscribe.number(), replica.nowMs());
-        } else if (message instanceof StoreMessages.WriteItems write) {
-            replica.mergeItems(write.items(), written -> answer(link, write, written));
-        } else if (message instanceof StoreMessages.WritePurge write) {
-            replica.news().publishPurge(write.purge(), replica.nowMs());
-            link.send(new StoreMessages.Written(write.callId(), true));
+        } else if (message instanceof StoreMessages.FollowVoters) {
+            replica.news().followVoters(link);
+        } else if (message instanceof StoreMessages.ChangeItems change) {
+            change(link, change);
         } else if (message instanceof StoreMessages.ReadItems read) {
-            link.send(new StoreMessages.ItemsRead(read.callId(), replica.isVoting(), allItems()));
-        } else if (message instanceof StoreMessages.PullState pull) {
+            read(link, read);
+        } else if (message instanceof StoreMessages.WritePurge write) {
+            purge(link, write);
+        } else if (message instanceof StoreMessages.PullKeys pull) {
             link.send(page(pull));
         } else {
             LOG.log(Level.WARNING, "event=message_not_known kind=" + message.kind());
@@ -71,13 +74,52 @@
         }
     }
 
+    private void change(Link link, StoreMessages.ChangeItems change) {
+        double nowMs = replica.steadyMs();
+        replica.agreement()
+                .order(
+                        change.items(),
+                        change.insist(),
+                        nowMs,
+                        nowMs + change.budgetMs(),
+                        result -> link.send(new StoreMessages.ItemsChanged(change.callId(), result)));
+    }
+
+    private void read(Link link, StoreMessages.ReadItems read) {
+        double nowMs = replica.steadyMs();
+        replica.agreement()
+                .read(
+                        read.insist(),
+                        nowMs,
+                        nowMs + read.budgetMs(),
+                        items -> link.send(new StoreMessages.ItemsRead(
+                                read.callId(),
+                                items == null ? OrderResult.Outcome.UNKNOWN : OrderResult.Outcome.CONFIRMED,
+                                "",
+                                items == null ? List.of() : List.copyOf(items))),
+                        leader -> link.send(new StoreMessages.ItemsRead(
+                                read.callId(), OrderResult.Outcome.NOT_LEADER, leader, List.of())));
+    }
+
+    /** Passes a purge on. It counts only if its caller asked the voters of this store's epoch. */
+    private void purge(Link link, StoreMessages.WritePurge write) {
+        replica.news().publishPurge(write.purge(), replica.nowMs());
+        boolean counts = replica.agreement().isVoter() && write.epoch() == replica.epoch();
+        link.send(new StoreMessages.Written(write.callId(), replica.self(), counts));
+    }
+
     private void answer(Link link, Message.Call call, boolean written) {
-        link.send(new StoreMessages.Written(call.callId(), written && replica.isVoting()));
+        boolean counts = written && replica.agreement().isVoter();
+        link.send(new StoreMessages.Written(call.callId(), replica.self(), counts));
     }
 
-    /** Grants a key, or says who has it; a grant is sent once it is on disk. */
+    /** Grants a key, or says who has it; a grant is sent once it is on disk, if the epoch is still the same. */
     private void claim(Link link, StoreMessages.ClaimKey claim) {
-        if (!replica.isVoting()) {
+        if (claim.epoch() != replica.epoch()) {
+            link.send(notVoting(claim, StoreMessages.KeyStatus.Availability.OTHER_EPOCH));
+            return;
+        }
+        if (!replica.agreement().mayVoteOnKeys()) {
             link.send(unavailable(claim));
             return;
         }
@@ -93,19 +135,25 @@
     }
 
     private static StoreMessages.KeyStatus status(StoreMessages.ClaimKey claim, KeyRecord held) {
-        return new StoreMessages.KeyStatus(claim.callId(), true, held.state(), held.claimId(), held.answer());
+        return new StoreMessages.KeyStatus(
+                claim.callId(),
+                StoreMessages.KeyStatus.Availability.VOTES,
+                held.state(),
+                held.claimId(),
+                held.answer());
     }
 
     private static StoreMessages.KeyStatus unavailable(StoreMessages.ClaimKey claim) {
-        return new StoreMessages.KeyStatus(claim.callId(), false, KeyState.RELEASED, "", null);
+        return notVoting(claim, StoreMessages.KeyStatus.Availability.UNAVAILABLE);
+    }
+
+    private static StoreMessages.KeyStatus notVoting(
+            StoreMessages.ClaimKey claim, StoreMessages.KeyStatus.Availability why) {
+        return new StoreMessages.KeyStatus(claim.callId(), why, KeyState.RELEASED, "", null);
     }
 
     /** Records the answer of an operation. A second answer for a key is a fault of the system, which is logged. */
     private void finish(Link link, StoreMessages.FinishKey finish) {
-        if (!replica.isVoting()) {
-            answer(link, finish, false);
-            return;
-        }
         KeyRecord held = replica.keys().finish(finish.key(), finish.claimId(), finish.answer(), replica.nowMs());
         if (!held.claimId().equals(finish.claimId())) {
             LOG.log(
@@ -117,32 +165,16 @@
     }
 
     private void release(Link link, StoreMessages.ReleaseKey release) {
-        if (!replica.isVoting()) {
-            answer(link, release, false);
-            return;
-        }
         KeyRecord changed = replica.keys().release(release.key(), release.claimId(), replica.nowMs());
         replica.store(changed, written -> answer(link, release, written));
     }
 
-    /** A page of what this store holds; the items come with the first one, unless the caller has the same. */
-    private StoreMessages.StatePage page(StoreMessages.PullState pull) {
-        boolean first = pull.afterKey().isEmpty();
-        boolean itemsDiffer = first && pull.itemsDigest() != replica.items().digest();
-        List<KeyRecord> records =
-                pull.withKeys() ? replica.keys().page(pull.afterKey(), PAGE_RECORDS, PAGE_BYTES) : List.of();
+    /** A page of the operation keys that this store holds. */
+    private StoreMessages.KeysPage page(StoreMessages.PullKeys pull) {
+        List<KeyRecord> records = replica.keys().page(pull.afterKey(), PAGE_RECORDS, PAGE_BYTES);
         boolean last = records.isEmpty()
                 || replica.keys().isLast(records.get(records.size() - 1).key());
-        return new StoreMessages.StatePage(
-                pull.callId(),
-                replica.isVoting(),
-                replica.quorum().voters(),
-                itemsDiffer ? allItems() : List.of(),
-                records,
-                last);
-    }
-
-    private List<Item> allItems() {
-        return new ArrayList<>(replica.items().all());
+        long epoch = replica.agreement().decidedVoters().epoch();
+        return new StoreMessages.KeysPage(pull.callId(), replica.self(), epoch, records, last);
     }
 }
--- /dev/null
+++ b/cdn/src/main/java/ridgemill/cdn/wire/AgreementCodec.java
@@ -0,0 +1,211 @@
+package ridgemill.cdn.wire;
+
+import java.io.IOException;
+import ridgemill.cdn.agreement.AgreementMessage;
+import ridgemill.cdn.agreement.Ballot;
+import ridgemill.cdn.agreement.Stamp;
+import ridgemill.cdn.agreement.Step;
+import ridgemill.cdn.config.PastVersion;
+import ridgemill.cdn.config.VersionedItem;
+import ridgemill.cdn.quorum.Voter;
+import ridgemill.cdn.quorum.VoterSet;
+
+/** How the messages between stores, and the values in them, are written. The disk uses the same form for the values. */
+public final class AgreementCodec {
+
+    /** The number of a message's type; one keeps its number for ever. */
+    private enum Type {
+        STATUS,
+        PREPARE,
+        PROMISE,
+        ACCEPT,
+        ACCEPTED,
+        REFUSED,
+        CONFIRM,
+        CONFIRMED,
+        PULL,
+        DIFFERENCE,
+        PAGE
+    }
+
+    private AgreementCodec() {}
+
+    /** Writes a message with its type and sender. */
+    static void write(AgreementMessage message, FieldWriter out) throws IOException {
+        if (message instanceof AgreementMessage.Status status) {
+            begin(Type.STATUS, message, out);
+            writeStatus(status, out);
+        } else if (message instanceof AgreementMessage.Prepare prepare) {
+            begin(Type.PREPARE, message, out);
+            writeBallot(prepare.ballot(), out);
+        } else if (message instanceof AgreementMessage.Promise promise) {
+            begin(Type.PROMISE, message, out);
+            writeBallot(promise.ballot(), out);
+            writeStamp(promise.accepted(), out);
+            writeVoterSet(promise.voters(), out);
+        } else if (message instanceof AgreementMessage.Accept accept) {
+            begin(Type.ACCEPT, message, out);
+            writeStep(accept.step(), out);
+        } else if (message instanceof AgreementMessage.Accepted accepted) {
+            begin(Type.ACCEPTED, message, out);
+            writeStamp(accepted.stamp(), out);
+        } else if (message instanceof AgreementMessage.Refused refused) {
+            begin(Type.REFUSED, message, out);
+            writeBallot(refused.asked(), out);
+            writeBallot(refused.promised(), out);
+        } else if (message instanceof AgreementMessage.Confirm confirm) {
+            begin(Type.CONFIRM, message, out);
+            writeBallot(confirm.ballot(), out);
+            out.number(confirm.number());
+        } else if (message instanceof AgreementMessage.Confirmed confirmed) {
+            begin(Type.CONFIRMED, message, out);
+            writeBallot(confirmed.ballot(), out);
+            out.number(confirmed.number());
+        } else {
+            writeTransfer(message, out);
+        }
+    }
+
+    private static void begin(Type type, AgreementMessage message, FieldWriter out) throws IOException {
+        out.number(type.ordinal());
+        writeVoter(message.from(), out);
+    }
+
+    private static void writeStatus(AgreementMessage.Status status, FieldWriter out) throws IOException {
+        out.text(status.zone()).flag(status.eligible()).flag(status.leaving()).flag(status.leading());
+        writeBallot(status.promised(), out);
+        writeStamp(status.accepted(), out);
+        writeStamp(status.decided(), out);
+        writeVoterSet(status.voters(), out);
+        out.number(status.completeEpoch()).texts(status.known());
+    }
+
+    private static void writeTransfer(AgreementMessage message, FieldWriter out) throws IOException {
+        if (message instanceof AgreementMessage.Pull pull) {
+            begin(Type.PULL, message, out);
+            out.text(pull.transfer());
+            writeStamp(pull.have(), out);
+            out.number(pull.page());
+        } else if (message instanceof AgreementMessage.Difference difference) {
+            begin(Type.DIFFERENCE, message, out);
+            out.text(difference.transfer());
+            writeStamp(difference.decided(), out);
+            out.list(difference.steps(), AgreementCodec::writeStep);
+        } else if (message instanceof AgreementMessage.Page page) {
+            begin(Type.PAGE, message, out);
+            out.text(page.transfer());
+            writeStamp(page.decided(), out);
+            out.number(page.page()).number(page.pages());
+            writeStamp(page.stamp(), out);
+            writeVoterSet(page.voters(), out);
+            out.list(page.items(), AgreementCodec::writeVersionedItem).number(page.digest());
+        }
+    }
+
+    /** Reads what {@link #write} wrote. */
+    static AgreementMessage read(FieldReader in) throws IOException {
+        Type type = in.oneOf(Type.values());
+        Voter from = readVoter(in);
+        return switch (type) {
+            case STATUS ->
+                new AgreementMessage.Status(
+                        from,
+                        in.text(),
+                        in.flag(),
+                        in.flag(),
+                        in.flag(),
+                        readBallot(in),
+                        readStamp(in),
+                        readStamp(in),
+                        readVoterSet(in),
+                        in.number(),
+                        in.texts());
+            case PREPARE -> new AgreementMessage.Prepare(from, readBallot(in));
+            case PROMISE -> new AgreementMessage.Promise(from, readBallot(in), readStamp(in), readVoterSet(in));
+            case ACCEPT -> new AgreementMessage.Accept(from, readStep(in));
+            case ACCEPTED -> new AgreementMessage.Accepted(from, readStamp(in));
+            case REFUSED -> new AgreementMessage.Refused(from, readBallot(in), readBallot(in));
+            case CONFIRM -> new AgreementMessage.Confirm(from, readBallot(in), in.number());
+            case CONFIRMED -> new AgreementMessage.Confirmed(from, readBallot(in), in.number());
+            case PULL -> new AgreementMessage.Pull(from, in.text(), readStamp(in), in.smallNumber());
+            case DIFFERENCE ->
+                new AgreementMessage.Difference(from, in.text(), readStamp(in), in.list(AgreementCodec::readStep));
+            case PAGE ->
+                new AgreementMessage.Page(
+                        from,
+                        in.text(),
+                        readStamp(in),
+                        in.smallNumber(),
+                        in.smallNumber(),
+                        readStamp(in),
+                        readVoterSet(in),
+                        in.list(AgreementCodec::readVersionedItem),
+                        in.number());
+        };
+    }
+
+    /** Writes a voter. */
+    public static void writeVoter(Voter voter, FieldWriter out) throws IOException {
+        out.text(voter.address()).text(voter.diskId());
+    }
+
+    /** Reads a voter. */
+    public static Voter readVoter(FieldReader in) throws IOException {
+        return new Voter(in.text(), in.text());
+    }
+
+    /** Writes the voters of an epoch. */
+    public static void writeVoterSet(VoterSet voters, FieldWriter out) throws IOException {
+        out.number(voters.epoch())
+                .list(voters.voters(), AgreementCodec::writeVoter)
+                .list(voters.previous(), AgreementCodec::writeVoter);
+    }
+
+    /** Reads the voters of an epoch. */
+    public static VoterSet readVoterSet(FieldReader in) throws IOException {
+        return new VoterSet(in.number(), in.list(AgreementCodec::readVoter), in.list(AgreementCodec::readVoter));
+    }
+
+    /** Writes a ballot. */
+    public static void writeBallot(Ballot ballot, FieldWriter out) throws IOException {
+        out.number(ballot.round()).text(ballot.proposer());
+    }
+
+    /** Reads a ballot. */
+    public static Ballot readBallot(FieldReader in) throws IOException {
+        return new Ballot(in.number(), in.text());
+    }
+
+    /** Writes the stamp of a state. */
+    public static void writeStamp(Stamp stamp, FieldWriter out) throws IOException {
+        writeBallot(stamp.ballot(), out);
+        out.number(stamp.revision());
+    }
+
+    /** Reads the stamp of a state. */
+    public static Stamp readStamp(FieldReader in) throws IOException {
+        return new Stamp(readBallot(in), in.number());
+    }
+
+    private static void writeStep(Step step, FieldWriter out) throws IOException {
+        writeStamp(step.base(), out);
+        writeStamp(step.stamp(), out);
+        writeVoterSet(step.voters(), out);
+        out.list(step.items(), AgreementCodec::writeVersionedItem);
+    }
+
+    private static Step readStep(FieldReader in) throws IOException {
+        return new Step(readStamp(in), readStamp(in), readVoterSet(in), in.list(AgreementCodec::readVersionedItem));
+    }
+
+    /** Writes an item with its history. */
+    public static void writeVersionedItem(VersionedItem entry, FieldWriter out) throws IOException {
+        Fields.writeItem(entry.item(), out);
+        out.list(entry.past(), (past, to) -> to.number(past.version()).number(past.contentDigest()));
+    }
+
+    /** Reads an item with its history. */
+    public static VersionedItem readVersionedItem(FieldReader in) throws IOException {
+        return new VersionedItem(Fields.readItem(in), in.list(from -> new PastVersion(from.number(), from.number())));
+    }
+}
--- a/cdn/src/main/java/ridgemill/cdn/wire/FieldWriter.java
+++ b/cdn/src/main/java/ridgemill/cdn/wire/FieldWriter.java
@@ -59,6 +59,12 @@
         return this;
     }
 
+    /** Writes a value of several fields. */
+    public <T> FieldWriter value(T value, ElementWriter<T> element) throws IOException {
+        element.write(value, this);
+        return this;
+    }
+
     /** Writes a list. */
     public <T> FieldWriter list(Collection<T> values, ElementWriter<T> element) throws IOException {
         packer.packArrayHeader(values.size());
--- a/cdn/src/main/java/ridgemill/cdn/wire/LinkMessages.java
+++ b/cdn/src/main/java/ridgemill/cdn/wire/LinkMessages.java
@@ -20,7 +20,7 @@
             implements Message {
 
         /** The version of the protocol that this build speaks. */
-        public static final int PROTOCOL = 1;
+        public static final int PROTOCOL = 2;
 
         @Override
         public MessageKind kind() {
--- a/cdn/src/main/java/ridgemill/cdn/wire/RegistryMessages.java
+++ b/cdn/src/main/java/ridgemill/cdn/wire/RegistryMessages.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.List;
 import ridgemill.cdn.instances.Instance;
+import ridgemill.cdn.quorum.VoterSet;
 
 /** Messages to and from the registry. */
 public final class RegistryMessages {
@@ -56,7 +57,7 @@
      * @param number the number of the last change that the snapshot holds
      * @param settled whether the registry has run for long enough to know all instances
      * @param registries the IP addresses of all known core machines
-     * @param voters the IP addresses of the voting stores; empty while unknown
+     * @param voters the voting stores; none while unknown
      * @param proxyCount how many edge proxies were heard lately
      * @param instances all known instances, those that left included
      * @param silent identifiers of instances that have not been heard for too long
@@ -66,7 +67,7 @@
             long number,
             boolean settled,
             List<String> registries,
-            List<String> voters,
+            VoterSet voters,
             int proxyCount,
             List<Instance> instances,
             List<String> silent)
@@ -83,7 +84,7 @@
                     .number(number)
                     .flag(settled)
                     .texts(registries)
-                    .texts(voters)
+                    .value(voters, AgreementCodec::writeVoterSet)
                     .number(proxyCount)
                     .list(instances, Fields::writeInstance)
                     .texts(silent);
@@ -95,7 +96,7 @@
                     in.number(),
                     in.flag(),
                     in.texts(),
-                    in.texts(),
+                    AgreementCodec.readVoterSet(in),
                     in.smallNumber(),
                     in.list(Fields::readInstance),
                     in.texts());
@@ -108,7 +109,7 @@
      * @param number the number of this change
      * @param settled whether the registry has run for long enough to know all instances
      * @param registries the IP addresses of all known core machines
-     * @param voters the IP addresses of the voting stores; empty while unknown
+     * @param voters the voting stores; none while unknown
      * @param proxyCount how many edge proxies were heard lately
      * @param instances instances that changed
      * @param silent identifiers of all instances that have not been heard for too long
@@ -117,7 +118,7 @@
             long number,
             boolean settled,
             List<String> registries,
-            List<String> voters,
+            VoterSet voters,
             int proxyCount,
             List<Instance> instances,
             List<String> silent)
@@ -133,7 +134,7 @@
             out.number(number)
                     .flag(settled)
                     .texts(registries)
-                    .texts(voters)
+                    .value(voters, AgreementCodec::writeVoterSet)
                     .number(proxyCount)
                     .list(instances, Fields::writeInstance)
                     .texts(silent);
@@ -144,7 +145,7 @@
                     in.number(),
                     in.flag(),
                     in.texts(),
-                    in.texts(),
+                    AgreementCodec.readVoterSet(in),
                     in.smallNumber(),
                     in.list(Fields::readInstance),
                     in.texts());
@@ -178,12 +179,12 @@
      *
      * @param callId the number of the call
      * @param registries the IP addresses of all known core machines
-     * @param voters the IP addresses of the voting stores; empty while unknown
+     * @param voters the voting stores; none while unknown
      * @param proxies names of the edge proxies that are connected to the sender
      * @param instances instances that changed, or all of them
      */
     public record PeerUpdate(
-            long callId, List<String> registries, List<String> voters, List<String> proxies, List<Instance> instances)
+            long callId, List<String> registries, VoterSet voters, List<String> proxies, List<Instance> instances)
             implements Message.Call {
 
         @Override
@@ -193,11 +194,20 @@
 
         @Override
         public void write(FieldWriter out) throws IOException {
-            out.number(callId).texts(registries).texts(voters).texts(proxies).list(instances, Fields::writeInstance);
+            out.number(callId)
+                    .texts(registries)
+                    .value(voters, AgreementCodec::writeVoterSet)
+                    .texts(proxies)
+                    .list(instances, Fields::writeInstance);
         }
 
         static PeerUpdate read(FieldReader in) throws IOException {
-            return new PeerUpdate(in.number(), in.texts(), in.texts(), in.texts(), in.list(Fields::readInstance));
+            return new PeerUpdate(
+                    in.number(),
+                    in.texts(),
+                    AgreementCodec.readVoterSet(in),
+                    in.texts(),
+                    in.list(Fields::readInstance));
         }
     }
 
