--- a/cdn/src/main/java/ridgemill/cdn/wire/StoreMessages.java
+++ b/cdn/src/main/java/ridgemill/cdn/wire/StoreMessages.java
@@ -2,10 +2,14 @@
 
 import java.io.IOException;
 import java.util.List;
+import ridgemill.cdn.agreement.AgreementMessage;
+import ridgemill.cdn.agreement.OrderResult;
 import ridgemill.cdn.config.Item;
 import ridgemill.cdn.keys.KeyRecord;
 import ridgemill.cdn.keys.KeyState;
 import ridgemill.cdn.purge.Purge;
+import ridgemill.cdn.quorum.Voter;
+import ridgemill.cdn.quorum.VoterSet;
 
 /** Messages to and from the configuration store. */
 public final class StoreMessages {
@@ -40,10 +44,12 @@
      *
      * @param lifeId the life of the store
      * @param number the number of the last change that the snapshot holds
-     * @param voters the IP addresses of the voters
-     * @param items all items, drops included
+     * @param store the store that speaks
+     * @param voters the voters of the newest decided state
+     * @param items all decided items, drops included
      */
-    public record Snapshot(String lifeId, long number, List<String> voters, List<Item> items) implements Message {
+    public record Snapshot(String lifeId, long number, Voter store, VoterSet voters, List<Item> items)
+            implements Message {
 
         @Override
         public MessageKind kind() {
@@ -52,11 +58,19 @@
 
         @Override
         public void write(FieldWriter out) throws IOException {
-            out.text(lifeId).number(number).texts(voters).list(items, Fields::writeItem);
+            out.text(lifeId).number(number);
+            AgreementCodec.writeVoter(store, out);
+            AgreementCodec.writeVoterSet(voters, out);
+            out.list(items, Fields::writeItem);
         }
 
         static Snapshot read(FieldReader in) throws IOException {
-            return new Snapshot(in.text(), in.number(), in.texts(), in.list(Fields::readItem));
+            return new Snapshot(
+                    in.text(),
+                    in.number(),
+                    AgreementCodec.readVoter(in),
+                    AgreementCodec.readVoterSet(in),
+                    in.list(Fields::readItem));
         }
     }
 
@@ -64,10 +78,11 @@
      * A numbered change; numbers follow one another without a gap.
      *
      * @param number the number of this change
-     * @param items items that are newer than before
+     * @param voters the voters of the newest decided state
+     * @param items decided items that are newer than before
      * @param purges purges to carry out
      */
-    public record News(long number, List<Item> items, List<Purge> purges) implements Message {
+    public record News(long number, VoterSet voters, List<Item> items, List<Purge> purges) implements Message {
 
         @Override
         public MessageKind kind() {
@@ -76,11 +91,17 @@
 
         @Override
         public void write(FieldWriter out) throws IOException {
-            out.number(number).list(items, Fields::writeItem).list(purges, Fields::writePurge);
+            out.number(number);
+            AgreementCodec.writeVoterSet(voters, out);
+            out.list(items, Fields::writeItem).list(purges, Fields::writePurge);
         }
 
         static News read(FieldReader in) throws IOException {
-            return new News(in.number(), in.list(Fields::readItem), in.list(Fields::readPurge));
+            return new News(
+                    in.number(),
+                    AgreementCodec.readVoterSet(in),
+                    in.list(Fields::readItem),
+                    in.list(Fields::readPurge));
         }
     }
 
@@ -106,26 +127,111 @@
         }
     }
 
+    /** Asks to be told who votes, now and from now on; answered by {@link VotersNow}, again with each change. */
+    public record FollowVoters() implements Message {
+
+        @Override
+        public MessageKind kind() {
+            return MessageKind.FOLLOW_VOTERS;
+        }
+
+        @Override
+        public void write(FieldWriter out) {}
+
+        static FollowVoters read(FieldReader in) {
+            return new FollowVoters();
+        }
+    }
+
     /**
-     * Stores item versions; answered by {@link Written} once they are on disk.
+     * Who votes.
+     *
+     * @param voters the voters of the newest decided state
+     */
+    public record VotersNow(VoterSet voters) implements Message {
+
+        @Override
+        public MessageKind kind() {
+            return MessageKind.VOTERS_NOW;
+        }
+
+        @Override
+        public void write(FieldWriter out) throws IOException {
+            AgreementCodec.writeVoterSet(voters, out);
+        }
+
+        static VotersNow read(FieldReader in) throws IOException {
+            return new VotersNow(AgreementCodec.readVoterSet(in));
+        }
+    }
+
+    /**
+     * A message of the agreement between stores.
+     *
+     * @param content what it says
+     */
+    public record Agreement(AgreementMessage content) implements Message {
+
+        @Override
+        public MessageKind kind() {
+            return MessageKind.AGREEMENT;
+        }
+
+        @Override
+        public void write(FieldWriter out) throws IOException {
+            AgreementCodec.write(content, out);
+        }
+
+        static Agreement read(FieldReader in) throws IOException {
+            return new Agreement(AgreementCodec.read(in));
+        }
+    }
+
+    /**
+     * Orders a change of the configuration; answered by {@link ItemsChanged}.
+     *
+     * @param callId the number of the call
+     * @param insist whether the store is to lead although another one does, as that one could not be reached
+     * @param budgetMs how long the caller waits, in milliseconds
+     * @param items the versions to set or drop, all or none
+     */
+    public record ChangeItems(long callId, boolean insist, long budgetMs, List<Item> items) implements Message.Call {
+
+        @Override
+        public MessageKind kind() {
+            return MessageKind.CHANGE_ITEMS;
+        }
+
+        @Override
+        public void write(FieldWriter out) throws IOException {
+            out.number(callId).flag(insist).number(budgetMs).list(items, Fields::writeItem);
+        }
+
+        static ChangeItems read(FieldReader in) throws IOException {
+            return new ChangeItems(in.number(), in.flag(), in.number(), in.list(Fields::readItem));
+        }
+    }
+
+    /**
+     * Answers {@link ChangeItems}.
      *
      * @param callId the number of the call
-     * @param items the versions to merge
+     * @param result what became of the order
      */
-    public record WriteItems(long callId, List<Item> items) implements Message.Call {
+    public record ItemsChanged(long callId, OrderResult result) implements Message.Reply {
 
         @Override
         public MessageKind kind() {
-            return MessageKind.WRITE_ITEMS;
+            return MessageKind.ITEMS_CHANGED;
         }
 
         @Override
         public void write(FieldWriter out) throws IOException {
-            out.number(callId).list(items, Fields::writeItem);
+            out.number(callId).number(result.outcome().ordinal()).text(result.detail());
         }
 
-        static WriteItems read(FieldReader in) throws IOException {
-            return new WriteItems(in.number(), in.list(Fields::readItem));
+        static ItemsChanged read(FieldReader in) throws IOException {
+            return new ItemsChanged(in.number(), new OrderResult(in.oneOf(OrderResult.Outcome.values()), in.text()));
         }
     }
 
@@ -133,9 +239,10 @@
      * Answers a write.
      *
      * @param callId the number of the call
+     * @param store the store that answers
      * @param durable whether what was sent is on disk; if not, it may be later
      */
-    public record Written(long callId, boolean durable) implements Message.Reply {
+    public record Written(long callId, Voter store, boolean durable) implements Message.Reply {
 
         @Override
         public MessageKind kind() {
@@ -144,20 +251,24 @@
 
         @Override
         public void write(FieldWriter out) throws IOException {
-            out.number(callId).flag(durable);
+            out.number(callId);
+            AgreementCodec.writeVoter(store, out);
+            out.flag(durable);
         }
 
         static Written read(FieldReader in) throws IOException {
-            return new Written(in.number(), in.flag());
+            return new Written(in.number(), AgreementCodec.readVoter(in), in.flag());
         }
     }
 
     /**
-     * Asks for all items; answered by {@link ItemsRead}.
+     * Asks for the newest decided items; answered by {@link ItemsRead}.
      *
      * @param callId the number of the call
+     * @param insist as with {@link ChangeItems}
+     * @param budgetMs how long the caller waits, in milliseconds
      */
-    public record ReadItems(long callId) implements Message.Call {
+    public record ReadItems(long callId, boolean insist, long budgetMs) implements Message.Call {
 
         @Override
         public MessageKind kind() {
@@ -166,11 +277,11 @@
 
         @Override
         public void write(FieldWriter out) throws IOException {
-            out.number(callId);
+            out.number(callId).flag(insist).number(budgetMs);
         }
 
         static ReadItems read(FieldReader in) throws IOException {
-            return new ReadItems(in.number());
+            return new ReadItems(in.number(), in.flag(), in.number());
         }
     }
 
@@ -178,10 +289,12 @@
      * Answers {@link ReadItems}.
      *
      * @param callId the number of the call
-     * @param complete whether the replica holds all that it ever acknowledged; a replica that is recovering does not
+     * @param outcome confirmed if a majority confirmed the items after the call came
+     * @param leader the IP address of the store that leads if another one does; else empty
      * @param items all items, drops included
      */
-    public record ItemsRead(long callId, boolean complete, List<Item> items) implements Message.Reply {
+    public record ItemsRead(long callId, OrderResult.Outcome outcome, String leader, List<Item> items)
+            implements Message.Reply {
 
         @Override
         public MessageKind kind() {
@@ -190,11 +303,12 @@
 
         @Override
         public void write(FieldWriter out) throws IOException {
-            out.number(callId).flag(complete).list(items, Fields::writeItem);
+            out.number(callId).number(outcome.ordinal()).text(leader).list(items, Fields::writeItem);
         }
 
         static ItemsRead read(FieldReader in) throws IOException {
-            return new ItemsRead(in.number(), in.flag(), in.list(Fields::readItem));
+            return new ItemsRead(
+                    in.number(), in.oneOf(OrderResult.Outcome.values()), in.text(), in.list(Fields::readItem));
         }
     }
 
@@ -202,9 +316,10 @@
      * Orders a purge; answered by {@link Written} once it has been passed on to all subscribers.
      *
      * @param callId the number of the call
+     * @param epoch the epoch of the voters that the caller asks; one that is in another epoch does not count
      * @param purge the purge
      */
-    public record WritePurge(long callId, Purge purge) implements Message.Call {
+    public record WritePurge(long callId, long epoch, Purge purge) implements Message.Call {
 
         @Override
         public MessageKind kind() {
@@ -213,12 +328,12 @@
 
         @Override
         public void write(FieldWriter out) throws IOException {
-            out.number(callId);
+            out.number(callId).number(epoch);
             Fields.writePurge(purge, out);
         }
 
         static WritePurge read(FieldReader in) throws IOException {
-            return new WritePurge(in.number(), Fields.readPurge(in));
+            return new WritePurge(in.number(), in.number(), Fields.readPurge(in));
         }
     }
 
@@ -226,10 +341,11 @@
      * Asks for a vote to run an operation; answered by {@link KeyStatus}.
      *
      * @param callId the number of the call
+     * @param epoch the epoch of the voters that the claim asks; in another epoch nothing is granted
      * @param key the operation key, scoped by its host
      * @param claimId the random identifier of this claim
      */
-    public record ClaimKey(long callId, String key, String claimId) implements Message.Call {
+    public record ClaimKey(long callId, long epoch, String key, String claimId) implements Message.Call {
 
         @Override
         public MessageKind kind() {
@@ -238,11 +354,11 @@
 
         @Override
         public void write(FieldWriter out) throws IOException {
-            out.number(callId).text(key).text(claimId);
+            out.number(callId).number(epoch).text(key).text(claimId);
         }
 
         static ClaimKey read(FieldReader in) throws IOException {
-            return new ClaimKey(in.number(), in.text(), in.text());
+            return new ClaimKey(in.number(), in.number(), in.text(), in.text());
         }
     }
 
@@ -250,14 +366,24 @@
      * Answers {@link ClaimKey}. A vote is granted if the state is HELD by the claim that asked.
      *
      * @param callId the number of the call
-     * @param available whether this voter may vote; if not, the other fields mean nothing
+     * @param availability whether this voter may vote; if not, the fields after it mean nothing
      * @param state how far the operation is
      * @param claimId the claim that the state is about
      * @param answer the recorded answer of a finished operation, else null
      */
-    public record KeyStatus(long callId, boolean available, KeyState state, String claimId, byte[] answer)
+    public record KeyStatus(long callId, Availability availability, KeyState state, String claimId, byte[] answer)
             implements Message.Reply {
 
+        /** Whether a voter may vote. */
+        public enum Availability {
+            /** It votes. */
+            VOTES,
+            /** It does not vote at present. */
+            UNAVAILABLE,
+            /** It is in another epoch than the claim. */
+            OTHER_EPOCH
+        }
+
         @Override
         public MessageKind kind() {
             return MessageKind.KEY_STATUS;
@@ -266,14 +392,15 @@
         @Override
         public void write(FieldWriter out) throws IOException {
             out.number(callId)
-                    .flag(available)
+                    .number(availability.ordinal())
                     .number(state.ordinal())
                     .text(claimId)
                     .bytes(answer);
         }
 
         static KeyStatus read(FieldReader in) throws IOException {
-            return new KeyStatus(in.number(), in.flag(), in.oneOf(KeyState.values()), in.text(), in.bytes());
+            return new KeyStatus(
+                    in.number(), in.oneOf(Availability.values()), in.oneOf(KeyState.values()), in.text(), in.bytes());
         }
     }
 
@@ -327,72 +454,55 @@
     }
 
     /**
-     * A replica asks another for its state, page by page; answered by {@link StatePage}.
+     * A store that is to vote asks for the operation keys of one that votes, page by page; answered by {@link KeysPage}.
      *
      * @param callId the number of the call
-     * @param itemsDigest the digest of the items that the caller holds; equal ones are not sent
-     * @param withKeys whether key records are wanted
      * @param afterKey the last key of the page before; empty for the first page
      */
-    public record PullState(long callId, long itemsDigest, boolean withKeys, String afterKey) implements Message.Call {
+    public record PullKeys(long callId, String afterKey) implements Message.Call {
 
         @Override
         public MessageKind kind() {
-            return MessageKind.PULL_STATE;
+            return MessageKind.PULL_KEYS;
         }
 
         @Override
         public void write(FieldWriter out) throws IOException {
-            out.number(callId).number(itemsDigest).flag(withKeys).text(afterKey);
+            out.number(callId).text(afterKey);
         }
 
-        static PullState read(FieldReader in) throws IOException {
-            return new PullState(in.number(), in.number(), in.flag(), in.text());
+        static PullKeys read(FieldReader in) throws IOException {
+            return new PullKeys(in.number(), in.text());
         }
     }
 
     /**
-     * Answers {@link PullState}.
+     * Answers {@link PullKeys}.
      *
      * @param callId the number of the call
-     * @param complete whether the answering replica holds all that it ever acknowledged
-     * @param voters the IP addresses of the voters; empty if it does not know them
-     * @param items all items if the digests differ and this is the first page
+     * @param store the store that answers
+     * @param epoch the epoch of the newest voters that it knows to be decided; it grants nothing in earlier ones any more
      * @param records a page of key records in order of their keys
      * @param lastPage whether no more key records follow
      */
-    public record StatePage(
-            long callId,
-            boolean complete,
-            List<String> voters,
-            List<Item> items,
-            List<KeyRecord> records,
-            boolean lastPage)
+    public record KeysPage(long callId, Voter store, long epoch, List<KeyRecord> records, boolean lastPage)
             implements Message.Reply {
 
         @Override
         public MessageKind kind() {
-            return MessageKind.STATE_PAGE;
+            return MessageKind.KEYS_PAGE;
         }
 
         @Override
         public void write(FieldWriter out) throws IOException {
-            out.number(callId)
-                    .flag(complete)
-                    .texts(voters)
-                    .list(items, Fields::writeItem)
-                    .list(records, Fields::writeKeyRecord)
-                    .flag(lastPage);
+            out.number(callId);
+            AgreementCodec.writeVoter(store, out);
+            out.number(epoch).list(records, Fields::writeKeyRecord).flag(lastPage);
         }
 
-        static StatePage read(FieldReader in) throws IOException {
-            return new StatePage(
-                    in.number(),
-                    in.flag(),
-                    in.texts(),
-                    in.list(Fields::readItem),
-                    in.list(Fields::readKeyRecord),
-                    in.flag());
+        static KeysPage read(FieldReader in) throws IOException {
+            return new KeysPage(
+                    in.number(), AgreementCodec.readVoter(in), in.number(), in.list(Fields::readKeyRecord), in.flag());
         }
     }
 }
--- a/cdn/src/test/java/ridgemill/cdn/configuration/ConfigurationChangeTest.java
+++ b/cdn/src/test/java/ridgemill/cdn/configuration/ConfigurationChangeTest.java
@@ -29,9 +29,16 @@
                 .fold(
                         InvalidChange::describe,
                         read -> validator
-                                .check(read, current)
+                                .check(read)
                                 .map(InvalidChange::describe)
-                                .getOrNull());
+                                .getOrElse(() -> faultTogether(read, current)));
+    }
+
+    /** As the stores judge a change: by the versions that are newer than what is held. */
+    private static String faultTogether(ConfigurationChange change, ItemSet current) {
+        ConfigurationRules rules = new ConfigurationRules();
+        rules.reset(current.all());
+        return rules.fault(current.copy().mergeAll(change.items())).orElse(null);
     }
 
     private ItemSet after(String change) {
--- a/cdn/src/test/java/ridgemill/cdn/proxy/ProxyFixture.java
+++ b/cdn/src/test/java/ridgemill/cdn/proxy/ProxyFixture.java
@@ -57,7 +57,8 @@
                 1_000,
                 new Bounds(Map.of("retryBudgetRatio", "0.2", "retryBudgetSlack", "50")),
                 fileDescriptors,
-                0);
+                0,
+                false);
         control.routes(
                 LIMITS,
                 0,
--- a/cdn/src/test/java/ridgemill/cdn/registry/RegistryCluster.java
+++ b/cdn/src/test/java/ridgemill/cdn/registry/RegistryCluster.java
@@ -17,14 +17,18 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
+import ridgemill.cdn.quorum.Voter;
+import ridgemill.cdn.quorum.VoterSet;
 import ridgemill.cdn.settings.Bounds;
 import ridgemill.cdn.settings.Settings;
 import ridgemill.cdn.wire.HeldLink;
 import ridgemill.cdn.wire.Link;
 import ridgemill.cdn.wire.LinkListener;
 import ridgemill.cdn.wire.LinkMessages;
+import ridgemill.cdn.wire.LinkServer;
 import ridgemill.cdn.wire.Message;
 import ridgemill.cdn.wire.RegistryMessages;
+import ridgemill.cdn.wire.StoreMessages;
 import ridgemill.gateway.net.Clock;
 import ridgemill.gateway.net.SocketKind;
 
@@ -33,6 +37,9 @@
 
     static final List<String> HOSTS = List.of("127.0.0.1", "127.0.0.2", "127.0.0.3");
     static final long HEARTBEAT_INTERVAL_MS = 400;
+    /** What the stand-ins of the stores say. */
+    static final VoterSet VOTERS =
+            new VoterSet(3, HOSTS.stream().map(host -> new Voter(host, "disk")).toList(), List.of());
 
     private static final int WAIT_MS = 10_000;
     private static final int LOWEST_PORT = 12_000;
@@ -45,13 +52,16 @@
     private final HttpClient http = HttpClient.newHttpClient();
     private final List<RegistryProgram> programs = new ArrayList<>();
     private final List<HeldLink> links = new ArrayList<>();
+    private final List<LinkServer> stores = new ArrayList<>();
 
     /** A port that, with the one for calls, is free on all addresses, below those that connections get. */
     private static int freePort() {
         while (true) {
             int candidate = ThreadLocalRandom.current().nextInt(LOWEST_PORT, HIGHEST_PORT);
             if (HOSTS.stream()
-                    .allMatch(host -> isFree(host, candidate) && isFree(host, candidate + CONTROL_PORT_OFFSET))) {
+                    .allMatch(host -> isFree(host, candidate)
+                            && isFree(host, candidate + 1)
+                            && isFree(host, candidate + CONTROL_PORT_OFFSET))) {
                 return candidate;
             }
         }
@@ -66,9 +76,14 @@
         }
     }
 
-    void start(int index, boolean firstStart) {
+    /** Starts a registry, and with it, if the voters are known there, a stand-in of the store that says who votes. */
+    void start(int index, boolean votersKnown) {
+        if (votersKnown) {
+            stores.add(LinkServer.listen(
+                    loops, SocketKind.NIO, new InetSocketAddress(HOSTS.get(index), port + 1), new StandInStore()));
+        }
         RegistryProgram program =
-                new RegistryProgram(settings(index, firstStart), loops.next(), SocketKind.NIO, new Clock());
+                new RegistryProgram(settings(index, votersKnown), loops.next(), SocketKind.NIO, new Clock());
         programs.add(program);
         program.start();
     }
@@ -100,7 +115,25 @@
                 HEARTBEAT_INTERVAL_MS,
                 new Bounds(Map.of()),
                 1_000,
-                1);
+                1,
+                true);
+    }
+
+    /** Says who votes to all that ask. */
+    private static final class StandInStore implements LinkListener {
+
+        @Override
+        public void opened(Link link) {}
+
+        @Override
+        public void received(Link link, Message message) {
+            if (message instanceof StoreMessages.FollowVoters) {
+                link.send(new StoreMessages.VotersNow(VOTERS));
+            }
+        }
+
+        @Override
+        public void closed(Link link) {}
     }
 
     /** The status of an instance's heartbeat at a registry. */
@@ -141,6 +174,7 @@
     public void close() {
         links.forEach(HeldLink::close);
         programs.forEach(RegistryProgram::stop);
+        stores.forEach(LinkServer::close);
         loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
     }
 
--- a/cdn/src/test/java/ridgemill/cdn/registry/RegistryProgramTest.java
+++ b/cdn/src/test/java/ridgemill/cdn/registry/RegistryProgramTest.java
@@ -29,7 +29,11 @@
         RegistryCluster.Proxy proxy = cluster.proxy(0, "p", true);
         RegistryMessages.Snapshot snapshot = proxy.snapshot();
         assertThat(snapshot.registries()).isEqualTo(RegistryCluster.HOSTS);
-        assertThat(snapshot.voters()).isEqualTo(RegistryCluster.HOSTS);
+        if (!snapshot.voters().isKnown()) {
+            proxy.news(news -> news.voters().equals(RegistryCluster.VOTERS));
+        } else {
+            assertThat(snapshot.voters()).isEqualTo(RegistryCluster.VOTERS);
+        }
         assertThat(snapshot.proxyCount()).isEqualTo(1);
         if (!snapshot.settled()) {
             assertThat(proxy.news(RegistryMessages.News::settled).number()).isGreaterThan(snapshot.number());
@@ -145,9 +149,9 @@
     void aRegistryThatForgotTheVotersLearnsThemFromAnother() throws Exception {
         cluster.start(2, false);
         RegistryCluster.Proxy proxy = cluster.proxy(2, "p", true);
-        assertThat(proxy.snapshot().voters()).isEmpty();
+        assertThat(proxy.snapshot().voters().isKnown()).isFalse();
         cluster.start(0, true);
-        proxy.news(news -> news.voters().equals(RegistryCluster.HOSTS));
+        proxy.news(news -> news.voters().equals(RegistryCluster.VOTERS));
     }
 
     /** Waits until each registry has links to the others, as it only then can pass on what it takes. */
--- a/cdn/src/test/java/ridgemill/cdn/store/JournalDiskTest.java
+++ b/cdn/src/test/java/ridgemill/cdn/store/JournalDiskTest.java
@@ -12,8 +12,17 @@
 import java.util.Random;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import ridgemill.cdn.agreement.AcceptorRecord;
+import ridgemill.cdn.agreement.Ballot;
+import ridgemill.cdn.agreement.Stamp;
+import ridgemill.cdn.config.Item;
+import ridgemill.cdn.config.ItemKind;
+import ridgemill.cdn.config.ItemName;
+import ridgemill.cdn.config.VersionedItem;
 import ridgemill.cdn.keys.KeyRecord;
 import ridgemill.cdn.keys.KeyState;
+import ridgemill.cdn.quorum.Voter;
+import ridgemill.cdn.quorum.VoterSet;
 
 /** What the disk holds after a kill at any moment, and after a loss of power with torn files. */
 final class JournalDiskTest {
@@ -31,7 +40,7 @@
         Random random = new Random(7);
         JournalDisk disk = new JournalDisk(folder.resolve("live"));
         disk.open();
-        disk.write(DiskBatch.ofVoters(List.of("a", "b", "c")));
+        disk.write(DiskBatch.ofDiskId("disk"));
         Map<String, byte[]> synced = PowerLoss.contents(folder.resolve("live"));
         for (int commit = 0; commit < COMMITS; commit++) {
             Map<String, byte[]> acknowledged = new HashMap<>(written);
@@ -62,7 +71,7 @@
         StoredState state = disk.open();
         Map<String, byte[]> found = new HashMap<>();
         state.records().forEach(held -> found.put(held.key(), held.answer()));
-        assertThat(state.voters()).containsExactly("a", "b", "c");
+        assertThat(state.diskId()).isEqualTo("disk");
         acknowledged.forEach((key, answer) -> assertThat(found.get(key))
                 .as(image + " " + key)
                 .satisfiesAnyOf(
@@ -96,19 +105,19 @@
         Path live = folder.resolve("live");
         JournalDisk disk = new JournalDisk(live);
         disk.open();
-        disk.write(DiskBatch.ofVoters(List.of("a")));
+        disk.write(DiskBatch.ofDiskId("a"));
         disk.close();
         byte[] old = PowerLoss.contents(live).get("journal-1");
         TroubledDisk trouble = new TroubledDisk();
         JournalDisk again = new JournalDisk(live, trouble);
         again.open();
         trouble.refuse(true, false);
-        assertThatThrownBy(() -> again.write(DiskBatch.ofVoters(List.of("b")))).isInstanceOf(IOException.class);
+        assertThatThrownBy(() -> again.write(DiskBatch.ofDiskId("b"))).isInstanceOf(IOException.class);
         trouble.refuse(false, false);
-        again.write(DiskBatch.ofVoters(List.of("b")));
+        again.write(DiskBatch.ofDiskId("b"));
         again.close();
         Files.write(live.resolve("journal-1"), old);
-        assertThat(new JournalDisk(live).open().voters()).containsExactly("b");
+        assertThat(new JournalDisk(live).open().diskId()).isEqualTo("b");
     }
 
     @Test
@@ -116,11 +125,11 @@
         Path live = folder.resolve("live");
         JournalDisk disk = new JournalDisk(live);
         disk.open();
-        disk.write(DiskBatch.ofVoters(List.of("a")));
+        disk.write(DiskBatch.ofDiskId("a"));
         disk.close();
         byte[] whole = PowerLoss.contents(live).get("journal-1");
         Files.write(live.resolve("journal-2"), java.util.Arrays.copyOf(whole, whole.length / 2));
-        assertThat(new JournalDisk(live).open().voters()).containsExactly("a");
+        assertThat(new JournalDisk(live).open().diskId()).isEqualTo("a");
     }
 
     @Test
@@ -130,4 +139,46 @@
         Files.write(live.resolve("journal-7"), new byte[100]);
         assertThatThrownBy(() -> new JournalDisk(live).open()).isInstanceOf(DiskCorruptException.class);
     }
+
+    @Test
+    void whatWasPromisedAndAcceptedIsReadAsItWasWrittenLast() throws IOException {
+        JournalDisk disk = new JournalDisk(folder.resolve("live"));
+        disk.open();
+        Stamp first = new Stamp(new Ballot(3, "p"), 1);
+        disk.write(DiskBatch.ofAccepted(record(first, false, entry("r1", 1), entry("r2", 1))));
+        Stamp second = first.next(new Ballot(4, "q"));
+        disk.write(DiskBatch.ofAccepted(record(second, false, entry("r1", 2))));
+        disk.close();
+        AcceptorRecord read = new JournalDisk(folder.resolve("live")).open().accepted();
+        assertThat(read.accepted()).isEqualTo(second);
+        assertThat(read.promised()).isEqualTo(second.ballot());
+        assertThat(read.voters()).isEqualTo(VOTERS);
+        assertThat(read.items()).containsExactly(entry("r1", 2), entry("r2", 1));
+    }
+
+    @Test
+    void aWholeStateTakesThePlaceOfAllItems() throws IOException {
+        JournalDisk disk = new JournalDisk(folder.resolve("live"));
+        disk.open();
+        Stamp first = new Stamp(new Ballot(3, "p"), 1);
+        PendingChanges joined = new PendingChanges();
+        joined.add(DiskBatch.ofAccepted(record(first, false, entry("r1", 1), entry("r2", 1))));
+        joined.add(DiskBatch.ofAccepted(record(first, true, entry("r3", 1))));
+        joined.add(DiskBatch.ofAccepted(record(first, false, entry("r4", 1))));
+        disk.write(DiskBatch.ofAccepted(record(first, false, entry("r0", 1))));
+        disk.write(joined.toBatch());
+        disk.close();
+        assertThat(new JournalDisk(folder.resolve("live")).open().accepted().items())
+                .containsExactly(entry("r3", 1), entry("r4", 1));
+    }
+
+    private static final VoterSet VOTERS = new VoterSet(2, List.of(new Voter("a", "1")), List.of(new Voter("b", "2")));
+
+    private static AcceptorRecord record(Stamp accepted, boolean replaces, VersionedItem... entries) {
+        return new AcceptorRecord(accepted.ballot(), accepted, VOTERS, List.of(entries), replaces);
+    }
+
+    private static VersionedItem entry(String name, long version) {
+        return VersionedItem.first(new Item(new ItemName(ItemKind.ROUTE, name), version, "{}"));
+    }
 }
--- a/cdn/src/test/java/ridgemill/cdn/store/StoreCluster.java
+++ b/cdn/src/test/java/ridgemill/cdn/store/StoreCluster.java
@@ -122,7 +122,8 @@
                 1_000,
                 new Bounds(Map.of()),
                 1_000,
-                1);
+                1,
+                true);
     }
 
     /** A link to a store; what it receives beside answers can be taken from it. */
--- a/cdn/src/test/java/ridgemill/cdn/store/StoreProgramTest.java
+++ b/cdn/src/test/java/ridgemill/cdn/store/StoreProgramTest.java
@@ -12,17 +12,22 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import ridgemill.cdn.agreement.OrderResult;
 import ridgemill.cdn.config.Item;
 import ridgemill.cdn.config.ItemKind;
 import ridgemill.cdn.config.ItemName;
 import ridgemill.cdn.keys.KeyState;
 import ridgemill.cdn.purge.Purge;
+import ridgemill.cdn.quorum.VoterSet;
 import ridgemill.cdn.wire.StoreMessages;
 
 /** Three stores over their sockets. */
 @Timeout(60)
 final class StoreProgramTest {
 
+    private static final long BUDGET_MS = 900;
+    private static final long MOST_EPOCHS = 20;
+    private static final int MOST_ATTEMPTS = 2_000;
     private static final byte[] ANSWER = "answer".getBytes(StandardCharsets.UTF_8);
 
     @TempDir
@@ -44,13 +49,14 @@
     @Test
     void itemsOutliveARestart() {
         Item item = item("r1", 3);
-        assertThat(write(cluster.caller(0), item).durable()).isTrue();
-        cluster.stop(0);
-        cluster.start(0, false);
-        StoreMessages.ItemsRead read =
-                cluster.caller(0).call(StoreMessages.ReadItems::new, StoreMessages.ItemsRead.class);
-        assertThat(read.complete()).isTrue();
-        assertThat(read.items()).containsExactly(item);
+        order(cluster.caller(0), item);
+        for (int i = 0; i < StoreCluster.HOSTS.size(); i++) {
+            cluster.stop(i);
+        }
+        for (int i = 0; i < StoreCluster.HOSTS.size(); i++) {
+            cluster.start(i, false);
+        }
+        assertThat(read(cluster.caller(0))).containsExactly(item);
     }
 
     @Test
@@ -58,42 +64,46 @@
         StoreCluster.Caller subscriber = cluster.caller(1);
         subscriber.send(new StoreMessages.Subscribe("", 0));
         StoreMessages.Snapshot snapshot = subscriber.take(StoreMessages.Snapshot.class);
-        assertThat(snapshot.voters()).isEqualTo(StoreCluster.HOSTS);
+        assertThat(snapshot.voters().addresses()).isEqualTo(StoreCluster.HOSTS);
+        assertThat(snapshot.store().address()).isEqualTo(StoreCluster.HOSTS.get(1));
         Item item = item("r1", 1);
-        write(cluster.caller(0), item);
+        order(cluster.caller(0), item);
         StoreMessages.News news = subscriber.take(StoreMessages.News.class);
         assertThat(news.number()).isEqualTo(snapshot.number() + 1);
         assertThat(news.items()).containsExactly(item);
+        assertThat(news.voters()).isEqualTo(snapshot.voters());
     }
 
     @Test
     void aSubscriberThatComesBackMissesNoPurgeAndSeesNoneTwice() throws Exception {
         StoreCluster.Caller first = cluster.caller(0);
         first.send(new StoreMessages.Subscribe("", 0));
-        String life = first.take(StoreMessages.Snapshot.class).lifeId();
+        StoreMessages.Snapshot before = first.take(StoreMessages.Snapshot.class);
+        String life = before.lifeId();
+        long number = before.number();
         Purge purge = Purge.ofTag("p1", "tag");
         purge(first, purge);
         purge(first, purge);
         purge(first, Purge.ofTag("p2", "tag"));
         assertThat(first.take(StoreMessages.News.class).purges()).containsExactly(purge);
-        assertThat(first.take(StoreMessages.News.class).number()).isEqualTo(2);
+        assertThat(first.take(StoreMessages.News.class).number()).isEqualTo(number + 2);
         StoreCluster.Caller again = cluster.caller(0);
-        again.send(new StoreMessages.Subscribe(life, 1));
+        again.send(new StoreMessages.Subscribe(life, number + 1));
         assertThat(again.take(StoreMessages.News.class).purges()).containsExactly(Purge.ofTag("p2", "tag"));
         StoreCluster.Caller otherLife = cluster.caller(0);
         otherLife.send(new StoreMessages.Subscribe("other", 1));
-        assertThat(otherLife.take(StoreMessages.Snapshot.class).number()).isEqualTo(2);
+        assertThat(otherLife.take(StoreMessages.Snapshot.class).number()).isEqualTo(number + 2);
     }
 
     @Test
     void aKeyIsHeldThenFinishedAndStaysSoAfterARestart() {
         StoreCluster.Caller caller = cluster.caller(0);
-        assertThat(claim(caller, "c1").claimId()).isEqualTo("c1");
+        assertThat(awaitVote(caller, "c1").claimId()).isEqualTo("c1");
         assertThat(claim(caller, "c2").claimId()).isEqualTo("c1");
         cluster.stop(0);
         cluster.start(0, false);
         StoreCluster.Caller after = cluster.caller(0);
-        assertThat(claim(after, "c2").claimId()).isEqualTo("c1");
+        assertThat(awaitVote(after, "c2").claimId()).isEqualTo("c1");
         assertThat(finish(after, "c1").durable()).isTrue();
         StoreMessages.KeyStatus status = claim(after, "c2");
         assertThat(status.state()).isEqualTo(KeyState.FINISHED);
@@ -101,33 +111,48 @@
     }
 
     @Test
-    void aWipedVoterRecoversBeforeItVotes() throws Exception {
+    void aWipedVoterVotesAgainAsAnotherDiskOnceItHoldsAll() throws Exception {
         Item item = item("r1", 1);
-        for (int i = 0; i < 2; i++) {
-            write(cluster.caller(i), item);
-        }
+        order(cluster.caller(0), item);
         claim(cluster.caller(0), "c1");
         finish(cluster.caller(1), "c1");
+        VoterSet before = voters(cluster.caller(1));
         cluster.stop(0);
         cluster.stop(2);
         cluster.wipe(0);
         cluster.start(0, false);
         StoreCluster.Caller wiped = cluster.caller(0);
-        assertThat(claim(wiped, "c2").available()).isFalse();
-        assertThat(write(wiped, item).durable()).isFalse();
-        assertThat(wiped.call(StoreMessages.ReadItems::new, StoreMessages.ItemsRead.class)
-                        .complete())
-                .isFalse();
+        assertThat(claim(wiped, "c2").availability()).isNotEqualTo(StoreMessages.KeyStatus.Availability.VOTES);
+        assertThat(change(wiped, true, item("r2", 1)).outcome())
+                .as("an order with one voter of three")
+                .isNotEqualTo(OrderResult.Outcome.CONFIRMED);
         cluster.start(2, false);
-        StoreMessages.KeyStatus status = claim(wiped, "c2");
-        while (!status.available()) {
-            status = claim(wiped, "c2");
+        StoreCluster.Caller other = cluster.caller(1);
+        other.send(new StoreMessages.FollowVoters());
+        VoterSet after = other.take(StoreMessages.VotersNow.class).voters();
+        while (after.isJoint() || after.equals(before)) {
+            after = other.take(StoreMessages.VotersNow.class).voters();
         }
+        assertThat(after.addresses()).containsExactlyInAnyOrderElementsOf(StoreCluster.HOSTS);
+        assertThat(after.voters()).isNotEqualTo(before.voters());
+        StoreMessages.KeyStatus status = claim(cluster.caller(0), "c2");
+        assertThat(status.availability()).isEqualTo(StoreMessages.KeyStatus.Availability.VOTES);
         assertThat(status.state()).isEqualTo(KeyState.FINISHED);
-        StoreMessages.ItemsRead read = wiped.call(StoreMessages.ReadItems::new, StoreMessages.ItemsRead.class);
-        assertThat(read.complete()).isTrue();
-        assertThat(read.items()).containsExactly(item);
-        assertThat(write(wiped, item).durable()).isTrue();
+        assertThat(read(cluster.caller(0))).contains(item);
+    }
+
+    @Test
+    void ofTwoContentsUnderOneVersionOneIsConfirmedAndTheSameOrderAgainIsToo() {
+        StoreCluster.Caller here = cluster.caller(0);
+        StoreCluster.Caller there = cluster.caller(1);
+        Item one = new Item(new ItemName(ItemKind.SERVICE, "s"), 4, "{\"version\":4,\"a\":1}");
+        Item other = new Item(new ItemName(ItemKind.SERVICE, "s"), 4, "{\"version\":4,\"a\":2}");
+        order(here, one);
+        assertThat(settled(there, other).outcome()).isEqualTo(OrderResult.Outcome.CONFLICT);
+        assertThat(settled(there, one).outcome()).isEqualTo(OrderResult.Outcome.CONFIRMED);
+        order(here, new Item(one.name(), 9, "{\"version\":9}"));
+        assertThat(settled(there, one).outcome()).isEqualTo(OrderResult.Outcome.CONFIRMED);
+        assertThat(settled(there, other).outcome()).isEqualTo(OrderResult.Outcome.CONFLICT);
     }
 
     @ParameterizedTest
@@ -137,42 +162,40 @@
         restartOn(trouble);
         StoreCluster.Caller caller = cluster.caller(0);
         Item item = item("r1", 1);
-        assertThat(claim(caller, "c1").available()).isTrue();
+        awaitVote(caller, "c1");
         trouble.refuse(writes, syncs);
-        assertThat(write(caller, item).durable()).isFalse();
         assertThat(finish(caller, "c1").durable()).isFalse();
         assertThat(claim(caller, "c2").state()).isEqualTo(KeyState.FINISHED);
+        order(cluster.caller(1), item);
         trouble.refuse(false, false);
-        while (!write(caller, item).durable()) {
+        while (!finish(caller, "c1").durable()) {
             continue;
         }
         cluster.stop(0);
         cluster.start(0, false);
         StoreCluster.Caller after = cluster.caller(0);
-        assertThat(claim(after, "c2").state()).isEqualTo(KeyState.FINISHED);
-        assertThat(after.call(StoreMessages.ReadItems::new, StoreMessages.ItemsRead.class)
-                        .items())
-                .containsExactly(item);
+        assertThat(awaitVote(after, "c2").state()).isEqualTo(KeyState.FINISHED);
+        assertThat(read(after)).containsExactly(item);
     }
 
     @Test
-    void aDiskThatHangsHoldsUpWritesOnly() throws Exception {
+    void aDiskThatHangsHoldsUpItsOwnVotesOnly() throws Exception {
         TroubledDisk trouble = new TroubledDisk();
         restartOn(trouble);
         StoreCluster.Caller caller = cluster.caller(0);
         caller.send(new StoreMessages.Subscribe("", 0));
         caller.take(StoreMessages.Snapshot.class);
+        awaitVote(caller, "c0");
         trouble.hang();
-        var granted = caller.begin(id -> new StoreMessages.ClaimKey(id, "key", "c1"), StoreMessages.KeyStatus.class);
-        var stored = caller.begin(
-                id -> new StoreMessages.WriteItems(id, List.of(item("r1", 1))), StoreMessages.Written.class);
-        assertThat(claim(caller, "c2").claimId()).isEqualTo("c1");
-        assertThat(caller.take(StoreMessages.News.class).items()).containsExactly(item("r1", 1));
+        long epoch = voters(cluster.caller(0)).epoch();
+        var granted =
+                caller.begin(id -> new StoreMessages.ClaimKey(id, epoch, "other", "c1"), StoreMessages.KeyStatus.class);
+        order(cluster.caller(1), item("r1", 1));
+        StoreMessages.News news = caller.take(StoreMessages.News.class);
+        assertThat(news.items()).as("decided by the others").containsExactly(item("r1", 1));
         assertThat(granted).isNotDone();
-        assertThat(stored).isNotDone();
         trouble.goOn();
         assertThat(granted.join().claimId()).isEqualTo("c1");
-        assertThat(stored.join().durable()).isTrue();
     }
 
     private void restartOn(TroubledDisk trouble) {
@@ -184,16 +207,79 @@
         return new Item(new ItemName(ItemKind.ROUTE, name), version, "{\"version\":" + version + "}");
     }
 
-    private static StoreMessages.Written write(StoreCluster.Caller caller, Item item) {
-        return caller.call(id -> new StoreMessages.WriteItems(id, List.of(item)), StoreMessages.Written.class);
+    /** Orders an item until it is confirmed, as an operator does that gets no clear answer. */
+    private void order(StoreCluster.Caller caller, Item item) {
+        assertThat(settled(caller, item).outcome()).isEqualTo(OrderResult.Outcome.CONFIRMED);
+    }
+
+    /** Goes on to the store that leads, or to another one, as a registry does. */
+    private OrderResult settled(StoreCluster.Caller caller, Item item) {
+        StoreCluster.Caller asked = caller;
+        OrderResult result = change(asked, false, item);
+        for (int i = 0; i < MOST_ATTEMPTS && !isClear(result); i++) {
+            boolean hint =
+                    result.outcome() == OrderResult.Outcome.NOT_LEADER && StoreCluster.HOSTS.contains(result.detail());
+            asked = hint ? cluster.caller(StoreCluster.HOSTS.indexOf(result.detail())) : caller;
+            result = change(asked, !hint, item);
+        }
+        return result;
+    }
+
+    private static boolean isClear(OrderResult result) {
+        return result.outcome() != OrderResult.Outcome.NOT_LEADER && result.outcome() != OrderResult.Outcome.UNKNOWN;
+    }
+
+    private static OrderResult change(StoreCluster.Caller caller, boolean insist, Item item) {
+        return caller.call(
+                        id -> new StoreMessages.ChangeItems(id, insist, BUDGET_MS, List.of(item)),
+                        StoreMessages.ItemsChanged.class)
+                .result();
+    }
+
+    private List<Item> read(StoreCluster.Caller caller) {
+        StoreCluster.Caller asked = caller;
+        for (int i = 0; i < MOST_ATTEMPTS; i++) {
+            StoreMessages.ItemsRead read =
+                    asked.call(id -> new StoreMessages.ReadItems(id, true, BUDGET_MS), StoreMessages.ItemsRead.class);
+            if (read.outcome() == OrderResult.Outcome.CONFIRMED) {
+                return read.items();
+            }
+            int leader = StoreCluster.HOSTS.indexOf(read.leader());
+            asked = leader < 0 ? caller : cluster.caller(leader);
+        }
+        throw new AssertionError("no read was confirmed");
+    }
+
+    /** The voters that a store knows to be decided. */
+    private static VoterSet voters(StoreCluster.Caller caller) throws InterruptedException {
+        caller.send(new StoreMessages.FollowVoters());
+        return caller.take(StoreMessages.VotersNow.class).voters();
     }
 
     private static void purge(StoreCluster.Caller caller, Purge purge) {
-        caller.call(id -> new StoreMessages.WritePurge(id, purge), StoreMessages.Written.class);
+        caller.call(id -> new StoreMessages.WritePurge(id, 1, purge), StoreMessages.Written.class);
+    }
+
+    private static StoreMessages.KeyStatus awaitVote(StoreCluster.Caller caller, String claimId) {
+        StoreMessages.KeyStatus status = claim(caller, claimId);
+        while (status.availability() != StoreMessages.KeyStatus.Availability.VOTES) {
+            status = claim(caller, claimId);
+        }
+        return status;
     }
 
+    /** Claims in each epoch in turn until the store is in it, or in none of them. */
     private static StoreMessages.KeyStatus claim(StoreCluster.Caller caller, String claimId) {
-        return caller.call(id -> new StoreMessages.ClaimKey(id, "key", claimId), StoreMessages.KeyStatus.class);
+        StoreMessages.KeyStatus status = null;
+        for (long epoch = 1; epoch < MOST_EPOCHS; epoch++) {
+            long claimed = epoch;
+            status = caller.call(
+                    id -> new StoreMessages.ClaimKey(id, claimed, "key", claimId), StoreMessages.KeyStatus.class);
+            if (status.availability() != StoreMessages.KeyStatus.Availability.OTHER_EPOCH) {
+                return status;
+            }
+        }
+        return status;
     }
 
     private static StoreMessages.Written finish(StoreCluster.Caller caller, String claimId) {
--- a/cdn/src/test/java/ridgemill/cdn/wire/MessageCodecTest.java
+++ b/cdn/src/test/java/ridgemill/cdn/wire/MessageCodecTest.java
@@ -8,14 +8,23 @@
 import java.util.stream.Stream;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import ridgemill.cdn.agreement.AgreementMessage;
+import ridgemill.cdn.agreement.Ballot;
+import ridgemill.cdn.agreement.OrderResult;
+import ridgemill.cdn.agreement.Stamp;
+import ridgemill.cdn.agreement.Step;
 import ridgemill.cdn.config.Item;
 import ridgemill.cdn.config.ItemKind;
 import ridgemill.cdn.config.ItemName;
+import ridgemill.cdn.config.PastVersion;
+import ridgemill.cdn.config.VersionedItem;
 import ridgemill.cdn.instances.Instance;
 import ridgemill.cdn.instances.InstanceState;
 import ridgemill.cdn.keys.KeyRecord;
 import ridgemill.cdn.keys.KeyState;
 import ridgemill.cdn.purge.Purge;
+import ridgemill.cdn.quorum.Voter;
+import ridgemill.cdn.quorum.VoterSet;
 
 /** Each message survives the way through its bytes, and each of its bytes may be spoilt without harm to the reader. */
 class MessageCodecTest {
@@ -27,27 +36,54 @@
     private static final Purge PURGE = Purge.ofPath("p", "h.example", "/x");
     private static final List<String> HOSTS = List.of("10.0.0.1", "10.0.0.2");
 
+    private static final Voter VOTER = new Voter("10.0.0.1", "d1");
+    private static final VoterSet VOTERS = new VoterSet(7, List.of(VOTER), List.of(new Voter("10.0.0.2", "d2")));
+    private static final Ballot BALLOT = new Ballot(5, "life");
+    private static final Stamp STAMP = new Stamp(BALLOT, 12);
+    private static final VersionedItem ENTRY = new VersionedItem(ITEMS.get(0), List.of(new PastVersion(3, -9)));
+    private static final Step STEP = new Step(STAMP, STAMP.next(BALLOT), VOTERS, List.of(ENTRY));
+
+    private static Message agreement(AgreementMessage content) {
+        return new StoreMessages.Agreement(content);
+    }
+
     static Stream<Message> messages() {
         return Stream.of(
                 new LinkMessages.Hello(1, "proxy", "n", "10.0.0.1", "life"),
                 new LinkMessages.Ping(),
                 new LinkMessages.Pong(),
                 new StoreMessages.Subscribe("life", 3),
-                new StoreMessages.Snapshot("life", 4, HOSTS, ITEMS),
-                new StoreMessages.News(5, ITEMS, List.of(PURGE, Purge.ofTag("q", "t"))),
+                new StoreMessages.Snapshot("life", 4, VOTER, VOTERS, ITEMS),
+                new StoreMessages.News(5, VOTERS, ITEMS, List.of(PURGE, Purge.ofTag("q", "t"))),
                 new StoreMessages.NewsAcknowledged(5),
-                new StoreMessages.WriteItems(1, ITEMS),
-                new StoreMessages.Written(1, true),
-                new StoreMessages.ReadItems(2),
-                new StoreMessages.ItemsRead(2, true, ITEMS),
-                new StoreMessages.WritePurge(3, PURGE),
-                new StoreMessages.ClaimKey(4, "k", "c"),
-                new StoreMessages.PullState(7, -12345678901L, true, "k"),
+                new StoreMessages.FollowVoters(),
+                new StoreMessages.VotersNow(VOTERS),
+                new StoreMessages.ChangeItems(1, true, 900, ITEMS),
+                new StoreMessages.ItemsChanged(1, new OrderResult(OrderResult.Outcome.CONFLICT, "r")),
+                new StoreMessages.Written(1, VOTER, true),
+                new StoreMessages.ReadItems(2, false, 800),
+                new StoreMessages.ItemsRead(2, OrderResult.Outcome.CONFIRMED, "", ITEMS),
+                new StoreMessages.WritePurge(3, 7, PURGE),
+                new StoreMessages.ClaimKey(4, 7, "k", "c"),
+                new StoreMessages.PullKeys(7, "k"),
+                agreement(new AgreementMessage.Status(
+                        VOTER, "z", true, false, true, BALLOT, STAMP, Stamp.NONE, VOTERS, 3, HOSTS)),
+                agreement(new AgreementMessage.Prepare(VOTER, BALLOT)),
+                agreement(new AgreementMessage.Promise(VOTER, BALLOT, STAMP, VOTERS)),
+                agreement(new AgreementMessage.Accept(VOTER, STEP)),
+                agreement(new AgreementMessage.Accepted(VOTER, STAMP)),
+                agreement(new AgreementMessage.Refused(VOTER, BALLOT, Ballot.NONE)),
+                agreement(new AgreementMessage.Confirm(VOTER, BALLOT, 8)),
+                agreement(new AgreementMessage.Confirmed(VOTER, BALLOT, 8)),
+                agreement(new AgreementMessage.Pull(VOTER, "life-1", STAMP, 0)),
+                agreement(new AgreementMessage.Difference(VOTER, "life-1", STAMP, List.of(STEP))),
+                agreement(new AgreementMessage.Page(
+                        VOTER, "life-1", STAMP, 0, 2, STAMP, VOTERS, List.of(ENTRY), -12345678901L)),
                 new RegistryMessages.Subscribe("life", 1),
-                new RegistryMessages.Snapshot("life", 1, true, HOSTS, HOSTS, 9, INSTANCES, List.of("i")),
-                new RegistryMessages.News(2, false, HOSTS, List.of(), 9, INSTANCES, List.of()),
+                new RegistryMessages.Snapshot("life", 1, true, HOSTS, VOTERS, 9, INSTANCES, List.of("i")),
+                new RegistryMessages.News(2, false, HOSTS, VoterSet.UNKNOWN, 9, INSTANCES, List.of()),
                 new RegistryMessages.NewsAcknowledged(2),
-                new RegistryMessages.PeerUpdate(5, HOSTS, HOSTS, List.of("edge-1"), INSTANCES),
+                new RegistryMessages.PeerUpdate(5, HOSTS, VOTERS, List.of("edge-1"), INSTANCES),
                 new RegistryMessages.PeerUpdateTaken(5),
                 new RegistryMessages.PeerBeats(List.of(new RegistryMessages.Beat("i", 12))));
     }
@@ -90,8 +126,8 @@
     @org.junit.jupiter.api.Test
     void bytesInRecordsAreCarriedToo() throws IOException {
         KeyRecord record = new KeyRecord("k", KeyState.FINISHED, "c", new byte[] {1, 2, 3}, 99);
-        StoreMessages.StatePage page = new StoreMessages.StatePage(1, true, HOSTS, ITEMS, List.of(record), false);
-        StoreMessages.StatePage read = (StoreMessages.StatePage) MessageCodec.decode(MessageCodec.encode(page));
+        StoreMessages.KeysPage page = new StoreMessages.KeysPage(1, VOTER, 7, List.of(record), false);
+        StoreMessages.KeysPage read = (StoreMessages.KeysPage) MessageCodec.decode(MessageCodec.encode(page));
         assertThat(read.records().get(0).answer()).containsExactly(1, 2, 3);
         assertThat(read.records().get(0).state()).isEqualTo(KeyState.FINISHED);
     }
