A store that was cut off outbids nobody; one that was replaced does not lead on; answers still going out are not idle

Registries, which hold links to voters only, asked a voter, were sent to it and asked the voter again until their time was over: no order and no read was answered for 13 s (CONFIG at the end, one order never acknowledged). At its bound of connections an edge proxy closed one whose last answer was still going out; the same after its idle time.

Ruled out: a lease for the leader, which would keep everybody waiting for it to end after a loss.

--- a/cdn-core/src/main/java/ridgemill/cdn/agreement/AgreementNode.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/agreement/AgreementNode.java
@@ -21,9 +21,11 @@
 
     private static final double STATUS_INTERVAL_MS = 400;
     /** After so long without a leader a voter tries to lead: the first one in order first, in milliseconds. */
-    private static final double LEADERLESS_MS = 1_200;
+    private static final double LEADERLESS_MS = 1_000;
 
-    private static final double LEADERLESS_STEP_MS = 250;
+    private static final double LEADERLESS_STEP_MS = 200;
+    /** A store that was promised a ballot within this time is not outbid, in milliseconds. */
+    private static final double CANDIDATE_MS = 400;
     /** A leader that was heard within this time is the one to ask, in milliseconds. */
     private static final double LEADER_FRESH_MS = 1_000;
     /** A leader that was heard within this time keeps leading although somebody could not reach it, in milliseconds. */
@@ -54,6 +56,12 @@
     private Stamp changeStamp = Stamp.NONE;
 
     private long changeEpoch;
+    /** The change of the voters that is to be proposed next; null if there is none. */
+    private VoterSet wantedVoters;
+    /** The store that was promised a ballot last, and when. */
+    private String candidate = "";
+
+    private double candidateAtMs = Double.NEGATIVE_INFINITY;
     private Stamp announced = Stamp.NONE;
 
     /** A node that begins with {@link #start}. */
@@ -160,7 +168,7 @@
             return;
         }
         leadership.order(items, deadlineMs, callback);
-        leadership.serve(nowMs);
+        serve(nowMs);
         afterWork(nowMs);
     }
 
@@ -178,7 +186,7 @@
         }
         leadership.confirm(
                 () -> callback.accept(new ArrayList<>(view.items().all())), () -> callback.accept(null), deadlineMs);
-        leadership.serve(nowMs);
+        serve(nowMs);
         afterWork(nowMs);
     }
 
@@ -194,10 +202,24 @@
         if (leader != null) {
             return leader.from().address();
         }
+        if (nowMs - candidateAtMs < CANDIDATE_MS) {
+            return candidate;
+        }
+        if (!hearsMajority(nowMs)) {
+            return "";
+        }
         leadership.begin(nowMs);
         return null;
     }
 
+    /**
+     * Whether a majority of the voters was heard lately. A store that was cut off, or frozen, hears first what has become
+     * of the voters, and does not outbid the one that leads them.
+     */
+    private boolean hearsMajority(double nowMs) {
+        return voters().isMajority(voter -> voter.equals(self) || peers.of(voter, Peers.FRESH_MS, nowMs) != null);
+    }
+
     private AgreementMessage.Status leader(double freshMs, double nowMs) {
         AgreementMessage.Status best = null;
         for (AgreementMessage.Status status : peers.within(freshMs, nowMs)) {
@@ -220,7 +242,7 @@
             case TRANSFER -> transferMessage(message, nowMs);
         }
         leadership.checkPromised();
-        leadership.serve(nowMs);
+        serve(nowMs);
         afterWork(nowMs);
     }
 
@@ -312,7 +334,11 @@
             Stamp accepted = acceptor.state().stamp();
             VoterSet voters = acceptor.state().voters();
             AgreementMessage.Promise promise = new AgreementMessage.Promise(self, prepare.ballot(), accepted, voters);
-            if (!acceptor.promise(prepare.ballot(), () -> environment.send(address, promise))) {
+            if (acceptor.promise(prepare.ballot(), () -> environment.send(address, promise))) {
+                candidate = address;
+                candidateAtMs = nowMs;
+                leaderHeardAtMs = nowMs;
+            } else {
                 refuse(address, prepare.ballot());
             }
         } else if (message instanceof AgreementMessage.Accept accept) {
@@ -414,8 +440,8 @@
         formIfSeedsAreEmpty(nowMs);
         pullIfBehind(nowMs);
         leadIfNobodyDoes(nowMs);
-        leadership.serve(nowMs);
-        replaceVoters(nowMs);
+        planVoters(nowMs);
+        serve(nowMs);
         if (nowMs - statusAtMs >= STATUS_INTERVAL_MS) {
             sendStatus(nowMs);
         }
@@ -446,7 +472,7 @@
         }
         double patienceMs = LEADERLESS_MS + rank * LEADERLESS_STEP_MS + electionJitterMs;
         boolean begins = acceptor.state().stamp().revision() == 0 && rank == 0;
-        if (begins || nowMs - leaderHeardAtMs > patienceMs) {
+        if ((begins || nowMs - leaderHeardAtMs > patienceMs) && hearsMajority(nowMs)) {
             leaderHeardAtMs = nowMs;
             electionJitterMs = environment.random() * LEADERLESS_STEP_MS;
             leadership.begin(nowMs);
@@ -454,8 +480,9 @@
     }
 
     /** The one that leads changes the voters: first a joint set, then, once its newcomers hold all, the new one alone. */
-    private void replaceVoters(double nowMs) {
-        if (!leadership.isIdle() || nowMs - votersChangedAtMs < VOTERS_PAUSE_MS) {
+    private void planVoters(double nowMs) {
+        wantedVoters = null;
+        if (!leadership.isLeading() || nowMs - votersChangedAtMs < VOTERS_PAUSE_MS) {
             return;
         }
         VoterSet current = voters();
@@ -463,15 +490,23 @@
             changeEpoch = current.epoch();
             changeStamp = acceptor.state().stamp();
         }
-        AgreementMessage.Status own = status(nowMs);
-        Optional<List<Voter>> next = plan.next(current, own, nowMs);
+        Optional<List<Voter>> next = plan.next(current, status(nowMs), nowMs);
         if (next.isPresent()) {
-            votersChangedAtMs = nowMs;
-            leadership.proposeVoters(current.changedTo(next.get()), nowMs);
+            wantedVoters = current.changedTo(next.get());
         } else if (current.isJoint() && current.newcomers().stream().allMatch(voter -> isWhole(voter, nowMs))) {
+            wantedVoters = current.settled();
+        }
+    }
+
+    /** Serves what waits; a change of the voters goes before orders, which would keep it off for ever. */
+    private void serve(double nowMs) {
+        if (wantedVoters != null && leadership.isFree() && wantedVoters.epoch() == voters().epoch() + 1) {
+            VoterSet wanted = wantedVoters;
+            wantedVoters = null;
             votersChangedAtMs = nowMs;
-            leadership.proposeVoters(current.settled(), nowMs);
+            leadership.proposeVoters(wanted, nowMs);
         }
+        leadership.serve(nowMs);
     }
 
     private boolean isWhole(Voter newcomer, double nowMs) {
@@ -490,13 +525,13 @@
         if (leadership.isLeading() && !view.decided().equals(announced)) {
             announced = view.decided();
             sendStatus(nowMs);
-            leadership.serve(nowMs);
+            serve(nowMs);
         }
     }
 
     /** Goes on after the disk has answered. */
     public void persisted(double nowMs) {
-        leadership.serve(nowMs);
+        serve(nowMs);
         afterWork(nowMs);
     }
 
@@ -522,6 +557,11 @@
                 + " epoch=" + voters().epoch() + " complete_epoch=" + completeEpoch;
     }
 
+    /** Tells a store how far this one is, as messages reach it from now on. */
+    public void reached(String address, double nowMs) {
+        environment.send(address, status(nowMs));
+    }
+
     /** Tells all stores how far this one is. */
     public void sendStatus(double nowMs) {
         statusAtMs = nowMs;
--- a/cdn-core/src/main/java/ridgemill/cdn/agreement/Leadership.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/agreement/Leadership.java
@@ -103,8 +103,8 @@
     }
 
     /** Whether nothing is being decided, so that a change of the voters may be proposed. */
-    boolean isIdle() {
-        return isLeading() && proposal == null && orders.isEmpty();
+    boolean isFree() {
+        return isLeading() && proposal == null;
     }
 
     /** A round that another store has used: the next ballot is higher. */
@@ -268,6 +268,10 @@
         majorityAtMs = nowMs;
         view.decide(done.step.stamp());
         done.answers.forEach(pending -> pending.answer().run());
+        if (!done.step.voters().contains(self)) {
+            // It was replaced, and has finished what it found: those that vote go on.
+            stepDown();
+        }
     }
 
     /** A higher ballot was promised: this store leads no more, and what it had under way is not known. */
--- a/cdn-core/src/main/java/ridgemill/cdn/agreement/Peers.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/agreement/Peers.java
@@ -13,7 +13,7 @@
 final class Peers {
 
     /** A store that was not heard for so long is gone for the choice of voters, in milliseconds. */
-    static final double GONE_MS = 2_500;
+    static final double GONE_MS = 2_000;
     /** A store that was not heard for so long is not chosen as a voter, in milliseconds. */
     static final double FRESH_MS = 1_500;
     /** A store that was not heard for so long is forgotten, in milliseconds. */
--- a/cdn/src/main/java/ridgemill/cdn/proxy/FrontConnection.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/FrontConnection.java
@@ -205,7 +205,7 @@
         }
         if (state == State.HEAD || state == State.BODY) {
             last(FinalAnswer.own(408, null));
-        } else if (state == State.IDLE || !channel.isWritable() || !hasUnsent()) {
+        } else if (!hasUnsent() || state != State.IDLE && !channel.isWritable()) {
             channel.close();
         } else {
             untilMs = nowMs + LINGER_MS;
@@ -219,9 +219,9 @@
                 && !channel.unsafe().outboundBuffer().isEmpty();
     }
 
-    /** Whether no request is under way or coming. */
+    /** Whether no request is under way or coming, and the last answer has gone out whole. */
     boolean isIdle() {
-        return state == State.IDLE && !pending.isReadable();
+        return state == State.IDLE && !pending.isReadable() && !hasUnsent();
     }
 
     /** Closes it, behind what is still to be sent, if no request is under way or coming. */
--- a/cdn/src/main/java/ridgemill/cdn/registry/StoreClient.java
+++ b/cdn/src/main/java/ridgemill/cdn/registry/StoreClient.java
@@ -33,6 +33,8 @@
     private static final long LEAST_ATTEMPT_MS = 100;
     /** How much longer a change may take for each of its items, in milliseconds. */
     private static final long ITEM_MS = 2;
+    /** How long a call waits where nobody leads, in milliseconds. */
+    private static final long LEADERLESS_MS = 80;
     /** How long a purge waits before it is sent again in a newer epoch, in milliseconds. */
     private static final long PURGE_AGAIN_MS = 60;
 
@@ -148,6 +150,14 @@
             return null;
         }
 
+        /** Nobody who leads can be reached at present: all may be asked again. */
+        private void askAgain() {
+            asked.clear();
+            leader = "";
+            insist = true;
+            next();
+        }
+
         private void answered(String host, Either<CallFailure, Message.Reply> reply) {
             R answer = reply.isRight() ? reader.apply(reply.get()) : null;
             OrderResult told = answer == null ? OrderResult.UNKNOWN : result.apply(answer);
@@ -158,12 +168,11 @@
                 }
                 case NOT_LEADER -> {
                     leader = told.detail();
-                    insist = asked.contains(leader) || !isOpen(leader);
-                    if (insist) {
-                        asked.remove(host);
-                        leader = host;
+                    if (isOpen(leader) && !asked.contains(leader)) {
+                        next();
+                    } else {
+                        loop.schedule(this::askAgain, LEADERLESS_MS, TimeUnit.MILLISECONDS);
                     }
-                    next();
                 }
                 case UNKNOWN -> {
                     insist = true;
--- a/cdn/src/main/java/ridgemill/cdn/store/StorePeers.java
+++ b/cdn/src/main/java/ridgemill/cdn/store/StorePeers.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.function.Consumer;
 import ridgemill.cdn.wire.HeldLink;
 import ridgemill.cdn.wire.Link;
 import ridgemill.cdn.wire.LinkListener;
@@ -19,6 +20,7 @@
     private final LinkMessages.Hello hello;
     private final int port;
     private final Map<String, HeldLink> links = new LinkedHashMap<>();
+    private Consumer<String> whenReached = address -> {};
 
     StorePeers(EventLoop loop, SocketKind sockets, LinkMessages.Hello hello, int port) {
         this.loop = loop;
@@ -27,6 +29,11 @@
         this.port = port;
     }
 
+    /** Sets what is told the IP address of each store to which a link opens. */
+    void whenReached(Consumer<String> told) {
+        whenReached = told;
+    }
+
     /** The link to the store on the machine with this IP address. */
     HeldLink to(String address) {
         return links.computeIfAbsent(address, host -> {
@@ -42,7 +49,9 @@
     }
 
     @Override
-    public void opened(Link link) {}
+    public void opened(Link link) {
+        whenReached.accept(link.remoteAddress());
+    }
 
     @Override
     public void received(Link link, Message message) {}
--- a/cdn/src/main/java/ridgemill/cdn/store/StoreReplica.java
+++ b/cdn/src/main/java/ridgemill/cdn/store/StoreReplica.java
@@ -74,6 +74,7 @@
         remember(state.accepted());
         agreement = new AgreementNode(settings, this, rules);
         agreement.start(state.accepted(), steadyMs());
+        peers.whenReached(address -> agreement.reached(address, steadyMs()));
     }
 
     AgreementNode agreement() {
--- a/cdn/src/test/java/ridgemill/cdn/proxy/FrontTest.java
+++ b/cdn/src/test/java/ridgemill/cdn/proxy/FrontTest.java
@@ -14,6 +14,9 @@
     private static final int LONG_ANSWER_BYTES = 8 << 20;
     private static final int SMALL_BUFFER_BYTES = 4_096;
 
+    private static final String SLOW_REQUEST =
+            "GET /i/9 HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: 9\r\nX-Deadline-Remaining: 5000\r\n\r\n";
+
     private ProxyFixture proxy;
 
     @BeforeEach
@@ -187,4 +190,30 @@
             assertThat(new String(rest, StandardCharsets.US_ASCII)).endsWith("xxx");
         }
     }
+
+    /** At its bound of connections, and after its idle time, a proxy closes none whose last answer is still going out. */
+    @Test
+    void aConnectionWhoseAnswerIsStillGoingOutIsNotIdle() throws Exception {
+        proxy.close();
+        proxy = new ProxyFixture(272);
+        proxy.instance("long", StandInInstance.sealed("x".repeat(LONG_ANSWER_BYTES)));
+        try (Socket slow = new Socket()) {
+            slow.setReceiveBufferSize(SMALL_BUFFER_BYTES);
+            slow.connect(proxy.path.address());
+            slow.getOutputStream().write(SLOW_REQUEST.getBytes(StandardCharsets.US_ASCII));
+            int first = slow.getInputStream().readNBytes(1).length;
+            ProxyFixture.Client[] others = new ProxyFixture.Client[3];
+            for (int i = 0; i < others.length; i++) {
+                others[i] = proxy.client();
+                assertThat(others[i].ask("GET", "/none", "o" + i, "").status()).isEqualTo(404);
+            }
+            ProxyFixture.Client fifth = proxy.client();
+            assertThat(fifth.ask("GET", "/none", "f", "").status()).isEqualTo(404);
+            assertThat(others[0].isEnded()).as("idle for longest").isTrue();
+            assertThat(fifth.isEnded()).as("the idle time of all has passed").isTrue();
+            byte[] rest = slow.getInputStream().readAllBytes();
+            assertThat(first + rest.length).isGreaterThan(LONG_ANSWER_BYTES);
+            assertThat(new String(rest, StandardCharsets.US_ASCII)).endsWith("xxx");
+        }
+    }
 }
