--- a/cdn-core/src/main/java/ridgemill/cdn/agreement/Acceptor.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/agreement/Acceptor.java
@@ -1,6 +1,7 @@
 package ridgemill.cdn.agreement;
 
 import java.util.List;
+import ridgemill.cdn.config.VersionedItem;
 import ridgemill.cdn.quorum.VoterSet;
 
 /**
@@ -112,7 +113,7 @@
         persist(List.of(), true, whenDurable);
     }
 
-    private void persist(List<ridgemill.cdn.config.VersionedItem> items, boolean replaces, Runnable whenDurable) {
+    private void persist(List<VersionedItem> items, boolean replaces, Runnable whenDurable) {
         Stamp accepted = state.stamp();
         environment.persist(new AcceptorRecord(promised, accepted, state.voters(), items, replaces), () -> {
             durable = accepted;
--- a/cdn-core/src/main/java/ridgemill/cdn/agreement/AgreementNode.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/agreement/AgreementNode.java
@@ -44,6 +44,7 @@
     private final StateSource source;
     private final StatePull pull;
     private final Peers peers;
+    private final DiskWatch disks = new DiskWatch();
     private final VoterPlan plan;
     private boolean leaving;
     private long completeEpoch;
@@ -75,7 +76,7 @@
         this.source = new StateSource(self, acceptor, view);
         this.pull = new StatePull(self, settings.lifeId(), environment);
         this.peers = new Peers(self, settings.seeds());
-        this.plan = new VoterPlan(peers, settings.toleratedLosses());
+        this.plan = new VoterPlan(peers, disks, settings.toleratedLosses());
     }
 
     /** Begins with what the disk held. */
@@ -275,6 +276,7 @@
             leaderHeardAtMs = nowMs;
         }
         view.decide(status.decided());
+        disks.seen(status.from(), status.accepted(), view.decided(), nowMs);
         decideIfAllHoldTheSame(nowMs);
         formIfSeedsAreEmpty(nowMs);
     }
@@ -434,6 +436,7 @@
     /** Goes on as time passes; to be called every {@link #TICK_MS}. */
     public void tick(double nowMs) {
         peers.tick(nowMs);
+        disks.seen(self, acceptor.durable(), view.decided(), nowMs);
         source.tick(nowMs);
         pull.tick(nowMs);
         leadership.tick(nowMs);
--- a/cdn-core/src/main/java/ridgemill/cdn/agreement/VoterPlan.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/agreement/VoterPlan.java
@@ -19,6 +19,7 @@
     private static final int LEAST_VOTERS = 3;
 
     private final Peers peers;
+    private final DiskWatch disks;
     private final int wanted;
 
     /**
@@ -26,8 +27,9 @@
      *
      * @param toleratedLosses how many counted machines may be lost at once
      */
-    VoterPlan(Peers peers, int toleratedLosses) {
+    VoterPlan(Peers peers, DiskWatch disks, int toleratedLosses) {
         this.peers = peers;
+        this.disks = disks;
         this.wanted = Math.max(LEAST_VOTERS, 2 * toleratedLosses + 1);
     }
 
@@ -97,7 +99,8 @@
         List<AgreementMessage.Status> all = new ArrayList<>(peers.within(Peers.FRESH_MS, nowMs));
         all.add(own);
         for (AgreementMessage.Status status : all) {
-            if (status.eligible() && !status.leaving() && !standing.contains(status.from())) {
+            boolean able = status.eligible() && !status.leaving() && !disks.isStuck(status.from(), nowMs);
+            if (able && !standing.contains(status.from())) {
                 candidates.add(status);
             }
         }
@@ -111,6 +114,9 @@
     }
 
     private boolean isGone(Voter voter, AgreementMessage.Status own, double nowMs) {
+        if (disks.isStuck(voter, nowMs)) {
+            return true;
+        }
         return voter.equals(own.from()) ? own.leaving() : peers.isGone(voter, nowMs);
     }
 }
--- a/cdn-core/src/test/java/ridgemill/cdn/agreement/ControlWalk.java
+++ b/cdn-core/src/test/java/ridgemill/cdn/agreement/ControlWalk.java
@@ -107,11 +107,18 @@
             address = leader(address);
         }
         world.remember(addresses.get(random.nextInt(addresses.size())));
-        int kind = random.nextInt(10);
+        int kind = random.nextInt(11);
+        if (kind == 10 && world.nobodyIsLost() && !world.isAnyDiskStuck()) {
+            world.stick(address, 1_000 + random.nextInt(8_000));
+            return;
+        }
         if (kind == 0) {
             world.powerOffAll();
             return;
         }
+        if (kind == 10 || world.isAnyDiskStuck() && !world.stuckLongEnough()) {
+            return;
+        }
         if (!world.mayLose(address) || world.machines.get(address).process == null) {
             return;
         }
--- a/cdn-core/src/test/java/ridgemill/cdn/agreement/ControlWorld.java
+++ b/cdn-core/src/test/java/ridgemill/cdn/agreement/ControlWorld.java
@@ -1,6 +1,7 @@
 package ridgemill.cdn.agreement;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -14,7 +15,9 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.function.Predicate;
+import java.util.function.Supplier;
 import ridgemill.cdn.config.Item;
 import ridgemill.cdn.config.ItemKind;
 import ridgemill.cdn.config.ItemName;
@@ -71,6 +74,7 @@
             new PriorityQueue<>(Comparator.comparingDouble(Event::atMs).thenComparingLong(Event::order));
     private final Set<String> cuts = new HashSet<>();
     private final Map<String, Double> lostUntilMs = new HashMap<>();
+    private double stuckSinceMs;
     private long eventCount;
     private long diskCount;
     double nowMs;
@@ -248,7 +252,7 @@
             syncing = true;
             at(1 + random.nextInt(8), this, () -> {
                 syncing = false;
-                if (disk.hasPending()) {
+                if (disk.hasPending() && !disk.stuck) {
                     disk.sync().run();
                     node.persisted(nowMs);
                 }
@@ -382,7 +386,7 @@
         this.mutant = mutant;
         this.tolerated = tolerated;
         this.seeds = List.of("m1", "m2", "m3");
-        java.util.Arrays.fill(edgeVoters, VoterSet.UNKNOWN);
+        Arrays.fill(edgeVoters, VoterSet.UNKNOWN);
         for (int i = 1; i <= stores; i++) {
             add("m" + i);
         }
@@ -567,6 +571,24 @@
         at(forMs, null, machine::thaw);
     }
 
+    /** A disk takes nothing for a while, as a full one does. Its machine does not count as lost. */
+    void stick(String address, double forMs) {
+        WorldDisk disk = machines.get(address).disk;
+        trace(() -> "stick " + address + " for " + forMs);
+        disk.stuck = true;
+        stuckSinceMs = nowMs;
+        at(forMs, null, () -> disk.stuck = false);
+    }
+
+    /** Whether a voter whose disk is stuck has had the time to be replaced. */
+    boolean stuckLongEnough() {
+        return nowMs - stuckSinceMs > CATCH_UP_MS;
+    }
+
+    boolean isAnyDiskStuck() {
+        return machines.values().stream().anyMatch(machine -> machine.disk.stuck);
+    }
+
     /** Cuts a machine off from the others, both ways or only what it sends or receives. */
     void cut(String address, double forMs, boolean sends, boolean receives) {
         lose(address, forMs);
@@ -826,7 +848,7 @@
             tell(store -> store.keys.release(key, claimId, (long) nowMs));
         }
 
-        private void tell(java.util.function.Function<Process, KeyRecord> change) {
+        private void tell(Function<Process, KeyRecord> change) {
             for (Voter voter : newestVoters().members()) {
                 transmit("edge", voter.address(), () -> {
                     Process store = processOf(voter);
@@ -844,6 +866,7 @@
         cuts.clear();
         lossShare = 0;
         for (Machine machine : machines.values()) {
+            machine.disk.stuck = false;
             if (machine.frozen) {
                 machine.thaw();
             }
@@ -882,7 +905,7 @@
     }
 
     /** Prints what happens if {@code -Dtrace=true} asks for it. */
-    void trace(java.util.function.Supplier<String> what) {
+    void trace(Supplier<String> what) {
         if (TRACE) {
             System.out.printf("%8.0f %s%n", nowMs, what.get());
         }
--- a/cdn-core/src/test/java/ridgemill/cdn/agreement/WorldDisk.java
+++ b/cdn-core/src/test/java/ridgemill/cdn/agreement/WorldDisk.java
@@ -19,6 +19,8 @@
     private final Map<ItemName, VersionedItem> items = new TreeMap<>();
     final Map<String, KeyRecord> keys = new TreeMap<>();
     private AcceptorRecord accepted = AcceptorRecord.EMPTY;
+    /** Whether it takes nothing more at present. */
+    boolean stuck;
 
     WorldDisk(String diskId) {
         this.diskId = diskId;
--- a/cdn/src/main/java/ridgemill/cdn/registry/StoreClient.java
+++ b/cdn/src/main/java/ridgemill/cdn/registry/StoreClient.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.function.LongFunction;
 import ridgemill.cdn.agreement.OrderResult;
 import ridgemill.cdn.config.Item;
@@ -103,8 +104,8 @@
         private final long endNanos;
         private final long patienceMs;
         private final CallMaker maker;
-        private final java.util.function.Function<Message.Reply, R> reader;
-        private final java.util.function.Function<R, OrderResult> result;
+        private final Function<Message.Reply, R> reader;
+        private final Function<R, OrderResult> result;
         private final Consumer<R> callback;
         private final Set<String> asked = new HashSet<>();
         private boolean insist;
@@ -112,8 +113,8 @@
         Attempts(
                 long patienceMs,
                 CallMaker maker,
-                java.util.function.Function<Message.Reply, R> reader,
-                java.util.function.Function<R, OrderResult> result,
+                Function<Message.Reply, R> reader,
+                Function<R, OrderResult> result,
                 Consumer<R> callback) {
             this.patienceMs = patienceMs;
             this.endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(budgetMs + patienceMs);
--- a/cdn/src/main/java/ridgemill/cdn/store/StoreReplica.java
+++ b/cdn/src/main/java/ridgemill/cdn/store/StoreReplica.java
@@ -15,6 +15,8 @@
 import ridgemill.cdn.agreement.ChangeRules;
 import ridgemill.cdn.agreement.NodeSettings;
 import ridgemill.cdn.config.Item;
+import ridgemill.cdn.config.ItemName;
+import ridgemill.cdn.config.VersionedItem;
 import ridgemill.cdn.keys.KeyLimits;
 import ridgemill.cdn.keys.KeyMerge;
 import ridgemill.cdn.keys.KeyRecord;
@@ -45,8 +47,7 @@
     /** What the acceptor has told the disk, to be written whole if the disk is begun anew. */
     private AcceptorRecord lastAccepted = AcceptorRecord.EMPTY;
 
-    private final Map<ridgemill.cdn.config.ItemName, ridgemill.cdn.config.VersionedItem> acceptedItems =
-            new TreeMap<>();
+    private final Map<ItemName, VersionedItem> acceptedItems = new TreeMap<>();
 
     StoreReplica(String lifeId, KeyLimits limits, Clock clock, DiskQueue disk, StorePeers peers) {
         this.lifeId = lifeId;
