--- a/bench/src/main/java/ridgemill/bench/Subject.java
+++ b/bench/src/main/java/ridgemill/bench/Subject.java
@@ -167,14 +167,6 @@
 
     @Override
     public void close() {
-        process.destroy();
-        try {
-            if (!process.waitFor(PATIENCE_S, TimeUnit.SECONDS)) {
-                process.destroyForcibly();
-            }
-        } catch (InterruptedException e) {
-            process.destroyForcibly();
-            Thread.currentThread().interrupt();
-        }
+        ChildProcess.end(process, PATIENCE_S);
     }
 }
--- a/bench/src/main/java/ridgemill/bench/scale/MeasuredProcess.java
+++ b/bench/src/main/java/ridgemill/bench/scale/MeasuredProcess.java
@@ -5,7 +5,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
+import ridgemill.bench.ChildProcess;
 
 /** A real program of the system as a process of its own, and what it has used so far. */
 final class MeasuredProcess implements AutoCloseable {
@@ -65,14 +65,6 @@
 
     @Override
     public void close() {
-        process.destroy();
-        try {
-            if (!process.waitFor(PATIENCE_S, TimeUnit.SECONDS)) {
-                process.destroyForcibly();
-            }
-        } catch (InterruptedException interrupted) {
-            process.destroyForcibly();
-            Thread.currentThread().interrupt();
-        }
+        ChildProcess.end(process, PATIENCE_S);
     }
 }
--- a/cdn-core/src/main/java/ridgemill/cdn/agreement/Acceptor.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/agreement/Acceptor.java
@@ -21,8 +21,7 @@
     }
 
     private final AgreementEnvironment environment;
-    private final ControlState initial = new ControlState();
-    private ControlState state = initial;
+    private ControlState state = new ControlState();
     private Ballot promised = Ballot.NONE;
     private Stamp durable = Stamp.NONE;
 
@@ -37,6 +36,11 @@
         durable = record.accepted();
     }
 
+    /** All that was promised and accepted, as far as it is in memory. */
+    AcceptorRecord record() {
+        return new AcceptorRecord(promised, state.stamp(), state.voters(), List.copyOf(state.items()), true);
+    }
+
     /** The newest accepted state. Only this class changes it. */
     ControlState state() {
         return state;
@@ -64,7 +68,7 @@
     /** Accepts a proposed step if its ballot is the highest and it fits. */
     Outcome accept(Step step, Runnable whenDurable) {
         Stamp stamp = step.stamp();
-        if (stamp.ballot().compareTo(promised) < 0) {
+        if (!isHeeded(stamp)) {
             return Outcome.REFUSED;
         }
         promised = stamp.ballot();
@@ -85,8 +89,7 @@
      * what is held is as new.
      */
     boolean install(ControlState whole, boolean decided, Runnable whenDurable) {
-        boolean current = whole.stamp().ballot().compareTo(promised) >= 0;
-        if (!current && !decided || whole.stamp().compareTo(state.stamp()) <= 0) {
+        if (!isHeeded(whole.stamp()) && !decided || whole.stamp().compareTo(state.stamp()) <= 0) {
             return false;
         }
         state = whole;
@@ -97,8 +100,7 @@
 
     /** Goes a step further that was learned from another store, under the same conditions as {@link #install}. */
     boolean follow(Step step, boolean decided, Runnable whenDurable) {
-        boolean current = step.stamp().ballot().compareTo(promised) >= 0;
-        if (!current && !decided || !step.base().equals(state.stamp())) {
+        if (!isHeeded(step.stamp()) && !decided || !step.base().equals(state.stamp())) {
             return false;
         }
         state.apply(step);
@@ -107,6 +109,11 @@
         return true;
     }
 
+    /** Whether no higher ballot than a state's own was promised. */
+    private boolean isHeeded(Stamp stamp) {
+        return stamp.ballot().compareTo(promised) >= 0;
+    }
+
     /** Begins with the first voters, before anything was decided. */
     void form(Stamp stamp, VoterSet voters, Runnable whenDurable) {
         state = new ControlState(stamp, voters, List.of());
--- a/cdn-core/src/main/java/ridgemill/cdn/agreement/AgreementMessage.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/agreement/AgreementMessage.java
@@ -11,6 +11,15 @@
     /** The store that sent the message. */
     Voter from();
 
+    /** A proposer asks an acceptor. */
+    sealed interface ToAcceptor extends AgreementMessage {}
+
+    /** An acceptor answers a proposer. */
+    sealed interface ToProposer extends AgreementMessage {}
+
+    /** A store brings its state up to date from another one. */
+    sealed interface Transfer extends AgreementMessage {}
+
     /**
      * What a store says of itself, at intervals and after changes.
      *
@@ -40,25 +49,25 @@
             implements AgreementMessage {}
 
     /** Asks for the promise to accept nothing of a lower ballot. */
-    record Prepare(Voter from, Ballot ballot) implements AgreementMessage {}
+    record Prepare(Voter from, Ballot ballot) implements ToAcceptor {}
 
     /** The promise, and what was accepted before it. */
-    record Promise(Voter from, Ballot ballot, Stamp accepted, VoterSet voters) implements AgreementMessage {}
+    record Promise(Voter from, Ballot ballot, Stamp accepted, VoterSet voters) implements ToProposer {}
 
     /** Proposes a state as a difference. Its ballot is that of the step's stamp. */
-    record Accept(Voter from, Step step) implements AgreementMessage {}
+    record Accept(Voter from, Step step) implements ToAcceptor {}
 
     /** A state, and under the same ballot all before it, is accepted and on disk. */
-    record Accepted(Voter from, Stamp stamp) implements AgreementMessage {}
+    record Accepted(Voter from, Stamp stamp) implements ToProposer {}
 
     /** A ballot came too late: a higher one was promised. */
-    record Refused(Voter from, Ballot asked, Ballot promised) implements AgreementMessage {}
+    record Refused(Voter from, Ballot asked, Ballot promised) implements ToProposer {}
 
     /** Asks whether a ballot is still the highest one. */
-    record Confirm(Voter from, Ballot ballot, long number) implements AgreementMessage {}
+    record Confirm(Voter from, Ballot ballot, long number) implements ToAcceptor {}
 
     /** It is. */
-    record Confirmed(Voter from, Ballot ballot, long number) implements AgreementMessage {}
+    record Confirmed(Voter from, Ballot ballot, long number) implements ToProposer {}
 
     /**
      * Asks for a page of the accepted state.
@@ -67,10 +76,10 @@
      * @param have the state that the asking store holds
      * @param page the number of the page, from 0
      */
-    record Pull(Voter from, String transfer, Stamp have, int page) implements AgreementMessage {}
+    record Pull(Voter from, String transfer, Stamp have, int page) implements Transfer {}
 
     /** Answers {@link Pull} with the steps that are missing, where they are few. */
-    record Difference(Voter from, String transfer, Stamp decided, List<Step> steps) implements AgreementMessage {}
+    record Difference(Voter from, String transfer, Stamp decided, List<Step> steps) implements Transfer {}
 
     /**
      * Answers {@link Pull} with a page of a snapshot.
@@ -93,5 +102,5 @@
             VoterSet voters,
             List<VersionedItem> items,
             long digest)
-            implements AgreementMessage {}
+            implements Transfer {}
 }
--- a/cdn-core/src/main/java/ridgemill/cdn/agreement/AgreementNode.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/agreement/AgreementNode.java
@@ -107,6 +107,11 @@
         return view.items();
     }
 
+    /** All that this store has promised and accepted, to be written to a disk that is begun anew. */
+    public AcceptorRecord record() {
+        return acceptor.record();
+    }
+
     /** Whether this store votes. */
     public boolean isVoter() {
         return voters().contains(self);
@@ -152,11 +157,6 @@
         return out || !plan.hasCandidate(voters(), status(nowMs), nowMs);
     }
 
-    /** The IP addresses of the stores that were heard lately. */
-    public List<String> knownAddresses(double nowMs) {
-        return peers.known(nowMs);
-    }
-
     /**
      * Decides an order, see {@link OrderResult}. With {@code insist}, which says that the leader could not be reached, this
      * store tries to lead unless it has just heard that leader itself.
@@ -169,8 +169,7 @@
             return;
         }
         leadership.order(items, deadlineMs, callback);
-        serve(nowMs);
-        afterWork(nowMs);
+        goOn(nowMs);
     }
 
     /** Reads the newest decided items; the callback is told null if no majority confirms in time that they are. */
@@ -187,8 +186,7 @@
         }
         leadership.confirm(
                 () -> callback.accept(new ArrayList<>(view.items().all())), () -> callback.accept(null), deadlineMs);
-        serve(nowMs);
-        afterWork(nowMs);
+        goOn(nowMs);
     }
 
     /** The store to ask in this one's place, empty if none is known; null if this one leads or begins to. */
@@ -236,37 +234,17 @@
         if (message.from().equals(self)) {
             return;
         }
-        switch (kindOf(message)) {
-            case STATUS -> heard((AgreementMessage.Status) message, nowMs);
-            case ACCEPTING -> acceptorMessage(message, nowMs);
-            case LEADING -> leadershipMessage(message, nowMs);
-            case TRANSFER -> transferMessage(message, nowMs);
+        if (message instanceof AgreementMessage.Status status) {
+            heard(status, nowMs);
+        } else if (message instanceof AgreementMessage.ToAcceptor asked) {
+            acceptorMessage(asked, nowMs);
+        } else if (message instanceof AgreementMessage.ToProposer answer) {
+            proposerMessage(answer, nowMs);
+        } else if (message instanceof AgreementMessage.Transfer transfer) {
+            transferMessage(transfer, nowMs);
         }
         leadership.checkPromised();
-        serve(nowMs);
-        afterWork(nowMs);
-    }
-
-    private enum Kind {
-        STATUS,
-        ACCEPTING,
-        LEADING,
-        TRANSFER
-    }
-
-    private static Kind kindOf(AgreementMessage message) {
-        if (message instanceof AgreementMessage.Status) {
-            return Kind.STATUS;
-        }
-        if (message instanceof AgreementMessage.Prepare
-                || message instanceof AgreementMessage.Accept
-                || message instanceof AgreementMessage.Confirm) {
-            return Kind.ACCEPTING;
-        }
-        boolean transfer = message instanceof AgreementMessage.Pull
-                || message instanceof AgreementMessage.Difference
-                || message instanceof AgreementMessage.Page;
-        return transfer ? Kind.TRANSFER : Kind.LEADING;
+        goOn(nowMs);
     }
 
     private void heard(AgreementMessage.Status status, double nowMs) {
@@ -329,7 +307,7 @@
         }
     }
 
-    private void acceptorMessage(AgreementMessage message, double nowMs) {
+    private void acceptorMessage(AgreementMessage.ToAcceptor message, double nowMs) {
         String address = message.from().address();
         if (message instanceof AgreementMessage.Prepare prepare) {
             leadership.roundSeen(prepare.ballot().round());
@@ -385,7 +363,7 @@
         }
     }
 
-    private void leadershipMessage(AgreementMessage message, double nowMs) {
+    private void proposerMessage(AgreementMessage.ToProposer message, double nowMs) {
         if (message instanceof AgreementMessage.Promise promise) {
             leadership.promised(promise, nowMs);
         } else if (message instanceof AgreementMessage.Accepted accepted) {
@@ -397,7 +375,7 @@
         }
     }
 
-    private void transferMessage(AgreementMessage message, double nowMs) {
+    private void transferMessage(AgreementMessage.Transfer message, double nowMs) {
         if (message instanceof AgreementMessage.Pull asked) {
             environment.send(asked.from().address(), source.answer(asked, nowMs));
         } else if (message instanceof AgreementMessage.Difference difference) {
@@ -444,11 +422,10 @@
         pullIfBehind(nowMs);
         leadIfNobodyDoes(nowMs);
         planVoters(nowMs);
-        serve(nowMs);
+        goOn(nowMs);
         if (nowMs - statusAtMs >= STATUS_INTERVAL_MS) {
             sendStatus(nowMs);
         }
-        afterWork(nowMs);
     }
 
     private void pullIfBehind(double nowMs) {
@@ -523,8 +500,9 @@
                 && status.accepted().compareTo(changeStamp) >= 0;
     }
 
-    /** Tells the others at once of what was decided, and serves what waited for it. */
-    private void afterWork(double nowMs) {
+    /** Serves what waits, and tells the others at once of what was decided. */
+    private void goOn(double nowMs) {
+        serve(nowMs);
         if (leadership.isLeading() && !view.decided().equals(announced)) {
             announced = view.decided();
             sendStatus(nowMs);
@@ -534,8 +512,7 @@
 
     /** Goes on after the disk has answered. */
     public void persisted(double nowMs) {
-        serve(nowMs);
-        afterWork(nowMs);
+        goOn(nowMs);
     }
 
     private AgreementMessage.Status status(double nowMs) {
--- a/cdn-core/src/main/java/ridgemill/cdn/agreement/ControlState.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/agreement/ControlState.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.TreeMap;
+import ridgemill.cdn.config.Checksum;
 import ridgemill.cdn.config.Item;
 import ridgemill.cdn.config.ItemName;
 import ridgemill.cdn.config.PastVersion;
@@ -13,7 +14,6 @@
 /** A whole state: the items of the configuration and the voters. */
 public final class ControlState {
 
-    private static final long DIGEST_MULTIPLIER = 0x100000001b3L;
     private static final int ITEM_OVERHEAD = 40;
 
     private final TreeMap<ItemName, VersionedItem> items = new TreeMap<>();
@@ -82,26 +82,21 @@
     public long digest() {
         long hash = voters.epoch();
         for (Voter voter : voters.members()) {
-            hash = mix(hash, voter.toString().hashCode());
+            hash = Checksum.mix(hash, voter.toString().hashCode());
         }
         for (VersionedItem entry : items.values()) {
             Item item = entry.item();
-            hash = mix(hash, item.name().kind().ordinal());
-            hash = mix(hash, item.name().name().hashCode());
-            hash = mix(hash, item.version());
-            hash = mix(hash, item.contentDigest());
+            hash = Checksum.mix(hash, item.name().kind().ordinal());
+            hash = Checksum.mix(hash, item.name().name().hashCode());
+            hash = Checksum.mix(hash, item.version());
+            hash = Checksum.mix(hash, item.contentDigest());
             for (PastVersion past : entry.past()) {
-                hash = mix(mix(hash, past.version()), past.contentDigest());
+                hash = Checksum.mix(Checksum.mix(hash, past.version()), past.contentDigest());
             }
         }
         return hash;
     }
 
-    private static long mix(long hash, long value) {
-        long mixed = hash * DIGEST_MULTIPLIER + value;
-        return mixed ^ mixed >>> 29;
-    }
-
     /** How many characters an item takes in a message, roughly. */
     static long charactersOf(VersionedItem entry) {
         Item item = entry.item();
--- a/cdn-core/src/main/java/ridgemill/cdn/agreement/DecidedView.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/agreement/DecidedView.java
@@ -2,10 +2,9 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Deque;
-import java.util.Iterator;
 import java.util.List;
+import java.util.stream.Stream;
 import ridgemill.cdn.config.Item;
 import ridgemill.cdn.config.ItemSet;
 import ridgemill.cdn.config.VersionedItem;
@@ -24,8 +23,10 @@
 
     private final AgreementEnvironment environment;
     private final ItemSet items = new ItemSet();
-    /** The accepted steps in their order; the first one may be a whole state, whose base is {@link Stamp#NONE}. */
-    private final Deque<Step> steps = new ArrayDeque<>();
+    /** The newest decided steps in their order; the first one may be a whole state, whose base is {@link Stamp#NONE}. */
+    private final Deque<Step> settled = new ArrayDeque<>();
+    /** The accepted steps behind them that are not known to be decided. */
+    private final Deque<Step> open = new ArrayDeque<>();
 
     private VoterSet voters = VoterSet.UNKNOWN;
     private Stamp decided = Stamp.NONE;
@@ -33,7 +34,6 @@
     private Stamp heard = Stamp.NONE;
 
     private long keptCharacters;
-    private int undecided;
 
     DecidedView(AgreementEnvironment environment) {
         this.environment = environment;
@@ -61,61 +61,54 @@
 
     /** A whole state was accepted. */
     void installed(ControlState state) {
-        steps.clear();
+        settled.clear();
+        open.clear();
         keptCharacters = 0;
-        undecided = 0;
-        add(new Step(Stamp.NONE, state.stamp(), state.voters(), List.copyOf(state.items())));
+        accepted(new Step(Stamp.NONE, state.stamp(), state.voters(), List.copyOf(state.items())));
     }
 
     /** A step was accepted. */
     void accepted(Step step) {
-        add(step);
-    }
-
-    private void add(Step step) {
-        steps.add(step);
-        undecided++;
+        open.add(step);
         keptCharacters += step.characters();
-        while (steps.size() > undecided && (steps.size() > KEPT_STEPS || keptCharacters > KEPT_CHARACTERS)) {
-            keptCharacters -= steps.poll().characters();
+        while (!settled.isEmpty() && isOverfull()) {
+            keptCharacters -= settled.poll().characters();
         }
     }
 
+    private boolean isOverfull() {
+        return settled.size() + open.size() > KEPT_STEPS || keptCharacters > KEPT_CHARACTERS;
+    }
+
     /** A state is decided; all that it was made from is so too. */
     void decide(Stamp stamp) {
         heard = Stamp.max(heard, stamp);
-        if (undecided == 0 || stamp.compareTo(decided) <= 0) {
-            return;
-        }
-        int settled = settledBy(stamp);
-        if (settled > 0) {
-            publish(settled);
+        if (stamp.compareTo(decided) > 0) {
+            publish(settledBy(stamp));
         }
     }
 
-    /** How many of the undecided steps a decided state settles. */
+    /** How many of the open steps a decided state settles. */
     private int settledBy(Stamp stamp) {
-        int settled = 0;
+        int settles = 0;
         int position = 0;
-        for (Step step : undecidedSteps()) {
+        for (Step step : open) {
             position++;
             if (step.stamp().leadsTo(stamp)) {
-                settled = position;
+                settles = position;
             }
         }
-        return settled;
+        return settles;
     }
 
-    private Collection<Step> undecidedSteps() {
-        List<Step> all = new ArrayList<>(steps);
-        return all.subList(all.size() - undecided, all.size());
-    }
-
-    private void publish(int settled) {
+    private void publish(int count) {
+        if (count == 0) {
+            return;
+        }
         List<Item> changed = new ArrayList<>();
-        Iterator<Step> newest = undecidedSteps().iterator();
-        for (int i = 0; i < settled; i++) {
-            Step step = newest.next();
+        for (int i = 0; i < count; i++) {
+            Step step = open.poll();
+            settled.add(step);
             for (VersionedItem entry : step.items()) {
                 if (items.merge(entry.item())) {
                     changed.add(entry.item());
@@ -124,20 +117,17 @@
             voters = step.voters();
             decided = step.stamp();
         }
-        undecided -= settled;
         environment.decided(changed, voters);
     }
 
     /** The steps that lead from a state to the newest accepted one; null if they are not kept. */
     List<Step> stepsFrom(Stamp base) {
-        List<Step> missing = new ArrayList<>();
-        boolean found = false;
-        for (Step step : steps) {
-            found |= step.base().equals(base) && !base.equals(Stamp.NONE);
-            if (found) {
-                missing.add(step);
-            }
+        if (base.equals(Stamp.NONE)) {
+            return null;
         }
-        return found ? missing : null;
+        List<Step> missing = Stream.concat(settled.stream(), open.stream())
+                .dropWhile(step -> !step.base().equals(base))
+                .toList();
+        return missing.isEmpty() ? null : missing;
     }
 }
--- a/cdn-core/src/main/java/ridgemill/cdn/config/ItemSet.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/config/ItemSet.java
@@ -12,8 +12,6 @@
  */
 public final class ItemSet {
 
-    private static final long HASH_MULTIPLIER = 0x100000001b3L;
-
     private final TreeMap<ItemName, Item> items = new TreeMap<>();
 
     /** Merges one version. Returns whether it was newer than the one that was held. */
@@ -62,17 +60,12 @@
     public long digest() {
         long hash = 0;
         for (Item item : items.values()) {
-            hash = mix(hash, item.name().kind().ordinal());
-            hash = mix(hash, item.name().name().hashCode());
-            hash = mix(hash, item.version());
-            hash = mix(hash, item.isDrop() ? 0 : 1 + (long) item.content().hashCode());
+            hash = Checksum.mix(hash, item.name().kind().ordinal());
+            hash = Checksum.mix(hash, item.name().name().hashCode());
+            hash = Checksum.mix(hash, item.version());
+            hash = Checksum.mix(
+                    hash, item.isDrop() ? 0 : 1 + (long) item.content().hashCode());
         }
         return hash;
     }
-
-    /** Only of values that are the same in every process, which an enumeration's own hash code is not. */
-    private static long mix(long hash, long value) {
-        long mixed = hash * HASH_MULTIPLIER + value;
-        return mixed ^ mixed >>> 29;
-    }
 }
--- a/cdn-core/src/main/java/ridgemill/cdn/edge/ByteRange.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/edge/ByteRange.java
@@ -37,17 +37,6 @@
     }
 
     private static long number(String text) {
-        if (text.isEmpty() || text.length() > MOST_DIGITS) {
-            return -1;
-        }
-        long value = 0;
-        for (int i = 0; i < text.length(); i++) {
-            char c = text.charAt(i);
-            if (c < '0' || c > '9') {
-                return -1;
-            }
-            value = 10 * value + c - '0';
-        }
-        return value;
+        return Digits.parse(text, MOST_DIGITS);
     }
 }
--- a/cdn-core/src/main/java/ridgemill/cdn/keys/KeyReplica.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/keys/KeyReplica.java
@@ -4,9 +4,11 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.PriorityQueue;
 import java.util.TreeMap;
+import java.util.stream.Stream;
 
 /**
  * One voter's register of operation keys. A key is granted to one claim at a time, so of all claims of a key at most one
@@ -92,6 +94,21 @@
         restored.forEach(this::put);
     }
 
+    /**
+     * Joins what other voters know with what is held here, key by key as {@link KeyMerge} says.
+     *
+     * @return all records that are held afterwards
+     */
+    public List<KeyRecord> join(Collection<KeyRecord> others) {
+        Map<String, KeyMerge> merges = new TreeMap<>();
+        Stream.concat(others.stream(), records.values().stream())
+                .forEach(record ->
+                        merges.computeIfAbsent(record.key(), KeyMerge::new).add(record));
+        List<KeyRecord> joined = merges.values().stream().map(KeyMerge::outcome).toList();
+        restore(joined);
+        return joined;
+    }
+
     /** What is known of a key; null if nothing is, or if it has expired. */
     public KeyRecord get(String key, long nowMs) {
         KeyRecord held = records.get(key);
--- a/cdn-core/src/main/java/ridgemill/cdn/quorum/VoterSet.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/quorum/VoterSet.java
@@ -24,11 +24,6 @@
         previous = List.copyOf(previous);
     }
 
-    /** How many of a number of voters are a majority. */
-    public static int majority(int voters) {
-        return voters / 2 + 1;
-    }
-
     /** Whether the voters are known. */
     public boolean isKnown() {
         return !voters.isEmpty();
@@ -66,6 +61,11 @@
         return isKnown() && isMajorityOf(voters, agrees) && (previous.isEmpty() || isMajorityOf(previous, agrees));
     }
 
+    /** Whether those that agree are a majority of the voters that a change starts from, see {@link #standing}. */
+    public boolean isMajorityOfStanding(Predicate<Voter> agrees) {
+        return isMajorityOf(standing(), agrees);
+    }
+
     /** As {@link #isMajority}, counted by the machines that the voters run on. */
     public boolean isMajorityOfAddresses(Predicate<String> agrees) {
         return isMajority(voter -> agrees.test(voter.address()));
@@ -76,7 +76,7 @@
         for (Voter voter : voters) {
             agreeing += agrees.test(voter) ? 1 : 0;
         }
-        return agreeing >= majority(voters.size());
+        return 2 * agreeing > voters.size();
     }
 
     /** The next epoch, in which other voters take the place of the ones that stand; joint unless these stay. */
--- a/cdn-core/src/test/java/ridgemill/cdn/agreement/ControlWorld.java
+++ b/cdn-core/src/test/java/ridgemill/cdn/agreement/ControlWorld.java
@@ -23,10 +23,8 @@
 import ridgemill.cdn.config.ItemName;
 import ridgemill.cdn.keys.ClaimVote;
 import ridgemill.cdn.keys.KeyLimits;
-import ridgemill.cdn.keys.KeyMerge;
 import ridgemill.cdn.keys.KeyRecord;
 import ridgemill.cdn.keys.KeyReplica;
-import ridgemill.cdn.keys.KeyState;
 import ridgemill.cdn.keys.KeyVote;
 import ridgemill.cdn.quorum.Voter;
 import ridgemill.cdn.quorum.VoterSet;
@@ -300,7 +298,7 @@
                 transferring = wanted;
                 transferred.clear();
             }
-            for (Voter voter : wanted.previous()) {
+            for (Voter voter : wanted.standing()) {
                 if (!transferred.containsKey(voter)) {
                     transmit(machine.address, voter.address(), () -> answerKeys(voter, wanted));
                 }
@@ -321,18 +319,12 @@
         }
 
         private void finishTransfer(VoterSet wanted) {
-            VoterSet before = new VoterSet(1, wanted.previous(), List.of());
-            if (!before.isMajority(transferred::containsKey)) {
+            if (!wanted.isMajorityOfStanding(transferred::containsKey)) {
                 return;
             }
-            Map<String, KeyMerge> merges = new TreeMap<>();
-            List<KeyRecord> all = new ArrayList<>(keys.all());
+            List<KeyRecord> all = new ArrayList<>();
             transferred.values().forEach(all::addAll);
-            all.forEach(record ->
-                    merges.computeIfAbsent(record.key(), KeyMerge::new).add(record));
-            List<KeyRecord> merged =
-                    merges.values().stream().map(KeyMerge::outcome).toList();
-            keys.restore(merged);
+            List<KeyRecord> merged = keys.join(all);
             merged.forEach(record -> write(null, record, () -> {}));
             write(null, null, () -> node.keysComplete(wanted.epoch(), nowMs));
         }
@@ -914,9 +906,4 @@
     static Item route(String name, long version, String content) {
         return new Item(new ItemName(ItemKind.ROUTE, name), version, content);
     }
-
-    static KeyState stateOf(KeyReplica keys, String key, double nowMs) {
-        KeyRecord record = keys.get(key, (long) nowMs);
-        return record == null ? null : record.state();
-    }
 }
--- a/cdn/src/main/java/ridgemill/cdn/configuration/ChangeValidator.java
+++ b/cdn/src/main/java/ridgemill/cdn/configuration/ChangeValidator.java
@@ -1,13 +1,10 @@
 package ridgemill.cdn.configuration;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import io.vavr.control.Option;
-import java.io.IOException;
 import ridgemill.cdn.config.Destination;
 import ridgemill.cdn.config.Item;
 import ridgemill.cdn.config.ItemKind;
 import ridgemill.cdn.config.Route;
-import ridgemill.cdn.json.TreeReader;
 
 /**
  * Checks what a schema can't say of single items. Whether the configuration that a change leads to holds together is
@@ -37,7 +34,7 @@
         if (item.isDrop() || item.name().kind() != ItemKind.ROUTE) {
             return Option.none();
         }
-        Route route = route(item);
+        Route route = ItemParser.route(item);
         if (route == null) {
             return invalid(item, "can't be read");
         }
@@ -57,15 +54,6 @@
         return route.pathPrefix().startsWith("/") ? Option.none() : invalid(item, "the prefix starts with no slash");
     }
 
-    private Route route(Item item) {
-        try {
-            JsonNode content = TreeReader.json(item.content());
-            return ItemParser.route(item.name().name(), content);
-        } catch (IOException | IllegalArgumentException unreadable) {
-            return null;
-        }
-    }
-
     private static Option<InvalidChange> invalid(Item item, String reason) {
         return Option.of(
                 new InvalidChange(item.name().kind() + " " + item.name().name(), reason));
--- a/cdn/src/main/java/ridgemill/cdn/configuration/ConfigurationRules.java
+++ b/cdn/src/main/java/ridgemill/cdn/configuration/ConfigurationRules.java
@@ -1,7 +1,5 @@
 package ridgemill.cdn.configuration;
 
-import com.fasterxml.jackson.databind.JsonNode;
-import java.io.IOException;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -14,7 +12,6 @@
 import ridgemill.cdn.config.ItemKind;
 import ridgemill.cdn.config.ItemName;
 import ridgemill.cdn.config.Route;
-import ridgemill.cdn.json.TreeReader;
 
 /**
  * Whether a configuration holds together: each route names services that are there, and no two routes have the same host
@@ -41,7 +38,7 @@
         for (Item item : items) {
             if (item.name().kind() == ItemKind.ROUTE) {
                 forget(item.name(), routes.remove(item.name()));
-                Route route = route(item);
+                Route route = ItemParser.route(item);
                 if (route != null) {
                     add(item.name(), route);
                 }
@@ -79,19 +76,6 @@
         return route.hostname() + "\n" + route.pathPrefix();
     }
 
-    /** The typed form of an item that sets a route; else null. */
-    private static Route route(Item item) {
-        if (item.isDrop()) {
-            return null;
-        }
-        try {
-            JsonNode content = TreeReader.json(item.content());
-            return ItemParser.route(item.name().name(), content);
-        } catch (IOException | IllegalArgumentException unreadable) {
-            return null;
-        }
-    }
-
     @Override
     public Optional<String> fault(Collection<Item> items) {
         Change change = new Change(items);
@@ -109,7 +93,7 @@
         Change(Collection<Item> items) {
             for (Item item : items) {
                 if (item.name().kind() == ItemKind.ROUTE) {
-                    changedRoutes.put(item.name(), Optional.ofNullable(route(item)));
+                    changedRoutes.put(item.name(), Optional.ofNullable(ItemParser.route(item)));
                 } else if (item.name().kind() == ItemKind.SERVICE) {
                     changedServices.put(item.name().name(), !item.isDrop());
                 }
--- a/cdn/src/main/java/ridgemill/cdn/configuration/ItemParser.java
+++ b/cdn/src/main/java/ridgemill/cdn/configuration/ItemParser.java
@@ -47,6 +47,18 @@
         return new RoutingTable(routes, services, limits);
     }
 
+    /** The typed form of an item that sets a route; null if it drops one or can't be read. */
+    static Route route(Item item) {
+        if (item.isDrop()) {
+            return null;
+        }
+        try {
+            return route(item.name().name(), TreeReader.json(item.content()));
+        } catch (IOException | IllegalArgumentException unreadable) {
+            return null;
+        }
+    }
+
     /** The typed form of a route. Fails with an IllegalArgumentException if a field can't be read. */
     public static Route route(String name, JsonNode content) {
         RouteKind kind = RouteKind.ofWireName(content.path("routeKind").asText());
--- a/cdn/src/main/java/ridgemill/cdn/http/CallServer.java
+++ b/cdn/src/main/java/ridgemill/cdn/http/CallServer.java
@@ -6,11 +6,8 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -23,6 +20,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
 import java.util.function.Consumer;
+import ridgemill.cdn.net.Listening;
 import ridgemill.gateway.net.SocketKind;
 
 /** The HTTP/1.1 server at which a process answers calls from outside the data path; one request at a time a connection. */
@@ -70,22 +68,13 @@
      */
     public static CallServer listen(
             EventLoopGroup loop, SocketKind sockets, InetSocketAddress address, Consumer<Call> handler) {
-        ServerBootstrap bootstrap = new ServerBootstrap()
-                .group(loop)
-                .channel(sockets.server())
-                .option(ChannelOption.SO_BACKLOG, BACKLOG)
-                .option(ChannelOption.SO_REUSEADDR, true)
-                .childOption(ChannelOption.TCP_NODELAY, true)
-                .childHandler(new ChannelInitializer<SocketChannel>() {
-                    @Override
-                    protected void initChannel(SocketChannel channel) {
-                        channel.pipeline()
-                                .addLast(
-                                        new HttpServerCodec(),
-                                        new HttpObjectAggregator(MAX_BODY_BYTES),
-                                        new Handler(handler));
-                    }
-                });
+        ServerBootstrap bootstrap = Listening.bootstrap(
+                loop,
+                sockets,
+                BACKLOG,
+                channel -> channel.pipeline()
+                        .addLast(
+                                new HttpServerCodec(), new HttpObjectAggregator(MAX_BODY_BYTES), new Handler(handler)));
         return new CallServer(bootstrap.bind(address).syncUninterruptibly().channel());
     }
 
--- /dev/null
+++ b/cdn/src/main/java/ridgemill/cdn/net/package-info.java
@@ -0,0 +1,2 @@
+/** What the programs share of sockets. */
+package ridgemill.cdn.net;
--- a/cdn/src/main/java/ridgemill/cdn/proxy/DataPath.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/DataPath.java
@@ -1,13 +1,11 @@
 package ridgemill.cdn.proxy;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
 import ridgemill.cdn.config.Limits;
+import ridgemill.cdn.net.Listening;
 import ridgemill.cdn.proxy.control.ControlListener;
 import ridgemill.cdn.proxy.control.ControlView;
 import ridgemill.cdn.proxy.control.OperationRegister;
@@ -87,18 +85,11 @@
 
     /** Serves clients at the front address; the future fails if it can't be had. */
     public ChannelFuture listen() {
-        ChannelFuture bound = new ServerBootstrap()
-                .group(context.loop())
-                .channel(context.sockets().server())
-                .option(ChannelOption.SO_REUSEADDR, true)
-                .option(ChannelOption.SO_BACKLOG, BACKLOG)
-                .childOption(ChannelOption.TCP_NODELAY, true)
-                .childHandler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new FrontConnection(DataPath.this));
-                    }
-                })
+        ChannelFuture bound = Listening.bootstrap(
+                        context.loop(),
+                        context.sockets(),
+                        BACKLOG,
+                        channel -> channel.pipeline().addLast(new FrontConnection(this)))
                 .bind(Addresses.parse(context.settings().frontAddress()));
         listener = bound.channel();
         scheduleTick();
--- a/cdn/src/main/java/ridgemill/cdn/proxy/LoadHeader.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/LoadHeader.java
@@ -1,5 +1,6 @@
 package ridgemill.cdn.proxy;
 
+import ridgemill.cdn.edge.Digits;
 import ridgemill.cdn.edge.InstanceStats;
 
 /** Reads the header in which instances tell their load: running, waiting and slots, separated by commas. */
@@ -25,17 +26,6 @@
     }
 
     private static int number(String text) {
-        if (text.isEmpty() || text.length() > MOST_DIGITS) {
-            return -1;
-        }
-        int value = 0;
-        for (int i = 0; i < text.length(); i++) {
-            char c = text.charAt(i);
-            if (c < '0' || c > '9') {
-                return -1;
-            }
-            value = 10 * value + c - '0';
-        }
-        return value;
+        return (int) Digits.parse(text, MOST_DIGITS);
     }
 }
--- a/cdn/src/main/java/ridgemill/cdn/proxy/control/ControlClient.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/control/ControlClient.java
@@ -78,7 +78,7 @@
 
     private void connectStore(String host) {
         if (!stores.containsKey(host)) {
-            StoreFeed feed = new StoreFeed(host, this);
+            StoreFeed feed = new StoreFeed(this);
             stores.put(host, feed);
             feed.start(held(host, settings.storePort(), feed));
         }
--- a/cdn/src/main/java/ridgemill/cdn/proxy/control/RegistryFeed.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/control/RegistryFeed.java
@@ -1,6 +1,5 @@
 package ridgemill.cdn.proxy.control;
 
-import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import ridgemill.cdn.instances.Instance;
@@ -64,22 +63,19 @@
     public void received(Link from, Message message) {
         if (message instanceof RegistryMessages.Snapshot snapshot) {
             connected = true;
-            update(snapshot.settled(), snapshot.silent(), snapshot.proxyCount());
-            receiver.membersReceived(snapshot.registries(), snapshot.voters());
-            receiver.instancesReceived(snapshot.instances());
-            from.send(new RegistryMessages.NewsAcknowledged(snapshot.number()));
+            take(from, snapshot.number(), snapshot.overview());
         } else if (message instanceof RegistryMessages.News news) {
-            update(news.settled(), news.silent(), news.proxyCount());
-            receiver.membersReceived(news.registries(), news.voters());
-            receiver.instancesReceived(news.instances());
-            from.send(new RegistryMessages.NewsAcknowledged(news.number()));
+            take(from, news.number(), news.overview());
         }
     }
 
-    private void update(boolean nowSettled, List<String> nowSilent, int nowProxies) {
-        settled = nowSettled;
-        silent = nowSilent.isEmpty() ? Set.of() : new HashSet<>(nowSilent);
-        proxyCount = nowProxies;
+    private void take(Link from, long number, RegistryMessages.Overview overview) {
+        settled = overview.settled();
+        silent = Set.copyOf(overview.silent());
+        proxyCount = overview.proxyCount();
+        receiver.membersReceived(overview.registries(), overview.voters());
+        receiver.instancesReceived(overview.instances());
+        from.send(new RegistryMessages.NewsAcknowledged(number));
     }
 
     @Override
--- a/cdn/src/main/java/ridgemill/cdn/proxy/control/StoreFeed.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/control/StoreFeed.java
@@ -28,15 +28,13 @@
         void newsReceived(VoterSet voters, List<Item> items, List<Purge> purges);
     }
 
-    private final String host;
     private final Receiver receiver;
     private HeldLink link;
     private String lifeId = "";
     private long number;
     private Voter store;
 
-    StoreFeed(String host, Receiver receiver) {
-        this.host = host;
+    StoreFeed(Receiver receiver) {
         this.receiver = receiver;
     }
 
@@ -49,11 +47,6 @@
         link.close();
     }
 
-    /** The IP address of the store's machine. */
-    String host() {
-        return host;
-    }
-
     /** The store that has told all its items, in this life of the proxy and of the store's disk; null if none has. */
     Voter store() {
         return store;
@@ -66,10 +59,6 @@
         link.call(message, timeoutMs, callback);
     }
 
-    boolean isOpen() {
-        return link.isOpen();
-    }
-
     @Override
     public void opened(Link opened) {
         opened.send(new StoreMessages.Subscribe(lifeId, number));
--- a/cdn/src/main/java/ridgemill/cdn/registry/OperatorCalls.java
+++ b/cdn/src/main/java/ridgemill/cdn/registry/OperatorCalls.java
@@ -43,11 +43,11 @@
 
     /** Answers with what a quorum of the stores holds. */
     void readConfiguration(CallServer.Call call) {
-        stores.read(read -> call.answer()
+        stores.read(items -> call.answer()
                 .accept(
-                        read == null
+                        items == null
                                 ? CallServer.Answer.empty(UNAVAILABLE)
-                                : new CallServer.Answer(OK, reader().write(read.items()))));
+                                : new CallServer.Answer(OK, reader().write(items))));
     }
 
     /** Each item of a change is checked here by itself; the rest is decided by the stores together. */
--- a/cdn/src/main/java/ridgemill/cdn/registry/ProxyNews.java
+++ b/cdn/src/main/java/ridgemill/cdn/registry/ProxyNews.java
@@ -78,26 +78,17 @@
 
     /** Tells all connected proxies of instances that changed; with none, of what else has changed. */
     void push(List<Instance> changed) {
-        subscribers.push(new RegistryMessages.News(
-                subscribers.nextNumber(),
-                settled,
-                members.coreHosts(),
-                members.voters(),
-                members.proxyCount(clock.now()),
-                changed,
-                silent));
+        subscribers.push(new RegistryMessages.News(subscribers.nextNumber(), overview(changed)));
     }
 
     private RegistryMessages.Snapshot snapshot() {
-        return new RegistryMessages.Snapshot(
-                subscribers.lifeId(),
-                subscribers.number(),
-                settled,
-                members.coreHosts(),
-                members.voters(),
-                members.proxyCount(clock.now()),
-                List.copyOf(instances.all()),
-                silent);
+        List<Instance> all = List.copyOf(instances.all());
+        return new RegistryMessages.Snapshot(subscribers.lifeId(), subscribers.number(), overview(all));
+    }
+
+    private RegistryMessages.Overview overview(List<Instance> told) {
+        return new RegistryMessages.Overview(
+                settled, members.coreHosts(), members.voters(), members.proxyCount(clock.now()), told, silent);
     }
 
     /** Sees who is silent, how many proxies there are and whether all instances are known; tells it if it has changed. */
--- a/cdn/src/main/java/ridgemill/cdn/registry/StoreClient.java
+++ b/cdn/src/main/java/ridgemill/cdn/registry/StoreClient.java
@@ -45,9 +45,6 @@
     private VoterSet voters = VoterSet.UNKNOWN;
     private String leader = "";
 
-    /** What a read brought. */
-    public record Read(Collection<Item> items) {}
-
     /**
      * A client without voters, whose calls fail until {@link #setVoters} is called.
      *
@@ -82,13 +79,13 @@
     }
 
     /** Reads the newest decided items. The callback is told null if no majority confirmed them in time. */
-    public void read(Consumer<Read> callback) {
+    public void read(Consumer<Collection<Item>> callback) {
         new Attempts<StoreMessages.ItemsRead>(
                         0,
                         StoreMessages.ReadItems::new,
                         reply -> (StoreMessages.ItemsRead) reply,
                         read -> new OrderResult(read.outcome(), read.leader()),
-                        read -> callback.accept(read == null ? null : new Read(read.items())))
+                        read -> callback.accept(read == null ? null : read.items()))
                 .next();
     }
 
--- a/cdn/src/main/java/ridgemill/cdn/store/DiskBatch.java
+++ b/cdn/src/main/java/ridgemill/cdn/store/DiskBatch.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import ridgemill.cdn.agreement.AcceptorRecord;
-import ridgemill.cdn.config.VersionedItem;
 import ridgemill.cdn.keys.KeyRecord;
 
 /**
@@ -37,9 +36,4 @@
     static DiskBatch ofRemovedKeys(List<String> keys) {
         return new DiskBatch(null, null, List.of(), keys);
     }
-
-    /** The items that change; none if nothing was accepted. */
-    List<VersionedItem> items() {
-        return accepted == null ? List.of() : accepted.items();
-    }
 }
--- a/cdn/src/main/java/ridgemill/cdn/store/KeyTransfer.java
+++ b/cdn/src/main/java/ridgemill/cdn/store/KeyTransfer.java
@@ -47,7 +47,7 @@
             asking.clear();
             writing = false;
         }
-        for (Voter voter : change.previous()) {
+        for (Voter voter : change.standing()) {
             if (!taken.containsKey(voter) && asking.add(voter)) {
                 ask(change, voter, "", new ArrayList<>());
             }
@@ -87,8 +87,7 @@
     }
 
     private void finishIfEnough() {
-        VoterSet before = new VoterSet(change.epoch(), change.previous(), List.of());
-        if (writing || !before.isMajority(taken::containsKey)) {
+        if (writing || !change.isMajorityOfStanding(taken::containsKey)) {
             return;
         }
         writing = true;
--- a/cdn/src/main/java/ridgemill/cdn/store/StoreReplica.java
+++ b/cdn/src/main/java/ridgemill/cdn/store/StoreReplica.java
@@ -3,8 +3,6 @@
 import java.lang.System.Logger.Level;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
-import java.util.TreeMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -15,10 +13,7 @@
 import ridgemill.cdn.agreement.ChangeRules;
 import ridgemill.cdn.agreement.NodeSettings;
 import ridgemill.cdn.config.Item;
-import ridgemill.cdn.config.ItemName;
-import ridgemill.cdn.config.VersionedItem;
 import ridgemill.cdn.keys.KeyLimits;
-import ridgemill.cdn.keys.KeyMerge;
 import ridgemill.cdn.keys.KeyRecord;
 import ridgemill.cdn.keys.KeyReplica;
 import ridgemill.cdn.quorum.Voter;
@@ -44,11 +39,6 @@
     private AgreementNode agreement;
     private Voter self;
 
-    /** What the acceptor has told the disk, to be written whole if the disk is begun anew. */
-    private AcceptorRecord lastAccepted = AcceptorRecord.EMPTY;
-
-    private final Map<ItemName, VersionedItem> acceptedItems = new TreeMap<>();
-
     StoreReplica(String lifeId, KeyLimits limits, Clock clock, DiskQueue disk, StorePeers peers) {
         this.lifeId = lifeId;
         this.clock = clock;
@@ -72,7 +62,6 @@
     void start(StoredState state, NodeSettings settings, ChangeRules rules) {
         self = settings.self();
         keys.restore(state.records());
-        remember(state.accepted());
         agreement = new AgreementNode(settings, this, rules);
         agreement.start(state.accepted(), steadyMs());
         peers.whenReached(address -> agreement.reached(address, steadyMs()));
@@ -107,7 +96,6 @@
 
     @Override
     public void persist(AcceptorRecord record, Runnable durable) {
-        remember(record);
         disk.submit(DiskBatch.ofAccepted(record), written -> {
             if (written) {
                 durable.run();
@@ -116,14 +104,6 @@
         });
     }
 
-    private void remember(AcceptorRecord record) {
-        lastAccepted = record;
-        if (record.replaces()) {
-            acceptedItems.clear();
-        }
-        record.items().forEach(entry -> acceptedItems.put(entry.item().name(), entry));
-    }
-
     @Override
     public void decided(List<Item> changed, VoterSet voters) {
         LOG.log(
@@ -140,15 +120,8 @@
 
     /** Takes over the keys that other voters hold; this store votes on keys once all of them are on disk. */
     void keysPulled(List<KeyRecord> pulled, long epoch) {
-        Map<String, KeyMerge> merges = new TreeMap<>();
-        pulled.forEach(
-                record -> merges.computeIfAbsent(record.key(), KeyMerge::new).add(record));
-        for (KeyRecord own : keys.all()) {
-            merges.computeIfAbsent(own.key(), KeyMerge::new).add(own);
-        }
-        List<KeyRecord> merged = merges.values().stream().map(KeyMerge::outcome).toList();
-        keys.restore(merged);
-        disk.submit(DiskBatch.ofRecords(merged), written -> {
+        List<KeyRecord> joined = keys.join(pulled);
+        disk.submit(DiskBatch.ofRecords(joined), written -> {
             LOG.log(Level.INFO, "event=keys_complete epoch=" + epoch + " keys=" + keys.size() + " durable=" + written);
             if (written) {
                 agreement.keysComplete(epoch, steadyMs());
@@ -158,13 +131,7 @@
 
     /** Writes all that is in memory to a disk that was begun anew. */
     void writeAll() {
-        AcceptorRecord whole = new AcceptorRecord(
-                lastAccepted.promised(),
-                lastAccepted.accepted(),
-                lastAccepted.voters(),
-                List.copyOf(acceptedItems.values()),
-                true);
-        disk.submit(new DiskBatch(self.diskId(), whole, keys.all(), List.of()), written -> {});
+        disk.submit(new DiskBatch(self.diskId(), agreement.record(), keys.all(), List.of()), written -> {});
     }
 
     /** Writes a key record; null waits for what was written before. */
--- a/cdn/src/main/java/ridgemill/cdn/store/StoreService.java
+++ b/cdn/src/main/java/ridgemill/cdn/store/StoreService.java
@@ -113,7 +113,7 @@
         link.send(new StoreMessages.Written(call.callId(), replica.self(), counts));
     }
 
-    /** Grants a key, or says who has it; a grant is sent once it is on disk, if the epoch is still the same. */
+    /** Grants a key, or says who has it; a grant is sent once it is on disk. */
     private void claim(Link link, StoreMessages.ClaimKey claim) {
         if (claim.epoch() != replica.epoch()) {
             link.send(notVoting(claim, StoreMessages.KeyStatus.Availability.OTHER_EPOCH));
--- a/cdn/src/main/java/ridgemill/cdn/wire/LinkServer.java
+++ b/cdn/src/main/java/ridgemill/cdn/wire/LinkServer.java
@@ -1,15 +1,12 @@
 package ridgemill.cdn.wire;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.socket.SocketChannel;
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
+import ridgemill.cdn.net.Listening;
 import ridgemill.gateway.net.SocketKind;
 
 /** Accepts links from other processes of the system. */
@@ -50,18 +47,11 @@
 
     private static ChannelFuture bind(
             EventLoopGroup loop, SocketKind sockets, InetSocketAddress address, LinkListener listener) {
-        return new ServerBootstrap()
-                .group(loop)
-                .channel(sockets.server())
-                .option(ChannelOption.SO_BACKLOG, BACKLOG)
-                .option(ChannelOption.SO_REUSEADDR, true)
-                .childOption(ChannelOption.TCP_NODELAY, true)
-                .childHandler(new ChannelInitializer<SocketChannel>() {
-                    @Override
-                    protected void initChannel(SocketChannel channel) {
-                        channel.pipeline().addLast(new MessageCodec(), new Link(listener, null));
-                    }
-                })
+        return Listening.bootstrap(
+                        loop,
+                        sockets,
+                        BACKLOG,
+                        channel -> channel.pipeline().addLast(new MessageCodec(), new Link(listener, null)))
                 .bind(address);
     }
 
--- a/cdn/src/main/java/ridgemill/cdn/wire/RegistryMessages.java
+++ b/cdn/src/main/java/ridgemill/cdn/wire/RegistryMessages.java
@@ -51,38 +51,25 @@
     }
 
     /**
-     * All that a registry knows; the numbered changes after it continue from its number.
+     * What a registry tells edge proxies.
      *
-     * @param lifeId the life of the registry
-     * @param number the number of the last change that the snapshot holds
      * @param settled whether the registry has run for long enough to know all instances
      * @param registries the IP addresses of all known core machines
      * @param voters the voting stores; none while unknown
      * @param proxyCount how many edge proxies were heard lately
-     * @param instances all known instances, those that left included
-     * @param silent identifiers of instances that have not been heard for too long
+     * @param instances all known instances, those that left included, or those that changed
+     * @param silent identifiers of all instances that have not been heard for too long
      */
-    public record Snapshot(
-            String lifeId,
-            long number,
+    public record Overview(
             boolean settled,
             List<String> registries,
             VoterSet voters,
             int proxyCount,
             List<Instance> instances,
-            List<String> silent)
-            implements Message {
-
-        @Override
-        public MessageKind kind() {
-            return MessageKind.REGISTRY_SNAPSHOT;
-        }
+            List<String> silent) {
 
-        @Override
-        public void write(FieldWriter out) throws IOException {
-            out.text(lifeId)
-                    .number(number)
-                    .flag(settled)
+        void write(FieldWriter out) throws IOException {
+            out.flag(settled)
                     .texts(registries)
                     .value(voters, AgreementCodec::writeVoterSet)
                     .number(proxyCount)
@@ -90,10 +77,8 @@
                     .texts(silent);
         }
 
-        static Snapshot read(FieldReader in) throws IOException {
-            return new Snapshot(
-                    in.text(),
-                    in.number(),
+        static Overview read(FieldReader in) throws IOException {
+            return new Overview(
                     in.flag(),
                     in.texts(),
                     AgreementCodec.readVoterSet(in),
@@ -103,26 +88,37 @@
         }
     }
 
+    /**
+     * All that a registry knows; the numbered changes after it continue from its number.
+     *
+     * @param lifeId the life of the registry
+     * @param number the number of the last change that the snapshot holds
+     * @param overview what it knows, with all instances
+     */
+    public record Snapshot(String lifeId, long number, Overview overview) implements Message {
+
+        @Override
+        public MessageKind kind() {
+            return MessageKind.REGISTRY_SNAPSHOT;
+        }
+
+        @Override
+        public void write(FieldWriter out) throws IOException {
+            out.text(lifeId).number(number).value(overview, Overview::write);
+        }
+
+        static Snapshot read(FieldReader in) throws IOException {
+            return new Snapshot(in.text(), in.number(), Overview.read(in));
+        }
+    }
+
     /**
      * A numbered change; numbers follow one another without a gap.
      *
      * @param number the number of this change
-     * @param settled whether the registry has run for long enough to know all instances
-     * @param registries the IP addresses of all known core machines
-     * @param voters the voting stores; none while unknown
-     * @param proxyCount how many edge proxies were heard lately
-     * @param instances instances that changed
-     * @param silent identifiers of all instances that have not been heard for too long
+     * @param overview what the registry knows, with the instances that changed
      */
-    public record News(
-            long number,
-            boolean settled,
-            List<String> registries,
-            VoterSet voters,
-            int proxyCount,
-            List<Instance> instances,
-            List<String> silent)
-            implements Message {
+    public record News(long number, Overview overview) implements Message {
 
         @Override
         public MessageKind kind() {
@@ -131,24 +127,11 @@
 
         @Override
         public void write(FieldWriter out) throws IOException {
-            out.number(number)
-                    .flag(settled)
-                    .texts(registries)
-                    .value(voters, AgreementCodec::writeVoterSet)
-                    .number(proxyCount)
-                    .list(instances, Fields::writeInstance)
-                    .texts(silent);
+            out.number(number).value(overview, Overview::write);
         }
 
         static News read(FieldReader in) throws IOException {
-            return new News(
-                    in.number(),
-                    in.flag(),
-                    in.texts(),
-                    AgreementCodec.readVoterSet(in),
-                    in.smallNumber(),
-                    in.list(Fields::readInstance),
-                    in.texts());
+            return new News(in.number(), Overview.read(in));
         }
     }
 
--- a/cdn/src/test/java/ridgemill/cdn/registry/RegistryProgramTest.java
+++ b/cdn/src/test/java/ridgemill/cdn/registry/RegistryProgramTest.java
@@ -28,15 +28,15 @@
         cluster.startAll();
         RegistryCluster.Proxy proxy = cluster.proxy(0, "p", true);
         RegistryMessages.Snapshot snapshot = proxy.snapshot();
-        assertThat(snapshot.registries()).isEqualTo(RegistryCluster.HOSTS);
-        if (!snapshot.voters().isKnown()) {
-            proxy.news(news -> news.voters().equals(RegistryCluster.VOTERS));
+        assertThat(snapshot.overview().registries()).isEqualTo(RegistryCluster.HOSTS);
+        if (!snapshot.overview().voters().isKnown()) {
+            proxy.news(news -> news.overview().voters().equals(RegistryCluster.VOTERS));
         } else {
-            assertThat(snapshot.voters()).isEqualTo(RegistryCluster.VOTERS);
+            assertThat(snapshot.overview().voters()).isEqualTo(RegistryCluster.VOTERS);
         }
-        assertThat(snapshot.proxyCount()).isEqualTo(1);
-        if (!snapshot.settled()) {
-            assertThat(proxy.news(RegistryMessages.News::settled).number()).isGreaterThan(snapshot.number());
+        assertThat(snapshot.overview().proxyCount()).isEqualTo(1);
+        if (!snapshot.overview().settled()) {
+            assertThat(proxy.news(news -> news.overview().settled()).number()).isGreaterThan(snapshot.number());
         }
     }
 
@@ -45,7 +45,7 @@
         cluster.startAll();
         RegistryCluster.Proxy proxy = cluster.proxy(0, "p", true);
         cluster.proxy(1, "q", true);
-        proxy.news(news -> news.proxyCount() == 2);
+        proxy.news(news -> news.overview().proxyCount() == 2);
     }
 
     @Test
@@ -62,14 +62,14 @@
             assertThat(told.state()).isEqualTo(InstanceState.READY);
             assertThat(told.slots()).isEqualTo(4);
         }
-        assertThat(cluster.proxy(2, "r", true).snapshot().instances())
+        assertThat(cluster.proxy(2, "r", true).snapshot().overview().instances())
                 .extracting(Instance::id)
                 .contains("i");
     }
 
     /** What news tell of the instance that the tests are about, or null. */
     private static Instance instance(RegistryMessages.News news) {
-        return news.instances().stream()
+        return news.overview().instances().stream()
                 .filter(instance -> instance.id().equals("i"))
                 .findFirst()
                 .orElse(null);
@@ -126,9 +126,9 @@
         RegistryCluster.Proxy proxy = cluster.proxy(0, "p", true);
         awaitLinks();
         cluster.heartbeat(0, "i", "ready", 1);
-        proxy.news(news -> news.silent().contains("i"));
+        proxy.news(news -> news.overview().silent().contains("i"));
         cluster.heartbeat(0, "i", "ready", 2);
-        proxy.news(news -> !news.silent().contains("i"));
+        proxy.news(news -> !news.overview().silent().contains("i"));
     }
 
     @Test
@@ -141,17 +141,19 @@
             Thread.sleep(RegistryCluster.HEARTBEAT_INTERVAL_MS / 5);
         }
         proxy.snapshot();
-        assertThat(proxy.rest()).isNotEmpty().noneMatch(news -> news.silent().contains("i"));
-        proxy.news(news -> news.silent().contains("i"));
+        assertThat(proxy.rest())
+                .isNotEmpty()
+                .noneMatch(news -> news.overview().silent().contains("i"));
+        proxy.news(news -> news.overview().silent().contains("i"));
     }
 
     @Test
     void aRegistryThatForgotTheVotersLearnsThemFromAnother() throws Exception {
         cluster.start(2, false);
         RegistryCluster.Proxy proxy = cluster.proxy(2, "p", true);
-        assertThat(proxy.snapshot().voters().isKnown()).isFalse();
+        assertThat(proxy.snapshot().overview().voters().isKnown()).isFalse();
         cluster.start(0, true);
-        proxy.news(news -> news.voters().equals(RegistryCluster.VOTERS));
+        proxy.news(news -> news.overview().voters().equals(RegistryCluster.VOTERS));
     }
 
     /** Waits until each registry has links to the others, as it only then can pass on what it takes. */
--- a/cdn/src/test/java/ridgemill/cdn/store/StoreProgramTest.java
+++ b/cdn/src/test/java/ridgemill/cdn/store/StoreProgramTest.java
@@ -193,6 +193,7 @@
         order(cluster.caller(1), item("r1", 1));
         StoreMessages.News news = caller.take(StoreMessages.News.class);
         assertThat(news.items()).as("decided by the others").containsExactly(item("r1", 1));
+        assertThat(claim(caller, "c2").claimId()).as("a claim that is denied").isEqualTo("c0");
         assertThat(granted).isNotDone();
         trouble.goOn();
         assertThat(granted.join().claimId()).isEqualTo("c1");
--- a/cdn/src/test/java/ridgemill/cdn/wire/MessageCodecTest.java
+++ b/cdn/src/test/java/ridgemill/cdn/wire/MessageCodecTest.java
@@ -80,8 +80,10 @@
                 agreement(new AgreementMessage.Page(
                         VOTER, "life-1", STAMP, 0, 2, STAMP, VOTERS, List.of(ENTRY), -12345678901L)),
                 new RegistryMessages.Subscribe("life", 1),
-                new RegistryMessages.Snapshot("life", 1, true, HOSTS, VOTERS, 9, INSTANCES, List.of("i")),
-                new RegistryMessages.News(2, false, HOSTS, VoterSet.UNKNOWN, 9, INSTANCES, List.of()),
+                new RegistryMessages.Snapshot(
+                        "life", 1, new RegistryMessages.Overview(true, HOSTS, VOTERS, 9, INSTANCES, List.of("i"))),
+                new RegistryMessages.News(
+                        2, new RegistryMessages.Overview(false, HOSTS, VoterSet.UNKNOWN, 9, INSTANCES, List.of())),
                 new RegistryMessages.NewsAcknowledged(2),
                 new RegistryMessages.PeerUpdate(5, HOSTS, VOTERS, List.of("edge-1"), INSTANCES),
                 new RegistryMessages.PeerUpdateTaken(5),
