A promise that was given before any state was held outlives a restart

Cause: AgreementNode.start took over what the disk held only if a state was there. A newcomer of a joint set may be asked for its promise before it holds one; the promise counts for the new voters' majority and was on its disk, but after a restart it was forgotten, and a lower ballot could have been accepted. Ruled out: refusing to promise without a state, which would keep newcomers from counting longer than needed. Change: the disk's record is always taken over; an empty one is the same as the beginning.

--- a/cdn-core/src/main/java/ridgemill/cdn/agreement/AgreementNode.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/agreement/AgreementNode.java
@@ -81,8 +81,8 @@
 
     /** Begins with what the disk held. */
     public void start(AcceptorRecord record, double nowMs) {
+        acceptor.restore(record);
         if (!record.accepted().equals(Stamp.NONE)) {
-            acceptor.restore(record);
             view.installed(acceptor.state());
         }
         leadership.roundSeen(record.promised().round());
--- /dev/null
+++ b/cdn-core/src/test/java/ridgemill/cdn/agreement/PromiseTest.java
@@ -0,0 +1,61 @@
+package ridgemill.cdn.agreement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import ridgemill.cdn.config.Item;
+import ridgemill.cdn.quorum.Voter;
+import ridgemill.cdn.quorum.VoterSet;
+
+/** What a store has promised it heeds in all its lives. */
+class PromiseTest {
+
+    private static final Voter SELF = new Voter("10.0.0.4", "new");
+    private static final Voter PROPOSER = new Voter("10.0.0.1", "d");
+    private static final List<String> SEEDS = List.of("10.0.0.1", "10.0.0.2", "10.0.0.3");
+
+    private final List<AgreementMessage> sent = new ArrayList<>();
+    private final WorldDisk disk = new WorldDisk(SELF.diskId());
+
+    private final AgreementEnvironment environment = new AgreementEnvironment() {
+        @Override
+        public void send(String address, AgreementMessage message) {
+            sent.add(message);
+        }
+
+        @Override
+        public void persist(AcceptorRecord record, Runnable durable) {
+            disk.write(record, null, durable);
+            disk.sync().run();
+        }
+
+        @Override
+        public void decided(List<Item> changed, VoterSet voters) {}
+
+        @Override
+        public double random() {
+            return 0;
+        }
+    };
+
+    private AgreementNode life(String lifeId) {
+        NodeSettings settings = new NodeSettings(SELF, lifeId, "z", true, SEEDS, 1);
+        AgreementNode node = new AgreementNode(settings, environment, new ControlWorld.PlaceRules(Mutant.NONE));
+        node.start(disk.read(), 0);
+        sent.clear();
+        return node;
+    }
+
+    /** A newcomer may be asked before it holds any state. */
+    @Test
+    void aPromiseThatWasGivenBeforeAnyStateWasHeldOutlivesARestart() {
+        Ballot higher = new Ballot(5, "leader");
+        Ballot lower = new Ballot(3, "late");
+        life("first").receive(new AgreementMessage.Prepare(PROPOSER, higher), 0);
+        assertThat(sent).containsExactly(new AgreementMessage.Promise(SELF, higher, Stamp.NONE, VoterSet.UNKNOWN));
+        life("second").receive(new AgreementMessage.Prepare(PROPOSER, lower), 0);
+        assertThat(sent).containsExactly(new AgreementMessage.Refused(SELF, lower, higher));
+    }
+}
