Sight: each refusal has a reason, reads a source, connections a count; figures by Micrometer

Change: RefusalReason for each refusal and failure (Delivery.Result.Failed, Exchange.refuse), counted for each service; reads by source (copy, shared fetch, own fetch); requests sent, connections opened, open and broken before their first answer; level and share as gauges. No decision is changed. Ruled out: a text format of our own, as Micrometer's registry has one; leaving its binary format out of the jar, as it is needed to start.

--- a/cdn-core/src/main/java/ridgemill/cdn/edge/OriginShare.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/edge/OriginShare.java
@@ -59,6 +59,11 @@
         }
     }
 
+    /** The share, in requests a second; 0 or less where there is no bound. */
+    public double perSecond() {
+        return perSecond;
+    }
+
     /** Takes one arrival from the share if it allows one. */
     public boolean tryTake(double nowMs) {
         return bucket == null || bucket.tryTake(nowMs);
--- a/cdn/src/main/java/ridgemill/cdn/app/LoopbackSystem.java
+++ b/cdn/src/main/java/ridgemill/cdn/app/LoopbackSystem.java
@@ -1,5 +1,6 @@
 package ridgemill.cdn.app;
 
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.util.concurrent.DefaultThreadFactory;
@@ -13,6 +14,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.ThreadLocalRandom;
+import ridgemill.cdn.metrics.MetricsServer;
 import ridgemill.cdn.proxy.ProxyProgram;
 import ridgemill.cdn.registry.RegistryProgram;
 import ridgemill.cdn.settings.Settings;
@@ -37,6 +39,7 @@
     private final int firstPort;
     private final SocketKind sockets = SocketKind.chosen();
     private final Clock clock = new Clock();
+    private final PrometheusMeterRegistry metrics = MetricsServer.registry();
     private final List<CoreMachine> core = new ArrayList<>();
 
     private record CoreMachine(StoreProgram store, RegistryProgram registry) {}
@@ -93,7 +96,12 @@
             core.add(null);
             startCore(machine, true);
         }
-        new ProxyProgram(settings(0, true), loop(), sockets, clock).start();
+        new ProxyProgram(settings(0, true), loop(), sockets, clock, metrics).start();
+    }
+
+    /** The edge proxy's figures as text. */
+    String figures() {
+        return metrics.scrape();
     }
 
     /** Starts the programs of a core machine. */
--- a/cdn/src/main/java/ridgemill/cdn/app/Main.java
+++ b/cdn/src/main/java/ridgemill/cdn/app/Main.java
@@ -1,13 +1,14 @@
 package ridgemill.cdn.app;
 
 import io.vavr.control.Either;
+import io.vavr.control.Option;
 import java.nio.file.Path;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.HelpFormatter;
-import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
+import ridgemill.cdn.metrics.MetricsPlace;
 import ridgemill.cdn.settings.Settings;
 import ridgemill.cdn.settings.SettingsError;
 import ridgemill.cdn.settings.SettingsReader;
@@ -17,8 +18,11 @@
 
     private static final String SETTINGS_VARIABLE = "RIDGEMILL_CONFIG";
     private static final String DEFAULT_SETTINGS = "/etc/ridgemill/local.toml";
+    private static final String METRICS = "metrics";
+    private static final String METRICS_PREFIX = "--" + METRICS + "=";
     private static final int BAD_INPUT = 2;
-    private static final String USAGE = "ridgemill-cdn [--settings FILE] proxy|registry|store|check|demo|version";
+    private static final String USAGE =
+            "ridgemill-cdn [--settings FILE] [--metrics PORT/PATH] proxy|registry|store|check|demo|version";
     private static final String ABOUT =
             "proxy serves clients; registry takes the calls of instances and operators; store "
                     + "keeps the configuration; check reads the settings and says what is wrong with them.";
@@ -30,18 +34,30 @@
         // The usual command line of a deployment is one word: reading it by hand spares each start the parser's
         // classes.
         if (arguments.length == 1 && !arguments[0].startsWith("-")) {
-            run(arguments[0], settingsPath());
+            run(arguments[0], settingsPath(), Option.none());
+            return;
+        }
+        if (arguments.length == 2 && arguments[0].startsWith(METRICS_PREFIX) && !arguments[1].startsWith("-")) {
+            run(arguments[1], settingsPath(), metrics(arguments[0].substring(METRICS_PREFIX.length())));
             return;
         }
         Options options = new Options();
-        options.addOption(Option.builder()
+        options.addOption(org.apache.commons.cli.Option.builder()
                 .longOpt("settings")
                 .hasArg()
                 .argName("FILE")
                 .desc("the settings file; else the variable " + SETTINGS_VARIABLE + ", else " + DEFAULT_SETTINGS)
                 .build());
-        options.addOption(
-                Option.builder("h").longOpt("help").desc("print this text").build());
+        options.addOption(org.apache.commons.cli.Option.builder()
+                .longOpt(METRICS)
+                .hasArg()
+                .argName("PORT/PATH")
+                .desc("where the process serves its figures, on its machine's address; else it does not")
+                .build());
+        options.addOption(org.apache.commons.cli.Option.builder("h")
+                .longOpt("help")
+                .desc("print this text")
+                .build());
         CommandLine line = parse(options, arguments);
         if (line.hasOption("help")) {
             new HelpFormatter().printHelp(USAGE, null, options, ABOUT);
@@ -52,7 +68,8 @@
         }
         run(
                 line.getArgs()[0],
-                Path.of(line.getOptionValue("settings", settingsPath().toString())));
+                Path.of(line.getOptionValue("settings", settingsPath().toString())),
+                line.hasOption(METRICS) ? metrics(line.getOptionValue(METRICS)) : Option.none());
     }
 
     private static CommandLine parse(Options options, String[] arguments) {
@@ -69,11 +86,11 @@
         return Path.of(named == null || named.isEmpty() ? DEFAULT_SETTINGS : named);
     }
 
-    private static void run(String command, Path settingsPath) throws Exception {
+    private static void run(String command, Path settingsPath, Option<MetricsPlace> metrics) throws Exception {
         switch (command) {
-            case "proxy" -> new Process(settings(settingsPath), settingsPath).runProxy();
-            case "registry" -> new Process(settings(settingsPath), settingsPath).runRegistry();
-            case "store" -> new Process(settings(settingsPath), settingsPath).runStore();
+            case "proxy" -> new Process(settings(settingsPath), settingsPath, metrics).runProxy();
+            case "registry" -> new Process(settings(settingsPath), settingsPath, metrics).runRegistry();
+            case "store" -> new Process(settings(settingsPath), settingsPath, metrics).runStore();
             case "check" -> {
                 Settings settings = settings(settingsPath);
                 System.out.println(settingsPath + ": good; machine " + settings.nodeName());
@@ -85,6 +102,14 @@
         }
     }
 
+    private static Option<MetricsPlace> metrics(String text) {
+        Option<MetricsPlace> place = MetricsPlace.parse(text);
+        if (place.isEmpty()) {
+            fail("--" + METRICS + " takes PORT/PATH, not " + text);
+        }
+        return place;
+    }
+
     private static String version() {
         String version = Main.class.getPackage().getImplementationVersion();
         return version == null ? "unknown" : version;
--- a/cdn/src/main/java/ridgemill/cdn/app/Process.java
+++ b/cdn/src/main/java/ridgemill/cdn/app/Process.java
@@ -1,10 +1,15 @@
 package ridgemill.cdn.app;
 
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.netty.channel.ChannelException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.vavr.control.Option;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.file.Path;
+import ridgemill.cdn.metrics.MetricsPlace;
+import ridgemill.cdn.metrics.MetricsServer;
 import ridgemill.cdn.proxy.ProxyProgram;
 import ridgemill.cdn.registry.RegistryProgram;
 import ridgemill.cdn.settings.Settings;
@@ -24,13 +29,17 @@
     private final Clock clock = new Clock();
     private final EventLoop loop = new MultiThreadIoEventLoopGroup(1, sockets.handlers()).next();
 
-    Process(Settings settings, Path settingsPath) {
+    private final Option<MetricsPlace> metricsPlace;
+    private final PrometheusMeterRegistry metrics = MetricsServer.registry();
+
+    Process(Settings settings, Path settingsPath, Option<MetricsPlace> metricsPlace) {
         this.settings = settings;
+        this.metricsPlace = metricsPlace;
         this.settingsPath = settingsPath;
     }
 
     void runProxy() {
-        ProxyProgram proxy = new ProxyProgram(settings, loop, sockets, clock);
+        ProxyProgram proxy = new ProxyProgram(settings, loop, sockets, clock, metrics);
         started(proxy::start);
         onSignals(() -> proxy.drain(Process::end));
     }
@@ -57,9 +66,10 @@
     }
 
     /** Starts a program. An address that is taken is the operator's fault and ends the process with one line. */
-    private static void started(Runnable start) {
+    private void started(Runnable start) {
         try {
             start.run();
+            metricsPlace.forEach(this::serveMetrics);
         } catch (RuntimeException failed) {
             boolean taken = failed instanceof ChannelException
                     || failed.getCause() instanceof ChannelException
@@ -71,6 +81,11 @@
         }
     }
 
+    private void serveMetrics(MetricsPlace place) {
+        InetSocketAddress address = new InetSocketAddress(settings.ipAddress(), place.port());
+        MetricsServer.listen(loop, sockets, address, place.path(), metrics);
+    }
+
     private void onSignals(Runnable termination) {
         Signals.onTermination(termination);
         Signals.onHangup(this::checkSettings);
--- a/cdn/src/main/java/ridgemill/cdn/app/Rehearsal.java
+++ b/cdn/src/main/java/ridgemill/cdn/app/Rehearsal.java
@@ -53,6 +53,7 @@
         control("GET", "/ridgemill/configuration", "");
         control("PATCH", "/ridgemill/configuration", "{");
         control("DELETE", "/ridgemill/instances/i-1", "");
+        system.figures();
         system.stopCore(0);
     }
 
--- a/cdn/src/main/java/ridgemill/cdn/http/CallServer.java
+++ b/cdn/src/main/java/ridgemill/cdn/http/CallServer.java
@@ -51,9 +51,17 @@
      * An answer to a call.
      *
      * @param status the HTTP status
-     * @param body the body, which is JSON; may be empty
+     * @param body the body; may be empty
+     * @param contentType what the body is
      */
-    public record Answer(int status, byte[] body) {
+    public record Answer(int status, byte[] body, String contentType) {
+
+        private static final String JSON = "application/json";
+
+        /** An answer whose body is JSON. */
+        public Answer(int status, byte[] body) {
+            this(status, body, JSON);
+        }
 
         /** An answer without a body. */
         public static Answer empty(int status) {
@@ -121,7 +129,7 @@
                     Unpooled.wrappedBuffer(answer.body()));
             response.headers().set(HttpHeaderNames.CONTENT_LENGTH, answer.body().length);
             if (answer.body().length > 0) {
-                response.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
+                response.headers().set(HttpHeaderNames.CONTENT_TYPE, answer.contentType());
             }
             if (keepAlive) {
                 context.writeAndFlush(response);
--- /dev/null
+++ b/cdn/src/main/java/ridgemill/cdn/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** What a process tells of its own figures, as text, to whoever asks. */
+package ridgemill.cdn.metrics;
--- a/cdn/src/main/java/ridgemill/cdn/proxy/Attempt.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/Attempt.java
@@ -93,6 +93,7 @@
         } else {
             connection = given;
             sentAtMs = nowMs;
+            service.meters().countSent();
             if (endMs < Double.POSITIVE_INFINITY) {
                 timer = context.timers().at(endMs, this::silent);
             }
@@ -136,7 +137,11 @@
         if (load != null) {
             LoadHeader.tell(instance, load, context.now());
         }
-        pool.used(connection, how == Verdict.RESET || how == Verdict.NEVER_WRITTEN);
+        boolean broke = how == Verdict.RESET || how == Verdict.NEVER_WRITTEN;
+        if (broke && connection.idleBeforeMs() == 0) {
+            service.meters().countBrokenUnused();
+        }
+        pool.used(connection, broke);
         end(how, whole);
     }
 
--- a/cdn/src/main/java/ridgemill/cdn/proxy/CachedExchange.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/CachedExchange.java
@@ -2,6 +2,7 @@
 
 import ridgemill.cdn.config.Route;
 import ridgemill.cdn.edge.CachedObject;
+import ridgemill.cdn.edge.RefusalReason;
 
 /** A read of an object that may be answered from a copy. */
 final class CachedExchange extends Exchange {
@@ -28,6 +29,7 @@
         this.objects = objects;
     }
 
+    @Override
     ServiceState service() {
         return service;
     }
@@ -64,7 +66,7 @@
         }
         boolean refused = result instanceof Delivery.Result.Failed failed && !failed.mayHaveRun();
         if (refused || fetches > MOST_FETCHES) {
-            refuse(result instanceof Delivery.Result.Failed failed ? failed.waitMs() : 0);
+            refuse(RefusalReason.SHARED_FETCH, result instanceof Delivery.Result.Failed failed ? failed.waitMs() : 0);
         } else {
             run();
         }
--- a/cdn/src/main/java/ridgemill/cdn/proxy/DataPath.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/DataPath.java
@@ -1,5 +1,6 @@
 package ridgemill.cdn.proxy;
 
+import io.micrometer.core.instrument.MeterRegistry;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
@@ -41,8 +42,9 @@
             Clock clock,
             Settings settings,
             ControlView control,
-            OperationRegister register) {
-        this(loop, sockets, new LoopTimers(loop, clock), settings, control, register, (long)
+            OperationRegister register,
+            MeterRegistry registry) {
+        this(loop, sockets, new LoopTimers(loop, clock), settings, control, register, registry, (long)
                 (CACHE_PART * Runtime.getRuntime().maxMemory()));
     }
 
@@ -59,8 +61,9 @@
             Settings settings,
             ControlView control,
             OperationRegister register,
+            MeterRegistry registry,
             long cacheBytes) {
-        context = new ProxyContext(loop, sockets, timers, settings, control, register, cacheBytes);
+        context = new ProxyContext(loop, sockets, timers, settings, control, register, registry, cacheBytes);
         router = new RequestRouter(context);
         clients = new ClientConnections(settings.fileDescriptors());
         control.addListener(context.objects());
--- a/cdn/src/main/java/ridgemill/cdn/proxy/Delivery.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/Delivery.java
@@ -6,6 +6,7 @@
 import ridgemill.cdn.config.Route;
 import ridgemill.cdn.edge.InstancePicker.Pick;
 import ridgemill.cdn.edge.InstanceStats;
+import ridgemill.cdn.edge.RefusalReason;
 import ridgemill.cdn.edge.Verdict;
 import ridgemill.core.Timers;
 
@@ -37,10 +38,10 @@
          * There is no answer to pass on.
          *
          * @param mayHaveRun whether the request may have run, or may still
-         * @param outOfTime whether the deadline ended it
+         * @param reason what stopped it
          * @param waitMs when another try makes sense, in milliseconds
          */
-        record Failed(boolean mayHaveRun, boolean outOfTime, double waitMs) implements Result {}
+        record Failed(boolean mayHaveRun, RefusalReason reason, double waitMs) implements Result {}
     }
 
     private final ProxyContext context;
@@ -125,7 +126,7 @@
     private void tryNext() {
         double nowMs = context.now();
         if (deadlineMs - nowMs < LEAST_LEFT_MS) {
-            fail(true, 0);
+            fail(RefusalReason.OUT_OF_TIME, 0);
             return;
         }
         Pick pick = service.picker().pick(nowMs, request.placeKey(), tried);
@@ -136,7 +137,8 @@
             awaitRoom(nowMs);
         } else {
             stopWaiting();
-            fail(false, route.targetLatencyMs() * PATIENCE);
+            RefusalReason reason = pick instanceof Pick.Crowded ? RefusalReason.CROWDED : RefusalReason.NO_INSTANCE;
+            fail(reason, route.targetLatencyMs() * PATIENCE);
         }
     }
 
@@ -162,11 +164,11 @@
 
     private void begin(InstanceStats instance, double nowMs) {
         if (!service.originShare().tryTake(nowMs)) {
-            fail(false, service.originShare().waitMs(nowMs));
+            fail(RefusalReason.ORIGIN_RATE, service.originShare().waitMs(nowMs));
         } else if (sent > 0
                 && !service.budget().tryRepeat(nowMs, context.control().proxyCount())) {
             service.originShare().giveBack(nowMs);
-            fail(false, route.targetLatencyMs());
+            fail(RefusalReason.RETRY_BUDGET, route.targetLatencyMs());
         } else {
             current = new Attempt(context, service, instance, request, repeatable, this::ended);
             current.start(deadlineMs, attemptEndMs(instance, nowMs));
@@ -199,7 +201,7 @@
         if (verdict == Verdict.ANSWERED) {
             answered(attempt.answer());
         } else if (verdict == Verdict.CONNECT_FAILED && ++connectFailures >= MOST_CONNECT_FAILURES) {
-            fail(false, route.targetLatencyMs());
+            fail(RefusalReason.CONNECT_FAILED, route.targetLatencyMs());
         } else {
             repeatOrFail();
         }
@@ -218,7 +220,8 @@
         if (mayRepeat()) {
             tryNext();
         } else {
-            fail(context.now() >= deadlineMs - LEAST_LEFT_MS, 0);
+            boolean outOfTime = context.now() >= deadlineMs - LEAST_LEFT_MS;
+            fail(outOfTime ? RefusalReason.OUT_OF_TIME : RefusalReason.ATTEMPTS_FAILED, 0);
         }
     }
 
@@ -226,14 +229,14 @@
         return !noRepeats && sent < route.maxAttempts() && (repeatable || !mayHaveRun);
     }
 
-    private void fail(boolean outOfTime, double waitMs) {
-        finish(lastAnswer != null ? result() : new Result.Failed(mayHaveRun, outOfTime, waitMs));
+    private void fail(RefusalReason reason, double waitMs) {
+        finish(lastAnswer != null ? result() : new Result.Failed(mayHaveRun, reason, waitMs));
     }
 
     /** An instance's answer, unless its status would promise what is not so: that the request has not run. */
     private Result result() {
         return switch (lastAnswer.status()) {
-            case 408, 421, 429, 503 -> new Result.Failed(true, false, 0);
+            case 408, 421, 429, 503 -> new Result.Failed(true, RefusalReason.ATTEMPTS_FAILED, 0);
             default -> new Result.Answered(lastAnswer);
         };
     }
--- a/cdn/src/main/java/ridgemill/cdn/proxy/Exchange.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/Exchange.java
@@ -1,6 +1,7 @@
 package ridgemill.cdn.proxy;
 
 import ridgemill.cdn.config.Route;
+import ridgemill.cdn.edge.RefusalReason;
 import ridgemill.core.Timers;
 
 /** One request of a client, from its arrival to its one final answer. */
@@ -36,11 +37,14 @@
     /** Whether the request may have run, or may be running. */
     abstract boolean mayHaveRun();
 
+    /** The service that it asks for. */
+    abstract ServiceState service();
+
     /** Starts the request and its deadline. */
     final void start() {
         context.countInFlight(1);
         if (deadlineMs <= arrivedMs) {
-            refuse(0);
+            refuse(RefusalReason.OUT_OF_TIME, 0);
             return;
         }
         deadline = context.timers().at(deadlineMs, this::deadlinePassed);
@@ -55,7 +59,11 @@
         over = true;
         giveUp(true);
         over = false;
-        answer(ran ? FinalAnswer.own(504, request.attemptId()) : FinalAnswer.later(503, request.attemptId(), 0));
+        if (ran) {
+            fail(RefusalReason.OUT_OF_TIME);
+        } else {
+            refuse(RefusalReason.OUT_OF_TIME, 0);
+        }
     }
 
     /** The client has closed its connection. */
@@ -75,19 +83,30 @@
     }
 
     /** Refuses the request, which has not run and will not. */
-    final void refuse(double waitMs) {
+    final void refuse(RefusalReason reason, double waitMs) {
+        if (!over) {
+            service().meters().countRefused(reason);
+        }
         answer(FinalAnswer.later(503, request.attemptId(), waitMs));
     }
 
+    /** Ends the request, which may have run, without an answer of an instance. */
+    private void fail(RefusalReason reason) {
+        if (!over) {
+            service().meters().countFailed(reason);
+        }
+        answer(FinalAnswer.own(reason == RefusalReason.OUT_OF_TIME ? 504 : 502, request.attemptId()));
+    }
+
     /** Answers with what came of a delivery. */
     final void answer(Delivery.Result result) {
         if (result instanceof Delivery.Result.Answered answered) {
             answer(FinalAnswer.of(answered.answer(), request.method().equals("HEAD")));
         } else if (result instanceof Delivery.Result.Failed failed) {
             if (failed.mayHaveRun()) {
-                answer(FinalAnswer.own(failed.outOfTime() ? 504 : 502, request.attemptId()));
+                fail(failed.reason());
             } else {
-                refuse(failed.waitMs());
+                refuse(failed.reason(), failed.waitMs());
             }
         }
     }
--- a/cdn/src/main/java/ridgemill/cdn/proxy/InstancePool.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/InstancePool.java
@@ -11,6 +11,7 @@
 import java.util.function.Consumer;
 import ridgemill.cdn.edge.InstanceStats;
 import ridgemill.cdn.instances.Instance;
+import ridgemill.cdn.proxy.ProxyMeters.ServiceMeters;
 import ridgemill.gateway.back.IdleAges;
 import ridgemill.gateway.net.Addresses;
 
@@ -28,14 +29,17 @@
     private final ProxyContext context;
     private final InstanceStats stats;
     private final IdleAges ages;
+    private final ServiceMeters meters;
     private final InetSocketAddress address;
     private final ArrayDeque<InstanceConnection> idle = new ArrayDeque<>();
+    private int open;
     private boolean closed;
 
-    InstancePool(ProxyContext context, Instance instance, IdleAges ages) {
+    InstancePool(ProxyContext context, Instance instance, IdleAges ages, ServiceMeters meters) {
         this.context = context;
         this.stats = new InstanceStats(instance);
         this.ages = ages;
+        this.meters = meters;
         this.address = Addresses.parse(instance.address());
     }
 
@@ -44,6 +48,11 @@
         return stats;
     }
 
+    /** Connections that are open now, in use or idle. */
+    int open() {
+        return open;
+    }
+
     double now() {
         return context.now();
     }
@@ -80,7 +89,13 @@
                 .option(ChannelOption.TCP_NODELAY, true)
                 .handler(connection)
                 .connect(address);
-        connecting.addListener(done -> callback.accept(done.isSuccess() ? connection : null));
+        connecting.addListener(done -> {
+            if (done.isSuccess()) {
+                open++;
+                meters.countOpened();
+            }
+            callback.accept(done.isSuccess() ? connection : null);
+        });
     }
 
     /** Whether the instance may be sent no new requests any more: it is leaving, gone or silent. */
@@ -104,6 +119,7 @@
 
     /** A connection has ended. */
     void closed(InstanceConnection connection) {
+        open--;
         idle.remove(connection);
     }
 
--- a/cdn/src/main/java/ridgemill/cdn/proxy/KeyedExchange.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/KeyedExchange.java
@@ -1,6 +1,7 @@
 package ridgemill.cdn.proxy;
 
 import ridgemill.cdn.config.Route;
+import ridgemill.cdn.edge.RefusalReason;
 import ridgemill.cdn.proxy.control.OperationRegister.Claim;
 import ridgemill.cdn.proxy.control.OperationRegister.ClaimOutcome;
 import ridgemill.cdn.proxy.control.OperationRegister.RecordedAnswer;
@@ -51,7 +52,7 @@
     void run() {
         double nowMs = context().now();
         if (!service.admission().draw(nowMs, route().priorityLevel())) {
-            refuse(service.admission().waitMs());
+            refuse(RefusalReason.ADMISSION, service.admission().waitMs());
             return;
         }
         leads = operations.lead(key, this);
@@ -120,7 +121,7 @@
         } else if (outcome instanceof ClaimOutcome.Busy) {
             busy();
         } else {
-            refuse(PATIENCE * route().targetLatencyMs());
+            refuse(RefusalReason.NO_CLAIM, PATIENCE * route().targetLatencyMs());
             stopLeading(null);
         }
     }
@@ -213,6 +214,11 @@
         }
     }
 
+    @Override
+    ServiceState service() {
+        return service;
+    }
+
     @Override
     boolean mayHaveRun() {
         return delivery != null && delivery.mayHaveRun();
--- a/cdn/src/main/java/ridgemill/cdn/proxy/ObjectFetches.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/ObjectFetches.java
@@ -9,6 +9,8 @@
 import java.util.Set;
 import ridgemill.cdn.edge.CachedObject;
 import ridgemill.cdn.edge.ObjectCache;
+import ridgemill.cdn.edge.RefusalReason;
+import ridgemill.cdn.proxy.ProxyMeters.ReadSource;
 import ridgemill.cdn.proxy.control.ControlListener;
 import ridgemill.cdn.proxy.http.Headers;
 import ridgemill.policy.Rendezvous;
@@ -37,22 +39,25 @@
         if (copy != null
                 && copy.isFresh(nowMs, exchange.route().cacheTtlMs())
                 && context.control().isCoveredSince(copy.fetchStartedMs())) {
+            context.meters().countRead(ReadSource.COPY);
             fetchAhead(exchange, copy, nowMs);
             exchange.found(copy);
             return null;
         }
         ObjectFetch underWay = joinable.get(key);
         if (underWay != null && context.control().isCoveredSince(underWay.startedMs())) {
+            context.meters().countRead(ReadSource.SHARED_FETCH);
             underWay.join(exchange);
             return underWay;
         }
+        context.meters().countRead(ReadSource.OWN_FETCH);
         return fetch(exchange, key, copy, nowMs);
     }
 
     private ObjectFetch fetch(CachedExchange exchange, String key, CachedObject copy, double nowMs) {
         ServiceState service = exchange.service();
         if (!service.admission().draw(nowMs, exchange.route().priorityLevel())) {
-            exchange.refuse(service.admission().waitMs());
+            exchange.refuse(RefusalReason.ADMISSION, service.admission().waitMs());
             return null;
         }
         CachedObject older = copy != null && copy.etag() != null ? copy : null;
@@ -137,7 +142,7 @@
     private void failed(ObjectFetch fetch, Delivery.Result result) {
         boolean unasked = result instanceof Delivery.Result.Answered answered
                 && answered.answer().status() == NOT_MODIFIED;
-        Delivery.Result told = unasked ? new Delivery.Result.Failed(true, false, 0) : result;
+        Delivery.Result told = unasked ? new Delivery.Result.Failed(true, RefusalReason.ATTEMPTS_FAILED, 0) : result;
         for (CachedExchange waiter : fetch.takeWaiters()) {
             if (fetch.isOf(waiter)) {
                 waiter.failed(told);
--- a/cdn/src/main/java/ridgemill/cdn/proxy/PassingExchange.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/PassingExchange.java
@@ -1,6 +1,7 @@
 package ridgemill.cdn.proxy;
 
 import ridgemill.cdn.config.Route;
+import ridgemill.cdn.edge.RefusalReason;
 import ridgemill.policy.Rendezvous;
 
 /** A request that is passed to an instance and whose answer is passed back. */
@@ -19,7 +20,7 @@
     void run() {
         double nowMs = context().now();
         if (!service.admission().draw(nowMs, route().priorityLevel())) {
-            refuse(service.admission().waitMs());
+            refuse(RefusalReason.ADMISSION, service.admission().waitMs());
             return;
         }
         long place = Rendezvous.hashText(request().attemptId());
@@ -36,6 +37,11 @@
         }
     }
 
+    @Override
+    ServiceState service() {
+        return service;
+    }
+
     @Override
     boolean mayHaveRun() {
         return delivery != null && delivery.mayHaveRun();
--- a/cdn/src/main/java/ridgemill/cdn/proxy/ProxyContext.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/ProxyContext.java
@@ -1,5 +1,6 @@
 package ridgemill.cdn.proxy;
 
+import io.micrometer.core.instrument.MeterRegistry;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.EventLoop;
 import java.util.HashMap;
@@ -22,6 +23,7 @@
     private final ControlView control;
     private final OperationRegister register;
     private final EventLog log;
+    private final ProxyMeters meters;
     private final String region;
     private final Map<String, ServiceState> services = new HashMap<>();
     private final ObjectFetches objects;
@@ -36,6 +38,7 @@
             Settings settings,
             ControlView control,
             OperationRegister register,
+            MeterRegistry registry,
             long cacheBytes) {
         this.loop = loop;
         this.sockets = sockets;
@@ -43,6 +46,7 @@
         this.settings = settings;
         this.control = control;
         this.register = register;
+        this.meters = new ProxyMeters(registry);
         this.log = new EventLog(timers);
         this.objects = new ObjectFetches(this, new ObjectCache(cacheBytes));
         this.region = settings.regionOf(settings.zone());
@@ -82,6 +86,11 @@
         return register;
     }
 
+    /** The data path's figures. */
+    ProxyMeters meters() {
+        return meters;
+    }
+
     EventLog log() {
         return log;
     }
--- /dev/null
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/ProxyMeters.java
@@ -0,0 +1,130 @@
+package ridgemill.cdn.proxy;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.MeterRegistry;
+import java.util.EnumMap;
+import java.util.Locale;
+import java.util.Map;
+import ridgemill.cdn.edge.RefusalReason;
+
+/** The data path's figures that belong to no single service. */
+final class ProxyMeters {
+
+    /** Where the object of a read came from. */
+    enum ReadSource {
+        /** A copy that this process held. */
+        COPY,
+        /** A fetch that another read had begun. */
+        SHARED_FETCH,
+        /** A fetch of its own. */
+        OWN_FETCH
+    }
+
+    private final MeterRegistry registry;
+    private final Map<ReadSource, Counter> reads = new EnumMap<>(ReadSource.class);
+
+    ProxyMeters(MeterRegistry registry) {
+        this.registry = registry;
+        for (ReadSource source : ReadSource.values()) {
+            reads.put(
+                    source,
+                    registry.counter(
+                            "ridgemill.object.reads", "source", source.name().toLowerCase(Locale.ROOT)));
+        }
+    }
+
+    /** Counts a read of an object by where it is taken from. */
+    void countRead(ReadSource source) {
+        reads.get(source).increment();
+    }
+
+    /** The figures of one service. */
+    ServiceMeters service(String name) {
+        return new ServiceMeters(registry, name);
+    }
+
+    /** The figures of one service. */
+    static final class ServiceMeters {
+
+        private final Map<RefusalReason, Counter> refused = new EnumMap<>(RefusalReason.class);
+        private final Map<RefusalReason, Counter> failed = new EnumMap<>(RefusalReason.class);
+        private final MeterRegistry registry;
+        private final String service;
+        private final Counter sent;
+        private final Counter opened;
+        private final Counter brokenUnused;
+
+        private ServiceMeters(MeterRegistry registry, String service) {
+            this.registry = registry;
+            this.service = service;
+            sent = registry.counter("ridgemill.instance.requests", "service", service);
+            opened = registry.counter("ridgemill.instance.connections.opened", "service", service);
+            brokenUnused = registry.counter("ridgemill.instance.connections.broken.unused", "service", service);
+        }
+
+        /** Counts a request that was refused; it has not run. */
+        void countRefused(RefusalReason reason) {
+            refused.computeIfAbsent(reason, key -> counter("ridgemill.requests.refused", key))
+                    .increment();
+        }
+
+        /** Counts a request that ended with a failure of this proxy's own; it may have run. */
+        void countFailed(RefusalReason reason) {
+            failed.computeIfAbsent(reason, key -> counter("ridgemill.requests.failed", key))
+                    .increment();
+        }
+
+        private Counter counter(String name, RefusalReason reason) {
+            return registry.counter(name, "service", service, "reason", reason.label());
+        }
+
+        /** Counts a request that was sent to an instance. */
+        void countSent() {
+            sent.increment();
+        }
+
+        /** Counts a connection to an instance that came up. */
+        void countOpened() {
+            opened.increment();
+        }
+
+        /** Counts a connection that broke before it had brought an answer, as one over an instance's cap does. */
+        void countBrokenUnused() {
+            brokenUnused.increment();
+        }
+
+        /** Shows the service's state, read when the figures are asked for. */
+        void show(ServiceState state) {
+            gauge("ridgemill.instance.connections.open", state, ServiceState::openConnections);
+            gauge("ridgemill.admission.level", state, s -> s.admission().level());
+            gauge("ridgemill.origin.share", state, s -> s.originShare().perSecond());
+        }
+
+        private void gauge(String name, ServiceState state, java.util.function.ToDoubleFunction<ServiceState> value) {
+            Gauge.builder(name, state, value).tag("service", service).register(registry);
+        }
+
+        /** What was refused and failed since the start, by reason, as pairs for the log; empty if nothing was. */
+        String describe() {
+            StringBuilder text = new StringBuilder();
+            append(text, "refused_", refused);
+            append(text, "failed_", failed);
+            return text.toString();
+        }
+
+        /** Requests sent, connections opened and connections broken unused since the start, as pairs for the log. */
+        String describeConnections() {
+            return " sent=" + (long) sent.count() + " opened=" + (long) opened.count() + " broken_unused="
+                    + (long) brokenUnused.count();
+        }
+
+        private static void append(StringBuilder text, String prefix, Map<RefusalReason, Counter> counters) {
+            counters.forEach((reason, counter) -> text.append(' ')
+                    .append(prefix)
+                    .append(reason.label())
+                    .append('=')
+                    .append((long) counter.count()));
+        }
+    }
+}
--- a/cdn/src/main/java/ridgemill/cdn/proxy/ProxyProgram.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/ProxyProgram.java
@@ -1,5 +1,6 @@
 package ridgemill.cdn.proxy;
 
+import io.micrometer.core.instrument.MeterRegistry;
 import io.netty.channel.EventLoop;
 import java.util.concurrent.TimeUnit;
 import ridgemill.cdn.http.CallServer;
@@ -37,13 +38,13 @@
     private boolean draining;
 
     /** A proxy that serves once it is started. */
-    public ProxyProgram(Settings settings, EventLoop loop, SocketKind sockets, Clock clock) {
+    public ProxyProgram(Settings settings, EventLoop loop, SocketKind sockets, Clock clock, MeterRegistry registry) {
         this.settings = settings;
         this.loop = loop;
         this.sockets = sockets;
         this.control = new ControlClient(settings, loop, sockets, clock);
         QuorumRegister register = new QuorumRegister(control, loop, clock);
-        this.dataPath = new DataPath(loop, sockets, clock, settings, control, register);
+        this.dataPath = new DataPath(loop, sockets, clock, settings, control, register, registry);
     }
 
     /**
--- a/cdn/src/main/java/ridgemill/cdn/proxy/ServiceState.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/ServiceState.java
@@ -15,6 +15,7 @@
 import ridgemill.cdn.edge.RetryBudget;
 import ridgemill.cdn.edge.ServiceAdmission;
 import ridgemill.cdn.instances.Instance;
+import ridgemill.cdn.proxy.ProxyMeters.ServiceMeters;
 import ridgemill.cdn.settings.Bounds;
 import ridgemill.gateway.back.IdleAges;
 import ridgemill.policy.Rendezvous;
@@ -26,6 +27,9 @@
     private static final double CONNECTIONS_USED = 0.9;
 
     private static final int LEAST_CONNECTIONS = 2;
+    /** How often figures are logged of a service that refused something, in milliseconds. */
+    private static final double FIGURES_INTERVAL_MS = 5_000;
+
     private static final double BREAKS_WITHIN_MS = 3_000;
 
     private final ProxyContext context;
@@ -37,6 +41,8 @@
     private final IdleAges ages = new IdleAges();
     private final Map<String, InstancePool> pools = new HashMap<>();
     private final ArrayDeque<Delivery> waiting = new ArrayDeque<>();
+    private final ServiceMeters meters;
+    private double figuresAtMs;
     private double lentShare = Double.NaN;
 
     ServiceState(ProxyContext context, String name) {
@@ -47,6 +53,8 @@
         this.admission = new ServiceAdmission(phase, context.now());
         this.budget = new RetryBudget(bounds.retryBudgetRatio(), bounds.retryBudgetSlack(), bounds.retryWindowMs());
         this.originShare = new OriginShare(bounds.originCeilingOverage(), bounds.originWindowMs());
+        this.meters = context.meters().service(name);
+        meters.show(this);
         refresh();
     }
 
@@ -58,6 +66,20 @@
         return admission;
     }
 
+    /** The service's figures. */
+    ServiceMeters meters() {
+        return meters;
+    }
+
+    /** Connections to all instances that are open now. */
+    int openConnections() {
+        int open = 0;
+        for (InstancePool pool : pools.values()) {
+            open += pool.open();
+        }
+        return open;
+    }
+
     RetryBudget budget() {
         return budget;
     }
@@ -93,7 +115,8 @@
         List<InstanceStats> ready = new ArrayList<>();
         Set<String> ids = new HashSet<>();
         for (Instance instance : context.control().readyInstances(name)) {
-            InstancePool pool = pools.computeIfAbsent(instance.id(), id -> new InstancePool(context, instance, ages));
+            InstancePool pool =
+                    pools.computeIfAbsent(instance.id(), id -> new InstancePool(context, instance, ages, meters));
             pool.stats().learn(instance, context.isLocal(instance), connections);
             ready.add(pool.stats());
             ids.add(instance.id());
@@ -138,9 +161,22 @@
         for (InstancePool pool : pools.values()) {
             pool.closeOld(nowMs);
         }
+        if (nowMs >= figuresAtMs) {
+            figuresAtMs = nowMs + FIGURES_INTERVAL_MS;
+            logFigures();
+        }
         recall();
     }
 
+    private void logFigures() {
+        String refusals = meters.describe();
+        if (!refusals.isEmpty()) {
+            context.log()
+                    .line("event=figures service=" + name + " level=" + admission.level() + " open=" + openConnections()
+                            + meters.describeConnections() + refusals);
+        }
+    }
+
     /** Closes all connections. */
     void close() {
         pools.values().forEach(InstancePool::close);
--- a/cdn/src/test/java/ridgemill/cdn/proxy/ProxyFixture.java
+++ b/cdn/src/test/java/ridgemill/cdn/proxy/ProxyFixture.java
@@ -1,5 +1,6 @@
 package ridgemill.cdn.proxy;
 
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -26,6 +27,7 @@
     static final Limits LIMITS = new Limits(2_000, 10_000, 300, 2_000);
 
     final FakeControl control = new FakeControl();
+    final SimpleMeterRegistry meters = new SimpleMeterRegistry();
     final FakeRegister register = new FakeRegister();
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     final EventLoop loop = group.next();
@@ -66,7 +68,7 @@
                 route(RouteKind.IDEMPOTENT, "/i/", 2),
                 route(RouteKind.NON_IDEMPOTENT, "/n/", 2),
                 route(RouteKind.KEYED_IDEMPOTENT, "/k/", 2));
-        path = new DataPath(loop, SocketKind.NIO, timers, settings, control, register, 1_000_000);
+        path = new DataPath(loop, SocketKind.NIO, timers, settings, control, register, meters, 1_000_000);
         path.listen().sync();
     }
 
--- a/cdn/src/test/java/ridgemill/cdn/proxy/SendingTest.java
+++ b/cdn/src/test/java/ridgemill/cdn/proxy/SendingTest.java
@@ -121,7 +121,14 @@
         CompletableFuture<Attempt> ended = new CompletableFuture<>();
         proxy.onLoop(() -> {
             ProxyContext context = new ProxyContext(
-                    proxy.loop, SocketKind.NIO, proxy.timers, proxy.settings, proxy.control, proxy.register, 1_000);
+                    proxy.loop,
+                    SocketKind.NIO,
+                    proxy.timers,
+                    proxy.settings,
+                    proxy.control,
+                    proxy.register,
+                    proxy.meters,
+                    1_000);
             proxy.control.instances = List.of(instance.instance("s"));
             ServiceState service = context.service("s");
             proxy.control.listeners.add(new ridgemill.cdn.proxy.control.ControlListener() {
