--- a/cdn/src/test/java/ridgemill/cdn/proxy/FakeControl.java
+++ b/cdn/src/test/java/ridgemill/cdn/proxy/FakeControl.java
@@ -15,12 +15,14 @@
 
     volatile RoutingTable routing = RoutingTable.EMPTY;
     volatile List<Instance> instances = List.of();
+    volatile int proxies = 1;
+    volatile int connectionCap = 100;
     volatile double coveredSinceMs = Double.NEGATIVE_INFINITY;
     final List<ControlListener> listeners = new ArrayList<>();
 
     void routes(Limits limits, double ratePerSecond, Route... routes) {
         routing = new RoutingTable(
-                List.of(routes), List.of(new Service("s", "/health", 100, false, ratePerSecond, 1)), limits);
+                List.of(routes), List.of(new Service("s", "/health", connectionCap, false, ratePerSecond, 1)), limits);
     }
 
     @Override
@@ -35,7 +37,7 @@
 
     @Override
     public int proxyCount() {
-        return 1;
+        return proxies;
     }
 
     @Override
--- /dev/null
+++ b/cdn/src/test/java/ridgemill/cdn/proxy/FleetTest.java
@@ -0,0 +1,75 @@
+package ridgemill.cdn.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.Test;
+
+/** What a whole fleet of edge proxies does with bounds that hold for all of it together. */
+class FleetTest {
+
+    private static final int PROXIES = 40;
+    private static final String SEALED = "X-Response-Seal: s\r\nETag: \"1\"\r\n";
+
+    /** As many reads a second of each proxy as the origin could take of all of them are answered from shared copies. */
+    @Test
+    void anObjectIsFetchedForTheWholeFleetAndNotByEachProxy() throws Exception {
+        int objects = 10;
+        double ratePerSecond = 20;
+        try (FleetFixture fleet = new FleetFixture(PROXIES, ratePerSecond, 500)) {
+            StandInInstance origin = fleet.instance(
+                    "a",
+                    (request, socket) ->
+                            StandInInstance.write(socket, StandInInstance.answer(request, 200, SEALED, "object")));
+            int answered = 0;
+            for (int object = 0; object < objects; object++) {
+                for (int proxy = 0; proxy < PROXIES; proxy++) {
+                    ProxyFixture.Reply reply = fleet.client(proxy).ask("GET", "/c/" + object, object + "-" + proxy, "");
+                    answered += reply.status() == 200 ? 1 : 0;
+                }
+            }
+            assertThat(answered).isGreaterThanOrEqualTo((int) (0.95 * objects * PROXIES));
+            assertThat(origin.received).hasSizeLessThanOrEqualTo(2 * objects);
+        }
+    }
+
+    /** Requests of all proxies at once don't open more connections than the instances take. */
+    @Test
+    void connectionsOfTheWholeFleetStayWithinEachInstancesCap() throws Exception {
+        int cap = 24;
+        CountDownLatch held = new CountDownLatch(1);
+        StandInInstance.Script holding = (request, socket) -> {
+            held.await();
+            return StandInInstance.write(socket, StandInInstance.answer(request, 200, SEALED, "done"));
+        };
+        try (FleetFixture fleet = new FleetFixture(PROXIES, 0, cap)) {
+            List<StandInInstance> instances = new ArrayList<>();
+            for (int i = 0; i < 3; i++) {
+                instances.add(fleet.instance("i" + i, holding));
+            }
+            List<ProxyFixture.Client> clients = new ArrayList<>();
+            for (int request = 0; request < 4; request++) {
+                for (int proxy = 0; proxy < PROXIES; proxy++) {
+                    ProxyFixture.Client client = fleet.client(proxy);
+                    client.send("GET /i/1 HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: " + request + "-" + proxy
+                            + "\r\n\r\n");
+                    clients.add(client);
+                }
+            }
+            for (StandInInstance instance : instances) {
+                instance.take();
+            }
+            held.countDown();
+            int answered = 0;
+            for (ProxyFixture.Client client : clients) {
+                answered += client.read().status() == 200 ? 1 : 0;
+            }
+            assertThat(answered).isGreaterThanOrEqualTo(PROXIES);
+            for (StandInInstance instance : instances) {
+                assertThat(instance.connections()).isLessThanOrEqualTo(cap);
+            }
+        }
+    }
+}
--- a/cdn/src/test/java/ridgemill/cdn/proxy/StandInInstance.java
+++ b/cdn/src/test/java/ridgemill/cdn/proxy/StandInInstance.java
@@ -61,6 +61,13 @@
         return new Instance(id, service, "127.0.0.1:" + server.getLocalPort(), "z", "v1", 8, InstanceState.READY, 1, 0);
     }
 
+    /** How many connections were opened to it so far. */
+    int connections() {
+        synchronized (sockets) {
+            return sockets.size();
+        }
+    }
+
     Received take() throws InterruptedException {
         Received next = received.poll(5, TimeUnit.SECONDS);
         if (next == null) {
