--- a/cdn-core/src/main/java/ridgemill/cdn/config/RoutingTable.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/config/RoutingTable.java
@@ -2,7 +2,9 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 
 /** An immutable typed view of a configuration: finds a request's route by host and longest path prefix. */
 public final class RoutingTable {
@@ -12,12 +14,16 @@
 
     private final Map<String, Map<String, Route>> routesByHost = new HashMap<>();
     private final Map<String, Service> services = new HashMap<>();
+    private final Set<String> servicesWithObjects = new HashSet<>();
     private final Limits limits;
 
     public RoutingTable(Collection<Route> routes, Collection<Service> services, Limits limits) {
         for (Route route : routes) {
             Map<String, Route> byPrefix = routesByHost.computeIfAbsent(route.hostname(), host -> new HashMap<>());
             byPrefix.merge(route.pathPrefix(), route, RoutingTable::newer);
+            if (route.kind() == RouteKind.CACHEABLE) {
+                route.destinations().forEach(destination -> servicesWithObjects.add(destination.service()));
+            }
         }
         for (Service service : services) {
             this.services.put(service.name(), service);
@@ -58,6 +64,11 @@
         return services.get(name);
     }
 
+    /** Whether a route leads there whose answers may be cached. */
+    public boolean hasObjects(String service) {
+        return servicesWithObjects.contains(service);
+    }
+
     /** All services. */
     public Collection<Service> services() {
         return services.values();
--- a/cdn-core/src/main/java/ridgemill/cdn/edge/CachedObject.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/edge/CachedObject.java
@@ -10,10 +10,25 @@
  * @param etag its entity tag; null if it has none
  * @param tags the tags by which it may be purged
  * @param body its bytes
- * @param fetchStartedMs when the fetch that brought or confirmed it began, in milliseconds
+ * @param fetchStartedMs when the fetch from an instance that brought or confirmed it began, in milliseconds; its age counts
+ *     from there
+ * @param checkedMs from when on this process has to have heard of all purges of it: when it asked for it, also where the
+ *     answer was a copy of another process that had heard of all before, in milliseconds
  */
 public record CachedObject(
-        String key, List<String> headers, String etag, List<String> tags, byte[] body, double fetchStartedMs) {
+        String key,
+        List<String> headers,
+        String etag,
+        List<String> tags,
+        byte[] body,
+        double fetchStartedMs,
+        double checkedMs) {
+
+    /** A copy that this process fetched from an instance itself. */
+    public CachedObject(
+            String key, List<String> headers, String etag, List<String> tags, byte[] body, double fetchStartedMs) {
+        this(key, headers, etag, tags, body, fetchStartedMs, fetchStartedMs);
+    }
 
     /** What a copy costs besides its body, in bytes, roughly. */
     private static final int OVERHEAD = 1_024;
@@ -42,8 +57,13 @@
         return uses >= OFTEN && nowMs - fetchStartedMs >= AHEAD_PART * cacheTtlMs;
     }
 
-    /** The same copy after a fetch that began then found it unchanged. */
+    /** The same copy after a fetch from an instance that began then found it unchanged. */
     public CachedObject confirmed(double startedMs) {
-        return new CachedObject(key, headers, etag, tags, body, startedMs);
+        return confirmed(startedMs, startedMs);
+    }
+
+    /** The same copy after it was found unchanged, see the parameters of the copy. */
+    public CachedObject confirmed(double startedMs, double checkMs) {
+        return new CachedObject(key, headers, etag, tags, body, startedMs, checkMs);
     }
 }
--- a/cdn-core/src/main/java/ridgemill/cdn/edge/InstancePicker.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/edge/InstancePicker.java
@@ -30,8 +30,23 @@
     private static final Pick CROWDED = new Pick.Crowded();
     private static final Pick NONE = new Pick.None();
 
+    private final boolean two;
     private List<InstanceStats> instances = List.of();
 
+    /** Picks the one with fewer requests of the two best. */
+    public InstancePicker() {
+        this(true);
+    }
+
+    private InstancePicker(boolean two) {
+        this.two = two;
+    }
+
+    /** Picks the best one always, so that each key has one place as long as that place can take it. */
+    public static InstancePicker ofOne() {
+        return new InstancePicker(false);
+    }
+
     /** Picks from these instances from now on. */
     public void instances(List<InstanceStats> ready) {
         instances = List.copyOf(ready);
@@ -92,7 +107,7 @@
                 secondScore = score;
             }
         }
-        return second != null && second.load(nowMs) < first.load(nowMs) ? second : first;
+        return two && second != null && second.load(nowMs) < first.load(nowMs) ? second : first;
     }
 
     private double meanMs() {
--- a/cdn-core/src/main/java/ridgemill/cdn/edge/InstanceStats.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/edge/InstanceStats.java
@@ -74,6 +74,11 @@
         return local;
     }
 
+    /** How many requests it may be sent at once. */
+    public int places() {
+        return places;
+    }
+
     /** This proxy's requests there that have not ended. */
     public int inFlight() {
         return inFlight;
@@ -159,6 +164,7 @@
         switch (verdict) {
             case ANSWERED -> answered(nowMs, elapsedMs, failedInside, maySpare);
             case DECLINED -> fullUntilMs = nowMs + FULL_MS;
+            case REFUSED_BY_CACHE -> answered(nowMs, elapsedMs, false, maySpare);
             case MISDIRECTED -> goneUntilMs = nowMs + MISDIRECTED_MS;
             case SILENT -> strike(nowMs, 1, maySpare);
             case GARBLED -> spoil(nowMs, maySpare);
--- a/cdn-core/src/main/java/ridgemill/cdn/edge/OriginShare.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/edge/OriginShare.java
@@ -18,6 +18,9 @@
     /** Left of the share, as clocks and counts differ. */
     private static final double USED = 0.98;
 
+    /** What a client is told to wait where this process has no share, in milliseconds: others have one. */
+    private static final double CLOSED_WAIT_MS = 100;
+
     private static final double LEAST_RATE = 0.01;
     /** The part of the burst that is kept for clients who wait. */
     private static final double CLIENTS_PART = 0.5;
@@ -26,6 +29,7 @@
     private final double windowSeconds;
     private double perSecond;
     private TokenBucket bucket;
+    private boolean closed;
 
     /**
      * A share that is not bounded yet.
@@ -38,12 +42,26 @@
         this.windowSeconds = windowMs / MS_PER_SECOND;
     }
 
+    /** Sets the share to a part of the service's rate. */
+    public void setPart(RateDivision.Part part, double nowMs) {
+        if (part instanceof RateDivision.Part.Bounded bounded) {
+            perSecond = bounded.perSecond();
+            closed = false;
+            limit(new Rate(bounded.perSecond(), bounded.burst()), nowMs);
+        } else {
+            perSecond = 0;
+            bucket = null;
+            closed = part instanceof RateDivision.Part.None;
+        }
+    }
+
     /** Sets the share, in requests a second; 0 or less where there is no bound. */
     public void setShare(double requestsPerSecond, double nowMs) {
         if (requestsPerSecond == perSecond) {
             return;
         }
         perSecond = requestsPerSecond;
+        closed = false;
         if (requestsPerSecond <= 0) {
             bucket = null;
             return;
@@ -52,6 +70,10 @@
         // A burst of one is more than its part of a small share: many proxies' bursts together would pass the ceiling.
         double beyondBurst = overage * requestsPerSecond - burst / windowSeconds;
         Rate rate = new Rate(Math.max(LEAST_RATE, Math.min(USED * requestsPerSecond, beyondBurst)), burst);
+        limit(rate, nowMs);
+    }
+
+    private void limit(Rate rate, double nowMs) {
         if (bucket == null) {
             bucket = new TokenBucket(rate, nowMs);
         } else {
@@ -66,12 +88,13 @@
 
     /** Takes one arrival from the share if it allows one. */
     public boolean tryTake(double nowMs) {
-        return bucket == null || bucket.tryTake(nowMs);
+        return !closed && (bucket == null || bucket.tryTake(nowMs));
     }
 
     /** Whether so much of the share is left that work may be done which no client waits for. */
     public boolean hasSpare(double nowMs) {
-        return bucket == null || bucket.tokens(nowMs) >= 1 + bucket.rate().burst() * CLIENTS_PART;
+        return !closed && bucket == null
+                || bucket != null && bucket.tokens(nowMs) >= 1 + bucket.rate().burst() * CLIENTS_PART;
     }
 
     /** Gives back an arrival that did not take place. */
@@ -83,6 +106,6 @@
 
     /** How long until the share allows another arrival, in milliseconds. */
     public double waitMs(double nowMs) {
-        return bucket == null ? 0 : bucket.waitMs(nowMs);
+        return closed ? CLOSED_WAIT_MS : bucket == null ? 0 : bucket.waitMs(nowMs);
     }
 }
--- a/cdn-core/src/main/java/ridgemill/cdn/edge/RefusalReason.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/edge/RefusalReason.java
@@ -22,6 +22,10 @@
     OUT_OF_TIME,
     /** The stores gave no claim on the operation's key. */
     NO_CLAIM,
+    /** A shared cache holds no copy and may not fetch the object now. */
+    CACHE_REFUSED,
+    /** The shared cache does not know the route, or only an older version of it. */
+    ROUTE_UNKNOWN,
     /** A fetch of the object that another request had begun was refused. */
     SHARED_FETCH;
 
--- a/cdn-core/src/main/java/ridgemill/cdn/edge/Verdict.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/edge/Verdict.java
@@ -6,6 +6,8 @@
     ANSWERED(true),
     /** The instance says that it has not run the request. */
     DECLINED(false),
+    /** A shared cache holds no copy and may not fetch the object now; nothing has run. */
+    REFUSED_BY_CACHE(false),
     /** Another instance than the one that was meant has this address now; it has not run the request. */
     MISDIRECTED(false),
     /** No connection came up. */
--- a/cdn-core/src/main/java/ridgemill/cdn/membership/CoreMembers.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/membership/CoreMembers.java
@@ -46,9 +46,19 @@
         proxyHeardAtMs.put(name, nowMs);
     }
 
+    /** The names of the edge proxies that were heard lately, in order. */
+    public List<String> proxies(double nowMs) {
+        forgetOldProxies(nowMs);
+        return proxyHeardAtMs.keySet().stream().sorted().toList();
+    }
+
+    private void forgetOldProxies(double nowMs) {
+        proxyHeardAtMs.values().removeIf(heardAt -> nowMs - heardAt > PROXY_MEMORY_MS);
+    }
+
     /** How many edge proxies were heard lately; at least 1. */
     public int proxyCount(double nowMs) {
-        proxyHeardAtMs.values().removeIf(heardAt -> nowMs - heardAt > PROXY_MEMORY_MS);
+        forgetOldProxies(nowMs);
         return Math.max(1, proxyHeardAtMs.size());
     }
 }
--- /dev/null
+++ b/cdn-core/src/test/java/ridgemill/cdn/membership/FleetPositionTest.java
@@ -0,0 +1,42 @@
+package ridgemill.cdn.membership;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class FleetPositionTest {
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 9, 73, 300, 1_300})
+    void partsOfAllPlacesAddUpToTheWholeWhateverTheSize(int size) {
+        for (int units : new int[] {0, 1, 56, 130, 1_299, 4_000}) {
+            for (int index : new int[] {0, 1, 7, 309}) {
+                int sum = 0;
+                for (int rank = 0; rank < size; rank++) {
+                    sum += new FleetPosition(size, rank).part(units, index);
+                }
+                assertThat(sum).as("%d units, index %d", units, index).isEqualTo(units);
+            }
+        }
+    }
+
+    @Test
+    void severalBoundsTogetherLeaveNobodyWithoutAPartIfThereIsOneForEach() {
+        int size = 73;
+        for (int rank = 0; rank < size; rank++) {
+            FleetPosition position = new FleetPosition(size, rank);
+            assertThat(position.part(50, 0) + position.part(50, 1))
+                    .as("rank %d", rank)
+                    .isPositive();
+        }
+    }
+
+    @Test
+    void aPlaceIsOneOfTheSize() {
+        assertThatThrownBy(() -> new FleetPosition(3, 3)).isInstanceOf(IllegalArgumentException.class);
+        assertThatThrownBy(() -> new FleetPosition(0, 0)).isInstanceOf(IllegalArgumentException.class);
+    }
+}
--- a/cdn/src/main/java/ridgemill/cdn/app/LoopbackSystem.java
+++ b/cdn/src/main/java/ridgemill/cdn/app/LoopbackSystem.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.concurrent.ThreadLocalRandom;
 import ridgemill.cdn.metrics.MetricsServer;
+import ridgemill.cdn.proxy.CacheProgram;
 import ridgemill.cdn.proxy.ProxyProgram;
 import ridgemill.cdn.registry.RegistryProgram;
 import ridgemill.cdn.settings.Settings;
@@ -23,7 +24,7 @@
 import ridgemill.gateway.net.Clock;
 import ridgemill.gateway.net.SocketKind;
 
-/** The three programs on loopback addresses in one process: any number of core machines, and one edge proxy. */
+/** The programs on loopback addresses in one process: any number of core machines, one edge proxy, one shared cache. */
 final class LoopbackSystem {
 
     /** The host that the example configuration has a service for. */
@@ -31,8 +32,8 @@
 
     private static final int LOWEST_PORT = 12_000;
     private static final int HIGHEST_PORT = 32_000;
-    /** Ports from the first one on: front, readiness, control, registry, store. */
-    private static final int PORTS = 5;
+    /** Ports from the first one on: front, readiness, control, registry, store, shared cache. */
+    private static final int PORTS = 6;
 
     private final Path folder;
     private final List<String> hosts;
@@ -97,6 +98,7 @@
             startCore(machine, true);
         }
         new ProxyProgram(settings(0, true), loop(), sockets, clock, metrics).start();
+        new CacheProgram(settings(0, true), loop(), sockets, clock, metrics).start();
     }
 
     /** The edge proxy's figures as text. */
@@ -157,7 +159,7 @@
                         machine + 1,
                         host,
                         firstPort + 3,
-                        firstPort + 4,
+                        firstPort + 5,
                         seeds,
                         firstStart,
                         folder.resolve("core-" + (machine + 1)),
--- a/cdn/src/main/java/ridgemill/cdn/app/Main.java
+++ b/cdn/src/main/java/ridgemill/cdn/app/Main.java
@@ -22,9 +22,9 @@
     private static final String METRICS_PREFIX = "--" + METRICS + "=";
     private static final int BAD_INPUT = 2;
     private static final String USAGE =
-            "ridgemill-cdn [--settings FILE] [--metrics PORT/PATH] proxy|registry|store|check|demo|version";
+            "ridgemill-cdn [--settings FILE] [--metrics PORT/PATH] proxy|cache|registry|store|check|demo|version";
     private static final String ABOUT =
-            "proxy serves clients; registry takes the calls of instances and operators; store "
+            "proxy serves clients; cache reads objects for all proxies; registry takes the calls of instances and operators; store "
                     + "keeps the configuration; check reads the settings and says what is wrong with them.";
 
     private Main() {}
@@ -89,6 +89,7 @@
     private static void run(String command, Path settingsPath, Option<MetricsPlace> metrics) throws Exception {
         switch (command) {
             case "proxy" -> new Process(settings(settingsPath), settingsPath, metrics).runProxy();
+            case "cache" -> new Process(settings(settingsPath), settingsPath, metrics).runCache();
             case "registry" -> new Process(settings(settingsPath), settingsPath, metrics).runRegistry();
             case "store" -> new Process(settings(settingsPath), settingsPath, metrics).runStore();
             case "check" -> {
--- a/cdn/src/main/java/ridgemill/cdn/app/Process.java
+++ b/cdn/src/main/java/ridgemill/cdn/app/Process.java
@@ -10,6 +10,7 @@
 import java.nio.file.Path;
 import ridgemill.cdn.metrics.MetricsPlace;
 import ridgemill.cdn.metrics.MetricsServer;
+import ridgemill.cdn.proxy.CacheProgram;
 import ridgemill.cdn.proxy.ProxyProgram;
 import ridgemill.cdn.registry.RegistryProgram;
 import ridgemill.cdn.settings.Settings;
@@ -44,6 +45,12 @@
         onSignals(() -> proxy.drain(Process::end));
     }
 
+    void runCache() {
+        CacheProgram cache = new CacheProgram(settings, loop, sockets, clock, metrics);
+        started(cache::start);
+        onSignals(() -> cache.drain(Process::end));
+    }
+
     void runRegistry() {
         RegistryProgram registry = new RegistryProgram(settings, loop, sockets, clock);
         started(registry::start);
--- a/cdn/src/main/java/ridgemill/cdn/proxy/Attempt.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/Attempt.java
@@ -14,7 +14,7 @@
     private static final double LEAST_LEFT_MS = 1;
 
     private final ProxyContext context;
-    private final ServiceState service;
+    private final Upstream upstream;
     private final InstanceStats instance;
     private final InstancePool pool;
     private final OutgoingRequest request;
@@ -31,15 +31,15 @@
 
     Attempt(
             ProxyContext context,
-            ServiceState service,
+            Upstream upstream,
             InstanceStats instance,
             OutgoingRequest request,
             boolean repeatable,
             Consumer<Attempt> callback) {
         this.context = context;
-        this.service = service;
+        this.upstream = upstream;
         this.instance = instance;
-        this.pool = service.pool(instance);
+        this.pool = upstream.pool(instance);
         this.request = request;
         this.repeatable = repeatable;
         this.callback = callback;
@@ -93,7 +93,7 @@
         } else {
             connection = given;
             sentAtMs = nowMs;
-            service.meters().countSent();
+            upstream.meters().countSent();
             if (endMs < Double.POSITIVE_INFINITY) {
                 timer = context.timers().at(endMs, this::silent);
             }
@@ -129,7 +129,7 @@
             instance.withdrawn();
             giveBackShare();
         }
-        service.recall();
+        upstream.recall();
     }
 
     @Override
@@ -139,7 +139,7 @@
         }
         boolean broke = how == Verdict.RESET || how == Verdict.NEVER_WRITTEN;
         if (broke && connection.idleBeforeMs() == 0) {
-            service.meters().countBrokenUnused();
+            upstream.meters().countBrokenUnused();
         }
         pool.used(connection, broke);
         end(how, whole);
@@ -160,12 +160,12 @@
         }
         giveBackShare();
         callback.accept(this);
-        service.recall();
+        upstream.recall();
     }
 
     private void giveBackShare() {
         if (!isSent()) {
-            service.originShare().giveBack(context.now());
+            upstream.originShare().giveBack(context.now());
         }
     }
 
@@ -174,13 +174,13 @@
         double elapsedMs = nowMs - sentAtMs;
         boolean failedInside = answer != null && answer.isFailure();
         boolean timely = elapsedMs <= request.targetMs();
-        instance.ended(nowMs, how, elapsedMs, failedInside, service.picker().maySpare(nowMs));
+        instance.ended(nowMs, how, elapsedMs, failedInside, upstream.picker().maySpare(nowMs));
         switch (how) {
-            case ANSWERED -> service.admission().count(!failedInside && timely);
-            case SILENT, GARBLED -> service.admission().count(false);
-            case RESET, CONNECT_FAILED -> service.admission().countBroken();
-            case DECLINED -> service.admission().count(false);
-            case MISDIRECTED, NEVER_WRITTEN -> {}
+            case ANSWERED -> upstream.admission().count(!failedInside && timely);
+            case SILENT, GARBLED -> upstream.admission().count(false);
+            case RESET, CONNECT_FAILED -> upstream.admission().countBroken();
+            case DECLINED -> upstream.admission().count(false);
+            case REFUSED_BY_CACHE, MISDIRECTED, NEVER_WRITTEN -> {}
             default -> throw new IllegalStateException(how.name());
         }
     }
--- a/cdn/src/main/java/ridgemill/cdn/proxy/CachedExchange.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/CachedExchange.java
@@ -2,6 +2,7 @@
 
 import ridgemill.cdn.config.Route;
 import ridgemill.cdn.edge.CachedObject;
+import ridgemill.cdn.edge.Invariant;
 import ridgemill.cdn.edge.RefusalReason;
 
 /** A read of an object that may be answered from a copy. */
@@ -34,6 +35,17 @@
         return service;
     }
 
+    /** How old a copy was as the request arrived, in milliseconds; 0 if its fetch began later. */
+    private String ageOnArrival(CachedObject copy) {
+        return Long.toString((long) Math.max(0, Math.ceil(arrivedMs() - copy.fetchStartedMs())));
+    }
+
+    /** How old a copy may be that answers it, in milliseconds: infinite but for what edge proxies ask shared caches. */
+    double maxAgeMs() {
+        long told = CacheHeaders.number(request().headers(), CacheHeaders.MAX_AGE, Long.MAX_VALUE);
+        return context().isSharedCache() && told < Long.MAX_VALUE ? told : Double.POSITIVE_INFINITY;
+    }
+
     /** When it began to wait for the fetch that it waits for. */
     double askedMs() {
         return askedMs;
@@ -49,7 +61,12 @@
     /** The object is there. */
     void found(CachedObject copy) {
         fetch = null;
-        answer(FinalAnswer.of(copy, request()));
+        context()
+                .invariants()
+                .check(objects.isAsNewAsPurges(copy, askedMs), Invariant.COPY_NEWER_THAN_PURGE, copy.key());
+        FinalAnswer answer = FinalAnswer.of(copy, request());
+        boolean tellsAge = context().isSharedCache();
+        answer(tellsAge ? answer.with(CacheHeaders.AGE, ageOnArrival(copy)) : answer);
     }
 
     /** It started the fetch and this came of it, which is no copy. */
--- a/cdn/src/main/java/ridgemill/cdn/proxy/ClientConnections.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/ClientConnections.java
@@ -10,9 +10,9 @@
  */
 final class ClientConnections {
 
-    /** Descriptors for the links to the control plane, listeners, files and the like. */
-    private static final int OWN_DESCRIPTORS = 200;
-    /** One in so many descriptors is kept for connections to instances. */
+    /** Descriptors for files, for listeners and for the links to the control plane, of which there may be two dozen. */
+    private static final int OWN_DESCRIPTORS = 232;
+    /** One in so many of the others is kept for connections to instances and shared caches. */
     private static final int UPSTREAM_PART = 4;
 
     private static final int LEAST = 4;
@@ -23,7 +23,8 @@
 
     /** No connections yet, in a process that may have so many descriptors open. */
     ClientConnections(int fileDescriptors) {
-        most = Math.max(LEAST, fileDescriptors - OWN_DESCRIPTORS - fileDescriptors / UPSTREAM_PART);
+        int shared = fileDescriptors - OWN_DESCRIPTORS;
+        most = Math.max(LEAST, shared - shared / UPSTREAM_PART);
     }
 
     /** A connection was opened; it is closed if there is no place for it. */
--- a/cdn/src/main/java/ridgemill/cdn/proxy/DataPath.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/DataPath.java
@@ -5,7 +5,9 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
+import java.util.Optional;
 import ridgemill.cdn.config.Limits;
+import ridgemill.cdn.membership.CacheNode;
 import ridgemill.cdn.net.Listening;
 import ridgemill.cdn.proxy.control.ControlListener;
 import ridgemill.cdn.proxy.control.ControlView;
@@ -19,7 +21,7 @@
 import ridgemill.policy.AdmissionLevel;
 
 /**
- * The data path of an edge proxy: takes clients' requests in and answers each once. This class starts and ends it and
+ * The data path of an edge proxy, or of a shared cache: takes requests in and answers each once. This class starts and ends it and
  * sees to what is due from time to time. Used on its event loop only.
  */
 public final class DataPath {
@@ -28,13 +30,37 @@
     private static final int BACKLOG = 1_024;
     /** The part of the heap that copies of objects may take. */
     private static final double CACHE_PART = 0.45;
+    /** The same in a shared cache, which does little else. */
+    private static final double SHARED_CACHE_PART = 0.6;
 
     private final ProxyContext context;
-    private final RequestRouter router;
+    private final Router router;
     private final ClientConnections clients;
+    private final String frontAddress;
     private Channel listener;
     private Timers.Timer tick;
 
+    /** The data path of a shared cache: takes reads of edge proxies where it offers to, and fetches from instances alone. */
+    public static DataPath ofCache(
+            EventLoop loop,
+            SocketKind sockets,
+            Clock clock,
+            Settings settings,
+            ControlView control,
+            CacheNode cache,
+            MeterRegistry registry) {
+        return new DataPath(
+                loop,
+                sockets,
+                new LoopTimers(loop, clock),
+                settings,
+                control,
+                OperationRegister.NONE,
+                registry,
+                Optional.of(cache),
+                (long) (SHARED_CACHE_PART * Runtime.getRuntime().maxMemory()));
+    }
+
     /** A data path that keeps copies of objects in a part of the heap. */
     public DataPath(
             EventLoop loop,
@@ -44,7 +70,7 @@
             ControlView control,
             OperationRegister register,
             MeterRegistry registry) {
-        this(loop, sockets, new LoopTimers(loop, clock), settings, control, register, registry, (long)
+        this(loop, sockets, new LoopTimers(loop, clock), settings, control, register, registry, Optional.empty(), (long)
                 (CACHE_PART * Runtime.getRuntime().maxMemory()));
     }
 
@@ -62,9 +88,11 @@
             ControlView control,
             OperationRegister register,
             MeterRegistry registry,
+            Optional<CacheNode> cache,
             long cacheBytes) {
-        context = new ProxyContext(loop, sockets, timers, settings, control, register, registry, cacheBytes);
-        router = new RequestRouter(context);
+        context = new ProxyContext(loop, sockets, timers, settings, control, register, registry, cache, cacheBytes);
+        router = context.isSharedCache() ? new SharedCacheRouter(context) : new RequestRouter(context);
+        frontAddress = cache.map(CacheNode::address).orElse(settings.frontAddress());
         clients = new ClientConnections(settings.fileDescriptors());
         control.addListener(context.objects());
         control.addListener(new ControlListener() {
@@ -81,6 +109,7 @@
     }
 
     private void refresh() {
+        context.caches().refresh();
         for (ServiceState service : context.services()) {
             service.refresh();
         }
@@ -93,7 +122,7 @@
                         context.sockets(),
                         BACKLOG,
                         channel -> channel.pipeline().addLast(new FrontConnection(this)))
-                .bind(Addresses.parse(context.settings().frontAddress()));
+                .bind(Addresses.parse(frontAddress));
         listener = bound.channel();
         scheduleTick();
         return bound;
@@ -144,6 +173,11 @@
         context.service(service).admission().restore(kept, context.now());
     }
 
+    /** How often something did not hold that must hold at any time. */
+    public long brokenInvariants() {
+        return context.invariants().broken();
+    }
+
     /** Closes the listener and all connections. */
     public void close() {
         if (listener != null) {
@@ -156,6 +190,7 @@
         for (ServiceState service : context.services()) {
             service.close();
         }
+        context.caches().close();
     }
 
     private void scheduleTick() {
@@ -167,6 +202,8 @@
             for (ServiceState service : context.services()) {
                 service.tick(nowMs);
             }
+            context.caches().tick(nowMs);
+            context.objects().tick(nowMs);
             scheduleTick();
         });
     }
--- a/cdn/src/main/java/ridgemill/cdn/proxy/Delivery.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/Delivery.java
@@ -45,7 +45,7 @@
     }
 
     private final ProxyContext context;
-    private final ServiceState service;
+    private final Upstream upstream;
     private final Route route;
     private final OutgoingRequest request;
     private final boolean repeatable;
@@ -71,14 +71,14 @@
      */
     Delivery(
             ProxyContext context,
-            ServiceState service,
+            Upstream upstream,
             Route route,
             OutgoingRequest request,
             boolean repeatable,
             double deadlineMs,
             Consumer<Result> callback) {
         this.context = context;
-        this.service = service;
+        this.upstream = upstream;
         this.route = route;
         this.request = request;
         this.repeatable = repeatable;
@@ -129,7 +129,7 @@
             fail(RefusalReason.OUT_OF_TIME, 0);
             return;
         }
-        Pick pick = service.picker().pick(nowMs, request.placeKey(), tried);
+        Pick pick = upstream.picker().pick(nowMs, request.placeKey(), tried);
         if (pick instanceof Pick.Chosen chosen) {
             stopWaiting();
             begin(chosen.instance(), nowMs);
@@ -143,12 +143,12 @@
     }
 
     private void awaitRoom(double nowMs) {
-        service.await(this);
+        upstream.await(this);
         if (patience == null) {
             double untilMs = Math.min(deadlineMs - LEAST_LEFT_MS, nowMs + PATIENCE * route.targetLatencyMs());
             patience = context.timers().at(untilMs, () -> {
                 outOfPatience = true;
-                service.forget(this);
+                upstream.forget(this);
                 roomAgain();
             });
         }
@@ -158,19 +158,19 @@
         if (patience != null) {
             patience.cancel();
             patience = null;
-            service.forget(this);
+            upstream.forget(this);
         }
     }
 
     private void begin(InstanceStats instance, double nowMs) {
-        if (!service.originShare().tryTake(nowMs)) {
-            fail(RefusalReason.ORIGIN_RATE, service.originShare().waitMs(nowMs));
+        if (!upstream.originShare().tryTake(nowMs)) {
+            fail(RefusalReason.ORIGIN_RATE, upstream.originShare().waitMs(nowMs));
         } else if (sent > 0
-                && !service.budget().tryRepeat(nowMs, context.control().proxyCount())) {
-            service.originShare().giveBack(nowMs);
+                && !upstream.budget().tryRepeat(nowMs, context.control().fleet().senders())) {
+            upstream.originShare().giveBack(nowMs);
             fail(RefusalReason.RETRY_BUDGET, route.targetLatencyMs());
         } else {
-            current = new Attempt(context, service, instance, request, repeatable, this::ended);
+            current = new Attempt(context, upstream, instance, request, repeatable, this::ended);
             current.start(deadlineMs, attemptEndMs(instance, nowMs));
         }
     }
@@ -195,10 +195,12 @@
         tried.add(attempt.instance());
         sent += attempt.isSent() ? 1 : 0;
         if (!attempt.isSent() && sent > 0) {
-            service.budget().giveBack(context.now());
+            upstream.budget().giveBack(context.now());
         }
         mayHaveRun |= verdict.mayHaveRun();
-        if (verdict == Verdict.ANSWERED) {
+        if (verdict == Verdict.REFUSED_BY_CACHE) {
+            refusedByCache(attempt.answer());
+        } else if (verdict == Verdict.ANSWERED) {
             answered(attempt.answer());
         } else if (verdict == Verdict.CONNECT_FAILED && ++connectFailures >= MOST_CONNECT_FAILURES) {
             fail(RefusalReason.CONNECT_FAILED, route.targetLatencyMs());
@@ -207,6 +209,13 @@
         }
     }
 
+    /** Another shared cache would fetch what this one may not: the refusal stands. */
+    private void refusedByCache(InstanceAnswer answer) {
+        String reason = answer.headers().get(CacheHeaders.REFUSAL);
+        boolean unknown = RefusalReason.ROUTE_UNKNOWN.label().equals(reason);
+        fail(unknown ? RefusalReason.ROUTE_UNKNOWN : RefusalReason.CACHE_REFUSED, answer.retryAfterMs());
+    }
+
     private void answered(InstanceAnswer answer) {
         lastAnswer = answer;
         if (answer.isFailure() && mayRepeat()) {
--- a/cdn/src/main/java/ridgemill/cdn/proxy/Exchange.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/Exchange.java
@@ -87,7 +87,8 @@
         if (!over) {
             service().meters().countRefused(reason);
         }
-        answer(FinalAnswer.later(503, request.attemptId(), waitMs));
+        FinalAnswer refusal = FinalAnswer.later(503, request.attemptId(), waitMs);
+        answer(context.isSharedCache() ? refusal.with(CacheHeaders.REFUSAL, reason.label()) : refusal);
     }
 
     /** Ends the request, which may have run, without an answer of an instance. */
--- a/cdn/src/main/java/ridgemill/cdn/proxy/FinalAnswer.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/FinalAnswer.java
@@ -45,6 +45,13 @@
         return answer;
     }
 
+    /** The same answer with one more header. */
+    FinalAnswer with(String name, String value) {
+        headers.add(name);
+        headers.add(value);
+        return this;
+    }
+
     /** An instance's answer, passed on unchanged. */
     static FinalAnswer of(InstanceAnswer answer, boolean toHead) {
         boolean bodiless = answer.status() == NO_CONTENT || answer.status() == NOT_MODIFIED;
--- a/cdn/src/main/java/ridgemill/cdn/proxy/InstanceAnswer.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/InstanceAnswer.java
@@ -13,6 +13,8 @@
 record InstanceAnswer(int status, Headers headers, long length, byte[] body) {
 
     /** The header that vouches for a success. */
+    private static final double MS_PER_SECOND = 1_000;
+
     static final String SEAL = "X-Response-Seal";
 
     boolean isSuccess() {
@@ -24,6 +26,16 @@
         return status >= 500;
     }
 
+    /** How long it asks to wait, in milliseconds; 0 if it does not say. */
+    double retryAfterMs() {
+        String text = headers.get("Retry-After");
+        try {
+            return text == null ? 0 : Math.max(0, Double.parseDouble(text) * MS_PER_SECOND);
+        } catch (NumberFormatException malformed) {
+            return 0;
+        }
+    }
+
     boolean isSealed() {
         return headers.get(SEAL) != null;
     }
--- a/cdn/src/main/java/ridgemill/cdn/proxy/InstanceConnection.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/InstanceConnection.java
@@ -170,7 +170,8 @@
         }
         String load = headers.get("X-Server-Load");
         InstanceAnswer answer = new InstanceAnswer(reader.status(), headers.endToEnd(), length(headers), reader.body());
-        end(verdict(answer, headers), answer, load);
+        boolean refused = pool.isOfCache() && headers.get(CacheHeaders.REFUSAL) != null;
+        end(refused ? Verdict.REFUSED_BY_CACHE : verdict(answer, headers), answer, load);
     }
 
     private static Verdict verdict(InstanceAnswer answer, Headers headers) {
@@ -213,7 +214,9 @@
     private void end(Verdict verdict, InstanceAnswer answer, String load) {
         ConnectionListener told = listener;
         listener = null;
-        if (verdict != Verdict.ANSWERED && verdict != Verdict.DECLINED) {
+        boolean intact =
+                verdict == Verdict.ANSWERED || verdict == Verdict.DECLINED || verdict == Verdict.REFUSED_BY_CACHE;
+        if (!intact) {
             spent = true;
         }
         idleSinceMs = pool.now();
--- a/cdn/src/main/java/ridgemill/cdn/proxy/InstancePool.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/InstancePool.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.function.Consumer;
 import ridgemill.cdn.edge.InstanceStats;
+import ridgemill.cdn.edge.Invariant;
 import ridgemill.cdn.instances.Instance;
 import ridgemill.cdn.proxy.ProxyMeters.ServiceMeters;
 import ridgemill.gateway.back.IdleAges;
@@ -32,14 +33,17 @@
     private final ServiceMeters meters;
     private final InetSocketAddress address;
     private final ArrayDeque<InstanceConnection> idle = new ArrayDeque<>();
+    private final boolean ofCache;
     private int open;
+    private int most;
     private boolean closed;
 
-    InstancePool(ProxyContext context, Instance instance, IdleAges ages, ServiceMeters meters) {
+    InstancePool(ProxyContext context, Instance instance, IdleAges ages, ServiceMeters meters, boolean ofCache) {
         this.context = context;
         this.stats = new InstanceStats(instance);
         this.ages = ages;
         this.meters = meters;
+        this.ofCache = ofCache;
         this.address = Addresses.parse(instance.address());
     }
 
@@ -48,6 +52,19 @@
         return stats;
     }
 
+    /** Whether the other side is a shared cache and no instance. */
+    boolean isOfCache() {
+        return ofCache;
+    }
+
+    /** At most so many connections are held from now on; idle ones beyond that are closed. */
+    void limit(int connections) {
+        most = connections;
+        while (open > most && !idle.isEmpty()) {
+            idle.pollLast().close();
+        }
+    }
+
     /** Connections that are open now, in use or idle. */
     int open() {
         return open;
@@ -93,6 +110,11 @@
             if (done.isSuccess()) {
                 open++;
                 meters.countOpened();
+                context.invariants()
+                        .check(
+                                stats.inFlight() <= stats.places(),
+                                Invariant.CONNECTIONS_WITHIN_PART,
+                                address.toString());
             }
             callback.accept(done.isSuccess() ? connection : null);
         });
@@ -110,7 +132,7 @@
 
     /** Takes a connection back that may be used again. */
     void release(InstanceConnection connection) {
-        if (closed) {
+        if (closed || open > most) {
             connection.close();
         } else {
             idle.addFirst(connection);
--- a/cdn/src/main/java/ridgemill/cdn/proxy/ObjectFetch.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/ObjectFetch.java
@@ -50,6 +50,11 @@
         delivery = by;
     }
 
+    /** Whether a copy that it brought had been fetched by another process before. */
+    boolean isOfOther(CachedObject copy) {
+        return copy.fetchStartedMs() < startedMs;
+    }
+
     boolean isOf(CachedExchange exchange) {
         return exchange == starter;
     }
--- a/cdn/src/main/java/ridgemill/cdn/proxy/ObjectFetches.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/ObjectFetches.java
@@ -1,6 +1,7 @@
 package ridgemill.cdn.proxy;
 
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -9,6 +10,7 @@
 import java.util.Set;
 import ridgemill.cdn.edge.CachedObject;
 import ridgemill.cdn.edge.ObjectCache;
+import ridgemill.cdn.edge.PurgeLog;
 import ridgemill.cdn.edge.RefusalReason;
 import ridgemill.cdn.proxy.ProxyMeters.ReadSource;
 import ridgemill.cdn.proxy.control.ControlListener;
@@ -20,9 +22,18 @@
 
     private static final int OK = 200;
     private static final int NOT_MODIFIED = 304;
+    /** A copy fetched ahead of need is to be younger than this part of the time for which copies are kept. */
+    private static final double AHEAD_MAX_AGE = 0.5;
+    /** Why a shared cache was not asked, or could not be: the instances are asked then. */
+    private static final Set<RefusalReason> MAY_ASK_INSTANCES = EnumSet.of(
+            RefusalReason.NO_INSTANCE,
+            RefusalReason.CONNECT_FAILED,
+            RefusalReason.ROUTE_UNKNOWN,
+            RefusalReason.CROWDED);
 
     private final ProxyContext context;
     private final ObjectCache cache;
+    private final PurgeLog purges = new PurgeLog();
     private final Map<String, ObjectFetch> joinable = new HashMap<>();
     private final Set<ObjectFetch> running = new LinkedHashSet<>();
 
@@ -36,16 +47,18 @@
         double nowMs = context.now();
         String key = exchange.request().objectKey();
         CachedObject copy = cache.get(key);
-        if (copy != null
-                && copy.isFresh(nowMs, exchange.route().cacheTtlMs())
-                && context.control().isCoveredSince(copy.fetchStartedMs())) {
+        double oldestMs = nowMs - exchange.maxAgeMs();
+        if (copy != null && copy.fetchStartedMs() >= oldestMs && isGood(copy, exchange, nowMs)) {
             context.meters().countRead(ReadSource.COPY);
             fetchAhead(exchange, copy, nowMs);
             exchange.found(copy);
             return null;
         }
         ObjectFetch underWay = joinable.get(key);
-        if (underWay != null && context.control().isCoveredSince(underWay.startedMs())) {
+        if (underWay != null
+                && underWay.startedMs() >= oldestMs
+                && (!context.isSharedCache() || context.control().hearsPurges())
+                && context.control().isCoveredSince(underWay.startedMs())) {
             context.meters().countRead(ReadSource.SHARED_FETCH);
             underWay.join(exchange);
             return underWay;
@@ -54,6 +67,19 @@
         return fetch(exchange, key, copy, nowMs);
     }
 
+    /** Whether a copy may be given out: it is fresh, and every purge of it that was acknowledged is known here. */
+    private boolean isGood(CachedObject copy, CachedExchange exchange, double nowMs) {
+        return copy.isFresh(nowMs, exchange.route().cacheTtlMs())
+                && context.control().isCoveredSince(copy.checkedMs())
+                && (!context.isSharedCache() || context.control().hearsPurges());
+    }
+
+    /** Whether a copy is not older than a purge of it that was heard of before a moment. */
+    boolean isAsNewAsPurges(CachedObject copy, double askedMs) {
+        double purgedMs = purges.lastMs(copy);
+        return copy.fetchStartedMs() >= purgedMs || purgedMs >= askedMs;
+    }
+
     private ObjectFetch fetch(CachedExchange exchange, String key, CachedObject copy, double nowMs) {
         ServiceState service = exchange.service();
         if (!service.admission().draw(nowMs, exchange.route().priorityLevel())) {
@@ -64,12 +90,16 @@
         ObjectFetch fetch = new ObjectFetch(key, exchange, older, nowMs);
         double deadlineMs =
                 Math.max(exchange.deadlineMs(), nowMs + exchange.route().timeoutMs());
-        delivery(fetch, exchange, deadlineMs).start();
+        delivery(fetch, exchange, deadlineMs, nowMs - purges.lastMs(key)).start();
         return running.contains(fetch) ? fetch : null;
     }
 
-    /** The delivery of a fetch for an object that a request asks for; it has not started. */
-    private Delivery delivery(ObjectFetch fetch, CachedExchange exchange, double deadlineMs) {
+    /**
+     * The delivery of a fetch for an object that a request asks for; it has not started.
+     *
+     * @param maxAgeMs how old a copy of a shared cache may be, in milliseconds
+     */
+    private Delivery delivery(ObjectFetch fetch, CachedExchange exchange, double deadlineMs, double maxAgeMs) {
         joinable.put(fetch.key(), fetch);
         running.add(fetch);
         OutgoingRequest outgoing = OutgoingRequest.fetch(
@@ -77,16 +107,48 @@
                 fetch.older() == null ? null : fetch.older().etag(),
                 Rendezvous.hashText(fetch.key()),
                 exchange.route().targetLatencyMs());
+        boolean overCaches = context.caches().isAny();
+        ServiceState service = exchange.service();
+        OutgoingRequest sent =
+                overCaches ? outgoing.toCache(service.name(), exchange.route().version(), maxAgeMs) : outgoing;
         Delivery delivery = new Delivery(
+                context,
+                overCaches ? context.caches().of(service) : service,
+                exchange.route(),
+                sent,
+                !context.isSharedCache(),
+                deadlineMs,
+                result -> delivered(fetch, exchange, outgoing, deadlineMs, overCaches, result));
+        fetch.deliverBy(delivery);
+        return delivery;
+    }
+
+    /** Fetches from the instances where no shared cache could be asked; nothing has run then. */
+    private void delivered(
+            ObjectFetch fetch,
+            CachedExchange exchange,
+            OutgoingRequest outgoing,
+            double deadlineMs,
+            boolean overCaches,
+            Delivery.Result result) {
+        boolean unasked = overCaches
+                && result instanceof Delivery.Result.Failed failed
+                && !failed.mayHaveRun()
+                && MAY_ASK_INSTANCES.contains(failed.reason());
+        if (!unasked) {
+            fetched(fetch, result);
+            return;
+        }
+        Delivery direct = new Delivery(
                 context,
                 exchange.service(),
                 exchange.route(),
                 outgoing,
                 true,
                 deadlineMs,
-                result -> fetched(fetch, result));
-        fetch.deliverBy(delivery);
-        return delivery;
+                answer -> fetched(fetch, answer));
+        fetch.deliverBy(direct);
+        direct.start();
     }
 
     /**
@@ -100,14 +162,15 @@
                 && !joinable.containsKey(copy.key())
                 && !context.isDraining();
         if (!due
-                || !service.originShare().hasSpare(nowMs)
+                || !context.caches().isAny() && !service.originShare().hasSpare(nowMs)
                 || !service.admission().drawForNobody(nowMs)) {
             return;
         }
         // Should it fail, the next one needs as many uses again.
         cache.forgetUses(copy.key());
         ObjectFetch fetch = new ObjectFetch(copy.key(), null, copy.etag() == null ? null : copy, nowMs);
-        Delivery delivery = delivery(fetch, exchange, nowMs + exchange.route().timeoutMs());
+        double maxAgeMs = AHEAD_MAX_AGE * exchange.route().cacheTtlMs();
+        Delivery delivery = delivery(fetch, exchange, nowMs + exchange.route().timeoutMs(), maxAgeMs);
         delivery.stopRepeating();
         delivery.start();
     }
@@ -125,6 +188,13 @@
             failed(fetch, result);
             return;
         }
+        double staleMs = purges.lastMs(copy);
+        if (fetch.isOfOther(copy) && copy.fetchStartedMs() < staleMs && staleMs < fetch.startedMs()) {
+            // The other process had not heard of a purge yet: it is asked again for a newer one.
+            purges.path(copy.key(), staleMs);
+            fetch.takeWaiters().forEach(waiter -> waiter.again(result));
+            return;
+        }
         CachedObject kept = cache.get(copy.key());
         if (fetch.isStorable(copy) && (kept == null || kept.fetchStartedMs() <= copy.fetchStartedMs())) {
             cache.put(copy);
@@ -157,7 +227,7 @@
         if (answer.status() == NOT_MODIFIED && fetch.older() != null) {
             String etag = answer.headers().get("ETag");
             boolean same = etag == null || etag.equals(fetch.older().etag());
-            return same ? fetch.older().confirmed(fetch.startedMs()) : null;
+            return same ? fetch.older().confirmed(originMs(fetch, answer), fetch.startedMs()) : null;
         }
         if (answer.status() != OK || !answer.isSealed()) {
             return null;
@@ -165,13 +235,20 @@
         Headers headers = answer.headers();
         return new CachedObject(
                 fetch.key(),
-                OwnHeaders.without(headers.lines(), true),
+                OwnHeaders.without(
+                        CacheHeaders.without(Headers.of(headers.lines())).lines(), true),
                 headers.get("ETag"),
                 tags(headers.get("X-Object-Tags")),
                 answer.body(),
+                originMs(fetch, answer),
                 fetch.startedMs());
     }
 
+    /** When the fetch from the instance began, at the latest: a shared cache says how old its copy was as it answered. */
+    private static double originMs(ObjectFetch fetch, InstanceAnswer answer) {
+        return fetch.startedMs() - CacheHeaders.number(answer.headers(), CacheHeaders.AGE, 0);
+    }
+
     private static List<String> tags(String header) {
         List<String> tags = new ArrayList<>(4);
         int start = 0;
@@ -186,9 +263,15 @@
         return tags;
     }
 
+    /** What is due from time to time. */
+    void tick(double nowMs) {
+        purges.forgetOld(nowMs);
+    }
+
     @Override
     public void pathPurged(String hostname, String path) {
         String key = hostname.toLowerCase(Locale.ROOT) + path;
+        purges.path(key, context.now());
         cache.remove(key);
         joinable.remove(key);
         for (ObjectFetch fetch : running) {
@@ -202,6 +285,7 @@
     public void tagPurged(String tag) {
         cache.removeTagged(tag);
         double nowMs = context.now();
+        purges.tag(tag, nowMs);
         for (ObjectFetch fetch : running) {
             fetch.purgeTag(tag, nowMs);
         }
--- a/cdn/src/main/java/ridgemill/cdn/proxy/OutgoingRequest.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/OutgoingRequest.java
@@ -46,7 +46,26 @@
     }
 
     private static Headers passedOn(ClientRequest request) {
-        return request.headers().endToEnd().remove(ClientRequest.DEADLINE).remove(EXPECTED_INSTANCE);
+        Headers passed =
+                request.headers().endToEnd().remove(ClientRequest.DEADLINE).remove(EXPECTED_INSTANCE);
+        return CacheHeaders.without(passed);
+    }
+
+    /**
+     * The same request as it goes to a shared cache.
+     *
+     * @param service the service that was chosen for it
+     * @param routeVersion the version of the route by which it was chosen
+     * @param maxAgeMs how old a copy may be, in milliseconds; infinite if any that is fresh will do
+     */
+    OutgoingRequest toCache(String service, long routeVersion, double maxAgeMs) {
+        Headers all = Headers.of(headers.lines())
+                .add(CacheHeaders.SERVICE, service)
+                .add(CacheHeaders.ROUTE_VERSION, Long.toString(Math.max(0, routeVersion)));
+        if (!Double.isInfinite(maxAgeMs)) {
+            all.add(CacheHeaders.MAX_AGE, Long.toString((long) Math.max(0, maxAgeMs)));
+        }
+        return new OutgoingRequest(method, target, attemptId, all, body, placeKey, targetMs);
     }
 
     boolean isHead() {
--- a/cdn/src/main/java/ridgemill/cdn/proxy/ProxyContext.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/ProxyContext.java
@@ -5,8 +5,10 @@
 import io.netty.channel.EventLoop;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import ridgemill.cdn.edge.ObjectCache;
 import ridgemill.cdn.instances.Instance;
+import ridgemill.cdn.membership.CacheNode;
 import ridgemill.cdn.proxy.control.ControlView;
 import ridgemill.cdn.proxy.control.OperationRegister;
 import ridgemill.cdn.settings.Settings;
@@ -24,6 +26,9 @@
     private final OperationRegister register;
     private final EventLog log;
     private final ProxyMeters meters;
+    private final InvariantCheck invariants;
+    private final Optional<CacheNode> sharedCache;
+    private final SharedCaches caches;
     private final String region;
     private final Map<String, ServiceState> services = new HashMap<>();
     private final ObjectFetches objects;
@@ -39,6 +44,7 @@
             ControlView control,
             OperationRegister register,
             MeterRegistry registry,
+            Optional<CacheNode> sharedCache,
             long cacheBytes) {
         this.loop = loop;
         this.sockets = sockets;
@@ -46,10 +52,13 @@
         this.settings = settings;
         this.control = control;
         this.register = register;
+        this.sharedCache = sharedCache;
         this.meters = new ProxyMeters(registry);
         this.log = new EventLog(timers);
+        this.invariants = new InvariantCheck(registry, log);
         this.objects = new ObjectFetches(this, new ObjectCache(cacheBytes));
         this.region = settings.regionOf(settings.zone());
+        this.caches = new SharedCaches(this);
     }
 
     EventLoop loop() {
@@ -86,6 +95,26 @@
         return register;
     }
 
+    /** Checks what must hold at any time. */
+    InvariantCheck invariants() {
+        return invariants;
+    }
+
+    /** Whether this process is a shared cache and no edge proxy. */
+    boolean isSharedCache() {
+        return sharedCache.isPresent();
+    }
+
+    /** The identifier of this shared cache. */
+    String cacheId() {
+        return sharedCache.orElseThrow().id();
+    }
+
+    /** The shared caches that objects are read from. */
+    SharedCaches caches() {
+        return caches;
+    }
+
     /** The data path's figures. */
     ProxyMeters meters() {
         return meters;
--- a/cdn/src/main/java/ridgemill/cdn/proxy/RequestRouter.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/RequestRouter.java
@@ -5,7 +5,7 @@
 import ridgemill.policy.Rendezvous;
 
 /** Finds the route and the service of each request, and makes the exchange that its route's kind asks for. */
-final class RequestRouter {
+final class RequestRouter implements Router {
 
     /** When a client is asked to come back while the configuration is not known yet, in milliseconds. */
     private static final double UNKNOWN_WAIT_MS = 250;
@@ -17,7 +17,8 @@
     }
 
     /** The exchange for a request; null if it was answered at once, as it has no id, no route or no key. */
-    Exchange route(FrontConnection client, ClientRequest request) {
+    @Override
+    public Exchange route(FrontConnection client, ClientRequest request) {
         if (request.attemptId() == null
                 || request.attemptId().isEmpty()
                 || request.headers().count(ClientRequest.ATTEMPT_ID) != 1) {
--- a/cdn/src/main/java/ridgemill/cdn/proxy/ServiceState.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/ServiceState.java
@@ -1,47 +1,44 @@
 package ridgemill.cdn.proxy;
 
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.HashSet;
-import java.util.Iterator;
 import java.util.List;
-import java.util.Map;
-import java.util.Set;
 import ridgemill.cdn.config.Service;
 import ridgemill.cdn.edge.InstancePicker;
 import ridgemill.cdn.edge.InstanceStats;
 import ridgemill.cdn.edge.OriginShare;
+import ridgemill.cdn.edge.RateDivision;
 import ridgemill.cdn.edge.RetryBudget;
 import ridgemill.cdn.edge.ServiceAdmission;
 import ridgemill.cdn.instances.Instance;
+import ridgemill.cdn.membership.Fleet;
+import ridgemill.cdn.membership.FleetPosition;
 import ridgemill.cdn.proxy.ProxyMeters.ServiceMeters;
 import ridgemill.cdn.settings.Bounds;
-import ridgemill.gateway.back.IdleAges;
 import ridgemill.policy.Rendezvous;
 
-/** All that this proxy keeps for one service: admission, budgets, instances and their connections. */
-final class ServiceState {
+/** All that this process keeps for one service: admission, budgets, instances and their connections. */
+final class ServiceState implements Upstream {
 
-    /** This proxy's part of an instance's connections may be used up to this share of it. */
+    /** An instance's connections are used up to this share of its cap by all processes together. */
     private static final double CONNECTIONS_USED = 0.9;
+    /** The part of those that shared caches have at a service whose objects they fetch. */
+    private static final double CACHE_CONNECTIONS = 0.5;
 
-    private static final int LEAST_CONNECTIONS = 2;
-    /** How often figures are logged of a service that refused something, in milliseconds. */
-    private static final double FIGURES_INTERVAL_MS = 5_000;
+    private static final int UNKNOWN_CAP = 2;
+    /** The part of the retry budget's share that shared caches have, as the edge proxies count the same requests. */
+    private static final double CACHE_RETRIES = 0.25;
 
     private static final double BREAKS_WITHIN_MS = 3_000;
+    /** How often figures are logged of a service that refused something, in milliseconds. */
+    private static final double FIGURES_INTERVAL_MS = 5_000;
 
     private final ProxyContext context;
     private final String name;
     private final ServiceAdmission admission;
     private final RetryBudget budget;
     private final OriginShare originShare;
-    private final InstancePicker picker = new InstancePicker();
-    private final IdleAges ages = new IdleAges();
-    private final Map<String, InstancePool> pools = new HashMap<>();
-    private final ArrayDeque<Delivery> waiting = new ArrayDeque<>();
+    private final RateDivision division;
     private final ServiceMeters meters;
+    private final InstanceSet instances;
     private double figuresAtMs;
     private double lentShare = Double.NaN;
 
@@ -50,10 +47,13 @@
         this.name = name;
         Bounds bounds = context.settings().bounds();
         double phase = Rendezvous.unit(Rendezvous.hashText(context.settings().nodeName() + "/" + name));
+        double ratio = bounds.retryBudgetRatio() * (context.isSharedCache() ? CACHE_RETRIES : 1);
         this.admission = new ServiceAdmission(phase, context.now());
-        this.budget = new RetryBudget(bounds.retryBudgetRatio(), bounds.retryBudgetSlack(), bounds.retryWindowMs());
+        this.budget = new RetryBudget(ratio, bounds.retryBudgetSlack(), bounds.retryWindowMs());
         this.originShare = new OriginShare(bounds.originCeilingOverage(), bounds.originWindowMs());
+        this.division = new RateDivision(bounds.originCeilingOverage(), bounds.originWindowMs());
         this.meters = context.meters().service(name);
+        this.instances = new InstanceSet(context, new InstancePicker(), meters, false);
         meters.show(this);
         refresh();
     }
@@ -62,110 +62,108 @@
         return name;
     }
 
-    ServiceAdmission admission() {
+    @Override
+    public ServiceAdmission admission() {
         return admission;
     }
 
-    /** The service's figures. */
-    ServiceMeters meters() {
+    @Override
+    public ServiceMeters meters() {
         return meters;
     }
 
-    /** Connections to all instances that are open now. */
-    int openConnections() {
-        int open = 0;
-        for (InstancePool pool : pools.values()) {
-            open += pool.open();
-        }
-        return open;
-    }
-
-    RetryBudget budget() {
+    @Override
+    public RetryBudget budget() {
         return budget;
     }
 
-    OriginShare originShare() {
+    @Override
+    public OriginShare originShare() {
         return originShare;
     }
 
-    InstancePicker picker() {
-        return picker;
+    @Override
+    public InstancePicker picker() {
+        return instances.picker();
     }
 
-    /** The connections to an instance, also while it is leaving. */
-    InstancePool pool(InstanceStats stats) {
-        return pools.get(stats.instance().id());
+    @Override
+    public InstancePool pool(InstanceStats stats) {
+        return instances.pool(stats);
     }
 
-    /** Sets this proxy's share of the service's bound on requests a second in place of an even one. */
+    /** Connections to all instances that are open now. */
+    int openConnections() {
+        return instances.openConnections();
+    }
+
+    /** Sets this process' share of the service's bound on requests a second in place of an even one. */
     void lend(double perSecond) {
         lentShare = perSecond;
         refresh();
     }
 
-    /** Takes in what the control plane says of the service and its instances. */
+    /** Takes in what the control plane says of the service, its instances and who else sends to them. */
     void refresh() {
         Service service = context.control().routing().service(name);
-        int proxies = Math.max(1, context.control().proxyCount());
-        double rate = service == null ? 0 : service.ratePerSecond();
-        boolean lent = rate > 0 && !Double.isNaN(lentShare);
-        originShare.setShare(lent ? lentShare : rate / proxies, context.now());
-        int cap = service == null ? LEAST_CONNECTIONS : service.connectionCap();
-        int connections = Math.max(LEAST_CONNECTIONS, (int) Math.floor(cap * CONNECTIONS_USED / proxies));
-        List<InstanceStats> ready = new ArrayList<>();
-        Set<String> ids = new HashSet<>();
-        for (Instance instance : context.control().readyInstances(name)) {
-            InstancePool pool =
-                    pools.computeIfAbsent(instance.id(), id -> new InstancePool(context, instance, ages, meters));
-            pool.stats().learn(instance, context.isLocal(instance), connections);
-            ready.add(pool.stats());
-            ids.add(instance.id());
-        }
-        picker.instances(ready);
-        for (Iterator<Map.Entry<String, InstancePool>> i = pools.entrySet().iterator(); i.hasNext(); ) {
-            Map.Entry<String, InstancePool> entry = i.next();
-            if (!ids.contains(entry.getKey())) {
-                entry.getValue().close();
-                i.remove();
-            }
+        Fleet fleet = context.control().fleet();
+        FleetPosition position = context.isSharedCache() ? fleet.cachePosition(context.cacheId()) : fleet.proxies();
+        shareRate(service == null ? 0 : service.ratePerSecond(), fleet, position);
+        int connections = connections(service, fleet);
+        List<Instance> ready = context.control().readyInstances(name);
+        instances.set(ready, index -> position.part(connections, index));
+    }
+
+    private void shareRate(double rate, Fleet fleet, FleetPosition position) {
+        if (rate > 0 && !Double.isNaN(lentShare)) {
+            originShare.setShare(lentShare, context.now());
+            return;
         }
-        recall();
+        RateDivision.Part part = context.isSharedCache()
+                ? division.ofCache(rate, position)
+                : division.ofProxy(rate, position, !fleet.caches().isEmpty());
+        originShare.setPart(part, context.now());
     }
 
-    /** Lets a delivery know once an instance may have room. */
-    void await(Delivery delivery) {
-        waiting.add(delivery);
+    /** How many connections the processes of this one's kind may have to one instance together. */
+    private int connections(Service service, Fleet fleet) {
+        int cap = service == null ? UNKNOWN_CAP : service.connectionCap();
+        int all = Math.max(1, (int) Math.floor(cap * CONNECTIONS_USED));
+        boolean cachesSend =
+                !fleet.caches().isEmpty() && context.control().routing().hasObjects(name);
+        int ofCaches = cachesSend ? (int) Math.floor(all * CACHE_CONNECTIONS) : 0;
+        return context.isSharedCache() ? ofCaches : all - ofCaches;
     }
 
-    /** A delivery does not wait any more. */
-    void forget(Delivery delivery) {
-        waiting.remove(delivery);
+    @Override
+    public void await(Delivery delivery) {
+        instances.await(delivery);
     }
 
-    /** Lets those that wait for room try again. */
-    void recall() {
-        for (int i = waiting.size(); i > 0 && !waiting.isEmpty(); i--) {
-            waiting.pollFirst().roomAgain();
-        }
+    @Override
+    public void forget(Delivery delivery) {
+        instances.forget(delivery);
+    }
+
+    @Override
+    public void recall() {
+        instances.recall();
     }
 
     /** What is due from time to time. */
     void tick(double nowMs) {
         if (admission.isDue(nowMs)) {
             int before = admission.level();
-            admission.step(nowMs, picker.isBreakingWidely(nowMs, BREAKS_WITHIN_MS) ? 0 : 1);
+            admission.step(nowMs, picker().isBreakingWidely(nowMs, BREAKS_WITHIN_MS) ? 0 : 1);
             if (admission.level() != before) {
                 context.log().line("event=level service=" + name + " level=" + admission.level());
             }
         }
-        for (InstancePool pool : pools.values()) {
-            pool.closeOld(nowMs);
-        }
         if (nowMs >= figuresAtMs) {
             figuresAtMs = nowMs + FIGURES_INTERVAL_MS;
             logFigures();
         }
-        recall();
+        instances.tick(nowMs);
     }
 
     private void logFigures() {
@@ -179,6 +177,6 @@
 
     /** Closes all connections. */
     void close() {
-        pools.values().forEach(InstancePool::close);
+        instances.close();
     }
 }
--- /dev/null
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/SharedCacheRouter.java
@@ -0,0 +1,44 @@
+package ridgemill.cdn.proxy;
+
+import ridgemill.cdn.config.Destination;
+import ridgemill.cdn.config.Route;
+import ridgemill.cdn.config.RouteKind;
+import ridgemill.cdn.edge.RefusalReason;
+
+/**
+ * Takes the reads that edge proxies pass to a shared cache. The edge proxy has chosen route and service; where this process
+ * does not know that choice to be allowed, or only by an older version of the route, it refuses, and nothing has run.
+ */
+final class SharedCacheRouter implements Router {
+
+    private final ProxyContext context;
+
+    SharedCacheRouter(ProxyContext context) {
+        this.context = context;
+    }
+
+    @Override
+    public Exchange route(FrontConnection client, ClientRequest request) {
+        Route route = context.control().routing().match(request.host(), request.path());
+        String service = request.headers().get(CacheHeaders.SERVICE);
+        if (request.attemptId() == null || route == null || !allows(route, request, service)) {
+            client.answer(
+                    null,
+                    FinalAnswer.later(503, request.attemptId(), 0)
+                            .with(CacheHeaders.REFUSAL, RefusalReason.ROUTE_UNKNOWN.label()));
+            return null;
+        }
+        ServiceState state = context.service(service);
+        state.budget().countRequest(context.now());
+        return new CachedExchange(context, client, request, route, state, context.objects());
+    }
+
+    private static boolean allows(Route route, ClientRequest request, String service) {
+        boolean leadsThere = route.destinations().stream()
+                .filter(destination -> destination.weight() > 0)
+                .map(Destination::service)
+                .anyMatch(name -> name.equals(service));
+        long version = CacheHeaders.number(request.headers(), CacheHeaders.ROUTE_VERSION, Long.MAX_VALUE);
+        return route.kind() == RouteKind.CACHEABLE && leadsThere && route.version() >= version;
+    }
+}
--- /dev/null
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/SharedCaches.java
@@ -0,0 +1,122 @@
+package ridgemill.cdn.proxy;
+
+import java.util.List;
+import ridgemill.cdn.edge.InstancePicker;
+import ridgemill.cdn.edge.InstanceStats;
+import ridgemill.cdn.edge.OriginShare;
+import ridgemill.cdn.edge.RetryBudget;
+import ridgemill.cdn.edge.ServiceAdmission;
+import ridgemill.cdn.instances.Instance;
+import ridgemill.cdn.instances.InstanceState;
+import ridgemill.cdn.membership.CacheNode;
+import ridgemill.cdn.proxy.ProxyMeters.ServiceMeters;
+
+/**
+ * The shared caches that this edge proxy reads objects from. Each object has one place among those of the proxy's region, by
+ * rendezvous hash, so that it is fetched once for all proxies there; those of other regions are asked where none is left.
+ */
+final class SharedCaches {
+
+    /** Requests that one shared cache is sent at once; each may wait for a fetch. */
+    private static final int SLOTS = 48;
+
+    private static final String NAME = "shared-cache";
+
+    private final ProxyContext context;
+    private final InstanceSet set;
+    private final ServiceMeters meters;
+    private final OriginShare unbounded;
+
+    SharedCaches(ProxyContext context) {
+        this.context = context;
+        this.meters = context.meters().service(NAME);
+        this.set = new InstanceSet(context, InstancePicker.ofOne(), meters, true);
+        this.unbounded = new OriginShare(
+                context.settings().bounds().originCeilingOverage(),
+                context.settings().bounds().originWindowMs());
+        refresh();
+    }
+
+    /** Whether there is one to read from. A shared cache itself reads from none. */
+    boolean isAny() {
+        return !set.picker().instances().isEmpty();
+    }
+
+    /** Takes in which shared caches there are. */
+    void refresh() {
+        List<CacheNode> nodes =
+                context.isSharedCache() ? List.of() : context.control().fleet().caches();
+        set.set(nodes.stream().map(SharedCaches::instance).toList(), index -> SLOTS);
+    }
+
+    private static Instance instance(CacheNode node) {
+        return new Instance(node.id(), NAME, node.address(), node.zone(), "", SLOTS, InstanceState.READY, 0, 0);
+    }
+
+    /** The way to a service's objects over the shared caches; attempts draw on the service's budget and teach its admission. */
+    Upstream of(ServiceState service) {
+        return new Way(service);
+    }
+
+    void tick(double nowMs) {
+        set.tick(nowMs);
+    }
+
+    void close() {
+        set.close();
+    }
+
+    private final class Way implements Upstream {
+
+        private final ServiceState service;
+
+        private Way(ServiceState service) {
+            this.service = service;
+        }
+
+        @Override
+        public InstancePicker picker() {
+            return set.picker();
+        }
+
+        @Override
+        public InstancePool pool(InstanceStats stats) {
+            return set.pool(stats);
+        }
+
+        @Override
+        public OriginShare originShare() {
+            return unbounded;
+        }
+
+        @Override
+        public RetryBudget budget() {
+            return service.budget();
+        }
+
+        @Override
+        public ServiceAdmission admission() {
+            return service.admission();
+        }
+
+        @Override
+        public ServiceMeters meters() {
+            return meters;
+        }
+
+        @Override
+        public void await(Delivery delivery) {
+            set.await(delivery);
+        }
+
+        @Override
+        public void forget(Delivery delivery) {
+            set.forget(delivery);
+        }
+
+        @Override
+        public void recall() {
+            set.recall();
+        }
+    }
+}
--- a/cdn/src/main/java/ridgemill/cdn/proxy/control/ControlClient.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/control/ControlClient.java
@@ -7,6 +7,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
 import java.util.UUID;
 import ridgemill.cdn.config.Item;
 import ridgemill.cdn.config.ItemSet;
@@ -16,7 +18,10 @@
 import ridgemill.cdn.instances.Instance;
 import ridgemill.cdn.instances.InstanceState;
 import ridgemill.cdn.instances.InstanceTable;
+import ridgemill.cdn.membership.CacheNode;
 import ridgemill.cdn.membership.CoreMembers;
+import ridgemill.cdn.membership.Fleet;
+import ridgemill.cdn.membership.FleetPosition;
 import ridgemill.cdn.purge.Purge;
 import ridgemill.cdn.purge.PurgeCoverage;
 import ridgemill.cdn.quorum.Voter;
@@ -29,7 +34,7 @@
 import ridgemill.gateway.net.SocketKind;
 
 /**
- * An edge proxy's connections to the control plane: follows every registry and every voting configuration store, and
+ * The connections of an edge proxy, or of a shared cache, to the control plane: follows every registry and every voting configuration store, and
  * merges what they say. Nothing that was learned is lost in one life of the process, whoever is cut off. Everything runs
  * on the proxy's event loop.
  */
@@ -50,20 +55,40 @@
     private final PurgeCoverage coverage = new PurgeCoverage();
     private final List<ControlListener> listeners = new ArrayList<>();
     private final Map<String, List<Instance>> readyByService = new HashMap<>();
+    private final Optional<CacheNode> cache;
     private RoutingTable routing = RoutingTable.EMPTY;
+    private Fleet fleet;
+    private boolean offering;
 
-    /** A client that connects when it is started. */
+    /** The client of an edge proxy; it connects when it is started. */
     public ControlClient(Settings settings, EventLoop loop, SocketKind sockets, Clock clock) {
+        this(settings, loop, sockets, clock, "proxy", Optional.empty());
+    }
+
+    /** The client of a shared cache, which offers itself to edge proxies while it is connected. */
+    public static ControlClient ofCache(
+            Settings settings, EventLoop loop, SocketKind sockets, Clock clock, CacheNode cache) {
+        return new ControlClient(settings, loop, sockets, clock, "cache", Optional.of(cache));
+    }
+
+    private ControlClient(
+            Settings settings,
+            EventLoop loop,
+            SocketKind sockets,
+            Clock clock,
+            String program,
+            Optional<CacheNode> cache) {
+        this.cache = cache;
         this.settings = settings;
         this.loop = loop;
         this.sockets = sockets;
         this.clock = clock;
         this.hello = new LinkMessages.Hello(
                 LinkMessages.Hello.PROTOCOL,
-                "proxy",
+                program,
                 settings.nodeName(),
                 settings.ipAddress(),
-                UUID.randomUUID().toString());
+                cache.map(CacheNode::id).orElseGet(() -> UUID.randomUUID().toString()));
     }
 
     /** Connects to the seeds; other core machines are learned from them. */
@@ -76,6 +101,18 @@
         }
     }
 
+    /** Offers this shared cache to edge proxies, over every registry. */
+    public void offer() {
+        offering = true;
+        cache.ifPresent(node -> registries.values().forEach(feed -> feed.offer(node)));
+    }
+
+    /** Ends the connections to all registries, which then tell edge proxies that this process has left. */
+    public void withdraw() {
+        offering = false;
+        registries.values().forEach(RegistryFeed::close);
+    }
+
     private void connectStore(String host) {
         if (!stores.containsKey(host)) {
             StoreFeed feed = new StoreFeed(this);
@@ -90,6 +127,9 @@
                 RegistryFeed feed = new RegistryFeed(this);
                 registries.put(host, feed);
                 feed.start(held(host, settings.registryPort(), feed));
+                if (offering) {
+                    cache.ifPresent(feed::offer);
+                }
             }
         }
     }
@@ -181,9 +221,7 @@
             instances.merge(instance, clock.now());
         }
         readyByService.clear();
-        for (ControlListener listener : listeners) {
-            listener.instancesChanged();
-        }
+        fleetChanged();
     }
 
     @Override
@@ -224,12 +262,37 @@
     }
 
     @Override
-    public int proxyCount() {
-        int most = 1;
+    public Fleet fleet() {
+        if (fleet == null) {
+            fleet = mergedFleet();
+        }
+        return fleet;
+    }
+
+    /** The largest fleet of proxies that a registry knows, and the caches that any connected registry holds a link to. */
+    private Fleet mergedFleet() {
+        FleetPosition position = FleetPosition.ALONE;
+        Map<String, CacheNode> caches = new TreeMap<>();
         for (RegistryFeed registry : registries.values()) {
-            most = Math.max(most, registry.proxyCount());
+            FleetPosition told = registry.fleet().proxies();
+            position = told.size() > position.size() ? told : position;
+            if (registry.isConnected()) {
+                registry.fleet().caches().forEach(cache -> caches.put(cache.id(), cache));
+            }
+        }
+        return new Fleet(position, List.copyOf(caches.values()));
+    }
+
+    @Override
+    public void registryLost() {
+        fleetChanged();
+    }
+
+    private void fleetChanged() {
+        fleet = null;
+        for (ControlListener listener : listeners) {
+            listener.instancesChanged();
         }
-        return most;
     }
 
     @Override
@@ -262,6 +325,12 @@
         return coverage.covers(fetchStartedMs);
     }
 
+    @Override
+    public boolean hearsPurges() {
+        return voters().isMajority(
+                        voter -> feedOf(voter) != null && feedOf(voter).isLive());
+    }
+
     @Override
     public void addListener(ControlListener listener) {
         listeners.add(listener);
--- a/cdn/src/main/java/ridgemill/cdn/proxy/control/ControlView.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/control/ControlView.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import ridgemill.cdn.config.RoutingTable;
 import ridgemill.cdn.instances.Instance;
+import ridgemill.cdn.membership.Fleet;
 
 /** What an edge proxy has been told by the control plane. Used on the proxy's event loop only. */
 public interface ControlView {
@@ -13,8 +14,8 @@
     /** The instances of a service that may be sent new requests: ready and not silent. Never null. */
     List<Instance> readyInstances(String service);
 
-    /** How many edge proxies share the limits of a service, this one included; 1 or more. */
-    int proxyCount();
+    /** The processes that share the bounds of services, as seen from this one. */
+    Fleet fleet();
 
     /** Whether enough is known to serve: a configuration from a read quorum and an instance list. */
     boolean isReady();
@@ -26,6 +27,12 @@
      */
     boolean isCoveredSince(double fetchStartedMs);
 
+    /**
+     * Whether a majority of the stores can be heard at this moment, so that an acknowledged purge is known here. Not so
+     * in a process that is cut off, or that has just gone on after it stood still.
+     */
+    boolean hearsPurges();
+
     /** Adds a listener of changes. */
     void addListener(ControlListener listener);
 }
--- a/cdn/src/main/java/ridgemill/cdn/proxy/control/OperationRegister.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/control/OperationRegister.java
@@ -9,6 +9,24 @@
  */
 public interface OperationRegister {
 
+    /** A register that grants nothing, for processes that run no operations. */
+    OperationRegister NONE = new OperationRegister() {
+        @Override
+        public void claim(String key, double deadlineMs, Consumer<ClaimOutcome> callback) {
+            callback.accept(new ClaimOutcome.Unavailable());
+        }
+
+        @Override
+        public void finish(Claim claim, RecordedAnswer answer) {
+            throw new IllegalStateException("nothing was claimed");
+        }
+
+        @Override
+        public void release(Claim claim) {
+            throw new IllegalStateException("nothing was claimed");
+        }
+    };
+
     /**
      * Asks for the right to run an operation.
      *
--- a/cdn/src/main/java/ridgemill/cdn/proxy/control/RegistryFeed.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/control/RegistryFeed.java
@@ -1,8 +1,11 @@
 package ridgemill.cdn.proxy.control;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import ridgemill.cdn.instances.Instance;
+import ridgemill.cdn.membership.CacheNode;
+import ridgemill.cdn.membership.Fleet;
 import ridgemill.cdn.quorum.VoterSet;
 import ridgemill.cdn.wire.HeldLink;
 import ridgemill.cdn.wire.Link;
@@ -21,6 +24,9 @@
 
         /** The registry told of core machines and voters. */
         void membersReceived(List<String> coreHosts, VoterSet voters);
+
+        /** The connection to a registry has ended. */
+        void registryLost();
     }
 
     private final Receiver receiver;
@@ -28,7 +34,8 @@
     private Set<String> silent = Set.of();
     private boolean settled;
     private boolean connected;
-    private int proxyCount = 1;
+    private Fleet fleet = Fleet.ALONE;
+    private Optional<CacheNode> offered = Optional.empty();
 
     RegistryFeed(Receiver receiver) {
         this.receiver = receiver;
@@ -39,24 +46,41 @@
         held.start();
     }
 
+    /** Offers this process as a shared cache, now and whenever the registry is connected again. */
+    void offer(CacheNode cache) {
+        offered = Optional.of(cache);
+        link.send(new RegistryMessages.OfferCache(cache));
+    }
+
+    /** Ends the connection for good. */
+    void close() {
+        link.close();
+    }
+
     /** Whether the registry is connected and has run for long enough to know all instances. */
     boolean isSettled() {
         return connected && settled && link.isOpen();
     }
 
+    /** Whether the registry is connected and has told what it knows. */
+    boolean isConnected() {
+        return connected && link.isOpen();
+    }
+
     /** Whether the registry has not heard an instance for too long. */
     boolean isSilent(String instanceId) {
         return silent.contains(instanceId);
     }
 
-    /** How many edge proxies the registry has heard lately. */
-    int proxyCount() {
-        return proxyCount;
+    /** Who shares the services' bounds, as the registry last told. */
+    Fleet fleet() {
+        return fleet;
     }
 
     @Override
     public void opened(Link opened) {
         opened.send(new RegistryMessages.Subscribe("", 0));
+        offered.ifPresent(cache -> opened.send(new RegistryMessages.OfferCache(cache)));
     }
 
     @Override
@@ -72,7 +96,7 @@
     private void take(Link from, long number, RegistryMessages.Overview overview) {
         settled = overview.settled();
         silent = Set.copyOf(overview.silent());
-        proxyCount = overview.proxyCount();
+        fleet = overview.fleet();
         receiver.membersReceived(overview.registries(), overview.voters());
         receiver.instancesReceived(overview.instances());
         from.send(new RegistryMessages.NewsAcknowledged(number));
@@ -81,5 +105,6 @@
     @Override
     public void closed(Link ended) {
         connected = false;
+        receiver.registryLost();
     }
 }
--- a/cdn/src/main/java/ridgemill/cdn/proxy/control/StoreFeed.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/control/StoreFeed.java
@@ -43,6 +43,11 @@
         held.start();
     }
 
+    /** Whether the store can be heard now. */
+    boolean isLive() {
+        return link.isLive();
+    }
+
     void close() {
         link.close();
     }
--- a/cdn/src/main/java/ridgemill/cdn/registry/IncomingLinks.java
+++ b/cdn/src/main/java/ridgemill/cdn/registry/IncomingLinks.java
@@ -47,6 +47,8 @@
     public void received(Link link, Message message) {
         if (message instanceof RegistryMessages.Subscribe) {
             news.subscribe(link);
+        } else if (message instanceof RegistryMessages.OfferCache offer) {
+            news.offer(link, offer.cache());
         } else if (message instanceof RegistryMessages.NewsAcknowledged acknowledged) {
             news.acknowledged(link, acknowledged.number());
         } else if (message instanceof RegistryMessages.PeerUpdate update) {
--- a/cdn/src/main/java/ridgemill/cdn/registry/ProxyNews.java
+++ b/cdn/src/main/java/ridgemill/cdn/registry/ProxyNews.java
@@ -1,16 +1,24 @@
 package ridgemill.cdn.registry;
 
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import ridgemill.cdn.instances.Instance;
 import ridgemill.cdn.instances.InstanceTable;
+import ridgemill.cdn.membership.CacheNode;
 import ridgemill.cdn.membership.CoreMembers;
+import ridgemill.cdn.membership.Fleet;
+import ridgemill.cdn.membership.FleetPosition;
 import ridgemill.cdn.wire.Link;
 import ridgemill.cdn.wire.RegistryMessages;
 import ridgemill.gateway.net.Clock;
 
 /**
- * What edge proxies are told: a snapshot when they subscribe, then numbered news of instances that changed. Each news also
- * holds the core machines, the voters, the number of proxies and the instances that are silent, as they are then.
+ * What edge proxies and shared caches are told: a snapshot when they subscribe, then numbered news of instances that changed. Each news also
+ * holds the core machines, the voters, who shares the services' bounds and the instances that are silent, as they are then.
  */
 final class ProxyNews {
 
@@ -19,6 +27,11 @@
     /** Heartbeat intervals after its start in which a registry has heard each instance that lives. */
     private static final double SETTLE_INTERVALS = 2.0;
 
+    /** The program whose processes share the bounds of services as edge proxies. */
+    private static final String PROXY = "proxy";
+    /** Silence of a shared cache's link after which nobody is sent there, in milliseconds. */
+    private static final long CACHE_SILENT_MS = 3_000;
+
     private final CoreMembers members;
     private final InstanceTable instances;
     private final Subscribers subscribers;
@@ -28,7 +41,9 @@
     private double startedAtMs;
     private boolean settled;
     private List<String> silent = List.of();
-    private int lastProxyCount;
+    private List<String> lastProxies = List.of();
+    private List<CacheNode> lastCaches = List.of();
+    private final Map<Link, CacheNode> caches = new HashMap<>();
 
     /**
      * News without subscribers.
@@ -52,13 +67,24 @@
 
     /** The names of the connected proxies. */
     List<String> proxyNames() {
-        return List.copyOf(subscribers.names());
+        return subscribers.links().stream()
+                .filter(link -> link.peer().program().equals(PROXY))
+                .map(link -> link.peer().nodeName())
+                .toList();
     }
 
     /** Sends a proxy all that is known, and news from now on. */
     void subscribe(Link link) {
-        members.proxyHeard(link.peer().nodeName(), clock.now());
-        subscribers.add(link, snapshot());
+        if (link.peer().program().equals(PROXY)) {
+            members.proxyHeard(link.peer().nodeName(), clock.now());
+        }
+        subscribers.add(link, snapshot(link));
+    }
+
+    /** A shared cache may be read from as long as its link is held and heard. */
+    void offer(Link link, CacheNode cache) {
+        caches.put(link, cache);
+        refresh();
     }
 
     /** A proxy has carried out the news up to a number. */
@@ -69,6 +95,9 @@
     /** Forgets a link that has ended; it may be of no proxy. */
     void closed(Link link) {
         subscribers.remove(link);
+        if (caches.remove(link) != null) {
+            refresh();
+        }
     }
 
     /** Runs a task once all connected proxies have carried out all news so far. */
@@ -78,17 +107,36 @@
 
     /** Tells all connected proxies of instances that changed; with none, of what else has changed. */
     void push(List<Instance> changed) {
-        subscribers.push(new RegistryMessages.News(subscribers.nextNumber(), overview(changed)));
+        long number = subscribers.nextNumber();
+        List<String> proxies = members.proxies(clock.now());
+        List<CacheNode> cachesNow = liveCaches();
+        subscribers.push(link -> new RegistryMessages.News(number, overview(link, proxies, cachesNow, changed)));
     }
 
-    private RegistryMessages.Snapshot snapshot() {
+    private RegistryMessages.Snapshot snapshot(Link link) {
         List<Instance> all = List.copyOf(instances.all());
-        return new RegistryMessages.Snapshot(subscribers.lifeId(), subscribers.number(), overview(all));
+        RegistryMessages.Overview overview = overview(link, members.proxies(clock.now()), liveCaches(), all);
+        return new RegistryMessages.Snapshot(subscribers.lifeId(), subscribers.number(), overview);
     }
 
-    private RegistryMessages.Overview overview(List<Instance> told) {
+    private RegistryMessages.Overview overview(
+            Link link, List<String> proxies, List<CacheNode> cachesNow, List<Instance> told) {
+        int rank = Math.max(0, Collections.binarySearch(proxies, link.peer().nodeName()));
+        FleetPosition position = new FleetPosition(Math.max(1, proxies.size()), rank);
         return new RegistryMessages.Overview(
-                settled, members.coreHosts(), members.voters(), members.proxyCount(clock.now()), told, silent);
+                settled, members.coreHosts(), members.voters(), new Fleet(position, cachesNow), told, silent);
+    }
+
+    /** The shared caches whose links are not silent: one that stands still is not to be read from. */
+    private List<CacheNode> liveCaches() {
+        List<CacheNode> live = new ArrayList<>();
+        caches.forEach((link, cache) -> {
+            if (link.silentMs() <= CACHE_SILENT_MS) {
+                live.add(cache);
+            }
+        });
+        live.sort(Comparator.comparing(CacheNode::id));
+        return live;
     }
 
     /** Sees who is silent, how many proxies there are and whether all instances are known; tells it if it has changed. */
@@ -98,11 +146,14 @@
         boolean settledNow = settled || runningMs > settledAfterMs;
         // An instance that was heard in an earlier life only is not silent before this life could have heard it.
         List<String> silentNow = runningMs > silentAfterMs ? instances.silent(silentAfterMs, now) : List.of();
-        int proxyCount = members.proxyCount(now);
-        if (!silentNow.equals(silent) || proxyCount != lastProxyCount || settledNow != settled) {
+        List<String> proxies = members.proxies(now);
+        List<CacheNode> cachesNow = liveCaches();
+        boolean sameFleet = proxies.equals(lastProxies) && cachesNow.equals(lastCaches);
+        if (!silentNow.equals(silent) || !sameFleet || settledNow != settled) {
             settled = settledNow;
             silent = silentNow;
-            lastProxyCount = proxyCount;
+            lastProxies = proxies;
+            lastCaches = cachesNow;
             push(List.of());
         }
     }
--- a/cdn/src/main/java/ridgemill/cdn/registry/Subscribers.java
+++ b/cdn/src/main/java/ridgemill/cdn/registry/Subscribers.java
@@ -1,16 +1,16 @@
 package ridgemill.cdn.registry;
 
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Function;
 import ridgemill.cdn.wire.Link;
 import ridgemill.cdn.wire.RegistryMessages;
 
-/** The edge proxies that are connected: pushes numbered news to them and counts what they acknowledge. */
+/** The edge proxies and shared caches that are connected: pushes numbered news to them and counts what they acknowledge. */
 final class Subscribers {
 
     private final String lifeId;
@@ -47,13 +47,9 @@
         }
     }
 
-    /** The names of the connected proxies. */
-    Collection<String> names() {
-        List<String> names = new ArrayList<>();
-        for (Link link : acknowledged.keySet()) {
-            names.add(link.peer().nodeName());
-        }
-        return names;
+    /** The links of all that are connected. */
+    Collection<Link> links() {
+        return List.copyOf(acknowledged.keySet());
     }
 
     /** Numbers the next news. */
@@ -61,10 +57,10 @@
         return ++number;
     }
 
-    /** Sends news to all. */
-    void push(RegistryMessages.News news) {
+    /** Sends each its news. */
+    void push(Function<Link, RegistryMessages.News> news) {
         for (Link link : acknowledged.keySet()) {
-            link.send(news);
+            link.send(news.apply(link));
         }
     }
 
--- a/cdn/src/main/java/ridgemill/cdn/settings/Settings.java
+++ b/cdn/src/main/java/ridgemill/cdn/settings/Settings.java
@@ -54,6 +54,11 @@
         return firstInternalPort + 1;
     }
 
+    /** The port on the machine of a shared cache at which it takes reads. */
+    public int cachePort() {
+        return firstInternalPort + 2;
+    }
+
     /** The region of a zone; the zone's own name if it is not known. */
     public String regionOf(String ofZone) {
         return zoneRegions.getOrDefault(ofZone, ofZone);
--- a/cdn/src/main/java/ridgemill/cdn/wire/HeldLink.java
+++ b/cdn/src/main/java/ridgemill/cdn/wire/HeldLink.java
@@ -66,6 +66,11 @@
         return address;
     }
 
+    /** Whether the link is open and something came over it lately: a process that stood still has to hear again first. */
+    public boolean isLive() {
+        return isOpen() && link.silentMs() <= SILENT_LIMIT_MS;
+    }
+
     /** Whether the link is open now. */
     public boolean isOpen() {
         return link != null && link.isOpen();
--- a/cdn/src/main/java/ridgemill/cdn/wire/Link.java
+++ b/cdn/src/main/java/ridgemill/cdn/wire/Link.java
@@ -103,7 +103,7 @@
     }
 
     /** How long nothing has been received, in milliseconds. */
-    long silentMs() {
+    public long silentMs() {
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - lastReceivedNanos);
     }
 
--- a/cdn/src/main/java/ridgemill/cdn/wire/LinkMessages.java
+++ b/cdn/src/main/java/ridgemill/cdn/wire/LinkMessages.java
@@ -11,7 +11,7 @@
      * The first message of the side that opened the connection.
      *
      * @param protocol the version of this protocol
-     * @param program the program that calls: proxy, registry or store
+     * @param program the program that calls: proxy, cache, registry or store
      * @param nodeName the name of its machine
      * @param address the IP address of its machine
      * @param lifeId a random text that is new in each life of the process
@@ -20,7 +20,7 @@
             implements Message {
 
         /** The version of the protocol that this build speaks. */
-        public static final int PROTOCOL = 2;
+        public static final int PROTOCOL = 3;
 
         @Override
         public MessageKind kind() {
--- a/cdn/src/main/java/ridgemill/cdn/wire/MessageKind.java
+++ b/cdn/src/main/java/ridgemill/cdn/wire/MessageKind.java
@@ -30,6 +30,7 @@
     REGISTRY_SNAPSHOT(51, RegistryMessages.Snapshot::read),
     REGISTRY_NEWS(52, RegistryMessages.News::read),
     REGISTRY_NEWS_ACKNOWLEDGED(53, RegistryMessages.NewsAcknowledged::read),
+    REGISTRY_OFFER_CACHE(54, RegistryMessages.OfferCache::read),
     PEER_UPDATE(60, RegistryMessages.PeerUpdate::read),
     PEER_UPDATE_TAKEN(61, RegistryMessages.PeerUpdateTaken::read),
     PEER_BEATS(62, RegistryMessages.PeerBeats::read);
--- a/cdn/src/main/java/ridgemill/cdn/wire/RegistryMessages.java
+++ b/cdn/src/main/java/ridgemill/cdn/wire/RegistryMessages.java
@@ -3,6 +3,9 @@
 import java.io.IOException;
 import java.util.List;
 import ridgemill.cdn.instances.Instance;
+import ridgemill.cdn.membership.CacheNode;
+import ridgemill.cdn.membership.Fleet;
+import ridgemill.cdn.membership.FleetPosition;
 import ridgemill.cdn.quorum.VoterSet;
 
 /** Messages to and from the registry. */
@@ -51,12 +54,57 @@
     }
 
     /**
-     * What a registry tells edge proxies.
+     * The sender is a shared cache, which edge proxies may read from while the connection is held.
+     *
+     * @param cache the sender
+     */
+    public record OfferCache(CacheNode cache) implements Message {
+
+        @Override
+        public MessageKind kind() {
+            return MessageKind.REGISTRY_OFFER_CACHE;
+        }
+
+        @Override
+        public void write(FieldWriter out) throws IOException {
+            out.value(cache, RegistryMessages::writeCache);
+        }
+
+        static OfferCache read(FieldReader in) throws IOException {
+            return new OfferCache(readCache(in));
+        }
+    }
+
+    private static void writeCache(CacheNode cache, FieldWriter out) throws IOException {
+        out.text(cache.id()).text(cache.address()).text(cache.zone());
+    }
+
+    private static CacheNode readCache(FieldReader in) throws IOException {
+        return new CacheNode(in.text(), in.text(), in.text());
+    }
+
+    private static void writeFleet(Fleet fleet, FieldWriter out) throws IOException {
+        out.number(fleet.proxies().size())
+                .number(fleet.proxies().rank())
+                .list(fleet.caches(), RegistryMessages::writeCache);
+    }
+
+    private static Fleet readFleet(FieldReader in) throws IOException {
+        int size = in.smallNumber();
+        int rank = in.smallNumber();
+        if (size < 1 || rank < 0 || rank >= size) {
+            throw new IOException("no place " + rank + " among " + size);
+        }
+        return new Fleet(new FleetPosition(size, rank), in.list(RegistryMessages::readCache));
+    }
+
+    /**
+     * What a registry tells edge proxies and shared caches.
      *
      * @param settled whether the registry has run for long enough to know all instances
      * @param registries the IP addresses of all known core machines
      * @param voters the voting stores; none while unknown
-     * @param proxyCount how many edge proxies were heard lately
+     * @param fleet who shares the bounds of services, as seen from the subscriber
      * @param instances all known instances, those that left included, or those that changed
      * @param silent identifiers of all instances that have not been heard for too long
      */
@@ -64,7 +112,7 @@
             boolean settled,
             List<String> registries,
             VoterSet voters,
-            int proxyCount,
+            Fleet fleet,
             List<Instance> instances,
             List<String> silent) {
 
@@ -72,7 +120,7 @@
             out.flag(settled)
                     .texts(registries)
                     .value(voters, AgreementCodec::writeVoterSet)
-                    .number(proxyCount)
+                    .value(fleet, RegistryMessages::writeFleet)
                     .list(instances, Fields::writeInstance)
                     .texts(silent);
         }
@@ -82,7 +130,7 @@
                     in.flag(),
                     in.texts(),
                     AgreementCodec.readVoterSet(in),
-                    in.smallNumber(),
+                    readFleet(in),
                     in.list(Fields::readInstance),
                     in.texts());
         }
--- a/cdn/src/test/java/ridgemill/cdn/app/DeployFileTest.java
+++ b/cdn/src/test/java/ridgemill/cdn/app/DeployFileTest.java
@@ -36,7 +36,7 @@
                 assertThat(served.add(machineClass + ' ' + caller.asText())).isTrue();
             }
         }
-        assertThat(programs).containsExactlyInAnyOrder("proxy", "registry", "store");
+        assertThat(programs).containsExactlyInAnyOrder("proxy", "cache", "registry", "store");
         assertThat(served).containsExactlyInAnyOrder("edge edge", "shield control_plane");
     }
 
--- a/cdn/src/test/java/ridgemill/cdn/proxy/FakeControl.java
+++ b/cdn/src/test/java/ridgemill/cdn/proxy/FakeControl.java
@@ -7,6 +7,7 @@
 import ridgemill.cdn.config.RoutingTable;
 import ridgemill.cdn.config.Service;
 import ridgemill.cdn.instances.Instance;
+import ridgemill.cdn.membership.Fleet;
 import ridgemill.cdn.proxy.control.ControlListener;
 import ridgemill.cdn.proxy.control.ControlView;
 
@@ -15,7 +16,8 @@
 
     volatile RoutingTable routing = RoutingTable.EMPTY;
     volatile List<Instance> instances = List.of();
-    volatile int proxies = 1;
+    volatile Fleet fleet = Fleet.ALONE;
+    volatile boolean hearsPurges = true;
     volatile int connectionCap = 100;
     volatile double coveredSinceMs = Double.NEGATIVE_INFINITY;
     final List<ControlListener> listeners = new ArrayList<>();
@@ -36,8 +38,8 @@
     }
 
     @Override
-    public int proxyCount() {
-        return proxies;
+    public Fleet fleet() {
+        return fleet;
     }
 
     @Override
@@ -50,6 +52,11 @@
         return fetchStartedMs >= coveredSinceMs;
     }
 
+    @Override
+    public boolean hearsPurges() {
+        return hearsPurges;
+    }
+
     @Override
     public void addListener(ControlListener listener) {
         listeners.add(listener);
--- a/cdn/src/test/java/ridgemill/cdn/proxy/FleetFixture.java
+++ b/cdn/src/test/java/ridgemill/cdn/proxy/FleetFixture.java
@@ -1,5 +1,7 @@
 package ridgemill.cdn.proxy;
 
+import static org.assertj.core.api.Assertions.assertThat;
+
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -9,21 +11,31 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
 import ridgemill.cdn.config.RouteKind;
+import ridgemill.cdn.membership.CacheNode;
+import ridgemill.cdn.membership.Fleet;
+import ridgemill.cdn.membership.FleetPosition;
 import ridgemill.cdn.proxy.control.ControlListener;
 import ridgemill.cdn.settings.Bounds;
 import ridgemill.cdn.settings.Settings;
 import ridgemill.gateway.net.SocketKind;
 
-/** Many edge proxies that share the bounds of one service, on one loop, between stand-in instances and plain sockets. */
+/** Many edge proxies and two shared caches that share the bounds of one service, on one loop, between stand-in instances and plain sockets. */
 final class FleetFixture implements AutoCloseable {
 
     private static final long CACHE_BYTES = 1_000_000;
     private static final int DESCRIPTORS = 1_000;
+    private static final int CACHES = 2;
 
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
     private final JumpingTimers timers = new JumpingTimers(loop);
+    private final double ratePerSecond;
+    private final int connectionCap;
+    final List<CacheNode> nodes = new ArrayList<>();
+    private final List<DataPath> caches = new ArrayList<>();
     private final List<FakeControl> controls = new ArrayList<>();
     private final List<DataPath> proxies = new ArrayList<>();
     private final List<StandInInstance> instances = new ArrayList<>();
@@ -31,28 +43,53 @@
 
     /** Proxies before instances that together take so many requests a second and each so many connections. */
     FleetFixture(int size, double ratePerSecond, int connectionCap) throws Exception {
+        this.ratePerSecond = ratePerSecond;
+        this.connectionCap = connectionCap;
+        for (int rank = 0; rank < CACHES; rank++) {
+            CacheNode node = new CacheNode("cache-" + rank, "127.0.0.1:0", "z");
+            DataPath cache = start(new FleetPosition(size, 0), Optional.of(node));
+            nodes.add(new CacheNode(node.id(), "127.0.0.1:" + cache.address().getPort(), node.zone()));
+            caches.add(cache);
+        }
         for (int rank = 0; rank < size; rank++) {
-            FakeControl control = new FakeControl();
-            control.proxies = size;
-            control.connectionCap = connectionCap;
-            control.routes(
-                    ProxyFixture.LIMITS,
-                    ratePerSecond,
-                    ProxyFixture.route(RouteKind.CACHEABLE, "/c/", 2),
-                    ProxyFixture.route(RouteKind.IDEMPOTENT, "/i/", 2));
-            controls.add(control);
-            DataPath path = new DataPath(
-                    loop,
-                    SocketKind.NIO,
-                    timers,
-                    settings("edge-" + rank),
-                    control,
-                    new FakeRegister(),
-                    new SimpleMeterRegistry(),
-                    CACHE_BYTES);
-            path.listen().sync();
-            proxies.add(path);
+            proxies.add(start(new FleetPosition(size, rank), Optional.empty()));
         }
+        showCaches(nodes);
+    }
+
+    private DataPath start(FleetPosition position, Optional<CacheNode> cache) throws Exception {
+        FakeControl control = new FakeControl();
+        control.fleet = new Fleet(position, List.of());
+        control.connectionCap = connectionCap;
+        control.routes(
+                ProxyFixture.LIMITS,
+                ratePerSecond,
+                ProxyFixture.route(RouteKind.CACHEABLE, "/c/", 2),
+                ProxyFixture.route(RouteKind.IDEMPOTENT, "/i/", 2));
+        controls.add(control);
+        DataPath path = new DataPath(
+                loop,
+                SocketKind.NIO,
+                timers,
+                settings("node-" + controls.size()),
+                control,
+                new FakeRegister(),
+                new SimpleMeterRegistry(),
+                cache,
+                CACHE_BYTES);
+        path.listen().sync();
+        return path;
+    }
+
+    /** All processes hear of these shared caches, and of no others. */
+    void showCaches(List<CacheNode> shown) throws Exception {
+        loop.submit(() -> {
+                    for (FakeControl control : controls) {
+                        control.fleet = new Fleet(control.fleet.proxies(), shown);
+                        control.listeners.forEach(ControlListener::instancesChanged);
+                    }
+                })
+                .sync();
     }
 
     private static Settings settings(String nodeName) {
@@ -76,8 +113,20 @@
                 false);
     }
 
-    int size() {
-        return proxies.size();
+    /** Changes what one of the proxies is told. */
+    void onProxy(int proxy, Consumer<FakeControl> change) throws Exception {
+        FakeControl control = controls.get(CACHES + proxy);
+        loop.submit(() -> change.accept(control)).sync();
+    }
+
+    /** Changes what the shared caches are told. */
+    void onCaches(Consumer<FakeControl> change) throws Exception {
+        loop.submit(() -> controls.subList(0, CACHES).forEach(change)).sync();
+    }
+
+    /** Time passes without anything being done. */
+    void timePasses(double ms) {
+        timers.jump(ms);
     }
 
     StandInInstance instance(String id, StandInInstance.Script script) throws Exception {
@@ -104,7 +153,16 @@
 
     @Override
     public void close() throws IOException {
-        loop.submit(() -> proxies.forEach(DataPath::close)).syncUninterruptibly();
+        List<DataPath> all = new ArrayList<>(proxies);
+        all.addAll(caches);
+        long[] broken = new long[1];
+        loop.submit(() -> {
+                    for (DataPath path : all) {
+                        broken[0] += path.brokenInvariants();
+                        path.close();
+                    }
+                })
+                .syncUninterruptibly();
         for (Socket client : clients) {
             client.close();
         }
@@ -112,5 +170,6 @@
             instance.close();
         }
         group.shutdownGracefully(0, 1, java.util.concurrent.TimeUnit.SECONDS).syncUninterruptibly();
+        assertThat(broken[0]).as("broken invariants").isZero();
     }
 }
--- a/cdn/src/test/java/ridgemill/cdn/proxy/FleetTest.java
+++ b/cdn/src/test/java/ridgemill/cdn/proxy/FleetTest.java
@@ -11,9 +11,10 @@
 class FleetTest {
 
     private static final int PROXIES = 40;
+    private static final double MS_PER_SECOND = 1_000;
     private static final String SEALED = "X-Response-Seal: s\r\nETag: \"1\"\r\n";
 
-    /** As many reads a second of each proxy as the origin could take of all of them are answered from shared copies. */
+    /** New objects come at a quarter of the origin's rate, and each is read at every proxy. */
     @Test
     void anObjectIsFetchedForTheWholeFleetAndNotByEachProxy() throws Exception {
         int objects = 10;
@@ -25,6 +26,7 @@
                             StandInInstance.write(socket, StandInInstance.answer(request, 200, SEALED, "object")));
             int answered = 0;
             for (int object = 0; object < objects; object++) {
+                fleet.timePasses(4 * MS_PER_SECOND / ratePerSecond);
                 for (int proxy = 0; proxy < PROXIES; proxy++) {
                     ProxyFixture.Reply reply = fleet.client(proxy).ask("GET", "/c/" + object, object + "-" + proxy, "");
                     answered += reply.status() == 200 ? 1 : 0;
--- a/cdn/src/test/java/ridgemill/cdn/proxy/FrontTest.java
+++ b/cdn/src/test/java/ridgemill/cdn/proxy/FrontTest.java
@@ -19,6 +19,9 @@
 
     private ProxyFixture proxy;
 
+    /** So few descriptors that four are left for clients. */
+    private static final int DESCRIPTORS_FOR_FOUR = 237;
+
     @BeforeEach
     void start() throws Exception {
         proxy = new ProxyFixture();
@@ -108,7 +111,7 @@
     @Test
     void beyondTheBoundTheLongestIdleConnectionEnds() throws Exception {
         proxy.close();
-        proxy = new ProxyFixture(272);
+        proxy = new ProxyFixture(DESCRIPTORS_FOR_FOUR);
         proxy.instance("a", StandInInstance.sealed("x"));
         ProxyFixture.Client[] clients = new ProxyFixture.Client[4];
         for (int i = 0; i < clients.length; i++) {
@@ -127,7 +130,7 @@
     @Test
     void whereNoConnectionIsIdleANewOneEnds() throws Exception {
         proxy.close();
-        proxy = new ProxyFixture(272);
+        proxy = new ProxyFixture(DESCRIPTORS_FOR_FOUR);
         java.util.concurrent.CountDownLatch go = new java.util.concurrent.CountDownLatch(1);
         proxy.instance("a", (request, socket) -> {
             go.await();
@@ -195,7 +198,7 @@
     @Test
     void aConnectionWhoseAnswerIsStillGoingOutIsNotIdle() throws Exception {
         proxy.close();
-        proxy = new ProxyFixture(272);
+        proxy = new ProxyFixture(DESCRIPTORS_FOR_FOUR);
         proxy.instance("long", StandInInstance.sealed("x".repeat(LONG_ANSWER_BYTES)));
         try (Socket slow = new Socket()) {
             slow.setReceiveBufferSize(SMALL_BUFFER_BYTES);
--- a/cdn/src/test/java/ridgemill/cdn/proxy/ProxyFixture.java
+++ b/cdn/src/test/java/ridgemill/cdn/proxy/ProxyFixture.java
@@ -12,6 +12,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import ridgemill.cdn.config.Destination;
 import ridgemill.cdn.config.Limits;
 import ridgemill.cdn.config.Route;
@@ -68,7 +69,8 @@
                 route(RouteKind.IDEMPOTENT, "/i/", 2),
                 route(RouteKind.NON_IDEMPOTENT, "/n/", 2),
                 route(RouteKind.KEYED_IDEMPOTENT, "/k/", 2));
-        path = new DataPath(loop, SocketKind.NIO, timers, settings, control, register, meters, 1_000_000);
+        path = new DataPath(
+                loop, SocketKind.NIO, timers, settings, control, register, meters, Optional.empty(), 1_000_000);
         path.listen().sync();
     }
 
@@ -91,6 +93,22 @@
                 1);
     }
 
+    /** The same route in its next version. */
+    static Route newer(Route route) {
+        return new Route(
+                route.name(),
+                route.hostname(),
+                route.pathPrefix(),
+                route.kind(),
+                route.timeoutMs(),
+                route.targetLatencyMs(),
+                route.priorityLevel(),
+                route.destinations(),
+                route.maxAttempts(),
+                route.cacheTtlMs(),
+                route.version() + 1);
+    }
+
     StandInInstance instance(String id, StandInInstance.Script script) throws Exception {
         StandInInstance instance = new StandInInstance(id, script);
         instances.add(instance);
--- a/cdn/src/test/java/ridgemill/cdn/proxy/SendingTest.java
+++ b/cdn/src/test/java/ridgemill/cdn/proxy/SendingTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
@@ -128,6 +129,7 @@
                     proxy.control,
                     proxy.register,
                     proxy.meters,
+                    Optional.empty(),
                     1_000);
             proxy.control.instances = List.of(instance.instance("s"));
             ServiceState service = context.service("s");
--- a/cdn/src/test/java/ridgemill/cdn/registry/RegistryProgramTest.java
+++ b/cdn/src/test/java/ridgemill/cdn/registry/RegistryProgramTest.java
@@ -34,7 +34,7 @@
         } else {
             assertThat(snapshot.overview().voters()).isEqualTo(RegistryCluster.VOTERS);
         }
-        assertThat(snapshot.overview().proxyCount()).isEqualTo(1);
+        assertThat(snapshot.overview().fleet().proxies().size()).isEqualTo(1);
         if (!snapshot.overview().settled()) {
             assertThat(proxy.news(news -> news.overview().settled()).number()).isGreaterThan(snapshot.number());
         }
@@ -45,7 +45,7 @@
         cluster.startAll();
         RegistryCluster.Proxy proxy = cluster.proxy(0, "p", true);
         cluster.proxy(1, "q", true);
-        proxy.news(news -> news.overview().proxyCount() == 2);
+        proxy.news(news -> news.overview().fleet().proxies().size() == 2);
     }
 
     @Test
--- /dev/null
+++ b/cdn/src/test/java/ridgemill/cdn/soak/SoakClient.java
@@ -0,0 +1,151 @@
+package ridgemill.cdn.soak;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * A client that keeps its connection and uses it until the process at its other end is gone, then goes to another one. It
+ * reads objects, asks what may be repeated, and sends keyed operations, again with their keys where it has no answer.
+ */
+final class SoakClient implements Runnable {
+
+    private static final int DEADLINE_MS = 3_000;
+    private static final int MOST_TRIES = 4;
+    private static final int OBJECTS = 60;
+    private static final AtomicLong IDS = new AtomicLong();
+
+    private final SoakFleet fleet;
+    private final List<SoakFleet.Machine> proxies;
+    private final SoakAudit audit;
+    private final Random random;
+    private final double pauseMs;
+    private volatile boolean ended;
+    private SoakFleet.Machine proxy;
+    private SoakHttp connection;
+
+    SoakClient(SoakFleet fleet, SoakAudit audit, long seed, double pauseMs) {
+        this.fleet = fleet;
+        this.proxies = fleet.machines(SoakFleet.Role.PROXY);
+        this.audit = audit;
+        this.random = new Random(seed);
+        this.pauseMs = pauseMs;
+    }
+
+    void end() {
+        ended = true;
+    }
+
+    @Override
+    public void run() {
+        while (!ended) {
+            double draw = random.nextDouble();
+            if (draw < 0.7) {
+                read();
+            } else if (draw < 0.85) {
+                ask("GET", "/safe/" + random.nextInt(9), "", null);
+            } else {
+                write();
+            }
+            java.util.concurrent.locks.LockSupport.parkNanos((long) (2e6 * random.nextDouble() * pauseMs));
+        }
+        drop();
+    }
+
+    private void read() {
+        // A few objects are read most of the time.
+        int object = (int) (OBJECTS * Math.pow(random.nextDouble(), 2));
+        ask("GET", "/read/" + object, "", null);
+    }
+
+    private void write() {
+        String key = "k" + IDS.incrementAndGet();
+        boolean served = ask("POST", "/write/" + random.nextInt(9), "X-Operation-Key: " + key + "\r\n", key);
+        if (served && random.nextInt(10) == 0) {
+            ask("POST", "/write/0", "X-Operation-Key: " + key + "\r\n", key);
+        }
+    }
+
+    private boolean ask(String method, String path, String headers, String key) {
+        double begunMs = audit.now();
+        boolean served = false;
+        for (int attempt = 0; attempt < MOST_TRIES && !served && audit.now() - begunMs < DEADLINE_MS; attempt++) {
+            served = tryOnce(method, path, headers, key);
+        }
+        audit.settled(begunMs, served);
+        return served;
+    }
+
+    private boolean tryOnce(String method, String path, String headers, String key) {
+        String attemptId = "a" + IDS.incrementAndGet();
+        double sentMs = audit.now();
+        boolean kept = connection != null && connection.isReusable();
+        boolean sent = false;
+        try {
+            if (!kept) {
+                connect();
+            }
+            connection.send(
+                    method,
+                    path,
+                    headers + "X-Attempt-Id: " + attemptId + "\r\nX-Deadline-Remaining: " + DEADLINE_MS + "\r\n",
+                    "");
+            sent = true;
+            SoakHttp.Message answer = connection.read();
+            judge(answer, attemptId, path, key, sentMs);
+            if (answer.status() != 200) {
+                pause(answer);
+                drop();
+            }
+            return answer.status() == 200;
+        } catch (IOException failed) {
+            boolean silence = failed instanceof java.net.SocketTimeoutException;
+            if (sent && kept && !silence && proxy.processes().get(0).isAlive()) {
+                audit.unanswered(attemptId, proxy.name(), sentMs);
+            }
+            drop();
+            return false;
+        }
+    }
+
+    private void pause(SoakHttp.Message answer) {
+        String wait = answer.header("Retry-After");
+        double seconds = wait == null ? 0.05 : Math.min(0.5, Double.parseDouble(wait));
+        java.util.concurrent.locks.LockSupport.parkNanos((long) (seconds * 1e9));
+    }
+
+    private void judge(SoakHttp.Message answer, String attemptId, String path, String key, double sentMs) {
+        audit.promised(attemptId, answer.status());
+        if (answer.status() == 404 && audit.isInTouch(proxy.name(), sentMs, audit.now())) {
+            audit.breaks("DENIED", path + " at " + proxy.name());
+        }
+        if (answer.status() != 200) {
+            return;
+        }
+        String body = answer.text();
+        boolean sealed = Integer.toString(body.hashCode()).equals(answer.header("X-Response-Seal"));
+        boolean own = attemptId.equals(answer.header("X-Attempt-Id")) && body.startsWith(path.substring(0, 6));
+        boolean ofKey = key == null || body.split(" ")[1].equals(key);
+        if (!sealed || !own || !ofKey) {
+            audit.breaks(
+                    "MIXED", attemptId + " " + path + " got " + answer.head().replace("\r\n", " | "));
+        }
+        if (path.startsWith("/read/")) {
+            audit.read(path, Integer.parseInt(body.split(" ")[1]), proxy.name(), sentMs);
+        }
+    }
+
+    private void connect() throws IOException {
+        drop();
+        proxy = proxies.get(random.nextInt(proxies.size()));
+        connection = new SoakHttp(proxy.host(), fleet.frontPort(), DEADLINE_MS + 1_000);
+    }
+
+    private void drop() {
+        if (connection != null) {
+            connection.close();
+            connection = null;
+        }
+    }
+}
--- /dev/null
+++ b/cdn/src/test/java/ridgemill/cdn/soak/SoakFleet.java
@@ -0,0 +1,199 @@
+package ridgemill.cdn.soak;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+
+/** The machines of a run, each with a loopback address of its own, and the processes on them. */
+final class SoakFleet {
+
+    private static final int PORTS = 10;
+    private static final int LOWEST_PORT = 12_000;
+    private static final int HIGHEST_PORT = 30_000;
+
+    /** What a machine is for. */
+    enum Role {
+        CORE,
+        CACHE,
+        PROXY
+    }
+
+    /**
+     * A machine.
+     *
+     * @param processes the registry and the store of a core machine, the one process of another
+     */
+    record Machine(Role role, String name, InetAddress host, List<SoakProcess> processes) {}
+
+    private final Path folder;
+    private final int run;
+    private final int firstPort;
+    private final List<Machine> machines = new ArrayList<>();
+    private final int coreCount;
+
+    SoakFleet(Path folder, int run, Random random, int proxies) throws IOException {
+        this.folder = folder;
+        this.run = run;
+        this.coreCount = 3;
+        this.firstPort = freePorts(random);
+        for (int i = 0; i < coreCount; i++) {
+            add(Role.CORE, i, List.of("registry", "store"));
+        }
+        for (int i = 0; i < 2; i++) {
+            add(Role.CACHE, i, List.of("cache"));
+        }
+        for (int i = 0; i < proxies; i++) {
+            add(Role.PROXY, i, List.of("proxy"));
+        }
+    }
+
+    private int freePorts(Random random) throws IOException {
+        while (true) {
+            int first = random.nextInt(LOWEST_PORT, HIGHEST_PORT);
+            int free = 0;
+            for (int port = first; port < first + PORTS; port++) {
+                try (ServerSocket socket = new ServerSocket(port)) {
+                    free += socket.getLocalPort() > 0 ? 1 : 0;
+                } catch (IOException taken) {
+                    break;
+                }
+            }
+            if (free == PORTS) {
+                return first;
+            }
+        }
+    }
+
+    private String address(Role role, int index) {
+        return "127." + (10 + run % 200) + '.' + (role.ordinal() + 1) + '.' + (index + 1);
+    }
+
+    private void add(Role role, int index, List<String> programs) throws IOException {
+        String name = role.name().toLowerCase(java.util.Locale.ROOT) + '-' + index;
+        String host = address(role, index);
+        List<SoakProcess> processes = new ArrayList<>();
+        for (int i = 0; i < programs.size(); i++) {
+            String program = programs.get(i);
+            Path settings = folder.resolve(name + '-' + program + ".toml");
+            Files.writeString(settings, settings(role, name, host));
+            processes.add(new SoakProcess(
+                    program,
+                    settings,
+                    firstPort + 8 + i,
+                    folder.resolve(name + '-' + program + ".log").toFile()));
+        }
+        machines.add(new Machine(role, name, InetAddress.getByName(host), processes));
+    }
+
+    private String settings(Role role, String name, String host) {
+        StringBuilder seeds = new StringBuilder();
+        for (int i = 0; i < coreCount; i++) {
+            seeds.append(i == 0 ? "\"" : ",\"")
+                    .append(address(Role.CORE, i))
+                    .append(':')
+                    .append(controlPort())
+                    .append('"');
+        }
+        String listen = switch (role) {
+            case CORE -> "controlAddress = \"" + host + ':' + controlPort() + "\"\n";
+            case PROXY ->
+                "frontAddress = \"" + host + ':' + frontPort() + "\"\nreadyAddress = \"" + host + ':' + readyPort()
+                        + "\"\n";
+            case CACHE -> "";
+        };
+        String disk = role == Role.CORE ? "dataDirectory = \"" + folder.resolve(name + "-data") + "\"\n" : "";
+        return """
+                nodeName = "%s"
+                ipAddress = "%s"
+                zone = "a"
+                internalPortRange = [%d,%d]
+                seedAddresses = [%s]
+                firstStart = %b
+                lossCounted = %b
+                %sheartbeatInterval = "500ms"
+                bounds = ["gracePeriod=6s","keyWindow=60s","contact=3s","drainDeadline=2s","purgeDeadline=2s",\
+                "originWindow=5s","originCeilingOverage=1.1","retryBudgetRatio=0.2","retryBudgetSlack=60","retryWindow=10s"]
+                [zones]
+                a = "r"
+                [listenAddresses]
+                %s[limits]
+                fileDescriptors = 1024
+                [toleratedLosses]
+                machines = 1
+                """.formatted(name, host, firstPort, firstPort + 4, seeds, true, role == Role.CORE, disk, listen);
+    }
+
+    int frontPort() {
+        return firstPort + 5;
+    }
+
+    int readyPort() {
+        return firstPort + 6;
+    }
+
+    int controlPort() {
+        return firstPort + 7;
+    }
+
+    /** The port of a machine's metrics, by the index of its process. */
+    int metricsPort(int index) {
+        return firstPort + 8 + index;
+    }
+
+    List<Machine> machines() {
+        return machines;
+    }
+
+    List<Machine> machines(Role role) {
+        return machines.stream().filter(machine -> machine.role() == role).toList();
+    }
+
+    /** Starts all for the first time; later starts are told that they are not the first. */
+    void start() throws IOException {
+        machines.forEach(machine -> machine.processes().forEach(SoakProcess::start));
+    }
+
+    /** From now on no start is the first one of the whole system. */
+    void started() throws IOException {
+        try (java.util.stream.Stream<Path> files = Files.list(folder)) {
+            for (Path file : files.filter(f -> f.toString().endsWith(".toml")).toList()) {
+                Files.writeString(file, Files.readString(file).replace("firstStart = true", "firstStart = false"));
+            }
+        }
+    }
+
+    void kill() {
+        machines.forEach(machine -> machine.processes().forEach(SoakProcess::kill));
+    }
+
+    /** Whether a proxy says that it is ready. */
+    boolean isReady(Machine proxy) {
+        return call(proxy, readyPort(), "GET", "/ridgemill/readiness", "") == 200;
+    }
+
+    /** The status of the answer to a call; 0 if there was none. */
+    int call(Machine machine, int port, String method, String path, String body) {
+        try (SoakHttp http = new SoakHttp(machine.host(), port, 1_500)) {
+            http.send(method, path, "Content-Type: application/json\r\n", body);
+            return http.read().status();
+        } catch (IOException failed) {
+            return 0;
+        }
+    }
+
+    /** The body of the answer to a GET; empty if there was none. */
+    String fetch(Machine machine, int port, String path) {
+        try (SoakHttp http = new SoakHttp(machine.host(), port, 1_500)) {
+            http.send("GET", path, "", "");
+            SoakHttp.Message answer = http.read();
+            return answer.status() == 200 ? answer.text() : "";
+        } catch (IOException failed) {
+            return "";
+        }
+    }
+}
--- /dev/null
+++ b/cdn/src/test/java/ridgemill/cdn/soak/SoakProcess.java
@@ -0,0 +1,121 @@
+package ridgemill.cdn.soak;
+
+import java.io.File;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** One program of the system as a process of its own, which may be signalled, killed and started again. */
+final class SoakProcess {
+
+    private static final List<String> JAVA = List.of(
+            System.getProperty("java.home") + "/bin/java",
+            "-XX:+UseSerialGC",
+            "-XX:TieredStopAtLevel=1",
+            "-XX:ActiveProcessorCount=1",
+            "-Xshare:auto",
+            "-Xms16m",
+            "-Xmx64m",
+            "-Xss512k",
+            "-XX:MaxDirectMemorySize=48m",
+            "-Dio.netty.machineId=00:00:00:00:00:00:00:01",
+            "-Dio.netty.allocator.numHeapArenas=1",
+            "-Dio.netty.allocator.numDirectArenas=1",
+            "-Dio.netty.allocator.maxOrder=5");
+    private static final long END_SECONDS = 10;
+
+    private final String program;
+    private final Path settings;
+    private final int metricsPort;
+    private final File log;
+    private Process process;
+    private boolean paused;
+
+    SoakProcess(String program, Path settings, int metricsPort, File log) {
+        this.program = program;
+        this.settings = settings;
+        this.metricsPort = metricsPort;
+        this.log = log;
+    }
+
+    /** Starts it, if it does not run. */
+    synchronized void start() {
+        if (isAlive()) {
+            return;
+        }
+        paused = false;
+        List<String> command = new java.util.ArrayList<>(JAVA);
+        String classPath = System.getProperty("surefire.test.class.path", System.getProperty("java.class.path"));
+        command.addAll(List.of("-cp", classPath, "ridgemill.cdn.app.Main", "--settings=" + settings));
+        command.addAll(List.of("--metrics=" + metricsPort + "/metrics", program));
+        try {
+            process = new ProcessBuilder(command)
+                    .redirectErrorStream(true)
+                    .redirectOutput(ProcessBuilder.Redirect.appendTo(log))
+                    .start();
+        } catch (IOException failed) {
+            throw new java.io.UncheckedIOException(failed);
+        }
+    }
+
+    synchronized boolean isAlive() {
+        return process != null && process.isAlive();
+    }
+
+    synchronized boolean isPaused() {
+        return paused;
+    }
+
+    /** Ends it at once, also while it is paused. */
+    synchronized void kill() {
+        if (process != null) {
+            process.destroyForcibly();
+            await();
+        }
+    }
+
+    private void await() {
+        try {
+            process.waitFor(END_SECONDS, TimeUnit.SECONDS);
+        } catch (InterruptedException ended) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** It stands still until {@link #resume}. */
+    synchronized void pause() {
+        paused = true;
+        signal("STOP");
+    }
+
+    synchronized void resume() {
+        paused = false;
+        signal("CONT");
+    }
+
+    /** Asks it to end in order. */
+    synchronized void terminate() {
+        signal("TERM");
+    }
+
+    /** Tells it that its settings may have changed. */
+    synchronized void hangUp() {
+        signal("HUP");
+    }
+
+    private void signal(String name) {
+        if (!isAlive()) {
+            return;
+        }
+        try {
+            new ProcessBuilder("kill", "-" + name, Long.toString(process.pid()))
+                    .start()
+                    .waitFor(END_SECONDS, TimeUnit.SECONDS);
+        } catch (IOException failed) {
+            throw new java.io.UncheckedIOException(failed);
+        } catch (InterruptedException ended) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/cdn/src/test/java/ridgemill/cdn/soak/SoakTest.java
@@ -0,0 +1,22 @@
+package ridgemill.cdn.soak;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** A short soak with fixed seeds; {@code bench/soak} plays many by hand. */
+class SoakTest {
+
+    private static final int PROXIES = 3;
+    private static final int CLIENTS = 8;
+    private static final double SPAN_MS = 6_000;
+
+    @ParameterizedTest
+    @ValueSource(longs = {7, 21})
+    void noRuleBreaksUnderTroublesThatOverlap(long seed) throws Exception {
+        Soak.Result result = new Soak(seed, PROXIES, CLIENTS, SPAN_MS).play();
+        assertThat(result.broken()).as("%s", result).isEmpty();
+        assertThat(result.served()).as("served after the troubles").isPositive();
+    }
+}
--- /dev/null
+++ b/cdn/src/test/java/ridgemill/cdn/soak/SoakTroubles.java
@@ -0,0 +1,181 @@
+package ridgemill.cdn.soak;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+
+/** Draws troubles that overlap and carries them out. Everything that was stopped is started again by the end. */
+final class SoakTroubles {
+
+    private static final double LONGEST_MS = 3_000;
+    private static final int PURGES = 20;
+    private static final int CHANGES = 6;
+
+    private final SoakFleet fleet;
+    private final SoakAudit audit;
+    private final SoakOperator operator;
+    private final List<SoakInstance> instances;
+    private final Random random;
+    private final ScheduledExecutorService timer;
+    private final List<String> told = new ArrayList<>();
+    private final AtomicLong lastEndMs = new AtomicLong();
+    /** One core machine may be in trouble at once. */
+    private final AtomicInteger coreInTrouble = new AtomicInteger();
+
+    SoakTroubles(
+            SoakFleet fleet,
+            SoakAudit audit,
+            SoakOperator operator,
+            List<SoakInstance> instances,
+            long seed,
+            ScheduledExecutorService timer) {
+        this.fleet = fleet;
+        this.audit = audit;
+        this.operator = operator;
+        this.instances = instances;
+        this.random = new Random(seed);
+        this.timer = timer;
+    }
+
+    /** Plans so many troubles over a span; some of them strike at the same moment. */
+    void plan(int count, double spanMs) {
+        double atMs = 0;
+        for (int i = 0; i < count; i++) {
+            atMs = random.nextInt(3) == 0 ? atMs : random.nextDouble() * spanMs;
+            double forMs = 300 + random.nextDouble() * (LONGEST_MS - 300);
+            draw(atMs, forMs);
+        }
+    }
+
+    List<String> told() {
+        return told;
+    }
+
+    private void draw(double atMs, double forMs) {
+        switch (random.nextInt(10)) {
+            case 0 -> kill(machine(SoakFleet.Role.PROXY), atMs, forMs);
+            case 1 -> kill(machine(SoakFleet.Role.CACHE), atMs, forMs);
+            case 2 -> pause(machine(SoakFleet.Role.PROXY), atMs, forMs);
+            case 3 -> pause(machine(SoakFleet.Role.CACHE), atMs, forMs);
+            case 4 -> core(atMs, forMs);
+            case 5 -> roll(SoakFleet.Role.PROXY, atMs);
+            case 6 -> roll(SoakFleet.Role.CACHE, atMs);
+            case 7 -> changes(atMs);
+            case 8 -> purges(atMs);
+            default -> instance(atMs, forMs);
+        }
+    }
+
+    private SoakFleet.Machine machine(SoakFleet.Role role) {
+        List<SoakFleet.Machine> all = fleet.machines(role);
+        return all.get(random.nextInt(all.size()));
+    }
+
+    private void at(double ms, Runnable task) {
+        lastEndMs.accumulateAndGet((long) ms, Math::max);
+        timer.schedule(task, (long) ms, TimeUnit.MILLISECONDS);
+    }
+
+    private void tell(double atMs, String what) {
+        told.add(Math.round(atMs) + " ms " + what);
+    }
+
+    private void kill(SoakFleet.Machine machine, double atMs, double forMs) {
+        tell(atMs, "kill " + machine.name() + " for " + Math.round(forMs) + " ms");
+        at(atMs, () -> {
+            audit.trouble(machine.name(), audit.now(), audit.now() + forMs);
+            machine.processes().forEach(SoakProcess::kill);
+        });
+        at(atMs + forMs, () -> machine.processes().forEach(SoakProcess::start));
+    }
+
+    private void pause(SoakFleet.Machine machine, double atMs, double forMs) {
+        tell(atMs, "pause " + machine.name() + " for " + Math.round(forMs) + " ms");
+        at(atMs, () -> {
+            audit.trouble(machine.name(), audit.now(), audit.now() + forMs);
+            machine.processes().forEach(SoakProcess::pause);
+        });
+        at(atMs + forMs, () -> {
+            audit.trouble(machine.name(), audit.now(), audit.now());
+            machine.processes().forEach(SoakProcess::resume);
+        });
+    }
+
+    private void core(double atMs, double forMs) {
+        if (coreInTrouble.getAndIncrement() > 0) {
+            return;
+        }
+        if (random.nextBoolean()) {
+            kill(machine(SoakFleet.Role.CORE), atMs, forMs);
+        } else if (random.nextBoolean()) {
+            pause(machine(SoakFleet.Role.CORE), atMs, forMs);
+        } else {
+            // All processes of the core at once; their disks stay.
+            fleet.machines(SoakFleet.Role.CORE).forEach(machine -> kill(machine, atMs, Math.min(1_000, forMs)));
+        }
+    }
+
+    /** Several machines are asked to end in turn, hung up on before, and started again once they are gone. */
+    private void roll(SoakFleet.Role role, double atMs) {
+        List<SoakFleet.Machine> all = fleet.machines(role);
+        int first = random.nextInt(all.size());
+        int count = Math.min(all.size() - 1, 1 + random.nextInt(2));
+        for (int i = 0; i < count; i++) {
+            SoakFleet.Machine machine = all.get((first + i) % all.size());
+            double beginMs = atMs + 700 * i;
+            tell(beginMs, "hang up on and terminate " + machine.name());
+            SoakProcess process = machine.processes().get(0);
+            at(beginMs, process::hangUp);
+            at(beginMs + 100, process::terminate);
+            at(beginMs + 100, () -> startOnceGone(machine));
+        }
+    }
+
+    private void startOnceGone(SoakFleet.Machine machine) {
+        SoakProcess process = machine.processes().get(0);
+        if (process.isAlive()) {
+            timer.schedule(() -> startOnceGone(machine), 100, TimeUnit.MILLISECONDS);
+        } else {
+            process.start();
+        }
+    }
+
+    private void changes(double atMs) {
+        tell(atMs, "series of changes");
+        for (int i = 0; i < CHANGES; i++) {
+            boolean timeout = random.nextBoolean();
+            at(atMs + 120 * i, () -> operator.change(timeout));
+        }
+    }
+
+    private void purges(double atMs) {
+        tell(atMs, "series of purges");
+        for (int i = 0; i < PURGES; i++) {
+            int object = random.nextInt(20);
+            at(atMs + 50 * i, () -> operator.purge(object));
+        }
+    }
+
+    private void instance(double atMs, double forMs) {
+        SoakInstance instance = instances.get(random.nextInt(instances.size()));
+        boolean cut = random.nextBoolean();
+        tell(atMs, (cut ? "cut off " : "answers lost by ") + instance.id() + " for " + Math.round(forMs) + " ms");
+        at(atMs, () -> {
+            instance.cutOff(cut);
+            instance.loseAnswers(cut ? 0 : 0.2);
+        });
+        at(atMs + forMs, () -> {
+            instance.cutOff(false);
+            instance.loseAnswers(0);
+        });
+    }
+
+    /** When the last planned act is due, in milliseconds from the plan. */
+    long lastEndMs() {
+        return lastEndMs.get();
+    }
+}
--- a/cdn/src/test/java/ridgemill/cdn/wire/MessageCodecTest.java
+++ b/cdn/src/test/java/ridgemill/cdn/wire/MessageCodecTest.java
@@ -22,6 +22,9 @@
 import ridgemill.cdn.instances.InstanceState;
 import ridgemill.cdn.keys.KeyRecord;
 import ridgemill.cdn.keys.KeyState;
+import ridgemill.cdn.membership.CacheNode;
+import ridgemill.cdn.membership.Fleet;
+import ridgemill.cdn.membership.FleetPosition;
 import ridgemill.cdn.purge.Purge;
 import ridgemill.cdn.quorum.Voter;
 import ridgemill.cdn.quorum.VoterSet;
@@ -36,6 +39,9 @@
     private static final Purge PURGE = Purge.ofPath("p", "h.example", "/x");
     private static final List<String> HOSTS = List.of("10.0.0.1", "10.0.0.2");
 
+    private static final CacheNode CACHE = new CacheNode("c", "10.0.0.3:90", "z");
+    private static final Fleet FLEET = new Fleet(new FleetPosition(9, 4), List.of(CACHE));
+
     private static final Voter VOTER = new Voter("10.0.0.1", "d1");
     private static final VoterSet VOTERS = new VoterSet(7, List.of(VOTER), List.of(new Voter("10.0.0.2", "d2")));
     private static final Ballot BALLOT = new Ballot(5, "life");
@@ -81,10 +87,13 @@
                         VOTER, "life-1", STAMP, 0, 2, STAMP, VOTERS, List.of(ENTRY), -12345678901L)),
                 new RegistryMessages.Subscribe("life", 1),
                 new RegistryMessages.Snapshot(
-                        "life", 1, new RegistryMessages.Overview(true, HOSTS, VOTERS, 9, INSTANCES, List.of("i"))),
+                        "life", 1, new RegistryMessages.Overview(true, HOSTS, VOTERS, FLEET, INSTANCES, List.of("i"))),
                 new RegistryMessages.News(
-                        2, new RegistryMessages.Overview(false, HOSTS, VoterSet.UNKNOWN, 9, INSTANCES, List.of())),
+                        2,
+                        new RegistryMessages.Overview(
+                                false, HOSTS, VoterSet.UNKNOWN, Fleet.ALONE, INSTANCES, List.of())),
                 new RegistryMessages.NewsAcknowledged(2),
+                new RegistryMessages.OfferCache(CACHE),
                 new RegistryMessages.PeerUpdate(5, HOSTS, VOTERS, List.of("edge-1"), INSTANCES),
                 new RegistryMessages.PeerUpdateTaken(5),
                 new RegistryMessages.PeerBeats(List.of(new RegistryMessages.Beat("i", 12))));
