Shared caches divide bounds by region first; invariants that count requests and connections as they are sent

A cache that no registry tells of yet, or that is cut off from all, took itself for the only one. Change: CachePlace (region, place in it), from which rates and connections follow; a process that is not told of yet counts itself in; the caches last heard of stand while no registry is connected. Invariants: connections that are open or coming up stay within the part at each opening; requests of a window stay within the greatest part of that window. A connection that is closed from here gives its place up at once and not when its end is heard. Ruled out: counting a connection as gone only at its end event, which made a new one look as one too many.

--- a/cdn-core/src/main/java/ridgemill/cdn/edge/OriginShare.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/edge/OriginShare.java
@@ -30,6 +30,10 @@
     private double perSecond;
     private TokenBucket bucket;
     private boolean closed;
+    private final ArrivalWindow window;
+    private int lastWindow;
+    private double mostInWindow = Double.POSITIVE_INFINITY;
+    private double mostUntilMs;
 
     /**
      * A share that is not bounded yet.
@@ -40,6 +44,20 @@
     public OriginShare(double overage, double windowMs) {
         this.overage = overage;
         this.windowSeconds = windowMs / MS_PER_SECOND;
+        this.window = new ArrivalWindow(windowMs);
+    }
+
+    /** Whether no more was sent in the last window than the greatest part that was set in it allows. */
+    public boolean isWithinPart() {
+        return lastWindow <= mostInWindow;
+    }
+
+    private void raiseMost(double most, double nowMs) {
+        // Until the window has passed, what an earlier, greater part allowed may be in it.
+        if (most >= mostInWindow || nowMs >= mostUntilMs || Double.isInfinite(mostInWindow)) {
+            mostInWindow = most;
+            mostUntilMs = nowMs + windowSeconds * MS_PER_SECOND;
+        }
     }
 
     /** Sets the share to a part of the service's rate. */
@@ -48,9 +66,11 @@
             perSecond = bounded.perSecond();
             closed = false;
             limit(new Rate(bounded.perSecond(), bounded.burst()), nowMs);
+            raiseMost(bounded.perSecond() * windowSeconds + bounded.burst() + 1, nowMs);
         } else {
             perSecond = 0;
             bucket = null;
+            mostInWindow = Double.POSITIVE_INFINITY;
             closed = part instanceof RateDivision.Part.None;
         }
     }
@@ -88,7 +108,11 @@
 
     /** Takes one arrival from the share if it allows one. */
     public boolean tryTake(double nowMs) {
-        return !closed && (bucket == null || bucket.tryTake(nowMs));
+        boolean taken = !closed && (bucket == null || bucket.tryTake(nowMs));
+        if (taken) {
+            lastWindow = window.add(1, nowMs);
+        }
+        return taken;
     }
 
     /** Whether so much of the share is left that work may be done which no client waits for. */
@@ -99,6 +123,7 @@
 
     /** Gives back an arrival that did not take place. */
     public void giveBack(double nowMs) {
+        lastWindow = window.add(-1, nowMs);
         if (bucket != null) {
             bucket.giveBack(nowMs);
         }
--- a/cdn-core/src/main/java/ridgemill/cdn/edge/RateDivision.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/edge/RateDivision.java
@@ -1,5 +1,6 @@
 package ridgemill.cdn.edge;
 
+import ridgemill.cdn.membership.CachePlace;
 import ridgemill.cdn.membership.FleetPosition;
 
 /**
@@ -59,10 +60,10 @@
      * The part of a shared cache.
      *
      * @param whole the service's rate in requests a second; 0 or less where there is no bound
-     * @param caches its place among the shared caches
+     * @param place its place among the shared caches
      */
-    public Part ofCache(double whole, FleetPosition caches) {
-        return divide(whole, CACHES_PART, caches);
+    public Part ofCache(double whole, CachePlace place) {
+        return divide(whole, CACHES_PART / place.region().size(), place.inRegion());
     }
 
     /**
--- a/cdn-core/src/main/java/ridgemill/cdn/membership/Fleet.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/membership/Fleet.java
@@ -1,6 +1,8 @@
 package ridgemill.cdn.membership;
 
 import java.util.List;
+import java.util.TreeSet;
+import java.util.function.UnaryOperator;
 
 /**
  * The processes that share the bounds of services, as the control plane tells an edge proxy or a shared cache.
@@ -22,13 +24,25 @@
         return proxies.size() + caches.size();
     }
 
-    /** The place of a shared cache among all; alone if it is not among them. */
-    public FleetPosition cachePosition(String id) {
-        for (int rank = 0; rank < caches.size(); rank++) {
-            if (caches.get(rank).id().equals(id)) {
-                return new FleetPosition(caches.size(), rank);
+    /**
+     * The place of a shared cache among all, itself included where it is not told of yet.
+     *
+     * @param self the shared cache
+     * @param regionOfZone the region of each zone
+     */
+    public CachePlace cachePlace(CacheNode self, UnaryOperator<String> regionOfZone) {
+        String region = regionOfZone.apply(self.zone());
+        TreeSet<String> regions = new TreeSet<>(List.of(region));
+        TreeSet<String> inRegion = new TreeSet<>(List.of(self.id()));
+        for (CacheNode cache : caches) {
+            String other = regionOfZone.apply(cache.zone());
+            regions.add(other);
+            if (other.equals(region)) {
+                inRegion.add(cache.id());
             }
         }
-        return FleetPosition.ALONE;
+        return new CachePlace(
+                new FleetPosition(regions.size(), regions.headSet(region).size()),
+                new FleetPosition(inRegion.size(), inRegion.headSet(self.id()).size()));
     }
 }
--- a/cdn-core/src/test/java/ridgemill/cdn/edge/RateDivisionTest.java
+++ b/cdn-core/src/test/java/ridgemill/cdn/edge/RateDivisionTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import ridgemill.cdn.membership.CachePlace;
 import ridgemill.cdn.membership.FleetPosition;
 
 class RateDivisionTest {
@@ -19,7 +20,7 @@
     private static List<OriginShare> shares(double rate, int proxies, int caches) {
         List<OriginShare> shares = new ArrayList<>();
         for (int rank = 0; rank < caches; rank++) {
-            shares.add(share(DIVISION.ofCache(rate, new FleetPosition(caches, rank))));
+            shares.add(share(DIVISION.ofCache(rate, place(caches, rank))));
         }
         for (int rank = 0; rank < proxies; rank++) {
             shares.add(share(DIVISION.ofProxy(rate, new FleetPosition(proxies, rank), caches > 0)));
@@ -27,6 +28,18 @@
         return shares;
     }
 
+    /** Two regions where there is more than one shared cache, of unequal sizes. */
+    private static CachePlace place(int caches, int rank) {
+        if (caches == 1) {
+            return CachePlace.ALONE;
+        }
+        int first = (2 * caches + 1) / 3;
+        boolean inFirst = rank < first;
+        return new CachePlace(
+                new FleetPosition(2, inFirst ? 0 : 1),
+                inFirst ? new FleetPosition(first, rank) : new FleetPosition(caches - first, rank - first));
+    }
+
     private static OriginShare share(RateDivision.Part part) {
         OriginShare share = new OriginShare(OVERAGE, WINDOW_MS);
         share.setPart(part, 0);
@@ -88,7 +101,7 @@
     void sharedCachesMayUseMostOfTheRateHoweverManyProxiesThereAre(double rate, int proxies, int caches) {
         double sum = 0;
         for (int rank = 0; rank < caches; rank++) {
-            RateDivision.Part part = DIVISION.ofCache(rate, new FleetPosition(caches, rank));
+            RateDivision.Part part = DIVISION.ofCache(rate, place(caches, rank));
             sum += part instanceof RateDivision.Part.Bounded bounded ? bounded.perSecond() : 0;
         }
         assertThat(sum).isGreaterThan(0.85 * rate);
--- a/cdn-core/src/test/java/ridgemill/cdn/membership/FleetPositionTest.java
+++ b/cdn-core/src/test/java/ridgemill/cdn/membership/FleetPositionTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -34,6 +35,22 @@
         }
     }
 
+    @Test
+    void sharedCachesDivideByRegionFirst() {
+        List<CacheNode> caches =
+                List.of(new CacheNode("a", "1", "z1"), new CacheNode("b", "2", "z2"), new CacheNode("c", "3", "z3"));
+        Fleet fleet = new Fleet(FleetPosition.ALONE, caches);
+        int sum = 0;
+        for (CacheNode cache : caches) {
+            CachePlace place = fleet.cachePlace(cache, zone -> zone.equals("z3") ? "south" : "north");
+            assertThat(place.region().size()).isEqualTo(2);
+            sum += place.part(25, 1);
+        }
+        assertThat(sum).isEqualTo(25);
+        CacheNode unheard = new CacheNode("d", "4", "z3");
+        assertThat(fleet.cachePlace(unheard, zone -> "one").inRegion()).isEqualTo(new FleetPosition(4, 3));
+    }
+
     @Test
     void aPlaceIsOneOfTheSize() {
         assertThatThrownBy(() -> new FleetPosition(3, 3)).isInstanceOf(IllegalArgumentException.class);
--- a/cdn/src/main/java/ridgemill/cdn/proxy/Attempt.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/Attempt.java
@@ -2,6 +2,7 @@
 
 import java.util.function.Consumer;
 import ridgemill.cdn.edge.InstanceStats;
+import ridgemill.cdn.edge.Invariant;
 import ridgemill.cdn.edge.Verdict;
 import ridgemill.core.Timers;
 
@@ -94,6 +95,11 @@
             connection = given;
             sentAtMs = nowMs;
             upstream.meters().countSent();
+            context.invariants()
+                    .check(
+                            upstream.originShare().isWithinPart(),
+                            Invariant.REQUESTS_WITHIN_PART,
+                            instance.instance().service());
             if (endMs < Double.POSITIVE_INFINITY) {
                 timer = context.timers().at(endMs, this::silent);
             }
--- a/cdn/src/main/java/ridgemill/cdn/proxy/InstanceConnection.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/InstanceConnection.java
@@ -31,6 +31,8 @@
     private boolean answersEarly;
     private int surplus;
     private boolean spent;
+    private boolean up;
+    private boolean over;
     private boolean countsOpen;
     private double idleSinceMs;
     private double idleBeforeMs;
@@ -99,10 +101,19 @@
     void close() {
         spent = true;
         if (channel != null) {
+            over();
             channel.close();
         }
     }
 
+    /** It holds no place any more; told to the pool once, when it is closed from here or has ended. */
+    private void over() {
+        if (up && !over) {
+            over = true;
+            pool.closed(this);
+        }
+    }
+
     @Override
     public void handlerAdded(ChannelHandlerContext context) {
         channel = context.channel();
@@ -111,6 +122,8 @@
     @Override
     public void channelActive(ChannelHandlerContext context) {
         idleSinceMs = pool.now();
+        up = true;
+        pool.opened();
     }
 
     @Override
@@ -233,7 +246,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         spent = true;
-        pool.closed(this);
+        over();
         if (listener != null) {
             end(brokenOff(), null, null);
         }
--- a/cdn/src/main/java/ridgemill/cdn/proxy/InstancePool.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/InstancePool.java
@@ -36,6 +36,7 @@
     private final boolean ofCache;
     private int open;
     private int most;
+    private int connecting;
     private boolean closed;
 
     InstancePool(ProxyContext context, Instance instance, IdleAges ages, ServiceMeters meters, boolean ofCache) {
@@ -98,28 +99,28 @@
     }
 
     private void connect(Consumer<InstanceConnection> callback) {
+        connecting++;
+        context.invariants().check(open + connecting <= most, Invariant.CONNECTIONS_WITHIN_PART, address.toString());
         InstanceConnection connection = new InstanceConnection(this);
-        ChannelFuture connecting = new Bootstrap()
+        ChannelFuture opening = new Bootstrap()
                 .group(context.loop())
                 .channel(context.sockets().client())
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .handler(connection)
                 .connect(address);
-        connecting.addListener(done -> {
-            if (done.isSuccess()) {
-                open++;
-                meters.countOpened();
-                context.invariants()
-                        .check(
-                                stats.inFlight() <= stats.places(),
-                                Invariant.CONNECTIONS_WITHIN_PART,
-                                address.toString());
-            }
+        opening.addListener(done -> {
+            connecting--;
             callback.accept(done.isSuccess() ? connection : null);
         });
     }
 
+    /** A connection has come up. */
+    void opened() {
+        open++;
+        meters.countOpened();
+    }
+
     /** Whether the instance may be sent no new requests any more: it is leaving, gone or silent. */
     boolean isClosed() {
         return closed;
--- a/cdn/src/main/java/ridgemill/cdn/proxy/ProxyContext.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/ProxyContext.java
@@ -9,6 +9,7 @@
 import ridgemill.cdn.edge.ObjectCache;
 import ridgemill.cdn.instances.Instance;
 import ridgemill.cdn.membership.CacheNode;
+import ridgemill.cdn.membership.CachePlace;
 import ridgemill.cdn.proxy.control.ControlView;
 import ridgemill.cdn.proxy.control.OperationRegister;
 import ridgemill.cdn.settings.Settings;
@@ -105,9 +106,9 @@
         return sharedCache.isPresent();
     }
 
-    /** The identifier of this shared cache. */
-    String cacheId() {
-        return sharedCache.orElseThrow().id();
+    /** The place of this shared cache among all. */
+    CachePlace cachePlace() {
+        return control.fleet().cachePlace(sharedCache.orElseThrow(), settings::regionOf);
     }
 
     /** The shared caches that objects are read from. */
--- a/cdn/src/main/java/ridgemill/cdn/proxy/ServiceState.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/ServiceState.java
@@ -10,7 +10,6 @@
 import ridgemill.cdn.edge.ServiceAdmission;
 import ridgemill.cdn.instances.Instance;
 import ridgemill.cdn.membership.Fleet;
-import ridgemill.cdn.membership.FleetPosition;
 import ridgemill.cdn.proxy.ProxyMeters.ServiceMeters;
 import ridgemill.cdn.settings.Bounds;
 import ridgemill.policy.Rendezvous;
@@ -107,21 +106,24 @@
     void refresh() {
         Service service = context.control().routing().service(name);
         Fleet fleet = context.control().fleet();
-        FleetPosition position = context.isSharedCache() ? fleet.cachePosition(context.cacheId()) : fleet.proxies();
-        shareRate(service == null ? 0 : service.ratePerSecond(), fleet, position);
+        shareRate(service == null ? 0 : service.ratePerSecond(), fleet);
         int connections = connections(service, fleet);
         List<Instance> ready = context.control().readyInstances(name);
-        instances.set(ready, index -> position.part(connections, index));
+        instances.set(
+                ready,
+                context.isSharedCache()
+                        ? index -> context.cachePlace().part(connections, index)
+                        : index -> fleet.proxies().part(connections, index));
     }
 
-    private void shareRate(double rate, Fleet fleet, FleetPosition position) {
+    private void shareRate(double rate, Fleet fleet) {
         if (rate > 0 && !Double.isNaN(lentShare)) {
             originShare.setShare(lentShare, context.now());
             return;
         }
         RateDivision.Part part = context.isSharedCache()
-                ? division.ofCache(rate, position)
-                : division.ofProxy(rate, position, !fleet.caches().isEmpty());
+                ? division.ofCache(rate, context.cachePlace())
+                : division.ofProxy(rate, fleet.proxies(), !fleet.caches().isEmpty());
         originShare.setPart(part, context.now());
     }
 
--- a/cdn/src/main/java/ridgemill/cdn/proxy/control/ControlClient.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/control/ControlClient.java
@@ -58,6 +58,9 @@
     private final Optional<CacheNode> cache;
     private RoutingTable routing = RoutingTable.EMPTY;
     private Fleet fleet;
+    /** The shared caches as they were last heard of; they stay while no registry is connected. */
+    private List<CacheNode> knownCaches = List.of();
+
     private boolean offering;
 
     /** The client of an edge proxy; it connects when it is started. */
@@ -273,14 +276,19 @@
     private Fleet mergedFleet() {
         FleetPosition position = FleetPosition.ALONE;
         Map<String, CacheNode> caches = new TreeMap<>();
+        boolean anyConnected = false;
         for (RegistryFeed registry : registries.values()) {
             FleetPosition told = registry.fleet().proxies();
             position = told.size() > position.size() ? told : position;
             if (registry.isConnected()) {
+                anyConnected = true;
                 registry.fleet().caches().forEach(cache -> caches.put(cache.id(), cache));
             }
         }
-        return new Fleet(position, List.copyOf(caches.values()));
+        if (anyConnected) {
+            knownCaches = List.copyOf(caches.values());
+        }
+        return new Fleet(position, knownCaches);
     }
 
     @Override
