--- a/cdn-core/src/test/java/ridgemill/cdn/edge/RetryBudgetTest.java
+++ b/cdn-core/src/test/java/ridgemill/cdn/edge/RetryBudgetTest.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class RetryBudgetTest {
 
@@ -115,4 +117,16 @@
         }
         return sum;
     }
+
+    /** The fixed slack is divided without a floor: its parts stay below the whole at any size. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 9, 73, 300, 1_300})
+    void theSlackOfAllTogetherStaysBelowTheWholeWhateverTheirNumber(int size) {
+        double slack = 186;
+        int taken = 0;
+        for (int process = 0; process < size; process++) {
+            taken += takeAll(new RetryBudget(0.2, slack, 10_000), 0, size);
+        }
+        assertThat(taken).isLessThanOrEqualTo((int) slack);
+    }
 }
