Review of the mend: one place for an object whatever the speeds, fleets by registries that know them, copies by when they were checked

Cause, found by reading the mend against the timeline: - A shared cache's place was weighted by its speed as each proxy saw it, so that proxies disagreed and places moved: an object was fetched at two. - After all registries start anew, the first proxies to connect are told of a fleet of one or two and would take the whole of its bounds: the class of the incident, in time. The fleet that settled registries told stands until one is settled again. - A copy whose mapped fetch time lay a millisecond below that of the copy in place was not kept, and each read went to the shared cache. - A fetch ahead of need that no shared cache took went to the instances though nobody waited. Ruled out: an equal weight for instances too, as a slow one there is to get less. Change: as named; a soak that is ended takes its processes along. Figures: InstancePickerTest's new test fails without the first change (weights), passes with it; tests of cdn-core and cdn pass.

--- a/cdn-core/src/main/java/ridgemill/cdn/edge/InstancePicker.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/edge/InstancePicker.java
@@ -42,7 +42,10 @@
         this.two = two;
     }
 
-    /** Picks the best one always, so that each key has one place as long as that place can take it. */
+    /**
+     * Picks the best one always, whatever its speed, so that each key has one place for all that pick, as long as that
+     * place can take it.
+     */
     public static InstancePicker ofOne() {
         return new InstancePicker(false);
     }
@@ -96,7 +99,8 @@
                     && instance.isOpen(nowMs)
                     && !instance.isGone(nowMs)
                     && !tried.contains(instance);
-            double score = fit ? -instance.share(nowMs, meanMs) / Math.log(instance.draw(mixed)) : 0;
+            double share = two && fit ? instance.share(nowMs, meanMs) : 1;
+            double score = fit ? -share / Math.log(instance.draw(mixed)) : 0;
             if (fit && score > firstScore) {
                 second = first;
                 secondScore = firstScore;
--- a/cdn-core/src/test/java/ridgemill/cdn/edge/InstancePickerTest.java
+++ b/cdn-core/src/test/java/ridgemill/cdn/edge/InstancePickerTest.java
@@ -48,6 +48,30 @@
         }
     }
 
+    /** Shared caches keep an object at one place: proxies that saw other speeds, or ask at another load, pick the same. */
+    @Test
+    void ofOneEveryoneHasTheSamePlaceForAKeyWhateverItsSpeed() {
+        for (int i = 0; i < 4; i++) {
+            add("i" + i, true, 0);
+        }
+        InstancePicker ofOne = InstancePicker.ofOne();
+        ofOne.instances(all);
+        List<InstanceStats> before = new ArrayList<>();
+        for (long key = 0; key < 200; key++) {
+            before.add(((Pick.Chosen) ofOne.pick(NOW, key, List.of())).instance());
+        }
+        all.get(0).began();
+        all.get(0).ended(NOW, Verdict.ANSWERED, 900, false, true);
+        all.get(1).began();
+        all.get(1).ended(NOW, Verdict.ANSWERED, 2, false, true);
+        all.get(2).began();
+        for (long key = 0; key < 200; key++) {
+            assertThat(((Pick.Chosen) ofOne.pick(NOW, key, List.of())).instance())
+                    .isSameAs(before.get((int) key));
+        }
+        assertThat(before).contains(all.toArray(new InstanceStats[0]));
+    }
+
     @Test
     void ofTheKeysTwoCandidatesTheOneWithFewerInFlightWins() {
         for (int i = 0; i < 10; i++) {
--- a/cdn/src/main/java/ridgemill/cdn/proxy/ObjectFetch.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/ObjectFetch.java
@@ -55,6 +55,11 @@
         return copy.fetchStartedMs() < startedMs;
     }
 
+    /** Whether a request waits for it. */
+    boolean isAwaited() {
+        return !waiters.isEmpty();
+    }
+
     boolean isOf(CachedExchange exchange) {
         return exchange == starter;
     }
--- a/cdn/src/main/java/ridgemill/cdn/proxy/ObjectFetches.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/ObjectFetches.java
@@ -132,6 +132,7 @@
             boolean overCaches,
             Delivery.Result result) {
         boolean unasked = overCaches
+                && fetch.isAwaited()
                 && result instanceof Delivery.Result.Failed failed
                 && !failed.mayHaveRun()
                 && MAY_ASK_INSTANCES.contains(failed.reason());
@@ -196,7 +197,7 @@
             return;
         }
         CachedObject kept = cache.get(copy.key());
-        if (fetch.isStorable(copy) && (kept == null || kept.fetchStartedMs() <= copy.fetchStartedMs())) {
+        if (fetch.isStorable(copy) && (kept == null || kept.checkedMs() <= copy.checkedMs())) {
             cache.put(copy);
         }
         double purgedMs = fetch.purgedMs(copy);
--- a/cdn/src/main/java/ridgemill/cdn/proxy/control/ControlClient.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/control/ControlClient.java
@@ -58,8 +58,8 @@
     private final Optional<CacheNode> cache;
     private RoutingTable routing = RoutingTable.EMPTY;
     private Fleet fleet;
-    /** The shared caches as they were last heard of; they stay while no registry is connected. */
-    private List<CacheNode> knownCaches = List.of();
+    /** The fleet as settled registries last told it; null before one has. */
+    private Fleet settledFleet;
 
     private boolean offering;
 
@@ -272,23 +272,31 @@
         return fleet;
     }
 
-    /** The largest fleet of proxies that a registry knows, and the caches that any connected registry holds a link to. */
+    /**
+     * The fleet by all registries that have run for long enough to know it. One that has just started knows a part, and a
+     * part of the fleet would take the whole of its bounds: what was known before stands until then.
+     */
     private Fleet mergedFleet() {
+        List<RegistryFeed> connected =
+                registries.values().stream().filter(RegistryFeed::isConnected).toList();
+        List<RegistryFeed> settled =
+                connected.stream().filter(RegistryFeed::isSettled).toList();
+        if (!settled.isEmpty()) {
+            settledFleet = merged(settled);
+        }
+        return settledFleet != null ? settledFleet : merged(connected);
+    }
+
+    /** The largest fleet of proxies that one of them knows, and the caches that any of them holds a link to. */
+    private static Fleet merged(List<RegistryFeed> told) {
         FleetPosition position = FleetPosition.ALONE;
         Map<String, CacheNode> caches = new TreeMap<>();
-        boolean anyConnected = false;
-        for (RegistryFeed registry : registries.values()) {
-            FleetPosition told = registry.fleet().proxies();
-            position = told.size() > position.size() ? told : position;
-            if (registry.isConnected()) {
-                anyConnected = true;
-                registry.fleet().caches().forEach(cache -> caches.put(cache.id(), cache));
-            }
-        }
-        if (anyConnected) {
-            knownCaches = List.copyOf(caches.values());
+        for (RegistryFeed registry : told) {
+            FleetPosition proxies = registry.fleet().proxies();
+            position = proxies.size() > position.size() ? proxies : position;
+            registry.fleet().caches().forEach(cache -> caches.put(cache.id(), cache));
         }
-        return new Fleet(position, knownCaches);
+        return new Fleet(position, List.copyOf(caches.values()));
     }
 
     @Override
--- a/cdn/src/test/java/ridgemill/cdn/soak/Soak.java
+++ b/cdn/src/test/java/ridgemill/cdn/soak/Soak.java
@@ -72,6 +72,9 @@
         SoakOperator operator = new SoakOperator(fleet, audit, versions, seed, timer);
         List<SoakClient> running = new ArrayList<>();
         SoakTroubles troubles = null;
+        // A run that is ended from outside takes its processes along.
+        Thread cleanUp = new Thread(fleet::kill);
+        Runtime.getRuntime().addShutdownHook(cleanUp);
         try {
             fleet.start();
             operator.configure(ORIGIN_RATE, CONNECTION_CAP, () -> {});
@@ -107,6 +110,7 @@
             clientThreads.shutdownNow();
             timer.shutdownNow();
             fleet.kill();
+            Runtime.getRuntime().removeShutdownHook(cleanUp);
         }
         List<String> broken = audit.broken(ORIGIN_RATE);
         if (broken.isEmpty()) {
