--- a/bench/src/main/java/ridgemill/bench/ChangeCost.java
+++ b/bench/src/main/java/ridgemill/bench/ChangeCost.java
@@ -42,10 +42,12 @@
     private long bytes;
     private long writes;
 
-    private ChangeCost() { }
+    private ChangeCost() {}
 
     public static void main(String[] args) throws Exception {
-        System.out.printf("%8s %16s %16s %12s %12s %12s%n", "items", "ms of processor", "of it a store", "messages", "bytes", "writes");
+        System.out.printf(
+                "%8s %16s %16s %12s %12s %12s%n",
+                "items", "ms of processor", "of it a store", "messages", "bytes", "writes");
         for (int items : ITEMS) {
             new ChangeCost().measure(items);
         }
@@ -82,8 +84,15 @@
         Arrays.sort(perChange);
         double median = perChange[ROUNDS / 2];
         double changes = (double) ROUNDS * CHANGES;
-        System.out.printf(Locale.ROOT, "%8d %16.3f %16.3f %12.1f %12.0f %12.1f%n", items, median, median / HOSTS.size(),
-                messages / changes, bytes / changes, writes / changes);
+        System.out.printf(
+                Locale.ROOT,
+                "%8d %16.3f %16.3f %12.1f %12.0f %12.1f%n",
+                items,
+                median,
+                median / HOSTS.size(),
+                messages / changes,
+                bytes / changes,
+                writes / changes);
     }
 
     private static long processorNanos() {
@@ -98,7 +107,10 @@
     }
 
     private void order(List<Item> items) {
-        AgreementNode leader = nodes.values().stream().filter(AgreementNode::isLeading).findFirst().orElseThrow();
+        AgreementNode leader = nodes.values().stream()
+                .filter(AgreementNode::isLeading)
+                .findFirst()
+                .orElseThrow();
         OrderResult[] result = new OrderResult[1];
         leader.order(items, false, nowMs, nowMs + 1_000, decided -> result[0] = decided);
         deliver();
@@ -151,7 +163,7 @@
         }
 
         @Override
-        public void decided(List<Item> changed, VoterSet voters) { }
+        public void decided(List<Item> changed, VoterSet voters) {}
 
         @Override
         public double random() {
--- a/bench/src/main/java/ridgemill/bench/ChildProcess.java
+++ b/bench/src/main/java/ridgemill/bench/ChildProcess.java
@@ -5,7 +5,7 @@
 /** Processes that a measurement has started. */
 public final class ChildProcess {
 
-    private ChildProcess() { }
+    private ChildProcess() {}
 
     /** Asks a process to end and waits for that; one that takes too long, or longer than this thread may wait, is killed. */
     public static void end(Process process, long patienceS) {
--- a/bench/src/main/java/ridgemill/bench/CoreMeasurement.java
+++ b/bench/src/main/java/ridgemill/bench/CoreMeasurement.java
@@ -13,18 +13,21 @@
 import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.function.Supplier;
-import picocli.CommandLine.Option;
 import picocli.CommandLine;
+import picocli.CommandLine.Option;
 import ridgemill.gateway.net.Addresses;
-import ridgemill.testbed.discovery.DiscoveryStandIn.Host;
 import ridgemill.testbed.discovery.DiscoveryStandIn;
+import ridgemill.testbed.discovery.DiscoveryStandIn.Host;
 
 /** A measurement of proxies that have one core each, while clients and nodes have others: what all of them share. */
 abstract class CoreMeasurement implements Callable<Integer> {
 
     static final int CONNECTIONS = 32;
 
-    @Option(names = "--core", paramLabel = "N", defaultValue = "2",
+    @Option(
+            names = "--core",
+            paramLabel = "N",
+            defaultValue = "2",
             description = "The core that the measured proxy runs on (default: ${DEFAULT-VALUE}).")
     int core;
 
@@ -60,23 +63,35 @@
     }
 
     /** This build before these nodes, which discovery names; each of the environment's variables is {@code NAME=VALUE}. */
-    final Subject ridgemill(DiscoveryStandIn discovery, List<InetSocketAddress> nodes, Path directory, List<String> environment)
+    final Subject ridgemill(
+            DiscoveryStandIn discovery, List<InetSocketAddress> nodes, Path directory, List<String> environment)
             throws IOException, InterruptedException {
         return ridgemill(Build.THIS, discovery, nodes, directory, environment);
     }
 
     /** The same of another build. */
-    final Subject ridgemill(Build build, DiscoveryStandIn discovery, List<InetSocketAddress> nodes, Path directory,
-                            List<String> environment, String... arguments) throws IOException, InterruptedException {
+    final Subject ridgemill(
+            Build build,
+            DiscoveryStandIn discovery,
+            List<InetSocketAddress> nodes,
+            Path directory,
+            List<String> environment,
+            String... arguments)
+            throws IOException, InterruptedException {
         return Subject.ridgemill(build, known(discovery, nodes, 1024), core, directory, environment, arguments);
     }
 
     /** This build under a file of options for the Java machine in place of the run line's. */
-    final Subject ridgemill(DiscoveryStandIn discovery, List<InetSocketAddress> nodes, Path directory, List<String> environment,
-                            Path options) throws IOException, InterruptedException {
+    final Subject ridgemill(
+            DiscoveryStandIn discovery,
+            List<InetSocketAddress> nodes,
+            Path directory,
+            List<String> environment,
+            Path options)
+            throws IOException, InterruptedException {
         Path file = Files.writeString(directory.resolve("gateway.toml"), "[process]\nloops = 1\n");
-        return Subject.ridgemill(Build.THIS, known(discovery, nodes, 1024), String.valueOf(core), directory, environment, options,
-                file);
+        return Subject.ridgemill(
+                Build.THIS, known(discovery, nodes, 1024), String.valueOf(core), directory, environment, options, file);
     }
 
     /** Publishes nodes and says where: what a configuration holds of them. */
@@ -84,7 +99,8 @@
         for (int i = 0; i < nodes.size(); i++) {
             discovery.publish(new Host("c" + i, nodes.get(i), "a", "std", "up", 0));
         }
-        JsonObject more = JsonParser.parseString("{\"limits\": {\"sockets\": " + sockets + "}}").getAsJsonObject();
+        JsonObject more = JsonParser.parseString("{\"limits\": {\"sockets\": " + sockets + "}}")
+                .getAsJsonObject();
         more.addProperty("discovery", Addresses.text(discovery.address()));
         more.add("known", discovery.known());
         return more;
--- a/bench/src/main/java/ridgemill/bench/DecideCost.java
+++ b/bench/src/main/java/ridgemill/bench/DecideCost.java
@@ -33,7 +33,7 @@
     private static final double GAP_MS = 0.1;
     private static final int OUT = 16;
 
-    private record Sent(String request, String node, int attempt) { }
+    private record Sent(String request, String node, int attempt) {}
 
     private final List<Sent> sent = new ArrayList<>();
     private long refused;
@@ -53,10 +53,20 @@
     }
 
     private void run(int count, double[] nanos, double[] bytes, int round) {
-        Settings settings = new Settings(0, 1, "a", 1,
-                List.of(new ServiceClass("read", 500, 0, 1500, 1, 0, Effect.SAFE, Group.ALL, 0, false)), List.of(), 1, false,
-                new Limits(6, true, false, false, true, 1000, false, 150), new Rules(2000, 0.21, 6000, 2.5, 2000, 20, 10_000), false,
-                Weights.NONE, "origin");
+        Settings settings = new Settings(
+                0,
+                1,
+                "a",
+                1,
+                List.of(new ServiceClass("read", 500, 0, 1500, 1, 0, Effect.SAFE, Group.ALL, 0, false)),
+                List.of(),
+                1,
+                false,
+                new Limits(6, true, false, false, true, 1000, false, 150),
+                new Rules(2000, 0.21, 6000, 2.5, 2000, 20, 10_000),
+                false,
+                Weights.NONE,
+                "origin");
         Decide decide = new Decide(settings, 7);
         List<Node> nodes = new ArrayList<>();
         for (int i = 0; i < count; i++) {
@@ -77,10 +87,13 @@
                 decide.timer(now, "step", this);
                 nextStep = now + 100;
             }
-            decide.request(now, new Request("r" + n, "read", "t", n * 0x9e3779b97f4a7c15L >>> 1, 0, 1500, false, false), this);
+            decide.request(
+                    now, new Request("r" + n, "read", "t", n * 0x9e3779b97f4a7c15L >>> 1, 0, 1500, false, false), this);
             while (sent.size() > OUT) {
                 Sent s = sent.remove(0);
-                decide.attemptEnded(now, new AttemptEnd(s.request(), s.attempt(), s.node(), Outcome.OK, OUT * GAP_MS, true, 1, Map.of()),
+                decide.attemptEnded(
+                        now,
+                        new AttemptEnd(s.request(), s.attempt(), s.node(), Outcome.OK, OUT * GAP_MS, true, 1, Map.of()),
                         this);
                 done++;
             }
@@ -88,7 +101,8 @@
         nanos[round] = (double) (System.nanoTime() - start) / Math.max(1, done);
         bytes[round] = (double) (threads.getThreadAllocatedBytes(id) - allocated) / Math.max(1, done);
         if (refused > done / 10) {
-            System.out.println("refused " + refused + " of " + (done + refused) + ": not the path that is to be measured");
+            System.out.println(
+                    "refused " + refused + " of " + (done + refused) + ": not the path that is to be measured");
         }
     }
 
@@ -98,7 +112,7 @@
     }
 
     @Override
-    public void cancel(String request, int attempt) { }
+    public void cancel(String request, int attempt) {}
 
     @Override
     public void refuse(String request, double retryAfterMs) {
@@ -111,17 +125,17 @@
     }
 
     @Override
-    public void timer(double atMs, String token) { }
+    public void timer(double atMs, String token) {}
 
     @Override
-    public void subscribe() { }
+    public void subscribe() {}
 
     @Override
-    public void probe(String node) { }
+    public void probe(String node) {}
 
     @Override
-    public void tell(byte[] contents) { }
+    public void tell(byte[] contents) {}
 
     @Override
-    public void close(String node) { }
+    public void close(String node) {}
 }
--- a/bench/src/main/java/ridgemill/bench/EurekaDrain.java
+++ b/bench/src/main/java/ridgemill/bench/EurekaDrain.java
@@ -44,20 +44,22 @@
                           {"name": "recharge-credit", "effect": "dedup", "objective_ms": 750, "deadline_ms": 1500,
                            "repeat_window_ms": 6000}]}""";
 
-    private EurekaDrain() { }
+    private EurekaDrain() {}
 
     public static void main(String[] args) throws Exception {
         drains("10 others, answers at once", 10, 0, false);
         drains("1,000 others, answers after 500 ms", 1000, 500, false);
         drains("1,000 others, answers after 500 ms, deltas", 1000, 500, true);
-        System.out.printf("%12s %8s %16s %18s %14s%n", "instances", "deltas", "requests/s", "CPU ms a second", "heap MB more");
+        System.out.printf(
+                "%12s %8s %16s %18s %14s%n", "instances", "deltas", "requests/s", "CPU ms a second", "heap MB more");
         for (int count : new int[] {10, 1000, 10_000}) {
             cost(count, false);
             cost(count, true);
         }
     }
 
-    private static Operated operated(RegistryStandIn registry, InetSocketAddress store, boolean delta, Path file) throws Exception {
+    private static Operated operated(RegistryStandIn registry, InetSocketAddress store, boolean delta, Path file)
+            throws Exception {
         Files.writeString(file, """
                 [classes.latest-reading]
                 effect = "safe"
@@ -79,16 +81,24 @@
                 name = "all"
                 path = "/api/**"
                 group = "hall"
-                """.formatted(registry.url(), delta, APP, store == null ? "" : "store = \"" + Addresses.text(store) + "\""));
-        Config config = Config.parse("{\"name\":\"p0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:1\",\"limits\":{"
-                + "\"sockets\":1024},\"known\":{\"seq\":1,\"whole\":true,\"hosts\":[]},\"settings\":" + SETTINGS + "}", Map.of());
+                """.formatted(
+                        registry.url(), delta, APP, store == null ? "" : "store = \"" + Addresses.text(store) + "\""));
+        Config config = Config.parse(
+                "{\"name\":\"p0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:1\",\"limits\":{"
+                        + "\"sockets\":1024},\"known\":{\"seq\":1,\"whole\":true,\"hosts\":[]},\"settings\":" + SETTINGS
+                        + "}",
+                Map.of());
         return Operated.start(config, file.toString(), new Decide(config.settings(), 1));
     }
 
     private static void others(RegistryStandIn registry, int count, String status) {
         for (int i = 0; i < count; i++) {
-            registry.put(APP, "other-" + i, new InetSocketAddress("127.1." + i / 250 % 250 + "." + (i % 250 + 1), 2000 + i / 62_500),
-                    status, Map.of("zone", "a", "team", "meters"));
+            registry.put(
+                    APP,
+                    "other-" + i,
+                    new InetSocketAddress("127.1." + i / 250 % 250 + "." + (i % 250 + 1), 2000 + i / 62_500),
+                    status,
+                    Map.of("zone", "a", "team", "meters"));
         }
     }
 
@@ -108,8 +118,10 @@
             registry.delay(delayMs);
             Operated operated = operated(registry, bed.fleet().store().address(), delta, file);
             double length = CHANGES / (double) AT_ONCE * (WATCH_MS + REST_MS) / 1000 + 8;
-            CompletableFuture<Void> load = bed.load(LoadProfile.USUAL.rate(400, length), Map.of("p0",
-                    operated.service().listening())).start();
+            CompletableFuture<Void> load = bed.load(
+                            LoadProfile.USUAL.rate(400, length),
+                            Map.of("p0", operated.service().listening()))
+                    .start();
             Thread.sleep(4000);
             long before = registry.requests();
             long begun = System.nanoTime();
@@ -125,8 +137,11 @@
                 for (int i = 0; i < AT_ONCE; i++) {
                     String node = "c" + (done + i) % NODES;
                     double from = acknowledged[i];
-                    last[done + i] = bed.ledger().nodes().stream().filter(e -> e.node().equals(node) && e.begunAt() > 0
-                            && e.firstByteAt() > from).mapToDouble(e -> e.firstByteAt() - from).max().orElse(0);
+                    last[done + i] = bed.ledger().nodes().stream()
+                            .filter(e -> e.node().equals(node) && e.begunAt() > 0 && e.firstByteAt() > from)
+                            .mapToDouble(e -> e.firstByteAt() - from)
+                            .max()
+                            .orElse(0);
                     registry.override(APP, node, "UP");
                 }
                 Thread.sleep(REST_MS);
@@ -141,8 +156,15 @@
             Files.delete(file);
         }
         Arrays.sort(last);
-        System.out.printf(Locale.ROOT, "%s: %d changes, last first byte after the acknowledgement: p50 %.0f ms, p99 %.0f ms, max %.0f ms; "
-                + "%.1f requests a second%n", title, CHANGES, last[CHANGES / 2], last[(int) (CHANGES * 0.99)], last[CHANGES - 1],
+        System.out.printf(
+                Locale.ROOT,
+                "%s: %d changes, last first byte after the acknowledgement: p50 %.0f ms, p99 %.0f ms, max %.0f ms; "
+                        + "%.1f requests a second%n",
+                title,
+                CHANGES,
+                last[CHANGES / 2],
+                last[(int) (CHANGES * 0.99)],
+                last[CHANGES - 1],
                 asked / seconds);
     }
 
@@ -163,7 +185,13 @@
                 Thread.sleep(1000);
             }
             double used = (cpu(threads, loops) - cpu) / 8;
-            System.out.printf(Locale.ROOT, "%12d %8s %16.1f %18.1f %14.1f%n", count, delta, (registry.requests() - before) / 8.0, used,
+            System.out.printf(
+                    Locale.ROOT,
+                    "%12d %8s %16.1f %18.1f %14.1f%n",
+                    count,
+                    delta,
+                    (registry.requests() - before) / 8.0,
+                    used,
                     (heap() - heap) / 1e6);
             operated.closeControl();
             operated.service().kill();
--- a/bench/src/main/java/ridgemill/bench/FlatNode.java
+++ b/bench/src/main/java/ridgemill/bench/FlatNode.java
@@ -41,15 +41,22 @@
 
     private FlatNode(EventLoop loop, long delayMs, int valueBytes) {
         byte[] answer = ("HTTP/1.1 200 OK\r\nContent-Length: " + valueBytes + "\r\nX-Hit: hit\r\n\r\n"
-                + "v".repeat(valueBytes)).getBytes(StandardCharsets.US_ASCII);
-        listener = new ServerBootstrap().group(loop).channel(SocketKind.of(loop).server())
-                .option(ChannelOption.SO_BACKLOG, 1024).childOption(ChannelOption.TCP_NODELAY, true)
+                        + "v".repeat(valueBytes))
+                .getBytes(StandardCharsets.US_ASCII);
+        listener = new ServerBootstrap()
+                .group(loop)
+                .channel(SocketKind.of(loop).server())
+                .option(ChannelOption.SO_BACKLOG, 1024)
+                .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         channel.pipeline().addLast(new Answers(answer, delayMs));
                     }
-                }).bind(new InetSocketAddress("127.0.0.1", 0)).syncUninterruptibly().channel();
+                })
+                .bind(new InetSocketAddress("127.0.0.1", 0))
+                .syncUninterruptibly()
+                .channel();
     }
 
     InetSocketAddress address() {
@@ -77,8 +84,11 @@
                     if (delayMs == 0) {
                         ctx.writeAndFlush(Unpooled.wrappedBuffer(answer));
                     } else {
-                        ctx.executor().schedule(() -> ctx.writeAndFlush(Unpooled.wrappedBuffer(answer)), delayMs,
-                                TimeUnit.MILLISECONDS);
+                        ctx.executor()
+                                .schedule(
+                                        () -> ctx.writeAndFlush(Unpooled.wrappedBuffer(answer)),
+                                        delayMs,
+                                        TimeUnit.MILLISECONDS);
                     }
                 }
             }
--- a/bench/src/main/java/ridgemill/bench/FlatRespNode.java
+++ b/bench/src/main/java/ridgemill/bench/FlatRespNode.java
@@ -23,17 +23,26 @@
     private final Channel listener;
 
     FlatRespNode(EventLoop loop, int valueBytes) {
-        byte[] value = ("$" + valueBytes + "\r\n" + "v".repeat(valueBytes) + "\r\n").getBytes(StandardCharsets.US_ASCII);
+        byte[] value =
+                ("$" + valueBytes + "\r\n" + "v".repeat(valueBytes) + "\r\n").getBytes(StandardCharsets.US_ASCII);
         byte[] hello = "%1\r\n$5\r\nproto\r\n:3\r\n".getBytes(StandardCharsets.US_ASCII);
-        listener = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, 1024).childOption(ChannelOption.TCP_NODELAY, true)
+        listener = new ServerBootstrap()
+                .group(loop)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, 1024)
+                .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new RespDecoder(RespParser.commands(RespLimits.COMMAND)),
-                                new Answers(value, hello));
+                        channel.pipeline()
+                                .addLast(
+                                        new RespDecoder(RespParser.commands(RespLimits.COMMAND)),
+                                        new Answers(value, hello));
                     }
-                }).bind(new InetSocketAddress("127.0.0.1", 0)).syncUninterruptibly().channel();
+                })
+                .bind(new InetSocketAddress("127.0.0.1", 0))
+                .syncUninterruptibly()
+                .channel();
     }
 
     InetSocketAddress address() {
--- a/bench/src/main/java/ridgemill/bench/IdleConnections.java
+++ b/bench/src/main/java/ridgemill/bench/IdleConnections.java
@@ -17,31 +17,51 @@
 import java.util.Locale;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
+import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
-import picocli.CommandLine;
 import ridgemill.gateway.net.Addresses;
 import ridgemill.gateway.net.SocketKind;
-import ridgemill.testbed.discovery.DiscoveryStandIn.Host;
 import ridgemill.testbed.discovery.DiscoveryStandIn;
+import ridgemill.testbed.discovery.DiscoveryStandIn.Host;
 import ridgemill.testbed.ledger.Ledger;
 
 /** What connections cost that are kept and mostly say nothing: memory, and the times of the few that ask. */
-@Command(name = "idle-connections", mixinStandardHelpOptions = true, description = "Measures memory and times with many kept "
-        + "connections of which few are active.")
+@Command(
+        name = "idle-connections",
+        mixinStandardHelpOptions = true,
+        description = "Measures memory and times with many kept " + "connections of which few are active.")
 public final class IdleConnections implements Callable<Integer> {
 
     private static final int NODES = 4;
     private static final int AT_ONCE = 200;
     private static final int RATE = 1000;
 
-    @Option(names = "--connections", paramLabel = "N", defaultValue = "15000", description = "How many are kept (default: ${DEFAULT-VALUE}).")
+    @Option(
+            names = "--connections",
+            paramLabel = "N",
+            defaultValue = "15000",
+            description = "How many are kept (default: ${DEFAULT-VALUE}).")
     private int connections;
-    @Option(names = "--loops", paramLabel = "N", defaultValue = "4", description = "The gateway's loops (default: ${DEFAULT-VALUE}).")
+
+    @Option(
+            names = "--loops",
+            paramLabel = "N",
+            defaultValue = "4",
+            description = "The gateway's loops (default: ${DEFAULT-VALUE}).")
     private int loops;
-    @Option(names = "--seconds", paramLabel = "N", defaultValue = "8", description = "Length of a measurement (default: ${DEFAULT-VALUE}).")
+
+    @Option(
+            names = "--seconds",
+            paramLabel = "N",
+            defaultValue = "8",
+            description = "Length of a measurement (default: ${DEFAULT-VALUE}).")
     private int seconds;
-    @Option(names = "--options", paramLabel = "FILE", defaultValue = "deploy/jvm/large.options",
+
+    @Option(
+            names = "--options",
+            paramLabel = "FILE",
+            defaultValue = "deploy/jvm/large.options",
             description = "The Java machine's options (default: ${DEFAULT-VALUE}).")
     private Path options;
 
@@ -51,10 +71,12 @@
 
     @Override
     public Integer call() throws Exception {
-        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(3, SocketKind.chosen().handlers());
+        MultiThreadIoEventLoopGroup group =
+                new MultiThreadIoEventLoopGroup(3, SocketKind.chosen().handlers());
         MultiThreadIoEventLoopGroup other = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         Path directory = Files.createTempDirectory("ridgemill-bench");
-        Path file = Files.writeString(directory.resolve("gateway.toml"), "[process]\nloops = " + loops + "\nidle = \"10min\"\n");
+        Path file = Files.writeString(
+                directory.resolve("gateway.toml"), "[process]\nloops = " + loops + "\nidle = \"10min\"\n");
         EventLoop asking = group.next();
         EventLoop idling = group.next();
         EventLoop hosts = group.next();
@@ -62,11 +84,13 @@
             for (int i = 0; i < NODES; i++) {
                 discovery.publish(new Host("c" + i, FlatNode.of(hosts, 64).address(), "a", "std", "up", 0));
             }
-            JsonObject more = JsonParser.parseString("{\"limits\": {\"sockets\": 0}}").getAsJsonObject();
+            JsonObject more =
+                    JsonParser.parseString("{\"limits\": {\"sockets\": 0}}").getAsJsonObject();
             more.getAsJsonObject("limits").addProperty("sockets", 2 * connections + 2000);
             more.addProperty("discovery", Addresses.text(discovery.address()));
             more.add("known", discovery.known());
-            try (Subject proxy = Subject.ridgemill(Build.THIS, more, "0-" + (loops - 1), directory, List.of(), options, file)) {
+            try (Subject proxy =
+                    Subject.ridgemill(Build.THIS, more, "0-" + (loops - 1), directory, List.of(), options, file)) {
                 measure(proxy, asking, idling);
             }
         } finally {
@@ -91,33 +115,58 @@
         double idle = (proxy.cpuMicros() - cpuBefore) / 1e6 / seconds;
         Pressure.Result beside = Pressure.run(asking, proxy.address(), active, RATE, seconds);
         long open = kept.stream().filter(Channel::isActive).count();
-        System.out.printf(Locale.ROOT, "%d connections, each served once and then silent, %d of them still open at the end; %d loops%n"
-                + "memory %.0f MB before and %.0f with them: %.1f KB each (heap that the Java machine had taken before is not seen)%n"
-                + "CPU without requests: %.4f of a core before, %.4f with them%n", kept.size(), open, loops, before, after,
-                (after - before) * 1024 / kept.size(), quiet, idle);
-        System.out.printf(Locale.ROOT, "%d a second over %d others: p50 %.0f, p99 %.0f, p99.9 %.0f us without them; %.0f, %.0f, %.0f us with "
-                + "them; %d and %d failed%n", RATE, active, alone.p50(), alone.p99(), alone.p999(), beside.p50(), beside.p99(),
-                beside.p999(), alone.failed(), beside.failed());
+        System.out.printf(
+                Locale.ROOT,
+                "%d connections, each served once and then silent, %d of them still open at the end; %d loops%n"
+                        + "memory %.0f MB before and %.0f with them: %.1f KB each (heap that the Java machine had taken before is not seen)%n"
+                        + "CPU without requests: %.4f of a core before, %.4f with them%n",
+                kept.size(),
+                open,
+                loops,
+                before,
+                after,
+                (after - before) * 1024 / kept.size(),
+                quiet,
+                idle);
+        System.out.printf(
+                Locale.ROOT,
+                "%d a second over %d others: p50 %.0f, p99 %.0f, p99.9 %.0f us without them; %.0f, %.0f, %.0f us with "
+                        + "them; %d and %d failed%n",
+                RATE,
+                active,
+                alone.p50(),
+                alone.p99(),
+                alone.p999(),
+                beside.p50(),
+                beside.p99(),
+                beside.p999(),
+                alone.failed(),
+                beside.failed());
         kept.forEach(Channel::close);
     }
 
     /** Opens them some at a time; each asks once. */
     private List<Channel> open(InetSocketAddress address, EventLoop loop) throws Exception {
         List<Channel> kept = new ArrayList<>();
-        for (int n = 0; n < connections;) {
+        for (int n = 0; n < connections; ) {
             List<io.netty.channel.ChannelFuture> some = new ArrayList<>();
             for (int i = 0; i < AT_ONCE && n < connections; i++, n++) {
-                some.add(new Bootstrap().group(loop).channel(SocketKind.of(loop).client())
-                        .handler(new ChannelInboundHandlerAdapter()).connect(address));
+                some.add(new Bootstrap()
+                        .group(loop)
+                        .channel(SocketKind.of(loop).client())
+                        .handler(new ChannelInboundHandlerAdapter())
+                        .connect(address));
             }
             for (var opened : some) {
                 if (!opened.await(10, TimeUnit.SECONDS) || !opened.isSuccess()) {
                     throw new IllegalStateException("connection " + kept.size() + ": " + opened.cause());
                 }
                 kept.add(opened.channel());
-                opened.channel().writeAndFlush(io.netty.buffer.Unpooled.copiedBuffer("GET /api/m" + n % 500 + " HTTP/1.1\r\nX-Call-Id: i"
-                        + kept.size() + "\r\nX-Call-Class: read\r\nX-Caller: bench\r\nX-Budget: 1.500\r\n\r\n",
-                        StandardCharsets.US_ASCII));
+                opened.channel()
+                        .writeAndFlush(io.netty.buffer.Unpooled.copiedBuffer(
+                                "GET /api/m" + n % 500 + " HTTP/1.1\r\nX-Call-Id: i" + kept.size()
+                                        + "\r\nX-Call-Class: read\r\nX-Caller: bench\r\nX-Budget: 1.500\r\n\r\n",
+                                StandardCharsets.US_ASCII));
             }
         }
         return kept;
--- a/bench/src/main/java/ridgemill/bench/LimitShares.java
+++ b/bench/src/main/java/ridgemill/bench/LimitShares.java
@@ -25,7 +25,7 @@
     private static final int IN_FLIGHT = 200;
     private static final double HOLD_MS = 20;
 
-    private LimitShares() { }
+    private LimitShares() {}
 
     /** Which loop the next request comes to, and how many come in a millisecond at this time. */
     private interface Arrivals {
@@ -36,11 +36,13 @@
         }
     }
 
-    private record Case(String name, Arrivals arrivals) { }
+    private record Case(String name, Arrivals arrivals) {}
 
     private static final List<Case> CASES = List.of(
             new Case("all loops alike", (ms, loops, random) -> random.nextInt(loops)),
-            new Case("nine tenths at one loop", (ms, loops, random) -> random.nextInt(10) == 0 ? random.nextInt(loops) : 0),
+            new Case(
+                    "nine tenths at one loop",
+                    (ms, loops, random) -> random.nextInt(10) == 0 ? random.nextInt(loops) : 0),
             new Case("all at one loop", (ms, loops, random) -> 0),
             new Case("all at one, another each second", (ms, loops, random) -> (int) (ms / 1000) % loops),
             new Case("all at one, another each 100 ms", (ms, loops, random) -> (int) (ms / 100) % loops),
@@ -57,9 +59,17 @@
             }));
 
     public static void main(String[] args) {
-        System.out.printf(Locale.ROOT, "admitted, of what one counter for all admits of the same arrivals (%.0f s, rounds of %.0f ms, rate "
-                + "%.0f/s with a burst of %.0f; %d in flight of %.0f ms each)%n%-36s", SECONDS, TICK_MS, RATE.perSecond(), RATE.burst(),
-                IN_FLIGHT, HOLD_MS, "");
+        System.out.printf(
+                Locale.ROOT,
+                "admitted, of what one counter for all admits of the same arrivals (%.0f s, rounds of %.0f ms, rate "
+                        + "%.0f/s with a burst of %.0f; %d in flight of %.0f ms each)%n%-36s",
+                SECONDS,
+                TICK_MS,
+                RATE.perSecond(),
+                RATE.burst(),
+                IN_FLIGHT,
+                HOLD_MS,
+                "");
         for (int loops : new int[] {2, 4, 8}) {
             System.out.printf("%14s %14s", loops + " loops: rate", "in flight");
         }
@@ -67,7 +77,10 @@
         for (Case c : CASES) {
             System.out.printf("%-36s", c.name());
             for (int loops : new int[] {2, 4, 8}) {
-                System.out.printf(Locale.ROOT, "%14.3f %14.3f", ratio(c.arrivals(), loops, rate(), 1, 0),
+                System.out.printf(
+                        Locale.ROOT,
+                        "%14.3f %14.3f",
+                        ratio(c.arrivals(), loops, rate(), 1, 0),
                         ratio(c.arrivals(), loops, inFlight(), 8, HOLD_MS));
             }
             System.out.println();
@@ -83,10 +96,11 @@
     }
 
     private static double ratio(Arrivals arrivals, int loops, Limits limits, double times, double holdMs) {
-        return (double) admitted(arrivals, loops, limits, times, holdMs, false) / admitted(arrivals, loops, limits, times, holdMs, true);
+        return (double) admitted(arrivals, loops, limits, times, holdMs, false)
+                / admitted(arrivals, loops, limits, times, holdMs, true);
     }
 
-    private record End(double at, int loop) { }
+    private record End(double at, int loop) {}
 
     private static int admitted(Arrivals arrivals, int loops, Limits limits, double times, double holdMs, boolean one) {
         SplittableRandom random = new SplittableRandom(7);
--- a/bench/src/main/java/ridgemill/bench/Pressure.java
+++ b/bench/src/main/java/ridgemill/bench/Pressure.java
@@ -42,8 +42,12 @@
 
         /** Of clients on several loops: sums, and of times the worst loop's. */
         static Result together(List<Result> all) {
-            return new Result(all.stream().mapToInt(Result::answered).sum(), all.stream().mapToInt(Result::failed).sum(),
-                    all.stream().mapToDouble(Result::seconds).max().orElse(0), worst(all, Result::p50), worst(all, Result::p99),
+            return new Result(
+                    all.stream().mapToInt(Result::answered).sum(),
+                    all.stream().mapToInt(Result::failed).sum(),
+                    all.stream().mapToDouble(Result::seconds).max().orElse(0),
+                    worst(all, Result::p50),
+                    worst(all, Result::p99),
                     worst(all, Result::p999));
         }
 
@@ -89,7 +93,8 @@
     }
 
     /** The same from several loops at once, each with its part of the connections and of the rate. */
-    static Result run(List<EventLoop> loops, InetSocketAddress target, int connections, double perSecond, double seconds)
+    static Result run(
+            List<EventLoop> loops, InetSocketAddress target, int connections, double perSecond, double seconds)
             throws Exception {
         List<Pressure> parts = new ArrayList<>();
         for (EventLoop loop : loops) {
@@ -132,21 +137,27 @@
             idle.removeFirst().ask(due.removeFirst());
         }
         if (!over) {
-            loop.schedule(this::tick, Math.max(1, startNanos + (long) (scheduled / perSecond * 1e9) - System.nanoTime()),
+            loop.schedule(
+                    this::tick,
+                    Math.max(1, startNanos + (long) (scheduled / perSecond * 1e9) - System.nanoTime()),
                     TimeUnit.NANOSECONDS);
         }
     }
 
     private void connect() {
         Conn conn = new Conn();
-        new Bootstrap().group(loop).channel(SocketKind.of(loop).client()).option(ChannelOption.TCP_NODELAY, true)
+        new Bootstrap()
+                .group(loop)
+                .channel(SocketKind.of(loop).client())
+                .option(ChannelOption.TCP_NODELAY, true)
                 .handler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         conn.channel = channel;
                         channel.pipeline().addLast(conn);
                     }
-                }).connect(target);
+                })
+                .connect(target);
     }
 
     /** One connection; it counts the bytes of answers, whose length it takes from their heads. */
@@ -181,7 +192,8 @@
         private void ask(long at) {
             askedAt = at;
             int n = number++;
-            String text = "GET /api/m" + n % KEYS + " HTTP/1.1\r\nHost: service.internal\r\nX-Call-Id: b" + System.identityHashCode(Pressure.this) + "-" + n
+            String text = "GET /api/m" + n % KEYS + " HTTP/1.1\r\nHost: service.internal\r\nX-Call-Id: b"
+                    + System.identityHashCode(Pressure.this) + "-" + n
                     + "\r\nX-Call-Class: read\r\nX-Caller: bench\r\nX-Budget: 1.500\r\n\r\n";
             channel.writeAndFlush(Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII));
         }
@@ -196,7 +208,8 @@
                     bodyLeft -= take;
                 } else {
                     head.append((char) in.readByte());
-                    if (head.length() >= 4 && head.charAt(head.length() - 1) == '\n'
+                    if (head.length() >= 4
+                            && head.charAt(head.length() - 1) == '\n'
                             && head.charAt(head.length() - 3) == '\n') {
                         begin(head.toString());
                         head.setLength(0);
@@ -213,7 +226,10 @@
         private void begin(String text) {
             String lower = text.toLowerCase(java.util.Locale.ROOT);
             int length = lower.indexOf("content-length:");
-            bodyLeft = length < 0 ? 0 : Integer.parseInt(lower.substring(length + 15, lower.indexOf('\r', length)).trim());
+            bodyLeft = length < 0
+                    ? 0
+                    : Integer.parseInt(lower.substring(length + 15, lower.indexOf('\r', length))
+                            .trim());
             good = text.startsWith("HTTP/1.1 200");
             last = lower.contains("connection: close");
             inBody = true;
--- a/bench/src/main/java/ridgemill/bench/Profile.java
+++ b/bench/src/main/java/ridgemill/bench/Profile.java
@@ -27,8 +27,10 @@
  * recorder samples threads in turn at safe and unsafe points alike, but only where it can walk the stack: shares are good to
  * some points, and what the kernel does for a call counts as that call.
  */
-@Command(name = "profile", mixinStandardHelpOptions = true, description = "Samples the proxy under full load and tells by owner "
-        + "where its time goes.")
+@Command(
+        name = "profile",
+        mixinStandardHelpOptions = true,
+        description = "Samples the proxy under full load and tells by owner " + "where its time goes.")
 public final class Profile extends CoreMeasurement {
 
     private static final int NODES = 6;
@@ -61,14 +63,24 @@
         OWNERS.put("io.netty", "Netty's channels and pipelines");
     }
 
-    @Option(names = "--seconds", paramLabel = "N", defaultValue = "20", description = "How long is sampled (default: ${DEFAULT-VALUE}).")
+    @Option(
+            names = "--seconds",
+            paramLabel = "N",
+            defaultValue = "20",
+            description = "How long is sampled (default: ${DEFAULT-VALUE}).")
     private int seconds;
-    @Option(names = "--warm-up", paramLabel = "N", defaultValue = "8",
+
+    @Option(
+            names = "--warm-up",
+            paramLabel = "N",
+            defaultValue = "8",
             description = "Seconds under full load before that (default: ${DEFAULT-VALUE}).")
     private int warmUp;
 
-    @Option(names = "--options", paramLabel = "FILE", description = "Options of the Java machine in place of the run line's, as "
-            + "deploy/jvm/large.options.")
+    @Option(
+            names = "--options",
+            paramLabel = "FILE",
+            description = "Options of the Java machine in place of the run line's, as " + "deploy/jvm/large.options.")
     private Path options;
 
     public static void main(String[] args) {
@@ -82,9 +94,12 @@
         Pressure.Result full;
         double cpu;
         try (DiscoveryStandIn discovery = new DiscoveryStandIn(otherLoop, new Ledger(), "bench");
-                Subject proxy = proxy(discovery, nodes, directory, List.of(
-                        "JAVA_TOOL_OPTIONS=-XX:StartFlightRecording:settings=profile,delay=" + (warmUp + 6) + "s,duration="
-                        + Math.max(2, seconds - 4) + "s,filename=" + recording))) {
+                Subject proxy = proxy(
+                        discovery,
+                        nodes,
+                        directory,
+                        List.of("JAVA_TOOL_OPTIONS=-XX:StartFlightRecording:settings=profile,delay=" + (warmUp + 6)
+                                + "s,duration=" + Math.max(2, seconds - 4) + "s,filename=" + recording))) {
             Pressure.run(clientLoop, proxy.address(), CONNECTIONS, 0, warmUp);
             double before = proxy.cpuMicros();
             full = Pressure.run(clientLoop, proxy.address(), CONNECTIONS, 0, seconds);
@@ -94,14 +109,20 @@
         while (!Files.exists(recording) && System.nanoTime() < end) {
             Thread.sleep(50);
         }
-        System.out.printf(Locale.ROOT, "%.0f requests/s, %.1f us of CPU a request (all threads, the recorder's included), %d failed%n",
-                full.perSecond(), cpu, full.failed());
+        System.out.printf(
+                Locale.ROOT,
+                "%.0f requests/s, %.1f us of CPU a request (all threads, the recorder's included), %d failed%n",
+                full.perSecond(),
+                cpu,
+                full.failed());
         tell(recording, cpu, full.perSecond() * Math.max(2, seconds - 4));
     }
 
-    private Subject proxy(DiscoveryStandIn discovery, List<InetSocketAddress> nodes, Path directory, List<String> environment)
+    private Subject proxy(
+            DiscoveryStandIn discovery, List<InetSocketAddress> nodes, Path directory, List<String> environment)
             throws IOException, InterruptedException {
-        return options == null ? ridgemill(discovery, nodes, directory, environment)
+        return options == null
+                ? ridgemill(discovery, nodes, directory, environment)
                 : ridgemill(discovery, nodes, directory, environment, options);
     }
 
@@ -121,30 +142,44 @@
                 continue;
             }
             List<RecordedFrame> frames = stack.getFrames();
-            if (frames.stream().noneMatch(f -> name(f).startsWith("io.netty.channel.nio.NioIoHandler")
-                    || name(f).startsWith("io.netty.channel.epoll.EpollIoHandler"))) {
+            if (frames.stream()
+                    .noneMatch(f -> name(f).startsWith("io.netty.channel.nio.NioIoHandler")
+                            || name(f).startsWith("io.netty.channel.epoll.EpollIoHandler"))) {
                 continue;
             }
             String owner = owner(frames);
             // One that waits in epoll uses no processor, and is sampled all the same.
-            if (owner.startsWith("waiting") && frames.get(0).getMethod().getName().toLowerCase(Locale.ROOT).contains("wait")) {
+            if (owner.startsWith("waiting")
+                    && frames.get(0)
+                            .getMethod()
+                            .getName()
+                            .toLowerCase(Locale.ROOT)
+                            .contains("wait")) {
                 owner = "idle or in epoll_wait";
             }
             all++;
             owners.merge(owner, 1, Integer::sum);
             tops.merge(name(frames.get(0)) + "." + frames.get(0).getMethod().getName(), 1, Integer::sum);
         }
-        System.out.printf(Locale.ROOT, "%.0f bytes of heap a request, by the recorder's samples%n", allocated / requests);
+        System.out.printf(
+                Locale.ROOT, "%.0f bytes of heap a request, by the recorder's samples%n", allocated / requests);
         int total = Math.max(1, all);
-        System.out.printf(Locale.ROOT, "%d samples of the loop%n%-36s %8s %12s%n", all, "owner", "share", "us a request");
+        System.out.printf(
+                Locale.ROOT, "%d samples of the loop%n%-36s %8s %12s%n", all, "owner", "share", "us a request");
         print(owners, total, cpuMicros, Integer.MAX_VALUE);
         System.out.printf(Locale.ROOT, "%ntops of stacks%n");
         print(tops, total, cpuMicros, TOPS);
     }
 
     private static void print(Map<String, Integer> counts, int total, double cpuMicros, int most) {
-        counts.entrySet().stream().sorted(Map.Entry.<String, Integer>comparingByValue(Comparator.reverseOrder())).limit(most)
-                .forEach(e -> System.out.printf(Locale.ROOT, "%-90s %7.1f%% %9.1f%n", e.getKey(), 100.0 * e.getValue() / total,
+        counts.entrySet().stream()
+                .sorted(Map.Entry.<String, Integer>comparingByValue(Comparator.reverseOrder()))
+                .limit(most)
+                .forEach(e -> System.out.printf(
+                        Locale.ROOT,
+                        "%-90s %7.1f%% %9.1f%n",
+                        e.getKey(),
+                        100.0 * e.getValue() / total,
                         cpuMicros * e.getValue() / total));
     }
 
--- a/bench/src/main/java/ridgemill/bench/ProxyCost.java
+++ b/bench/src/main/java/ridgemill/bench/ProxyCost.java
@@ -18,28 +18,50 @@
  * What a proxy itself costs: processor time a request, requests a second on one core, added latency and memory, for
  * ridgemill as a deployment runs it, other builds of it and a bare relay, in front of the same nodes, in turn in one run.
  */
-@Command(name = "proxy-cost", mixinStandardHelpOptions = true, description = "Measures ridgemill, other builds of it and "
-        + "a bare relay side by side; each runs on one core, the clients and the nodes on others.")
+@Command(
+        name = "proxy-cost",
+        mixinStandardHelpOptions = true,
+        description = "Measures ridgemill, other builds of it and "
+                + "a bare relay side by side; each runs on one core, the clients and the nodes on others.")
 public final class ProxyCost extends CoreMeasurement {
 
     private static final int NODES = 6;
 
-    @Option(names = "--seconds", paramLabel = "N", defaultValue = "6",
+    @Option(
+            names = "--seconds",
+            paramLabel = "N",
+            defaultValue = "6",
             description = "Length of each measurement (default: ${DEFAULT-VALUE}).")
     private int seconds;
-    @Option(names = "--rounds", paramLabel = "N", defaultValue = "3",
+
+    @Option(
+            names = "--rounds",
+            paramLabel = "N",
+            defaultValue = "3",
             description = "How often all are measured in turn; the median counts (default: ${DEFAULT-VALUE}).")
     private int rounds;
-    @Option(names = "--rate", paramLabel = "N", defaultValue = "1000",
+
+    @Option(
+            names = "--rate",
+            paramLabel = "N",
+            defaultValue = "1000",
             description = "Requests a second where the rate is set (default: ${DEFAULT-VALUE}).")
     private int rate;
-    @Option(names = "--warm-up", paramLabel = "N", defaultValue = "5",
+
+    @Option(
+            names = "--warm-up",
+            paramLabel = "N",
+            defaultValue = "5",
             description = "Seconds under full load before the first measurement (default: ${DEFAULT-VALUE}).")
     private int warmUp;
 
     @Option(names = "--before", paramLabel = "ROOT", description = Build.BEFORE)
     private List<Path> before = List.of();
-    @Option(names = "--operator-file", paramLabel = "FILE", description = "This build under such a file as well, in turn with the others.")
+
+    @Option(
+            names = "--operator-file",
+            paramLabel = "FILE",
+            description = "This build under such a file as well, in turn with the others.")
     private List<Path> files = List.of();
 
     /** The figures of one proxy, one value a round. */
@@ -67,8 +89,14 @@
                 all.add(ridgemill(Build.other(root), discovery, nodes, directory, List.of()));
             }
             for (Path file : files) {
-                all.add(ridgemill(new Build("under " + file.getFileName(), Build.THIS.root()), discovery, nodes, directory, List.of(),
-                        "--operator-file", file.toAbsolutePath().toString()));
+                all.add(ridgemill(
+                        new Build("under " + file.getFileName(), Build.THIS.root()),
+                        discovery,
+                        nodes,
+                        directory,
+                        List.of(),
+                        "--operator-file",
+                        file.toAbsolutePath().toString()));
             }
             all.add(Relay.start(nodes, String.valueOf(core), 1, Subject.runOptions(), directory));
             List<Subject> subjects = all.list();
@@ -100,23 +128,47 @@
     }
 
     private void print(Map<String, Figures> figures) {
-        System.out.printf(Locale.ROOT, "one core each, %d connections, %d nodes, medians of %d rounds of %d s%n", CONNECTIONS,
-                NODES, rounds, seconds);
-        System.out.printf("%-20s %14s %22s %12s %12s %10s %8s%n", "proxy", "requests/s", "CPU us/request at "
-                + rate + "/s", "added p50 us", "added p99 us", "memory MB", "failed");
+        System.out.printf(
+                Locale.ROOT,
+                "one core each, %d connections, %d nodes, medians of %d rounds of %d s%n",
+                CONNECTIONS,
+                NODES,
+                rounds,
+                seconds);
+        System.out.printf(
+                "%-20s %14s %22s %12s %12s %10s %8s%n",
+                "proxy",
+                "requests/s",
+                "CPU us/request at " + rate + "/s",
+                "added p50 us",
+                "added p99 us",
+                "memory MB",
+                "failed");
         Figures direct = figures.get("none");
         figures.forEach((name, f) -> {
             if (f != direct) {
-                System.out.printf(Locale.ROOT, "%-20s %14.0f %22.1f %12.0f %12.0f %10.1f %8d%n", name, median(f.perSecond),
-                        median(f.cpuMicros), median(f.p50) - median(direct.p50), median(f.p99) - median(direct.p99),
-                        median(f.memoryMb), f.failed);
+                System.out.printf(
+                        Locale.ROOT,
+                        "%-20s %14.0f %22.1f %12.0f %12.0f %10.1f %8d%n",
+                        name,
+                        median(f.perSecond),
+                        median(f.cpuMicros),
+                        median(f.p50) - median(direct.p50),
+                        median(f.p99) - median(direct.p99),
+                        median(f.memoryMb),
+                        f.failed);
             }
         });
         Figures own = figures.get(Build.THIS.name());
         figures.forEach((name, f) -> {
             if (f != direct && f != own) {
-                System.out.printf(Locale.ROOT, "ridgemill / %s, median of the rounds (least to most): requests/s %s, CPU a request %s, "
-                        + "memory %s%n", name, Ratio.of(own.perSecond, f.perSecond), Ratio.of(own.cpuMicros, f.cpuMicros),
+                System.out.printf(
+                        Locale.ROOT,
+                        "ridgemill / %s, median of the rounds (least to most): requests/s %s, CPU a request %s, "
+                                + "memory %s%n",
+                        name,
+                        Ratio.of(own.perSecond, f.perSecond),
+                        Ratio.of(own.cpuMicros, f.cpuMicros),
                         Ratio.of(own.memoryMb, f.memoryMb));
             }
         });
--- a/bench/src/main/java/ridgemill/bench/Ratio.java
+++ b/bench/src/main/java/ridgemill/bench/Ratio.java
@@ -12,9 +12,12 @@
 
     /** Of so many rounds as both have. */
     static Ratio of(List<Double> own, List<Double> other) {
-        double[] each = IntStream.range(0, Math.min(own.size(), other.size())).mapToDouble(i -> own.get(i) / other.get(i))
-                .sorted().toArray();
-        return each.length == 0 ? new Ratio(Double.NaN, Double.NaN, Double.NaN)
+        double[] each = IntStream.range(0, Math.min(own.size(), other.size()))
+                .mapToDouble(i -> own.get(i) / other.get(i))
+                .sorted()
+                .toArray();
+        return each.length == 0
+                ? new Ratio(Double.NaN, Double.NaN, Double.NaN)
                 : new Ratio(each[0], each[each.length / 2], each[each.length - 1]);
     }
 
--- a/bench/src/main/java/ridgemill/bench/Relay.java
+++ b/bench/src/main/java/ridgemill/bench/Relay.java
@@ -38,38 +38,56 @@
         for (int i = 2; i < args.length; i++) {
             nodes.add(Addresses.parse(args[i]));
         }
-        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(Integer.parseInt(args[0]), SocketKind.chosen().handlers());
+        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(
+                Integer.parseInt(args[0]), SocketKind.chosen().handlers());
         new Relay(nodes).listen(group, Addresses.parse(args[1])).closeFuture().sync();
     }
 
     /** Starts one in a process of its own, pinned to cores. */
-    static Subject start(List<InetSocketAddress> nodes, String cores, int loops, List<String> javaOptions, Path directory)
+    static Subject start(
+            List<InetSocketAddress> nodes, String cores, int loops, List<String> javaOptions, Path directory)
             throws Exception {
         InetSocketAddress address = Subject.freeAddress();
         List<String> command = new ArrayList<>(List.of("java"));
         command.addAll(javaOptions);
-        command.addAll(List.of("-Djava.library.path=gateway/target/native", "-cp", "bench/target/ridgemill-bench.jar",
-                Relay.class.getName(), String.valueOf(loops), Addresses.text(address)));
+        command.addAll(List.of(
+                "-Djava.library.path=gateway/target/native",
+                "-cp",
+                "bench/target/ridgemill-bench.jar",
+                Relay.class.getName(),
+                String.valueOf(loops),
+                Addresses.text(address)));
         nodes.forEach(n -> command.add(Addresses.text(n)));
         return Subject.start("relay", address, cores, directory, Path.of(""), command, List.of());
     }
 
     private Channel listen(MultiThreadIoEventLoopGroup group, InetSocketAddress address) throws InterruptedException {
-        return new ServerBootstrap().group(group).channel(SocketKind.of(group.next()).server())
-                .option(ChannelOption.SO_BACKLOG, 1024).childOption(ChannelOption.TCP_NODELAY, true)
-                .childOption(ChannelOption.AUTO_READ, false).childHandler(new ChannelInitializer<>() {
+        return new ServerBootstrap()
+                .group(group)
+                .channel(SocketKind.of(group.next()).server())
+                .option(ChannelOption.SO_BACKLOG, 1024)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.AUTO_READ, false)
+                .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel client) {
                         join(client);
                     }
-                }).bind(address).sync().channel();
+                })
+                .bind(address)
+                .sync()
+                .channel();
     }
 
     /** Opens the connection to a node on the client's own loop, and reads from the client once it is there. */
     private void join(Channel client) {
         InetSocketAddress node = nodes.get(Math.floorMod(next.getAndIncrement(), nodes.size()));
-        new Bootstrap().group(client.eventLoop()).channel(SocketKind.of(client.eventLoop()).client())
-                .option(ChannelOption.TCP_NODELAY, true).handler(new Half(client)).connect(node)
+        new Bootstrap()
+                .group(client.eventLoop())
+                .channel(SocketKind.of(client.eventLoop()).client())
+                .option(ChannelOption.TCP_NODELAY, true)
+                .handler(new Half(client))
+                .connect(node)
                 .addListener((ChannelFutureListener) f -> {
                     if (f.isSuccess()) {
                         client.pipeline().addLast(new Half(f.channel()));
--- a/bench/src/main/java/ridgemill/bench/RespCost.java
+++ b/bench/src/main/java/ridgemill/bench/RespCost.java
@@ -23,8 +23,11 @@
  * What the RESP front costs: beside the HTTP front of the same process and in front of the same RESP nodes, at pipelines of
  * 1, 16 and 128, beside other builds and a bare relay; and the memory of connections that are idle or stalled.
  */
-@Command(name = "resp-cost", mixinStandardHelpOptions = true, description = "Measures RESP clients and nodes; each proxy "
-        + "runs on one core, the clients and the nodes on others.")
+@Command(
+        name = "resp-cost",
+        mixinStandardHelpOptions = true,
+        description = "Measures RESP clients and nodes; each proxy "
+                + "runs on one core, the clients and the nodes on others.")
 public final class RespCost extends CoreMeasurement {
 
     private static final int NODES = 4;
@@ -34,10 +37,17 @@
     private static final int STALLED = 200;
     private static final String OWN = "ridgemill, RESP in, RESP out";
 
-    @Option(names = "--seconds", paramLabel = "N", defaultValue = "4",
+    @Option(
+            names = "--seconds",
+            paramLabel = "N",
+            defaultValue = "4",
             description = "Length of each measurement (default: ${DEFAULT-VALUE}).")
     private int seconds;
-    @Option(names = "--rounds", paramLabel = "N", defaultValue = "3",
+
+    @Option(
+            names = "--rounds",
+            paramLabel = "N",
+            defaultValue = "3",
             description = "How often all are measured in turn; the median counts (default: ${DEFAULT-VALUE}).")
     private int rounds;
 
@@ -80,22 +90,48 @@
             }
             targets.put("no proxy", nodes.get(0));
             for (int round = 0; round < rounds; round++) {
-                add(rows, "ridgemill, HTTP in, RESP out", 1, Pressure.run(clientLoop, own.address(), CONNECTIONS, 0, seconds));
+                add(
+                        rows,
+                        "ridgemill, HTTP in, RESP out",
+                        1,
+                        Pressure.run(clientLoop, own.address(), CONNECTIONS, 0, seconds));
                 for (int depth : DEPTHS) {
                     for (Map.Entry<String, InetSocketAddress> t : targets.entrySet()) {
-                        add(rows, t.getKey(), depth, RespPressure.run(clientLoop, t.getValue(), CONNECTIONS, depth, seconds));
+                        add(
+                                rows,
+                                t.getKey(),
+                                depth,
+                                RespPressure.run(clientLoop, t.getValue(), CONNECTIONS, depth, seconds));
                     }
                 }
             }
-            System.out.printf(Locale.ROOT, "one core each, %d connections, %d nodes, %d-byte values, medians of %d rounds of %d s%n",
-                    CONNECTIONS, NODES, VALUE, rounds, seconds);
+            System.out.printf(
+                    Locale.ROOT,
+                    "one core each, %d connections, %d nodes, %d-byte values, medians of %d rounds of %d s%n",
+                    CONNECTIONS,
+                    NODES,
+                    VALUE,
+                    rounds,
+                    seconds);
             System.out.printf("%-32s %10s %14s %10s%n", "proxy", "pipeline", "requests/s", "p99 us");
-            rows.forEach((name, r) -> System.out.printf(Locale.ROOT, "%-32s %10s %14.0f %10.0f%n", name.split("\\|")[0],
-                    name.split("\\|")[1], median(r.perSecond()), median(r.p99())));
+            rows.forEach((name, r) -> System.out.printf(
+                    Locale.ROOT,
+                    "%-32s %10s %14.0f %10.0f%n",
+                    name.split("\\|")[0],
+                    name.split("\\|")[1],
+                    median(r.perSecond()),
+                    median(r.p99())));
             for (int depth : DEPTHS) {
-                targets.keySet().stream().filter(name -> !name.equals(OWN)).forEach(name -> System.out.printf(Locale.ROOT,
-                        "ridgemill / %s at %d, median of the rounds (least to most): commands/s %s%n", name, depth,
-                        Ratio.of(rows.get(OWN + "|" + depth).perSecond(), rows.get(name + "|" + depth).perSecond())));
+                targets.keySet().stream()
+                        .filter(name -> !name.equals(OWN))
+                        .forEach(name -> System.out.printf(
+                                Locale.ROOT,
+                                "ridgemill / %s at %d, median of the rounds (least to most): commands/s %s%n",
+                                name,
+                                depth,
+                                Ratio.of(
+                                        rows.get(OWN + "|" + depth).perSecond(),
+                                        rows.get(name + "|" + depth).perSecond())));
             }
             memory(own, resp);
         }
@@ -134,7 +170,11 @@
             Thread.sleep(100);
             most = Math.max(most, ridgemill.memoryMb());
         }
-        System.out.printf(Locale.ROOT, "with %d more that sent 2,000 commands and read nothing: %.1f MB at most%n", STALLED, most);
+        System.out.printf(
+                Locale.ROOT,
+                "with %d more that sent 2,000 commands and read nothing: %.1f MB at most%n",
+                STALLED,
+                most);
         for (Socket s : sockets) {
             s.close();
         }
@@ -142,9 +182,11 @@
 
     private Subject ridgemill(Build build, List<InetSocketAddress> nodes, InetSocketAddress resp, Path directory)
             throws IOException, InterruptedException {
-        String members = nodes.stream().map(n -> "n" + n.getPort() + " = \"" + Addresses.text(n) + "\"")
+        String members = nodes.stream()
+                .map(n -> "n" + n.getPort() + " = \"" + Addresses.text(n) + "\"")
                 .collect(Collectors.joining(", "));
-        Path operator = Files.writeString(directory.resolve("gateway-" + resp.getPort() + ".toml"), """
+        Path operator = Files.writeString(
+                directory.resolve("gateway-" + resp.getPort() + ".toml"), """
                 [classes.read]
                 effect = "safe"
                 [groups.hall]
@@ -161,8 +203,15 @@
                 protocol = "resp"
                 address = "%s"
                 """.formatted(members, Addresses.text(resp)));
-        return Subject.ridgemill(build, JsonParser.parseString("""
+        return Subject.ridgemill(
+                build,
+                JsonParser.parseString("""
                 {"limits": {"sockets": 4096}, "discovery": "127.0.0.1:1", "known": {"seq": 1, "whole": true, "hosts": []}}
-                """).getAsJsonObject(), core, directory, List.of(), "--operator-file", operator.toString());
+                """).getAsJsonObject(),
+                core,
+                directory,
+                List.of(),
+                "--operator-file",
+                operator.toString());
     }
 }
--- a/bench/src/main/java/ridgemill/bench/RespPressure.java
+++ b/bench/src/main/java/ridgemill/bench/RespPressure.java
@@ -53,14 +53,19 @@
     private void start(InetSocketAddress target, int connections, double seconds) {
         startNanos = System.nanoTime();
         for (int i = 0; i < connections; i++) {
-            new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
+            new Bootstrap()
+                    .group(loop)
+                    .channel(NioSocketChannel.class)
+                    .option(ChannelOption.TCP_NODELAY, true)
                     .handler(new ChannelInitializer<>() {
                         @Override
                         protected void initChannel(Channel channel) {
                             channels.add(channel);
-                            channel.pipeline().addLast(new RespDecoder(RespParser.values(RespLimits.REPLY)), new Conn());
+                            channel.pipeline()
+                                    .addLast(new RespDecoder(RespParser.values(RespLimits.REPLY)), new Conn());
                         }
-                    }).connect(target);
+                    })
+                    .connect(target);
         }
         loop.schedule(this::end, (long) (seconds * 1e9), TimeUnit.NANOSECONDS);
     }
@@ -85,7 +90,11 @@
             StringBuilder text = new StringBuilder();
             for (int i = 0; i < depth; i++) {
                 String key = "m" + (100_000 + number++ % KEYS);
-                text.append("*2\r\n$3\r\nGET\r\n$").append(key.length()).append("\r\n").append(key).append("\r\n");
+                text.append("*2\r\n$3\r\nGET\r\n$")
+                        .append(key.length())
+                        .append("\r\n")
+                        .append(key)
+                        .append("\r\n");
             }
             left = depth;
             askedAt = System.nanoTime();
--- a/bench/src/main/java/ridgemill/bench/RouteCost.java
+++ b/bench/src/main/java/ridgemill/bench/RouteCost.java
@@ -17,10 +17,11 @@
     private static final int ROUNDS = 7;
     private static final double SECONDS = 0.4;
 
-    private RouteCost() { }
+    private RouteCost() {}
 
     public static void main(String[] args) {
-        System.out.printf("%10s %14s %14s %16s %12s%n", "routes", "ns a match", "naive ns", "compiled in ms", "matched");
+        System.out.printf(
+                "%10s %14s %14s %16s %12s%n", "routes", "ns a match", "naive ns", "compiled in ms", "matched");
         for (int count : new int[] {10, 1000, 10_000}) {
             List<Route<Integer>> routes = routes(count);
             long start = System.nanoTime();
@@ -31,9 +32,14 @@
             for (Query q : queries) {
                 matched += table.match(q).isPresent() ? 1 : 0;
             }
-            System.out.printf(Locale.ROOT, "%10d %14.0f %14.0f %16.1f %11.0f%%%n", count,
-                    median(queries, q -> table.match(q).isPresent()), count > 1000 ? naive(routes, queries, 200)
-                    : naive(routes, queries, QUERIES), compiled, 100 * matched / queries.length);
+            System.out.printf(
+                    Locale.ROOT,
+                    "%10d %14.0f %14.0f %16.1f %11.0f%%%n",
+                    count,
+                    median(queries, q -> table.match(q).isPresent()),
+                    count > 1000 ? naive(routes, queries, 200) : naive(routes, queries, QUERIES),
+                    compiled,
+                    100 * matched / queries.length);
         }
     }
 
@@ -64,7 +70,12 @@
 
     private static double naive(List<Route<Integer>> routes, Query[] queries, int some) {
         Query[] few = java.util.Arrays.copyOf(queries, some);
-        return median(few, q -> routes.stream().filter(r -> r.takes(q)).max(Route::compareSpecificity).isPresent());
+        return median(
+                few,
+                q -> routes.stream()
+                        .filter(r -> r.takes(q))
+                        .max(Route::compareSpecificity)
+                        .isPresent());
     }
 
     /** Some exact, some with a template, some open; all under a common beginning, as in an installation that grew. */
@@ -86,11 +97,14 @@
         Query[] queries = new Query[QUERIES];
         for (int i = 0; i < QUERIES; i++) {
             int route = random.nextInt(count);
-            queries[i] = new Query("GET", switch (route % 3) {
-                case 0 -> "/api/s" + route + "/balance";
-                case 1 -> "/api/s" + route + "/m" + random.nextInt(1000) + "/balance";
-                default -> "/api/s" + route + "/a/b";
-            }, "tenant");
+            queries[i] = new Query(
+                    "GET",
+                    switch (route % 3) {
+                        case 0 -> "/api/s" + route + "/balance";
+                        case 1 -> "/api/s" + route + "/m" + random.nextInt(1000) + "/balance";
+                        default -> "/api/s" + route + "/a/b";
+                    },
+                    "tenant");
         }
         return queries;
     }
--- a/bench/src/main/java/ridgemill/bench/Subject.java
+++ b/bench/src/main/java/ridgemill/bench/Subject.java
@@ -32,16 +32,25 @@
     }
 
     /** Starts a command in a directory, pinned to cores, as {@code taskset} lists them, and returns when it listens. */
-    static Subject start(String name, InetSocketAddress address, String cores, Path directory, Path from, List<String> command,
-                         List<String> environment) throws IOException, InterruptedException {
+    static Subject start(
+            String name,
+            InetSocketAddress address,
+            String cores,
+            Path directory,
+            Path from,
+            List<String> command,
+            List<String> environment)
+            throws IOException, InterruptedException {
         List<String> pinned = new ArrayList<>(List.of("taskset", "-c", cores));
         pinned.addAll(command);
-        ProcessBuilder builder = new ProcessBuilder(pinned).directory(from.toAbsolutePath().toFile());
+        ProcessBuilder builder =
+                new ProcessBuilder(pinned).directory(from.toAbsolutePath().toFile());
         for (String pair : environment) {
             builder.environment().put(pair.substring(0, pair.indexOf('=')), pair.substring(pair.indexOf('=') + 1));
         }
         Path log = directory.resolve(name + ".log");
-        Process process = builder.redirectErrorStream(true).redirectOutput(log.toFile()).start();
+        Process process =
+                builder.redirectErrorStream(true).redirectOutput(log.toFile()).start();
         long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_S);
         while (!listens(address)) {
             if (!process.isAlive() || System.nanoTime() > end) {
@@ -72,9 +81,15 @@
      * @param more what its configuration says beside what all measurements share
      * @param environment further variables, each {@code NAME=VALUE}
      */
-    static Subject ridgemill(Build build, JsonObject more, int core, Path directory, List<String> environment,
-                             String... arguments) throws IOException, InterruptedException {
-        return ridgemill(build, more, String.valueOf(core), directory, environment,
+    static Subject ridgemill(
+            Build build, JsonObject more, int core, Path directory, List<String> environment, String... arguments)
+            throws IOException, InterruptedException {
+        return ridgemill(
+                build,
+                more,
+                String.valueOf(core),
+                directory,
+                environment,
                 List.of("/bin/sh", "-c", String.join(" ", runLine(build), String.join(" ", arguments))));
     }
 
@@ -83,14 +98,34 @@
      *
      * @param operatorFile what it runs under
      */
-    static Subject ridgemill(Build build, JsonObject more, String cores, Path directory, List<String> environment, Path options,
-                             Path operatorFile) throws IOException, InterruptedException {
-        return ridgemill(build, more, cores, directory, environment, List.of("java", "@" + options.toAbsolutePath(), "-jar",
-                "gateway/target/ridgemill.jar", "serve", "--operator-file", operatorFile.toString()));
-    }
-
-    private static Subject ridgemill(Build build, JsonObject more, String cores, Path directory, List<String> environment,
-                                     List<String> command) throws IOException, InterruptedException {
+    static Subject ridgemill(
+            Build build,
+            JsonObject more,
+            String cores,
+            Path directory,
+            List<String> environment,
+            Path options,
+            Path operatorFile)
+            throws IOException, InterruptedException {
+        return ridgemill(
+                build,
+                more,
+                cores,
+                directory,
+                environment,
+                List.of(
+                        "java",
+                        "@" + options.toAbsolutePath(),
+                        "-jar",
+                        "gateway/target/ridgemill.jar",
+                        "serve",
+                        "--operator-file",
+                        operatorFile.toString()));
+    }
+
+    private static Subject ridgemill(
+            Build build, JsonObject more, String cores, Path directory, List<String> environment, List<String> command)
+            throws IOException, InterruptedException {
         InetSocketAddress address = freeAddress();
         Path own = Files.createTempDirectory(directory, "ridgemill");
         List<String> variables = new ArrayList<>(environment);
@@ -100,14 +135,19 @@
 
     /** The Java machine's options of this build's run line but those that name its archive, for what runs beside it. */
     static List<String> runOptions() throws IOException {
-        return Stream.of(runLine(Build.THIS).split(" ")).filter(w -> w.startsWith("-X") && !w.startsWith("-Xshare")
-                && !w.contains("SharedArchiveFile") || w.startsWith("-Dio.netty")).toList();
+        return Stream.of(runLine(Build.THIS).split(" "))
+                .filter(w -> w.startsWith("-X") && !w.startsWith("-Xshare") && !w.contains("SharedArchiveFile")
+                        || w.startsWith("-Dio.netty"))
+                .toList();
     }
 
     private static String runLine(Build build) throws IOException {
-        return Files.readAllLines(build.root().resolve("deploy/balancer.toml")).stream().filter(l -> l.startsWith("run = "))
-                .map(l -> l.substring(l.indexOf('"') + 1, l.lastIndexOf('"'))).findFirst()
-                .orElseThrow(() -> new IOException(build.root() + "/deploy/balancer.toml: no line 'run = ...' (start this from the root)"));
+        return Files.readAllLines(build.root().resolve("deploy/balancer.toml")).stream()
+                .filter(l -> l.startsWith("run = "))
+                .map(l -> l.substring(l.indexOf('"') + 1, l.lastIndexOf('"')))
+                .findFirst()
+                .orElseThrow(() -> new IOException(
+                        build.root() + "/deploy/balancer.toml: no line 'run = ...' (start this from the root)"));
     }
 
     private static Path configuration(InetSocketAddress address, JsonObject more, Path directory) throws IOException {
@@ -127,7 +167,8 @@
 
     /** The middle one of figures, one a round. */
     static double median(List<Double> values) {
-        double[] sorted = values.stream().mapToDouble(Double::doubleValue).sorted().toArray();
+        double[] sorted =
+                values.stream().mapToDouble(Double::doubleValue).sorted().toArray();
         return sorted.length == 0 ? Double.NaN : sorted[sorted.length / 2];
     }
 
@@ -152,15 +193,20 @@
 
     /** It and the workers that it has started. */
     private List<Long> pids() {
-        return Stream.concat(Stream.of(process.toHandle()), process.descendants()).map(ProcessHandle::pid).toList();
+        return Stream.concat(Stream.of(process.toHandle()), process.descendants())
+                .map(ProcessHandle::pid)
+                .toList();
     }
 
     /** Memory that it holds, in MB. */
     double memoryMb() throws IOException {
         double sum = 0;
         for (long pid : pids()) {
-            sum += Files.readAllLines(Path.of("/proc/" + pid + "/status")).stream().filter(l -> l.startsWith("VmRSS:"))
-                    .mapToDouble(l -> Double.parseDouble(l.replaceAll("[^0-9]", "")) / 1024).findFirst().orElse(Double.NaN);
+            sum += Files.readAllLines(Path.of("/proc/" + pid + "/status")).stream()
+                    .filter(l -> l.startsWith("VmRSS:"))
+                    .mapToDouble(l -> Double.parseDouble(l.replaceAll("[^0-9]", "")) / 1024)
+                    .findFirst()
+                    .orElse(Double.NaN);
         }
         return sum;
     }
--- a/bench/src/main/java/ridgemill/bench/scale/Capacity.java
+++ b/bench/src/main/java/ridgemill/bench/scale/Capacity.java
@@ -7,7 +7,9 @@
 import picocli.CommandLine.Option;
 
 /** Recomputes the figures of the capacity page from the points that {@link Scale} stored. */
-@Command(name = "capacity", mixinStandardHelpOptions = true,
+@Command(
+        name = "capacity",
+        mixinStandardHelpOptions = true,
         description = "Writes the figures of docs/CAPACITY.md anew from the points that it names.")
 public final class Capacity implements Callable<Integer> {
 
--- a/bench/src/main/java/ridgemill/bench/scale/CapacityTables.java
+++ b/bench/src/main/java/ridgemill/bench/scale/CapacityTables.java
@@ -27,10 +27,11 @@
 
     private String all() {
         budgets();
-        role("One edge proxy at the target size", model.proxyParts(),
+        role(
+                "One edge proxy at the target size",
+                model.proxyParts(),
                 List.of(Measure.PROXY_CPU, Measure.PROXY_IN, Measure.PROXY_OUT, Measure.PROXY_FRAMES));
-        role("One registry at the target size", model.registryParts(),
-                List.of(Measure.REGISTRY_CPU));
+        role("One registry at the target size", model.registryParts(), List.of(Measure.REGISTRY_CPU));
         role("One configuration store at the target size", model.storeParts(), List.of(Measure.STORE_CPU));
         servers();
         memory();
@@ -59,20 +60,34 @@
         ScalePoint changes = model.highest(Model.CHANGES_AT_MOST);
         heading("Budgets against results", "budget", "limit", "result", "how", "verdict");
         budget("edge proxy: processor for control, % of a core", Target.PROXY_CPU_PERCENT, cpu, "worked out");
-        budget("edge proxy: memory of the whole process without requests, MB", Target.PROXY_MB,
-                model.most(Measure.PROXY_RSS), "most of any point, played to 1,300 edge proxies");
+        budget(
+                "edge proxy: memory of the whole process without requests, MB",
+                Target.PROXY_MB,
+                model.most(Measure.PROXY_RSS),
+                "most of any point, played to 1,300 edge proxies");
         budget("edge proxy: control bytes/s, contents of messages", Target.PROXY_BYTES_PER_S, bytes, "worked out");
-        budget("edge proxy: control bytes/s with 52 bytes of headers a message", Target.PROXY_BYTES_PER_S, onWire,
+        budget(
+                "edge proxy: control bytes/s with 52 bytes of headers a message",
+                Target.PROXY_BYTES_PER_S,
+                onWire,
                 "worked out; headers not measured");
-        budget("purge done everywhere, longest, ms, at " + number(purges.value()) + " purges/s and 1,300",
-                Target.PURGE_LIMIT_MS, purges.purge().maxMs(), "played, loopback");
-        budget("change in force everywhere, longest, ms, at " + number(changes.value()) + " changes/s and 1,300",
-                Target.CHANGE_LIMIT_MS, changes.change().maxMs(), "played, loopback");
-        budget("store: processor without keys, % of its one core", 100,
-                Model.sum(model.storeParts(), Measure.STORE_CPU), "worked out");
+        budget(
+                "purge done everywhere, longest, ms, at " + number(purges.value()) + " purges/s and 1,300",
+                Target.PURGE_LIMIT_MS,
+                purges.purge().maxMs(),
+                "played, loopback");
+        budget(
+                "change in force everywhere, longest, ms, at " + number(changes.value()) + " changes/s and 1,300",
+                Target.CHANGE_LIMIT_MS,
+                changes.change().maxMs(),
+                "played, loopback");
+        budget(
+                "store: processor without keys, % of its one core",
+                100, Model.sum(model.storeParts(), Measure.STORE_CPU), "worked out");
         budget("the same by the slope that was played before 1,300, of two points", 100, storeByPlayed(), "worked out");
-        budget("registry: processor, % of its one core", 100,
-                Model.sum(model.registryParts(), Measure.REGISTRY_CPU), "worked out");
+        budget(
+                "registry: processor, % of its one core",
+                100, Model.sum(model.registryParts(), Measure.REGISTRY_CPU), "worked out");
     }
 
     private void budget(String name, double limit, double result, String how) {
@@ -86,16 +101,34 @@
     }
 
     private void servers() {
-        heading("Between one server and its 1,300 edge proxies", "server", "kind", "from", "out, B/s", "in, B/s",
+        heading(
+                "Between one server and its 1,300 edge proxies",
+                "server",
+                "kind",
+                "from",
+                "out, B/s",
+                "in, B/s",
                 "messages in and out, 1/s");
         server("registry", "pings of links at rest", "slope of registries-at-100 x 1,300", Target.PROXIES, null);
-        server("registry", "208 comings and leavings a day", "slope of states-at-200 / 3 x 0.00241 x 1,300",
-                Target.STATES_PER_S * Target.PROXIES, Model.STATES_AT_200);
+        server(
+                "registry",
+                "208 comings and leavings a day",
+                "slope of states-at-200 / 3 x 0.00241 x 1,300",
+                Target.STATES_PER_S * Target.PROXIES,
+                Model.STATES_AT_200);
         server("store", "pings of links at rest", "slope of registries-at-100 x 1,300", Target.PROXIES, null);
-        server("store", "27 purges/s", "slope of purges-at-200 / 3 x 27 x 1,300",
-                Target.PURGES_PER_S * Target.PROXIES, Model.PURGES_AT_200);
-        server("store", "7,000 changes a day", "slope of changes-at-200 / 3 x 0.0810 x 1,300",
-                Target.CHANGES_PER_S * Target.PROXIES, Model.CHANGES_AT_200);
+        server(
+                "store",
+                "27 purges/s",
+                "slope of purges-at-200 / 3 x 27 x 1,300",
+                Target.PURGES_PER_S * Target.PROXIES,
+                Model.PURGES_AT_200);
+        server(
+                "store",
+                "7,000 changes a day",
+                "slope of changes-at-200 / 3 x 0.0810 x 1,300",
+                Target.CHANGES_PER_S * Target.PROXIES,
+                Model.CHANGES_AT_200);
         row("registry", "to the other registries and the stores", "", NOT_MEASURED, NOT_MEASURED, NOT_MEASURED);
         row("store", "to the other stores and the registries", "", NOT_MEASURED, NOT_MEASURED, NOT_MEASURED);
     }
@@ -110,12 +143,20 @@
     }
 
     private void memory() {
-        heading("Memory", "process", "resident at 1,300 edge proxies, MB", "by 300 more instances, MB",
-                "by 900 more routes, MB", "by operation keys");
+        heading(
+                "Memory",
+                "process",
+                "resident at 1,300 edge proxies, MB",
+                "by 300 more instances, MB",
+                "by 900 more routes, MB",
+                "by operation keys");
         for (Measure measure : List.of(Measure.PROXY_RSS, Measure.REGISTRY_RSS, Measure.STORE_RSS)) {
-            row(measure.label(), number(model.line(Model.PROXIES, measure).at(Target.PROXIES)),
+            row(
+                    measure.label(),
+                    number(model.line(Model.PROXIES, measure).at(Target.PROXIES)),
                     number(model.line(Model.INSTANCES_AT_100, measure).slope() * 300),
-                    number(model.line(Model.ROUTES_AT_100, measure).slope() * 900), NOT_MEASURED);
+                    number(model.line(Model.ROUTES_AT_100, measure).slope() * 900),
+                    NOT_MEASURED);
         }
     }
 
@@ -139,32 +180,60 @@
         ScalePoint most = model.highest(Model.KEYS_AT_200);
         heading("Operation keys and the disk", "figure", "value", "how");
         row("processor of each of three voters for one key a second, % of a core", number(ofOne), "slope");
-        row("bytes to disk for one key, each voter", number(model.line(Model.KEYS_AT_200, Measure.STORE_DISK).slope()),
+        row(
+                "bytes to disk for one key, each voter",
+                number(model.line(Model.KEYS_AT_200, Measure.STORE_DISK).slope()),
                 "slope");
-        row("bytes to disk for one configuration change, each voter",
-                number(model.line(Model.CHANGES_AT_200, Measure.STORE_DISK).slope()), "slope");
-        row("claim to grant at " + number(most.value()) + " keys/s: p50, p99, longest, ms",
-                times(most.key()), "played");
-        row("keys/s that a voter's core leaves room for beside the rest at the target size",
-                rest > 0 ? number(rest / ofOne) : "none", "worked out");
+        row(
+                "bytes to disk for one configuration change, each voter",
+                number(model.line(Model.CHANGES_AT_200, Measure.STORE_DISK).slope()),
+                "slope");
+        row(
+                "claim to grant at " + number(most.value()) + " keys/s: p50, p99, longest, ms",
+                times(most.key()),
+                "played");
+        row(
+                "keys/s that a voter's core leaves room for beside the rest at the target size",
+                rest > 0 ? number(rest / ofOne) : "none",
+                "worked out");
         row("syncs a second", NOT_MEASURED, "");
     }
 
     private void played() {
-        heading("Times that were played", "series", "knob", "edge proxies", "purge p50, p99, longest, ms",
-                "change p50, p99, longest, ms", "coming of an instance p50, p99, longest, ms", "unfinished");
-        for (String series : List.of(Model.PROXIES, Model.PURGES_AT_50, Model.PURGES_AT_200, Model.PURGES_AT_MOST,
-                Model.CHANGES_AT_200, Model.CHANGES_AT_MOST, Model.STATES_AT_200)) {
+        heading(
+                "Times that were played",
+                "series",
+                "knob",
+                "edge proxies",
+                "purge p50, p99, longest, ms",
+                "change p50, p99, longest, ms",
+                "coming of an instance p50, p99, longest, ms",
+                "unfinished");
+        for (String series : List.of(
+                Model.PROXIES,
+                Model.PURGES_AT_50,
+                Model.PURGES_AT_200,
+                Model.PURGES_AT_MOST,
+                Model.CHANGES_AT_200,
+                Model.CHANGES_AT_MOST,
+                Model.STATES_AT_200)) {
             model.series(series).stream()
                     .filter(point -> series.equals(Model.PROXIES) || point.value() > 0)
-                    .forEach(point -> row(series, number(point.value()), number(point.conditions().proxies()),
-                            times(point.purge()), times(point.change()), times(point.state()),
+                    .forEach(point -> row(
+                            series,
+                            number(point.value()),
+                            number(point.conditions().proxies()),
+                            times(point.purge()),
+                            times(point.change()),
+                            times(point.state()),
                             String.valueOf(unfinished(point))));
         }
     }
 
     private static int unfinished(ScalePoint point) {
-        return point.purge().unfinished() + point.change().unfinished() + point.state().unfinished();
+        return point.purge().unfinished()
+                + point.change().unfinished()
+                + point.state().unfinished();
     }
 
     private static String times(Times times) {
@@ -178,8 +247,14 @@
         for (Fitted fitted : Fitted.ALL) {
             for (Measure measure : fitted.measures()) {
                 Line line = model.line(fitted.series(), measure);
-                row(fitted.series(), measure.label(), measure.unit(), number(line.slope()), number(line.intercept()),
-                        number(line.residual()), String.valueOf(line.points()));
+                row(
+                        fitted.series(),
+                        measure.label(),
+                        measure.unit(),
+                        number(line.slope()),
+                        number(line.intercept()),
+                        number(line.residual()),
+                        String.valueOf(line.points()));
             }
         }
     }
@@ -191,8 +266,7 @@
                 List.of(Measure.PROXY_CPU, Measure.PROXY_IN, Measure.PROXY_OUT, Measure.PROXY_FRAMES);
         private static final List<Measure> STORE = List.of(Measure.STORE_CPU, Measure.STORE_DISK);
         private static final List<Measure> REGISTRY = List.of(Measure.REGISTRY_CPU);
-        private static final List<Measure> MEMORY =
-                List.of(Measure.REGISTRY_RSS, Measure.STORE_RSS, Measure.PROXY_RSS);
+        private static final List<Measure> MEMORY = List.of(Measure.REGISTRY_RSS, Measure.STORE_RSS, Measure.PROXY_RSS);
         private static final List<Fitted> ALL = List.of(
                 new Fitted(Model.PROXIES, join(STORE, REGISTRY, PROXY, MEMORY)),
                 new Fitted(Model.PURGES_AT_50, STORE),
--- a/bench/src/main/java/ridgemill/bench/scale/Conditions.java
+++ b/bench/src/main/java/ridgemill/bench/scale/Conditions.java
@@ -20,4 +20,4 @@
         double changesPerS,
         double purgesPerS,
         double keysPerS,
-        double statesPerS) { }
+        double statesPerS) {}
--- a/bench/src/main/java/ridgemill/bench/scale/ControlCaller.java
+++ b/bench/src/main/java/ridgemill/bench/scale/ControlCaller.java
@@ -21,8 +21,10 @@
         thread.setDaemon(true);
         return thread;
     });
-    private final HttpClient client =
-            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).executor(threads).build();
+    private final HttpClient client = HttpClient.newBuilder()
+            .version(HttpClient.Version.HTTP_1_1)
+            .executor(threads)
+            .build();
     private final AtomicLong turn = new AtomicLong();
 
     ControlCaller(Deployment deployment) {
--- a/bench/src/main/java/ridgemill/bench/scale/Deployment.java
+++ b/bench/src/main/java/ridgemill/bench/scale/Deployment.java
@@ -20,6 +20,7 @@
     private static final String PROXY_HOST = "127.0.0.101";
     /** Ports below those that the kernel gives to connections. */
     private static final int LEAST_PORT = 20_000;
+
     private static final int MOST_PORT = 28_000;
     private static final int PORTS = 5;
     private static final int ATTEMPTS = 100;
@@ -121,15 +122,18 @@
         List<String> lines = Files.readAllLines(DEPLOYMENT);
         int section = lines.indexOf("[roles." + role + "]");
         String line = lines.get(section + 1);
-        return Arrays.asList(line.substring(line.indexOf('"') + 1, line.lastIndexOf('"')).split(" "));
+        return Arrays.asList(
+                line.substring(line.indexOf('"') + 1, line.lastIndexOf('"')).split(" "));
     }
 
     private String settings(String role, String host) {
-        String seeds = String.join(",", SEEDS.stream().map(seed -> '"' + controlAddress(seed) + '"').toList());
+        String seeds = String.join(
+                ",",
+                SEEDS.stream().map(seed -> '"' + controlAddress(seed) + '"').toList());
         boolean isEdge = role.equals("proxy");
         String listen = isEdge
-                ? "frontAddress = \"" + host + ":" + (firstPort + 3) + "\"\n"
-                        + "readyAddress = \"" + readinessAddress() + "\""
+                ? "frontAddress = \"" + host + ":" + (firstPort + 3) + "\"\n" + "readyAddress = \"" + readinessAddress()
+                        + "\""
                 : "controlAddress = \"" + controlAddress(host) + "\"";
         String disk = isEdge ? "" : "dataDirectory = \"" + directory.resolve("data-" + host) + "\"\n";
         return """
@@ -149,8 +153,8 @@
                 fileDescriptors = 20000
                 [toleratedLosses]
                 machines = 1
-                """
-                .formatted((isEdge ? "edge-" : "core-") + host, host, registryPort(), storePort(), seeds, disk, listen);
+                """.formatted(
+                        (isEdge ? "edge-" : "core-") + host, host, registryPort(), storePort(), seeds, disk, listen);
     }
 
     @Override
--- a/bench/src/main/java/ridgemill/bench/scale/HollowLink.java
+++ b/bench/src/main/java/ridgemill/bench/scale/HollowLink.java
@@ -51,8 +51,7 @@
      *
      * @param subscription what is asked for once the link is open
      */
-    HollowLink(
-            EventLoop loop, InetSocketAddress address, LinkMessages.Hello hello, Message subscription, Meter meter) {
+    HollowLink(EventLoop loop, InetSocketAddress address, LinkMessages.Hello hello, Message subscription, Meter meter) {
         this.loop = loop;
         this.address = address;
         this.hello = hello;
--- a/bench/src/main/java/ridgemill/bench/scale/HollowProxy.java
+++ b/bench/src/main/java/ridgemill/bench/scale/HollowProxy.java
@@ -25,7 +25,11 @@
         this.loop = loop;
         this.meter = meter;
         this.hello = new LinkMessages.Hello(
-                LinkMessages.Hello.PROTOCOL, "proxy", "hollow-" + number, "127.0.0.1", UUID.randomUUID().toString());
+                LinkMessages.Hello.PROTOCOL,
+                "proxy",
+                "hollow-" + number,
+                "127.0.0.1",
+                UUID.randomUUID().toString());
     }
 
     void followRegistry(InetSocketAddress address) {
@@ -71,7 +75,7 @@
 
     private void finish(String key) {
         for (HollowLink store : stores) {
-            store.call(callId -> new StoreMessages.FinishKey(callId, key, key, ANSWER), ignored -> { });
+            store.call(callId -> new StoreMessages.FinishKey(callId, key, key, ANSWER), ignored -> {});
         }
     }
 }
--- a/bench/src/main/java/ridgemill/bench/scale/Load.java
+++ b/bench/src/main/java/ridgemill/bench/scale/Load.java
@@ -59,9 +59,13 @@
             AtomicLong sequence = new AtomicLong();
             long firstMs = HEARTBEAT_MS * (own % 10) / 10;
             heartbeats.add(timer.scheduleAtFixedRate(
-                    () -> counted("PUT", "/ridgemill/instances/i-" + own,
+                    () -> counted(
+                            "PUT",
+                            "/ridgemill/instances/i-" + own,
                             heartbeat(FIRST_INSTANCE_PORT + own, sequence.incrementAndGet())),
-                    firstMs, HEARTBEAT_MS, TimeUnit.MILLISECONDS));
+                    firstMs,
+                    HEARTBEAT_MS,
+                    TimeUnit.MILLISECONDS));
         }
     }
 
@@ -80,7 +84,12 @@
     }
 
     /** What can be turned up by a rate. */
-    enum Knob { CHANGES, PURGES, KEYS, STATES }
+    enum Knob {
+        CHANGES,
+        PURGES,
+        KEYS,
+        STATES
+    }
 
     /** Ends all but the heartbeats. */
     void rest() {
@@ -154,8 +163,7 @@
         return """
                 {"address":"127.0.0.1:%d","information":{"service":"s","version":"v1","zone":"a","slotCount":32},
                 "status":{"state":"ready","sequence":%d,"coldRemaining":"0ms"}}
-                """
-                .formatted(port, sequence);
+                """.formatted(port, sequence);
     }
 
     @Override
--- a/bench/src/main/java/ridgemill/bench/scale/Measure.java
+++ b/bench/src/main/java/ridgemill/bench/scale/Measure.java
@@ -13,7 +13,9 @@
     PROXY_RSS("edge proxy, memory", "MB", point -> point.proxy().rssMb()),
     PROXY_IN("edge proxy, in", "B/s", point -> point.hollow().inBytesPerS()),
     PROXY_OUT("edge proxy, out", "B/s", point -> point.hollow().outBytesPerS()),
-    PROXY_FRAMES("edge proxy, messages in and out", "1/s",
+    PROXY_FRAMES(
+            "edge proxy, messages in and out",
+            "1/s",
             point -> point.hollow().inFramesPerS() + point.hollow().outFramesPerS());
 
     private final String label;
--- a/bench/src/main/java/ridgemill/bench/scale/MeasuredProcess.java
+++ b/bench/src/main/java/ridgemill/bench/scale/MeasuredProcess.java
@@ -23,7 +23,7 @@
      * @param cpuMs processor time, in milliseconds; the kernel counts in hundredths of a second
      * @param rssMb resident memory now, in MB
      */
-    record Usage(double cpuMs, double rssMb, long readBytes, long writtenBytes, long diskBytes) { }
+    record Usage(double cpuMs, double rssMb, long readBytes, long writtenBytes, long diskBytes) {}
 
     private MeasuredProcess(Process process) {
         this.process = process;
@@ -31,7 +31,8 @@
 
     /** Starts a command from the root of the sources under a settings file; its output goes to the log file. */
     static MeasuredProcess start(List<String> command, Path settings, Path log) throws IOException {
-        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(log.toFile());
+        ProcessBuilder builder =
+                new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(log.toFile());
         builder.environment().put("RIDGEMILL_CONFIG", settings.toString());
         return new MeasuredProcess(builder.redirectInput(new File("/dev/null")).start());
     }
--- a/bench/src/main/java/ridgemill/bench/scale/Meter.java
+++ b/bench/src/main/java/ridgemill/bench/scale/Meter.java
@@ -85,7 +85,12 @@
     }
 
     Reading read() {
-        return new Reading(inBytes.sum(), outBytes.sum(), inFrames.sum(), outFrames.sum(), changesCarriedOut.sum(),
+        return new Reading(
+                inBytes.sum(),
+                outBytes.sum(),
+                inFrames.sum(),
+                outFrames.sum(),
+                changesCarriedOut.sum(),
                 purgesCarriedOut.sum());
     }
 }
--- a/bench/src/main/java/ridgemill/bench/scale/Model.java
+++ b/bench/src/main/java/ridgemill/bench/scale/Model.java
@@ -53,7 +53,9 @@
 
     /** The point of a series at which its knob stood highest. */
     ScalePoint highest(String series) {
-        return series(series).stream().max(Comparator.comparingDouble(ScalePoint::value)).orElseThrow();
+        return series(series).stream()
+                .max(Comparator.comparingDouble(ScalePoint::value))
+                .orElseThrow();
     }
 
     /** The largest value of a measure that any point shows. */
@@ -67,7 +69,9 @@
                 slope("310 instances, at rest", INSTANCES_AT_100, Target.INSTANCES),
                 slope("27 purges/s", PURGES_AT_200, Target.PURGES_PER_S),
                 slope("7,000 changes a day", CHANGES_AT_200, Target.CHANGES_PER_S),
-                slope("208 comings and leavings a day, from 18 registries", STATES_AT_200,
+                slope(
+                        "208 comings and leavings a day, from 18 registries",
+                        STATES_AT_200,
                         Target.STATES_PER_S * Target.CORE_MACHINES / PLAYED_REGISTRIES));
     }
 
@@ -75,15 +79,15 @@
         double morePeers = Target.CORE_MACHINES - PLAYED_REGISTRIES;
         return List.of(
                 at("links of 1,300 edge proxies, at rest", PROXIES, Target.PROXIES),
-                new Part("all names told to 15 more registries: no more than this",
+                new Part(
+                        "all names told to 15 more registries: no more than this",
                         "slope of proxies x 1,300 x 15/2, as if it were all for the two others",
-                        measure -> line(PROXIES, measure).slope() * Target.PROXIES * morePeers
-                                / (PLAYED_REGISTRIES - 1)),
+                        measure ->
+                                line(PROXIES, measure).slope() * Target.PROXIES * morePeers / (PLAYED_REGISTRIES - 1)),
                 slope("heartbeats of 310 instances", INSTANCES_AT_100, Target.INSTANCES),
                 slope("a third of 27 purges/s", PURGES_AT_200, Target.PURGES_PER_S),
                 slope("a third of 7,000 changes a day", CHANGES_AT_200, Target.CHANGES_PER_S),
-                slope("208 comings and leavings a day", STATES_AT_200,
-                        Target.STATES_PER_S * Target.PROXIES / MANY));
+                slope("208 comings and leavings a day", STATES_AT_200, Target.STATES_PER_S * Target.PROXIES / MANY));
     }
 
     /**
@@ -102,10 +106,13 @@
     List<Part> storeParts() {
         return List.of(
                 at("links of 1,300 edge proxies, at rest", PROXIES, Target.PROXIES),
-                new Part("27 purges/s to 1,300 edge proxies",
+                new Part(
+                        "27 purges/s to 1,300 edge proxies",
                         "(a + b x 1,300) x 27 of " + PURGES_AT_50 + ", " + PURGES_AT_200,
                         measure -> purgeSlope(measure, Target.PROXIES) * Target.PURGES_PER_S),
-                slope("7,000 changes a day to 1,300 edge proxies", CHANGES_AT_200,
+                slope(
+                        "7,000 changes a day to 1,300 edge proxies",
+                        CHANGES_AT_200,
                         Target.CHANGES_PER_S * Target.PROXIES / MANY));
     }
 
@@ -124,8 +131,8 @@
 
     /** Slopes below zero are noise, as no load makes a process cheaper: they count as nothing. */
     private Part slope(String name, String series, double units) {
-        String from = String.format(java.util.Locale.ROOT, units < 1 ? "slope of %s x %.3g" : "slope of %s x %,.0f",
-                series, units);
+        String from = String.format(
+                java.util.Locale.ROOT, units < 1 ? "slope of %s x %.3g" : "slope of %s x %,.0f", series, units);
         return new Part(name, from, measure -> Math.max(0, line(series, measure).slope()) * units);
     }
 
--- a/bench/src/main/java/ridgemill/bench/scale/Rig.java
+++ b/bench/src/main/java/ridgemill/bench/scale/Rig.java
@@ -15,6 +15,7 @@
     private static final long TAIL_MS = 700;
     /** Newcomers are told again for so long, which is not what a point is to show. */
     private static final long NEWCOMER_MS = 5_000;
+
     private static final int ROUTES_AT_ONCE = 100;
 
     private final Deployment deployment;
@@ -56,7 +57,9 @@
 
     private void untilReady() throws InterruptedException {
         long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(START_PATIENCE_MS);
-        while (caller.callAt(deployment.readinessAddress(), "GET", "/ridgemill/readiness", "").join() != OK) {
+        while (caller.callAt(deployment.readinessAddress(), "GET", "/ridgemill/readiness", "")
+                        .join()
+                != OK) {
             giveUpAfter(end, "readiness");
         }
     }
@@ -131,9 +134,20 @@
         Thread.sleep(milliseconds);
         load.rest();
         Thread.sleep(TAIL_MS);
-        return new ScalePoint(quiet.series(), quiet.value(), quiet.windowS(), quiet.conditions(), quiet.registry(),
-                quiet.store(), quiet.proxy(), quiet.hollow(), meter.changes().times(), meter.purges().times(),
-                load.keys().times(), load.states().times(), quiet.benchCores());
+        return new ScalePoint(
+                quiet.series(),
+                quiet.value(),
+                quiet.windowS(),
+                quiet.conditions(),
+                quiet.registry(),
+                quiet.store(),
+                quiet.proxy(),
+                quiet.hollow(),
+                meter.changes().times(),
+                meter.purges().times(),
+                load.keys().times(),
+                load.states().times(),
+                quiet.benchCores());
     }
 
     private void play(Rates rates) {
@@ -143,8 +157,7 @@
         load.start(Load.Knob.STATES, rates.states());
     }
 
-    private ScalePoint point(
-            String series, double value, Window.Result result, double keysPerS, double statesPerS) {
+    private ScalePoint point(String series, double value, Window.Result result, double keysPerS, double statesPerS) {
         Times changes = meter.changes().times();
         Times purges = meter.purges().times();
         Times keys = load.keys().times();
@@ -158,8 +171,20 @@
                 result.purgesPerS(),
                 keysPerS,
                 statesPerS);
-        return new ScalePoint(series, value, result.seconds(), conditions, result.registry(), result.store(),
-                result.proxy(), result.hollow(), changes, purges, keys, states, result.benchCores());
+        return new ScalePoint(
+                series,
+                value,
+                result.seconds(),
+                conditions,
+                result.registry(),
+                result.store(),
+                result.proxy(),
+                result.hollow(),
+                changes,
+                purges,
+                keys,
+                states,
+                result.benchCores());
     }
 
     @Override
--- a/bench/src/main/java/ridgemill/bench/scale/RoleCost.java
+++ b/bench/src/main/java/ridgemill/bench/scale/RoleCost.java
@@ -10,4 +10,4 @@
  * @param diskBytesPerS bytes that went to the disk
  */
 public record RoleCost(
-        double cpuPercent, double rssMb, double readCallBytesPerS, double writeCallBytesPerS, double diskBytesPerS) { }
+        double cpuPercent, double rssMb, double readCallBytesPerS, double writeCallBytesPerS, double diskBytesPerS) {}
--- a/bench/src/main/java/ridgemill/bench/scale/Routes.java
+++ b/bench/src/main/java/ridgemill/bench/scale/Routes.java
@@ -5,7 +5,7 @@
 /** The configuration that is measured with: one service and as many routes as are asked for. */
 final class Routes {
 
-    private Routes() { }
+    private Routes() {}
 
     /** The change that brings the service and the limits. */
     static String base() {
--- a/bench/src/main/java/ridgemill/bench/scale/Scale.java
+++ b/bench/src/main/java/ridgemill/bench/scale/Scale.java
@@ -18,7 +18,9 @@
  * Turns one knob of the control plane's size at a time and measures what real registries, stores and an edge proxy use.
  * The points go to a file, from which {@link Capacity} works out the target size.
  */
-@Command(name = "scale", mixinStandardHelpOptions = true,
+@Command(
+        name = "scale",
+        mixinStandardHelpOptions = true,
         description = "Measures what the control plane costs by edge proxies, instances, changes, purges and keys.")
 public final class Scale implements Callable<Integer> {
 
@@ -31,13 +33,24 @@
     private static final long WARM_UP_MS = 10_000;
     private static final long PROBE_MS = 2_500;
 
-    @Option(names = "--window", paramLabel = "MS", defaultValue = "5000",
+    @Option(
+            names = "--window",
+            paramLabel = "MS",
+            defaultValue = "5000",
             description = "Length of each point in milliseconds (default: ${DEFAULT-VALUE}).")
     private long windowMs;
-    @Option(names = "--most", paramLabel = "N", defaultValue = "1300",
+
+    @Option(
+            names = "--most",
+            paramLabel = "N",
+            defaultValue = "1300",
             description = "The largest number of edge proxies (default: ${DEFAULT-VALUE}).")
     private int most;
-    @Option(names = "--out", paramLabel = "FILE", defaultValue = "bench/target/scale.csv",
+
+    @Option(
+            names = "--out",
+            paramLabel = "FILE",
+            defaultValue = "bench/target/scale.csv",
             description = "Where the points go (default: ${DEFAULT-VALUE}).")
     private Path out;
 
@@ -148,19 +161,33 @@
 
     private void add(ScalePoint point) {
         points.add(point);
-        System.out.printf(Locale.ROOT, "%s=%.1f registry=%.2f%% store=%.2f%% proxy=%.2f%% rss=%.0f/%.0f/%.0fMB "
+        System.out.printf(
+                Locale.ROOT,
+                "%s=%.1f registry=%.2f%% store=%.2f%% proxy=%.2f%% rss=%.0f/%.0f/%.0fMB "
                         + "hollow=%.0f/%.0fB/s purge_p99=%.1fms change_p99=%.1fms state_p99=%.1fms "
                         + "bench=%.2f cores %s%n",
-                point.series(), point.value(), point.registry().cpuPercent(), point.store().cpuPercent(),
-                point.proxy().cpuPercent(), point.registry().rssMb(), point.store().rssMb(), point.proxy().rssMb(),
-                point.hollow().inBytesPerS(), point.hollow().outBytesPerS(), point.purge().p99Ms(),
-                point.change().p99Ms(), point.state().p99Ms(), point.benchCores(), rig.faults());
+                point.series(),
+                point.value(),
+                point.registry().cpuPercent(),
+                point.store().cpuPercent(),
+                point.proxy().cpuPercent(),
+                point.registry().rssMb(),
+                point.store().rssMb(),
+                point.proxy().rssMb(),
+                point.hollow().inBytesPerS(),
+                point.hollow().outBytesPerS(),
+                point.purge().p99Ms(),
+                point.change().p99Ms(),
+                point.state().p99Ms(),
+                point.benchCores(),
+                rig.faults());
     }
 
     private void printFits() {
         List<String> series = points.stream().map(ScalePoint::series).distinct().toList();
         for (String name : series) {
-            List<ScalePoint> own = points.stream().filter(point -> point.series().equals(name)).toList();
+            List<ScalePoint> own =
+                    points.stream().filter(point -> point.series().equals(name)).toList();
             print(name, "registry cpu %", own, point -> point.registry().cpuPercent());
             print(name, "store cpu %", own, point -> point.store().cpuPercent());
             print(name, "proxy cpu %", own, point -> point.proxy().cpuPercent());
@@ -168,11 +195,17 @@
         }
     }
 
-    private static void print(
-            String series, String measure, List<ScalePoint> points, ToDoubleFunction<ScalePoint> of) {
+    private static void print(String series, String measure, List<ScalePoint> points, ToDoubleFunction<ScalePoint> of) {
         Line line = Line.through(points, of);
-        System.out.printf(Locale.ROOT, "fit %s %s: slope=%.5g intercept=%.5g residual=%.3g points=%d%n", series,
-                measure, line.slope(), line.intercept(), line.residual(), line.points());
+        System.out.printf(
+                Locale.ROOT,
+                "fit %s %s: slope=%.5g intercept=%.5g residual=%.3g points=%d%n",
+                series,
+                measure,
+                line.slope(),
+                line.intercept(),
+                line.residual(),
+                line.points());
     }
 
     private static void delete(Path directory) throws IOException {
--- a/bench/src/main/java/ridgemill/bench/scale/ScaleFile.java
+++ b/bench/src/main/java/ridgemill/bench/scale/ScaleFile.java
@@ -19,11 +19,11 @@
 
     private static final double THOUSANDTHS = 1_000;
 
-    private ScaleFile() { }
+    private ScaleFile() {}
 
     private static String role(String name) {
-        return name + "_cpu_percent," + name + "_rss_mb," + name + "_read_call_bytes_s," + name
-                + "_write_call_bytes_s," + name + "_disk_bytes_s,";
+        return name + "_cpu_percent," + name + "_rss_mb," + name + "_read_call_bytes_s," + name + "_write_call_bytes_s,"
+                + name + "_disk_bytes_s,";
     }
 
     private static String times(String name) {
@@ -42,10 +42,25 @@
         StringJoiner cells = new StringJoiner(",");
         cells.add(point.series());
         Conditions at = point.conditions();
-        add(cells, point.value(), point.windowS(), at.proxies(), at.instances(), at.registries(), at.items(),
-                at.changesPerS(), at.purgesPerS(), at.keysPerS(), at.statesPerS());
+        add(
+                cells,
+                point.value(),
+                point.windowS(),
+                at.proxies(),
+                at.instances(),
+                at.registries(),
+                at.items(),
+                at.changesPerS(),
+                at.purgesPerS(),
+                at.keysPerS(),
+                at.statesPerS());
         for (RoleCost cost : List.of(point.registry(), point.store(), point.proxy())) {
-            add(cells, cost.cpuPercent(), cost.rssMb(), cost.readCallBytesPerS(), cost.writeCallBytesPerS(),
+            add(
+                    cells,
+                    cost.cpuPercent(),
+                    cost.rssMb(),
+                    cost.readCallBytesPerS(),
+                    cost.writeCallBytesPerS(),
                     cost.diskBytesPerS());
         }
         Traffic traffic = point.hollow();
@@ -76,12 +91,28 @@
 
     private static ScalePoint point(String line) {
         Iterator<String> cells = List.of(line.split(",", -1)).iterator();
-        return new ScalePoint(cells.next(), number(cells), number(cells),
-                new Conditions(whole(cells), whole(cells), whole(cells), whole(cells), number(cells), number(cells),
-                        number(cells), number(cells)),
-                cost(cells), cost(cells), cost(cells),
+        return new ScalePoint(
+                cells.next(),
+                number(cells),
+                number(cells),
+                new Conditions(
+                        whole(cells),
+                        whole(cells),
+                        whole(cells),
+                        whole(cells),
+                        number(cells),
+                        number(cells),
+                        number(cells),
+                        number(cells)),
+                cost(cells),
+                cost(cells),
+                cost(cells),
                 new Traffic(number(cells), number(cells), number(cells), number(cells)),
-                times(cells), times(cells), times(cells), times(cells), number(cells));
+                times(cells),
+                times(cells),
+                times(cells),
+                times(cells),
+                number(cells));
     }
 
     private static RoleCost cost(Iterator<String> cells) {
--- a/bench/src/main/java/ridgemill/bench/scale/ScalePoint.java
+++ b/bench/src/main/java/ridgemill/bench/scale/ScalePoint.java
@@ -34,7 +34,19 @@
 
     /** The same measurement as the point of another series. */
     ScalePoint in(String otherSeries, double otherValue) {
-        return new ScalePoint(otherSeries, otherValue, windowS, conditions, registry, store, proxy, hollow, change,
-                purge, key, state, benchCores);
+        return new ScalePoint(
+                otherSeries,
+                otherValue,
+                windowS,
+                conditions,
+                registry,
+                store,
+                proxy,
+                hollow,
+                change,
+                purge,
+                key,
+                state,
+                benchCores);
     }
 }
--- a/bench/src/main/java/ridgemill/bench/scale/Stopwatch.java
+++ b/bench/src/main/java/ridgemill/bench/scale/Stopwatch.java
@@ -13,7 +13,7 @@
     private final Map<String, Running> running = new ConcurrentHashMap<>();
     private final ConcurrentLinkedQueue<Long> nanos = new ConcurrentLinkedQueue<>();
 
-    private record Running(long startedNanos, AtomicInteger missing) { }
+    private record Running(long startedNanos, AtomicInteger missing) {}
 
     /** Starts an operation that ends with its so many-th acknowledgement. */
     void started(String name, int acknowledgements) {
--- a/bench/src/main/java/ridgemill/bench/scale/Times.java
+++ b/bench/src/main/java/ridgemill/bench/scale/Times.java
@@ -6,4 +6,4 @@
  * @param count how many ended
  * @param unfinished how many did not end within the patience of the measurement
  */
-public record Times(int count, int unfinished, double p50Ms, double p99Ms, double maxMs) { }
+public record Times(int count, int unfinished, double p50Ms, double p99Ms, double maxMs) {}
--- a/bench/src/main/java/ridgemill/bench/scale/Traffic.java
+++ b/bench/src/main/java/ridgemill/bench/scale/Traffic.java
@@ -8,4 +8,4 @@
  * @param inFramesPerS messages received
  * @param outFramesPerS messages sent
  */
-public record Traffic(double inBytesPerS, double outBytesPerS, double inFramesPerS, double outFramesPerS) { }
+public record Traffic(double inBytesPerS, double outBytesPerS, double inFramesPerS, double outFramesPerS) {}
--- a/bench/src/main/java/ridgemill/bench/scale/Window.java
+++ b/bench/src/main/java/ridgemill/bench/scale/Window.java
@@ -39,7 +39,7 @@
             Traffic hollow,
             double changesPerS,
             double purgesPerS,
-            double benchCores) { }
+            double benchCores) {}
 
     /** Ends now. */
     Result end(int hollowProxies) throws IOException {
--- a/bench/src/test/java/ridgemill/bench/scale/LineTest.java
+++ b/bench/src/test/java/ridgemill/bench/scale/LineTest.java
@@ -22,16 +22,26 @@
 
     @Test
     void theResidualIsTheRootOfTheMeanSquareOfWhatIsOff() {
-        Line line = Line.through(
-                List.of(point(0, 1), point(0, -1), point(2, 1), point(2, -1)), Measure.STORE_CPU::of);
+        Line line = Line.through(List.of(point(0, 1), point(0, -1), point(2, 1), point(2, -1)), Measure.STORE_CPU::of);
         assertThat(line.slope()).isEqualTo(0, within(EXACT));
         assertThat(line.residual()).isEqualTo(1, within(EXACT));
     }
 
     private static ScalePoint point(double value, double storeCpu) {
         RoleCost nothing = new RoleCost(0, 0, 0, 0, 0);
-        return new ScalePoint("s", value, 1, new Conditions(1, 1, 1, 1, 0, 0, 0, 0), nothing,
-                new RoleCost(storeCpu, 0, 0, 0, 0), nothing, new Traffic(0, 0, 0, 0), NO_TIMES, NO_TIMES, NO_TIMES,
-                NO_TIMES, 0);
+        return new ScalePoint(
+                "s",
+                value,
+                1,
+                new Conditions(1, 1, 1, 1, 0, 0, 0, 0),
+                nothing,
+                new RoleCost(storeCpu, 0, 0, 0, 0),
+                nothing,
+                new Traffic(0, 0, 0, 0),
+                NO_TIMES,
+                NO_TIMES,
+                NO_TIMES,
+                NO_TIMES,
+                0);
     }
 }
--- a/testbed/src/main/java/ridgemill/testbed/HttpText.java
+++ b/testbed/src/main/java/ridgemill/testbed/HttpText.java
@@ -11,7 +11,7 @@
 
     private static final String END = "\r\n\r\n";
 
-    private HttpText() { }
+    private HttpText() {}
 
     /** The next message with its body, by its Content-Length; null when the other side has ended first. */
     public static String read(InputStream in) throws IOException {
@@ -27,14 +27,19 @@
         }
         String text = head.toString(StandardCharsets.ISO_8859_1);
         String length = header(text, "Content-Length");
-        return text + new String(in.readNBytes(length == null ? 0 : Integer.parseInt(length)), StandardCharsets.ISO_8859_1);
+        return text
+                + new String(in.readNBytes(length == null ? 0 : Integer.parseInt(length)), StandardCharsets.ISO_8859_1);
     }
 
     /** What a message's header says; null where it has none of this name. */
     public static String header(String message, String name) {
         String start = name.toLowerCase(Locale.ROOT) + ":";
-        return message.lines().takeWhile(l -> !l.isEmpty()).filter(l -> l.toLowerCase(Locale.ROOT).startsWith(start))
-                .map(l -> l.substring(start.length()).trim()).findFirst().orElse(null);
+        return message.lines()
+                .takeWhile(l -> !l.isEmpty())
+                .filter(l -> l.toLowerCase(Locale.ROOT).startsWith(start))
+                .map(l -> l.substring(start.length()).trim())
+                .findFirst()
+                .orElse(null);
     }
 
     /** What stands behind a message's head. */
--- a/testbed/src/main/java/ridgemill/testbed/Reservation.java
+++ b/testbed/src/main/java/ridgemill/testbed/Reservation.java
@@ -24,6 +24,7 @@
 
     /** Below the ports that a system hands out by itself; datagram sockets can't be held in the way above. */
     private static final int FIRST_DATAGRAM_PORT = 10_000;
+
     private static final int DATAGRAM_PORTS = 20_000;
     private static final int TRIES = 100;
     /** More than one round of a loop is never needed; a server that can't listen must not hang a test. */
@@ -62,7 +63,11 @@
                 throw new IllegalStateException("cannot listen on " + address(), bound.cause());
             }
             // What is scheduled runs in a later round of the loop, and each round begins with a look at the sockets.
-            server.config().group().next().schedule(() -> { }, 1, TimeUnit.MILLISECONDS).awaitUninterruptibly();
+            server.config()
+                    .group()
+                    .next()
+                    .schedule(() -> {}, 1, TimeUnit.MILLISECONDS)
+                    .awaitUninterruptibly();
         }
     }
 
--- a/testbed/src/main/java/ridgemill/testbed/Sockets.java
+++ b/testbed/src/main/java/ridgemill/testbed/Sockets.java
@@ -7,7 +7,7 @@
 /** What stand-ins do to sockets. */
 public final class Sockets {
 
-    private Sockets() { }
+    private Sockets() {}
 
     /** Ends a connection with a reset and not in the usual way; one that has ended already, or is null, stays as it is. */
     public static void reset(Channel channel) {
--- a/testbed/src/main/java/ridgemill/testbed/StolenTime.java
+++ b/testbed/src/main/java/ridgemill/testbed/StolenTime.java
@@ -19,11 +19,12 @@
     private static final int STEAL_FIELD = 8;
     /** In what it is told: hundredths of a second, whatever the machine. */
     private static final double TICK_MS = 10;
+
     private static final long LOOK_MS = 50;
     /** No request and no wait of a test's clients is longer: what was stolen before and after it does not count. */
     private static final double WINDOW_MS = 2000;
 
-    private record Sample(double atMs, long[] ticks) { }
+    private record Sample(double atMs, long[] ticks) {}
 
     private final Deque<Sample> samples = new ArrayDeque<>();
     private final Thread looker = new Thread(this::look, "stolen-time");
@@ -51,8 +52,11 @@
 
     /** What the system tells at a time. */
     synchronized void take(double atMs, List<String> stat) {
-        long[] ticks = stat.stream().filter(l -> l.matches("cpu\\d+ .*")).map(l -> l.split(" +"))
-                .mapToLong(f -> f.length > STEAL_FIELD ? Long.parseLong(f[STEAL_FIELD]) : 0).toArray();
+        long[] ticks = stat.stream()
+                .filter(l -> l.matches("cpu\\d+ .*"))
+                .map(l -> l.split(" +"))
+                .mapToLong(f -> f.length > STEAL_FIELD ? Long.parseLong(f[STEAL_FIELD]) : 0)
+                .toArray();
         samples.addLast(new Sample(atMs, ticks));
         while (samples.peekFirst().atMs() < atMs - WINDOW_MS) {
             samples.removeFirst();
--- a/testbed/src/main/java/ridgemill/testbed/Testbed.java
+++ b/testbed/src/main/java/ridgemill/testbed/Testbed.java
@@ -11,8 +11,8 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
-import ridgemill.testbed.discovery.DiscoveryStandIn.Host;
 import ridgemill.testbed.discovery.DiscoveryStandIn;
+import ridgemill.testbed.discovery.DiscoveryStandIn.Host;
 import ridgemill.testbed.ledger.Ledger;
 import ridgemill.testbed.link.Link;
 import ridgemill.testbed.load.Load;
@@ -29,11 +29,12 @@
 
     /** The model that marks the store in the list of hosts. */
     public static final String STORE_KIND = "origin";
+
     private static final String NODE_KIND = "std";
     private static final long BEAT_MS = 5;
 
     /** What one proxy sees: discovery, and a link to each node. */
-    public record Place(String name, DiscoveryStandIn discovery, Map<String, Link> links) { }
+    public record Place(String name, DiscoveryStandIn discovery, Map<String, Link> links) {}
 
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(3, NioIoHandler.newFactory());
     private final EventLoop nodeLoop = group.next();
@@ -59,19 +60,32 @@
     }
 
     /** A fleet that runs and speaks a protocol. */
-    public Testbed(int nodes, NodeProfile cache, NodeProfile store, boolean linked, double repeatWindowMs, long seed,
-                   Protocol protocol) {
+    public Testbed(
+            int nodes,
+            NodeProfile cache,
+            NodeProfile store,
+            boolean linked,
+            double repeatWindowMs,
+            long seed,
+            Protocol protocol) {
         this(nodes, cache, store, linked, repeatWindowMs, seed, protocol, new Ledger());
     }
 
     /** A fleet that runs and speaks a protocol, and what is seen goes into this ledger. */
-    public Testbed(int nodes, NodeProfile cache, NodeProfile store, boolean linked, double repeatWindowMs, long seed,
-                   Protocol protocol, Ledger ledger) {
+    public Testbed(
+            int nodes,
+            NodeProfile cache,
+            NodeProfile store,
+            boolean linked,
+            double repeatWindowMs,
+            long seed,
+            Protocol protocol,
+            Ledger ledger) {
         this.ledger = ledger;
         this.seeds = new SplittableRandom(seed);
         this.linked = linked;
-        this.fleet = new StandInFleet(nodeLoop, ledger, nodes, cache, store, seeds.nextLong(), repeatWindowMs,
-                protocol);
+        this.fleet =
+                new StandInFleet(nodeLoop, ledger, nodes, cache, store, seeds.nextLong(), repeatWindowMs, protocol);
         fleet.caches().forEach(n -> health.put(n.name(), "up"));
         health.put(StandInFleet.STORE, "up");
         List.of(nodeLoop, linkLoop, clientLoop).forEach(this::watch);
@@ -100,11 +114,15 @@
 
     private void watch(EventLoop loop) {
         long[] due = {System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(BEAT_MS)};
-        loop.scheduleWithFixedDelay(() -> {
-            long now = System.nanoTime();
-            lateNanos.accumulateAndGet(now - due[0], Math::max);
-            due[0] = now + TimeUnit.MILLISECONDS.toNanos(BEAT_MS);
-        }, BEAT_MS, BEAT_MS, TimeUnit.MILLISECONDS);
+        loop.scheduleWithFixedDelay(
+                () -> {
+                    long now = System.nanoTime();
+                    lateNanos.accumulateAndGet(now - due[0], Math::max);
+                    due[0] = now + TimeUnit.MILLISECONDS.toNanos(BEAT_MS);
+                },
+                BEAT_MS,
+                BEAT_MS,
+                TimeUnit.MILLISECONDS);
     }
 
     public Ledger ledger() {
@@ -166,8 +184,14 @@
             }
             dial = link.address();
         }
-        place.discovery().publish(new Host(node, dial, "a", node.equals(StandInFleet.STORE) ? STORE_KIND : NODE_KIND,
-                health.get(node), standIn.bornMs()));
+        place.discovery()
+                .publish(new Host(
+                        node,
+                        dial,
+                        "a",
+                        node.equals(StandInFleet.STORE) ? STORE_KIND : NODE_KIND,
+                        health.get(node),
+                        standIn.bornMs()));
     }
 
     /** All links, by proxy and node. */
--- a/testbed/src/main/java/ridgemill/testbed/acts/Act.java
+++ b/testbed/src/main/java/ridgemill/testbed/acts/Act.java
@@ -14,6 +14,7 @@
 
     @Override
     public String toString() {
-        return "%s by %s under %d [%.1f to %.1f] %s".formatted(task, holder, term, firstAt, lastAt, accepted ? "took effect" : "refused");
+        return "%s by %s under %d [%.1f to %.1f] %s"
+                .formatted(task, holder, term, firstAt, lastAt, accepted ? "took effect" : "refused");
     }
 }
--- a/testbed/src/main/java/ridgemill/testbed/acts/ActJudge.java
+++ b/testbed/src/main/java/ridgemill/testbed/acts/ActJudge.java
@@ -36,10 +36,11 @@
      * @param refused acts that were refused by their term and whose sender had been stopped, or slept
      * @param faults empty if no two acted at once
      */
-    public record Verdict(int acts, int holders, int refused, List<Fault> faults) { }
+    public record Verdict(int acts, int holders, int refused, List<Fault> faults) {}
 
     /** What a process that goes on needs at most to see that time has passed: it may be in the middle of a write. */
     private final double graceMs;
+
     private final double sleptMs;
 
     /** {@code sleptMs} is for how long at most one may act on what a clock that stood still has told it. */
@@ -52,7 +53,8 @@
     public Verdict judge(List<Act> acts, History history) {
         List<Fault> faults = new ArrayList<>();
         int refused = 0;
-        for (List<Act> of : acts.stream().collect(Collectors.groupingBy(Act::task)).values()) {
+        for (List<Act> of :
+                acts.stream().collect(Collectors.groupingBy(Act::task)).values()) {
             terms(of, faults);
             effects(of, faults);
             for (Act act : of) {
@@ -66,11 +68,14 @@
                 }
             }
         }
-        return new Verdict(acts.size(), (int) acts.stream().map(Act::holder).distinct().count(), refused, faults);
+        return new Verdict(
+                acts.size(), (int) acts.stream().map(Act::holder).distinct().count(), refused, faults);
     }
 
     private boolean excused(Act act, History history) {
-        String process = act.holder().contains("#") ? act.holder().substring(0, act.holder().indexOf('#')) : act.holder();
+        String process = act.holder().contains("#")
+                ? act.holder().substring(0, act.holder().indexOf('#'))
+                : act.holder();
         return history.met(process, History.What.WENT_ON, act.firstAt() - graceMs, act.lastAt())
                 || history.met(process, History.What.CLOCK_STEP, act.firstAt() - sleptMs, act.lastAt());
     }
--- a/testbed/src/main/java/ridgemill/testbed/acts/ActStandIn.java
+++ b/testbed/src/main/java/ridgemill/testbed/acts/ActStandIn.java
@@ -43,13 +43,19 @@
     public ActStandIn(EventLoop loop, Ledger ledger) {
         this.loop = loop;
         this.ledger = ledger;
-        this.listener = port.listen(new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+        this.listener = port.listen(new ServerBootstrap()
+                .group(loop)
+                .channel(NioServerSocketChannel.class)
                 .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         FirstByte first = new FirstByte();
-                        channel.pipeline().addLast(first, new HttpRequestDecoder(), new HttpObjectAggregator(MOST_BODY),
-                                new Receive(first));
+                        channel.pipeline()
+                                .addLast(
+                                        first,
+                                        new HttpRequestDecoder(),
+                                        new HttpObjectAggregator(MOST_BODY),
+                                        new Receive(first));
                     }
                 }));
     }
@@ -109,9 +115,12 @@
             acts.add(new Act(task, holder, term, first.at, ledger.now(), accepted));
             first.at = 0;
             String highestSeen = "Lease-Term: " + highest.get(task) + "\r\n";
-            String answer = "HTTP/1.1 " + (accepted ? status : 409) + " x\r\nContent-Length: 0\r\n" + highestSeen + "\r\n";
-            loop.schedule(() -> ctx.writeAndFlush(Unpooled.copiedBuffer(answer, StandardCharsets.US_ASCII)),
-                    (long) (answerMs * 1e3), TimeUnit.MICROSECONDS);
+            String answer =
+                    "HTTP/1.1 " + (accepted ? status : 409) + " x\r\nContent-Length: 0\r\n" + highestSeen + "\r\n";
+            loop.schedule(
+                    () -> ctx.writeAndFlush(Unpooled.copiedBuffer(answer, StandardCharsets.US_ASCII)),
+                    (long) (answerMs * 1e3),
+                    TimeUnit.MICROSECONDS);
         }
 
         @Override
--- a/testbed/src/main/java/ridgemill/testbed/acts/History.java
+++ b/testbed/src/main/java/ridgemill/testbed/acts/History.java
@@ -8,7 +8,17 @@
 public final class History {
 
     /** What a process can meet. */
-    public enum What { STARTED, STOPPED, WENT_ON, KILLED, TERMINATED, CLOCK_RATE, CLOCK_STEP, WALL_CLOCK, NETWORK }
+    public enum What {
+        STARTED,
+        STOPPED,
+        WENT_ON,
+        KILLED,
+        TERMINATED,
+        CLOCK_RATE,
+        CLOCK_STEP,
+        WALL_CLOCK,
+        NETWORK
+    }
 
     /**
      * One event.
--- a/testbed/src/main/java/ridgemill/testbed/audit/RollJudge.java
+++ b/testbed/src/main/java/ridgemill/testbed/audit/RollJudge.java
@@ -22,10 +22,10 @@
      * @param atMs when that was read, by the testbed's clock
      * @param number that all act under
      */
-    public record Complete(double atMs, int number) { }
+    public record Complete(double atMs, int number) {}
 
     /** A request under a version. */
-    private record Begun(String process, double at, int number, String text, String id) { }
+    private record Begun(String process, double at, int number, String text, String id) {}
 
     private final Ledger ledger;
     private final Map<Integer, Integer> says;
@@ -64,7 +64,8 @@
             for (Complete c : completes) {
                 boolean excused = since > c.atMs() && b.at() < since + startedMs;
                 if (b.at() > c.atMs() + slackMs && b.number() < c.number() && !excused) {
-                    faults.add("%s begins under %d at %.0f, and %d was complete at %.0f".formatted(b.id(), b.number(), b.at(), c.number(), c.atMs()));
+                    faults.add("%s begins under %d at %.0f, and %d was complete at %.0f"
+                            .formatted(b.id(), b.number(), b.at(), c.number(), c.atMs()));
                 }
             }
         }
@@ -91,21 +92,32 @@
             }
             // One that was taken up again, on another connection, may have begun as late as its attempt.
             double at = client.resentAt() > 0 ? e.begunAt() : client.sentAt();
-            first.putIfAbsent(e.id(), new Begun(label.substring(0, slash), at, Integer.parseInt(label.substring(slash + 1, dot)),
-                    label.substring(dot + 1), e.id()));
+            first.putIfAbsent(
+                    e.id(),
+                    new Begun(
+                            label.substring(0, slash),
+                            at,
+                            Integer.parseInt(label.substring(slash + 1, dot)),
+                            label.substring(dot + 1),
+                            e.id()));
         }
-        return first.values().stream().sorted((a, b) -> Double.compare(a.at(), b.at())).toList();
+        return first.values().stream()
+                .sorted((a, b) -> Double.compare(a.at(), b.at()))
+                .toList();
     }
 
     /** A text begins when its first request does, and is over with its last: three that overlap act at once. */
     private void threeAtOnce(List<Begun> all, List<String> faults) {
         Map<Integer, double[]> spans = new TreeMap<>();
         for (Begun b : all) {
-            double[] span = spans.computeIfAbsent(says.getOrDefault(b.number(), b.number()), t -> new double[] {b.at(), b.at()});
+            double[] span = spans.computeIfAbsent(
+                    says.getOrDefault(b.number(), b.number()), t -> new double[] {b.at(), b.at()});
             span[1] = b.at();
         }
         List<double[]> open = new ArrayList<>();
-        for (double[] span : spans.values().stream().sorted((a, b) -> Double.compare(a[0], b[0])).toList()) {
+        for (double[] span : spans.values().stream()
+                .sorted((a, b) -> Double.compare(a[0], b[0]))
+                .toList()) {
             open.removeIf(o -> o[1] < span[0]);
             open.add(span);
             if (open.size() > 2) {
--- a/testbed/src/main/java/ridgemill/testbed/audit/VersionJudge.java
+++ b/testbed/src/main/java/ridgemill/testbed/audit/VersionJudge.java
@@ -56,7 +56,8 @@
                 continue;
             }
             String process = label.substring(0, label.indexOf('/'));
-            seen.computeIfAbsent(process, p -> new TreeMap<>()).merge(label.substring(label.indexOf('/') + 1), 1L, Long::sum);
+            seen.computeIfAbsent(process, p -> new TreeMap<>())
+                    .merge(label.substring(label.indexOf('/') + 1), 1L, Long::sum);
             String before = first.putIfAbsent(e.id() + " of " + process, label);
             if (before != null && !before.equals(label)) {
                 faults.add(e.id() + " began under " + before + " and was sent under " + label);
@@ -66,7 +67,8 @@
             Map<String, Long> of = seen.getOrDefault(t.process(), Map.of());
             Map<String, Long> said = new TreeMap<>(t.attempts());
             said.values().removeIf(n -> n == 0);
-            long missing = said.values().stream().mapToLong(n -> n).sum() - of.values().stream().mapToLong(n -> n).sum();
+            long missing = said.values().stream().mapToLong(n -> n).sum()
+                    - of.values().stream().mapToLong(n -> n).sum();
             boolean more = of.entrySet().stream().anyMatch(e -> e.getValue() > said.getOrDefault(e.getKey(), 0L));
             if (more || missing > unsure(t.process())) {
                 faults.add(t.process() + " tells of attempts " + said + ", nodes saw " + of);
@@ -82,8 +84,13 @@
     private long unsure(String process) {
         String proxy = process.substring(0, process.indexOf('#'));
         Map<String, Integer> attempts = new HashMap<>();
-        ledger.nodes().stream().filter(e -> e.under() != null && e.under().startsWith(process + "/")).forEach(e -> attempts.merge(e.id(), 1, Integer::sum));
-        return ledger.clients().stream().filter(c -> c.proxy().equals(proxy) && (!isServed(c) || attempts.getOrDefault(c.id(), 0) != 1)).count() * MOST_ATTEMPTS;
+        ledger.nodes().stream()
+                .filter(e -> e.under() != null && e.under().startsWith(process + "/"))
+                .forEach(e -> attempts.merge(e.id(), 1, Integer::sum));
+        return ledger.clients().stream()
+                        .filter(c -> c.proxy().equals(proxy) && (!isServed(c) || attempts.getOrDefault(c.id(), 0) != 1))
+                        .count()
+                * MOST_ATTEMPTS;
     }
 
     private static boolean isServed(ClientEntry c) {
@@ -107,10 +114,12 @@
         }
         due.forEach((version, least) -> {
             if (told.attempts().getOrDefault(version, 0L) < least) {
-                faults.add("the file of " + told.process() + " has " + told.attempts() + ", nodes had seen " + due + " long before it was killed");
+                faults.add("the file of " + told.process() + " has " + told.attempts() + ", nodes had seen " + due
+                        + " long before it was killed");
             }
         });
-        long more = told.attempts().values().stream().mapToLong(n -> n).sum() - all.values().stream().mapToLong(n -> n).sum();
+        long more = told.attempts().values().stream().mapToLong(n -> n).sum()
+                - all.values().stream().mapToLong(n -> n).sum();
         if (more > unsure(told.process())) {
             faults.add("the file of " + told.process() + " has " + told.attempts() + ", nodes saw " + all);
         }
@@ -119,16 +128,22 @@
 
     /** What is wrong with what a proxy tells of one request: under which label it sent it to which nodes, in turn. */
     public List<String> sent(String id, String label, List<String> nodes) {
-        List<NodeEntry> seen = ledger.nodes().stream().filter(e -> e.id().equals(id) && e.begunAt() > 0)
-                .sorted(Comparator.comparingDouble(NodeEntry::begunAt)).toList();
+        List<NodeEntry> seen = ledger.nodes().stream()
+                .filter(e -> e.id().equals(id) && e.begunAt() > 0)
+                .sorted(Comparator.comparingDouble(NodeEntry::begunAt))
+                .toList();
         int next = 0;
         for (String node : nodes) {
             // One that was told and not seen was given up before it got there.
             next += next < seen.size() && seen.get(next).node().equals(node) ? 1 : 0;
         }
         boolean other = seen.stream().anyMatch(e -> !label.equals(e.under()));
-        return next == seen.size() && !other ? List.of() : List.of(id + " is told to have gone to " + nodes + " under " + label + ", seen by "
-                + seen.stream().map(e -> e.node() + " under " + e.under()).toList());
+        return next == seen.size() && !other
+                ? List.of()
+                : List.of(id + " is told to have gone to " + nodes + " under " + label + ", seen by "
+                        + seen.stream()
+                                .map(e -> e.node() + " under " + e.under())
+                                .toList());
     }
 
     /** The same for what clients of a proxy were answered, where one process of it served from first to last. */
@@ -146,8 +161,12 @@
         Map<String, Long> said = new TreeMap<>(told.served());
         Set<String> classes = new TreeSet<>(said.keySet());
         classes.addAll(served.keySet());
-        boolean fits = classes.stream().allMatch(c -> said.getOrDefault(c, 0L) >= served.getOrDefault(c, 0L)
-                && said.getOrDefault(c, 0L) <= served.getOrDefault(c, 0L) + left.getOrDefault(c, 0L));
-        return fits ? List.of() : List.of(proxy + " tells that it served " + said + ", its clients were served " + served + " and left from " + left);
+        boolean fits = classes.stream()
+                .allMatch(c -> said.getOrDefault(c, 0L) >= served.getOrDefault(c, 0L)
+                        && said.getOrDefault(c, 0L) <= served.getOrDefault(c, 0L) + left.getOrDefault(c, 0L));
+        return fits
+                ? List.of()
+                : List.of(proxy + " tells that it served " + said + ", its clients were served " + served
+                        + " and left from " + left);
     }
 }
--- a/testbed/src/main/java/ridgemill/testbed/discovery/DiscoveryStandIn.java
+++ b/testbed/src/main/java/ridgemill/testbed/discovery/DiscoveryStandIn.java
@@ -52,7 +52,7 @@
         }
     }
 
-    private record Change(long seq, Host host) { }
+    private record Change(long seq, Host host) {}
 
     private final EventLoop loop;
     private final Ledger ledger;
@@ -72,7 +72,9 @@
         this.loop = loop;
         this.ledger = ledger;
         this.proxy = proxy;
-        this.listener = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+        this.listener = new ServerBootstrap()
+                .group(loop)
+                .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childHandler(new ChannelInitializer<>() {
                     @Override
@@ -82,9 +84,13 @@
                             connections.remove(channel);
                             watches.remove(channel);
                         });
-                        channel.pipeline().addLast(new HttpRequestDecoder(), new HttpObjectAggregator(1 << 16), new Asked());
+                        channel.pipeline()
+                                .addLast(new HttpRequestDecoder(), new HttpObjectAggregator(1 << 16), new Asked());
                     }
-                }).bind(new InetSocketAddress("127.0.0.1", 0)).syncUninterruptibly().channel();
+                })
+                .bind(new InetSocketAddress("127.0.0.1", 0))
+                .syncUninterruptibly()
+                .channel();
         loop.scheduleAtFixedRate(this::beat, HEARTBEAT_MS, HEARTBEAT_MS, TimeUnit.MILLISECONDS);
     }
 
@@ -94,28 +100,35 @@
 
     /** The list as it is, in the form that a proxy's configuration has it. */
     public JsonObject known() {
-        return loop.submit(() -> message(true, List.copyOf(hosts.values()))).syncUninterruptibly().getNow();
+        return loop.submit(() -> message(true, List.copyOf(hosts.values())))
+                .syncUninterruptibly()
+                .getNow();
     }
 
     /** Learns a host, or what is new of it, and tells it on; with health {@code removed} it leaves the list. */
     public void publish(Host host) {
         loop.submit(() -> {
-            seq++;
-            if (host.health().equals("removed")) {
-                hosts.remove(host.name());
-            } else {
-                hosts.put(host.name(), host);
-            }
-            changes.add(new Change(seq, host));
-            if (!stale) {
-                String line = message(false, List.of(host)).toString();
-                loop.schedule(() -> {
-                    if (!silent) {
-                        List.copyOf(watches).forEach(w -> tell(w, line, List.of(host)));
+                    seq++;
+                    if (host.health().equals("removed")) {
+                        hosts.remove(host.name());
+                    } else {
+                        hosts.put(host.name(), host);
                     }
-                }, (long) (lateMs * 1e3), TimeUnit.MICROSECONDS);
-            }
-        }).syncUninterruptibly().getNow();
+                    changes.add(new Change(seq, host));
+                    if (!stale) {
+                        String line = message(false, List.of(host)).toString();
+                        loop.schedule(
+                                () -> {
+                                    if (!silent) {
+                                        List.copyOf(watches).forEach(w -> tell(w, line, List.of(host)));
+                                    }
+                                },
+                                (long) (lateMs * 1e3),
+                                TimeUnit.MICROSECONDS);
+                    }
+                })
+                .syncUninterruptibly()
+                .getNow();
     }
 
     /** Tells each change so much later from now on. */
@@ -126,32 +139,40 @@
     /** Says nothing more, heartbeats neither, while connections stay open; ends with false. */
     public void silent(boolean says) {
         loop.submit(() -> {
-            silent = says;
-            if (!says) {
-                // Watches that missed news are ended: they come again and hear it.
-                List.copyOf(connections).forEach(Channel::close);
-            }
-        }).syncUninterruptibly().getNow();
+                    silent = says;
+                    if (!says) {
+                        // Watches that missed news are ended: they come again and hear it.
+                        List.copyOf(connections).forEach(Channel::close);
+                    }
+                })
+                .syncUninterruptibly()
+                .getNow();
     }
 
     /** Goes on with heartbeats and tells no change; ends with false. */
     public void stale(boolean holds) {
         loop.submit(() -> {
-            stale = holds;
-            if (!holds) {
-                List.copyOf(connections).forEach(Channel::close);
-            }
-        }).syncUninterruptibly().getNow();
+                    stale = holds;
+                    if (!holds) {
+                        List.copyOf(connections).forEach(Channel::close);
+                    }
+                })
+                .syncUninterruptibly()
+                .getNow();
     }
 
     /** Writes a line of nonsense on every watch. */
     public void nonsense(String line) {
-        loop.submit(() -> List.copyOf(watches).forEach(w -> w.writeAndFlush(chunk(line)))).syncUninterruptibly().getNow();
+        loop.submit(() -> List.copyOf(watches).forEach(w -> w.writeAndFlush(chunk(line))))
+                .syncUninterruptibly()
+                .getNow();
     }
 
     /** Ends every watch. */
     public void breakWatches() {
-        loop.submit(() -> List.copyOf(connections).forEach(Channel::close)).syncUninterruptibly().getNow();
+        loop.submit(() -> List.copyOf(connections).forEach(Channel::close))
+                .syncUninterruptibly()
+                .getNow();
     }
 
     @Override
@@ -178,11 +199,14 @@
 
     private void tell(Channel watch, String line, List<Host> told) {
         if (watch.isActive()) {
-            // Each is noted on the side that can wrong nobody: leave to send before it can be used, its end once it was told.
+            // Each is noted on the side that can wrong nobody: leave to send before it can be used, its end once it was
+            // told.
             told.stream().filter(h -> h.health().equals(UP)).forEach(h -> ledger.told(proxy, h.name(), h.health()));
             watch.writeAndFlush(chunk(line)).addListener(f -> {
                 if (f.isSuccess()) {
-                    told.stream().filter(h -> !h.health().equals(UP)).forEach(h -> ledger.told(proxy, h.name(), h.health()));
+                    told.stream()
+                            .filter(h -> !h.health().equals(UP))
+                            .forEach(h -> ledger.told(proxy, h.name(), h.health()));
                 }
             });
         }
@@ -215,7 +239,8 @@
         }
 
         private long from(QueryStringDecoder query) {
-            return Long.parseLong(query.parameters().getOrDefault("from", List.of("0")).get(0));
+            return Long.parseLong(
+                    query.parameters().getOrDefault("from", List.of("0")).get(0));
         }
 
         private void watch(Channel channel, long from) {
@@ -227,7 +252,9 @@
             }
             boolean whole = from <= 0 || from > seq;
             Map<String, Host> news = new LinkedHashMap<>();
-            changes.stream().filter(c -> c.seq() > from).forEach(c -> news.put(c.host().name(), c.host()));
+            changes.stream()
+                    .filter(c -> c.seq() > from)
+                    .forEach(c -> news.put(c.host().name(), c.host()));
             List<Host> told = whole ? List.copyOf(hosts.values()) : List.copyOf(news.values());
             tell(channel, message(whole, told).toString(), told);
         }
--- a/testbed/src/main/java/ridgemill/testbed/ledger/ClientEntry.java
+++ b/testbed/src/main/java/ridgemill/testbed/ledger/ClientEntry.java
@@ -7,7 +7,11 @@
 public final class ClientEntry {
 
     /** How a client reads an answer. */
-    public enum Kind { SERVED, REFUSED, FAILED }
+    public enum Kind {
+        SERVED,
+        REFUSED,
+        FAILED
+    }
 
     /**
      * One answer that came; {@code whole} is false where it broke off, and the body null where the protocol tells none.
@@ -35,8 +39,14 @@
     private volatile double resentAt;
 
     /** {@code first} is the id of the first try of the same wish; {@code proxy} the one that is asked. */
-    public ClientEntry(String id, String first, String proxy, LoadClass service, String key, String idempotencyKey,
-                       double budgetMs) {
+    public ClientEntry(
+            String id,
+            String first,
+            String proxy,
+            LoadClass service,
+            String key,
+            String idempotencyKey,
+            double budgetMs) {
         this.id = id;
         this.first = first;
         this.proxy = proxy;
--- a/testbed/src/main/java/ridgemill/testbed/ledger/Ledger.java
+++ b/testbed/src/main/java/ridgemill/testbed/ledger/Ledger.java
@@ -10,16 +10,16 @@
 public final class Ledger {
 
     /** Discovery wrote to a proxy that a node has this health. */
-    public record Told(String proxy, String node, String health, double at) { }
+    public record Told(String proxy, String node, String health, double at) {}
 
     /** A cold node was sent more than it can do for too long, and fell over; {@code request} was the last it took. */
-    public record FellOver(String node, String request, double at) { }
+    public record FellOver(String node, String request, double at) {}
 
     /** A proxy's process was killed; what it held is its clients' to retry. */
-    public record Killed(String proxy, double at) { }
+    public record Killed(String proxy, double at) {}
 
     /** A proxy's process was stopped and went on where it was; it could answer nobody meanwhile. */
-    public record Stopped(String proxy, double from, double to) { }
+    public record Stopped(String proxy, double from, double to) {}
 
     private final long origin;
     private final Collection<NodeEntry> nodes = new ConcurrentLinkedQueue<>();
@@ -104,14 +104,16 @@
 
     /** Removes and returns what reached nodes until then and has ended: a view of one that runs for long. */
     public List<NodeEntry> takeNodesUntil(double at) {
-        List<NodeEntry> taken = nodes.stream().filter(e -> e.endedAt() > 0 && e.endedAt() <= at).toList();
+        List<NodeEntry> taken =
+                nodes.stream().filter(e -> e.endedAt() > 0 && e.endedAt() <= at).toList();
         nodes.removeAll(new HashSet<>(taken));
         return taken;
     }
 
     /** Removes and returns what clients had answered until then. */
     public List<ClientEntry> takeClientsUntil(double at) {
-        List<ClientEntry> taken = clients.stream().filter(c -> c.sentAt() > 0 && c.sentAt() + c.budgetMs() <= at)
+        List<ClientEntry> taken = clients.stream()
+                .filter(c -> c.sentAt() > 0 && c.sentAt() + c.budgetMs() <= at)
                 .toList();
         clients.removeAll(new HashSet<>(taken));
         return taken;
--- a/testbed/src/main/java/ridgemill/testbed/ledger/LoadClass.java
+++ b/testbed/src/main/java/ridgemill/testbed/ledger/LoadClass.java
@@ -11,12 +11,14 @@
  * @param effect what repeating it does
  * @param write whether it writes
  */
-public record LoadClass(String name, double share, double aimMs, double deadlineMs, double worth, Effect effect,
-                        boolean write) {
+public record LoadClass(
+        String name, double share, double aimMs, double deadlineMs, double worth, Effect effect, boolean write) {
 
     /** What repeating a request does; the same words as on the proxy's wire. */
     public enum Effect {
-        SAFE("retryable"), KEYED("dedup"), UNSAFE("fragile");
+        SAFE("retryable"),
+        KEYED("dedup"),
+        UNSAFE("fragile");
 
         private final String word;
 
--- a/testbed/src/main/java/ridgemill/testbed/ledger/NodeEntry.java
+++ b/testbed/src/main/java/ridgemill/testbed/ledger/NodeEntry.java
@@ -199,7 +199,7 @@
 
     @Override
     public String toString() {
-        return "%s at %s [%.1f to %.1f] %s%s%s".formatted(id, node, begunAt, endedAt, fate, ran ? " ran" : "",
-                recorded ? " recorded" : "");
+        return "%s at %s [%.1f to %.1f] %s%s%s"
+                .formatted(id, node, begunAt, endedAt, fate, ran ? " ran" : "", recorded ? " recorded" : "");
     }
 }
--- a/testbed/src/main/java/ridgemill/testbed/link/Link.java
+++ b/testbed/src/main/java/ridgemill/testbed/link/Link.java
@@ -87,8 +87,11 @@
     }
 
     private void listen() {
-        listener = port.listen(new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
-                .childOption(ChannelOption.TCP_NODELAY, true).childOption(ChannelOption.AUTO_READ, false)
+        listener = port.listen(new ServerBootstrap()
+                .group(loop)
+                .channel(NioServerSocketChannel.class)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.AUTO_READ, false)
                 .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel channel) {
@@ -116,12 +119,14 @@
     /** Holds back all that is on its way, and all that comes, for so long; nothing is lost. */
     public void stall(double ms) {
         loop.submit(() -> {
-            stalledUntil = System.nanoTime() + (long) (ms * 1e6);
-            pairs.forEach(p -> {
-                p.out.pump();
-                p.in.pump();
-            });
-        }).syncUninterruptibly().getNow();
+                    stalledUntil = System.nanoTime() + (long) (ms * 1e6);
+                    pairs.forEach(p -> {
+                        p.out.pump();
+                        p.in.pump();
+                    });
+                })
+                .syncUninterruptibly()
+                .getNow();
     }
 
     /**
@@ -139,12 +144,16 @@
 
     /** Resets every connection that goes through it. */
     public void reset() {
-        loop.submit(() -> List.copyOf(pairs).forEach(Pair::reset)).syncUninterruptibly().getNow();
+        loop.submit(() -> List.copyOf(pairs).forEach(Pair::reset))
+                .syncUninterruptibly()
+                .getNow();
     }
 
     /** Messages that were carried and lost so far. */
     public long[] counts() {
-        return loop.submit(() -> new long[] {carried, lost}).syncUninterruptibly().getNow();
+        return loop.submit(() -> new long[] {carried, lost})
+                .syncUninterruptibly()
+                .getNow();
     }
 
     @Override
@@ -173,7 +182,10 @@
                 near.config().setAutoRead(true);
                 return;
             }
-            new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
+            new Bootstrap()
+                    .group(loop)
+                    .channel(NioSocketChannel.class)
+                    .option(ChannelOption.TCP_NODELAY, true)
                     .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
                     .handler(new ChannelInitializer<>() {
                         @Override
@@ -181,7 +193,9 @@
                             far = channel;
                             channel.pipeline().addLast(new End(in, out));
                         }
-                    }).connect(target).addListener(f -> {
+                    })
+                    .connect(target)
+                    .addListener(f -> {
                         if (f.isSuccess()) {
                             out.to = far;
                             in.to = near;
@@ -233,7 +247,7 @@
         }
     }
 
-    private record Piece(ByteBuf bytes, long due) { }
+    private record Piece(ByteBuf bytes, long due) {}
 
     /** One direction of one pair. */
     private final class Way {
@@ -295,16 +309,22 @@
             }
             if (!pieces.isEmpty()) {
                 pumping = true;
-                loop.schedule(() -> {
-                    pumping = false;
-                    pump();
-                }, Math.max(pieces.peek().due(), stalledUntil) - now, TimeUnit.NANOSECONDS);
+                loop.schedule(
+                        () -> {
+                            pumping = false;
+                            pump();
+                        },
+                        Math.max(pieces.peek().due(), stalledUntil) - now,
+                        TimeUnit.NANOSECONDS);
             } else if (ended && stalledUntil > now) {
                 pumping = true;
-                loop.schedule(() -> {
-                    pumping = false;
-                    pump();
-                }, stalledUntil - now, TimeUnit.NANOSECONDS);
+                loop.schedule(
+                        () -> {
+                            pumping = false;
+                            pump();
+                        },
+                        stalledUntil - now,
+                        TimeUnit.NANOSECONDS);
             } else if (ended && to != null && !now().cut()) {
                 to.close();
             }
--- a/testbed/src/main/java/ridgemill/testbed/load/ClientWire.java
+++ b/testbed/src/main/java/ridgemill/testbed/load/ClientWire.java
@@ -13,11 +13,11 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import ridgemill.testbed.Protocol;
-import ridgemill.testbed.ledger.ClientEntry.Reply;
 import ridgemill.testbed.ledger.ClientEntry;
+import ridgemill.testbed.ledger.ClientEntry.Reply;
 import ridgemill.testbed.ledger.LoadClass;
-import ridgemill.testbed.resp.NaiveResp.Value;
 import ridgemill.testbed.resp.NaiveResp;
+import ridgemill.testbed.resp.NaiveResp.Value;
 import ridgemill.testbed.resp.RespValues;
 
 /** How a client's protocol is written and read. */
@@ -56,10 +56,17 @@
         @Override
         public byte[] ask(ClientEntry entry, String tenant, boolean again) {
             LoadClass c = entry.service();
-            StringBuilder text = new StringBuilder(c.write() ? "PUT" : "GET").append(" /api/").append(entry.key())
-                    .append(" HTTP/1.1\r\nHost: service.internal\r\nX-Call-Id: ").append(entry.id())
-                    .append("\r\nX-Call-Class: ").append(c.name()).append("\r\nX-Caller: ").append(tenant)
-                    .append("\r\nX-Budget: ").append(String.format(Locale.ROOT, "%.3f", entry.budgetMs() / 1000));
+            StringBuilder text = new StringBuilder(c.write() ? "PUT" : "GET")
+                    .append(" /api/")
+                    .append(entry.key())
+                    .append(" HTTP/1.1\r\nHost: service.internal\r\nX-Call-Id: ")
+                    .append(entry.id())
+                    .append("\r\nX-Call-Class: ")
+                    .append(c.name())
+                    .append("\r\nX-Caller: ")
+                    .append(tenant)
+                    .append("\r\nX-Budget: ")
+                    .append(String.format(Locale.ROOT, "%.3f", entry.budgetMs() / 1000));
             if (again) {
                 text.append("\r\nX-Again: 1");
             }
@@ -77,8 +84,12 @@
         public Reply reply(Object message, double now) {
             FullHttpResponse response = (FullHttpResponse) message;
             String wait = response.headers().get(HttpHeaderNames.RETRY_AFTER);
-            return new Reply(response.status().code(), now, response.content().toString(StandardCharsets.ISO_8859_1),
-                    wait == null ? 0 : Double.parseDouble(wait) * 1000, !response.decoderResult().isFailure());
+            return new Reply(
+                    response.status().code(),
+                    now,
+                    response.content().toString(StandardCharsets.ISO_8859_1),
+                    wait == null ? 0 : Double.parseDouble(wait) * 1000,
+                    !response.decoderResult().isFailure());
         }
 
         @Override
@@ -101,7 +112,13 @@
         @Override
         public byte[] ask(ClientEntry entry, String tenant, boolean again) {
             LoadClass c = entry.service();
-            List<String> words = new ArrayList<>(List.of("RIDGE.WITH", "class", c.name(), "id", entry.id(), "deadline",
+            List<String> words = new ArrayList<>(List.of(
+                    "RIDGE.WITH",
+                    "class",
+                    c.name(),
+                    "id",
+                    entry.id(),
+                    "deadline",
                     String.format(Locale.ROOT, "%.3fms", entry.budgetMs())));
             if (again) {
                 words.addAll(List.of("again", "1"));
@@ -122,8 +139,10 @@
             int status = switch (value.type()) {
                 case '$', '+' -> 200;
                 case '_' -> 404;
-                case '-' -> text.startsWith("TRYAGAIN a limit") ? 429 : text.startsWith("TRYAGAIN") ? 503
-                        : text.startsWith("FAILED") ? 502 : 400;
+                case '-' ->
+                    text.startsWith("TRYAGAIN a limit")
+                            ? 429
+                            : text.startsWith("TRYAGAIN") ? 503 : text.startsWith("FAILED") ? 502 : 400;
                 default -> 500;
             };
             // A write is told by OK alone.
--- a/testbed/src/main/java/ridgemill/testbed/load/Load.java
+++ b/testbed/src/main/java/ridgemill/testbed/load/Load.java
@@ -25,9 +25,9 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import ridgemill.testbed.Protocol;
+import ridgemill.testbed.ledger.ClientEntry;
 import ridgemill.testbed.ledger.ClientEntry.Kind;
 import ridgemill.testbed.ledger.ClientEntry.Reply;
-import ridgemill.testbed.ledger.ClientEntry;
 import ridgemill.testbed.ledger.Ledger;
 import ridgemill.testbed.ledger.LoadClass;
 
@@ -39,6 +39,7 @@
 
     /** How long after a client's time an answer is still waited for, so that a late one is seen as late. */
     private static final double AFTERTIME_MS = 1500;
+
     private static final int CONNECT_TIMEOUT_MS = 1000;
     private static final double STEP_MS = 2;
 
@@ -67,8 +68,13 @@
     }
 
     /** Clients that speak a protocol. */
-    public Load(EventLoop loop, Ledger ledger, LoadProfile profile, Map<String, InetSocketAddress> proxies, long seed,
-                Protocol protocol) {
+    public Load(
+            EventLoop loop,
+            Ledger ledger,
+            LoadProfile profile,
+            Map<String, InetSocketAddress> proxies,
+            long seed,
+            Protocol protocol) {
         this.wire = ClientWire.of(protocol);
         this.loop = loop;
         this.ledger = ledger;
@@ -111,13 +117,15 @@
         loop.execute(() -> {
             for (int i = 0; i < count; i++) {
                 ChannelFuture opening = bootstrap(new ChannelInitializer<>() {
-                    @Override
-                    protected void initChannel(Channel channel) { }
-                }).connect(proxies.get(names.get(i % names.size())));
+                            @Override
+                            protected void initChannel(Channel channel) {}
+                        })
+                        .connect(proxies.get(names.get(i % names.size())));
                 opening.addListener(f -> {
                     if (f.isSuccess()) {
-                        opening.channel().writeAndFlush(Unpooled.copiedBuffer("GET /api/half HTTP/1.1\r\nHost: s\r\nX-Ca",
-                                StandardCharsets.US_ASCII));
+                        opening.channel()
+                                .writeAndFlush(Unpooled.copiedBuffer(
+                                        "GET /api/half HTTP/1.1\r\nHost: s\r\nX-Ca", StandardCharsets.US_ASCII));
                     }
                 });
             }
@@ -150,7 +158,8 @@
     }
 
     private void arrive() {
-        double at = random.nextDouble() * profile.classes().stream().mapToDouble(LoadClass::share).sum();
+        double at = random.nextDouble()
+                * profile.classes().stream().mapToDouble(LoadClass::share).sum();
         LoadClass service = profile.classes().get(profile.classes().size() - 1);
         for (LoadClass c : profile.classes()) {
             at -= c.share();
@@ -183,17 +192,26 @@
         double now = ledger.now();
         double budget = Math.min(wish.leftMs(now), wish.service().deadlineMs() * profile.tryShare());
         String id = prefix + tries++;
-        ClientEntry entry = ledger.add(new ClientEntry(id, wish.idempotencyKey() == null ? prefix + wish.hashCode()
-                + "-" + wish.at() : wish.idempotencyKey(), names.get(proxy), wish.service(), wish.key(),
-                wish.idempotencyKey(), budget));
+        ClientEntry entry = ledger.add(new ClientEntry(
+                id,
+                wish.idempotencyKey() == null ? prefix + wish.hashCode() + "-" + wish.at() : wish.idempotencyKey(),
+                names.get(proxy),
+                wish.service(),
+                wish.key(),
+                wish.idempotencyKey(),
+                budget));
         Asked asked = new Asked(entry, wish, tried, proxy);
         open++;
         asked.send(false);
     }
 
     private Bootstrap bootstrap(ChannelInitializer<Channel> handler) {
-        return new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS).handler(handler);
+        return new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+                .handler(handler);
     }
 
     /** One try on its way. */
@@ -221,13 +239,14 @@
             }
             Conn fresh = new Conn(proxy);
             ChannelFuture connecting = bootstrap(new ChannelInitializer<>() {
-                @Override
-                protected void initChannel(Channel channel) {
-                    fresh.channel = channel;
-                    wire.decoders().forEach(d -> channel.pipeline().addLast(d));
-                    channel.pipeline().addLast(fresh);
-                }
-            }).connect(proxies.get(names.get(proxy)));
+                        @Override
+                        protected void initChannel(Channel channel) {
+                            fresh.channel = channel;
+                            wire.decoders().forEach(d -> channel.pipeline().addLast(d));
+                            channel.pipeline().addLast(fresh);
+                        }
+                    })
+                    .connect(proxies.get(names.get(proxy)));
             connecting.addListener(f -> {
                 if (f.isSuccess()) {
                     fresh.write(this);
@@ -244,8 +263,8 @@
             entry.sent(ledger.now());
             loop.schedule(this::waited, (long) ((entry.budgetMs() + AFTERTIME_MS) * 1e6), TimeUnit.NANOSECONDS);
             if (random.nextDouble() < profile.leaveShare()) {
-                loop.schedule(this::leave, (long) (random.nextDouble() * entry.budgetMs() / 4 * 1e6),
-                        TimeUnit.NANOSECONDS);
+                loop.schedule(
+                        this::leave, (long) (random.nextDouble() * entry.budgetMs() / 4 * 1e6), TimeUnit.NANOSECONDS);
             }
         }
 
@@ -302,10 +321,13 @@
             double wait = Math.max(1, waitMs > 0 ? waitMs : profile.retryWaitMs());
             if (tried < profile.retries() && wish.leftMs(ledger.now()) > wait + 1) {
                 open++;
-                loop.schedule(() -> {
-                    open--;
-                    ask(wish, tried + 1, proxy + 1);
-                }, (long) (wait * 1e6), TimeUnit.NANOSECONDS);
+                loop.schedule(
+                        () -> {
+                            open--;
+                            ask(wish, tried + 1, proxy + 1);
+                        },
+                        (long) (wait * 1e6),
+                        TimeUnit.NANOSECONDS);
             }
         }
     }
--- a/testbed/src/main/java/ridgemill/testbed/load/LoadProfile.java
+++ b/testbed/src/main/java/ridgemill/testbed/load/LoadProfile.java
@@ -19,9 +19,18 @@
  * @param pipeline requests that a client may have out on one connection
  * @param leaveShare the part of the clients that go away before their answer
  */
-public record LoadProfile(List<LoadClass> classes, List<String> tenants, double perSecond, double seconds, int keys,
-                          double skew, int retries, double retryWaitMs, double tryShare, int pipeline,
-                          double leaveShare) {
+public record LoadProfile(
+        List<LoadClass> classes,
+        List<String> tenants,
+        double perSecond,
+        double seconds,
+        int keys,
+        double skew,
+        int retries,
+        double retryWaitMs,
+        double tryShare,
+        int pipeline,
+        double leaveShare) {
 
     /** The lookups and recharges of a meter fleet. */
     public static final List<LoadClass> METERS = List.of(
@@ -31,8 +40,8 @@
             new LoadClass("recharge-credit", 4, 750, 1500, 2, Effect.KEYED, true));
 
     /** 100 requests a second for five seconds. */
-    public static final LoadProfile USUAL = new LoadProfile(METERS, List.of("bagmati-bijuli", "gandaki-urja"), 100, 5,
-            300, 0.8, 3, 50, 0.55, 1, 0);
+    public static final LoadProfile USUAL =
+            new LoadProfile(METERS, List.of("bagmati-bijuli", "gandaki-urja"), 100, 5, 300, 0.8, 3, 50, 0.55, 1, 0);
 
     public LoadProfile {
         classes = List.copyOf(classes);
@@ -40,32 +49,42 @@
     }
 
     public LoadProfile rate(double perS, double forSeconds) {
-        return new LoadProfile(classes, tenants, perS, forSeconds, keys, skew, retries, retryWaitMs, tryShare, pipeline,
-                leaveShare);
+        return new LoadProfile(
+                classes, tenants, perS, forSeconds, keys, skew, retries, retryWaitMs, tryShare, pipeline, leaveShare);
     }
 
     public LoadProfile keys(int count, double uneven) {
-        return new LoadProfile(classes, tenants, perSecond, seconds, count, uneven, retries, retryWaitMs, tryShare,
-                pipeline, leaveShare);
+        return new LoadProfile(
+                classes,
+                tenants,
+                perSecond,
+                seconds,
+                count,
+                uneven,
+                retries,
+                retryWaitMs,
+                tryShare,
+                pipeline,
+                leaveShare);
     }
 
     public LoadProfile retrying(int times, double waitMs) {
-        return new LoadProfile(classes, tenants, perSecond, seconds, keys, skew, times, waitMs, tryShare, pipeline,
-                leaveShare);
+        return new LoadProfile(
+                classes, tenants, perSecond, seconds, keys, skew, times, waitMs, tryShare, pipeline, leaveShare);
     }
 
     public LoadProfile pipelined(int depth) {
-        return new LoadProfile(classes, tenants, perSecond, seconds, keys, skew, retries, retryWaitMs, tryShare, depth,
-                leaveShare);
+        return new LoadProfile(
+                classes, tenants, perSecond, seconds, keys, skew, retries, retryWaitMs, tryShare, depth, leaveShare);
     }
 
     public LoadProfile leaving(double share) {
-        return new LoadProfile(classes, tenants, perSecond, seconds, keys, skew, retries, retryWaitMs, tryShare,
-                pipeline, share);
+        return new LoadProfile(
+                classes, tenants, perSecond, seconds, keys, skew, retries, retryWaitMs, tryShare, pipeline, share);
     }
 
     public LoadProfile classes(List<LoadClass> others) {
-        return new LoadProfile(others, tenants, perSecond, seconds, keys, skew, retries, retryWaitMs, tryShare,
-                pipeline, leaveShare);
+        return new LoadProfile(
+                others, tenants, perSecond, seconds, keys, skew, retries, retryWaitMs, tryShare, pipeline, leaveShare);
     }
 }
--- a/testbed/src/main/java/ridgemill/testbed/load/Summary.java
+++ b/testbed/src/main/java/ridgemill/testbed/load/Summary.java
@@ -15,8 +15,17 @@
 public final class Summary {
 
     /** The wishes of one class; {@code leaving} are those whose client went away. */
-    public record Row(String name, int asked, int inTime, int late, int refused, int failed, int unanswered, int leaving,
-                      double p50Ms, double p99Ms) {
+    public record Row(
+            String name,
+            int asked,
+            int inTime,
+            int late,
+            int refused,
+            int failed,
+            int unanswered,
+            int leaving,
+            double p50Ms,
+            double p99Ms) {
 
         /** The part of those asked, whose clients stayed, that was served in the wanted time; 1 if there were none. */
         public double servedShare() {
@@ -31,9 +40,11 @@
         Map<String, Map<String, List<ClientEntry>>> wishes = new TreeMap<>();
         ledger.clients().forEach(c -> {
             wishes.computeIfAbsent(c.service().name(), n -> new LinkedHashMap<>())
-                    .computeIfAbsent(c.first(), f -> new ArrayList<>()).add(c);
+                    .computeIfAbsent(c.first(), f -> new ArrayList<>())
+                    .add(c);
             wishes.computeIfAbsent("all", n -> new LinkedHashMap<>())
-                    .computeIfAbsent(c.first(), f -> new ArrayList<>()).add(c);
+                    .computeIfAbsent(c.first(), f -> new ArrayList<>())
+                    .add(c);
         });
         wishes.forEach((name, of) -> rows.put(name, row(name, of)));
     }
@@ -52,10 +63,20 @@
         int leaving = 0;
         List<Double> times = new ArrayList<>();
         for (List<ClientEntry> tries : wishes.values()) {
-            double start = tries.stream().filter(t -> t.sentAt() > 0).mapToDouble(ClientEntry::sentAt).min().orElse(0);
-            double served = tries.stream().flatMap(t -> t.replies().stream()).filter(r -> r.kind() == Kind.SERVED)
-                    .mapToDouble(ClientEntry.Reply::at).min().orElse(Double.NaN);
-            ClientEntry last = tries.stream().max(Comparator.comparingDouble(ClientEntry::sentAt)).orElseThrow();
+            double start = tries.stream()
+                    .filter(t -> t.sentAt() > 0)
+                    .mapToDouble(ClientEntry::sentAt)
+                    .min()
+                    .orElse(0);
+            double served = tries.stream()
+                    .flatMap(t -> t.replies().stream())
+                    .filter(r -> r.kind() == Kind.SERVED)
+                    .mapToDouble(ClientEntry.Reply::at)
+                    .min()
+                    .orElse(Double.NaN);
+            ClientEntry last = tries.stream()
+                    .max(Comparator.comparingDouble(ClientEntry::sentAt))
+                    .orElseThrow();
             if (!Double.isNaN(served)) {
                 times.add(served - start);
                 if (served - start <= last.service().aimMs()) {
@@ -74,7 +95,16 @@
             }
         }
         times.sort(null);
-        return new Row(name, wishes.size(), inTime, late, refused, failed, unanswered, leaving, at(times, 0.5),
+        return new Row(
+                name,
+                wishes.size(),
+                inTime,
+                late,
+                refused,
+                failed,
+                unanswered,
+                leaving,
+                at(times, 0.5),
                 at(times, 0.99));
     }
 
@@ -84,11 +114,23 @@
 
     @Override
     public String toString() {
-        StringBuilder text = new StringBuilder(String.format("%-18s %7s %8s %6s %8s %7s %11s %5s %8s %8s%n", "class",
-                "asked", "in time", "late", "refused", "failed", "unanswered", "left", "p50 ms", "p99 ms"));
-        rows.values().forEach(r -> text.append(String.format(Locale.ROOT, "%-18s %7d %8d %6d %8d %7d %11d %5d %8.1f %8.1f%n", r.name(),
-                r.asked(), r.inTime(), r.late(), r.refused(), r.failed(), r.unanswered(), r.leaving(), r.p50Ms(),
-                r.p99Ms())));
+        StringBuilder text = new StringBuilder(String.format(
+                "%-18s %7s %8s %6s %8s %7s %11s %5s %8s %8s%n",
+                "class", "asked", "in time", "late", "refused", "failed", "unanswered", "left", "p50 ms", "p99 ms"));
+        rows.values()
+                .forEach(r -> text.append(String.format(
+                        Locale.ROOT,
+                        "%-18s %7d %8d %6d %8d %7d %11d %5d %8.1f %8.1f%n",
+                        r.name(),
+                        r.asked(),
+                        r.inTime(),
+                        r.late(),
+                        r.refused(),
+                        r.failed(),
+                        r.unanswered(),
+                        r.leaving(),
+                        r.p50Ms(),
+                        r.p99Ms())));
         return text.toString();
     }
 }
--- a/testbed/src/main/java/ridgemill/testbed/mutants/Mutant.java
+++ b/testbed/src/main/java/ridgemill/testbed/mutants/Mutant.java
@@ -25,7 +25,7 @@
 public record Mutant(String name, List<Change> changes) {
 
     /** One place of one file. */
-    public record Change(String file, String from, String to) { }
+    public record Change(String file, String from, String to) {}
 
     public Mutant {
         changes = List.copyOf(changes);
@@ -38,7 +38,10 @@
 
     /** The same with one more change. */
     public Mutant and(String file, String from, String to) {
-        return new Mutant(name, Stream.concat(changes.stream(), Stream.of(new Change(file, from, to))).toList());
+        return new Mutant(
+                name,
+                Stream.concat(changes.stream(), Stream.of(new Change(file, from, to)))
+                        .toList());
     }
 
     /** Compiles the package whose sources are in a folder, with this change, into another folder; the class path is this process's. */
@@ -57,9 +60,22 @@
         }
         JavaCompiler compiler = ToolProvider.getSystemJavaCompiler();
         StringWriter said = new StringWriter();
-        try (StandardJavaFileManager manager = compiler.getStandardFileManager(null, null, null); Stream<Path> files = Files.list(changed)) {
-            boolean good = compiler.getTask(said, manager, null, List.of("-d", classes.toString(), "-cp", System.getProperty("java.class.path"),
-                    "-XDstringConcat=inline", "-proc:none"), null, manager.getJavaFileObjectsFromPaths(files.toList())).call();
+        try (StandardJavaFileManager manager = compiler.getStandardFileManager(null, null, null);
+                Stream<Path> files = Files.list(changed)) {
+            boolean good = compiler.getTask(
+                            said,
+                            manager,
+                            null,
+                            List.of(
+                                    "-d",
+                                    classes.toString(),
+                                    "-cp",
+                                    System.getProperty("java.class.path"),
+                                    "-XDstringConcat=inline",
+                                    "-proc:none"),
+                            null,
+                            manager.getJavaFileObjectsFromPaths(files.toList()))
+                    .call();
             if (!good) {
                 throw new IOException("the mutant '" + name + "' does not compile: " + said);
             }
@@ -69,7 +85,8 @@
     private String replaced(String text, Change c) {
         int at = text.indexOf(c.from());
         if (at < 0 || text.indexOf(c.from(), at + 1) >= 0) {
-            throw new IllegalArgumentException("the mutant '" + name + "': " + c.file() + " has " + (at < 0 ? "no " : "more than one ") + c.from());
+            throw new IllegalArgumentException("the mutant '" + name + "': " + c.file() + " has "
+                    + (at < 0 ? "no " : "more than one ") + c.from());
         }
         return text.substring(0, at) + c.to() + text.substring(at + c.from().length());
     }
@@ -82,10 +99,16 @@
      * @param module one of the module's classes
      * @param plays with a constructor without arguments; made anew, with its package, beside the mutant, and called
      */
-    public String tried(Path sources, Path classes, Class<?> module, Class<? extends Callable<String>> plays) throws Exception {
+    public String tried(Path sources, Path classes, Class<?> module, Class<? extends Callable<String>> plays)
+            throws Exception {
         compile(sources, classes);
-        ClassLoader loader = loader(classes, Map.of(module.getPackageName() + ".", classes.toUri().toURL(), plays.getPackageName() + ".",
-                plays.getProtectionDomain().getCodeSource().getLocation()));
+        ClassLoader loader = loader(
+                classes,
+                Map.of(
+                        module.getPackageName() + ".",
+                        classes.toUri().toURL(),
+                        plays.getPackageName() + ".",
+                        plays.getProtectionDomain().getCodeSource().getLocation()));
         Class<?> anew = loader.loadClass(plays.getName());
         if (anew == plays || loader.loadClass(module.getName()) == module) {
             throw new IllegalStateException("the mutant '" + name + "' is not what is tried");
@@ -102,7 +125,8 @@
      * @param anew prefixes of the names of classes that are made anew, with their folders
      */
     public static ClassLoader loader(Path classes, Map<String, URL> anew) throws IOException {
-        URL[] urls = Stream.concat(Stream.of(classes.toUri().toURL()), anew.values().stream()).toArray(URL[]::new);
+        URL[] urls = Stream.concat(Stream.of(classes.toUri().toURL()), anew.values().stream())
+                .toArray(URL[]::new);
         return new URLClassLoader(urls, Mutant.class.getClassLoader()) {
             @Override
             protected Class<?> loadClass(String className, boolean resolve) throws ClassNotFoundException {
--- a/testbed/src/main/java/ridgemill/testbed/node/CacheNode.java
+++ b/testbed/src/main/java/ridgemill/testbed/node/CacheNode.java
@@ -14,8 +14,15 @@
     private final Shared shared;
     private Map<String, Boolean> kept;
 
-    CacheNode(EventLoop loop, Ledger ledger, String name, NodeProfile profile, long seed, Shared shared,
-              boolean cold, Supplier<Wire> wires) {
+    CacheNode(
+            EventLoop loop,
+            Ledger ledger,
+            String name,
+            NodeProfile profile,
+            long seed,
+            Shared shared,
+            boolean cold,
+            Supplier<Wire> wires) {
         super(loop, ledger, name, profile, seed, cold, wires);
         this.shared = shared;
         onLoop(() -> shared.caches.add(this));
--- a/testbed/src/main/java/ridgemill/testbed/node/HttpWire.java
+++ b/testbed/src/main/java/ridgemill/testbed/node/HttpWire.java
@@ -26,9 +26,15 @@
         int query = path.indexOf('?');
         String bare = query < 0 ? path : path.substring(0, query);
         String reply = bare.equals("/alive") ? answer(null, up ? 200 : 503, "") : null;
-        return new Asked(headers.get("X-Call-Id", ""), bare.substring(bare.lastIndexOf('/') + 1),
-                request.method().equals(HttpMethod.PUT), headers.get("Idempotency-Key"), budgetMs(headers.get("X-Budget")), reply,
-                request.decoderResult().isFailure(), headers.get("X-Acted-Under"));
+        return new Asked(
+                headers.get("X-Call-Id", ""),
+                bare.substring(bare.lastIndexOf('/') + 1),
+                request.method().equals(HttpMethod.PUT),
+                headers.get("Idempotency-Key"),
+                budgetMs(headers.get("X-Budget")),
+                reply,
+                request.decoderResult().isFailure(),
+                headers.get("X-Acted-Under"));
     }
 
     private static double budgetMs(String seconds) {
--- a/testbed/src/main/java/ridgemill/testbed/node/RespWire.java
+++ b/testbed/src/main/java/ridgemill/testbed/node/RespWire.java
@@ -56,13 +56,21 @@
         }
         boolean whole = at + 2 < words.size();
         String action = whole ? words.get(at + 1) : "";
-        return new Asked(id, whole ? words.get(at + 2) : "", action.equals("SET") || action.equals("DEL"), idempotencyKey,
-                budget, null, !whole);
+        return new Asked(
+                id,
+                whole ? words.get(at + 2) : "",
+                action.equals("SET") || action.equals("DEL"),
+                idempotencyKey,
+                budget,
+                null,
+                !whole);
     }
 
     private String named(Asked to, String hit, String reply) {
-        return newer && to != null && !to.id().isEmpty() ? (hit == null ? "|1" : "|2") + "\r\n+id\r\n+" + to.id() + "\r\n"
-                + (hit == null ? "" : "+hit\r\n+" + hit + "\r\n") + reply : reply;
+        return newer && to != null && !to.id().isEmpty()
+                ? (hit == null ? "|1" : "|2") + "\r\n+id\r\n+" + to.id() + "\r\n"
+                        + (hit == null ? "" : "+hit\r\n+" + hit + "\r\n") + reply
+                : reply;
     }
 
     private static String hit(String... headers) {
@@ -103,7 +111,9 @@
     @Override
     public String cancels(Object message) {
         List<Value> words = ((Value) message).parts();
-        return words.size() == 2 && words.get(0).text().equalsIgnoreCase("RIDGE.CANCEL") ? words.get(1).text() : null;
+        return words.size() == 2 && words.get(0).text().equalsIgnoreCase("RIDGE.CANCEL")
+                ? words.get(1).text()
+                : null;
     }
 
     @Override
--- a/testbed/src/main/java/ridgemill/testbed/node/StandIn.java
+++ b/testbed/src/main/java/ridgemill/testbed/node/StandIn.java
@@ -40,7 +40,11 @@
 public abstract class StandIn implements AutoCloseable {
 
     /** What the list of hosts says of it, and whether its process runs. */
-    public enum State { UP, DRAINING, DOWN }
+    public enum State {
+        UP,
+        DRAINING,
+        DOWN
+    }
 
     private static final int PACE_STEPS_PER_S = 20;
 
@@ -61,7 +65,14 @@
     private long connections;
     private long epoch;
 
-    StandIn(EventLoop loop, Ledger ledger, String name, NodeProfile profile, long seed, boolean cold, Supplier<Wire> wires) {
+    StandIn(
+            EventLoop loop,
+            Ledger ledger,
+            String name,
+            NodeProfile profile,
+            long seed,
+            boolean cold,
+            Supplier<Wire> wires) {
         this.loop = loop;
         this.ledger = ledger;
         this.name = name;
@@ -153,7 +164,9 @@
 
     /** Runs a task on the loop and returns when it is done; what it throws is thrown here. */
     final <T> T onLoop(Supplier<T> task) {
-        return loop.inEventLoop() ? task.get() : loop.submit(task::get).syncUninterruptibly().getNow();
+        return loop.inEventLoop()
+                ? task.get()
+                : loop.submit(task::get).syncUninterruptibly().getNow();
     }
 
     private void open(boolean cold) {
@@ -166,7 +179,9 @@
             bornMs = cold ? System.currentTimeMillis() : 0;
             return state = State.UP;
         });
-        Channel bound = port.listen(new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+        Channel bound = port.listen(new ServerBootstrap()
+                .group(loop)
+                .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, 1024)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<>() {
@@ -202,8 +217,8 @@
         conns.add(conn);
         if (faults.readBytesPerS() > 0) {
             channel.config().setAutoRead(false);
-            FixedRecvByteBufAllocator piece = new FixedRecvByteBufAllocator(
-                    Math.max(1, faults.readBytesPerS() / PACE_STEPS_PER_S));
+            FixedRecvByteBufAllocator piece =
+                    new FixedRecvByteBufAllocator(Math.max(1, faults.readBytesPerS() / PACE_STEPS_PER_S));
             channel.config().setRecvByteBufAllocator(piece);
             // After it was set, which allows several pieces a read.
             piece.maxMessagesPerRead(1);
@@ -309,7 +324,9 @@
         for (VirtualCore.Piece piece : core.begin()) {
             Served s = pieces.get(piece);
             double now = ledger.now();
-            if (faults.keepsBudgets() && s.entry.toldMs() > 0 && piece.begunAt() > s.entry.begunAt() + s.entry.toldMs()) {
+            if (faults.keepsBudgets()
+                    && s.entry.toldMs() > 0
+                    && piece.begunAt() > s.entry.begunAt() + s.entry.toldMs()) {
                 pieces.remove(piece);
                 core.stop(piece.begunAt(), piece);
                 s.answer(504, Fate.REJECTED, "", "X-Rejected: 1");
@@ -317,15 +334,18 @@
                 continue;
             }
             s.entry.works(piece.begunAt());
-            loop.schedule(() -> {
-                if (s.lives() && !piece.isOver()) {
-                    pieces.remove(piece);
-                    core.done(piece);
-                    s.entry.worked(piece.doneAt());
-                    work(s);
-                    beginWork();
-                }
-            }, (long) (Math.max(0, piece.doneAt() - now) * 1e6), TimeUnit.NANOSECONDS);
+            loop.schedule(
+                    () -> {
+                        if (s.lives() && !piece.isOver()) {
+                            pieces.remove(piece);
+                            core.done(piece);
+                            s.entry.worked(piece.doneAt());
+                            work(s);
+                            beginWork();
+                        }
+                    },
+                    (long) (Math.max(0, piece.doneAt() - now) * 1e6),
+                    TimeUnit.NANOSECONDS);
         }
     }
 
@@ -410,9 +430,12 @@
         }
 
         private void rest() {
-            idle = loop.schedule(() -> {
-                channel.close();
-            }, (long) (profile.idleCloseMs() * 1e6), TimeUnit.NANOSECONDS);
+            idle = loop.schedule(
+                    () -> {
+                        channel.close();
+                    },
+                    (long) (profile.idleCloseMs() * 1e6),
+                    TimeUnit.NANOSECONDS);
         }
 
         @Override
@@ -474,10 +497,11 @@
                 }
                 case HALF_ANSWER -> {
                     s.entry.ended(now, Fate.SPOILT);
-                    channel.writeAndFlush(bytes(good.substring(0, good.length() / 2))).addListener(f -> reset());
+                    channel.writeAndFlush(bytes(good.substring(0, good.length() / 2)))
+                            .addListener(f -> reset());
                 }
                 case HALF_ANSWER_STALL -> channel.writeAndFlush(bytes(good.substring(0, good.length() / 2)));
-                case SILENCE_AFTER_RUN -> { }
+                case SILENCE_AFTER_RUN -> {}
                 case ERROR -> write(s, wire.answer(s.asked, 500, ""), Fate.ERROR, null, 0);
                 case NOISE -> write(s, "\u0001\u0002 no answer at all \u0003\r\n\r\n", Fate.SPOILT, null, 0);
                 case ENDLESS_HEAD -> channel.writeAndFlush(bytes(wire.endless()));
@@ -529,7 +553,7 @@
             waiting.forEach(ReferenceCountUtil::release);
             if (current != null) {
                 current.entry.ended(ledger.now(), Fate.ABANDONED);
-                letGo(current, () -> { });
+                letGo(current, () -> {});
                 current = null;
             }
         }
--- a/testbed/src/main/java/ridgemill/testbed/node/StandInFleet.java
+++ b/testbed/src/main/java/ridgemill/testbed/node/StandInFleet.java
@@ -24,21 +24,33 @@
     private final Supplier<Wire> wires;
 
     /** A fleet that speaks HTTP. */
-    public StandInFleet(EventLoop loop, Ledger ledger, int size, NodeProfile cache, NodeProfile storeProfile, long seed,
-                        double repeatWindowMs) {
+    public StandInFleet(
+            EventLoop loop,
+            Ledger ledger,
+            int size,
+            NodeProfile cache,
+            NodeProfile storeProfile,
+            long seed,
+            double repeatWindowMs) {
         this(loop, ledger, size, cache, storeProfile, seed, repeatWindowMs, Protocol.HTTP);
     }
 
     /** A fleet that speaks a protocol. */
-    public StandInFleet(EventLoop loop, Ledger ledger, int size, NodeProfile cache, NodeProfile storeProfile, long seed,
-                        double repeatWindowMs, Protocol protocol) {
+    public StandInFleet(
+            EventLoop loop,
+            Ledger ledger,
+            int size,
+            NodeProfile cache,
+            NodeProfile storeProfile,
+            long seed,
+            double repeatWindowMs,
+            Protocol protocol) {
         this.wires = protocol == Protocol.HTTP ? HttpWire::new : RespWire::new;
         this.loop = loop;
         this.ledger = ledger;
         this.profile = cache;
         this.seeds = new SplittableRandom(seed);
-        this.store = new Store(loop, ledger, STORE, storeProfile, seeds.nextLong(), shared, repeatWindowMs,
-                wires);
+        this.store = new Store(loop, ledger, STORE, storeProfile, seeds.nextLong(), shared, repeatWindowMs, wires);
         for (int i = 0; i < size; i++) {
             add("c" + i);
         }
--- a/testbed/src/main/java/ridgemill/testbed/node/Store.java
+++ b/testbed/src/main/java/ridgemill/testbed/node/Store.java
@@ -15,8 +15,15 @@
     private final Map<String, Integer> reads = new HashMap<>();
     private final Map<String, Integer> writes = new HashMap<>();
 
-    Store(EventLoop loop, Ledger ledger, String name, NodeProfile profile, long seed, Shared shared,
-          double repeatWindowMs, Supplier<Wire> wires) {
+    Store(
+            EventLoop loop,
+            Ledger ledger,
+            String name,
+            NodeProfile profile,
+            long seed,
+            Shared shared,
+            double repeatWindowMs,
+            Supplier<Wire> wires) {
         super(loop, ledger, name, profile, seed, false, wires);
         this.shared = shared;
         this.guard = new RepeatGuard(repeatWindowMs);
--- a/testbed/src/main/java/ridgemill/testbed/node/Warmth.java
+++ b/testbed/src/main/java/ridgemill/testbed/node/Warmth.java
@@ -9,7 +9,7 @@
  */
 final class Warmth {
 
-    private record Piece(double at, double workMs) { }
+    private record Piece(double at, double workMs) {}
 
     private final double coldFrom;
     private final double coldMs;
--- a/testbed/src/main/java/ridgemill/testbed/node/Wire.java
+++ b/testbed/src/main/java/ridgemill/testbed/node/Wire.java
@@ -15,11 +15,25 @@
      * @param unreadable whether it makes no sense
      * @param under which proxy, process and version it says that it is sent by; null where it says nothing
      */
-    record Asked(String id, String key, boolean write, String idempotencyKey, double budgetMs, String reply,
-                 boolean unreadable, String under) {
+    record Asked(
+            String id,
+            String key,
+            boolean write,
+            String idempotencyKey,
+            double budgetMs,
+            String reply,
+            boolean unreadable,
+            String under) {
 
         /** One that says nothing of versions. */
-        Asked(String id, String key, boolean write, String idempotencyKey, double budgetMs, String reply, boolean unreadable) {
+        Asked(
+                String id,
+                String key,
+                boolean write,
+                String idempotencyKey,
+                double budgetMs,
+                String reply,
+                boolean unreadable) {
             this(id, key, write, idempotencyKey, budgetMs, reply, unreadable, null);
         }
     }
