--- a/testbed/src/main/java/ridgemill/testbed/peers/PeerNet.java
+++ b/testbed/src/main/java/ridgemill/testbed/peers/PeerNet.java
@@ -36,7 +36,7 @@
      * @param replayed old ones that came once more
      * @param flipped that came with a bit changed
      */
-    public record Counts(long sent, long bytes, long lost, long doubled, long replayed, long flipped) { }
+    public record Counts(long sent, long bytes, long lost, long doubled, long replayed, long flipped) {}
 
     private final EventLoop loop;
     private final SplittableRandom random;
@@ -70,13 +70,18 @@
         }
         for (int i = 0; i < sockets.size(); i++) {
             int number = i;
-            seen.add(new Bootstrap().group(loop).channel(NioDatagramChannel.class)
+            seen.add(new Bootstrap()
+                    .group(loop)
+                    .channel(NioDatagramChannel.class)
                     .handler(new SimpleChannelInboundHandler<DatagramPacket>() {
                         @Override
                         protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
                             carry(number, packet);
                         }
-                    }).bind(new InetSocketAddress("127.0.0.1", 0)).syncUninterruptibly().channel());
+                    })
+                    .bind(new InetSocketAddress("127.0.0.1", 0))
+                    .syncUninterruptibly()
+                    .channel());
         }
     }
 
@@ -118,18 +123,22 @@
 
     /** What became of all datagrams so far; not to be called on the loop. */
     public Counts counts() {
-        return loop.submit(() -> new Counts(sent, bytes, lost, doubled, replayed, flipped)).syncUninterruptibly().getNow();
+        return loop.submit(() -> new Counts(sent, bytes, lost, doubled, replayed, flipped))
+                .syncUninterruptibly()
+                .getNow();
     }
 
     /** The longest datagram that was sent to a proxy so far, in bytes; not to be called on the loop. */
     public int longestTo(int to) {
         return loop.submit(() -> {
-            int longest = 0;
-            for (Lane[] from : lanes) {
-                longest = Math.max(longest, from[to].longest);
-            }
-            return longest;
-        }).syncUninterruptibly().getNow();
+                    int longest = 0;
+                    for (Lane[] from : lanes) {
+                        longest = Math.max(longest, from[to].longest);
+                    }
+                    return longest;
+                })
+                .syncUninterruptibly()
+                .getNow();
     }
 
     private void carry(int to, DatagramPacket packet) {
@@ -143,7 +152,8 @@
         lane.longest = Math.max(lane.longest, contents.length);
         sent++;
         bytes += contents.length;
-        // As many draws for each datagram whatever becomes of it, so that one condition's chance does not move another's.
+        // As many draws for each datagram whatever becomes of it, so that one condition's chance does not move
+        // another's.
         boolean loses = random.nextDouble() < way.lossShare();
         boolean doubles = random.nextDouble() < way.doubledShare();
         boolean replays = random.nextDouble() < way.replayedShare();
--- a/testbed/src/main/java/ridgemill/testbed/peers/Way.java
+++ b/testbed/src/main/java/ridgemill/testbed/peers/Way.java
@@ -11,8 +11,14 @@
  * @param flippedShare the part that comes with one bit changed
  * @param cut whether nothing passes
  */
-public record Way(double lossShare, double delayMs, double spreadMs, double doubledShare, double replayedShare,
-                  double flippedShare, boolean cut) {
+public record Way(
+        double lossShare,
+        double delayMs,
+        double spreadMs,
+        double doubledShare,
+        double replayedShare,
+        double flippedShare,
+        boolean cut) {
 
     /** Everything passes at once. */
     public static final Way CLEAR = new Way(0, 0, 0, 0, 0, 0, false);
--- a/testbed/src/main/java/ridgemill/testbed/registry/ListingJudge.java
+++ b/testbed/src/main/java/ridgemill/testbed/registry/ListingJudge.java
@@ -23,7 +23,7 @@
     }
 
     /** What the registry had from a time on, at the latest from {@code until} on. */
-    private record State(double from, double until, Map<String, String> all) { }
+    private record State(double from, double until, Map<String, String> all) {}
 
     /**
      * What was found.
@@ -32,7 +32,7 @@
      * @param mostMs the oldest that any went by, in milliseconds
      * @param faults empty if all went by what there was
      */
-    public record Verdict(int seen, double mostMs, List<String> faults) { }
+    public record Verdict(int seen, double mostMs, List<String> faults) {}
 
     private final List<State> states = new ArrayList<>();
 
@@ -49,11 +49,14 @@
         double most = 0;
         for (Seen s : seen) {
             int at = states.size() - 1;
-            while (at >= 0 && (states.get(at).from() > s.answeredAt() || !states.get(at).all().equals(s.all()))) {
+            while (at >= 0
+                    && (states.get(at).from() > s.answeredAt()
+                            || !states.get(at).all().equals(s.all()))) {
                 at--;
             }
             if (at < 0) {
-                faults.add("%s at %.0f goes by what the registry never had: %s".formatted(s.proxy(), s.answeredAt(), new TreeMap<>(s.all())));
+                faults.add("%s at %.0f goes by what the registry never had: %s"
+                        .formatted(s.proxy(), s.answeredAt(), new TreeMap<>(s.all())));
                 continue;
             }
             double from = s.askedAt() - boundMs;
@@ -62,12 +65,15 @@
             if (history.met(s.proxy(), History.What.STARTED, from, s.answeredAt())) {
                 last.remove(s.proxy());
             }
-            double old = at == states.size() - 1 ? 0 : Math.max(0, s.askedAt() - states.get(at + 1).until());
+            double old = at == states.size() - 1
+                    ? 0
+                    : Math.max(0, s.askedAt() - states.get(at + 1).until());
             if (!excused) {
                 judged++;
                 most = Math.max(most, old);
                 if (old > boundMs) {
-                    faults.add("%s at %.0f goes by what the registry had %.0f ms ago".formatted(s.proxy(), s.answeredAt(), old));
+                    faults.add("%s at %.0f goes by what the registry had %.0f ms ago"
+                            .formatted(s.proxy(), s.answeredAt(), old));
                 }
             }
             if (at < last.getOrDefault(s.proxy(), 0)) {
--- a/testbed/src/main/java/ridgemill/testbed/registry/RegistryStandIn.java
+++ b/testbed/src/main/java/ridgemill/testbed/registry/RegistryStandIn.java
@@ -69,7 +69,7 @@
         LOST_DELTAS
     }
 
-    private record Change(double atMs, String key, JsonObject instance) { }
+    private record Change(double atMs, String key, JsonObject instance) {}
 
     private static final int MOST_BODY = 1 << 20;
     private static final double DELTA_RETENTION_MS = 180_000;
@@ -147,19 +147,27 @@
 
     /** Listens (again) at its address. */
     public void up() {
-        listener = port.listen(new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+        listener = port.listen(new ServerBootstrap()
+                .group(loop)
+                .channel(NioServerSocketChannel.class)
                 .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         listener.closeFuture().addListener(f -> channel.close());
-                        channel.pipeline().addLast(new HttpServerCodec(), new HttpContentCompressor(), new HttpObjectAggregator(MOST_BODY),
-                                new Answers());
+                        channel.pipeline()
+                                .addLast(
+                                        new HttpServerCodec(),
+                                        new HttpContentCompressor(),
+                                        new HttpObjectAggregator(MOST_BODY),
+                                        new Answers());
                     }
                 }));
     }
 
     private <T> T on(Supplier<T> task) {
-        return loop.inEventLoop() ? task.get() : loop.submit(task::get).syncUninterruptibly().getNow();
+        return loop.inEventLoop()
+                ? task.get()
+                : loop.submit(task::get).syncUninterruptibly().getNow();
     }
 
     private static double now() {
@@ -290,7 +298,9 @@
 
     private static JsonArray byApplication(Iterable<JsonObject> some) {
         Map<String, JsonArray> apps = new TreeMap<>();
-        some.forEach(i -> apps.computeIfAbsent(i.get("app").getAsString().toUpperCase(Locale.ROOT), a -> new JsonArray()).add(i));
+        some.forEach(
+                i -> apps.computeIfAbsent(i.get("app").getAsString().toUpperCase(Locale.ROOT), a -> new JsonArray())
+                        .add(i));
         JsonArray all = new JsonArray();
         apps.forEach((name, list) -> {
             JsonObject app = new JsonObject();
@@ -337,17 +347,23 @@
         }
         if (!path[0].equals("apps")) {
             String field = path[0].equals("vips") ? "vipAddress" : "secureVipAddress";
-            return applications(shown().values().stream().filter(i -> i.has(field) && i.get(field).getAsString().equals(path[1]))
+            return applications(shown().values().stream()
+                    .filter(i -> i.has(field) && i.get(field).getAsString().equals(path[1]))
                     .toList());
         }
-        List<JsonObject> of = shown().entrySet().stream().filter(e -> e.getKey().startsWith(path[1].toUpperCase(Locale.ROOT) + "/"))
-                .map(Map.Entry::getValue).toList();
+        List<JsonObject> of = shown().entrySet().stream()
+                .filter(e -> e.getKey().startsWith(path[1].toUpperCase(Locale.ROOT) + "/"))
+                .map(Map.Entry::getValue)
+                .toList();
         if (of.isEmpty()) {
             return null;
         }
         JsonObject one = new JsonObject();
         if (path.length == 3) {
-            of.stream().filter(i -> i.get("instanceId").getAsString().equals(path[2])).findFirst().ifPresent(i -> one.add("instance", i));
+            of.stream()
+                    .filter(i -> i.get("instanceId").getAsString().equals(path[2]))
+                    .findFirst()
+                    .ifPresent(i -> one.add("instance", i));
             return one.size() == 0 ? null : one;
         }
         one.add("application", byApplication(of).get(0));
@@ -363,7 +379,9 @@
         if (method.equals(HttpMethod.POST) && path.length == 2) {
             try {
                 JsonObject i = JsonParser.parseString(body).getAsJsonObject().getAsJsonObject("instance");
-                String id = i.has("instanceId") ? i.get("instanceId").getAsString() : i.get("hostName").getAsString();
+                String id = i.has("instanceId")
+                        ? i.get("instanceId").getAsString()
+                        : i.get("hostName").getAsString();
                 register(app, id, i);
                 return 204;
             } catch (JsonParseException | IllegalStateException | NullPointerException e) {
@@ -382,12 +400,14 @@
             note(key, i, "MODIFIED");
         } else if (method.equals(HttpMethod.DELETE) && path.length == 4) {
             i.addProperty("overriddenStatus", "UNKNOWN");
-            i.addProperty("status", query.getOrDefault("value", List.of("UNKNOWN")).get(0));
+            i.addProperty(
+                    "status", query.getOrDefault("value", List.of("UNKNOWN")).get(0));
             note(key, i, "MODIFIED");
         } else if (method.equals(HttpMethod.DELETE)) {
             instances.remove(key);
             note(key, i, "DELETED");
-        } else if (query.containsKey("status") && !i.get("status").getAsString().equals(query.get("status").get(0))) {
+        } else if (query.containsKey("status")
+                && !i.get("status").getAsString().equals(query.get("status").get(0))) {
             i.addProperty("status", query.get("status").get(0));
             note(key, i, "MODIFIED");
         }
@@ -403,8 +423,13 @@
         out.append('<').append(name);
         if (e.isJsonObject()) {
             JsonObject o = e.getAsJsonObject();
-            o.entrySet().stream().filter(f -> f.getKey().startsWith("@")).forEach(f -> out.append(' ').append(f.getKey().substring(1))
-                    .append("=\"").append(f.getValue().getAsString()).append('"'));
+            o.entrySet().stream()
+                    .filter(f -> f.getKey().startsWith("@"))
+                    .forEach(f -> out.append(' ')
+                            .append(f.getKey().substring(1))
+                            .append("=\"")
+                            .append(f.getValue().getAsString())
+                            .append('"'));
             out.append('>');
             o.entrySet().stream().filter(f -> !f.getKey().startsWith("@")).forEach(f -> {
                 if (f.getKey().equals("$")) {
@@ -437,19 +462,29 @@
             boolean half = fault == Fault.HALF;
             if (half) {
                 // Not compressed, or its length would be made to fit.
-                response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes() + 100)
+                response.headers()
+                        .setInt(
+                                HttpHeaderNames.CONTENT_LENGTH,
+                                response.content().readableBytes() + 100)
                         .set(HttpHeaderNames.CONTENT_ENCODING, "identity");
             }
-            ctx.executor().schedule(() -> ctx.writeAndFlush(response).addListener(f -> {
-                if (half) {
-                    ctx.close();
-                }
-            }), (long) (delayMs * 1e6), TimeUnit.NANOSECONDS);
+            ctx.executor()
+                    .schedule(
+                            () -> ctx.writeAndFlush(response).addListener(f -> {
+                                if (half) {
+                                    ctx.close();
+                                }
+                            }),
+                            (long) (delayMs * 1e6),
+                            TimeUnit.NANOSECONDS);
         }
 
         private FullHttpResponse response(FullHttpRequest request) {
             QueryStringDecoder uri = new QueryStringDecoder(request.uri());
-            String bare = uri.path().replaceFirst("^/eureka", "").replaceFirst("^(/v2)?/", "").replaceFirst("/$", "");
+            String bare = uri.path()
+                    .replaceFirst("^/eureka", "")
+                    .replaceFirst("^(/v2)?/", "")
+                    .replaceFirst("/$", "");
             String[] path = bare.isEmpty() ? new String[0] : bare.split("/");
             if (fault == Fault.ERROR) {
                 return answer(500, "text/html", "<html>500</html>");
@@ -458,14 +493,22 @@
                 return answer(200, "text/html", "<html><body><h1>Bad gateway</h1></body></html>");
             }
             if (!request.method().equals(HttpMethod.GET)) {
-                return answer(write(request.method(), path, uri.parameters(), request.content().toString(StandardCharsets.UTF_8)),
-                        "application/json", "");
+                return answer(
+                        write(
+                                request.method(),
+                                path,
+                                uri.parameters(),
+                                request.content().toString(StandardCharsets.UTF_8)),
+                        "application/json",
+                        "");
             }
             JsonObject tree = read(path);
             if (tree == null) {
                 return answer(404, "application/json", "");
             }
-            if (xml || String.valueOf(request.headers().get(HttpHeaderNames.ACCEPT)).contains("xml")) {
+            if (xml
+                    || String.valueOf(request.headers().get(HttpHeaderNames.ACCEPT))
+                            .contains("xml")) {
                 StringBuilder text = new StringBuilder("<?xml version=\"1.0\" encoding=\"UTF-8\"?>");
                 tree.entrySet().forEach(e -> xml(e.getKey(), e.getValue(), text));
                 return answer(200, "application/xml", text.toString());
@@ -474,9 +517,13 @@
         }
 
         private FullHttpResponse answer(int status, String type, String body) {
-            FullHttpResponse r = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status),
+            FullHttpResponse r = new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1,
+                    HttpResponseStatus.valueOf(status),
                     Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
-            r.headers().set(HttpHeaderNames.CONTENT_TYPE, type).setInt(HttpHeaderNames.CONTENT_LENGTH, r.content().readableBytes());
+            r.headers()
+                    .set(HttpHeaderNames.CONTENT_TYPE, type)
+                    .setInt(HttpHeaderNames.CONTENT_LENGTH, r.content().readableBytes());
             return r;
         }
 
--- a/testbed/src/main/java/ridgemill/testbed/resp/NaiveResp.java
+++ b/testbed/src/main/java/ridgemill/testbed/resp/NaiveResp.java
@@ -49,7 +49,8 @@
     /** A command's bytes, as text of one character a byte. */
     public static String command(List<String> words) {
         StringBuilder text = new StringBuilder("*" + words.size() + "\r\n");
-        words.forEach(w -> text.append('$').append(w.length()).append("\r\n").append(w).append("\r\n"));
+        words.forEach(w ->
+                text.append('$').append(w.length()).append("\r\n").append(w).append("\r\n"));
         return text.toString();
     }
 
--- a/testbed/src/test/java/ridgemill/testbed/ReservationTest.java
+++ b/testbed/src/test/java/ridgemill/testbed/ReservationTest.java
@@ -20,7 +20,9 @@
         var group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         try (Reservation port = new Reservation()) {
             SingleThreadIoEventLoop loop = (SingleThreadIoEventLoop) group.next();
-            ServerBootstrap server = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+            ServerBootstrap server = new ServerBootstrap()
+                    .group(loop)
+                    .channel(NioServerSocketChannel.class)
                     .childHandler(new ChannelInboundHandlerAdapter());
             Channel old = port.listen(server);
             loop.execute(() -> {
--- a/testbed/src/test/java/ridgemill/testbed/StolenTimeTest.java
+++ b/testbed/src/test/java/ridgemill/testbed/StolenTimeTest.java
@@ -8,8 +8,12 @@
 class StolenTimeTest {
 
     private static List<String> stat(long first, long second) {
-        return List.of("cpu  9 9 9 9 9 9 9 " + (first + second) + " 0 0", "cpu0 86230 0 5207 86383 50 0 2758 " + first + " 0 0",
-                "cpu1 85154 0 5093 87447 46 0 1833 " + second + " 0 0", "intr 1 2 3", "ctxt 7");
+        return List.of(
+                "cpu  9 9 9 9 9 9 9 " + (first + second) + " 0 0",
+                "cpu0 86230 0 5207 86383 50 0 2758 " + first + " 0 0",
+                "cpu1 85154 0 5093 87447 46 0 1833 " + second + " 0 0",
+                "intr 1 2 3",
+                "ctxt 7");
     }
 
     @Test
--- a/testbed/src/test/java/ridgemill/testbed/acts/ActJudgeTest.java
+++ b/testbed/src/test/java/ridgemill/testbed/acts/ActJudgeTest.java
@@ -19,13 +19,22 @@
     }
 
     private List<String> rules(Act... acts) {
-        return new ActJudge(50, 2000).judge(List.of(acts), history).faults().stream().map(ActJudge.Fault::rule).toList();
+        return new ActJudge(50, 2000)
+                .judge(List.of(acts), history).faults().stream()
+                        .map(ActJudge.Fault::rule)
+                        .toList();
     }
 
     @Test
     void oneAtATimePasses() {
-        Verdict verdict = new ActJudge(50, 2000).judge(List.of(act("p0#1", 1, 0, 1, true), act("p0#1", 1, 2, 3, true),
-                act("p1#1", 4, 4, 5, true), act("p0#2", 9, 6, 7, true)), history);
+        Verdict verdict = new ActJudge(50, 2000)
+                .judge(
+                        List.of(
+                                act("p0#1", 1, 0, 1, true),
+                                act("p0#1", 1, 2, 3, true),
+                                act("p1#1", 4, 4, 5, true),
+                                act("p0#2", 9, 6, 7, true)),
+                        history);
         assertEquals(new Verdict(4, 3, 0, List.of()), verdict);
     }
 
@@ -42,7 +51,8 @@
     @Test
     void aTermThatFallsIsFound() {
         assertEquals(List.of("term-falls"), rules(act("p0#1", 2, 0, 1, true), act("p1#1", 1, 2, 3, true)));
-        assertEquals(List.of("term-falls", "term-falls"), rules(act("p0#1", 2, 0, 1, true), act("p0#1", 1, 2, 3, true)));
+        assertEquals(
+                List.of("term-falls", "term-falls"), rules(act("p0#1", 2, 0, 1, true), act("p0#1", 1, 2, 3, true)));
     }
 
     @Test
--- a/testbed/src/test/java/ridgemill/testbed/audit/RollJudgeTest.java
+++ b/testbed/src/test/java/ridgemill/testbed/audit/RollJudgeTest.java
@@ -21,7 +21,8 @@
     /** A request that its client sent at a time, and a node saw under a label. */
     private void begun(double at, String label) {
         String id = "q" + requests++;
-        ledger.add(new ClientEntry(id, id, "p0", LoadProfile.METERS.get(0), "k", null, 1000)).sent(at);
+        ledger.add(new ClientEntry(id, id, "p0", LoadProfile.METERS.get(0), "k", null, 1000))
+                .sent(at);
         NodeEntry e = ledger.add(new NodeEntry("c0", requests, at + 1));
         e.begun(at + 1, id, "k", false, null);
         e.under(label);
--- a/testbed/src/test/java/ridgemill/testbed/discovery/DiscoveryStandInTest.java
+++ b/testbed/src/test/java/ridgemill/testbed/discovery/DiscoveryStandInTest.java
@@ -49,14 +49,16 @@
     }
 
     private final class Watch implements AutoCloseable {
-        private final Socket socket = new Socket(discovery.address().getAddress(), discovery.address().getPort());
-        private final BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream(),
-                StandardCharsets.US_ASCII));
+        private final Socket socket =
+                new Socket(discovery.address().getAddress(), discovery.address().getPort());
+        private final BufferedReader in =
+                new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
 
         Watch(String query) throws IOException {
             socket.setSoTimeout(PATIENCE_MS);
-            socket.getOutputStream().write(("GET /discovery/hosts" + query + " HTTP/1.1\r\nHost: d\r\n\r\n")
-                    .getBytes(StandardCharsets.US_ASCII));
+            socket.getOutputStream()
+                    .write(("GET /discovery/hosts" + query + " HTTP/1.1\r\nHost: d\r\n\r\n")
+                            .getBytes(StandardCharsets.US_ASCII));
         }
 
         /** The next line that holds JSON; null at the end. */
--- a/testbed/src/test/java/ridgemill/testbed/ledger/AuditorTest.java
+++ b/testbed/src/test/java/ridgemill/testbed/ledger/AuditorTest.java
@@ -41,14 +41,17 @@
     }
 
     private static Played play(Wrong wrong) throws Exception {
-        NodeProfile cache = NodeProfile.CACHE.working(wrong == Wrong.TWO_AT_ONCE ? 250 : 2, 2).cores(20);
+        NodeProfile cache = NodeProfile.CACHE
+                .working(wrong == Wrong.TWO_AT_ONCE ? 250 : 2, 2)
+                .cores(20);
         LoadProfile profile = LoadProfile.USUAL.classes(CLASSES).rate(80, 1.5).retrying(0, 10);
         Ledger ledger;
         Set<String> wronged;
         try (Testbed bed = new Testbed(3, cache, NodeProfile.STORE.cores(10), false, WINDOW_MS, SEED)) {
             ledger = bed.ledger();
             bed.place("p0");
-            List<InetSocketAddress> caches = bed.fleet().caches().stream().map(n -> n.address()).toList();
+            List<InetSocketAddress> caches =
+                    bed.fleet().caches().stream().map(n -> n.address()).toList();
             if (wrong == Wrong.REPEATS_UNSAFE || wrong == Wrong.REFUSES_AFTER_RUN) {
                 bed.fleet().store().faults().share(Fault.ERROR, 0.3);
             }
@@ -57,8 +60,8 @@
                 bed.fleet().node("c0").start();
                 bed.fleet().node("c0").faults().slower(1000);
             }
-            try (WrongProxy proxy = new WrongProxy(wrong, caches, bed.fleet().store().address(),
-                    (long) WINDOW_MS + 300)) {
+            try (WrongProxy proxy =
+                    new WrongProxy(wrong, caches, bed.fleet().store().address(), (long) WINDOW_MS + 300)) {
                 if (wrong == Wrong.SENDS_TO_DRAINED) {
                     bed.places().get("p0").discovery().close();
                     ledger.told("p0", "c0", "draining");
@@ -68,7 +71,8 @@
                 wronged = new HashSet<>(proxy.wronged);
             }
         }
-        return new Played(new Auditor(ledger, new Auditor.Limits(SLACK_MS, GRACE_MS, WINDOW_MS)).audit(), wronged, ledger);
+        return new Played(
+                new Auditor(ledger, new Auditor.Limits(SLACK_MS, GRACE_MS, WINDOW_MS)).audit(), wronged, ledger);
     }
 
     @Test
@@ -80,21 +84,33 @@
     }
 
     @ParameterizedTest
-    @EnumSource(value = Wrong.class, names = {"LOSES", "CLOSES", "LATE", "ANSWERS_TWICE", "OTHERS_ANSWER", "AFTER_ANSWER"})
+    @EnumSource(
+            value = Wrong.class,
+            names = {"LOSES", "CLOSES", "LATE", "ANSWERS_TWICE", "OTHERS_ANSWER", "AFTER_ANSWER"})
     void anAnswerThatIsNotTheOneFinalOneIsFound(Wrong wrong) throws Exception {
         Played played = play(wrong);
         assertFalse(played.wronged().isEmpty());
-        assertEquals(played.wronged(), played.violations().stream().filter(v -> v.rule() == Rule.ONE_FINAL_ANSWER)
-                .map(Violation::request).collect(Collectors.toSet()));
+        assertEquals(
+                played.wronged(),
+                played.violations().stream()
+                        .filter(v -> v.rule() == Rule.ONE_FINAL_ANSWER)
+                        .map(Violation::request)
+                        .collect(Collectors.toSet()));
     }
 
     @ParameterizedTest
-    @EnumSource(value = Wrong.class, names = {"TWO_AT_ONCE", "REPEATS_UNSAFE", "REFUSES_AFTER_RUN", "REPEATS_FORGOTTEN"})
+    @EnumSource(
+            value = Wrong.class,
+            names = {"TWO_AT_ONCE", "REPEATS_UNSAFE", "REFUSES_AFTER_RUN", "REPEATS_FORGOTTEN"})
     void aSecondEffectOrTheChanceOfOneIsFound(Wrong wrong) throws Exception {
         Played played = play(wrong);
         assertFalse(played.wronged().isEmpty());
-        assertEquals(played.wronged(), played.violations().stream().filter(v -> v.rule() == Rule.NO_SECOND_EFFECT)
-                .map(Violation::request).collect(Collectors.toSet()));
+        assertEquals(
+                played.wronged(),
+                played.violations().stream()
+                        .filter(v -> v.rule() == Rule.NO_SECOND_EFFECT)
+                        .map(Violation::request)
+                        .collect(Collectors.toSet()));
         if (wrong == Wrong.REPEATS_FORGOTTEN) {
             assertTrue(played.violations().stream().anyMatch(v -> v.what().contains("recorded 2 times")));
         }
@@ -103,10 +119,15 @@
     @Test
     void whatIsSentToADrainedNodeAfterTheGraceIsFound() throws Exception {
         Played played = play(Wrong.SENDS_TO_DRAINED);
-        double told = played.ledger().told().stream().filter(t -> t.health().equals("draining")).findFirst()
-                .orElseThrow().at();
-        Set<String> late = played.ledger().nodes().stream().filter(e -> e.node().equals("c0")
-                && e.firstByteAt() > told + GRACE_MS + SLACK_MS).map(NodeEntry::id).collect(Collectors.toSet());
+        double told = played.ledger().told().stream()
+                .filter(t -> t.health().equals("draining"))
+                .findFirst()
+                .orElseThrow()
+                .at();
+        Set<String> late = played.ledger().nodes().stream()
+                .filter(e -> e.node().equals("c0") && e.firstByteAt() > told + GRACE_MS + SLACK_MS)
+                .map(NodeEntry::id)
+                .collect(Collectors.toSet());
         assertFalse(late.isEmpty());
         assertEquals(late, played.named());
         assertTrue(played.violations().stream().allMatch(v -> v.rule() == Rule.DRAINS_KEPT));
@@ -115,9 +136,12 @@
     @Test
     void aColdNodeThatIsPushedOverIsFound() throws Exception {
         Played played = play(Wrong.PUSHES_COLD);
-        List<Violation> pushed = played.violations().stream().filter(v -> v.rule() == Rule.COLD_NODE_SPARED).toList();
+        List<Violation> pushed = played.violations().stream()
+                .filter(v -> v.rule() == Rule.COLD_NODE_SPARED)
+                .toList();
         assertEquals(1, pushed.size());
-        assertTrue(played.ledger().clients().stream().anyMatch(c -> c.id().equals(pushed.get(0).request())));
+        assertTrue(played.ledger().clients().stream()
+                .anyMatch(c -> c.id().equals(pushed.get(0).request())));
     }
 
     @Test
@@ -127,7 +151,9 @@
         held.sent(ledger.now());
         held.cut();
         Auditor auditor = new Auditor(ledger, Auditor.Limits.STRICT);
-        assertEquals(List.of(Rule.ONE_FINAL_ANSWER), auditor.audit().stream().map(Violation::rule).toList());
+        assertEquals(
+                List.of(Rule.ONE_FINAL_ANSWER),
+                auditor.audit().stream().map(Violation::rule).toList());
         ledger.killed("p0");
         assertEquals(List.of(), auditor.audit());
     }
@@ -164,7 +190,9 @@
         held.sent(from);
         held.cut();
         Auditor auditor = new Auditor(ledger, Auditor.Limits.STRICT);
-        assertEquals(List.of(Rule.ONE_FINAL_ANSWER), auditor.audit().stream().map(Violation::rule).toList());
+        assertEquals(
+                List.of(Rule.ONE_FINAL_ANSWER),
+                auditor.audit().stream().map(Violation::rule).toList());
         ledger.stopped("p1", from);
         assertEquals(1, auditor.audit().size(), "another was stopped");
         ledger.stopped("p0", from);
@@ -175,7 +203,9 @@
     void anAttemptThatNoClientAskedForIsFound() {
         Ledger ledger = new Ledger();
         ledger.add(new NodeEntry("c0", 0, 1)).begun(1, "stray", "k", false, null);
-        assertEquals(List.of("stray"), new Auditor(ledger, Auditor.Limits.STRICT).audit().stream()
-                .map(Violation::request).toList());
+        assertEquals(
+                List.of("stray"),
+                new Auditor(ledger, Auditor.Limits.STRICT)
+                        .audit().stream().map(Violation::request).toList());
     }
 }
--- a/testbed/src/test/java/ridgemill/testbed/ledger/WrongProxy.java
+++ b/testbed/src/test/java/ridgemill/testbed/ledger/WrongProxy.java
@@ -17,8 +17,19 @@
 final class WrongProxy implements Closeable {
 
     enum Wrong {
-        NOTHING, LOSES, CLOSES, LATE, ANSWERS_TWICE, OTHERS_ANSWER, TWO_AT_ONCE, AFTER_ANSWER, REPEATS_UNSAFE,
-        REFUSES_AFTER_RUN, REPEATS_FORGOTTEN, SENDS_TO_DRAINED, PUSHES_COLD
+        NOTHING,
+        LOSES,
+        CLOSES,
+        LATE,
+        ANSWERS_TWICE,
+        OTHERS_ANSWER,
+        TWO_AT_ONCE,
+        AFTER_ANSWER,
+        REPEATS_UNSAFE,
+        REFUSES_AFTER_RUN,
+        REPEATS_FORGOTTEN,
+        SENDS_TO_DRAINED,
+        PUSHES_COLD
     }
 
     /** One of so many requests is wronged. */
@@ -49,7 +60,8 @@
     final Set<String> wronged = ConcurrentHashMap.newKeySet();
     private final Set<Socket> open = ConcurrentHashMap.newKeySet();
 
-    WrongProxy(Wrong wrong, List<InetSocketAddress> caches, InetSocketAddress store, long forgottenMs) throws IOException {
+    WrongProxy(Wrong wrong, List<InetSocketAddress> caches, InetSocketAddress store, long forgottenMs)
+            throws IOException {
         this.wrong = wrong;
         this.caches = caches;
         this.store = store;
@@ -113,7 +125,7 @@
             wronged.add(id);
         }
         switch (how) {
-            case LOSES -> { }
+            case LOSES -> {}
             case CLOSES -> {
                 ask(caches.get(0), in);
                 client.close();
@@ -190,8 +202,10 @@
 
     /** As it should be: a read at its cache node and on a miss at the store, a write at the store. */
     private Message serve(Message in) throws IOException {
-        InetSocketAddress cache = caches.get(wrong == Wrong.PUSHES_COLD || wrong == Wrong.SENDS_TO_DRAINED ? 0
-                : Math.floorMod(in.text().split(" ")[1].hashCode(), caches.size()));
+        InetSocketAddress cache = caches.get(
+                wrong == Wrong.PUSHES_COLD || wrong == Wrong.SENDS_TO_DRAINED
+                        ? 0
+                        : Math.floorMod(in.text().split(" ")[1].hashCode(), caches.size()));
         Message got = in.isWrite() ? ask(store, in) : ask(cache, in);
         if (got.status() == 404) {
             got = ask(store, in);
--- a/testbed/src/test/java/ridgemill/testbed/link/LinkTest.java
+++ b/testbed/src/test/java/ridgemill/testbed/link/LinkTest.java
@@ -145,7 +145,8 @@
     @Test
     void behindACutNewConnectionsComeUpAndStaySilent() throws Exception {
         link.set(Conditions.CLEAR.cut(true));
-        try (Socket late = new Socket(link.address().getAddress(), link.address().getPort())) {
+        try (Socket late =
+                new Socket(link.address().getAddress(), link.address().getPort())) {
             say(late, "hello");
             hearsNothing(late);
         }
--- a/testbed/src/test/java/ridgemill/testbed/node/StandInTest.java
+++ b/testbed/src/test/java/ridgemill/testbed/node/StandInTest.java
@@ -78,9 +78,11 @@
     }
 
     private NodeEntry entry(String id) {
-        // An answer is noted once it is written, which its reader may be ahead of: the nodes' loop has ended that turn by now.
+        // An answer is noted once it is written, which its reader may be ahead of: the nodes' loop has ended that turn
+        // by now.
         bed.fleet().store().inHand();
-        List<NodeEntry> entries = bed.ledger().nodes().stream().filter(e -> e.id().equals(id)).toList();
+        List<NodeEntry> entries =
+                bed.ledger().nodes().stream().filter(e -> e.id().equals(id)).toList();
         assertEquals(1, entries.size());
         return entries.get(0);
     }
@@ -130,7 +132,9 @@
 
     @Test
     void pastItsConnectionsItClosesAndAnIdleOneIsClosed() throws Exception {
-        try (Socket a = connect("c0"); Socket b = connect("c0"); Socket c = connect("c0")) {
+        try (Socket a = connect("c0");
+                Socket b = connect("c0");
+                Socket c = connect("c0")) {
             say(c, get("x", "k1"));
             assertEquals(404, status(hear(c)));
             Socket fourth = connect("c0");
@@ -174,18 +178,25 @@
         bed.fleet().node("c0").faults().next(fault);
         try (Socket socket = connect("c0")) {
             say(socket, get("a", "k1"));
-            socket.setSoTimeout(fault == Fault.SILENCE || fault == Fault.SILENCE_AFTER_RUN
-                    || fault == Fault.ENDLESS_HEAD || fault == Fault.HALF_ANSWER_STALL ? NOTHING_MS : PATIENCE_MS);
+            socket.setSoTimeout(
+                    fault == Fault.SILENCE
+                                    || fault == Fault.SILENCE_AFTER_RUN
+                                    || fault == Fault.ENDLESS_HEAD
+                                    || fault == Fault.HALF_ANSWER_STALL
+                            ? NOTHING_MS
+                            : PATIENCE_MS);
             switch (fault) {
                 case RESET_ON_FIRST_BYTE, RESET_BEFORE_RUN, RESET_AFTER_RUN ->
-                        assertThrows(SocketException.class, () -> socket.getInputStream().read());
-                case HALF_ANSWER -> assertThrows(IOException.class, () -> {
-                    if (hear(socket).length() < 200) {
-                        throw new IOException("half");
-                    }
-                });
+                    assertThrows(
+                            SocketException.class, () -> socket.getInputStream().read());
+                case HALF_ANSWER ->
+                    assertThrows(IOException.class, () -> {
+                        if (hear(socket).length() < 200) {
+                            throw new IOException("half");
+                        }
+                    });
                 case SILENCE, SILENCE_AFTER_RUN, ENDLESS_HEAD, HALF_ANSWER_STALL ->
-                        assertThrows(SocketTimeoutException.class, () -> hear(socket));
+                    assertThrows(SocketTimeoutException.class, () -> hear(socket));
                 case ERROR -> assertEquals(500, status(hear(socket)));
                 case NOISE -> assertTrue(!hearRaw(socket, 20).startsWith("HTTP"));
                 case SHORT_LENGTH -> {
@@ -230,7 +241,10 @@
     }
 
     private NodeEntry entryOrNull(String id) {
-        return bed.ledger().nodes().stream().filter(e -> e.id().equals(id)).findFirst().orElse(null);
+        return bed.ledger().nodes().stream()
+                .filter(e -> e.id().equals(id))
+                .findFirst()
+                .orElse(null);
     }
 
     @Test
@@ -249,7 +263,8 @@
 
     @Test
     void aSlowReaderBeginsOnlyWhenItHasReadTheLastByte() throws Exception {
-        // On a busy machine the reading takes longer than the time after which the other tests' nodes close what is idle.
+        // On a busy machine the reading takes longer than the time after which the other tests' nodes close what is
+        // idle.
         bed.close();
         bed = new Testbed(2, NodeProfile.CACHE, NodeProfile.STORE, false, 6000, 5);
         bed.fleet().caches().forEach(n -> n.warm(Set.of("k1")));
--- a/testbed/src/test/java/ridgemill/testbed/peers/PeerNetTest.java
+++ b/testbed/src/test/java/ridgemill/testbed/peers/PeerNetTest.java
@@ -28,10 +28,14 @@
     void datagramsAreCarriedUnderTheNetworksAddressesAndLost() throws Exception {
         MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         InetAddress loopback = InetAddress.getLoopbackAddress();
-        try (DatagramSocket a = new DatagramSocket(0, loopback); DatagramSocket b = new DatagramSocket(0, loopback);
+        try (DatagramSocket a = new DatagramSocket(0, loopback);
+                DatagramSocket b = new DatagramSocket(0, loopback);
                 DatagramSocket stranger = new DatagramSocket(0, loopback);
-                PeerNet net = new PeerNet(group.next(), List.of((InetSocketAddress) a.getLocalSocketAddress(),
-                        (InetSocketAddress) b.getLocalSocketAddress()), 1)) {
+                PeerNet net = new PeerNet(
+                        group.next(),
+                        List.of((InetSocketAddress) a.getLocalSocketAddress(), (InetSocketAddress)
+                                b.getLocalSocketAddress()),
+                        1)) {
             b.setSoTimeout(20_000);
             byte[] hello = "hello".getBytes();
             a.send(new DatagramPacket(hello, hello.length, net.addresses().get(1)));
@@ -40,7 +44,8 @@
             assertEquals("hello", new String(got.getData(), 0, got.getLength()));
             assertEquals(net.addresses().get(0), got.getSocketAddress());
             b.setSoTimeout(NOTHING_MS);
-            stranger.send(new DatagramPacket(hello, hello.length, net.addresses().get(1)));
+            stranger.send(
+                    new DatagramPacket(hello, hello.length, net.addresses().get(1)));
             assertThrows(SocketTimeoutException.class, () -> b.receive(got));
             net.set(1, 0);
             a.send(new DatagramPacket(hello, hello.length, net.addresses().get(1)));
@@ -57,9 +62,13 @@
     private static void between(Play play) throws Exception {
         MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         InetAddress loopback = InetAddress.getLoopbackAddress();
-        try (DatagramSocket a = new DatagramSocket(0, loopback); DatagramSocket b = new DatagramSocket(0, loopback);
-                PeerNet net = new PeerNet(group.next(), List.of((InetSocketAddress) a.getLocalSocketAddress(),
-                        (InetSocketAddress) b.getLocalSocketAddress()), 1)) {
+        try (DatagramSocket a = new DatagramSocket(0, loopback);
+                DatagramSocket b = new DatagramSocket(0, loopback);
+                PeerNet net = new PeerNet(
+                        group.next(),
+                        List.of((InetSocketAddress) a.getLocalSocketAddress(), (InetSocketAddress)
+                                b.getLocalSocketAddress()),
+                        1)) {
             a.setSoTimeout(20_000);
             b.setSoTimeout(20_000);
             play.play(a, b, net);
--- a/testbed/src/test/java/ridgemill/testbed/registry/ListingJudgeTest.java
+++ b/testbed/src/test/java/ridgemill/testbed/registry/ListingJudgeTest.java
@@ -35,7 +35,8 @@
 
     @Test
     void whatWasThereAShortWhileAgoIsNoFault() {
-        assertEquals(0, faults(seen(500, UP), seen(1400, UP), seen(1500, AWAY), seen(3100, AWAY), seen(3200, Map.of())));
+        assertEquals(
+                0, faults(seen(500, UP), seen(1400, UP), seen(1500, AWAY), seen(3100, AWAY), seen(3200, Map.of())));
     }
 
     @Test
@@ -56,7 +57,12 @@
         ListingJudge late = new ListingJudge();
         late.has(at - 9000, at - 9000, UP);
         late.has(at - 8000, at - 8000, AWAY);
-        assertEquals(0, late.judge(List.of(seen(at, UP)), with, BOUND_MS).faults().size());
-        assertEquals(1, late.judge(List.of(seen(at + BOUND_MS + 10, UP)), with, BOUND_MS).faults().size());
+        assertEquals(
+                0, late.judge(List.of(seen(at, UP)), with, BOUND_MS).faults().size());
+        assertEquals(
+                1,
+                late.judge(List.of(seen(at + BOUND_MS + 10, UP)), with, BOUND_MS)
+                        .faults()
+                        .size());
     }
 }
