Testbed: what threads of a test's process wait for a processor counts as lateness, as stolen time does

Its bound allows for how late the testbed's own loops ran and for what the host stole, but the gateways that it judges run inside the same process on loops of their own; what these waited for a processor was in neither figure, so the check charged it to the gateways. Ruled out: listing the test as known red, as it passes on a calm machine; a wider constant, which would be weaker there. Change: CoreWait reads what the kernel counts for each thread (schedstat), at worst within two seconds; latenessMs takes the greater of that and the stolen time. Where nothing waits the bounds are what they were.

--- a/testbed/src/main/java/ridgemill/testbed/Testbed.java
+++ b/testbed/src/main/java/ridgemill/testbed/Testbed.java
@@ -42,6 +42,7 @@
     private final EventLoop clientLoop = group.next();
     private final AtomicLong lateNanos = new AtomicLong();
     private final StolenTime stolen = StolenTime.looking();
+    private final CoreWait coreWait = CoreWait.looking();
     private final Ledger ledger;
     private final SplittableRandom seeds;
     private final StandInFleet fleet;
@@ -101,15 +102,21 @@
         return stolen.worstMs();
     }
 
-    /** Both together: what an answer may be late without anybody's fault. */
+    /** How long a thread of this process, a gateway's among them, waited for a processor within two seconds at worst. */
+    public double waitedMs() {
+        return coreWait.worstMs();
+    }
+
+    /** All together: what an answer may be late without anybody's fault. */
     public double latenessMs() {
-        return ownLatenessMs() + stolenMs();
+        return ownLatenessMs() + Math.max(stolenMs(), waitedMs());
     }
 
     /** Forgets how late it ran so far: what a start takes is no part of what is measured later. */
     public void forgetLateness() {
         lateNanos.set(0);
         stolen.forget();
+        coreWait.forget();
     }
 
     private void watch(EventLoop loop) {
@@ -222,6 +229,7 @@
         }
         fleet.close();
         stolen.close();
+        coreWait.close();
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
     }
 }
