What the soak and its tests found: a cancelled attempt holds its place while its connection comes up; no proxy is left without a connection

FleetTest, played at load 66: proxies 33 to 39 of 40 had no connection to any of three instances that take 24 each, as shared caches had half of them, though the service is sent requests that only proxies send. Ruled out for the test's failure: load alone (33 answered of 40 wanted; with any number of repeats proxy 33 is never answered). Change: Attempt gives its place back once the connection is there. Shared caches have no more of a service's connections than leaves one for each proxy, where other routes lead there too. FleetTest asks until each proxy is served in place of counting first answers, so it no longer depends on the machine's speed and is stricter: every proxy, not forty answers of any.

--- a/cdn-core/src/main/java/ridgemill/cdn/config/RoutingTable.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/config/RoutingTable.java
@@ -15,15 +15,15 @@
     private final Map<String, Map<String, Route>> routesByHost = new HashMap<>();
     private final Map<String, Service> services = new HashMap<>();
     private final Set<String> servicesWithObjects = new HashSet<>();
+    private final Set<String> servicesWithOthers = new HashSet<>();
     private final Limits limits;
 
     public RoutingTable(Collection<Route> routes, Collection<Service> services, Limits limits) {
         for (Route route : routes) {
             Map<String, Route> byPrefix = routesByHost.computeIfAbsent(route.hostname(), host -> new HashMap<>());
             byPrefix.merge(route.pathPrefix(), route, RoutingTable::newer);
-            if (route.kind() == RouteKind.CACHEABLE) {
-                route.destinations().forEach(destination -> servicesWithObjects.add(destination.service()));
-            }
+            Set<String> kind = route.kind() == RouteKind.CACHEABLE ? servicesWithObjects : servicesWithOthers;
+            route.destinations().forEach(destination -> kind.add(destination.service()));
         }
         for (Service service : services) {
             this.services.put(service.name(), service);
@@ -69,6 +69,11 @@
         return servicesWithObjects.contains(service);
     }
 
+    /** Whether a route leads there whose answers may not be cached. */
+    public boolean hasOthers(String service) {
+        return servicesWithOthers.contains(service);
+    }
+
     /** All services. */
     public Collection<Service> services() {
         return services.values();
--- a/cdn/src/main/java/ridgemill/cdn/proxy/Attempt.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/Attempt.java
@@ -81,9 +81,7 @@
     private void connected(InstanceConnection given) {
         double nowMs = context.now();
         if (over) {
-            if (given != null) {
-                pool.release(given);
-            }
+            abandoned(given);
         } else if (given == null) {
             end(Verdict.CONNECT_FAILED, null);
         } else if (pool.isClosed() || deadlineMs - nowMs < LEAST_LEFT_MS) {
@@ -112,6 +110,15 @@
         }
     }
 
+    /** It was cancelled while its connection came up: the place that this held is free from now on. */
+    private void abandoned(InstanceConnection given) {
+        instance.withdrawn();
+        if (given != null) {
+            pool.release(given);
+        }
+        upstream.recall();
+    }
+
     private void silent() {
         if (!over) {
             connection.abort();
@@ -119,7 +126,7 @@
         }
     }
 
-    /** Gives it up without a word to the callback. */
+    /** Gives it up without a word to the callback. A connection that is coming up holds its place until it is there. */
     void cancel(boolean late) {
         if (over) {
             return;
@@ -132,7 +139,9 @@
         if (isSent() && late) {
             report(Verdict.SILENT);
         } else {
-            instance.withdrawn();
+            if (connection != null) {
+                instance.withdrawn();
+            }
             giveBackShare();
         }
         upstream.recall();
--- a/cdn/src/main/java/ridgemill/cdn/proxy/ServiceState.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/ServiceState.java
@@ -1,6 +1,7 @@
 package ridgemill.cdn.proxy;
 
 import java.util.List;
+import ridgemill.cdn.config.RoutingTable;
 import ridgemill.cdn.config.Service;
 import ridgemill.cdn.edge.InstancePicker;
 import ridgemill.cdn.edge.InstanceStats;
@@ -107,8 +108,8 @@
         Service service = context.control().routing().service(name);
         Fleet fleet = context.control().fleet();
         shareRate(service == null ? 0 : service.ratePerSecond(), fleet);
-        int connections = connections(service, fleet);
         List<Instance> ready = context.control().readyInstances(name);
+        int connections = connections(service, fleet, ready.size());
         instances.set(
                 ready,
                 context.isSharedCache()
@@ -128,15 +129,30 @@
     }
 
     /** How many connections the processes of this one's kind may have to one instance together. */
-    private int connections(Service service, Fleet fleet) {
+    private int connections(Service service, Fleet fleet, int instanceCount) {
         int cap = service == null ? UNKNOWN_CAP : service.connectionCap();
         int all = Math.max(1, (int) Math.floor(cap * CONNECTIONS_USED));
-        boolean cachesSend =
-                !fleet.caches().isEmpty() && context.control().routing().hasObjects(name);
-        int ofCaches = cachesSend ? (int) Math.floor(all * CACHE_CONNECTIONS) : 0;
+        int ofCaches = connectionsOfCaches(all, fleet, instanceCount);
         return context.isSharedCache() ? ofCaches : all - ofCaches;
     }
 
+    /**
+     * How many of an instance's connections shared caches have together: half, but where proxies send other requests there
+     * too, no more than leaves one for each proxy over all instances.
+     */
+    private int connectionsOfCaches(int all, Fleet fleet, int instanceCount) {
+        RoutingTable routing = context.control().routing();
+        if (fleet.caches().isEmpty() || !routing.hasObjects(name)) {
+            return 0;
+        }
+        int half = (int) Math.floor(all * CACHE_CONNECTIONS);
+        if (!routing.hasOthers(name) || instanceCount == 0) {
+            return half;
+        }
+        int oneForEachProxy = (fleet.proxies().size() + instanceCount - 1) / instanceCount;
+        return Math.max(1, Math.min(half, all - oneForEachProxy));
+    }
+
     @Override
     public void await(Delivery delivery) {
         instances.await(delivery);
--- a/cdn/src/test/java/ridgemill/cdn/proxy/FleetTest.java
+++ b/cdn/src/test/java/ridgemill/cdn/proxy/FleetTest.java
@@ -64,14 +64,29 @@
                 instance.take();
             }
             held.countDown();
-            int answered = 0;
             for (ProxyFixture.Client client : clients) {
-                answered += client.read().status() == 200 ? 1 : 0;
+                assertThat(client.read().status()).isIn(200, 503);
+            }
+            for (int proxy = 0; proxy < PROXIES; proxy++) {
+                assertThat(isServedInTime(fleet, proxy))
+                        .as("no part is so small that proxy %d is left out", proxy)
+                        .isTrue();
             }
-            assertThat(answered).isGreaterThanOrEqualTo(PROXIES);
             for (StandInInstance instance : instances) {
                 assertThat(instance.connections()).isLessThanOrEqualTo(cap);
             }
         }
     }
+
+    /** Asks until it is answered: on a busy machine a connection may come up too late for one request. */
+    private static boolean isServedInTime(FleetFixture fleet, int proxy) throws Exception {
+        for (int attempt = 0; attempt < 100; attempt++) {
+            String id = "later-" + proxy + "-" + attempt;
+            if (fleet.client(proxy).ask("GET", "/i/1", id, "").status() == 200) {
+                return true;
+            }
+            fleet.timePasses(200);
+        }
+        return false;
+    }
 }
--- a/cdn/src/test/java/ridgemill/cdn/proxy/SendingTest.java
+++ b/cdn/src/test/java/ridgemill/cdn/proxy/SendingTest.java
@@ -152,6 +152,48 @@
         return attempt.verdict();
     }
 
+    /** Found by the soak: a process that went on after it stood still cancelled such attempts and opened more than its part. */
+    @Test
+    void anAttemptThatIsCancelledWhileItsConnectionComesUpHoldsItsPlaceUntilItIsThere() throws Exception {
+        StandInInstance instance = proxy.instance("a", StandInInstance.sealed("x"));
+        proxy.onLoop(() -> proxy.control.instances = List.of(instance.instance("s")));
+        CompletableFuture<ServiceState> made = new CompletableFuture<>();
+        proxy.onLoop(() -> {
+            ProxyContext context = new ProxyContext(
+                    proxy.loop,
+                    SocketKind.NIO,
+                    proxy.timers,
+                    proxy.settings,
+                    proxy.control,
+                    proxy.register,
+                    proxy.meters,
+                    Optional.empty(),
+                    1_000);
+            ServiceState service = context.service("s");
+            OutgoingRequest request = new OutgoingRequest(
+                    "GET", "/i/1", "1", new Headers().add("X-Attempt-Id", "1"), new byte[0], 1, 400);
+            Attempt attempt =
+                    new Attempt(context, service, service.picker().instances().get(0), request, true, ended -> {});
+            attempt.start(proxy.timers.now() + 1_000, Double.POSITIVE_INFINITY);
+            attempt.cancel(false);
+            assertThat(attempt.instance().inFlight())
+                    .as("the connection is coming up")
+                    .isEqualTo(1);
+            made.complete(service);
+        });
+        ServiceState service = made.get(5, TimeUnit.SECONDS);
+        long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
+        int held = 1;
+        while (held > 0 && System.nanoTime() < endNanos) {
+            held = proxy.loop
+                    .submit(() -> service.picker().instances().get(0).inFlight())
+                    .get();
+        }
+        assertThat(held).isZero();
+        assertThat(proxy.loop.submit(service::openConnections).get()).isEqualTo(1);
+        assertThat(instance.received).isEmpty();
+    }
+
     @Test
     void nothingIsSentOnAConnectionThatComesUpAfterTheDeadline() throws Exception {
         StandInInstance instance = proxy.instance("a", StandInInstance.sealed("x"));
