Half of a proxy's descriptors for sockets are for connections to instances and shared caches

Change: the part for connections to instances is a half and not a quarter of what clients and they share.

--- a/cdn/src/main/java/ridgemill/cdn/proxy/ClientConnections.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/ClientConnections.java
@@ -13,7 +13,7 @@
     /** Descriptors for files, for listeners and for the links to the control plane, of which there may be two dozen. */
     private static final int OWN_DESCRIPTORS = 232;
     /** One in so many of the others is kept for connections to instances and shared caches. */
-    private static final int UPSTREAM_PART = 4;
+    private static final int UPSTREAM_PART = 2;
 
     private static final int LEAST = 4;
 
