--- a/review/rig/Deployment.java
+++ b/review/rig/Deployment.java
@@ -100,16 +100,21 @@
             new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
         }
 
-        /** Empties the data folder, as when a machine loses its disk. */
-        void wipeDisk() throws IOException {
+        /** The folder that the settings name; null for a program without a disk. */
+        Path dataFolder() throws IOException {
             for (String line : Files.readAllLines(settings)) {
                 if (line.startsWith("dataDirectory")) {
-                    Path data = Path.of(line.substring(line.indexOf('"') + 1, line.length() - 1));
-                    removeAll(data);
-                    Files.createDirectories(data);
-                    record.line("disk of " + this + " is empty now");
+                    return Path.of(line.substring(line.indexOf('"') + 1, line.length() - 1));
                 }
             }
+            return null;
+        }
+
+        /** Empties the data folder, as when a machine loses its disk. */
+        void wipeDisk() throws IOException {
+            removeAll(dataFolder());
+            Files.createDirectories(dataFolder());
+            record.line("disk of " + this + " is empty now");
         }
 
         boolean isRunning() {
@@ -280,11 +285,9 @@
     /** Starts all programs. */
     void start() throws IOException {
         for (Program program : programs) {
-            Path settings = program.settings;
-            for (String line : Files.readAllLines(settings)) {
-                if (line.startsWith("dataDirectory")) {
-                    Files.createDirectories(Path.of(line.substring(line.indexOf('"') + 1, line.length() - 1)));
-                }
+            Path data = program.dataFolder();
+            if (data != null) {
+                Files.createDirectories(data);
             }
             program.start();
         }
