--- a/review/3/LargeUpload.java
+++ b/review/3/LargeUpload.java
@@ -114,9 +114,8 @@
                 sent = true;
                 Http.Result result = connection.receive();
                 answered.incrementAndGet();
-                if (result.status() != 200) {
-                    record.line("answer " + result.status() + " to " + attemptId + " at proxy " + proxy);
-                }
+                record.line("answer " + result.status() + " to " + attemptId + (key == null ? "" : " key " + key)
+                        + " at proxy " + proxy);
                 used = true;
                 Server.sleep(ThreadLocalRandom.current().nextInt(2 * PAUSE_MS));
             } catch (IOException failed) {
@@ -185,6 +184,10 @@
             record.line("proxy " + proxy + ": " + passedOn
                     + " requests of kept connections ran at the server and were closed without an answer");
         }
+        for (Server.Run run : server.runs) {
+            record.line(String.format("%s ran %s at %.3f: %s, body of %d bytes",
+                    server.id, run.attemptId(), run.atSeconds(), run.line(), run.bodyBytes()));
+        }
         int machines = 0;
         for (Deployment.Program program : deployment.programs) {
             record.line(program + " ended by itself " + program.ownEnds + " times");
--- a/review/rig/Case.java
+++ b/review/rig/Case.java
@@ -71,6 +71,15 @@
         }
     }
 
+    /** Records how often the server ran each key, where that is not once. */
+    final void recordRuns(Server server) {
+        long twice = server.runsByKey.entrySet().stream()
+                .filter(entry -> entry.getValue().get() > 1)
+                .peek(entry -> record.line(server.id + " ran key " + entry.getKey() + " " + entry.getValue() + " times"))
+                .count();
+        record.line(server.id + " ran " + server.runsByKey.size() + " keys, " + twice + " of them more than once");
+    }
+
     static void require(boolean condition, String reason) throws CannotRun {
         if (!condition) {
             throw new CannotRun(reason);
--- a/review/rig/Deployment.java
+++ b/review/rig/Deployment.java
@@ -94,12 +94,6 @@
             process.waitFor();
         }
 
-        /** Sends a signal by its name, such as TERM or STOP. */
-        void signal(String name) throws IOException, InterruptedException {
-            record.line("signal " + name + " to " + this + " pid=" + process.pid());
-            new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
-        }
-
         /** The folder that the settings name; null for a program without a disk. */
         Path dataFolder() throws IOException {
             for (String line : Files.readAllLines(settings)) {
