Review: the cases end every process that they started, and an error counts as not run

Need: four stores and registries of the review's runs were found running afterwards. A restart of the platform stand-in could overlap a start by the case, and the handle of one of the two processes was lost. An uncaught error ended the JVM with 1. Change: Deployment keeps all processes and ends each; a start is marked as expected only once it has happened.

--- a/review/rig/Case.java
+++ b/review/rig/Case.java
@@ -65,7 +65,8 @@
         } catch (CannotRun reason) {
             record.line("could not run: " + reason.getMessage());
             return NOT_RUN;
-        } catch (Exception failed) {
+        } catch (Throwable failed) {
+            // An uncaught error would end the JVM with 1, which says that the rule was broken.
             record.line("could not run: " + failed);
             return NOT_RUN;
         }
--- a/review/rig/Deployment.java
+++ b/review/rig/Deployment.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 
@@ -37,6 +38,8 @@
     final Path folder;
     final Record record;
     final List<Program> programs = new ArrayList<>();
+    /** All processes that were ever started, so that each of them is ended. */
+    private final List<Process> started = new CopyOnWriteArrayList<>();
     private final Map<String, String> commands = new LinkedHashMap<>();
     private final Random random = new Random();
     private final int coreMachines;
@@ -65,7 +68,7 @@
             this.log = folder.resolve(role + "-" + address + ".log");
         }
 
-        void start() throws IOException {
+        synchronized void start() throws IOException {
             ProcessBuilder builder = new ProcessBuilder(commands.get(role).split(" "));
             Map<String, String> environment = builder.environment();
             Map<String, String> kept = new LinkedHashMap<>();
@@ -80,8 +83,9 @@
             builder.directory(root.toFile());
             builder.redirectErrorStream(true);
             builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
-            endExpected = false;
             process = builder.start();
+            started.add(process);
+            endExpected = false;
             starts++;
             record.line("started " + this + " pid=" + process.pid());
         }
@@ -367,15 +371,9 @@
     public void close() throws InterruptedException {
         closed = true;
         Server.sleep(2 * RESTART_DELAY_MS);
-        for (Program program : programs) {
-            if (program.process != null) {
-                program.process.destroyForcibly();
-            }
-        }
-        for (Program program : programs) {
-            if (program.process != null) {
-                program.process.waitFor(10, TimeUnit.SECONDS);
-            }
+        started.forEach(Process::destroyForcibly);
+        for (Process process : started) {
+            process.waitFor(10, TimeUnit.SECONDS);
         }
         if (System.getenv("KEEP_FOLDER") != null) {
             System.err.println("kept " + folder);
