--- a/review/3/LargeUpload.java
+++ b/review/3/LargeUpload.java
@@ -44,7 +44,7 @@
     private final Queue<Cut> cuts = new ConcurrentLinkedQueue<>();
     private volatile boolean stopped;
 
-    public static void main(String[] arguments) throws Exception {
+    public static void main(String[] arguments) {
         new LargeUpload().run(arguments);
     }
 
--- a/review/rig/Case.java
+++ b/review/rig/Case.java
@@ -31,14 +31,17 @@
     /** Plays the case; returns whether the rule was broken. */
     abstract boolean play(Deployment deployment) throws Exception;
 
-    /** Runs a case with the record in the folder that the first argument names, and exits. */
-    final void run(String[] arguments) throws Exception {
+    /** Runs a case with the record in the file that the first argument names, and exits. */
+    final void run(String[] arguments) {
         int code;
-        try (Record file = new Record(Path.of(arguments[0], "record.txt"))) {
+        try (Record file = new Record(Path.of(arguments[0]))) {
             record = file;
             record.line("disruption " + (trouble ? "on" : "off"));
             code = play();
             record.line("exit " + code);
+        } catch (java.io.IOException unwritable) {
+            System.out.println("no record can be written: " + unwritable);
+            code = NOT_RUN;
         }
         System.out.println(
                 code == HELD ? "the rule held" : code == BROKEN ? "the rule was broken" : "the case could not run");
