Edge proxy: large bodies are logged with the heap in use

Logs couldn't tell apart what held the memory: the body while it is read, its copies on the way to the instance, cached copies, or many requests at once.

Change: a line when a body of 1 MiB or more begins to arrive and one when it is complete, each with the heap in use.

--- a/cdn/src/main/java/ridgemill/cdn/proxy/ClientConnection.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/ClientConnection.java
@@ -35,6 +35,9 @@
      */
     private static final long KEEP_ALIVE_MARGIN_MS = 1_000;
 
+    /** Bodies of at least this size are logged with the heap in use, in bytes. */
+    private static final long LOGGED_BODY_BYTES = 1024 * 1024;
+
     private static final long MS_PER_SECOND = 1_000;
     private static final String CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n";
     private static final String CONNECTION_CLOSE_LINE = "Connection: close\r\n";
@@ -132,6 +135,9 @@
             }
             return;
         }
+        if (state != State.BODY) {
+            logLargeBody("arriving");
+        }
         if (state != State.BODY && reader.expectsContinue()) {
             channel.writeAndFlush(ByteBufUtil.writeAscii(channel.alloc(), CONTINUE));
         }
@@ -139,6 +145,17 @@
         timeoutAtMs = dataPath.now() + limits.idleTimeoutMs();
     }
 
+    /** Logs how far a large body has got and how much of the heap is in use. */
+    private void logLargeBody(String phase) {
+        long length = CacheHeaders.getLong(reader.headers(), "Content-Length", 0);
+        if (length >= LOGGED_BODY_BYTES) {
+            Runtime runtime = Runtime.getRuntime();
+            dataPath.log()
+                    .info("event=large_body phase=" + phase + " bytes=" + length + " heap_used="
+                            + (runtime.totalMemory() - runtime.freeMemory()) + " heap_max=" + runtime.maxMemory());
+        }
+    }
+
     private void handleRequest() {
         String host = reader.headers().get("Host");
         if (reader.headers().count("Host") != 1 || host.isEmpty()) {
@@ -153,6 +170,7 @@
                 reader.headers().get(ClientRequest.ATTEMPT_ID),
                 reader.headers(),
                 reader.body());
+        logLargeBody("complete");
         reader.reset();
         Exchange exchange = dataPath.route(this, request);
         if (exchange != null) {
