Tests: large request bodies are sent in blocks

Two tests of ForwardingTest made one text of 16 MB between opening a connection and sending. On a busy machine that took more than 2 s, the idle timeout of the fixture, so the proxy closed the connection as it should and the test saw "Broken pipe" (traced beside LargeBodyTest: 4 of 60 repetitions, each closed by the idle timeout, none by the request; allocating 32 MB alone took up to 1 s there). The same bytes are sent in blocks now; what is checked is unchanged.

--- a/cdn/src/test/java/ridgemill/cdn/proxy/ForwardingTest.java
+++ b/cdn/src/test/java/ridgemill/cdn/proxy/ForwardingTest.java
@@ -125,7 +125,8 @@
             };
             ProxyFixture.Client client = proxy.client();
             client.send("POST /n/1 HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: " + i
-                    + "\r\nX-Deadline-Remaining: 1500\r\nContent-Length: " + bytes + "\r\n\r\n" + "x".repeat(bytes));
+                    + "\r\nX-Deadline-Remaining: 1500\r\nContent-Length: " + bytes + "\r\n\r\n");
+            client.sendBytes(bytes);
             assertThat(client.read().status()).as(text).isEqualTo(statuses[i]);
         }
         done.countDown();
@@ -147,8 +148,9 @@
             return false;
         };
         ProxyFixture.Client client = proxy.client();
-        client.send("POST /n/1 HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: 1\r\nContent-Length: " + bytes + "\r\n\r\n"
-                + "x".repeat(bytes));
+        client.send(
+                "POST /n/1 HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: 1\r\nContent-Length: " + bytes + "\r\n\r\n");
+        client.sendBytes(bytes);
         assertThat(client.read().status()).isEqualTo(502);
         done.countDown();
     }
--- a/cdn/src/test/java/ridgemill/cdn/proxy/ProxyFixture.java
+++ b/cdn/src/test/java/ridgemill/cdn/proxy/ProxyFixture.java
@@ -180,6 +180,8 @@
     /** The connection of a client. */
     record Client(Socket socket) {
 
+        private static final byte[] BLOCK = "x".repeat(64_000).getBytes(StandardCharsets.ISO_8859_1);
+
         Reply request(String method, String target, String id, String extraHeaders) throws IOException {
             send(method + " " + target + " HTTP/1.1\r\nHost: h.example\r\n" + "X-Attempt-Id: " + id + "\r\n"
                     + extraHeaders + "\r\n");
@@ -191,6 +193,13 @@
             socket.getOutputStream().flush();
         }
 
+        /** Sends bytes in blocks. One large text would take so long to allocate that an idle connection is closed. */
+        void sendBytes(int count) throws IOException {
+            for (int left = count; left > 0; left -= BLOCK.length) {
+                socket.getOutputStream().write(BLOCK, 0, Math.min(left, BLOCK.length));
+            }
+        }
+
         Reply read() throws IOException {
             InputStream in = socket.getInputStream();
             ByteArrayOutputStream head = new ByteArrayOutputStream();
