Edge proxy: a large request body goes on as it arrives

Cause: MessageReader gathered a body in one array that doubles. For 60 MB it needs 32 and 60 MB at once, each in one piece; the old generation of the deploy file's heap of 128 MB has 85 MB.

Why this works: a body over 64 KiB isn't held. The request is routed with its head; the body is read only once an instance takes it, and not while that instance's output buffer is above its high water mark. It is sent to one instance once; as soon as an instance has its head it counts as one that may have run, so a claim is never given up in error and 503 is given only where nothing ran. A response before the end of the body goes out at once and the rest is read away, so the connection stays usable. While the body flows, its progress is limited in place of its time: silence (idleTimeout), less than 16 kB/s, or 4 s in which the instance accepts nothing.

--- a/cdn/src/main/java/ridgemill/cdn/proxy/Attempt.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/Attempt.java
@@ -104,6 +104,7 @@
             }
             newConnection.send(
                     request.encode(context.allocator(), instance.instance().id(), deadlineMs - nowMs),
+                    request.streamedBody(),
                     request.attemptId(),
                     request.isHead(),
                     nowMs,
--- a/cdn/src/main/java/ridgemill/cdn/proxy/ClientConnection.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/ClientConnection.java
@@ -19,9 +19,10 @@
 
 /**
  * The connection of a client. It processes one request at a time and writes the response before it reads the next
- * request.
+ * request. A small body is read before the request is processed; a large one is read while the request is in progress,
+ * as fast as the instance accepts it.
  */
-final class ClientConnection extends ChannelInboundHandlerAdapter {
+final class ClientConnection extends ChannelInboundHandlerAdapter implements StreamedBody.Source {
 
     /** Maximum number of bytes of pipelined requests that are buffered while a request is in progress. */
     private static final int MAX_PIPELINED_BYTES = 64 * 1_024;
@@ -35,11 +36,17 @@
      */
     private static final long KEEP_ALIVE_MARGIN_MS = 1_000;
 
-    /** Bodies of at least this size are logged with the heap in use, in bytes. */
-    private static final long LOGGED_BODY_BYTES = 1024 * 1024;
+    /**
+     * Maximum number of bytes that are buffered while a streamed body is not read. More can arrive only with the end of
+     * the client's output, after which the connection closes.
+     */
+    private static final int MAX_PAUSED_BYTES = 256 * 1_024;
+    /** How long a client should wait after a refusal for lack of memory, in milliseconds. */
+    private static final double MEMORY_RETRY_AFTER_MS = 500;
 
     private static final long MS_PER_SECOND = 1_000;
     private static final String CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n";
+    private static final byte[] NO_BODY = {};
     private static final String CONNECTION_CLOSE_LINE = "Connection: close\r\n";
 
     private enum State {
@@ -47,21 +54,29 @@
         HEAD,
         BODY,
         BUSY,
+        /** The response was written before the body had arrived, the rest of which is read away. */
+        DISCARDING,
         CLOSING
     }
 
     private final DataPath dataPath;
     private final RequestReader reader = new RequestReader();
+    private final BodyMemory.Lease memory;
     private Channel channel;
     private ByteBuf pending = Unpooled.EMPTY_BUFFER;
     private State state = State.IDLE;
     private double timeoutAtMs;
     private Exchange currentExchange;
+    /** The body of the current request if it is streamed, else null. */
+    private StreamedBody streamedBody;
+
+    private boolean continueSent;
     private boolean keepAlive;
     private boolean processing;
 
     ClientConnection(DataPath dataPath) {
         this.dataPath = dataPath;
+        this.memory = dataPath.bodyMemory().lease();
     }
 
     @Override
@@ -84,36 +99,50 @@
             return;
         }
         pending = ByteToMessageDecoder.MERGE_CUMULATOR.cumulate(context.alloc(), pending, bytes);
-        if (state == State.BUSY) {
-            if (pending.readableBytes() > MAX_PIPELINED_BYTES) {
-                channel.config().setAutoRead(false);
-            }
-        } else {
+        if (mayProcess()) {
             process();
+        } else if (isBodyPaused() && pending.readableBytes() > MAX_PAUSED_BYTES) {
+            channel.close();
+        } else if (pending.readableBytes() > MAX_PIPELINED_BYTES) {
+            channel.config().setAutoRead(false);
         }
     }
 
-    /** Processes buffered requests until one is in progress or more bytes are needed. */
+    /** Whether arriving bytes can be processed now: no request is in progress, or its body is wanted. */
+    private boolean mayProcess() {
+        return switch (state) {
+            case IDLE, HEAD, BODY, DISCARDING -> true;
+            case BUSY -> streamedBody != null && streamedBody.isWanted();
+            case CLOSING -> false;
+        };
+    }
+
+    private boolean isBodyPaused() {
+        return streamedBody != null && !streamedBody.isComplete();
+    }
+
+    /** Processes buffered bytes until a request is in progress that wants no more of them, or until none are left. */
     private void process() {
         if (processing) {
             return;
         }
         processing = true;
         try {
-            while (state != State.BUSY && state != State.CLOSING && pending.isReadable()) {
+            while (mayProcess() && pending.isReadable()) {
                 Limits limits = dataPath.limits();
                 reader.setLimits(limits.maxHeaderBytes(), limits.maxBodyBytes());
-                if (!reader.read(pending)) {
+                boolean complete = reader.read(pending);
+                if (reader.needsSink()) {
+                    startStreaming();
+                } else if (complete) {
+                    requestComplete();
+                } else {
                     requestIncomplete(limits);
                     break;
                 }
-                state = State.BUSY;
-                keepAlive = reader.isKeepAlive();
-                handleRequest();
             }
         } catch (BadMessageException e) {
-            dataPath.log().info("event=bad-request status=" + e.status() + " reason=\"" + e.getMessage() + "\"");
-            respondAndClose(FinalResponse.generated(e.status(), null));
+            badMessage(e);
         } finally {
             processing = false;
         }
@@ -123,36 +152,108 @@
         }
     }
 
+    private void badMessage(BadMessageException e) {
+        dataPath.log().info("event=bad-request status=" + e.status() + " reason=\"" + e.getMessage() + "\"");
+        if (state == State.DISCARDING) {
+            closeAfterOutput();
+            return;
+        }
+        Exchange abandoned = currentExchange;
+        currentExchange = null;
+        if (abandoned != null) {
+            abandoned.clientDisconnected();
+        }
+        respondAndClose(FinalResponse.generated(e.status(), null));
+    }
+
+    private void requestComplete() {
+        if (state == State.DISCARDING) {
+            discarded();
+        } else if (streamedBody != null) {
+            streamedBody.completed();
+            if (currentExchange != null) {
+                currentExchange.bodyArrived();
+            }
+        } else {
+            state = State.BUSY;
+            keepAlive = reader.isKeepAlive();
+            handleRequest();
+        }
+    }
+
+    /** Refuses a request, of which nothing has run, and reads the rest of its body away. */
+    private void refuseForMemory() throws BadMessageException {
+        state = State.BUSY;
+        keepAlive = reader.isKeepAlive();
+        streamedBody = new StreamedBody(reader.statedLength(), this);
+        reader.streamTo(streamedBody);
+        String attemptId = reader.headers().get(ClientRequest.ATTEMPT_ID);
+        respond(null, FinalResponse.retryLater(503, attemptId, MEMORY_RETRY_AFTER_MS));
+    }
+
+    /** Processes a request whose body is too large to be gathered; its body is read once an instance wants it. */
+    private void startStreaming() throws BadMessageException {
+        if (!memory.tryStream()) {
+            refuseForMemory();
+            return;
+        }
+        state = State.BUSY;
+        keepAlive = reader.isKeepAlive();
+        streamedBody = new StreamedBody(reader.statedLength(), this);
+        reader.streamTo(streamedBody);
+        channel.config().setAutoRead(false);
+        handleRequest();
+    }
+
+    @Override
+    public void resumeBody(StreamedBody body) {
+        if (body != streamedBody) {
+            return;
+        }
+        if (state == State.BUSY && reader.expectsContinue()) {
+            sendContinue();
+        }
+        channel.config().setAutoRead(true);
+        process();
+    }
+
+    @Override
+    public void pauseBody(StreamedBody body) {
+        if (body == streamedBody) {
+            channel.config().setAutoRead(false);
+        }
+    }
+
     /**
      * Updates the timeout while a request has arrived only in part, and sends {@code 100 Continue} if the client waits
      * for it.
      */
     private void requestIncomplete(Limits limits) {
+        double nowMs = dataPath.now();
+        if (streamedBody != null) {
+            streamedBody.pieceArrived(nowMs);
+            return;
+        }
         if (!reader.hasHead()) {
             if (state == State.IDLE) {
                 state = State.HEAD;
-                timeoutAtMs = dataPath.now() + limits.headerTimeoutMs();
+                timeoutAtMs = nowMs + limits.headerTimeoutMs();
             }
             return;
         }
         if (state != State.BODY) {
-            logLargeBody("arriving");
-        }
-        if (state != State.BODY && reader.expectsContinue()) {
-            channel.writeAndFlush(ByteBufUtil.writeAscii(channel.alloc(), CONTINUE));
+            if (reader.expectsContinue()) {
+                sendContinue();
+            }
         }
         state = State.BODY;
-        timeoutAtMs = dataPath.now() + limits.idleTimeoutMs();
+        timeoutAtMs = nowMs + limits.idleTimeoutMs();
     }
 
-    /** Logs how far a large body has got and how much of the heap is in use. */
-    private void logLargeBody(String phase) {
-        long length = CacheHeaders.getLong(reader.headers(), "Content-Length", 0);
-        if (length >= LOGGED_BODY_BYTES) {
-            Runtime runtime = Runtime.getRuntime();
-            dataPath.log()
-                    .info("event=large_body phase=" + phase + " bytes=" + length + " heap_used="
-                            + (runtime.totalMemory() - runtime.freeMemory()) + " heap_max=" + runtime.maxMemory());
+    private void sendContinue() {
+        if (!continueSent) {
+            continueSent = true;
+            channel.writeAndFlush(ByteBufUtil.writeAscii(channel.alloc(), CONTINUE));
         }
     }
 
@@ -169,9 +270,11 @@
                 hostname(host),
                 reader.headers().get(ClientRequest.ATTEMPT_ID),
                 reader.headers(),
-                reader.body());
-        logLargeBody("complete");
-        reader.reset();
+                streamedBody == null ? reader.body() : NO_BODY,
+                streamedBody);
+        if (streamedBody == null) {
+            reader.reset();
+        }
         Exchange exchange = dataPath.route(this, request);
         if (exchange != null) {
             currentExchange = exchange;
@@ -193,11 +296,43 @@
             return;
         }
         currentExchange = null;
-        if (!keepAlive || dataPath.isDraining()) {
+        memory.giveBack();
+        boolean reusable = keepAlive && !dataPath.isDraining();
+        if (streamedBody != null && !streamedBody.isComplete() && mayDiscard()) {
+            writeResponse(response, reusable ? keepAliveLine() : CONNECTION_CLOSE_LINE);
+            keepAlive = reusable;
+            state = State.DISCARDING;
+            streamedBody.discard(dataPath.now());
+        } else if (reusable && (streamedBody == null || streamedBody.isComplete())) {
+            writeResponse(response, keepAliveLine());
+            readNextRequest();
+        } else {
             respondAndClose(response);
-            return;
         }
-        writeResponse(response, keepAliveLine());
+    }
+
+    /** Whether the rest of the body will arrive: the client does not wait for {@code 100 Continue}. */
+    private boolean mayDiscard() {
+        return !reader.expectsContinue() || continueSent;
+    }
+
+    /** The rest of the body of a request that was answered early has arrived. */
+    private void discarded() {
+        if (keepAlive && !dataPath.isDraining()) {
+            readNextRequest();
+        } else {
+            closeAfterOutput();
+        }
+    }
+
+    private void closeAfterOutput() {
+        state = State.CLOSING;
+        shutdownOutputAfter(channel.writeAndFlush(Unpooled.EMPTY_BUFFER));
+    }
+
+    private void readNextRequest() {
+        streamedBody = null;
+        continueSent = false;
         reader.reset();
         becomeIdle();
         dataPath.becameIdle(this);
@@ -216,6 +351,7 @@
      */
     private void respondAndClose(FinalResponse response) {
         state = State.CLOSING;
+        memory.giveBack();
         timeoutAtMs = dataPath.now() + LINGER_MS;
         channel.config().setAutoRead(true);
         writeResponse(response, CONNECTION_CLOSE_LINE);
@@ -240,7 +376,11 @@
 
     /** Closes the connection, or responds with 408, if its timeout has passed. */
     void tick(double nowMs) {
-        if (state == State.BUSY || nowMs < timeoutAtMs) {
+        if (state == State.BUSY || state == State.DISCARDING) {
+            checkBody(nowMs);
+            return;
+        }
+        if (nowMs < timeoutAtMs) {
             return;
         }
         if (state == State.HEAD || state == State.BODY) {
@@ -252,6 +392,31 @@
         }
     }
 
+    /** Ends a request, or the connection if the request has been answered, whose body has stalled. */
+    private void checkBody(double nowMs) {
+        StreamedBody.Stall stall = streamedBody == null
+                ? StreamedBody.Stall.NONE
+                : streamedBody.stall(nowMs, dataPath.limits().idleTimeoutMs());
+        if (stall == StreamedBody.Stall.NONE) {
+            return;
+        }
+        if (state == State.DISCARDING) {
+            closeAfterOutput();
+            return;
+        }
+        dataPath.log()
+                .info("event=body_stalled by=" + stall.name().toLowerCase(Locale.ROOT) + " received="
+                        + streamedBody.receivedBytes() + " length=" + streamedBody.length());
+        if (currentExchange != null) {
+            currentExchange.bodyStalled(stall == StreamedBody.Stall.INSTANCE);
+        }
+    }
+
+    /** Whether a response is being sent, or the rest of a request that was answered is being read. */
+    boolean isFinishing() {
+        return hasUnsentOutput() || state == State.DISCARDING;
+    }
+
     /** Whether some output has not been accepted by the socket yet. */
     boolean hasUnsentOutput() {
         return channel.isActive()
@@ -267,8 +432,7 @@
     /** Closes the connection after its unsent output if no request is in progress or partially received. */
     void closeIfIdle() {
         if (state == State.IDLE) {
-            state = State.CLOSING;
-            shutdownOutputAfter(channel.writeAndFlush(Unpooled.EMPTY_BUFFER));
+            closeAfterOutput();
         }
     }
 
@@ -291,6 +455,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         state = State.CLOSING;
+        memory.giveBack();
         pending.release();
         pending = Unpooled.EMPTY_BUFFER;
         dataPath.closed(this);
--- a/cdn/src/main/java/ridgemill/cdn/proxy/DataPath.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/DataPath.java
@@ -154,12 +154,13 @@
     }
 
     /**
-     * The number of unfinished requests: the response has not been sent completely, or the operation is still running.
+     * The number of unfinished requests: the response has not been sent completely, the rest of the request has not
+     * been read, or the operation is still running.
      */
     public int inFlight() {
         int unsent = 0;
         for (ClientConnection client : clients.snapshot()) {
-            unsent += client.hasUnsentOutput() ? 1 : 0;
+            unsent += client.isFinishing() ? 1 : 0;
         }
         return context.inFlight() + unsent;
     }
@@ -234,6 +235,11 @@
         clients.closed(client);
     }
 
+    /** The memory for the bodies of requests. */
+    BodyMemory bodyMemory() {
+        return context.bodyMemory();
+    }
+
     double now() {
         return context.now();
     }
--- a/cdn/src/main/java/ridgemill/cdn/proxy/Exchange.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/Exchange.java
@@ -15,7 +15,7 @@
     private final ClientRequest request;
     private final Route route;
     private final double arrivedAtMs;
-    private final double deadlineMs;
+    private double deadlineMs;
     private Timers.Timer deadlineTimer;
     private boolean finished;
 
@@ -25,7 +25,12 @@
         this.request = request;
         this.route = route;
         this.arrivedAtMs = context.now();
-        this.deadlineMs = arrivedAtMs + Math.min(request.remainingMs(), route.timeoutMs()) - RESPONSE_MARGIN_MS;
+        this.deadlineMs = deadlineFrom(arrivedAtMs);
+    }
+
+    /** The deadline of a request whose last byte arrives at the given time. */
+    private double deadlineFrom(double completeAtMs) {
+        return completeAtMs + Math.min(request.remainingMs(), route.timeoutMs()) - RESPONSE_MARGIN_MS;
     }
 
     /** Starts processing the request. It responds later, unless the deadline passes first. */
@@ -34,7 +39,8 @@
     /**
      * Cancels the work in progress.
      *
-     * @param deadlinePassed true if the deadline has passed, false if the client has disconnected
+     * @param deadlinePassed true if the instance has not responded in time, false if the client has disconnected or
+     *     stalled
      */
     abstract void cancel(boolean deadlinePassed);
 
@@ -59,9 +65,31 @@
         if (finished) {
             return;
         }
+        if (request.streamedBody() == null || !request.streamedBody().isFlowing()) {
+            timeOut(true);
+        }
+    }
+
+    /** The last byte of a streamed body has arrived; the time of the request begins now. */
+    final void bodyArrived() {
+        if (!finished && deadlineTimer != null) {
+            deadlineTimer.cancel();
+            deadlineMs = deadlineFrom(context.now());
+            deadlineTimer = context.timers().scheduleAt(deadlineMs, this::deadlinePassed);
+        }
+    }
+
+    /** A streamed body has stalled, by the fault of the instance or of the client. */
+    final void bodyStalled(boolean byInstance) {
+        if (!finished) {
+            timeOut(byInstance);
+        }
+    }
+
+    private void timeOut(boolean byInstance) {
         boolean mayHaveRun = mayHaveRun();
         finished = true;
-        cancel(true);
+        cancel(byInstance);
         finished = false;
         if (mayHaveRun) {
             fail(RefusalReason.OUT_OF_TIME);
--- a/cdn/src/main/java/ridgemill/cdn/proxy/InstanceConnection.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/InstanceConnection.java
@@ -10,10 +10,11 @@
 import ridgemill.cdn.edge.AttemptOutcome;
 import ridgemill.cdn.proxy.http.BadMessageException;
 import ridgemill.cdn.proxy.http.Headers;
+import ridgemill.cdn.proxy.http.MessageWriter;
 import ridgemill.cdn.proxy.http.ResponseReader;
 
 /** One connection to an instance or shared cache; it carries one request at a time. */
-final class InstanceConnection extends ChannelInboundHandlerAdapter {
+final class InstanceConnection extends ChannelInboundHandlerAdapter implements StreamedBody.Receiver {
 
     private static final int MISDIRECTED = 421;
     /** Maximum number of surplus responses to earlier requests that are skipped before the expected response. */
@@ -26,7 +27,9 @@
     private Channel channel;
     private ByteBuf pending = Unpooled.EMPTY_BUFFER;
     private ConnectionListener listener;
+    private StreamedBody body;
     private String attemptId;
+    private boolean headWritten;
     private boolean requestWritten;
     private boolean respondsEarly;
     private int surplusResponses;
@@ -68,13 +71,22 @@
     /**
      * Sends a request.
      *
-     * @param bytes the complete request
+     * @param bytes the complete request, or its head if the body is streamed
+     * @param streamedBody the body that follows in pieces; null if the request is complete
      * @param expectedId the attempt identifier that the response must carry
      * @param isHead whether the request is a HEAD request, so that the response has no body
      */
-    void send(ByteBuf bytes, String expectedId, boolean isHead, double nowMs, ConnectionListener newListener) {
+    void send(
+            ByteBuf bytes,
+            StreamedBody streamedBody,
+            String expectedId,
+            boolean isHead,
+            double nowMs,
+            ConnectionListener newListener) {
         listener = newListener;
+        body = streamedBody;
         attemptId = expectedId;
+        headWritten = false;
         requestWritten = false;
         respondsEarly = false;
         surplusResponses = 0;
@@ -83,20 +95,71 @@
         reader.reset();
         reader.setHeadRequest(isHead);
         channel.writeAndFlush(bytes).addListener((ChannelFuture future) -> {
-            if (listener != newListener) {
-                return;
+            if (listener == newListener) {
+                headWritten = future.isSuccess();
+                written(future, streamedBody == null);
             }
-            if (future.isSuccess()) {
-                requestWritten = true;
-            } else {
-                endExchange(disconnectOutcome(), null, null);
+        });
+        if (streamedBody != null) {
+            streamedBody.start(this, nowMs);
+        }
+    }
+
+    /** A part of the request was written, or writing it failed. */
+    private void written(ChannelFuture future, boolean isLastPart) {
+        if (!future.isSuccess()) {
+            endExchange(disconnectOutcome(), null, null);
+        } else if (isLastPart) {
+            requestWritten = true;
+        }
+    }
+
+    @Override
+    public void bodyPiece(ByteBuf piece) {
+        boolean chunked = body.length() == StreamedBody.UNKNOWN_LENGTH;
+        writeBodyPart(chunked ? MessageWriter.chunk(channel.alloc(), piece) : piece, false);
+        if (body != null && !channel.isWritable()) {
+            body.setBlocked(true, pool.now());
+        }
+    }
+
+    @Override
+    public void bodyComplete() {
+        boolean chunked = body.length() == StreamedBody.UNKNOWN_LENGTH;
+        writeBodyPart(chunked ? MessageWriter.lastChunk() : Unpooled.EMPTY_BUFFER, true);
+    }
+
+    private void writeBodyPart(ByteBuf bytes, boolean isLastPart) {
+        ConnectionListener current = listener;
+        channel.writeAndFlush(bytes).addListener((ChannelFuture future) -> {
+            if (listener == current) {
+                written(future, isLastPart);
             }
         });
     }
 
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+        if (body != null) {
+            body.setBlocked(!channel.isWritable(), pool.now());
+        }
+    }
+
+    /** The rest of a streamed body is not sent any more. */
+    private void stopBody() {
+        if (body != null) {
+            StreamedBody stopped = body;
+            body = null;
+            if (!stopped.isComplete()) {
+                stopped.discard(pool.now());
+            }
+        }
+    }
+
     /** Aborts the exchange without calling its listener and closes the connection. */
     void abort() {
         listener = null;
+        stopBody();
         close();
     }
 
@@ -227,16 +290,18 @@
     }
 
     /**
-     * The outcome if the connection ends before a complete response. An instance that began to respond may have run
-     * the request.
+     * The outcome if the connection ends before a complete response. An instance that began to respond, or that has a
+     * part of a streamed request, may have run the request.
      */
     private AttemptOutcome disconnectOutcome() {
-        return requestWritten || respondsEarly ? AttemptOutcome.RESET : AttemptOutcome.NEVER_WRITTEN;
+        boolean partSent = body != null && headWritten;
+        return requestWritten || respondsEarly || partSent ? AttemptOutcome.RESET : AttemptOutcome.NEVER_WRITTEN;
     }
 
     private void endExchange(AttemptOutcome outcome, InstanceResponse response, String load) {
         ConnectionListener endedListener = listener;
         listener = null;
+        stopBody();
         boolean intact = outcome == AttemptOutcome.ANSWERED
                 || outcome == AttemptOutcome.DECLINED
                 || outcome == AttemptOutcome.REFUSED_BY_CACHE;
--- a/cdn/src/main/java/ridgemill/cdn/proxy/KeyedExchange.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/KeyedExchange.java
@@ -190,13 +190,16 @@
     @Override
     void cancel(boolean deadlinePassed) {
         stopTimer();
-        if (call != null && call.mayHaveRun()) {
+        boolean mayHaveRun = mayHaveRun();
+        if (mayHaveRun && !request().isBodyIncomplete()) {
             finishInBackground();
             return;
         }
         if (call != null) {
             call.cancel(deadlinePassed);
-            context().register().release(claim);
+            if (!mayHaveRun) {
+                context().register().release(claim);
+            }
         }
         if (!leader) {
             operations.removeWaiter(key, this);
--- a/cdn/src/main/java/ridgemill/cdn/proxy/OutgoingRequest.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/OutgoingRequest.java
@@ -12,7 +12,8 @@
  * @param target the path and query
  * @param attemptId the attempt identifier that the response carries
  * @param headers the end-to-end headers, without those that each attempt sets
- * @param body the complete body
+ * @param body the complete body; empty if it is streamed
+ * @param streamedBody the body if it is streamed, else null
  * @param hashKey the hash by which instances are selected
  * @param targetLatencyMs the latency within which a response counts as timely, in milliseconds
  */
@@ -22,6 +23,7 @@
         String attemptId,
         Headers headers,
         byte[] body,
+        StreamedBody streamedBody,
         long hashKey,
         double targetLatencyMs) {
 
@@ -53,6 +55,7 @@
                 request.attemptId(),
                 headers,
                 request.body(),
+                request.streamedBody(),
                 hashKey,
                 targetLatencyMs);
     }
@@ -77,7 +80,12 @@
         if (!Double.isInfinite(maxAgeMs)) {
             all.add(CacheHeaders.MAX_AGE, Long.toString((long) Math.max(0, maxAgeMs)));
         }
-        return new OutgoingRequest(method, target, attemptId, all, body, hashKey, targetLatencyMs);
+        return new OutgoingRequest(method, target, attemptId, all, body, streamedBody, hashKey, targetLatencyMs);
+    }
+
+    /** Whether the request may be sent to another instance: no part of a streamed body has been passed on. */
+    boolean isRepeatable() {
+        return streamedBody == null || !streamedBody.isStarted();
     }
 
     boolean isHead() {
@@ -85,7 +93,7 @@
     }
 
     /**
-     * Encodes the request for one attempt.
+     * Encodes the request for one attempt, without a streamed body.
      *
      * @param instanceId the instance that is expected to receive it
      * @param remainingMs the time until the deadline, in milliseconds
@@ -94,6 +102,8 @@
         Headers all = Headers.of(headers.lines())
                 .add(ClientRequest.DEADLINE, Long.toString(Math.max(1, (long) Math.floor(remainingMs))))
                 .add(EXPECTED_INSTANCE, instanceId);
-        return MessageWriter.request(allocator, method, target, all, body);
+        return streamedBody == null
+                ? MessageWriter.request(allocator, method, target, all, body)
+                : MessageWriter.requestHead(allocator, method, target, all, streamedBody.length());
     }
 }
--- a/cdn/src/main/java/ridgemill/cdn/proxy/ProxyContext.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/ProxyContext.java
@@ -27,6 +27,7 @@
     private final OperationRegister register;
     private final EventLog log;
     private final ProxyMeters meters;
+    private final BodyMemory bodyMemory;
     private final InvariantChecker invariants;
     private final Optional<CacheNode> sharedCache;
     private final SharedCaches caches;
@@ -55,6 +56,7 @@
         this.register = register;
         this.sharedCache = sharedCache;
         this.meters = new ProxyMeters(registry);
+        this.bodyMemory = BodyMemory.ofProcess(registry);
         this.log = new EventLog(timers);
         this.invariants = new InvariantChecker(registry, log);
         this.fetcher = new ObjectFetcher(this, new ObjectCache(cacheBytes));
@@ -121,6 +123,11 @@
         return meters;
     }
 
+    /** The memory for the bodies of requests. */
+    BodyMemory bodyMemory() {
+        return bodyMemory;
+    }
+
     EventLog log() {
         return log;
     }
--- a/cdn/src/main/java/ridgemill/cdn/proxy/RequestRouter.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/RequestRouter.java
@@ -56,6 +56,6 @@
     }
 
     private static boolean isRead(ClientRequest request) {
-        return request.method().equals("GET") && request.body().length == 0;
+        return request.method().equals("GET") && !request.hasBody();
     }
 }
--- a/cdn/src/main/java/ridgemill/cdn/proxy/SharedCacheRouter.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/SharedCacheRouter.java
@@ -40,6 +40,6 @@
                 .map(Destination::service)
                 .anyMatch(name -> name.equals(service));
         long version = CacheHeaders.getLong(request.headers(), CacheHeaders.ROUTE_VERSION, Long.MAX_VALUE);
-        return route.kind() == RouteKind.CACHEABLE && isDestination && route.version() >= version;
+        return route.kind() == RouteKind.CACHEABLE && !request.hasBody() && isDestination && route.version() >= version;
     }
 }
--- a/cdn/src/main/java/ridgemill/cdn/proxy/UpstreamCall.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/UpstreamCall.java
@@ -185,7 +185,10 @@
      * no retry is possible, the instance's latency is unknown, or there would not be enough time for a retry.
      */
     private double responseTimeoutAtMs(InstanceStats instance, double nowMs) {
-        boolean lastAttempt = !retryable || sentAttempts + 1 >= route.maxAttempts() || context.isDraining();
+        boolean lastAttempt = !retryable
+                || request.streamedBody() != null
+                || sentAttempts + 1 >= route.maxAttempts()
+                || context.isDraining();
         if (lastAttempt || Double.isNaN(instance.meanLatencyMs())) {
             return Double.POSITIVE_INFINITY;
         }
@@ -243,7 +246,10 @@
     }
 
     private boolean mayRetry() {
-        return !retriesDisabled && sentAttempts < route.maxAttempts() && (retryable || !mayHaveRun);
+        return !retriesDisabled
+                && request.isRepeatable()
+                && sentAttempts < route.maxAttempts()
+                && (retryable || !mayHaveRun);
     }
 
     private void fail(RefusalReason reason, double retryAfterMs) {
--- a/cdn/src/main/java/ridgemill/cdn/proxy/http/MessageReader.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/http/MessageReader.java
@@ -1,12 +1,15 @@
 package ridgemill.cdn.proxy.http;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 
 /**
  * Reads one HTTP/1.1 message at a time from the bytes of a connection. Rejects all framing that two parsers could
  * interpret differently, which prevents request smuggling.
+ *
+ * <p>A body is gathered up to a limit. A larger one is passed to a sink in pieces; reading stops until there is one.
  */
 public abstract class MessageReader {
 
@@ -31,7 +34,10 @@
     private int trailerBytes;
     private byte[] body = EMPTY;
     private int filled;
+    private long received;
     private long remaining;
+    private boolean large;
+    private BodySink sink;
     private Headers headers;
 
     /** Parses the start line. */
@@ -49,6 +55,9 @@
     /** Maximum size of a body, in bytes. */
     abstract long maxBodyBytes();
 
+    /** Maximum size of a body that is gathered, in bytes. */
+    abstract long maxGatheredBytes();
+
     /**
      * Reads more of the message; bytes that belong to it are consumed from the buffer.
      *
@@ -57,7 +66,8 @@
      *     more
      */
     public final boolean read(ByteBuf in) throws BadMessageException {
-        while (state != State.COMPLETE) {
+        passOnGathered();
+        while (state != State.COMPLETE && !needsSink()) {
             boolean more = switch (state) {
                 case HEAD -> readHead(in);
                 case FIXED -> readBody(in, State.COMPLETE);
@@ -71,7 +81,35 @@
                 return state == State.COMPLETE;
             }
         }
-        return true;
+        return state == State.COMPLETE;
+    }
+
+    /** Whether the body is too large to be gathered and there is no sink for it yet. */
+    public final boolean needsSink() {
+        return large && sink == null;
+    }
+
+    /** Passes the body to a sink with the next reads, beginning with the part that has been gathered. */
+    public final void streamTo(BodySink newSink) {
+        sink = newSink;
+    }
+
+    private void passOnGathered() {
+        if (sink != null && filled > 0) {
+            ByteBuf gathered = Unpooled.wrappedBuffer(body, 0, filled);
+            body = EMPTY;
+            filled = 0;
+            sink.bodyPiece(gathered);
+        }
+    }
+
+    /** The length that the head states, in bytes; negative for a body in chunks. */
+    public final long statedLength() throws BadMessageException {
+        if (headers.count("Transfer-Encoding") > 0) {
+            return -1;
+        }
+        String text = headers.get("Content-Length");
+        return text == null ? 0 : HeaderLine.parseContentLength(text);
     }
 
     /** Whether the head has been read. */
@@ -96,7 +134,10 @@
         trailerBytes = 0;
         body = EMPTY;
         filled = 0;
+        received = 0;
         remaining = 0;
+        large = false;
+        sink = null;
         headers = null;
     }
 
@@ -181,7 +222,8 @@
             throw new BadMessageException(413, "body exceeds the size limit");
         }
         remaining = length;
-        body = length == 0 ? EMPTY : new byte[(int) Math.min(length, INITIAL_BODY_BYTES)];
+        large = length > maxGatheredBytes();
+        body = length == 0 || large ? EMPTY : new byte[(int) Math.min(length, INITIAL_BODY_BYTES)];
         state = length == 0 ? State.COMPLETE : State.FIXED;
     }
 
@@ -190,19 +232,28 @@
         if (take == 0) {
             return false;
         }
-        if (filled + take > body.length) {
-            long wanted = Math.max(filled + take, Math.min(2L * body.length, filled + remaining));
-            body = Arrays.copyOf(body, (int) wanted);
-        }
-        in.readBytes(body, filled, take);
-        filled += take;
+        received += take;
         remaining -= take;
+        if (sink != null) {
+            sink.bodyPiece(in.readRetainedSlice(take));
+        } else {
+            gather(in, take);
+        }
         if (remaining == 0) {
             state = next;
         }
         return remaining == 0;
     }
 
+    private void gather(ByteBuf in, int take) {
+        if (filled + take > body.length) {
+            long wanted = Math.max(filled + take, Math.min(2L * body.length, filled + take + remaining));
+            body = Arrays.copyOf(body, (int) wanted);
+        }
+        in.readBytes(body, filled, take);
+        filled += take;
+    }
+
     private boolean readChunkHeader(ByteBuf in) throws BadMessageException {
         String line = readLine(in, MAX_CHUNK_LINE_BYTES);
         if (line == null) {
@@ -216,9 +267,10 @@
             throw new BadMessageException(400, "malformed chunk size");
         }
         remaining = Long.parseLong(line.substring(0, digits), 16);
-        if (filled + remaining > maxBodyBytes()) {
+        if (received + remaining > maxBodyBytes()) {
             throw new BadMessageException(413, "body exceeds the size limit");
         }
+        large |= received + remaining > maxGatheredBytes();
         state = remaining == 0 ? State.TRAILER : State.CHUNK;
         return true;
     }
--- a/cdn/src/main/java/ridgemill/cdn/proxy/http/MessageWriter.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/http/MessageWriter.java
@@ -15,21 +15,48 @@
 
     private static final int INITIAL_HEAD_BYTES = 1_024;
 
+    private static final int CHUNK_SIZE_LINE_BYTES = 16;
+    private static final byte[] LINE_END = {'\r', '\n'};
+    private static final byte[] LAST_CHUNK = {'0', '\r', '\n', '\r', '\n'};
+
     private MessageWriter() {}
 
     /** Encodes a request. {@code headers} do not include Content-Length, which is added if needed. */
     public static ByteBuf request(
             ByteBufAllocator allocator, String method, String target, Headers headers, byte[] body) {
         ByteBuf out = allocator.buffer(INITIAL_HEAD_BYTES + Math.min(MAX_COPIED_BODY_BYTES, body.length));
-        text(out, method);
-        out.writeByte(' ');
-        text(out, target);
-        text(out, " HTTP/1.1\r\n");
-        lines(out, headers.lines());
+        requestLines(out, method, target, headers);
         boolean hasLength = body.length > 0 || !method.equals("GET") && !method.equals("HEAD");
         return end(out, hasLength ? body.length : -1, body);
     }
 
+    /**
+     * Encodes the head of a request whose body follows in pieces.
+     *
+     * @param length the length of the body in bytes; negative for a body in chunks
+     */
+    public static ByteBuf requestHead(
+            ByteBufAllocator allocator, String method, String target, Headers headers, long length) {
+        ByteBuf out = allocator.buffer(INITIAL_HEAD_BYTES);
+        requestLines(out, method, target, headers);
+        text(out, length < 0 ? "Transfer-Encoding: chunked\r\n" : "Content-Length: " + length + "\r\n");
+        text(out, "\r\n");
+        return out;
+    }
+
+    /** Frames a piece of a body in chunks, which is not empty; takes over the piece. */
+    public static ByteBuf chunk(ByteBufAllocator allocator, ByteBuf piece) {
+        ByteBuf size = allocator.buffer(CHUNK_SIZE_LINE_BYTES);
+        text(size, Integer.toHexString(piece.readableBytes()));
+        text(size, "\r\n");
+        return Unpooled.wrappedBuffer(size, piece, Unpooled.wrappedBuffer(LINE_END));
+    }
+
+    /** The end of a body in chunks. */
+    public static ByteBuf lastChunk() {
+        return Unpooled.wrappedBuffer(LAST_CHUNK);
+    }
+
     /**
      * Encodes a response.
      *
@@ -50,6 +77,14 @@
         return end(out, length, body);
     }
 
+    private static void requestLines(ByteBuf out, String method, String target, Headers headers) {
+        text(out, method);
+        out.writeByte(' ');
+        text(out, target);
+        text(out, " HTTP/1.1\r\n");
+        lines(out, headers.lines());
+    }
+
     private static ByteBuf end(ByteBuf out, long length, byte[] body) {
         if (length >= 0) {
             text(out, "Content-Length: ");
--- a/cdn/src/main/java/ridgemill/cdn/proxy/http/RequestReader.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/http/RequestReader.java
@@ -3,6 +3,9 @@
 /** Reads requests. */
 public final class RequestReader extends MessageReader {
 
+    /** Larger bodies are streamed, in bytes. */
+    public static final int MAX_GATHERED_BYTES = 64 * 1_024;
+
     private int maxHeadBytes;
     private long maxBodyBytes;
     private String method;
@@ -79,4 +82,9 @@
     long maxBodyBytes() {
         return maxBodyBytes;
     }
+
+    @Override
+    long maxGatheredBytes() {
+        return MAX_GATHERED_BYTES;
+    }
 }
--- a/cdn/src/main/java/ridgemill/cdn/proxy/http/ResponseReader.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/http/ResponseReader.java
@@ -70,4 +70,9 @@
     long maxBodyBytes() {
         return MAX_BODY_BYTES;
     }
+
+    @Override
+    long maxGatheredBytes() {
+        return MAX_BODY_BYTES;
+    }
 }
--- a/cdn/src/test/java/ridgemill/cdn/proxy/RequestSendingTest.java
+++ b/cdn/src/test/java/ridgemill/cdn/proxy/RequestSendingTest.java
@@ -143,7 +143,7 @@
                 }
             });
             OutgoingRequest request = new OutgoingRequest(
-                    "POST", "/n/1", "1", new Headers().add("X-Attempt-Id", "1"), new byte[0], 1, 400);
+                    "POST", "/n/1", "1", new Headers().add("X-Attempt-Id", "1"), new byte[0], null, 1, 400);
             Attempt attempt = new Attempt(
                     context, service, service.picker().instances().get(0), request, false, endedAttempt::complete);
             attempt.start(proxy.timers.now() + 1_000, Double.POSITIVE_INFINITY);
@@ -177,7 +177,7 @@
                     1_000);
             ServiceState service = context.service("s");
             OutgoingRequest request = new OutgoingRequest(
-                    "GET", "/i/1", "1", new Headers().add("X-Attempt-Id", "1"), new byte[0], 1, 400);
+                    "GET", "/i/1", "1", new Headers().add("X-Attempt-Id", "1"), new byte[0], null, 1, 400);
             Attempt attempt =
                     new Attempt(context, service, service.picker().instances().get(0), request, true, ended -> {});
             attempt.start(proxy.timers.now() + 1_000, Double.POSITIVE_INFINITY);
--- /dev/null
+++ b/cdn/src/test/java/ridgemill/cdn/soak/LargeBodyTest.java
@@ -0,0 +1,172 @@
+package ridgemill.cdn.soak;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Tests processes with the JVM options of the deploy file under large bodies and many bodies at once. */
+class LargeBodyTest {
+
+    private static final int MB = 1_024 * 1_024;
+    /** What a small machine gives, which allows about 1,380 connections of clients. */
+    private static final int FILE_DESCRIPTORS = 3_000;
+
+    private static final long HEARTBEAT_MS = 500;
+    private static final long READY_TIMEOUT_SECONDS = 60;
+    private static final long METRIC_TIMEOUT_SECONDS = 10;
+    private static final int OK = 200;
+
+    @TempDir
+    Path folder;
+
+    private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(4, LargeBodyTest::daemon);
+    private final ExecutorService clients = Executors.newCachedThreadPool(LargeBodyTest::daemon);
+    private final AtomicLong sequence = new AtomicLong();
+    private SoakFleet fleet;
+    private SoakFleet.Machine proxy;
+    private final Map<String, LargeBodyInstance> instances = new LinkedHashMap<>();
+
+    private static Thread daemon(Runnable task) {
+        Thread thread = new Thread(task);
+        thread.setDaemon(true);
+        return thread;
+    }
+
+    @BeforeEach
+    void start() throws Exception {
+        Random random = new Random();
+        fleet = new SoakFleet(folder, random.nextInt(200), random, new SoakFleet.Size(1, 0, FILE_DESCRIPTORS, true));
+        proxy = fleet.machines(SoakFleet.Role.PROXY).get(0);
+        instances.put("orders", new LargeBodyInstance());
+        instances.put("objects", new LargeBodyInstance());
+        fleet.start();
+        SoakOperator operator = new SoakOperator(fleet, new SoakAudit(), SoakInstance.versions(), 1, timer);
+        operator.configure(1_000, 400, () -> {});
+        timer.scheduleWithFixedDelay(this::heartbeats, 0, HEARTBEAT_MS, TimeUnit.MILLISECONDS);
+        long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(READY_TIMEOUT_SECONDS);
+        while (!fleet.isReady(proxy)) {
+            assertThat(System.nanoTime()).as("time to become ready").isLessThan(endNanos);
+        }
+    }
+
+    private void heartbeats() {
+        for (SoakFleet.Machine core : fleet.machines(SoakFleet.Role.CORE)) {
+            instances.forEach((service, instance) -> fleet.call(
+                    core,
+                    fleet.controlPort(),
+                    "PUT",
+                    "/ridgemill/instances/" + service,
+                    instance.heartbeat(service, sequence.incrementAndGet())));
+        }
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        clients.shutdownNow();
+        timer.shutdownNow();
+        fleet.kill();
+        for (LargeBodyInstance instance : instances.values()) {
+            instance.close();
+        }
+    }
+
+    private LargeBodyClient client() throws IOException {
+        return new LargeBodyClient(proxy.host(), fleet.frontPort());
+    }
+
+    /** The value of a metric of the proxy. */
+    private double metric(String name) {
+        return fleet.fetch(proxy, fleet.metricsPort(0), "/metrics")
+                .lines()
+                .filter(line -> line.startsWith(name + ' '))
+                .mapToDouble(line -> Double.parseDouble(line.substring(name.length() + 1)))
+                .findFirst()
+                .orElse(Double.NaN);
+    }
+
+    private void awaitMetric(String name, double value) throws IOException {
+        long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(METRIC_TIMEOUT_SECONDS);
+        for (double now = metric(name); now != value; now = metric(name)) {
+            assertProxyIsAlive();
+            assertThat(System.nanoTime())
+                    .as("%s is %f, not %f", name, now, value)
+                    .isLessThan(endNanos);
+        }
+    }
+
+    private void assertProxyIsAlive() throws IOException {
+        assertThat(proxy.processes().get(0).isAlive()).as(proxyLog()).isTrue();
+    }
+
+    private String proxyLog() throws IOException {
+        return Files.readString(folder.resolve(proxy.name() + "-proxy.log"));
+    }
+
+    private void assertProxyIsAliveAndHoldsNothing() throws IOException {
+        assertProxyIsAlive();
+        awaitMetric("ridgemill_memory_held_bytes{use=\"streamed_bodies\"}", 0);
+    }
+
+    /**
+     * Guards against the fault of review case 3: an upload of 60 MB, which the limits allow, ended the edge proxy with
+     * an OutOfMemoryError, and all requests in progress there got no response.
+     */
+    @Test
+    void uploadsNearTheLimitAreServedAndDisturbNoOtherRequest() throws Exception {
+        long length = 60L * MB;
+        String expected = LargeBodyClient.description(length);
+        AtomicBoolean uploading = new AtomicBoolean(true);
+        Future<List<Integer>> usual = clients.submit(() -> usualRequests(uploading));
+        for (int round = 0; round < 2; round++) {
+            List<Future<SoakHttp.Message>> uploads = new ArrayList<>();
+            for (String path : List.of("/write/1", "/safe/1")) {
+                for (boolean chunked : new boolean[] {false, true}) {
+                    uploads.add(clients.submit((Callable<SoakHttp.Message>) () -> {
+                        try (LargeBodyClient client = client()) {
+                            return client.post(path, length, chunked);
+                        }
+                    }));
+                }
+            }
+            for (Future<SoakHttp.Message> upload : uploads) {
+                SoakHttp.Message response = upload.get(60, TimeUnit.SECONDS);
+                assertThat(response.status()).as(proxyLog()).isEqualTo(OK);
+                assertThat(response.text()).isEqualTo(expected);
+            }
+        }
+        uploading.set(false);
+        assertThat(usual.get(30, TimeUnit.SECONDS)).as(proxyLog()).isNotEmpty().containsOnly(OK);
+        assertProxyIsAliveAndHoldsNothing();
+    }
+
+    /** Sends small requests on one kept connection while the condition holds. Returns their statuses. */
+    private List<Integer> usualRequests(AtomicBoolean condition) throws IOException {
+        List<Integer> statuses = new ArrayList<>();
+        try (LargeBodyClient client = client()) {
+            while (condition.get()) {
+                statuses.add(client.post("/write/2", 300, false).status());
+                statuses.add(client.post("/safe/2", 0, false).status());
+            }
+        }
+        return statuses;
+    }
+}
--- a/cdn/src/test/java/ridgemill/cdn/soak/Soak.java
+++ b/cdn/src/test/java/ridgemill/cdn/soak/Soak.java
@@ -28,6 +28,8 @@
     private static final long FAULT_FREE_MS = 5_000;
     private static final long RECOVERY_TIMEOUT_MS = 15_000;
     private static final long HEARTBEAT_MS = 500;
+    private static final int CACHES = 2;
+    private static final int FILE_DESCRIPTORS = 1_024;
     private static final int FAULT_COUNT = 9;
 
     /**
@@ -66,7 +68,8 @@
 
     /** Executes the run. */
     Result run() throws IOException {
-        SoakFleet fleet = new SoakFleet(folder, (int) Math.floorMod(seed, 200L), new Random(seed), proxies);
+        SoakFleet.Size size = new SoakFleet.Size(proxies, CACHES, FILE_DESCRIPTORS, false);
+        SoakFleet fleet = new SoakFleet(folder, (int) Math.floorMod(seed, 200L), new Random(seed), size);
         Map<String, AtomicInteger> versions = SoakInstance.versions();
         for (int i = 0; i < 2; i++) {
             objects.add(new SoakInstance("o" + i, audit, seed + i, CONNECTION_CAP, versions));
--- a/cdn/src/test/java/ridgemill/cdn/soak/SoakFleet.java
+++ b/cdn/src/test/java/ridgemill/cdn/soak/SoakFleet.java
@@ -33,21 +33,36 @@
     private final Path folder;
     private final int run;
     private final int firstPort;
+    private final Size size;
     private final List<Machine> machines = new ArrayList<>();
     private final int coreCount;
 
-    SoakFleet(Path folder, int run, Random random, int proxies) throws IOException {
+    /**
+     * How many machines there are and what their processes have. There are always three core machines.
+     *
+     * @param fileDescriptors the maximum number of open file descriptors of each process
+     * @param deployedJvm whether the processes have the JVM options of the deploy file, or little memory
+     */
+    record Size(int proxies, int caches, int fileDescriptors, boolean deployedJvm) {}
+
+    /**
+     * Creates a fleet; nothing is started.
+     *
+     * @param run a number that no other run at the same time has, for the addresses
+     */
+    SoakFleet(Path folder, int run, Random random, Size size) throws IOException {
         this.folder = folder;
+        this.size = size;
         this.run = run;
         this.coreCount = 3;
         this.firstPort = freePorts(random);
         for (int i = 0; i < coreCount; i++) {
             add(Role.CORE, i, List.of("registry", "store"));
         }
-        for (int i = 0; i < 2; i++) {
+        for (int i = 0; i < size.caches(); i++) {
             add(Role.CACHE, i, List.of("cache"));
         }
-        for (int i = 0; i < proxies; i++) {
+        for (int i = 0; i < size.proxies(); i++) {
             add(Role.PROXY, i, List.of("proxy"));
         }
     }
@@ -83,6 +98,7 @@
             Files.writeString(settings, settings(role, name, host));
             processes.add(new SoakProcess(
                     program,
+                    size.deployedJvm() ? DeployedJvm.options(program) : SoakProcess.SMALL_JVM,
                     settings,
                     firstPort + 8 + i,
                     folder.resolve(name + '-' + program + ".log").toFile()));
@@ -122,10 +138,20 @@
                 a = "r"
                 [listenAddresses]
                 %s[limits]
-                fileDescriptors = 1024
+                fileDescriptors = %d
                 [toleratedLosses]
                 machines = 1
-                """.formatted(name, host, firstPort, firstPort + 4, seeds, true, role == Role.CORE, disk, listen);
+                """.formatted(
+                        name,
+                        host,
+                        firstPort,
+                        firstPort + 4,
+                        seeds,
+                        true,
+                        role == Role.CORE,
+                        disk,
+                        listen,
+                        size.fileDescriptors());
     }
 
     int frontPort() {
--- a/cdn/src/test/java/ridgemill/cdn/soak/SoakProcess.java
+++ b/cdn/src/test/java/ridgemill/cdn/soak/SoakProcess.java
@@ -9,8 +9,10 @@
 /** One program of the system as a process, which can be signalled, killed and restarted. */
 final class SoakProcess {
 
-    private static final List<String> JAVA = List.of(
-            System.getProperty("java.home") + "/bin/java",
+    private static final String JAVA = System.getProperty("java.home") + "/bin/java";
+
+    /** Options for runs of many processes, with less memory than the deploy file gives. */
+    static final List<String> SMALL_JVM = List.of(
             "-XX:+UseSerialGC",
             "-XX:TieredStopAtLevel=1",
             "-XX:ActiveProcessorCount=1",
@@ -23,17 +25,20 @@
             "-Dio.netty.allocator.numHeapArenas=1",
             "-Dio.netty.allocator.numDirectArenas=1",
             "-Dio.netty.allocator.maxOrder=5");
+
     private static final long STOP_TIMEOUT_SECONDS = 10;
 
     private final String program;
+    private final List<String> jvmOptions;
     private final Path settings;
     private final int metricsPort;
     private final File log;
     private Process process;
     private boolean paused;
 
-    SoakProcess(String program, Path settings, int metricsPort, File log) {
+    SoakProcess(String program, List<String> jvmOptions, Path settings, int metricsPort, File log) {
         this.program = program;
+        this.jvmOptions = jvmOptions;
         this.settings = settings;
         this.metricsPort = metricsPort;
         this.log = log;
@@ -45,7 +50,9 @@
             return;
         }
         paused = false;
-        List<String> command = new java.util.ArrayList<>(JAVA);
+        List<String> command = new java.util.ArrayList<>();
+        command.add(JAVA);
+        command.addAll(jvmOptions);
         String classPath = System.getProperty("surefire.test.class.path", System.getProperty("java.class.path"));
         command.addAll(List.of("-cp", classPath, "ridgemill.cdn.app.Main", "--settings=" + settings));
         command.addAll(List.of("--metrics=" + metricsPort + "/metrics", program));
