Edge proxy: small bodies together stay within a part of the heap

Change: the bytes of a body are taken from a tenth of the heap before it is read, and given back with the response; where they don't fit, the request gets 503 with Retry-After, nothing has run, the rest of its body is read away and the connection goes on. Figures: ridgemill.memory.held, .peak, .capacity, .refused by use.

Failed before: LargeBodyTest.bodiesThatDoNotFitTogetherAreRefusedEarly (deploy file's JVM options): "Terminating due to java.lang.OutOfMemoryError: Java heap space".

--- a/cdn/src/main/java/ridgemill/cdn/proxy/BodyMemory.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/BodyMemory.java
@@ -7,11 +7,14 @@
 import ridgemill.cdn.edge.ByteBudget;
 
 /**
- * The memory for the buffers of streamed bodies: a part of the direct memory that the process has, so that many uploads
- * at once don't exhaust it.
+ * The memory for the bodies of requests: a part of the heap for bodies that are gathered, and a part of the direct
+ * memory for the buffers of bodies that are streamed. Both are parts of what the process has, so that neither small
+ * bodies of many clients nor many uploads at once exhaust it.
  */
 final class BodyMemory {
 
+    /** Fraction of the maximum heap size for bodies that are gathered. */
+    private static final double GATHERED_HEAP_FRACTION = 0.1;
     /** Fraction of the direct memory for the buffers of bodies that are streamed. */
     private static final double STREAMED_DIRECT_FRACTION = 0.35;
     /**
@@ -20,24 +23,30 @@
      */
     private static final long STREAM_BYTES = 256 * 1_024;
 
+    private final ByteBudget gathered;
     private final ByteBudget streamed;
 
-    private BodyMemory(ByteBudget streamed) {
+    private BodyMemory(ByteBudget gathered, ByteBudget streamed) {
+        this.gathered = gathered;
         this.streamed = streamed;
     }
 
     /** The memory of this process, with meters of its use. */
     static BodyMemory ofProcess(MeterRegistry registry) {
-        return create(registry, PlatformDependent.maxDirectMemory());
+        return create(registry, Runtime.getRuntime().maxMemory(), PlatformDependent.maxDirectMemory());
     }
 
     /**
      * Creates the memory of a process.
      *
+     * @param heapBytes the maximum heap size, in bytes
      * @param directBytes the maximum size of direct memory, in bytes
      */
-    static BodyMemory create(MeterRegistry registry, long directBytes) {
-        BodyMemory memory = new BodyMemory(new ByteBudget((long) (STREAMED_DIRECT_FRACTION * directBytes)));
+    static BodyMemory create(MeterRegistry registry, long heapBytes, long directBytes) {
+        BodyMemory memory =
+                new BodyMemory(new ByteBudget((long) (GATHERED_HEAP_FRACTION * heapBytes)), new ByteBudget((long)
+                        (STREAMED_DIRECT_FRACTION * directBytes)));
+        register(registry, "gathered_bodies", memory.gathered);
         register(registry, "streamed_bodies", memory.streamed);
         return memory;
     }
@@ -68,10 +77,18 @@
     /** The memory that one connection holds for its current request. */
     final class Lease {
 
+        private long gatheredBytes;
         private long streamedBytes;
 
         private Lease() {}
 
+        /** Takes the memory for a body that is gathered. Returns whether there was enough. */
+        boolean tryHold(long bytes) {
+            boolean taken = gathered.tryTake(bytes);
+            gatheredBytes += taken ? bytes : 0;
+            return taken;
+        }
+
         /** Takes the memory for a body that is streamed. Returns whether there was enough. */
         boolean tryStream() {
             boolean taken = streamed.tryTake(STREAM_BYTES);
@@ -81,7 +98,9 @@
 
         /** Gives back all that this lease holds. */
         void giveBack() {
+            gathered.giveBack(gatheredBytes);
             streamed.giveBack(streamedBytes);
+            gatheredBytes = 0;
             streamedBytes = 0;
         }
     }
--- a/cdn/src/main/java/ridgemill/cdn/proxy/ClientConnection.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/ClientConnection.java
@@ -166,7 +166,7 @@
         respondAndClose(FinalResponse.generated(e.status(), null));
     }
 
-    private void requestComplete() {
+    private void requestComplete() throws BadMessageException {
         if (state == State.DISCARDING) {
             discarded();
         } else if (streamedBody != null) {
@@ -174,27 +174,45 @@
             if (currentExchange != null) {
                 currentExchange.bodyArrived();
             }
-        } else {
+        } else if (state == State.BODY || holdBody(true)) {
             state = State.BUSY;
             keepAlive = reader.isKeepAlive();
             handleRequest();
         }
     }
 
+    /**
+     * Takes the memory for a body that is gathered. Returns whether there was enough; else the request is refused.
+     *
+     * @param complete whether the body has arrived
+     */
+    private boolean holdBody(boolean complete) throws BadMessageException {
+        long length = reader.statedLength();
+        if (memory.tryHold(length < 0 ? RequestReader.MAX_GATHERED_BYTES : length)) {
+            return true;
+        }
+        refuseForMemory(complete);
+        return false;
+    }
+
     /** Refuses a request, of which nothing has run, and reads the rest of its body away. */
-    private void refuseForMemory() throws BadMessageException {
+    private void refuseForMemory(boolean complete) throws BadMessageException {
         state = State.BUSY;
         keepAlive = reader.isKeepAlive();
         streamedBody = new StreamedBody(reader.statedLength(), this);
         reader.streamTo(streamedBody);
+        if (complete) {
+            streamedBody.completed();
+        }
         String attemptId = reader.headers().get(ClientRequest.ATTEMPT_ID);
         respond(null, FinalResponse.retryLater(503, attemptId, MEMORY_RETRY_AFTER_MS));
     }
 
     /** Processes a request whose body is too large to be gathered; its body is read once an instance wants it. */
     private void startStreaming() throws BadMessageException {
+        memory.giveBack();
         if (!memory.tryStream()) {
-            refuseForMemory();
+            refuseForMemory(false);
             return;
         }
         state = State.BUSY;
@@ -228,7 +246,7 @@
      * Updates the timeout while a request has arrived only in part, and sends {@code 100 Continue} if the client waits
      * for it.
      */
-    private void requestIncomplete(Limits limits) {
+    private void requestIncomplete(Limits limits) throws BadMessageException {
         double nowMs = dataPath.now();
         if (streamedBody != null) {
             streamedBody.pieceArrived(nowMs);
@@ -242,6 +260,9 @@
             return;
         }
         if (state != State.BODY) {
+            if (!holdBody(false)) {
+                return;
+            }
             if (reader.expectsContinue()) {
                 sendContinue();
             }
--- a/cdn/src/test/java/ridgemill/cdn/soak/LargeBodyTest.java
+++ b/cdn/src/test/java/ridgemill/cdn/soak/LargeBodyTest.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -34,6 +35,7 @@
     private static final long READY_TIMEOUT_SECONDS = 60;
     private static final long METRIC_TIMEOUT_SECONDS = 10;
     private static final int OK = 200;
+    private static final int UNAVAILABLE = 503;
 
     @TempDir
     Path folder;
@@ -123,6 +125,7 @@
 
     private void assertProxyIsAliveAndHoldsNothing() throws IOException {
         assertProxyIsAlive();
+        awaitMetric("ridgemill_memory_held_bytes{use=\"gathered_bodies\"}", 0);
         awaitMetric("ridgemill_memory_held_bytes{use=\"streamed_bodies\"}", 0);
     }
 
@@ -169,4 +172,60 @@
         }
         return statuses;
     }
+
+    /** Lets the proxy hold as many copies of objects as it can. */
+    private void fillCache() throws IOException {
+        try (LargeBodyClient client = client()) {
+            for (int i = 0; i < 700; i++) {
+                client.sendHead("GET", "/read/" + i, LargeBodyInstance.PADDING + ": 100000\r\n");
+                if (client.read().status() != OK) {
+                    i--;
+                }
+            }
+        }
+    }
+
+    /**
+     * Guards against bodies that are small one by one and too large together: each is read before its request is
+     * processed, so many slow clients could use up the heap.
+     */
+    @Test
+    void bodiesThatDoNotFitTogetherAreRefusedEarly() throws Exception {
+        fillCache();
+        int length = 63 * 1_024;
+        int count = 1_350;
+        Map<LargeBodyClient, Boolean> refused = new LinkedHashMap<>();
+        for (int i = 0; i < count; i++) {
+            LargeBodyClient client = client();
+            client.sendHead("POST", "/safe/1", "Content-Length: " + length + "\r\n");
+            client.sendPart(0, length - 1);
+            refused.put(client, false);
+        }
+        long capacity = (long) metric("ridgemill_memory_capacity_bytes{use=\"gathered_bodies\"}");
+        int expectedRefusals = count - (int) (capacity / length);
+        assertThat(expectedRefusals).as("the bodies do not fit").isPositive();
+        awaitMetric("ridgemill_memory_refused_total{use=\"gathered_bodies\"}", expectedRefusals);
+        awaitMetric(
+                "ridgemill_memory_held_bytes{use=\"gathered_bodies\"}", (double) (count - expectedRefusals) * length);
+        AtomicInteger refusals = new AtomicInteger();
+        for (LargeBodyClient client : refused.keySet()) {
+            client.sendPart(length - 1, length);
+            SoakHttp.Message response = client.read();
+            if (response.status() == UNAVAILABLE) {
+                refusals.incrementAndGet();
+                assertThat(response.header("Retry-After")).isNotNull();
+                assertThat(response.header("X-Attempt-Id")).isNotNull();
+            } else {
+                assertThat(response.status()).isEqualTo(OK);
+                assertThat(response.text()).isEqualTo(LargeBodyClient.description(length));
+            }
+        }
+        assertThat(refusals).hasValue(expectedRefusals);
+        for (LargeBodyClient client : refused.keySet()) {
+            SoakHttp.Message again = client.post("/safe/1", length, false);
+            assertThat(again.status()).as("the connection is still usable").isEqualTo(OK);
+            client.close();
+        }
+        assertProxyIsAliveAndHoldsNothing();
+    }
 }
