Edge proxy: a large response is written in pieces

A body was passed to the client's connection in one piece, and the transport copies what it is given into direct memory: 12 x 8 MB are the 96 MB that the process has. The kernel held up to 4 MB more for each.

The next request of the connection is processed once the last piece has been passed on. A client that accepts nothing for a minute is closed; before, it was kept for ever, and one that read slowly was closed one second after the last response of its connection.

Failed before: LargeBodyTest.slowReadersOfALargeCopyDisturbNoOtherRequest ("closed without a response").

--- a/cdn/src/main/java/ridgemill/cdn/proxy/ClientConnection.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/ClientConnection.java
@@ -14,7 +14,6 @@
 import java.util.Locale;
 import ridgemill.cdn.config.Limits;
 import ridgemill.cdn.proxy.http.BadMessageException;
-import ridgemill.cdn.proxy.http.MessageWriter;
 import ridgemill.cdn.proxy.http.RequestReader;
 
 /**
@@ -46,6 +45,9 @@
 
     private static final long MS_PER_SECOND = 1_000;
     private static final String CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n";
+    /** How long a client may accept nothing of a response, in milliseconds. */
+    private static final double OUTPUT_STALL_MS = 60_000;
+
     private static final byte[] NO_BODY = {};
     private static final String CONNECTION_CLOSE_LINE = "Connection: close\r\n";
 
@@ -56,6 +58,8 @@
         BUSY,
         /** The response was written before the body had arrived, the rest of which is read away. */
         DISCARDING,
+        /** The last part of the response has not been passed to the connection yet. */
+        RESPONDING,
         CLOSING
     }
 
@@ -63,9 +67,13 @@
     private final RequestReader reader = new RequestReader();
     private final BodyMemory.Lease memory;
     private Channel channel;
+    private ResponseWriter writer;
     private ByteBuf pending = Unpooled.EMPTY_BUFFER;
     private State state = State.IDLE;
     private double timeoutAtMs;
+    /** When the client last accepted a part of the output, or when the output began. */
+    private double outputProgressAtMs;
+
     private Exchange currentExchange;
     /** The body of the current request if it is streamed, else null. */
     private StreamedBody streamedBody;
@@ -82,6 +90,7 @@
     @Override
     public void channelActive(ChannelHandlerContext context) {
         channel = context.channel();
+        writer = new ResponseWriter(channel);
         becomeIdle();
         dataPath.opened(this);
     }
@@ -111,9 +120,10 @@
     /** Whether arriving bytes can be processed now: no request is in progress, or its body is wanted. */
     private boolean mayProcess() {
         return switch (state) {
-            case IDLE, HEAD, BODY, DISCARDING -> true;
+            case IDLE, HEAD, BODY -> true;
+            case DISCARDING -> !streamedBody.isComplete();
             case BUSY -> streamedBody != null && streamedBody.isWanted();
-            case CLOSING -> false;
+            case RESPONDING, CLOSING -> false;
         };
     }
 
@@ -168,7 +178,8 @@
 
     private void requestComplete() throws BadMessageException {
         if (state == State.DISCARDING) {
-            discarded();
+            streamedBody.completed();
+            finishDiscarding();
         } else if (streamedBody != null) {
             streamedBody.completed();
             if (currentExchange != null) {
@@ -318,27 +329,38 @@
         }
         currentExchange = null;
         memory.giveBack();
-        boolean reusable = keepAlive && !dataPath.isDraining();
-        if (streamedBody != null && !streamedBody.isComplete() && mayDiscard()) {
-            writeResponse(response, reusable ? keepAliveLine() : CONNECTION_CLOSE_LINE);
-            keepAlive = reusable;
+        keepAlive &= !dataPath.isDraining();
+        boolean bodyComplete = streamedBody == null || streamedBody.isComplete();
+        if (bodyComplete && keepAlive) {
+            state = State.RESPONDING;
+            write(response, keepAliveLine(), this::readNextRequest);
+        } else if (!bodyComplete && mayDiscard()) {
             state = State.DISCARDING;
+            write(response, keepAlive ? keepAliveLine() : CONNECTION_CLOSE_LINE, this::finishDiscarding);
             streamedBody.discard(dataPath.now());
-        } else if (reusable && (streamedBody == null || streamedBody.isComplete())) {
-            writeResponse(response, keepAliveLine());
-            readNextRequest();
         } else {
             respondAndClose(response);
         }
     }
 
+    private void write(FinalResponse response, String connectionLines, Runnable queuedTask) {
+        outputProgressAtMs = dataPath.now();
+        writer.write(response, connectionLines, queuedTask);
+    }
+
     /** Whether the rest of the body will arrive: the client does not wait for {@code 100 Continue}. */
     private boolean mayDiscard() {
         return !reader.expectsContinue() || continueSent;
     }
 
-    /** The rest of the body of a request that was answered early has arrived. */
-    private void discarded() {
+    /**
+     * Ends a request that was answered before its body had arrived, once both the rest of the body has arrived and the
+     * response has been passed to the connection.
+     */
+    private void finishDiscarding() {
+        if (state != State.DISCARDING || writer.isWriting() || !streamedBody.isComplete()) {
+            return;
+        }
         if (keepAlive && !dataPath.isDraining()) {
             readNextRequest();
         } else {
@@ -375,41 +397,37 @@
         memory.giveBack();
         timeoutAtMs = dataPath.now() + LINGER_MS;
         channel.config().setAutoRead(true);
-        writeResponse(response, CONNECTION_CLOSE_LINE);
+        write(response, CONNECTION_CLOSE_LINE, () -> shutdownOutputAfter(writer.lastWrite()));
         pending.release();
         pending = Unpooled.EMPTY_BUFFER;
     }
 
-    private void writeResponse(FinalResponse response, String connectionHeader) {
-        ByteBuf bytes = MessageWriter.response(
-                channel.alloc(),
-                response.status(),
-                response.headers(),
-                connectionHeader,
-                response.contentLength(),
-                response.body());
-        if (state == State.CLOSING) {
-            shutdownOutputAfter(channel.writeAndFlush(bytes));
-        } else {
-            channel.writeAndFlush(bytes);
-        }
-    }
-
     /** Closes the connection, or responds with 408, if its timeout has passed. */
     void tick(double nowMs) {
-        if (state == State.BUSY || state == State.DISCARDING) {
-            checkBody(nowMs);
+        if (hasUnsentOutput() && nowMs - outputProgressAtMs >= OUTPUT_STALL_MS) {
+            channel.close();
             return;
         }
+        switch (state) {
+            case BUSY, DISCARDING -> checkBody(nowMs);
+            case RESPONDING -> {}
+            case HEAD, BODY -> {
+                if (nowMs >= timeoutAtMs) {
+                    respondAndClose(FinalResponse.generated(408, null));
+                }
+            }
+            case IDLE, CLOSING -> closeIfDone(nowMs);
+        }
+    }
+
+    private void closeIfDone(double nowMs) {
         if (nowMs < timeoutAtMs) {
             return;
         }
-        if (state == State.HEAD || state == State.BODY) {
-            respondAndClose(FinalResponse.generated(408, null));
-        } else if (!hasUnsentOutput() || state != State.IDLE && !channel.isWritable()) {
-            channel.close();
-        } else {
+        if (hasUnsentOutput()) {
             timeoutAtMs = nowMs + LINGER_MS;
+        } else {
+            channel.close();
         }
     }
 
@@ -442,7 +460,7 @@
     boolean hasUnsentOutput() {
         return channel.isActive()
                 && channel.unsafe().outboundBuffer() != null
-                && !channel.unsafe().outboundBuffer().isEmpty();
+                && (writer.isWriting() || !channel.unsafe().outboundBuffer().isEmpty());
     }
 
     /** Whether no request is in progress or partially received, and the last response has been sent completely. */
@@ -473,9 +491,18 @@
         channel.close();
     }
 
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+        if (channel.isWritable()) {
+            outputProgressAtMs = dataPath.now();
+            writer.continueWriting();
+        }
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         state = State.CLOSING;
+        writer.stop();
         memory.giveBack();
         pending.release();
         pending = Unpooled.EMPTY_BUFFER;
--- a/cdn/src/main/java/ridgemill/cdn/proxy/http/MessageWriter.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/http/MessageWriter.java
@@ -10,8 +10,8 @@
 /** Encodes HTTP/1.1 messages. */
 public final class MessageWriter {
 
-    /** Bodies up to this size are copied into the buffer of the head, so that one write sends both. */
-    private static final int MAX_COPIED_BODY_BYTES = 8 * 1_024;
+    /** Bodies up to this size are copied into the buffer of the head, so that one write sends both, in bytes. */
+    public static final int MAX_COPIED_BODY_BYTES = 16 * 1_024;
 
     private static final int INITIAL_HEAD_BYTES = 1_024;
 
--- a/cdn/src/test/java/ridgemill/cdn/soak/LargeBodyClient.java
+++ b/cdn/src/test/java/ridgemill/cdn/soak/LargeBodyClient.java
@@ -25,7 +25,20 @@
     private final Socket socket = new Socket();
     private final BufferedInputStream in;
 
+    /** Connects with a receive buffer that the operating system chooses. */
     LargeBodyClient(InetAddress host, int port) throws IOException {
+        this(host, port, 0);
+    }
+
+    /**
+     * Connects.
+     *
+     * @param receiveBufferBytes the size of the receive buffer; 0 if the operating system chooses it
+     */
+    LargeBodyClient(InetAddress host, int port, int receiveBufferBytes) throws IOException {
+        if (receiveBufferBytes > 0) {
+            socket.setReceiveBufferSize(receiveBufferBytes);
+        }
         socket.setSoTimeout(TIMEOUT_MS);
         socket.setTcpNoDelay(true);
         socket.connect(new InetSocketAddress(host, port), TIMEOUT_MS);
@@ -85,6 +98,15 @@
         return read();
     }
 
+    /** Waits until the first byte of a response has arrived, without reading it. */
+    void awaitInput() throws IOException {
+        in.mark(1);
+        if (in.read() < 0) {
+            throw new IOException("closed without a response");
+        }
+        in.reset();
+    }
+
     /** Reads a response. */
     SoakHttp.Message read() throws IOException {
         SoakHttp.Message response = SoakHttp.read(in);
