Edge proxy: responses together stay within a part of the heap

Besides, an idle connection to an instance kept the body of its last answer until its next request (found with the new test, which failed until that was mended too).

Cached copies give way to bodies. While an answer is written to its client its body goes on counting, once for all readers of one copy. An answer that can never fit gets 502 (reason "memory"), and the instance isn't blamed. A shared cache that has no memory says so as a refusal. A body in chunks is held twice for a moment at its end, so about 30 MB is its limit; without chunks it is 32 MB as before.

--- a/cdn-core/src/main/java/ridgemill/cdn/edge/AttemptOutcome.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/edge/AttemptOutcome.java
@@ -19,7 +19,9 @@
     /** No answer arrived in time. */
     SILENT(true),
     /** The received data is not a valid answer to this request. */
-    GARBLED(true);
+    GARBLED(true),
+    /** The answer did not fit into the memory of this process. */
+    NOT_HELD(true);
 
     private final boolean mayHaveRun;
 
--- a/cdn-core/src/main/java/ridgemill/cdn/edge/InstanceStats.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/edge/InstanceStats.java
@@ -192,6 +192,7 @@
             case MISDIRECTED -> replacedUntilMs = nowMs + REPLACED_MS;
             case SILENT -> countFailure(nowMs, 1, mayEject);
             case GARBLED -> countError(nowMs, mayEject);
+            case NOT_HELD -> {}
             case CONNECT_FAILED, RESET, NEVER_WRITTEN -> {
                 lastConnectionFailureMs = nowMs;
                 countFailure(nowMs, outcome == AttemptOutcome.CONNECT_FAILED ? FAILURES_BEFORE_EJECTION : 1, mayEject);
--- a/cdn-core/src/main/java/ridgemill/cdn/edge/ObjectCache.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/edge/ObjectCache.java
@@ -22,7 +22,7 @@
         }
     }
 
-    private final long capacityBytes;
+    private long capacityBytes;
     private final LinkedHashMap<String, Entry> byKey = new LinkedHashMap<>(64, 0.75f, true);
     private final Map<String, Set<String>> keysByTag = new HashMap<>();
     private long sizeBytes;
@@ -32,6 +32,12 @@
         this.capacityBytes = capacityBytes;
     }
 
+    /** Changes the capacity, in bytes; objects above it are removed, the least recently used first. */
+    public void setCapacity(long bytes) {
+        capacityBytes = bytes;
+        evict();
+    }
+
     /** The object with this key; null if it is not cached. */
     public CachedObject get(String key) {
         Entry kept = byKey.get(key);
@@ -65,6 +71,10 @@
         for (String tag : copy.tags()) {
             keysByTag.computeIfAbsent(tag, t -> new HashSet<>()).add(copy.key());
         }
+        evict();
+    }
+
+    private void evict() {
         while (sizeBytes > capacityBytes) {
             remove(byKey.values().iterator().next().copy.key());
         }
--- a/cdn-core/src/main/java/ridgemill/cdn/edge/RefusalReason.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/edge/RefusalReason.java
@@ -27,7 +27,9 @@
     /** The shared cache does not know the route, or knows only an older version of it. */
     ROUTE_UNKNOWN,
     /** The request waited for a fetch started by another request, and that fetch was refused. */
-    SHARED_FETCH;
+    SHARED_FETCH,
+    /** The response did not fit into the memory of this process. */
+    MEMORY;
 
     private final String label = name().toLowerCase(Locale.ROOT);
 
--- a/cdn/src/main/java/ridgemill/cdn/proxy/Attempt.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/Attempt.java
@@ -157,6 +157,11 @@
         upstream.retryWaiting();
     }
 
+    @Override
+    public void responseBegun() {
+        stopTimer();
+    }
+
     @Override
     public void exchangeEnded(AttemptOutcome result, InstanceResponse completeResponse, String load) {
         if (load != null) {
@@ -206,7 +211,7 @@
             case SILENT, GARBLED -> upstream.admission().countAttempt(false);
             case RESET, CONNECT_FAILED -> upstream.admission().countConnectionFailure();
             case DECLINED -> upstream.admission().countAttempt(false);
-            case REFUSED_BY_CACHE, MISDIRECTED, NEVER_WRITTEN -> {}
+            case REFUSED_BY_CACHE, MISDIRECTED, NEVER_WRITTEN, NOT_HELD -> {}
             default -> throw new IllegalStateException(result.name());
         }
     }
--- a/cdn/src/main/java/ridgemill/cdn/proxy/BodyMemory.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/BodyMemory.java
@@ -51,7 +51,8 @@
         return memory;
     }
 
-    private static void register(MeterRegistry registry, String use, ByteBudget budget) {
+    /** Registers the meters of a budget. */
+    static void register(MeterRegistry registry, String use, ByteBudget budget) {
         Gauge.builder("ridgemill.memory.held", budget, ByteBudget::heldBytes)
                 .tag("use", use)
                 .baseUnit("bytes")
--- a/cdn/src/main/java/ridgemill/cdn/proxy/CachedExchange.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/CachedExchange.java
@@ -63,6 +63,7 @@
 
     /** A usable copy is available. */
     void copyAvailable(CachedObject copy) {
+        ownFetchMayHaveRun = mayHaveRun();
         fetch = null;
         context()
                 .invariants()
--- a/cdn/src/main/java/ridgemill/cdn/proxy/ClientConnection.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/ClientConnection.java
@@ -40,8 +40,6 @@
      * the client's output, after which the connection closes.
      */
     private static final int MAX_PAUSED_BYTES = 256 * 1_024;
-    /** How long a client should wait after a refusal for lack of memory, in milliseconds. */
-    private static final double MEMORY_RETRY_AFTER_MS = 500;
 
     private static final long MS_PER_SECOND = 1_000;
     private static final String CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -90,7 +88,7 @@
     @Override
     public void channelActive(ChannelHandlerContext context) {
         channel = context.channel();
-        writer = new ResponseWriter(channel);
+        writer = new ResponseWriter(channel, dataPath.responseMemory());
         becomeIdle();
         dataPath.opened(this);
     }
@@ -216,7 +214,7 @@
             streamedBody.completed();
         }
         String attemptId = reader.headers().get(ClientRequest.ATTEMPT_ID);
-        respond(null, FinalResponse.retryLater(503, attemptId, MEMORY_RETRY_AFTER_MS));
+        respond(null, dataPath.refusalForMemory(attemptId));
     }
 
     /** Processes a request whose body is too large to be gathered; its body is read once an instance wants it. */
@@ -323,29 +321,49 @@
      * Writes the response to the current request; {@code exchange} is null if the request was answered without one.
      * Ignored if it is not the current exchange.
      */
-    void respond(Exchange exchange, FinalResponse response) {
+    void respond(Exchange exchange, FinalResponse complete) {
         if (state != State.BUSY || exchange != currentExchange) {
             return;
         }
         currentExchange = null;
         memory.giveBack();
+        if (writer.tryHold(complete)) {
+            respond(complete);
+        } else {
+            boolean mayHaveRun = exchange != null && exchange.mayHaveRun();
+            String attemptId = complete.attemptId();
+            respond(mayHaveRun ? FinalResponse.generated(502, attemptId) : dataPath.refusalForMemory(attemptId));
+        }
+    }
+
+    private void respond(FinalResponse response) {
         keepAlive &= !dataPath.isDraining();
         boolean bodyComplete = streamedBody == null || streamedBody.isComplete();
         if (bodyComplete && keepAlive) {
             state = State.RESPONDING;
-            write(response, keepAliveLine(), this::readNextRequest);
+            write(response, keepAliveLine());
         } else if (!bodyComplete && mayDiscard()) {
             state = State.DISCARDING;
-            write(response, keepAlive ? keepAliveLine() : CONNECTION_CLOSE_LINE, this::finishDiscarding);
+            write(response, keepAlive ? keepAliveLine() : CONNECTION_CLOSE_LINE);
             streamedBody.discard(dataPath.now());
         } else {
             respondAndClose(response);
         }
     }
 
-    private void write(FinalResponse response, String connectionLines, Runnable queuedTask) {
+    private void write(FinalResponse response, String connectionLines) {
         outputProgressAtMs = dataPath.now();
-        writer.write(response, connectionLines, queuedTask);
+        writer.write(response, connectionLines, this::responseQueued);
+    }
+
+    /** All of the response has been passed to the connection. */
+    private void responseQueued() {
+        switch (state) {
+            case RESPONDING -> finishRequest();
+            case DISCARDING -> finishDiscarding();
+            case CLOSING -> shutdownOutputAfter(writer.lastWrite());
+            default -> throw new IllegalStateException(state.name());
+        }
     }
 
     /** Whether the rest of the body will arrive: the client does not wait for {@code 100 Continue}. */
@@ -361,6 +379,10 @@
         if (state != State.DISCARDING || writer.isWriting() || !streamedBody.isComplete()) {
             return;
         }
+        finishRequest();
+    }
+
+    private void finishRequest() {
         if (keepAlive && !dataPath.isDraining()) {
             readNextRequest();
         } else {
@@ -370,7 +392,9 @@
 
     private void closeAfterOutput() {
         state = State.CLOSING;
-        shutdownOutputAfter(channel.writeAndFlush(Unpooled.EMPTY_BUFFER));
+        if (!writer.isWriting()) {
+            shutdownOutputAfter(channel.writeAndFlush(Unpooled.EMPTY_BUFFER));
+        }
     }
 
     private void readNextRequest() {
@@ -397,7 +421,7 @@
         memory.giveBack();
         timeoutAtMs = dataPath.now() + LINGER_MS;
         channel.config().setAutoRead(true);
-        write(response, CONNECTION_CLOSE_LINE, () -> shutdownOutputAfter(writer.lastWrite()));
+        write(response, CONNECTION_CLOSE_LINE);
         pending.release();
         pending = Unpooled.EMPTY_BUFFER;
     }
--- a/cdn/src/main/java/ridgemill/cdn/proxy/ConnectionListener.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/ConnectionListener.java
@@ -5,6 +5,9 @@
 /** Receives the outcome of an exchange on a connection to an instance. */
 interface ConnectionListener {
 
+    /** The head of a response has arrived whose body takes its time: it is large, or waits for memory. */
+    void responseBegun();
+
     /**
      * The exchange ended; called exactly once unless it was aborted.
      *
--- a/cdn/src/main/java/ridgemill/cdn/proxy/ConnectionPool.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/ConnectionPool.java
@@ -79,6 +79,11 @@
         return open;
     }
 
+    /** The memory for the bodies of responses. */
+    ResponseMemory responseMemory() {
+        return context.responseMemory();
+    }
+
     double now() {
         return context.now();
     }
--- a/cdn/src/main/java/ridgemill/cdn/proxy/DataPath.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/DataPath.java
@@ -7,6 +7,7 @@
 import java.net.InetSocketAddress;
 import java.util.Optional;
 import ridgemill.cdn.config.Limits;
+import ridgemill.cdn.edge.RefusalReason;
 import ridgemill.cdn.membership.CacheNode;
 import ridgemill.cdn.net.ServerBootstraps;
 import ridgemill.cdn.proxy.control.ControlListener;
@@ -27,6 +28,9 @@
 public final class DataPath {
 
     private static final double TICK_INTERVAL_MS = 250;
+    /** How long a client should wait after a refusal for lack of memory, in milliseconds. */
+    private static final double MEMORY_RETRY_AFTER_MS = 500;
+
     private static final int ACCEPT_BACKLOG = 1_024;
     /** Fraction of the maximum heap size used for copies of objects by an edge proxy. */
     private static final double CACHE_HEAP_FRACTION = 0.45;
@@ -240,6 +244,19 @@
         return context.bodyMemory();
     }
 
+    /** Refuses a request, which has not run, because there is no memory for it. */
+    FinalResponse refusalForMemory(String attemptId) {
+        FinalResponse refusal = FinalResponse.retryLater(503, attemptId, MEMORY_RETRY_AFTER_MS);
+        return context.isSharedCache()
+                ? refusal.addHeader(CacheHeaders.REFUSAL, RefusalReason.MEMORY.label())
+                : refusal;
+    }
+
+    /** The memory for the bodies of responses. */
+    ResponseMemory responseMemory() {
+        return context.responseMemory();
+    }
+
     double now() {
         return context.now();
     }
--- a/cdn/src/main/java/ridgemill/cdn/proxy/FinalResponse.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/FinalResponse.java
@@ -45,6 +45,11 @@
         return response;
     }
 
+    /** The attempt identifier that this response carries; null if there is none. */
+    String attemptId() {
+        return Headers.of(headers).get(ClientRequest.ATTEMPT_ID);
+    }
+
     /** Adds a header to this response and returns it. */
     FinalResponse addHeader(String name, String value) {
         headers.add(name);
--- a/cdn/src/main/java/ridgemill/cdn/proxy/InstanceConnection.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/InstanceConnection.java
@@ -28,6 +28,9 @@
     private ByteBuf pending = Unpooled.EMPTY_BUFFER;
     private ConnectionListener listener;
     private StreamedBody body;
+    /** Memory for the body of the response; null before its head has arrived. */
+    private ResponseMemory.Reservation memory;
+
     private String attemptId;
     private boolean headWritten;
     private boolean requestWritten;
@@ -160,6 +163,7 @@
     void abort() {
         listener = null;
         stopBody();
+        releaseMemory();
         close();
     }
 
@@ -213,8 +217,15 @@
 
     private void read() {
         try {
-            while (listener != null && reader.read(pending)) {
-                responseRead();
+            while (listener != null && !isWaitingForMemory()) {
+                boolean complete = reader.read(pending);
+                if (reader.memoryNeeded() > 0) {
+                    reserveMemory();
+                } else if (complete) {
+                    responseRead();
+                } else {
+                    break;
+                }
             }
         } catch (BadMessageException e) {
             endExchange(AttemptOutcome.GARBLED, null, null);
@@ -224,6 +235,64 @@
         }
     }
 
+    private boolean isWaitingForMemory() {
+        return memory != null && !memory.isGranted();
+    }
+
+    /**
+     * Reserves memory for the body. A body of a stated length waits for it; one in chunks, of which a part is held, does
+     * not, so that two of them cannot wait for each other.
+     */
+    private void reserveMemory() {
+        long bytes = reader.memoryNeeded();
+        ResponseMemory.Reservation previous = memory;
+        if (!pool.responseMemory().canHold(bytes)) {
+            endExchange(AttemptOutcome.NOT_HELD, null, null);
+        } else if (previous == null) {
+            memory = pool.responseMemory().reserve(bytes, this::memoryGranted);
+            awaitMemory();
+        } else {
+            memory = pool.responseMemory().tryReserve(bytes);
+            grow(previous);
+        }
+    }
+
+    private void awaitMemory() {
+        if (memory.isGranted()) {
+            reader.grantMemory();
+        } else {
+            channel.config().setAutoRead(false);
+        }
+        if (!memory.isGranted() || memory.isLarge()) {
+            listener.responseBegun();
+        }
+    }
+
+    private void memoryGranted() {
+        reader.grantMemory();
+        channel.config().setAutoRead(true);
+        read();
+    }
+
+    private void grow(ResponseMemory.Reservation previous) {
+        boolean reserved = memory != null;
+        if (reserved) {
+            reader.grantMemory();
+        }
+        previous.release();
+        if (!reserved) {
+            endExchange(AttemptOutcome.NOT_HELD, null, null);
+        }
+    }
+
+    private void releaseMemory() {
+        if (memory != null) {
+            ResponseMemory.Reservation released = memory;
+            memory = null;
+            released.release();
+        }
+    }
+
     private void discardPending() {
         if (pending.isReadable()) {
             close();
@@ -241,9 +310,14 @@
                 endExchange(AttemptOutcome.GARBLED, null, null);
             } else {
                 reader.reset();
+                releaseMemory();
             }
             return;
         }
+        if (!canCopyBody()) {
+            endExchange(AttemptOutcome.NOT_HELD, null, null);
+            return;
+        }
         keepAliveTimeoutMs = parseKeepAliveTimeoutMs(headers.get("Keep-Alive"));
         if (pending.isReadable()) {
             notReusable = true;
@@ -255,6 +329,17 @@
         endExchange(refused ? AttemptOutcome.REFUSED_BY_CACHE : outcomeOf(response, headers), response, load);
     }
 
+    /** Whether there is memory for the copy that a body in chunks needs; until it is made, nobody else can take it. */
+    private boolean canCopyBody() {
+        int bytes = reader.bodyCopyBytes();
+        ResponseMemory.Reservation copy =
+                bytes == 0 ? null : pool.responseMemory().tryReserve(bytes);
+        if (copy != null) {
+            copy.release();
+        }
+        return bytes == 0 || copy != null;
+    }
+
     private static AttemptOutcome outcomeOf(InstanceResponse response, Headers headers) {
         if (response.status() == MISDIRECTED) {
             return AttemptOutcome.MISDIRECTED;
@@ -302,6 +387,9 @@
         ConnectionListener endedListener = listener;
         listener = null;
         stopBody();
+        // An idle connection must not keep the body of its last response.
+        reader.reset();
+        releaseMemory();
         boolean intact = outcome == AttemptOutcome.ANSWERED
                 || outcome == AttemptOutcome.DECLINED
                 || outcome == AttemptOutcome.REFUSED_BY_CACHE;
--- a/cdn/src/main/java/ridgemill/cdn/proxy/ProxyContext.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/ProxyContext.java
@@ -28,6 +28,7 @@
     private final EventLog log;
     private final ProxyMeters meters;
     private final BodyMemory bodyMemory;
+    private final ResponseMemory responseMemory;
     private final InvariantChecker invariants;
     private final Optional<CacheNode> sharedCache;
     private final SharedCaches caches;
@@ -59,7 +60,10 @@
         this.bodyMemory = BodyMemory.ofProcess(registry);
         this.log = new EventLog(timers);
         this.invariants = new InvariantChecker(registry, log);
-        this.fetcher = new ObjectFetcher(this, new ObjectCache(cacheBytes));
+        ObjectCache copies = new ObjectCache(cacheBytes);
+        this.responseMemory =
+                new ResponseMemory(registry, loop, Runtime.getRuntime().maxMemory(), copies, cacheBytes);
+        this.fetcher = new ObjectFetcher(this, copies);
         this.localRegion = settings.regionOf(settings.zone());
         this.caches = new SharedCaches(this);
     }
@@ -128,6 +132,11 @@
         return bodyMemory;
     }
 
+    /** The memory for the bodies of responses. */
+    ResponseMemory responseMemory() {
+        return responseMemory;
+    }
+
     EventLog log() {
         return log;
     }
--- a/cdn/src/main/java/ridgemill/cdn/proxy/ResponseWriter.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/ResponseWriter.java
@@ -30,13 +30,15 @@
     private static final byte[] EMPTY = {};
 
     private final Channel channel;
+    private final ResponseMemory memory;
     private byte[] body = EMPTY;
     private int position;
     private Runnable whenQueued;
     private ChannelFuture lastWrite;
 
-    ResponseWriter(Channel channel) {
+    ResponseWriter(Channel channel, ResponseMemory memory) {
         this.channel = channel;
+        this.memory = memory;
         channel.config().setWriteBufferWaterMark(new WriteBufferWaterMark(LOW_WATER_BYTES, HIGH_WATER_BYTES));
         if (channel instanceof EpollSocketChannel) {
             channel.config().setOption(EpollChannelOption.TCP_NOTSENT_LOWAT, (long) MAX_UNSENT_BYTES);
@@ -53,14 +55,23 @@
         return lastWrite;
     }
 
+    /** Whether there is memory to write a response; if so, it is held until the response has been written. */
+    boolean tryHold(FinalResponse response) {
+        return !isLarge(response) || memory.tryHoldForWriting(response.body());
+    }
+
+    private static boolean isLarge(FinalResponse response) {
+        return response.body().length > MessageWriter.MAX_COPIED_BODY_BYTES;
+    }
+
     /**
-     * Writes a response.
+     * Writes a response for which there is memory, see {@link #tryHold}.
      *
      * @param connectionLines header lines for this connection, each with its CR LF
      * @param queuedTask runs once all of the response has been passed to the connection, maybe before this returns
      */
     void write(FinalResponse response, String connectionLines, Runnable queuedTask) {
-        boolean inPieces = response.body().length > MessageWriter.MAX_COPIED_BODY_BYTES;
+        boolean inPieces = isLarge(response);
         ByteBuf head = MessageWriter.response(
                 channel.alloc(),
                 response.status(),
@@ -85,15 +96,16 @@
         }
         if (whenQueued != null && position >= body.length) {
             Runnable queuedTask = whenQueued;
-            whenQueued = null;
-            body = EMPTY;
-            position = 0;
+            stop();
             queuedTask.run();
         }
     }
 
-    /** Drops the rest of the response, because the connection is closed. */
+    /** Forgets the response, because it has been written or because the connection is closed. */
     void stop() {
+        if (body.length > 0) {
+            memory.releaseFromWriting(body);
+        }
         body = EMPTY;
         position = 0;
         whenQueued = null;
--- a/cdn/src/main/java/ridgemill/cdn/proxy/UpstreamCall.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/UpstreamCall.java
@@ -213,6 +213,8 @@
             refusedByCache(attempt.response());
         } else if (outcome == AttemptOutcome.ANSWERED) {
             responseReceived(attempt.response());
+        } else if (outcome == AttemptOutcome.NOT_HELD) {
+            fail(RefusalReason.MEMORY, 0);
         } else if (outcome == AttemptOutcome.CONNECT_FAILED && ++connectFailures >= MAX_CONNECT_FAILURES) {
             fail(RefusalReason.CONNECT_FAILED, route.targetLatencyMs());
         } else {
--- a/cdn/src/main/java/ridgemill/cdn/proxy/http/MessageReader.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/http/MessageReader.java
@@ -19,6 +19,9 @@
     /** Maximum initial buffer size of a body, whatever its Content-Length, in bytes. */
     private static final int INITIAL_BODY_BYTES = 256 * 1_024;
 
+    /** The least memory for a body in chunks, in bytes. */
+    private static final long MIN_GRANT_BYTES = 16 * 1_024;
+
     private enum State {
         HEAD,
         FIXED,
@@ -36,6 +39,7 @@
     private int filled;
     private long received;
     private long remaining;
+    private long memoryNeeded;
     private boolean large;
     private BodySink sink;
     private Headers headers;
@@ -55,6 +59,9 @@
     /** Maximum size of a body, in bytes. */
     abstract long maxBodyBytes();
 
+    /** Whether memory for a gathered body must be granted before the body is read. */
+    abstract boolean needsGrants();
+
     /** Maximum size of a body that is gathered, in bytes. */
     abstract long maxGatheredBytes();
 
@@ -67,7 +74,7 @@
      */
     public final boolean read(ByteBuf in) throws BadMessageException {
         passOnGathered();
-        while (state != State.COMPLETE && !needsSink()) {
+        while (state != State.COMPLETE && !needsSink() && memoryNeeded == 0) {
             boolean more = switch (state) {
                 case HEAD -> readHead(in);
                 case FIXED -> readBody(in, State.COMPLETE);
@@ -89,6 +96,22 @@
         return large && sink == null;
     }
 
+    /** The size of the memory that must be granted before more of the body is read, in bytes; 0 for none. */
+    public final long memoryNeeded() {
+        return memoryNeeded;
+    }
+
+    /** Grants the memory that is needed, in place of what was granted before. */
+    public final void grantMemory() {
+        body = Arrays.copyOf(body, (int) memoryNeeded);
+        memoryNeeded = 0;
+    }
+
+    /** The size of the further memory that {@link #body} takes, in bytes. */
+    public final int bodyCopyBytes() {
+        return body.length == filled ? 0 : filled;
+    }
+
     /** Passes the body to a sink with the next reads, beginning with the part that has been gathered. */
     public final void streamTo(BodySink newSink) {
         sink = newSink;
@@ -136,6 +159,7 @@
         filled = 0;
         received = 0;
         remaining = 0;
+        memoryNeeded = 0;
         large = false;
         sink = null;
         headers = null;
@@ -223,7 +247,8 @@
         }
         remaining = length;
         large = length > maxGatheredBytes();
-        body = length == 0 || large ? EMPTY : new byte[(int) Math.min(length, INITIAL_BODY_BYTES)];
+        memoryNeeded = needsGrants() ? length : 0;
+        body = length == 0 || large || needsGrants() ? EMPTY : new byte[(int) Math.min(length, INITIAL_BODY_BYTES)];
         state = length == 0 ? State.COMPLETE : State.FIXED;
     }
 
@@ -271,6 +296,10 @@
             throw new BadMessageException(413, "body exceeds the size limit");
         }
         large |= received + remaining > maxGatheredBytes();
+        if (needsGrants() && received + remaining > body.length) {
+            long grown = Math.min(maxBodyBytes(), Math.max(MIN_GRANT_BYTES, 2L * body.length));
+            memoryNeeded = Math.max(received + remaining, grown);
+        }
         state = remaining == 0 ? State.TRAILER : State.CHUNK;
         return true;
     }
--- a/cdn/src/main/java/ridgemill/cdn/proxy/http/RequestReader.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/http/RequestReader.java
@@ -87,4 +87,9 @@
     long maxGatheredBytes() {
         return MAX_GATHERED_BYTES;
     }
+
+    @Override
+    boolean needsGrants() {
+        return false;
+    }
 }
--- a/cdn/src/main/java/ridgemill/cdn/proxy/http/ResponseReader.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/http/ResponseReader.java
@@ -75,4 +75,9 @@
     long maxGatheredBytes() {
         return MAX_BODY_BYTES;
     }
+
+    @Override
+    boolean needsGrants() {
+        return true;
+    }
 }
--- a/cdn/src/test/java/ridgemill/cdn/soak/LargeBodyInstance.java
+++ b/cdn/src/test/java/ridgemill/cdn/soak/LargeBodyInstance.java
@@ -5,11 +5,13 @@
 import java.io.EOFException;
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.InterruptedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
+import java.util.concurrent.CountDownLatch;
 import java.util.zip.CRC32;
 
 /**
@@ -26,6 +28,8 @@
 
     private final ServerSocket server = new ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"));
 
+    private volatile CountDownLatch headsToSend = new CountDownLatch(0);
+
     /** Starts listening at a free port. */
     LargeBodyInstance() throws IOException {
         thread(this::accept);
@@ -37,6 +41,11 @@
         thread.start();
     }
 
+    /** Lets responses wait after their head until this number of heads has been sent. */
+    void delayBodiesUntil(int heads) {
+        headsToSend = new CountDownLatch(heads);
+    }
+
     /** The body of a heartbeat. */
     String heartbeat(String service, long sequence) {
         return """
@@ -72,7 +81,7 @@
         }
     }
 
-    private static void respond(Socket socket, String head, InputStream in) throws IOException {
+    private void respond(Socket socket, String head, InputStream in) throws IOException {
         CRC32 checksum = new CRC32();
         long length = 0;
         if (header(head, "Transfer-Encoding") != null) {
@@ -95,12 +104,22 @@
         out.writeBytes(responseHead.getBytes(StandardCharsets.ISO_8859_1));
         out.writeBytes(text);
         socket.getOutputStream().write(out.toByteArray());
+        awaitHeads();
         byte[] block = new byte[BUFFER_BYTES];
         for (int left = paddingBytes; left > 0; left -= block.length) {
             socket.getOutputStream().write(block, 0, Math.min(left, block.length));
         }
     }
 
+    private void awaitHeads() throws IOException {
+        try {
+            headsToSend.countDown();
+            headsToSend.await();
+        } catch (InterruptedException ended) {
+            throw new InterruptedIOException();
+        }
+    }
+
     private static void read(InputStream in, long length, CRC32 checksum) throws IOException {
         byte[] buffer = new byte[BUFFER_BYTES];
         long left = length;
--- a/cdn/src/test/java/ridgemill/cdn/soak/LargeBodyTest.java
+++ b/cdn/src/test/java/ridgemill/cdn/soak/LargeBodyTest.java
@@ -37,6 +37,7 @@
     private static final long METRIC_TIMEOUT_SECONDS = 10;
     private static final int OK = 200;
     private static final int UNAVAILABLE = 503;
+    private static final int GATEWAY_TIMEOUT = 504;
 
     @TempDir
     Path folder;
@@ -276,4 +277,72 @@
         }
         assertProxyIsAliveAndHoldsNothing();
     }
+
+    /**
+     * Guards against responses that are read from instances without asking whether they fit into the heap together: the
+     * process ended with an OutOfMemoryError. A response that waits so long for memory that its deadline passes, as on a
+     * busy machine, gets 504.
+     */
+    @Test
+    void largeResponsesAtOnceDoNotExhaustTheHeap() throws Exception {
+        int length = 8 * MB;
+        int count = 24;
+        instances.get("orders").delayBodiesUntil(count);
+        List<Future<SoakHttp.Message>> responses = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            responses.add(clients.submit((Callable<SoakHttp.Message>) () -> {
+                try (LargeBodyClient client = client()) {
+                    client.sendHead(
+                            "POST",
+                            "/write/1",
+                            LargeBodyInstance.PADDING + ": " + length + "\r\nContent-Length: 0\r\n");
+                    return client.read();
+                } catch (IOException failed) {
+                    throw new IOException(proxyLog(), failed);
+                }
+            }));
+        }
+        int served = 0;
+        for (Future<SoakHttp.Message> future : responses) {
+            SoakHttp.Message response = future.get(30, TimeUnit.SECONDS);
+            assertThat(response.status()).as(proxyLog()).isIn(OK, GATEWAY_TIMEOUT);
+            if (response.status() == OK) {
+                served++;
+                assertThat(response.body()).hasSizeGreaterThan(length);
+            }
+        }
+        assertThat(served).isPositive();
+        assertProxyIsAlive();
+        awaitMetric("ridgemill_memory_held_bytes{use=\"large_responses\"}", 0);
+    }
+
+    /**
+     * Guards against responses of keyed operations that are kept in memory until the stores have recorded them. With a
+     * store that cannot be reached they are kept for longer.
+     */
+    @Test
+    void largeKeyedResponsesDoNotExhaustTheHeapWhileTheyAreRecorded() throws Exception {
+        fleet.machines(SoakFleet.Role.CORE).get(2).processes().forEach(SoakProcess::kill);
+        List<Future<Integer>> served = new ArrayList<>();
+        for (int i = 0; i < 64; i++) {
+            served.add(clients.submit(() -> largeKeyedResponses(20)));
+        }
+        int sum = 0;
+        for (Future<Integer> future : served) {
+            sum += future.get(60, TimeUnit.SECONDS);
+        }
+        assertThat(sum).as(proxyLog()).isPositive();
+        assertProxyIsAlive();
+    }
+
+    private int largeKeyedResponses(int count) throws IOException {
+        int served = 0;
+        try (LargeBodyClient client = client()) {
+            for (int i = 0; i < count; i++) {
+                client.sendHead("POST", "/write/1", LargeBodyInstance.PADDING + ": 1000000\r\nContent-Length: 0\r\n");
+                served += client.read().status() == OK ? 1 : 0;
+            }
+        }
+        return served;
+    }
 }
