Control plane: calls together stay within a part of the heap

SimpleHttpServer read, copied and parsed any number of calls at once.

Change: the size of a body is taken from the heap after the head (0.125 for large ones, so one of 8 MB at a time; 0.06 for those up to 64 KiB, so that heartbeats don't wait for orders) and given back with the response; a large response counts until it has been sent. A call that doesn't fit gets 503 with Retry-After, its body is read away and the connection closed.

Failed before: the test's first form on: "Connection reset" and "closed without an answer" for 4 of 4, the registry's log ends with "Terminating due to java.lang.OutOfMemoryError: Java heap space". LargeBodyTest.largeCallsAtOnceDoNotEndARegistry (8 calls) passes now.

--- a/cdn/src/main/java/ridgemill/cdn/http/SimpleHttpServer.java
+++ b/cdn/src/main/java/ridgemill/cdn/http/SimpleHttpServer.java
@@ -76,13 +76,17 @@
      */
     public static SimpleHttpServer listen(
             EventLoopGroup loop, SocketKind sockets, InetSocketAddress address, Consumer<Request> handler) {
+        CallMemory memory = new CallMemory(Runtime.getRuntime().maxMemory());
         ServerBootstrap bootstrap = ServerBootstraps.create(
                 loop,
                 sockets,
                 BACKLOG,
                 channel -> channel.pipeline()
                         .addLast(
-                                new HttpServerCodec(), new HttpObjectAggregator(MAX_BODY_BYTES), new Handler(handler)));
+                                new HttpServerCodec(),
+                                new CallAdmission(memory, MAX_BODY_BYTES),
+                                new HttpObjectAggregator(MAX_BODY_BYTES),
+                                new Handler(handler)));
         return new SimpleHttpServer(
                 bootstrap.bind(address).syncUninterruptibly().channel());
     }
--- a/cdn/src/test/java/ridgemill/cdn/soak/LargeBodyTest.java
+++ b/cdn/src/test/java/ridgemill/cdn/soak/LargeBodyTest.java
@@ -34,6 +34,7 @@
     private static final int SLOW_READER_BUFFER_BYTES = 64 * 1_024;
     private static final long HEARTBEAT_MS = 500;
     private static final long READY_TIMEOUT_SECONDS = 60;
+    private static final int CALL_TIMEOUT_MS = 20_000;
     private static final long METRIC_TIMEOUT_SECONDS = 10;
     private static final int OK = 200;
     private static final int UNAVAILABLE = 503;
@@ -345,4 +346,47 @@
         }
         return served;
     }
+
+    /**
+     * Guards against calls that are read and parsed without asking whether they fit into the heap together: four orders of
+     * 7.5 MB at once ended a registry with an OutOfMemoryError.
+     */
+    @Test
+    void largeCallsAtOnceDoNotEndARegistry() throws Exception {
+        SoakFleet.Machine core = fleet.machines(SoakFleet.Role.CORE).get(0);
+        String order = orderOfLength(7_500_000);
+        List<Future<Integer>> calls = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            calls.add(clients.submit(() -> {
+                try (SoakHttp http = new SoakHttp(core.host(), fleet.controlPort(), CALL_TIMEOUT_MS)) {
+                    http.send("PATCH", "/ridgemill/configuration", "Content-Type: application/json\r\n", order);
+                    return http.read().status();
+                }
+            }));
+        }
+        for (Future<Integer> call : calls) {
+            assertThat(call.get(60, TimeUnit.SECONDS))
+                    .as("too much for all items together")
+                    .isIn(400, UNAVAILABLE);
+        }
+        for (SoakProcess process : core.processes()) {
+            assertThat(process.isAlive()).isTrue();
+        }
+        String small = orderOfLength(1_000);
+        long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(READY_TIMEOUT_SECONDS);
+        while (fleet.call(core, fleet.controlPort(), "PATCH", "/ridgemill/configuration", small) != OK) {
+            assertThat(System.nanoTime()).as("time to be taken").isLessThan(endNanos);
+        }
+    }
+
+    /** An order of routes with this number of characters or a little more. */
+    private static String orderOfLength(int characters) {
+        StringBuilder order = new StringBuilder("{\"upsert\":{\"routeTable\":{");
+        for (int i = 0; order.length() < characters; i++) {
+            order.append(i == 0 ? "" : ",").append("""
+                    "r%d":{"hostname":"h.example","pathPrefix":"/p%d/","routeKind":"idempotent","timeout":"3000ms",\
+                    "targetLatency":"300ms","priorityLevel":1,"service":"orders","maxAttempts":2,"version":1}""".formatted(i, i));
+        }
+        return order.append("}},\"remove\":{\"routeTable\":[]}}").toString();
+    }
 }
