--- a/cdn/src/main/java/ridgemill/cdn/proxy/package-info.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/package-info.java
@@ -5,8 +5,9 @@
  * <p><b>How a request is processed.</b>
  *
  * <ol>
- *   <li>{@code ClientConnection} reads the complete request from the client's connection and passes it on as a {@code
- *       ClientRequest}; {@code ClientConnections} limits the number of connections.
+ *   <li>{@code ClientConnection} reads the request from the client's connection and passes it on as a {@code
+ *       ClientRequest}: complete, or with a large body that is streamed ({@code StreamedBody}); {@code ClientConnections}
+ *       limits the number of connections, {@code BodyMemory} the memory for bodies.
  *   <li>{@code RequestRouter} finds the route and the service and creates an {@code Exchange}, which responds exactly
  *       once, at the latest at the deadline: {@code PassThroughExchange} forwards the request, {@code CachedExchange}
  *       serves a copy or waits for a fetch of {@code ObjectFetcher}, {@code KeyedExchange} runs the request under a
@@ -17,10 +18,10 @@
  *   <li>An {@code UpstreamCall} picks an instance, waits for a limited time if all are at capacity, and retries on
  *       another one as far as the route, the retry budget and the deadline allow.
  *   <li>Each {@code Attempt} takes a connection from the instance's {@code ConnectionPool}. The {@code
- *       InstanceConnection} sends the request and reads the response; the outcome states whether the request may have
- *       run.
+ *       InstanceConnection} sends the request and reads the response, whose body must fit into the {@code
+ *       ResponseMemory}; the outcome states whether the request may have run.
  *   <li>The outcome is recorded in the instance's statistics and the service's admission, and the response is sent to
- *       the client as a {@code FinalResponse}.
+ *       the client as a {@code FinalResponse}, by its {@code ResponseWriter}.
  * </ol>
  *
  * <p>{@code ProxyProgram} and {@code CacheProgram} are the processes, {@code DataPath} is everything that serves
