Edge proxy: the time of an upload is not that of its instance

Callers would see other requests refused: an attempt's time counted from the head of a streamed request, so a slow client's upload of seconds was a slow response of its instance, which raises its latency and the service's admission level. The time counts from the last byte now; before that byte it counts from the head, as for an instance that responds early.

Besides: a streamed request, which can't be sent again, doesn't use a connection that has been idle for long, as other requests that can't be repeated; and a connection that is closed after its last response reads its input away also when reading was paused.

--- a/cdn/src/main/java/ridgemill/cdn/proxy/Attempt.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/Attempt.java
@@ -76,7 +76,7 @@
         deadlineMs = requestDeadlineMs;
         responseTimeoutAtMs = timeoutAtMs;
         instance.requestStarted();
-        pool.acquire(retryable, this::connected);
+        pool.acquire(retryable && request.streamedBody() == null, this::connected);
     }
 
     private void connected(InstanceConnection newConnection) {
@@ -201,7 +201,7 @@
 
     private void report(AttemptOutcome result) {
         double nowMs = context.now();
-        double elapsedMs = nowMs - sentAtMs;
+        double elapsedMs = nowMs - request.completeAtMs(sentAtMs);
         boolean serverFailed = response != null && response.isFailure();
         boolean timely = elapsedMs <= request.targetLatencyMs();
         instance.requestEnded(
--- a/cdn/src/main/java/ridgemill/cdn/proxy/ClientConnection.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/ClientConnection.java
@@ -176,10 +176,10 @@
 
     private void requestComplete() throws BadMessageException {
         if (state == State.DISCARDING) {
-            streamedBody.completed();
+            streamedBody.completed(dataPath.now());
             finishDiscarding();
         } else if (streamedBody != null) {
-            streamedBody.completed();
+            streamedBody.completed(dataPath.now());
             if (currentExchange != null) {
                 currentExchange.bodyArrived();
             }
@@ -211,7 +211,7 @@
         streamedBody = new StreamedBody(reader.statedLength(), this);
         reader.streamTo(streamedBody);
         if (complete) {
-            streamedBody.completed();
+            streamedBody.completed(dataPath.now());
         }
         String attemptId = reader.headers().get(ClientRequest.ATTEMPT_ID);
         respond(null, dataPath.refusalForMemory(attemptId));
@@ -392,6 +392,7 @@
 
     private void closeAfterOutput() {
         state = State.CLOSING;
+        channel.config().setAutoRead(true);
         if (!writer.isWriting()) {
             shutdownOutputAfter(channel.writeAndFlush(Unpooled.EMPTY_BUFFER));
         }
--- a/cdn/src/main/java/ridgemill/cdn/proxy/OutgoingRequest.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/OutgoingRequest.java
@@ -88,6 +88,16 @@
         return streamedBody == null || !streamedBody.isStarted();
     }
 
+    /**
+     * When the last byte of the request was passed on, in milliseconds: the time of an upload is not that of its
+     * instance.
+     *
+     * @param sentAtMs when the request, or the head of a streamed one, was sent
+     */
+    double completeAtMs(double sentAtMs) {
+        return streamedBody != null && streamedBody.isComplete() ? streamedBody.completedAtMs() : sentAtMs;
+    }
+
     boolean isHead() {
         return method.equals("HEAD");
     }
--- a/cdn/src/main/java/ridgemill/cdn/proxy/StreamedBody.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/StreamedBody.java
@@ -50,6 +50,7 @@
     private double lastPieceAtMs;
     private double blockedSinceMs;
     private double blockedMs;
+    private double completedAtMs;
 
     /**
      * Creates a body of which nothing has been read.
@@ -149,9 +150,15 @@
         }
     }
 
+    /** When the last byte had arrived, in milliseconds; only once {@link #isComplete}. */
+    double completedAtMs() {
+        return completedAtMs;
+    }
+
     /** The last byte has arrived. */
-    void completed() {
+    void completed(double nowMs) {
         complete = true;
+        completedAtMs = nowMs;
         if (receiver != null) {
             receiver.bodyComplete();
         }
--- a/cdn/src/test/java/ridgemill/cdn/proxy/StreamedBodyTest.java
+++ b/cdn/src/test/java/ridgemill/cdn/proxy/StreamedBodyTest.java
@@ -2,15 +2,20 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.netty.buffer.Unpooled;
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import ridgemill.cdn.config.Limits;
 import ridgemill.cdn.config.RouteKind;
+import ridgemill.cdn.proxy.http.Headers;
+import ridgemill.gateway.net.SocketKind;
 
 /** Tests requests whose body is streamed because it is too large to be held. */
 class StreamedBodyTest {
@@ -18,6 +23,7 @@
     private static final int LENGTH = 300_000;
     private static final int MAX_BODY_BYTES = 32_000_000;
     private static final String BODY = "0123456789".repeat(LENGTH / 10);
+    private static final byte[] BLOCK = new byte[1_000];
     private static final String SEAL = "X-Response-Seal: s\r\n";
     private static final String KEY = "X-Operation-Key: k\r\n";
 
@@ -272,6 +278,50 @@
         assertThat(held("streamed_bodies")).isZero();
     }
 
+    /** An upload that takes long must not count as a slow response of its instance. */
+    @Test
+    void theTimeOfAnUploadIsNotThatOfItsInstance() throws Exception {
+        Semaphore heads = new Semaphore(0);
+        StubInstance instance = proxy.instance("a", countsBytes());
+        instance.earlyScript = (request, socket) -> {
+            heads.release();
+            return true;
+        };
+        StreamedBody body = new StreamedBody(BLOCK.length, new StreamedBody.Source() {
+            @Override
+            public void resumeBody(StreamedBody resumed) {}
+
+            @Override
+            public void pauseBody(StreamedBody paused) {}
+        });
+        CompletableFuture<Attempt> ended = new CompletableFuture<>();
+        proxy.onLoop(() -> attempt(body, ended).start(proxy.timers.now() + 9_000, Double.POSITIVE_INFINITY));
+        assertThat(heads.tryAcquire(5, TimeUnit.SECONDS)).isTrue();
+        proxy.timers.advance(3_000);
+        proxy.onLoop(() -> {
+            body.bodyPiece(Unpooled.wrappedBuffer(BLOCK));
+            body.completed(proxy.timers.now());
+        });
+        assertThat(ended.get(5, TimeUnit.SECONDS).instance().meanLatencyMs()).isLessThan(3_000);
+    }
+
+    private Attempt attempt(StreamedBody body, CompletableFuture<Attempt> ended) {
+        ProxyContext context = new ProxyContext(
+                proxy.loop,
+                SocketKind.NIO,
+                proxy.timers,
+                proxy.settings,
+                proxy.control,
+                proxy.register,
+                proxy.meters,
+                Optional.empty(),
+                1_000);
+        ServiceState service = context.service("s");
+        OutgoingRequest request = new OutgoingRequest(
+                "POST", "/n/1", "1", new Headers().add("X-Attempt-Id", "1"), new byte[0], body, 1, 400);
+        return new Attempt(context, service, service.picker().instances().get(0), request, false, ended::complete);
+    }
+
     @Test
     void drainFinishesAnUploadInProgress() throws Exception {
         StubInstance instance = proxy.instance("a", countsBytes());
