Tests: one place makes components below the data path

Read again: ProxyContext's nine arguments stood three times (RequestSendingTest twice, StreamedBodyTest) and an instance that reads to the end three times in StreamedBodyTest. ProxyFixture.newContext and readBodyToTheEnd serve them; every assertion is as before.

--- a/cdn/src/test/java/ridgemill/cdn/proxy/ProxyFixture.java
+++ b/cdn/src/test/java/ridgemill/cdn/proxy/ProxyFixture.java
@@ -156,6 +156,12 @@
         loop.submit(task).sync();
     }
 
+    /** Creates components of their own for the classes below the data path; used on the event loop. */
+    ProxyContext newContext() {
+        return new ProxyContext(
+                loop, SocketKind.NIO, timers, settings, control, register, meters, Optional.empty(), 1_000);
+    }
+
     /** Opens a client connection. */
     Client client() throws IOException {
         Socket socket = new Socket("127.0.0.1", dataPath.address().getPort());
--- a/cdn/src/test/java/ridgemill/cdn/proxy/RequestSendingTest.java
+++ b/cdn/src/test/java/ridgemill/cdn/proxy/RequestSendingTest.java
@@ -3,7 +3,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
@@ -15,7 +14,6 @@
 import ridgemill.cdn.config.RouteKind;
 import ridgemill.cdn.edge.AttemptOutcome;
 import ridgemill.cdn.proxy.http.Headers;
-import ridgemill.gateway.net.SocketKind;
 
 /** Tests what can happen between the admission of a request and sending it. */
 class RequestSendingTest {
@@ -124,16 +122,7 @@
     private AttemptOutcome runAttempt(StubInstance instance, Runnable meanwhile) throws Exception {
         CompletableFuture<Attempt> endedAttempt = new CompletableFuture<>();
         proxy.onLoop(() -> {
-            ProxyContext context = new ProxyContext(
-                    proxy.loop,
-                    SocketKind.NIO,
-                    proxy.timers,
-                    proxy.settings,
-                    proxy.control,
-                    proxy.register,
-                    proxy.meters,
-                    Optional.empty(),
-                    1_000);
+            ProxyContext context = proxy.newContext();
             proxy.control.instances = List.of(instance.instance("s"));
             ServiceState service = context.service("s");
             proxy.control.listeners.add(new ridgemill.cdn.proxy.control.ControlListener() {
@@ -165,16 +154,7 @@
         proxy.onLoop(() -> proxy.control.instances = List.of(instance.instance("s")));
         CompletableFuture<ServiceState> created = new CompletableFuture<>();
         proxy.onLoop(() -> {
-            ProxyContext context = new ProxyContext(
-                    proxy.loop,
-                    SocketKind.NIO,
-                    proxy.timers,
-                    proxy.settings,
-                    proxy.control,
-                    proxy.register,
-                    proxy.meters,
-                    Optional.empty(),
-                    1_000);
+            ProxyContext context = proxy.newContext();
             ServiceState service = context.service("s");
             OutgoingRequest request = new OutgoingRequest(
                     "GET", "/i/1", "1", new Headers().add("X-Attempt-Id", "1"), new byte[0], null, 1, 400);
--- a/cdn/src/test/java/ridgemill/cdn/proxy/StreamedBodyTest.java
+++ b/cdn/src/test/java/ridgemill/cdn/proxy/StreamedBodyTest.java
@@ -4,7 +4,6 @@
 
 import io.netty.buffer.Unpooled;
 import java.nio.charset.StandardCharsets;
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Semaphore;
@@ -15,7 +14,6 @@
 import ridgemill.cdn.config.Limits;
 import ridgemill.cdn.config.RouteKind;
 import ridgemill.cdn.proxy.http.Headers;
-import ridgemill.gateway.net.SocketKind;
 
 /** Tests requests whose body is streamed because it is too large to be held. */
 class StreamedBodyTest {
@@ -63,6 +61,20 @@
                         request, 200, SEAL, Integer.toString(request.body().length())));
     }
 
+    /**
+     * Starts an instance that reads until its connection ends and does not respond. Returns the number of bytes that it
+     * has read by then.
+     */
+    private CompletableFuture<Integer> readBodyToTheEnd() throws Exception {
+        CompletableFuture<Integer> endOfBody = new CompletableFuture<>();
+        StubInstance instance = proxy.instance("a", (request, socket) -> false);
+        instance.earlyScript = (request, socket) -> {
+            endOfBody.complete(socket.getInputStream().readAllBytes().length);
+            return false;
+        };
+        return endOfBody;
+    }
+
     @Test
     void largeBodyIsForwardedUnchangedAndTheConnectionStaysUsable() throws Exception {
         StubInstance instance = proxy.instance("a", countsBytes());
@@ -177,12 +189,7 @@
     /** The instance has a part of the request: whether it has run is not known, so the claim is kept. */
     @Test
     void clientThatStopsMidwayEndsTheAttemptAndKeepsTheClaim() throws Exception {
-        CompletableFuture<Integer> endOfBody = new CompletableFuture<>();
-        StubInstance instance = proxy.instance("a", (request, socket) -> false);
-        instance.earlyScript = (request, socket) -> {
-            endOfBody.complete(socket.getInputStream().readAllBytes().length);
-            return false;
-        };
+        CompletableFuture<Integer> endOfBody = readBodyToTheEnd();
         ProxyFixture.Client client = proxy.client();
         client.send(post("/k/1", "1", KEY) + BODY.substring(0, 200_000));
         proxy.awaitInFlight(1);
@@ -195,12 +202,7 @@
 
     @Test
     void malformedChunkMidwayEndsTheAttempt() throws Exception {
-        CompletableFuture<Integer> endOfBody = new CompletableFuture<>();
-        StubInstance instance = proxy.instance("a", (request, socket) -> false);
-        instance.earlyScript = (request, socket) -> {
-            endOfBody.complete(socket.getInputStream().readAllBytes().length);
-            return false;
-        };
+        CompletableFuture<Integer> endOfBody = readBodyToTheEnd();
         ProxyFixture.Client client = proxy.client();
         client.send(head("POST", "/n/1", "1", "Transfer-Encoding: chunked\r\n") + "20000\r\n"
                 + BODY.substring(0, 0x20000) + "\r\nno size\r\n");
@@ -265,11 +267,7 @@
 
     @Test
     void clientThatSendsNothingMoreIsEndedAndItsMemoryGivenBack() throws Exception {
-        StubInstance instance = proxy.instance("a", (request, socket) -> false);
-        instance.earlyScript = (request, socket) -> {
-            socket.getInputStream().readAllBytes();
-            return false;
-        };
+        readBodyToTheEnd();
         ProxyFixture.Client client = proxy.client();
         client.send(post("/n/1", "1", "") + BODY.substring(0, 100_000));
         assertThat(client.read().status()).as("a part was passed on").isEqualTo(504);
@@ -306,16 +304,7 @@
     }
 
     private Attempt attempt(StreamedBody body, CompletableFuture<Attempt> ended) {
-        ProxyContext context = new ProxyContext(
-                proxy.loop,
-                SocketKind.NIO,
-                proxy.timers,
-                proxy.settings,
-                proxy.control,
-                proxy.register,
-                proxy.meters,
-                Optional.empty(),
-                1_000);
+        ProxyContext context = proxy.newContext();
         ServiceState service = context.service("s");
         OutgoingRequest request = new OutgoingRequest(
                 "POST", "/n/1", "1", new Headers().add("X-Attempt-Id", "1"), new byte[0], body, 1, 400);
