--- a/review/5/src/review5/InterruptedUpload.java
+++ b/review/5/src/review5/InterruptedUpload.java
@@ -150,9 +150,6 @@
         for (Deployment.Machine machine : deployment.coreMachines()) {
             command.add(machine.address() + ":" + machine.control().getPort());
         }
-        return new ProcessBuilder(command)
-                .redirectErrorStream(true)
-                .redirectOutput(deployment.folder().resolve(id + ".log").toFile())
-                .start();
+        return deployment.startStandIn(id, command);
     }
 }
--- a/review/rig-2/rig2/Deployment.java
+++ b/review/rig-2/rig2/Deployment.java
@@ -133,10 +133,7 @@
 
         /** Sends a signal such as TERM, STOP or CONT. */
         public void signal(String role, String signal) throws IOException, InterruptedException {
-            new ProcessBuilder("kill", "-" + signal, Long.toString(processes.get(role).pid()))
-                    .inheritIO()
-                    .start()
-                    .waitFor();
+            Deployment.signal(processes.get(role), signal);
         }
 
         private String settings(String role, boolean hasDisk) {
@@ -190,6 +187,7 @@
     private final int firstPort;
     private final Map<String, List<String>> commands = new LinkedHashMap<>();
     private final List<Machine> machines = new ArrayList<>();
+    private final List<Process> standIns = new ArrayList<>();
     private int nextHost = 1;
 
     /** A deployment without machines, with programs from the build in the repository's folder. */
@@ -262,6 +260,24 @@
         return folder;
     }
 
+    /** Sends a signal such as TERM, STOP or CONT to a process. */
+    public static void signal(Process process, String signal) throws IOException, InterruptedException {
+        new ProcessBuilder("/bin/sh", "-c", "kill -" + signal + " " + process.pid())
+                .inheritIO()
+                .start()
+                .waitFor();
+    }
+
+    /** Starts a stand-in as a process, which is ended with the deployment; its output goes to a file of this name. */
+    public Process startStandIn(String name, List<String> command) throws IOException {
+        Process process = new ProcessBuilder(command)
+                .redirectErrorStream(true)
+                .redirectOutput(folder.resolve(name + ".log").toFile())
+                .start();
+        standIns.add(process);
+        return process;
+    }
+
     /** Starts registry and store on all core machines and the proxy on all edge machines. */
     public void startAll() throws IOException {
         for (Machine machine : machines) {
@@ -313,6 +329,7 @@
     /** Ends all processes and removes all files. */
     @Override
     public void close() throws IOException {
+        standIns.forEach(Process::destroyForcibly);
         for (Machine machine : machines) {
             machine.processes.values().forEach(Process::destroyForcibly);
         }
--- a/review/rig-2/rig2/ObjectServer.java
+++ b/review/rig-2/rig2/ObjectServer.java
@@ -79,10 +79,7 @@
         for (Deployment.Machine machine : heartbeatReceivers) {
             command.add(machine.address() + ":" + machine.control().getPort());
         }
-        return new ProcessBuilder(command)
-                .redirectErrorStream(true)
-                .redirectOutput(deployment.folder().resolve(id + ".log").toFile())
-                .start();
+        return deployment.startStandIn(id, command);
     }
 
     public static void main(String[] arguments) throws Exception {
