Edge proxy: a request of which any byte has left may have run

Cause: InstanceConnection took a request for never written until the operating system had accepted its last byte, or the last byte of a streamed request's head. A server may begin earlier. Ruled out: two claims (there is one), the retry rules of UpstreamCall (they follow the outcome).

The write now reports its progress, and from the first accepted byte a lost connection means RESET. NEVER_WRITTEN is left to requests of which nothing was accepted, so that retries on connections found closed stay possible.

--- a/cdn-core/src/main/java/ridgemill/cdn/edge/AttemptOutcome.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/edge/AttemptOutcome.java
@@ -12,9 +12,9 @@
     MISDIRECTED(false),
     /** No connection could be established. */
     CONNECT_FAILED(false),
-    /** The connection closed before the whole request was written. */
+    /** The connection closed before any byte of the request was written. */
     NEVER_WRITTEN(false),
-    /** The connection closed after the request was written and before the answer was complete. */
+    /** The connection closed after a part of the request was written and before the answer was complete. */
     RESET(true),
     /** No answer arrived in time. */
     SILENT(true),
--- a/cdn/src/main/java/ridgemill/cdn/proxy/InstanceConnection.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/InstanceConnection.java
@@ -6,6 +6,9 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelProgressivePromise;
+import io.netty.channel.ChannelProgressiveFuture;
+import io.netty.channel.ChannelProgressiveFutureListener;
 import io.netty.handler.codec.ByteToMessageDecoder;
 import ridgemill.cdn.edge.AttemptOutcome;
 import ridgemill.cdn.proxy.http.BadMessageException;
@@ -32,7 +35,8 @@
     private ResponseMemory.Reservation memory;
 
     private String attemptId;
-    private boolean headWritten;
+    /** Whether the socket has accepted any byte of the request, so that the instance may have it. */
+    private boolean partWritten;
     private boolean requestWritten;
     private boolean respondsEarly;
     private int surplusResponses;
@@ -89,7 +93,7 @@
         listener = newListener;
         body = streamedBody;
         attemptId = expectedId;
-        headWritten = false;
+        partWritten = false;
         requestWritten = false;
         respondsEarly = false;
         surplusResponses = 0;
@@ -97,17 +101,35 @@
         usedBefore = true;
         reader.reset();
         reader.setHeadRequest(isHead);
-        channel.writeAndFlush(bytes).addListener((ChannelFuture future) -> {
-            if (listener == newListener) {
-                headWritten = future.isSuccess();
-                written(future, streamedBody == null);
-            }
-        });
+        writeFirstPart(bytes, streamedBody == null);
         if (streamedBody != null) {
             streamedBody.start(this, nowMs);
         }
     }
 
+    /** Writes the complete request or its head, and records as soon as the socket accepts a byte of it. */
+    private void writeFirstPart(ByteBuf bytes, boolean isLastPart) {
+        ConnectionListener current = listener;
+        ChannelProgressivePromise promise = channel.newProgressivePromise();
+        promise.addListener(new ChannelProgressiveFutureListener() {
+            @Override
+            public void operationProgressed(ChannelProgressiveFuture future, long progress, long total) {
+                if (listener == current) {
+                    partWritten |= progress > 0;
+                }
+            }
+
+            @Override
+            public void operationComplete(ChannelProgressiveFuture future) {
+                if (listener == current) {
+                    partWritten |= future.isSuccess();
+                    written(future, isLastPart);
+                }
+            }
+        });
+        channel.writeAndFlush(bytes, promise);
+    }
+
     /** A part of the request was written, or writing it failed. */
     private void written(ChannelFuture future, boolean isLastPart) {
         if (!future.isSuccess()) {
@@ -375,12 +397,11 @@
     }
 
     /**
-     * The outcome if the connection ends before a complete response. An instance that began to respond, or that has a
-     * part of a streamed request, may have run the request.
+     * The outcome if the connection ends before a complete response. An instance that began to respond, or that may have
+     * any byte of the request, may have run it: an instance may start before it has the whole body.
      */
     private AttemptOutcome disconnectOutcome() {
-        boolean partSent = body != null && headWritten;
-        return requestWritten || respondsEarly || partSent ? AttemptOutcome.RESET : AttemptOutcome.NEVER_WRITTEN;
+        return partWritten || respondsEarly ? AttemptOutcome.RESET : AttemptOutcome.NEVER_WRITTEN;
     }
 
     private void endExchange(AttemptOutcome outcome, InstanceResponse response, String load) {
