Registry: a departure is acknowledged once a majority has it on disk

Cause: acknowledged departures, `draining` too, were in the registries' memory only. Ruled out: the edge proxy (one that ran on never sends), the order of states (they never go back while the record is known).

Each registry now keeps the instances that drain or are gone in files of its own: a new checked file each time, synced with its folder, then the older is removed; renaming over the old one was ruled out, as a rename that isn't synced may lose both names. A registry counts in a Confirmation only once it has the departure on disk.

Second fault, found by the tests: a report that changed nothing was acknowledged at once, also for a departure that no majority had (known from another registry, or refused with 503 before). It now needs a confirmation unless this registry had one.

--- a/cdn/src/main/java/ridgemill/cdn/registry/Confirmation.java
+++ b/cdn/src/main/java/ridgemill/cdn/registry/Confirmation.java
@@ -11,8 +11,8 @@
 
 /**
  * Waits for a bounded time until all reachable proxies and registries have a change of an instance's state. The change
- * is confirmed if the registries on a majority of the voting machines have it by then. Proxies do not affect the
- * result, because they may be unreachable.
+ * is confirmed if the registries on a majority of the voting machines have it by then, on disk if the instance leaves.
+ * Proxies do not affect the result, because they may be unreachable.
  */
 final class Confirmation {
 
@@ -20,6 +20,7 @@
     static final long TIMEOUT_MS = 600;
 
     private final PeerRegistries peers;
+    private final DepartureLog departures;
     private final ProxyUpdates proxyUpdates;
     private final ClusterMembers members;
     private final Consumer<Boolean> callback;
@@ -34,9 +35,14 @@
      * Creates a confirmation that is started by {@link #begin}. The callback receives once whether the change is
      * confirmed.
      */
-    Confirmation(PeerRegistries peers, ProxyUpdates proxyUpdates, ClusterMembers members, Consumer<Boolean> callback) {
+    Confirmation(
+            PeerRegistries peers,
+            DepartureLog departures,
+            ProxyUpdates proxyUpdates,
+            ClusterMembers members,
+            Consumer<Boolean> callback) {
         this.peers = peers;
-        confirmedRegistries.add(peers.ownAddress());
+        this.departures = departures;
         this.proxyUpdates = proxyUpdates;
         this.members = members;
         this.callback = callback;
@@ -44,8 +50,9 @@
 
     /** Sends the change to the other registries. The update to the proxies has already been sent. */
     void begin(List<Instance> change, EventLoop loop) {
-        pendingReplies = peers.count();
-        peers.confirm(change, this::onPeerReply);
+        pendingReplies = peers.count() + 1;
+        peers.confirm(change, this::onReply);
+        departures.save(change, saved -> onReply(peers.ownAddress(), saved));
         proxyUpdates.whenAcknowledged(() -> {
             proxiesAcknowledged = true;
             finishIfComplete();
@@ -54,8 +61,9 @@
         finishIfComplete();
     }
 
-    private void onPeerReply(String host, boolean merged) {
-        if (merged) {
+    /** A registry, or this one, has the change or has failed to record it. */
+    private void onReply(String host, boolean recorded) {
+        if (recorded) {
             confirmedRegistries.add(host);
         }
         pendingReplies--;
--- a/cdn/src/main/java/ridgemill/cdn/registry/IncomingLinks.java
+++ b/cdn/src/main/java/ridgemill/cdn/registry/IncomingLinks.java
@@ -19,6 +19,7 @@
     private final ProxyUpdates proxyUpdates;
     private final PeerRegistries peers;
     private final VotingStores stores;
+    private final DepartureLog departures;
     private final Clock clock;
 
     IncomingLinks(
@@ -27,12 +28,14 @@
             ProxyUpdates proxyUpdates,
             PeerRegistries peers,
             VotingStores stores,
+            DepartureLog departures,
             Clock clock) {
         this.members = members;
         this.instances = instances;
         this.proxyUpdates = proxyUpdates;
         this.peers = peers;
         this.stores = stores;
+        this.departures = departures;
         this.clock = clock;
     }
 
@@ -52,8 +55,12 @@
         } else if (message instanceof RegistryMessages.UpdateAcknowledged acknowledged) {
             proxyUpdates.acknowledged(link, acknowledged.number());
         } else if (message instanceof RegistryMessages.PeerUpdate update) {
-            merge(update);
-            link.send(new RegistryMessages.PeerUpdateMerged(update.callId()));
+            List<Instance> merged = merge(update);
+            departures.save(merged, saved -> {
+                if (saved) {
+                    link.send(new RegistryMessages.PeerUpdateMerged(update.callId()));
+                }
+            });
         } else if (message instanceof RegistryMessages.PeerHeartbeats peerHeartbeats) {
             for (RegistryMessages.Heartbeat heartbeat : peerHeartbeats.heartbeats()) {
                 instances.recordHeartbeat(heartbeat.instanceId(), heartbeat.sequence(), clock.now());
@@ -63,9 +70,10 @@
 
     /**
      * Merges an update of another registry. New instance states are sent to the proxies. Forwarding to other registries
-     * is not needed, because the sender updates them itself.
+     * is not needed, because the sender updates them itself. Returns the current records of the instances in the update
+     * and of those that changed.
      */
-    private void merge(RegistryMessages.PeerUpdate update) {
+    private List<Instance> merge(RegistryMessages.PeerUpdate update) {
         peers.addKnownHosts(update.registries());
         stores.updateVoters(update.voters());
         for (String proxy : update.proxies()) {
@@ -78,6 +86,9 @@
         if (!changed.isEmpty()) {
             proxyUpdates.push(changed);
         }
+        List<Instance> merged = new ArrayList<>(changed);
+        update.instances().forEach(instance -> merged.add(instances.get(instance.id())));
+        return merged;
     }
 
     @Override
--- a/cdn/src/main/java/ridgemill/cdn/registry/InstanceReports.java
+++ b/cdn/src/main/java/ridgemill/cdn/registry/InstanceReports.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import ridgemill.cdn.instances.Instance;
+import ridgemill.cdn.instances.InstanceState;
 import ridgemill.cdn.instances.InstanceTable;
 import ridgemill.cdn.membership.ClusterMembers;
 import ridgemill.cdn.wire.RegistryMessages;
@@ -26,22 +27,27 @@
     private final InstanceTable instances;
     private final ClusterMembers members;
     private final PeerRegistries peers;
+    private final DepartureLog departures;
     private final ProxyUpdates proxyUpdates;
     private final EventLoop loop;
     private final Clock clock;
     private final Map<String, Double> changedAtMs = new HashMap<>();
     private final Map<String, Long> newHeartbeats = new HashMap<>();
+    /** The departed states that a majority of the registries is known to have on disk, by instance. */
+    private final Map<String, InstanceState> confirmedDepartures = new HashMap<>();
 
     InstanceReports(
             InstanceTable instances,
             ClusterMembers members,
             PeerRegistries peers,
+            DepartureLog departures,
             ProxyUpdates proxyUpdates,
             EventLoop loop,
             Clock clock) {
         this.instances = instances;
         this.members = members;
         this.peers = peers;
+        this.departures = departures;
         this.proxyUpdates = proxyUpdates;
         this.loop = loop;
         this.clock = clock;
@@ -50,20 +56,30 @@
     /**
      * Accepts a report of an instance. The callback receives whether the request may be acknowledged: at once for a
      * heartbeat that changes nothing, otherwise once the connected proxies and a majority of the registries have the
-     * change.
+     * change. That an instance leaves is acknowledged only if a majority has it on disk, however often it is reported.
      */
     void accept(Instance instance, Consumer<Boolean> callback) {
         newHeartbeats.merge(instance.id(), instance.sequence(), Math::max);
         List<Instance> changed = instances.merge(instance, clock.now());
-        boolean changedRecently = changedAtMs.containsKey(instance.id());
-        if (changed.isEmpty() && !changedRecently) {
+        Instance newest = instances.get(instance.id());
+        if (changed.isEmpty() && isConfirmed(newest)) {
             callback.accept(true);
             return;
         }
         publish(changed);
-        Instance newest = instances.get(instance.id());
-        new Confirmation(peers, proxyUpdates, members, callback)
-                .begin(newest == null ? List.of() : List.of(newest), loop);
+        new Confirmation(peers, departures, proxyUpdates, members, confirmed -> {
+                    if (confirmed && newest.state() != InstanceState.READY) {
+                        confirmedDepartures.put(newest.id(), newest.state());
+                    }
+                    callback.accept(confirmed);
+                })
+                .begin(List.of(newest), loop);
+    }
+
+    private boolean isConfirmed(Instance newest) {
+        return newest.state() == InstanceState.READY
+                ? !changedAtMs.containsKey(newest.id())
+                : confirmedDepartures.get(newest.id()) == newest.state();
     }
 
     private void publish(List<Instance> changed) {
@@ -78,12 +94,15 @@
                             + instance.state());
         }
         proxyUpdates.push(changed);
+        // Instances that lost their address are gone too; nobody waits for them.
+        departures.save(changed, ignored -> {});
     }
 
     /** Returns the instances whose changes are to be resent. */
     List<Instance> recentChanges() {
         double now = clock.now();
         changedAtMs.values().removeIf(changedAt -> now - changedAt > RESEND_WINDOW_MS);
+        confirmedDepartures.keySet().removeIf(id -> instances.get(id) == null);
         List<Instance> changed = new ArrayList<>();
         for (String id : changedAtMs.keySet()) {
             Instance instance = instances.get(id);
--- a/cdn/src/main/java/ridgemill/cdn/registry/RegistryProgram.java
+++ b/cdn/src/main/java/ridgemill/cdn/registry/RegistryProgram.java
@@ -6,6 +6,7 @@
 import java.util.UUID;
 import java.util.concurrent.TimeUnit;
 import ridgemill.cdn.http.SimpleHttpServer;
+import ridgemill.cdn.instances.Instance;
 import ridgemill.cdn.instances.InstanceTable;
 import ridgemill.cdn.membership.ClusterMembers;
 import ridgemill.cdn.settings.Settings;
@@ -16,12 +17,13 @@
 import ridgemill.gateway.net.SocketKind;
 
 /**
- * The registry: accepts requests of instances and operators, keeps the list of instances in memory, shares it with the
- * registries on the other core machines and sends it to edge proxies. One registry runs on each core machine.
- * Everything runs on one event loop.
+ * The registry: accepts requests of instances and operators, keeps the list of instances in memory and those that leave
+ * also on disk, shares it with the registries on the other core machines and sends it to edge proxies. One registry
+ * runs on each core machine. Everything runs on one event loop, except for the disk, which has its own thread.
  */
 public final class RegistryProgram {
 
+    private static final String DATA_FOLDER = "registry";
     /** How often heartbeats and recent changes are sent to the other registries, in milliseconds. */
     private static final long GOSSIP_INTERVAL_MS = 500;
     /** The timeout of a call to the stores, in milliseconds. Clients move on to another registry after one second. */
@@ -37,12 +39,24 @@
     private final ProxyUpdates proxyUpdates;
     private final PeerRegistries peers;
     private final VotingStores stores;
+    private final DepartureLog departures;
     private final InstanceReports reports;
     private SimpleHttpServer controlServer;
     private LinkServer linkServer;
 
     /** Creates a registry that is started by {@link #start}. */
     public RegistryProgram(Settings settings, EventLoop loop, SocketKind sockets, Clock clock) {
+        this(
+                settings,
+                loop,
+                sockets,
+                clock,
+                settings.dataDirectory() == null
+                        ? DepartureDisk.NONE
+                        : new DepartureFolder(settings.dataDirectory().resolve(DATA_FOLDER)));
+    }
+
+    RegistryProgram(Settings settings, EventLoop loop, SocketKind sockets, Clock clock, DepartureDisk disk) {
         this.settings = settings;
         this.loop = loop;
         this.sockets = sockets;
@@ -56,15 +70,17 @@
         peers = new PeerRegistries(
                 settings.ipAddress(), settings.registryPort(), opener, members, instances, proxyUpdates);
         stores = new VotingStores(settings.storePort(), opener, members, proxyUpdates, storeClient);
-        reports = new InstanceReports(instances, members, peers, proxyUpdates, loop, clock);
+        departures = new DepartureLog(disk, loop);
+        reports = new InstanceReports(instances, members, peers, departures, proxyUpdates, loop, clock);
     }
 
     /**
-     * Listens and connects to the other core machines.
+     * Reads the departures from disk, then listens and connects to the other core machines.
      *
      * @throws io.netty.channel.ChannelException if an address cannot be bound
      */
     public void start() {
+        loadDepartures();
         proxyUpdates.markStarted();
         InetSocketAddress control = Addresses.parse(settings.controlAddress());
         ControlRouter calls =
@@ -73,15 +89,27 @@
                 loop,
                 sockets,
                 new InetSocketAddress(settings.ipAddress(), settings.registryPort()),
-                new IncomingLinks(members, instances, proxyUpdates, peers, stores, clock));
+                new IncomingLinks(members, instances, proxyUpdates, peers, stores, departures, clock));
         controlServer = SimpleHttpServer.listen(loop, sockets, control, calls);
         loop.execute(this::joinCluster);
     }
 
-    /** Stops accepting requests and links. */
+    private void loadDepartures() {
+        try {
+            List<Instance> departed = departures.load();
+            departed.forEach(instance -> instances.merge(instance, clock.now()));
+            // A process that was killed may leave a file that was never synced.
+            loop.execute(() -> departures.save(departed, ignored -> {}));
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Stops accepting requests and links and closes the disk. Blocks, so it must not be called on the event loop. */
     public void stop() {
         controlServer.close();
         linkServer.close();
+        departures.close();
     }
 
     private void joinCluster() {
@@ -101,6 +129,7 @@
         }
         peers.broadcast(reports.recentChanges(), reports.drainNewHeartbeats());
         instances.removeExpired(now);
+        departures.retain(id -> instances.get(id) != null);
         proxyUpdates.refresh();
     }
 }
--- a/cdn/src/main/java/ridgemill/cdn/registry/package-info.java
+++ b/cdn/src/main/java/ridgemill/cdn/registry/package-info.java
@@ -8,7 +8,8 @@
  *   <li>HTTP requests: {@code ControlRouter} dispatches them by path to {@code InstanceCalls} (heartbeats, departures)
  *       or {@code OperatorCalls} (configuration, purges).
  *   <li>Instances: {@code InstanceReports} accepts their reports. A change of state is sent to all registries and
- *       proxies at once; its request is answered when a {@code Confirmation} ends.
+ *       proxies at once; its request is answered when a {@code Confirmation} ends. {@code DepartureLog} keeps those that
+ *       leave on a {@code DepartureDisk}.
  *   <li>Edge proxies: {@code ProxyUpdates} builds the updates; {@code Subscribers} numbers and sends them and tracks
  *       acknowledgements.
  *   <li>Other registries: {@code PeerRegistries} sends updates over links that it opens; {@code IncomingLinks} handles
--- a/cdn/src/test/java/ridgemill/cdn/registry/RegistryCluster.java
+++ b/cdn/src/test/java/ridgemill/cdn/registry/RegistryCluster.java
@@ -10,6 +10,7 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
@@ -52,7 +53,8 @@
     private final int port = freePort();
     private final MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(2, SocketKind.NIO.handlers());
     private final HttpClient http = HttpClient.newHttpClient();
-    private final List<RegistryProgram> programs = new ArrayList<>();
+    private final Map<Integer, Running> running = new HashMap<>();
+    private final Map<Integer, DepartureDisk> disks = new HashMap<>();
     private final List<ReconnectingLink> links = new ArrayList<>();
     private final List<LinkServer> stores = new ArrayList<>();
 
@@ -81,15 +83,44 @@
         }
     }
 
+    /** A registry with an event loop of its own, so that it can be killed with all its connections. */
+    private record Running(RegistryProgram program, MultiThreadIoEventLoopGroup loop) {
+
+        void kill() {
+            loop.shutdownGracefully(0, WAIT_MS, TimeUnit.MILLISECONDS).syncUninterruptibly();
+        }
+    }
+
+    /** Gives a registry a disk, which it has when it is started the next time and from then on. */
+    void setDisk(int index, DepartureDisk disk) {
+        disks.put(index, disk);
+    }
+
+    /** Ends a registry without notice: its connections are closed, its memory is lost. */
+    void kill(int index) {
+        running.remove(index).kill();
+    }
+
+    /** Starts a registry again that was killed; its stub store has gone on. */
+    void restart(int index) {
+        startRegistry(index, false);
+    }
+
     /** Starts a registry, and if the voters are known there, a stub store that reports them. */
     void start(int index, boolean votersKnown) {
         if (votersKnown) {
             stores.add(LinkServer.listen(
                     loops, SocketKind.NIO, new InetSocketAddress(HOSTS.get(index), port + 1), new StubStore()));
         }
-        RegistryProgram program =
-                new RegistryProgram(settings(index, votersKnown), loops.next(), SocketKind.NIO, new Clock());
-        programs.add(program);
+        startRegistry(index, votersKnown);
+    }
+
+    private void startRegistry(int index, boolean firstStart) {
+        MultiThreadIoEventLoopGroup loop = new MultiThreadIoEventLoopGroup(1, SocketKind.NIO.handlers());
+        DepartureDisk disk = disks.getOrDefault(index, DepartureDisk.NONE);
+        RegistryProgram program = new RegistryProgram(
+                settings(index, firstStart), loop.next(), SocketKind.NIO, new Clock(), disk);
+        running.put(index, new Running(program, loop));
         program.start();
     }
 
@@ -179,7 +210,8 @@
     @Override
     public void close() {
         links.forEach(ReconnectingLink::close);
-        programs.forEach(RegistryProgram::stop);
+        running.values().forEach(registry -> registry.program().stop());
+        running.values().forEach(Running::kill);
         stores.forEach(LinkServer::close);
         loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
     }
