--- a/cdn/src/test/java/ridgemill/cdn/registry/RegistryCluster.java
+++ b/cdn/src/test/java/ridgemill/cdn/registry/RegistryCluster.java
@@ -118,8 +118,8 @@
     private void startRegistry(int index, boolean firstStart) {
         MultiThreadIoEventLoopGroup loop = new MultiThreadIoEventLoopGroup(1, SocketKind.NIO.handlers());
         DepartureDisk disk = disks.getOrDefault(index, DepartureDisk.NONE);
-        RegistryProgram program = new RegistryProgram(
-                settings(index, firstStart), loop.next(), SocketKind.NIO, new Clock(), disk);
+        RegistryProgram program =
+                new RegistryProgram(settings(index, firstStart), loop.next(), SocketKind.NIO, new Clock(), disk);
         running.put(index, new Running(program, loop));
         program.start();
     }
