Stopping proxies begin no request that they can't answer before their end

Cause: nothing compared a request with the time that the process has left, and connections opened after the signal were never closed. Ruled out: the end comes too early (later it would lose the same requests later).

GracefulShutdown has the steps of edge proxies and shared caches, which stood twice. From half of the grace period on (3 s at most; until then all is served) connections without a request are closed, and only requests whose deadline is before the end are begun; others get 503, reason stopping, as nothing has run. Half-read requests get 503 0.4 s before the end. A shared cache accepts no connections any more once it has withdrawn, and says that nothing ran, so edge proxies ask another one. The exit task runs once. Ruled out: refusing from 0.45 on (connections accepted then have had no time), an estimate of the server's time.

--- a/cdn-core/src/main/java/ridgemill/cdn/edge/RefusalReason.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/edge/RefusalReason.java
@@ -29,7 +29,9 @@
     /** The request waited for a fetch started by another request, and that fetch was refused. */
     SHARED_FETCH,
     /** The response did not fit into the memory of this process. */
-    MEMORY;
+    MEMORY,
+    /** This process is stopping and might not have answered before its end. */
+    STOPPING;
 
     private final String label = name().toLowerCase(Locale.ROOT);
 
--- a/cdn/src/main/java/ridgemill/cdn/proxy/CacheProgram.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/CacheProgram.java
@@ -25,6 +25,11 @@
      * learn of the withdrawal before connections are closed.
      */
     private static final long WITHDRAWAL_DELAY_MS = 500;
+    /**
+     * Delay between draining connections and refusing requests that might outlast the process, in milliseconds, for
+     * connections that were just opened.
+     */
+    private static final long LAST_REQUEST_DELAY_MS = 300;
     /** Fraction of the grace period after which the process exits even if requests are in flight. */
     private static final double EXIT_GRACE_FRACTION = 0.75;
 
@@ -71,8 +76,8 @@
     }
 
     /**
-     * Shuts down gracefully: withdraws from the registries, responds to pending requests, then runs the task. The task
-     * also runs when three quarters of the grace period have passed, so it may run twice.
+     * Shuts down gracefully: withdraws from the registries, responds to pending requests, then runs the task once, when
+     * three quarters of the grace period have passed at the latest.
      */
     public void drain(Runnable exitTask) {
         loop.execute(() -> {
@@ -82,22 +87,13 @@
             draining = true;
             LOG.log(System.Logger.Level.INFO, "event=draining in_flight=" + dataPath.inFlight());
             control.withdraw();
-            loop.schedule(() -> drainAndExit(exitTask), WITHDRAWAL_DELAY_MS, TimeUnit.MILLISECONDS);
-            long endMs = (long) (settings.bounds().gracePeriodMs() * EXIT_GRACE_FRACTION);
-            loop.schedule(exitTask, endMs, TimeUnit.MILLISECONDS);
+            new GracefulShutdown(loop, dataPath, shutdownSchedule(), exitTask).start();
         });
     }
 
-    private void drainAndExit(Runnable exitTask) {
-        dataPath.drain();
-        exitWhenIdle(exitTask);
-    }
-
-    private void exitWhenIdle(Runnable exitTask) {
-        if (dataPath.inFlight() == 0) {
-            exitTask.run();
-        } else {
-            loop.schedule(() -> exitWhenIdle(exitTask), CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
-        }
+    private GracefulShutdown.Schedule shutdownSchedule() {
+        long endMs = (long) (settings.bounds().gracePeriodMs() * EXIT_GRACE_FRACTION);
+        return new GracefulShutdown.Schedule(
+                WITHDRAWAL_DELAY_MS, WITHDRAWAL_DELAY_MS, WITHDRAWAL_DELAY_MS + LAST_REQUEST_DELAY_MS, endMs);
     }
 }
--- a/cdn/src/main/java/ridgemill/cdn/proxy/ClientConnection.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/ClientConnection.java
@@ -481,6 +481,19 @@
         return hasUnsentOutput() || state == State.DISCARDING;
     }
 
+    /** Whether a request has arrived in part and has not been answered. */
+    boolean isReceiving() {
+        return state == State.HEAD || state == State.BODY;
+    }
+
+    /** Refuses a request that has arrived in part, of which nothing has run. */
+    void refuseIfIncomplete() {
+        if (isReceiving()) {
+            String attemptId = reader.hasHead() ? reader.headers().get(ClientRequest.ATTEMPT_ID) : null;
+            respondAndClose(FinalResponse.retryLater(503, attemptId, 0));
+        }
+    }
+
     /** Whether some output has not been accepted by the socket yet. */
     boolean hasUnsentOutput() {
         return channel.isActive()
--- a/cdn/src/main/java/ridgemill/cdn/proxy/DataPath.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/DataPath.java
@@ -7,6 +7,7 @@
 import java.net.InetSocketAddress;
 import java.util.Optional;
 import ridgemill.cdn.config.Limits;
+import ridgemill.cdn.edge.DrainWindow;
 import ridgemill.cdn.edge.RefusalReason;
 import ridgemill.cdn.membership.CacheNode;
 import ridgemill.cdn.net.ServerBootstraps;
@@ -149,14 +150,43 @@
         }
     }
 
-    /** Starts draining: responses from now on carry {@code Connection: close}, and idle connections are closed. */
-    public void drain() {
-        context.startDraining();
+    /**
+     * Starts draining: responses from now on carry {@code Connection: close}, and idle connections are closed.
+     *
+     * @param openMs for how long new connections may send any request, in milliseconds
+     * @param endMs within which time the last response has to be written, in milliseconds; later requests that might
+     *     take longer are refused
+     */
+    public void drain(double openMs, double endMs) {
+        double nowMs = context.now();
+        context.startDraining(new DrainWindow(nowMs + openMs, nowMs + endMs));
+        closeIdleConnections();
+    }
+
+    /** Closes the connections on which no request has begun to arrive. */
+    public void closeIdleConnections() {
         for (ClientConnection client : clients.snapshot()) {
             client.closeIfIdle();
         }
     }
 
+    /** Refuses the requests that have not arrived completely. */
+    public void refuseIncompleteRequests() {
+        for (ClientConnection client : clients.snapshot()) {
+            client.refuseIfIncomplete();
+        }
+    }
+
+    /** Whether no request is unfinished and none has arrived in part. */
+    public boolean isIdle() {
+        for (ClientConnection client : clients.snapshot()) {
+            if (client.isReceiving()) {
+                return false;
+            }
+        }
+        return inFlight() == 0;
+    }
+
     /**
      * The number of unfinished requests: the response has not been sent completely, the rest of the request has not
      * been read, or the operation is still running.
--- a/cdn/src/main/java/ridgemill/cdn/proxy/Exchange.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/Exchange.java
@@ -57,10 +57,19 @@
             refuse(RefusalReason.OUT_OF_TIME, 0);
             return;
         }
+        if (!context.drainWindow().allows(arrivedAtMs, latestResponseMs())) {
+            refuseStopping();
+            return;
+        }
         deadlineTimer = context.timers().scheduleAt(deadlineMs, this::deadlinePassed);
         run();
     }
 
+    /** When the response is sent at the latest; infinite while a body has to arrive, which moves the deadline. */
+    private double latestResponseMs() {
+        return request.streamedBody() == null ? deadlineMs : Double.POSITIVE_INFINITY;
+    }
+
     private void deadlinePassed() {
         if (finished) {
             return;
@@ -123,6 +132,16 @@
         respond(context.isSharedCache() ? refusal.addHeader(CacheHeaders.REFUSAL, reason.label()) : refusal);
     }
 
+    /**
+     * Refuses the request because this process is stopping. An edge proxy that asked a shared cache tries another one,
+     * as nothing has run.
+     */
+    private void refuseStopping() {
+        service().meters().countRefused(RefusalReason.STOPPING);
+        FinalResponse refusal = FinalResponse.retryLater(503, request.attemptId(), 0);
+        respond(context.isSharedCache() ? refusal.addHeader(InstanceResponse.NOT_EXECUTED, "1") : refusal);
+    }
+
     /** Ends a request that may have run without a response from an instance. */
     private void fail(RefusalReason reason) {
         if (!finished) {
--- a/cdn/src/main/java/ridgemill/cdn/proxy/InstanceConnection.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/InstanceConnection.java
@@ -6,9 +6,9 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelProgressivePromise;
 import io.netty.channel.ChannelProgressiveFuture;
 import io.netty.channel.ChannelProgressiveFutureListener;
+import io.netty.channel.ChannelProgressivePromise;
 import io.netty.handler.codec.ByteToMessageDecoder;
 import ridgemill.cdn.edge.AttemptOutcome;
 import ridgemill.cdn.proxy.http.BadMessageException;
@@ -37,6 +37,7 @@
     private String attemptId;
     /** Whether the socket has accepted any byte of the request, so that the instance may have it. */
     private boolean partWritten;
+
     private boolean requestWritten;
     private boolean respondsEarly;
     private int surplusResponses;
@@ -366,7 +367,7 @@
         if (response.status() == MISDIRECTED) {
             return AttemptOutcome.MISDIRECTED;
         }
-        if (headers.get("X-Not-Executed") != null) {
+        if (headers.get(InstanceResponse.NOT_EXECUTED) != null) {
             return response.isSuccess() ? AttemptOutcome.GARBLED : AttemptOutcome.DECLINED;
         }
         boolean garbled = headers.get("Content-Encoding") != null || response.isSuccess() && !response.isSealed();
--- a/cdn/src/main/java/ridgemill/cdn/proxy/InstanceResponse.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/InstanceResponse.java
@@ -17,6 +17,9 @@
     /** The header with which an instance vouches for a successful response; a success without it is not accepted. */
     static final String SEAL = "X-Response-Seal";
 
+    /** The header with which an instance, or a stopping shared cache, states that it has not run the request. */
+    static final String NOT_EXECUTED = "X-Not-Executed";
+
     boolean isSuccess() {
         return status >= 200 && status < 300;
     }
--- a/cdn/src/main/java/ridgemill/cdn/proxy/ProxyContext.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/ProxyContext.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import ridgemill.cdn.edge.DrainWindow;
 import ridgemill.cdn.edge.ObjectCache;
 import ridgemill.cdn.instances.Instance;
 import ridgemill.cdn.membership.CacheNode;
@@ -36,6 +37,7 @@
     private final Map<String, ServiceState> services = new HashMap<>();
     private final ObjectFetcher fetcher;
     private final InFlightOperations operations = new InFlightOperations();
+    private DrainWindow drainWindow = DrainWindow.OPEN;
     private boolean draining;
     private int inFlight;
 
@@ -176,8 +178,14 @@
         return draining;
     }
 
-    void startDraining() {
+    void startDraining(DrainWindow window) {
         draining = true;
+        drainWindow = window;
+    }
+
+    /** Which requests may begin. */
+    DrainWindow drainWindow() {
+        return drainWindow;
     }
 
     /** The number of unfinished requests: the response has not been sent, or the operation is still running. */
--- a/cdn/src/main/java/ridgemill/cdn/proxy/ProxyProgram.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/ProxyProgram.java
@@ -28,6 +28,13 @@
      * the proxy is not ready.
      */
     private static final double ACCEPT_GRACE_FRACTION = 0.45;
+    /**
+     * Fraction of the grace period, and time since the signal in milliseconds, after which no request is begun that
+     * might outlast the process.
+     */
+    private static final double OPEN_GRACE_FRACTION = 0.5;
+
+    private static final long MAX_OPEN_MS = 3_000;
     /** Fraction of the grace period after which the process exits even if requests are in flight. */
     private static final double EXIT_GRACE_FRACTION = 0.92;
 
@@ -86,8 +93,7 @@
 
     /**
      * Shuts down gracefully: reports that it is not ready, continues to serve until the platform has noticed, finishes
-     * pending requests and runs the task. The task also runs shortly before the grace period ends, so it may run
-     * twice.
+     * pending requests and runs the task once, shortly before the grace period ends at the latest.
      */
     public void drain(Runnable exitTask) {
         loop.execute(() -> {
@@ -96,24 +102,15 @@
             }
             draining = true;
             LOG.log(System.Logger.Level.INFO, "event=draining in_flight=" + dataPath.inFlight());
-            dataPath.drain();
-            long graceMs = settings.bounds().gracePeriodMs();
-            loop.schedule(
-                    () -> stopAccepting(exitTask), (long) (graceMs * ACCEPT_GRACE_FRACTION), TimeUnit.MILLISECONDS);
-            loop.schedule(exitTask, (long) (graceMs * EXIT_GRACE_FRACTION), TimeUnit.MILLISECONDS);
+            new GracefulShutdown(loop, dataPath, shutdownSchedule(), exitTask).start();
         });
     }
 
-    private void stopAccepting(Runnable exitTask) {
-        dataPath.stopAccepting();
-        exitWhenIdle(exitTask);
-    }
-
-    private void exitWhenIdle(Runnable exitTask) {
-        if (dataPath.inFlight() == 0) {
-            exitTask.run();
-        } else {
-            loop.schedule(() -> exitWhenIdle(exitTask), CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
-        }
+    private GracefulShutdown.Schedule shutdownSchedule() {
+        long graceMs = settings.bounds().gracePeriodMs();
+        long openMs = Math.min(MAX_OPEN_MS, (long) (graceMs * OPEN_GRACE_FRACTION));
+        return new GracefulShutdown.Schedule(
+                0, Math.min(openMs, (long) (graceMs * ACCEPT_GRACE_FRACTION)), openMs, (long)
+                        (graceMs * EXIT_GRACE_FRACTION));
     }
 }
--- a/cdn/src/test/java/ridgemill/cdn/proxy/ClientConnectionTest.java
+++ b/cdn/src/test/java/ridgemill/cdn/proxy/ClientConnectionTest.java
@@ -155,7 +155,7 @@
         ProxyFixture.Client idle = proxy.client();
         assertThat(idle.request("GET", "/i/1", "1", "").status()).isEqualTo(200);
         StubInstance slow = proxy.instance("b", (request, socket) -> {
-            proxy.onLoop(proxy.dataPath::drain);
+            proxy.onLoop(() -> proxy.dataPath.drain(1_000, 5_000));
             return StubInstance.sealed("late").respond(request, socket);
         });
         proxy.control.instances = java.util.List.of(slow.instance("s"));
@@ -185,7 +185,7 @@
             int[] inFlight = new int[1];
             proxy.onLoop(() -> {
                 inFlight[0] = proxy.dataPath.inFlight();
-                proxy.dataPath.drain();
+                proxy.dataPath.drain(1_000, 5_000);
             });
             assertThat(inFlight[0]).as("in flight while output is unsent").isEqualTo(1);
             byte[] rest = client.getInputStream().readAllBytes();
--- a/cdn/src/test/java/ridgemill/cdn/proxy/FleetFixture.java
+++ b/cdn/src/test/java/ridgemill/cdn/proxy/FleetFixture.java
@@ -133,6 +133,11 @@
         loop.submit(() -> controls.subList(0, CACHES).forEach(change)).sync();
     }
 
+    /** Lets a shared cache refuse all requests from now on because it is stopping. */
+    void drainCache(int cache) throws Exception {
+        loop.submit(() -> caches.get(cache).drain(0, 0)).sync();
+    }
+
     /** Advances the clock; timers do not fire in between. */
     void advanceTime(double ms) {
         timers.advance(ms);
--- a/cdn/src/test/java/ridgemill/cdn/proxy/StreamedBodyTest.java
+++ b/cdn/src/test/java/ridgemill/cdn/proxy/StreamedBodyTest.java
@@ -317,7 +317,7 @@
         ProxyFixture.Client client = proxy.client();
         client.send(post("/n/1", "1", "") + BODY.substring(0, 100_000));
         proxy.awaitInFlight(1);
-        proxy.onLoop(proxy.dataPath::drain);
+        proxy.onLoop(() -> proxy.dataPath.drain(1_000, 5_000));
         client.send(BODY.substring(100_000));
         ProxyFixture.Reply reply = client.read();
         assertThat(reply.body()).isEqualTo(Integer.toString(LENGTH));
