RESP front: a stopping proxy takes no more commands of busy connections

Clients that pipeline saw commands lost with their connection: after the drain had ended, a RESP connection was closed only once no reply was due, so one on which there always was one went on taking commands, and the process lived on until SIGKILL cut them off.

Cause: flush() closes a connection that must end only if nothing is pending, and channelRead did not ask. Ruled out: HTTP connections (each answer is the last one, half-read ones are closed by closeIfIdle).

A command that comes once connections without a request are to close is refused as the connection's last: TRYAGAIN refused and nothing ran. Closing without a reply was ruled out, as the client could not know that nothing ran.

RespTest.commandOfABusyConnectionIsRefusedOnceTheDrainHasEnded: without the change the command is taken and sent to the node, and the test fails after its deadline; with it RespTest (51) and DrainTest pass.

--- a/gateway/src/main/java/ridgemill/gateway/front/resp/RespClientConnection.java
+++ b/gateway/src/main/java/ridgemill/gateway/front/resp/RespClientConnection.java
@@ -123,9 +123,13 @@
         }
         if (isOverLimit()) {
             ((Resp) message).release();
-            frontend.intake().countRejected(null);
-            requestStarted();
-            replyAndClose(RespErrors.refused(RespErrors.RefusalReason.LIMIT, OVER_LIMIT_RETRY_AFTER_MS));
+            refuseAndClose(RespErrors.refused(RespErrors.RefusalReason.LIMIT, OVER_LIMIT_RETRY_AFTER_MS));
+            return;
+        }
+        if (mustCloseIdle()) {
+            // A client that pipelines would keep its connection, and with it the process, from ever ending.
+            ((Resp) message).release();
+            refuseAndClose(RespErrors.refused(RespErrors.RefusalReason.NOTHING_RAN, 0));
             return;
         }
         Intake<Content> intake = frontend.intake();
@@ -439,6 +443,13 @@
         processBacklog();
     }
 
+    /** Refuses a command, of which nothing has run, as the connection's last one. */
+    private void refuseAndClose(Resp.Err error) {
+        frontend.intake().countRejected(null);
+        requestStarted();
+        replyAndClose(error);
+    }
+
     /** Sends the connection's last reply. Further input is not processed. */
     private void replyAndClose(Resp.Err error) {
         closing = true;
--- a/gateway/src/test/java/ridgemill/gateway/RespTest.java
+++ b/gateway/src/test/java/ridgemill/gateway/RespTest.java
@@ -246,6 +246,33 @@
         }
     }
 
+    /**
+     * Guards against commands that are cut off by the end of the process: a connection on which a reply was always due
+     * was never closed, so that a stopping proxy went on taking commands until it was killed.
+     */
+    @Test
+    void commandOfABusyConnectionIsRefusedOnceTheDrainHasEnded() throws Exception {
+        start("", "");
+        try (RespClient client = client()) {
+            client.send("GET a");
+            RespNode.Asked due = node().next();
+            site.service.beginDrain();
+            client.send("GET b");
+            RespNode.Asked inTime = node().next();
+            site.service.endDrain();
+            site.service.status();
+            client.send("GET c");
+            assertTrue(node().heardNothing());
+            due.value("va");
+            inTime.value("vb");
+            assertEquals("$<va>", client.read());
+            assertEquals("$<vb>", client.read());
+            assertEquals("-<TRYAGAIN refused and nothing ran>", client.read());
+            assertNull(client.read(), "the connection ends");
+            site.service.awaitEnd();
+        }
+    }
+
     private String pingOnAnother() throws IOException {
         try (RespClient other = client()) {
             return other.ask("PING");
