Registry: answers the calls in progress before it ends

Operators and instances saw calls end without an answer when a registry got SIGTERM: it stopped listening and ended at once.

It now closes connections without a call, answers what is in progress (each call ends within 0.9 s), gives 503 to a call that has arrived in part and comes whole later, and ends once nothing is open, after a second at the latest. Serving on as edge proxies do was ruled out: callers go on to another registry, and this one has not to wait for a platform.

--- a/cdn/src/main/java/ridgemill/cdn/app/Process.java
+++ b/cdn/src/main/java/ridgemill/cdn/app/Process.java
@@ -54,22 +54,22 @@
     void runRegistry() {
         RegistryProgram registry = new RegistryProgram(settings, loop, sockets, clock);
         startProgram(registry::start);
-        onSignals(() -> {
-            registry.stop();
-            exit();
-        });
+        onSignals(() -> registry.drain(() -> exitAfter(registry::stop)));
     }
 
     void runStore() {
         StoreProgram store = new StoreProgram(settings, loop, sockets, clock);
         startProgram(() -> store.start().join());
-        onSignals(() -> store.leave(() -> {
-            Thread ending = new Thread(() -> {
-                store.stop();
-                exit();
-            });
-            ending.start();
-        }));
+        onSignals(() -> store.leave(() -> exitAfter(store::stop)));
+    }
+
+    /** Stops a program, which blocks, outside the event loop and ends the process. */
+    private static void exitAfter(Runnable stop) {
+        Thread ending = new Thread(() -> {
+            stop.run();
+            exit();
+        });
+        ending.start();
     }
 
     /**
--- a/cdn/src/main/java/ridgemill/cdn/http/SimpleHttpServer.java
+++ b/cdn/src/main/java/ridgemill/cdn/http/SimpleHttpServer.java
@@ -6,6 +6,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -19,6 +20,9 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
 import java.util.function.Consumer;
 import ridgemill.cdn.net.ServerBootstraps;
 import ridgemill.gateway.net.SocketKind;
@@ -31,9 +35,13 @@
 
     private static final int BACKLOG = 512;
 
+    private final SocketKind sockets;
+    private final Connections connections;
     private final Channel listener;
 
-    private SimpleHttpServer(Channel listener) {
+    private SimpleHttpServer(SocketKind sockets, Connections connections, Channel listener) {
+        this.sockets = sockets;
+        this.connections = connections;
         this.listener = listener;
     }
 
@@ -77,17 +85,20 @@
     public static SimpleHttpServer listen(
             EventLoopGroup loop, SocketKind sockets, InetSocketAddress address, Consumer<Request> handler) {
         CallMemory memory = new CallMemory(Runtime.getRuntime().maxMemory());
-        ServerBootstrap bootstrap = ServerBootstraps.create(
-                loop,
-                sockets,
-                BACKLOG,
-                channel -> channel.pipeline()
-                        .addLast(
-                                new HttpServerCodec(),
-                                new CallAdmission(memory, MAX_BODY_BYTES),
-                                new HttpObjectAggregator(MAX_BODY_BYTES),
-                                new Handler(handler)));
+        Connections connections = new Connections();
+        ServerBootstrap bootstrap = ServerBootstraps.create(loop, sockets, BACKLOG, channel -> {
+            Handler connection = new Handler(handler, connections);
+            channel.pipeline()
+                    .addLast(
+                            new ArrivalTracker(connection),
+                            new HttpServerCodec(),
+                            new CallAdmission(memory, MAX_BODY_BYTES),
+                            new HttpObjectAggregator(MAX_BODY_BYTES),
+                            connection);
+        });
         return new SimpleHttpServer(
+                sockets,
+                connections,
                 bootstrap.bind(address).syncUninterruptibly().channel());
     }
 
@@ -101,17 +112,88 @@
         listener.close();
     }
 
+    /**
+     * Stops accepting connections and closes those without a request. Requests in progress are answered; later ones get
+     * 503 and do not reach the handler. Called on the event loop.
+     */
+    public void drain() {
+        sockets.takeWaiting(listener);
+        listener.close();
+        connections.draining = true;
+        List.copyOf(connections.open).forEach(Handler::closeIfIdle);
+    }
+
+    /** Whether no request is in progress or has arrived in part. Called on the event loop. */
+    public boolean isIdle() {
+        return connections.open.stream().allMatch(Handler::isIdle);
+    }
+
+    /** The connections of a server. Used on the event loop. */
+    private static final class Connections {
+
+        private final Set<Handler> open = new HashSet<>();
+        private boolean draining;
+    }
+
+    /** Tells the connection that bytes have arrived, before they are decoded. */
+    private static final class ArrivalTracker extends ChannelInboundHandlerAdapter {
+
+        private final Handler connection;
+
+        ArrivalTracker(Handler connection) {
+            this.connection = connection;
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            connection.receiving = true;
+            context.fireChannelRead(message);
+        }
+    }
+
     private static final class Handler extends SimpleChannelInboundHandler<FullHttpRequest> {
 
         private final Consumer<Request> handler;
+        private final Connections connections;
+        private ChannelHandlerContext context;
+        private boolean receiving;
+        private int unanswered;
 
-        Handler(Consumer<Request> handler) {
+        Handler(Consumer<Request> handler, Connections connections) {
             this.handler = handler;
+            this.connections = connections;
+        }
+
+        @Override
+        public void handlerAdded(ChannelHandlerContext added) {
+            context = added;
+            connections.open.add(this);
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext inactive) {
+            connections.open.remove(this);
+        }
+
+        boolean isIdle() {
+            return !receiving && unanswered == 0;
+        }
+
+        void closeIfIdle() {
+            if (isIdle()) {
+                context.close();
+            }
         }
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
             boolean keepAlive = HttpUtil.isKeepAlive(request);
+            receiving = false;
+            unanswered++;
+            if (connections.draining) {
+                respond(context, Response.empty(HttpResponseStatus.SERVICE_UNAVAILABLE.code()), false);
+                return;
+            }
             if (!request.decoderResult().isSuccess()) {
                 respond(context, Response.empty(HttpResponseStatus.BAD_REQUEST.code()), false);
                 return;
@@ -130,7 +212,7 @@
             return query < 0 ? uri : uri.substring(0, query);
         }
 
-        private static void respond(ChannelHandlerContext context, Response response, boolean keepAlive) {
+        private void respond(ChannelHandlerContext context, Response response, boolean keepAlive) {
             FullHttpResponse httpResponse = new DefaultFullHttpResponse(
                     HttpVersion.HTTP_1_1,
                     HttpResponseStatus.valueOf(response.status()),
@@ -139,13 +221,15 @@
             if (response.body().length > 0) {
                 httpResponse.headers().set(HttpHeaderNames.CONTENT_TYPE, response.contentType());
             }
-            if (keepAlive) {
-                context.writeAndFlush(httpResponse);
+            if (keepAlive && !connections.draining) {
+                context.writeAndFlush(httpResponse).addListener(done -> unanswered--);
                 context.channel().config().setAutoRead(true);
                 context.read();
             } else {
                 httpResponse.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-                context.writeAndFlush(httpResponse).addListener(ChannelFutureListener.CLOSE);
+                context.writeAndFlush(httpResponse)
+                        .addListener(done -> unanswered--)
+                        .addListener(ChannelFutureListener.CLOSE);
             }
         }
 
--- a/cdn/src/main/java/ridgemill/cdn/registry/RegistryProgram.java
+++ b/cdn/src/main/java/ridgemill/cdn/registry/RegistryProgram.java
@@ -29,6 +29,11 @@
     /** The timeout of a call to the stores, in milliseconds. Clients move on to another registry after one second. */
     private static final long STORE_TIMEOUT_MS = 900;
 
+    /** How long calls in progress delay the end of the process, in milliseconds; each ends sooner. */
+    private static final long DRAIN_TIMEOUT_MS = 1_000;
+
+    private static final long DRAIN_CHECK_INTERVAL_MS = 20;
+
     private final Settings settings;
     private final EventLoop loop;
     private final SocketKind sockets;
@@ -43,6 +48,7 @@
     private final InstanceReports reports;
     private SimpleHttpServer controlServer;
     private LinkServer linkServer;
+    private boolean draining;
 
     /** Creates a registry that is started by {@link #start}. */
     public RegistryProgram(Settings settings, EventLoop loop, SocketKind sockets, Clock clock) {
@@ -105,6 +111,29 @@
         }
     }
 
+    /**
+     * Shuts down gracefully: answers the calls in progress, refuses later ones, and then runs the task on the event
+     * loop once.
+     */
+    public void drain(Runnable exitTask) {
+        loop.execute(() -> {
+            if (draining) {
+                return;
+            }
+            draining = true;
+            controlServer.drain();
+            exitWhenIdle(exitTask, clock.now() + DRAIN_TIMEOUT_MS);
+        });
+    }
+
+    private void exitWhenIdle(Runnable exitTask, double latestMs) {
+        if (controlServer.isIdle() || clock.now() >= latestMs) {
+            exitTask.run();
+        } else {
+            loop.schedule(() -> exitWhenIdle(exitTask, latestMs), DRAIN_CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
     /** Stops accepting requests and links and closes the disk. Blocks, so it must not be called on the event loop. */
     public void stop() {
         controlServer.close();
--- a/cdn/src/test/java/ridgemill/cdn/registry/RegistryCluster.java
+++ b/cdn/src/test/java/ridgemill/cdn/registry/RegistryCluster.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -31,6 +32,7 @@
 import ridgemill.cdn.wire.RegistryMessages;
 import ridgemill.cdn.wire.StoreMessages;
 import ridgemill.gateway.net.Clock;
+import ridgemill.gateway.net.LoopGroup;
 import ridgemill.gateway.net.SocketKind;
 
 /** Runs three registries on loopback addresses, with requests to them and stub proxies that subscribe to them. */
@@ -84,7 +86,7 @@
     }
 
     /** A registry with an event loop of its own, so that it can be killed with all its connections. */
-    private record Running(RegistryProgram program, MultiThreadIoEventLoopGroup loop) {
+    private record Running(RegistryProgram program, LoopGroup loop) {
 
         void kill() {
             loop.shutdownGracefully(0, WAIT_MS, TimeUnit.MILLISECONDS).syncUninterruptibly();
@@ -101,6 +103,13 @@
         running.remove(index).kill();
     }
 
+    /** Stops a registry gracefully, and ends it without further notice as soon as it may end. */
+    CompletableFuture<Void> drainAndKill(int index) {
+        CompletableFuture<Void> drained = new CompletableFuture<>();
+        running.get(index).program().drain(() -> drained.complete(null));
+        return drained.thenRunAsync(() -> kill(index));
+    }
+
     /** Starts a registry again that was killed; its stub store has gone on. */
     void restart(int index) {
         startRegistry(index, false);
@@ -116,7 +125,7 @@
     }
 
     private void startRegistry(int index, boolean firstStart) {
-        MultiThreadIoEventLoopGroup loop = new MultiThreadIoEventLoopGroup(1, SocketKind.NIO.handlers());
+        LoopGroup loop = new LoopGroup(1, SocketKind.NIO.handlers());
         DepartureDisk disk = disks.getOrDefault(index, DepartureDisk.NONE);
         RegistryProgram program =
                 new RegistryProgram(settings(index, firstStart), loop.next(), SocketKind.NIO, new Clock(), disk);
@@ -174,11 +183,20 @@
 
     /** Sends a heartbeat of an instance to a registry and returns the response status. */
     int heartbeat(int index, String id, String state, long sequence) throws IOException, InterruptedException {
-        String body = """
+        return call(index, "PUT", id, heartbeatOf(id, state, sequence));
+    }
+
+    /** Sends a heartbeat of an instance to a registry without waiting for the response status. */
+    CompletableFuture<Integer> heartbeatAsync(int index, String id, String state, long sequence) {
+        HttpRequest request = request(index, "PUT", id, heartbeatOf(id, state, sequence));
+        return http.sendAsync(request, HttpResponse.BodyHandlers.discarding()).thenApply(HttpResponse::statusCode);
+    }
+
+    private static String heartbeatOf(String id, String state, long sequence) {
+        return """
                 {"address":"127.0.0.9:%d","information":{"service":"s","version":"v","zone":"z","slotCount":4},
                 "status":{"state":"%s","sequence":%d,"coldRemaining":"0ms"}}
                 """.formatted(Math.floorMod(id.hashCode(), 10_000) + 1, state, sequence);
-        return call(index, "PUT", id, body);
     }
 
     /** Sends the departure of an instance to a registry and returns the response status. */
@@ -187,11 +205,14 @@
     }
 
     private int call(int index, String method, String id, String body) throws IOException, InterruptedException {
-        HttpRequest request = HttpRequest.newBuilder(
-                        URI.create("http://" + control(index) + "/ridgemill/instances/" + id))
+        HttpRequest request = request(index, method, id, body);
+        return http.send(request, HttpResponse.BodyHandlers.discarding()).statusCode();
+    }
+
+    private HttpRequest request(int index, String method, String id, String body) {
+        return HttpRequest.newBuilder(URI.create("http://" + control(index) + "/ridgemill/instances/" + id))
                 .method(method, HttpRequest.BodyPublishers.ofString(body))
                 .build();
-        return http.send(request, HttpResponse.BodyHandlers.discarding()).statusCode();
     }
 
     /** Creates a stub proxy that subscribes to a registry. */
--- a/cdn/src/test/java/ridgemill/cdn/registry/RegistryProgramTest.java
+++ b/cdn/src/test/java/ridgemill/cdn/registry/RegistryProgramTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -105,6 +106,22 @@
                 .isBetween(CONFIRM_TIMEOUT_MS - 50, 5 * CONFIRM_TIMEOUT_MS);
     }
 
+    /** A registry that got SIGTERM ended at once and left calls in progress without an answer. */
+    @Test
+    void aCallInProgressIsAnsweredBeforeTheRegistryEnds() throws Exception {
+        cluster.startAll();
+        cluster.proxy(0, "p", false).snapshot();
+        awaitLinks();
+        RegistryCluster.Proxy remoteProxy = cluster.proxy(1, "q", true);
+        remoteProxy.snapshot();
+        CompletableFuture<Integer> status = cluster.heartbeatAsync(0, "i", "ready", 1);
+        remoteProxy.awaitUpdate(update -> findInstance(update) != null);
+        assertThat(status).as("waits for the proxy's acknowledgement").isNotDone();
+        CompletableFuture<Void> ended = cluster.drainAndKill(0);
+        assertThat(status.get(5, TimeUnit.SECONDS)).isEqualTo(OK);
+        ended.get(5, TimeUnit.SECONDS);
+    }
+
     @Test
     void aChangeWithoutAMajorityIsNotAcknowledged() throws Exception {
         cluster.start(0, true);
