Edge proxy: a drain reads what waits in the sockets before it closes idle connections

Cause: DataPath.closeIdleConnections closed each connection on which nothing had been read. A connection that the loop accepts in one pass over its sockets is read in the next one, and the drain may run between the two; after a pause of the process any connection may have a complete request waiting. The client lost its connection without an answer.

Change: idle connections are closed by a task that is scheduled without delay, which the loop runs only after its next pass over its sockets. The check for the end runs after it.

Ruled out: closing after a fixed time, which a pause would outlast; and reading each socket by hand, which Netty's NIO sockets don't offer.

Tests: DrainTest.requestThatWaitsUnreadOnANewConnectionIsServed and ...OnAnIdleConnectionIsServed hold the loop while the request is sent; both failed before with the same exception. GracefulShutdownTest raced by itself too: its connection was opened while the drain was due, and without a byte it may be closed.

--- a/cdn/src/main/java/ridgemill/cdn/proxy/DataPath.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/DataPath.java
@@ -6,6 +6,7 @@
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import ridgemill.cdn.config.Limits;
 import ridgemill.cdn.edge.DrainWindow;
 import ridgemill.cdn.edge.RefusalReason;
@@ -163,8 +164,15 @@
         closeIdleConnections();
     }
 
-    /** Closes the connections on which no request has begun to arrive. */
+    /**
+     * Closes the connections on which no request has begun to arrive. A request that is waiting in a socket is read
+     * first: the event loop runs a scheduled task only after it has read its sockets.
+     */
     public void closeIdleConnections() {
+        context.loop().schedule(this::closeIdleNow, 0, TimeUnit.NANOSECONDS);
+    }
+
+    private void closeIdleNow() {
         for (ClientConnection client : clients.snapshot()) {
             client.closeIfIdle();
         }
--- a/cdn/src/main/java/ridgemill/cdn/proxy/GracefulShutdown.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/GracefulShutdown.java
@@ -67,7 +67,7 @@
 
     private void closeIdle() {
         dataPath.closeIdleConnections();
-        endWhenIdle();
+        runAt(CHECK_INTERVAL_MS, this::endWhenIdle);
     }
 
     private void endWhenIdle() {
--- a/cdn/src/test/java/ridgemill/cdn/proxy/DrainTest.java
+++ b/cdn/src/test/java/ridgemill/cdn/proxy/DrainTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -38,7 +39,7 @@
     }
 
     private void drain() throws Exception {
-        proxy.onLoop(() -> proxy.dataPath.drain(OPEN_MS, END_MS));
+        proxy.drain(OPEN_MS, END_MS);
     }
 
     private boolean isIdle() throws Exception {
@@ -139,6 +140,47 @@
         assertThat(rested.isClosed()).isTrue();
     }
 
+    /** Guards against a request of a new connection that is closed unread, as the drain begins just then. */
+    @Test
+    void requestThatWaitsUnreadOnANewConnectionIsServed() throws Exception {
+        CountDownLatch sent = new CountDownLatch(1);
+        proxy.loop.execute(() -> {
+            awaitOnLoop(sent);
+            // Runs after the next pass over the sockets, which accepts the connection and does not read it.
+            proxy.loop.schedule(() -> proxy.dataPath.drain(OPEN_MS, END_MS), 0, TimeUnit.NANOSECONDS);
+        });
+        ProxyFixture.Client client = proxy.client();
+        client.send(head("/n/1", 0, ""));
+        sent.countDown();
+        assertThat(client.read().body()).isEqualTo("done");
+        assertThat(client.isClosed()).isTrue();
+    }
+
+    /** Guards against a request that is closed unread because the process was busy or stood still. */
+    @Test
+    void requestThatWaitsUnreadOnAnIdleConnectionIsServed() throws Exception {
+        ProxyFixture.Client client = proxy.client();
+        client.send(head("/n/1", 0, ""));
+        assertThat(client.read().body()).isEqualTo("done");
+        CountDownLatch sent = new CountDownLatch(1);
+        proxy.loop.execute(() -> {
+            awaitOnLoop(sent);
+            proxy.dataPath.drain(OPEN_MS, END_MS);
+        });
+        client.send(head("/n/2", 0, ""));
+        sent.countDown();
+        assertThat(client.read().body()).isEqualTo("done");
+        assertThat(client.isClosed()).isTrue();
+    }
+
+    private static void awaitOnLoop(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
     @Test
     void processIsNotIdleWhileARequestArrives() throws Exception {
         drain();
--- a/cdn/src/test/java/ridgemill/cdn/proxy/GracefulShutdownTest.java
+++ b/cdn/src/test/java/ridgemill/cdn/proxy/GracefulShutdownTest.java
@@ -28,6 +28,7 @@
         proxy.close();
     }
 
+    /** Starts the shutdown, and waits until the drain has begun and has closed the connections that are idle. */
     private void shutDown(long acceptUntilMs, long openUntilMs, long endMs) throws Exception {
         GracefulShutdown.Schedule schedule = new GracefulShutdown.Schedule(0, acceptUntilMs, openUntilMs, endMs);
         proxy.onLoop(() -> new GracefulShutdown(proxy.loop, proxy.dataPath, schedule, () -> {
@@ -35,6 +36,8 @@
                     ended.countDown();
                 })
                 .start());
+        proxy.awaitDueTasks();
+        proxy.awaitDueTasks();
     }
 
     private boolean awaitEnd() throws InterruptedException {
--- a/cdn/src/test/java/ridgemill/cdn/proxy/ProxyFixture.java
+++ b/cdn/src/test/java/ridgemill/cdn/proxy/ProxyFixture.java
@@ -13,6 +13,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import ridgemill.cdn.config.Destination;
 import ridgemill.cdn.config.Limits;
 import ridgemill.cdn.config.Route;
@@ -156,6 +158,19 @@
         loop.submit(task).sync();
     }
 
+    /** Starts draining, and waits until the connections that are idle have been closed. */
+    void drain(double openMs, double endMs) throws Exception {
+        onLoop(() -> dataPath.drain(openMs, endMs));
+        awaitDueTasks();
+    }
+
+    /** Waits until the tasks that are due on the event loop have run, but not those that they schedule. */
+    void awaitDueTasks() throws Exception {
+        CountDownLatch done = new CountDownLatch(1);
+        loop.execute(() -> loop.schedule(done::countDown, 0, TimeUnit.NANOSECONDS));
+        done.await();
+    }
+
     /** Creates components of their own for the classes below the data path; used on the event loop. */
     ProxyContext newContext() {
         return new ProxyContext(
@@ -237,6 +252,6 @@
         for (StubInstance instance : instances) {
             instance.close();
         }
-        group.shutdownGracefully(0, 1, java.util.concurrent.TimeUnit.SECONDS).syncUninterruptibly();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
     }
 }
