Single proxy: the end of the drain reads what waits in the sockets first

Connections are now closed by a task that runs after the next pass over the sockets. RESP commands are refused from the start of that step as before (ClientTable.startClosingIdle), with "nothing ran".

DrainTest.requestThatWaitsUnreadOnAnIdleConnectionIsAnswered failed before (no answer, timeout).

--- a/gateway/src/main/java/ridgemill/gateway/Service.java
+++ b/gateway/src/main/java/ridgemill/gateway/Service.java
@@ -698,11 +698,17 @@
     void endDrain() {
         loop.execute(() -> {
             stopListening();
-            clients.closeIdleConnections();
-            shutDownWhenIdle();
+            clients.startClosingIdle();
+            // Requests that wait in a socket are read first: the loop runs a scheduled task only after its sockets.
+            loop.schedule(this::closeIdleConnections, 0, TimeUnit.NANOSECONDS);
         });
     }
 
+    private void closeIdleConnections() {
+        clients.closeIdleConnections();
+        shutDownWhenIdle();
+    }
+
     /**
      * Status of a running proxy: counts of requests and their results since the start, and current values.
      *
--- a/gateway/src/main/java/ridgemill/gateway/front/ClientTable.java
+++ b/gateway/src/main/java/ridgemill/gateway/front/ClientTable.java
@@ -122,9 +122,13 @@
         return draining;
     }
 
-    /** Closes connections without a request, now and from now on. */
-    public void closeIdleConnections() {
+    /** Closes a connection that has answered its last request, from now on. */
+    public void startClosingIdle() {
         closingIdle = true;
+    }
+
+    /** Closes the connections without a request. */
+    public void closeIdleConnections() {
         List.copyOf(connections).forEach(ClientConnection::closeIfIdle);
     }
 
--- a/gateway/src/test/java/ridgemill/gateway/DrainTest.java
+++ b/gateway/src/test/java/ridgemill/gateway/DrainTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 
+import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -51,4 +52,32 @@
             site.service.awaitEnd();
         }
     }
+
+    /** Guards against a request that is closed unread because the process was busy or stood still. */
+    @Test
+    @Timeout(Peer.PATIENCE_S)
+    void requestThatWaitsUnreadOnAnIdleConnectionIsAnswered() throws Exception {
+        try (Peer.Wire client = site.client()) {
+            client.write("GET /up HTTP/1.1\r\nHost: s\r\n\r\n");
+            client.read();
+            CountDownLatch sent = new CountDownLatch(1);
+            site.service.beginDrain();
+            site.service.loop().execute(() -> awaitOnLoop(sent));
+            site.service.endDrain();
+            client.write(site.get(Site.LONG_S));
+            sent.countDown();
+            site.node.next().wire().answer(200, "v");
+            String answer = client.read();
+            assertEquals(200, Site.status(answer));
+            assertEquals("close", new Peer.Message(answer, client).header("Connection"));
+        }
+    }
+
+    private static void awaitOnLoop(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
 }
