Store: only the seeds of the system's first start form a cluster

Cause: AgreementNode formed the first voter set as soon as all seeds of the present settings were empty. Seeds follow the operator's list and may be this store alone; firstStart was read and not used.

Change: the founders are the seeds of the first start.

Ruled out: forming only while firstStart is set, as a kill of all during the formation would leave a system that never forms; comparing the descent of states, as the empty answer would still be given.

StoreProgramTest.aStoreThatLostItsDiskFoundsNoClusterOfItsOwn fails before.

--- a/bench/src/main/java/ridgemill/bench/ChangeCost.java
+++ b/bench/src/main/java/ridgemill/bench/ChangeCost.java
@@ -55,7 +55,7 @@
 
     private void measure(int items) throws Exception {
         for (String host : HOSTS) {
-            NodeSettings settings = new NodeSettings(new Voter(host, "d"), "life-" + host, host, true, HOSTS, 1);
+            NodeSettings settings = new NodeSettings(new Voter(host, "d"), "life-" + host, host, true, HOSTS, HOSTS, 1);
             AgreementNode node = new AgreementNode(settings, new Direct(), new ConfigurationRules());
             nodes.put(host, node);
             node.start(AcceptorRecord.EMPTY, nowMs);
--- a/cdn-core/src/main/java/ridgemill/cdn/agreement/AgreementNode.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/agreement/AgreementNode.java
@@ -278,7 +278,7 @@
         view.decide(status.decided());
         stalledDisks.record(status.from(), status.accepted(), view.decided(), nowMs);
         decideIfMajorityAccepted(nowMs);
-        bootstrapIfSeedsAreEmpty(nowMs);
+        bootstrapIfFoundersAreEmpty(nowMs);
     }
 
     /**
@@ -302,12 +302,14 @@
     }
 
     /**
-     * Makes the seeds the first voters, once all of them have reported that they hold no decided state. Each store has
-     * its disk's identifier on disk before it reports that, so a crash at any moment leaves either an empty disk or one
-     * that can continue.
+     * Makes the founders the first voters, once all of them have reported that they hold no decided state. The founders
+     * are the seeds of the first start of the whole system, whatever the settings name later: other stores, or this one
+     * alone, may have lost what was decided. Each store has its disk's identifier on disk before it reports anything,
+     * so a crash at any moment leaves either an empty disk or one that can continue.
      */
-    private void bootstrapIfSeedsAreEmpty(double nowMs) {
-        if (acceptor.state().id().revision() > 0 || !peers.seeds().contains(self.address())) {
+    private void bootstrapIfFoundersAreEmpty(double nowMs) {
+        List<String> founderAddresses = settings.founders();
+        if (acceptor.state().id().revision() > 0 || !founderAddresses.contains(self.address())) {
             return;
         }
         List<Voter> founders = new ArrayList<>();
@@ -316,11 +318,11 @@
             if (status.accepted().revision() > 0 || status.voters().epoch() > 1) {
                 return;
             }
-            if (peers.seeds().contains(status.from().address())) {
+            if (founderAddresses.contains(status.from().address())) {
                 founders.add(status.from());
             }
         }
-        if (founders.size() < peers.seeds().size()) {
+        if (founders.size() < founderAddresses.size()) {
             return;
         }
         founders.sort(null);
@@ -446,7 +448,7 @@
         source.tick(nowMs);
         pull.tick(nowMs);
         leadership.tick(nowMs);
-        bootstrapIfSeedsAreEmpty(nowMs);
+        bootstrapIfFoundersAreEmpty(nowMs);
         pullIfBehind(nowMs);
         startElectionIfLeaderless(nowMs);
         planVoters(nowMs);
--- a/cdn-core/src/test/java/ridgemill/cdn/agreement/ClusterSimulation.java
+++ b/cdn-core/src/test/java/ridgemill/cdn/agreement/ClusterSimulation.java
@@ -108,7 +108,7 @@
 
         Machine(String address) {
             this.address = address;
-            this.disk = new SimulatedDisk("disk-" + ++diskCount);
+            this.disk = new SimulatedDisk("disk-" + ++diskCount, nowMs == 0 ? seeds : List.of());
         }
 
         void start() {
@@ -134,7 +134,7 @@
 
         void replaceDisk() {
             boolean keepsDiskId = mutation == Mutation.WIPED_ONE_VOTES;
-            disk = new SimulatedDisk(keepsDiskId ? disk.diskId : "disk-" + ++diskCount);
+            disk = new SimulatedDisk(keepsDiskId ? disk.diskId : "disk-" + ++diskCount, List.of());
         }
 
         void unfreeze() {
@@ -162,7 +162,13 @@
             Voter self = new Voter(machine.address, disk.diskId);
             String incarnationId = mutation == Mutation.BALLOT_REUSED ? "same" : "life-" + ++eventCount;
             NodeSettings settings = new NodeSettings(
-                    self, incarnationId, "zone-" + machine.address, true, currentSeeds(), toleratedLosses);
+                    self,
+                    incarnationId,
+                    "zone-" + machine.address,
+                    true,
+                    currentSeeds(),
+                    disk.founders,
+                    toleratedLosses);
             node = new AgreementNode(settings, this, new UniquePlaceRules(mutation));
         }
 
--- a/cdn-core/src/test/java/ridgemill/cdn/agreement/PromiseDurabilityTest.java
+++ b/cdn-core/src/test/java/ridgemill/cdn/agreement/PromiseDurabilityTest.java
@@ -17,7 +17,7 @@
     private static final List<String> SEEDS = List.of("10.0.0.1", "10.0.0.2", "10.0.0.3");
 
     private final List<AgreementMessage> sent = new ArrayList<>();
-    private final SimulatedDisk disk = new SimulatedDisk(SELF.diskId());
+    private final SimulatedDisk disk = new SimulatedDisk(SELF.diskId(), SEEDS);
 
     private final AgreementEnvironment environment = new AgreementEnvironment() {
         @Override
@@ -41,7 +41,7 @@
     };
 
     private AgreementNode startNode(String incarnationId) {
-        NodeSettings settings = new NodeSettings(SELF, incarnationId, "z", true, SEEDS, 1);
+        NodeSettings settings = new NodeSettings(SELF, incarnationId, "z", true, SEEDS, SEEDS, 1);
         AgreementNode node =
                 new AgreementNode(settings, environment, new ClusterSimulation.UniquePlaceRules(Mutation.NONE));
         node.start(disk.read(), 0);
--- a/cdn-core/src/test/java/ridgemill/cdn/agreement/SimulatedDisk.java
+++ b/cdn-core/src/test/java/ridgemill/cdn/agreement/SimulatedDisk.java
@@ -15,6 +15,9 @@
     private record Write(AcceptorRecord accepted, KeyRecord key, Runnable durable) {}
 
     final String diskId;
+    /** The founders that are kept with the identifier; empty unless the disk was there at the first start. */
+    final List<String> founders;
+
     private final Deque<Write> pending = new ArrayDeque<>();
     private final Map<ItemName, VersionedItem> items = new TreeMap<>();
     final Map<String, KeyRecord> keys = new TreeMap<>();
@@ -22,8 +25,9 @@
     /** Whether the disk writes nothing at present. */
     boolean stalled;
 
-    SimulatedDisk(String diskId) {
+    SimulatedDisk(String diskId, List<String> founders) {
         this.diskId = diskId;
+        this.founders = founders;
     }
 
     void write(AcceptorRecord record, KeyRecord key, Runnable durable) {
--- a/cdn/src/main/java/ridgemill/cdn/store/JournalDisk.java
+++ b/cdn/src/main/java/ridgemill/cdn/store/JournalDisk.java
@@ -30,7 +30,10 @@
 final class JournalDisk implements StoreDisk {
 
     private static final System.Logger LOG = System.getLogger(JournalDisk.class.getName());
-    private static final long FORMAT_VERSION = 2;
+    private static final long FORMAT_VERSION = 3;
+    /** The oldest format that is read; it has no founders. */
+    private static final long FORMAT_WITHOUT_FOUNDERS = 2;
+
     private static final String FILE_PREFIX = "journal-";
     /** The journal is rewritten once it exceeds its first frame by this many bytes. */
     private static final long MAX_GROWTH_BYTES = 16L << 20;
@@ -40,6 +43,7 @@
     private final Map<ItemName, VersionedItem> items = new TreeMap<>();
     private final Map<String, KeyRecord> records = new HashMap<>();
     private String diskId;
+    private List<String> founders = List.of();
     private AcceptorRecord accepted = AcceptorRecord.EMPTY;
     private JournalFile journal;
     private long generation;
@@ -105,6 +109,7 @@
         items.clear();
         records.clear();
         diskId = null;
+        founders = List.of();
         accepted = AcceptorRecord.EMPTY;
         for (byte[] frame : opened.frames()) {
             try {
@@ -121,7 +126,7 @@
     }
 
     private StoredState state() {
-        return new StoredState(diskId, fullAcceptorRecord(), List.copyOf(records.values()), false);
+        return new StoredState(diskId, founders, fullAcceptorRecord(), List.copyOf(records.values()), false);
     }
 
     /** Returns the acceptor record with all items. */
@@ -148,6 +153,7 @@
         }
         if (batch.diskId() != null) {
             diskId = batch.diskId();
+            founders = batch.founders();
         }
     }
 
@@ -185,7 +191,8 @@
         Files.deleteIfExists(pathOf(number));
         JournalFile next = JournalFile.open(opener.open(pathOf(number)), Long.hashCode(number))
                 .journal();
-        DiskBatch completeState = new DiskBatch(diskId, fullAcceptorRecord(), List.copyOf(records.values()), List.of());
+        DiskBatch completeState =
+                new DiskBatch(diskId, founders, fullAcceptorRecord(), List.copyOf(records.values()), List.of());
         try {
             byte[] frame = ValueCodec.toBytes(completeState, JournalDisk::writeBatch);
             next.append(frame);
@@ -220,7 +227,7 @@
     }
 
     private static void writeBatch(DiskBatch batch, FieldWriter out) throws IOException {
-        out.number(FORMAT_VERSION).text(batch.diskId()).flag(batch.accepted() != null);
+        out.number(FORMAT_VERSION).text(batch.diskId()).texts(batch.founders()).flag(batch.accepted() != null);
         if (batch.accepted() != null) {
             AcceptorRecord next = batch.accepted();
             out.value(next.promised(), AgreementCodec::writeBallot)
@@ -234,10 +241,11 @@
 
     private static DiskBatch readBatch(FieldReader in) throws IOException {
         long format = in.number();
-        if (format != FORMAT_VERSION) {
+        if (format != FORMAT_VERSION && format != FORMAT_WITHOUT_FOUNDERS) {
             throw new IOException("unknown format version " + format);
         }
         String name = in.text();
+        List<String> storedFounders = format == FORMAT_WITHOUT_FOUNDERS ? List.of() : in.texts();
         AcceptorRecord next = null;
         if (in.flag()) {
             next = new AcceptorRecord(
@@ -247,7 +255,7 @@
                     in.list(AgreementCodec::readVersionedItem),
                     in.flag());
         }
-        return new DiskBatch(name, next, in.list(ValueCodec::readKeyRecord), in.texts());
+        return new DiskBatch(name, storedFounders, next, in.list(ValueCodec::readKeyRecord), in.texts());
     }
 
     @Override
@@ -256,6 +264,7 @@
         items.clear();
         records.clear();
         diskId = null;
+        founders = List.of();
         accepted = AcceptorRecord.EMPTY;
         Path movedFolder = folder.resolveSibling(folder.getFileName() + ".unreadable");
         if (Files.exists(movedFolder)) {
--- a/cdn/src/main/java/ridgemill/cdn/store/PendingChanges.java
+++ b/cdn/src/main/java/ridgemill/cdn/store/PendingChanges.java
@@ -17,6 +17,7 @@
     private final Map<String, KeyRecord> records = new LinkedHashMap<>();
 
     private String diskId;
+    private List<String> founders = List.of();
     private AcceptorRecord accepted;
     private boolean replaces;
 
@@ -26,6 +27,7 @@
         batch.records().forEach(keyRecord -> records.put(keyRecord.key(), keyRecord));
         if (batch.diskId() != null) {
             diskId = batch.diskId();
+            founders = batch.founders();
         }
         if (batch.accepted() != null) {
             accepted = batch.accepted();
@@ -46,6 +48,7 @@
         items.clear();
         records.clear();
         diskId = null;
+        founders = List.of();
         accepted = null;
         replaces = false;
     }
@@ -69,6 +72,6 @@
                         accepted.voters(),
                         List.copyOf(items.values()),
                         replaces);
-        return new DiskBatch(diskId, mergedRecord, keptRecords, removedKeys);
+        return new DiskBatch(diskId, founders, mergedRecord, keptRecords, removedKeys);
     }
 }
--- a/cdn/src/main/java/ridgemill/cdn/store/StoreProgram.java
+++ b/cdn/src/main/java/ridgemill/cdn/store/StoreProgram.java
@@ -107,26 +107,28 @@
             return;
         }
         if (state.diskId() != null) {
-            startServing(state, state.diskId());
+            startServing(state, state.diskId(), state.founders());
             return;
         }
         String diskId = Long.toHexString(ThreadLocalRandom.current().nextLong());
-        disk.submit(DiskBatch.ofDiskId(diskId), written -> {
+        List<String> founders = settings.firstStart() && !state.lost() ? settings.seedHosts() : List.of();
+        disk.submit(DiskBatch.ofDiskId(diskId, founders), written -> {
             if (written) {
-                startServing(state, diskId);
+                startServing(state, diskId, founders);
             } else if (!stopped) {
                 loop.schedule(() -> onDiskOpened(state), DISK_ID_RETRY_DELAY_MS, TimeUnit.MILLISECONDS);
             }
         });
     }
 
-    private void startServing(StoredState state, String diskId) {
+    private void startServing(StoredState state, String diskId, List<String> founders) {
         LOG.log(
                 Level.INFO,
                 "event=disk_opened disk=" + diskId + " epoch="
                         + state.accepted().voters().epoch() + " items="
                         + state.accepted().items().size() + " keys="
-                        + state.records().size() + " lost="
+                        + state.records().size() + " founders="
+                        + founders + " lost="
                         + state.lost());
         NodeSettings node = new NodeSettings(
                 new Voter(settings.ipAddress(), diskId),
@@ -134,6 +136,7 @@
                 settings.zone(),
                 settings.lossCounted(),
                 settings.seedHosts(),
+                founders,
                 settings.toleratedMachines());
         replica.start(state, node, new ConfigurationRules());
         InetSocketAddress address = new InetSocketAddress(settings.ipAddress(), settings.storePort());
--- a/cdn/src/test/java/ridgemill/cdn/store/JournalDiskTest.java
+++ b/cdn/src/test/java/ridgemill/cdn/store/JournalDiskTest.java
@@ -40,7 +40,7 @@
         Random random = new Random(7);
         JournalDisk disk = new JournalDisk(folder.resolve("live"));
         disk.open();
-        disk.write(DiskBatch.ofDiskId("disk"));
+        disk.write(DiskBatch.ofDiskId("disk", List.of()));
         Map<String, byte[]> synced = PowerLoss.contents(folder.resolve("live"));
         for (int commit = 0; commit < COMMITS; commit++) {
             Map<String, byte[]> acknowledged = new HashMap<>(written);
@@ -105,16 +105,17 @@
         Path live = folder.resolve("live");
         JournalDisk disk = new JournalDisk(live);
         disk.open();
-        disk.write(DiskBatch.ofDiskId("a"));
+        disk.write(DiskBatch.ofDiskId("a", List.of()));
         disk.close();
         byte[] old = PowerLoss.contents(live).get("journal-1");
         FaultyDisk faults = new FaultyDisk();
         JournalDisk reopened = new JournalDisk(live, faults);
         reopened.open();
         faults.setFailing(true, false);
-        assertThatThrownBy(() -> reopened.write(DiskBatch.ofDiskId("b"))).isInstanceOf(IOException.class);
+        assertThatThrownBy(() -> reopened.write(DiskBatch.ofDiskId("b", List.of())))
+                .isInstanceOf(IOException.class);
         faults.setFailing(false, false);
-        reopened.write(DiskBatch.ofDiskId("b"));
+        reopened.write(DiskBatch.ofDiskId("b", List.of()));
         reopened.close();
         Files.write(live.resolve("journal-1"), old);
         assertThat(new JournalDisk(live).open().diskId()).isEqualTo("b");
@@ -125,7 +126,7 @@
         Path live = folder.resolve("live");
         JournalDisk disk = new JournalDisk(live);
         disk.open();
-        disk.write(DiskBatch.ofDiskId("a"));
+        disk.write(DiskBatch.ofDiskId("a", List.of()));
         disk.close();
         byte[] whole = PowerLoss.contents(live).get("journal-1");
         Files.write(live.resolve("journal-2"), java.util.Arrays.copyOf(whole, whole.length / 2));
@@ -181,4 +182,17 @@
     private static VersionedItem entry(String name, long version) {
         return VersionedItem.first(new Item(new ItemName(ItemKind.ROUTE, name), version, "{}"));
     }
+
+    @Test
+    void foundersAreKeptWithTheIdentifierThroughARewrite() throws Exception {
+        JournalDisk disk = new JournalDisk(folder.resolve("founders"));
+        disk.open();
+        disk.write(DiskBatch.ofDiskId("disk", List.of("10.0.0.1", "10.0.0.2")));
+        disk.close();
+        disk.write(DiskBatch.NONE);
+        disk.close();
+        StoredState read = new JournalDisk(folder.resolve("founders")).open();
+        assertThat(read.diskId()).isEqualTo("disk");
+        assertThat(read.founders()).containsExactly("10.0.0.1", "10.0.0.2");
+    }
 }
--- a/cdn/src/test/java/ridgemill/cdn/store/StoreCluster.java
+++ b/cdn/src/test/java/ridgemill/cdn/store/StoreCluster.java
@@ -74,7 +74,17 @@
     }
 
     void start(int index, boolean firstStart, StoreDisk disk) {
-        programs[index] = new StoreProgram(settings(index, firstStart), loops, SocketKind.NIO, new Clock(), disk);
+        start(index, settings(index, firstStart, HOSTS), disk);
+    }
+
+    /** Starts a store again whose settings name no other store. */
+    void startAlone(int index) {
+        Settings settings = settings(index, false, List.of(HOSTS.get(index)));
+        start(index, settings, new JournalDisk(folderOf(index).resolve("store")));
+    }
+
+    private void start(int index, Settings settings, StoreDisk disk) {
+        programs[index] = new StoreProgram(settings, loops, SocketKind.NIO, new Clock(), disk);
         programs[index]
                 .start()
                 .orTimeout(CALL_TIMEOUT_MS, TimeUnit.MILLISECONDS)
@@ -104,8 +114,8 @@
         return folder.resolve("machine-" + index);
     }
 
-    private Settings settings(int index, boolean firstStart) {
-        List<String> seeds = HOSTS.stream().map(host -> host + ":1").toList();
+    private Settings settings(int index, boolean firstStart, List<String> seedHosts) {
+        List<String> seeds = seedHosts.stream().map(host -> host + ":1").toList();
         return new Settings(
                 "core-" + index,
                 HOSTS.get(index),
--- a/cdn/src/test/java/ridgemill/cdn/store/StoreProgramTest.java
+++ b/cdn/src/test/java/ridgemill/cdn/store/StoreProgramTest.java
@@ -59,6 +59,26 @@
         assertThat(read(cluster.caller(0))).containsExactly(item);
     }
 
+    /** A store that had lost its disk founded a cluster, and what the others had decided was lost. */
+    @Test
+    void aStoreThatLostItsDiskFoundsNoClusterOfItsOwn() throws Exception {
+        Item item = item("r1", 3);
+        changeUntilConfirmed(cluster.caller(0), item);
+        for (int i = 0; i < StoreCluster.HOSTS.size(); i++) {
+            cluster.stop(i);
+        }
+        cluster.wipe(0);
+        cluster.startAlone(0);
+        StoreCluster.Caller alone = cluster.caller(0);
+        StoreMessages.ItemsRead read =
+                alone.call(id -> new StoreMessages.ReadItems(id, true, BUDGET_MS), StoreMessages.ItemsRead.class);
+        assertThat(read.outcome()).isNotEqualTo(ChangeResult.Outcome.CONFIRMED);
+        assertThat(change(alone, true, item("r2", 1)).outcome()).isNotEqualTo(ChangeResult.Outcome.CONFIRMED);
+        cluster.start(1, false);
+        cluster.start(2, false);
+        assertThat(read(cluster.caller(1))).containsExactly(item);
+    }
+
     @Test
     void itemsReachTheOtherStoresAndTheirSubscribers() throws Exception {
         StoreCluster.Caller subscriber = cluster.caller(1);
