Object fetches end at their deadline

Cause: ObjectFetcher gave a fetch a deadline that was checked before an attempt and never during one. A shared cache's call has no response timeout, as the edge proxy retries; the fetch was cancelled only when the last waiting request ran out of time there, and each later request joined it.

Change: a timer ends the fetch at its deadline (the route's timeout from its start, which the instance is told). The call is cancelled and counts as silent; requests that have time left fetch again.

Ruled out: not joining an old fetch (two fetches of one object load a slow origin twice), and a response timeout as for retries (the edge proxy has one, and both together multiply the attempts).

--- a/cdn/src/main/java/ridgemill/cdn/proxy/ObjectFetch.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/ObjectFetch.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import ridgemill.cdn.edge.CachedObject;
+import ridgemill.core.Timers;
 
 /**
  * A fetch of one object in progress and the requests that wait for it. A refresh-ahead fetch starts without a waiting
@@ -19,6 +20,7 @@
     private final List<CachedExchange> waiters = new ArrayList<>(2);
     private final List<PurgedTag> purgedTags = new ArrayList<>(0);
     private UpstreamCall call;
+    private Timers.Timer deadlineTimer;
     private boolean purged;
 
     /**
@@ -53,6 +55,22 @@
         call = newCall;
     }
 
+    /** Sets the timer that ends this fetch; it stops with the fetch. */
+    void setDeadlineTimer(Timers.Timer timer) {
+        deadlineTimer = timer;
+    }
+
+    void stopDeadlineTimer() {
+        if (deadlineTimer != null) {
+            deadlineTimer.cancel();
+        }
+    }
+
+    /** Cancels the call because its time has run out. */
+    void cancelCallAtDeadline() {
+        call.cancel(true);
+    }
+
     /** Whether the fetched copy had been fetched earlier by another process. */
     boolean isFromOtherProcess(CachedObject copy) {
         return copy.fetchStartedMs() < startedMs;
--- a/cdn/src/main/java/ridgemill/cdn/proxy/ObjectFetcher.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/ObjectFetcher.java
@@ -127,9 +127,20 @@
                 deadlineMs,
                 result -> callEnded(fetch, exchange, outgoing, deadlineMs, viaSharedCaches, result));
         fetch.setCall(call);
+        fetch.setDeadlineTimer(context.timers().scheduleAt(deadlineMs, () -> deadlinePassed(fetch)));
         return call;
     }
 
+    /**
+     * Ends a fetch that was not answered in time. Requests that wait for it and have time left fetch again; without an
+     * end they would join it for as long as the instance is silent.
+     */
+    private void deadlinePassed(ObjectFetch fetch) {
+        boolean mayHaveRun = fetch.mayHaveRun();
+        fetch.cancelCallAtDeadline();
+        fetchEnded(fetch, new UpstreamCall.Result.Failed(mayHaveRun, RefusalReason.OUT_OF_TIME, 0));
+    }
+
     /** Fetches from the instances if no shared cache could be used and nothing has run. */
     private void callEnded(
             ObjectFetch fetch,
@@ -186,6 +197,7 @@
 
     /** Removes a fetch that ended or was cancelled. */
     void remove(ObjectFetch fetch) {
+        fetch.stopDeadlineTimer();
         running.remove(fetch);
         joinable.remove(fetch.key(), fetch);
     }
--- a/cdn/src/test/java/ridgemill/cdn/proxy/CacheTest.java
+++ b/cdn/src/test/java/ridgemill/cdn/proxy/CacheTest.java
@@ -2,10 +2,14 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import ridgemill.cdn.config.Destination;
+import ridgemill.cdn.config.Route;
+import ridgemill.cdn.config.RouteKind;
 
 /** Tests caching of objects, purges and range requests. */
 class CacheTest {
@@ -13,6 +17,7 @@
     private static final String HEADERS = "X-Response-Seal: s\r\nETag: \"1\"\r\nX-Object-Tags: t1 t2\r\n";
 
     private static final double CACHE_TTL_MS = 60_000;
+    private static final long FETCH_TIMEOUT_MS = 1_200;
 
     private ProxyFixture proxy;
     private StubInstance origin;
@@ -212,4 +217,46 @@
         proxy.request("POST", "/c/1", "2", "");
         assertThat(origin.received).hasSize(2);
     }
+
+    /**
+     * Guards against an object that is never served again: a fetch that its instance did not answer had no end, and
+     * each request for the object joined it.
+     */
+    @Test
+    void fetchThatIsNeverAnsweredEndsAtItsDeadline() throws Exception {
+        proxy.setRoutes(new Route(
+                "/c/",
+                "h.example",
+                "/c/",
+                RouteKind.CACHEABLE,
+                FETCH_TIMEOUT_MS,
+                100,
+                0,
+                List.of(new Destination("s", 1)),
+                1,
+                60_000,
+                1));
+        CountDownLatch never = new CountDownLatch(1);
+        origin.script = (request, socket) -> {
+            if (request.attemptId().equals("1")) {
+                never.await();
+            }
+            return object("0123456789").respond(request, socket);
+        };
+        ProxyFixture.Client first = proxy.client();
+        first.send(pull("1", "X-Deadline-Remaining: " + FETCH_TIMEOUT_MS / 3 + "\r\n"));
+        origin.take();
+        ProxyFixture.Client second = proxy.client();
+        second.send(pull("2", ""));
+        assertThat(first.read().status()).isGreaterThanOrEqualTo(500);
+        // Joins the fetch while the second request still waits for it.
+        ProxyFixture.Client third = proxy.client();
+        third.send(pull("3", ""));
+        assertThat(third.read().body()).isEqualTo("0123456789");
+        assertThat(proxy.request("GET", "/c/1", "4", "").body()).isEqualTo("0123456789");
+    }
+
+    private static String pull(String id, String extraHeaders) {
+        return "GET /c/1 HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: " + id + "\r\n" + extraHeaders + "\r\n";
+    }
 }
