Store: a disk's identifier and its founders are one value

The bytes on disk are the same. Peers.seeds(), which nothing has called since, is gone. Tests name the new value; their assertions compare the same figures.

--- a/cdn-core/src/main/java/ridgemill/cdn/agreement/Peers.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/agreement/Peers.java
@@ -36,11 +36,6 @@
         startedAtMs = nowMs;
     }
 
-    /** The seeds' IP addresses. */
-    List<String> seeds() {
-        return seeds;
-    }
-
     /** Records a status that was received. */
     void record(AgreementMessage.Status status, double nowMs) {
         statuses.put(status.from().address(), new ReceivedStatus(status, nowMs));
--- a/cdn/src/main/java/ridgemill/cdn/store/JournalDisk.java
+++ b/cdn/src/main/java/ridgemill/cdn/store/JournalDisk.java
@@ -42,8 +42,7 @@
     private final DiskFile.Opener opener;
     private final Map<ItemName, VersionedItem> items = new TreeMap<>();
     private final Map<String, KeyRecord> records = new HashMap<>();
-    private String diskId;
-    private List<String> founders = List.of();
+    private DiskIdentity identity;
     private AcceptorRecord accepted = AcceptorRecord.EMPTY;
     private JournalFile journal;
     private long generation;
@@ -108,8 +107,7 @@
         }
         items.clear();
         records.clear();
-        diskId = null;
-        founders = List.of();
+        identity = null;
         accepted = AcceptorRecord.EMPTY;
         for (byte[] frame : opened.frames()) {
             try {
@@ -126,7 +124,7 @@
     }
 
     private StoredState state() {
-        return new StoredState(diskId, founders, fullAcceptorRecord(), List.copyOf(records.values()), false);
+        return new StoredState(identity, fullAcceptorRecord(), List.copyOf(records.values()), false);
     }
 
     /** Returns the acceptor record with all items. */
@@ -151,9 +149,8 @@
         for (String key : batch.removedKeys()) {
             records.remove(key);
         }
-        if (batch.diskId() != null) {
-            diskId = batch.diskId();
-            founders = batch.founders();
+        if (batch.identity() != null) {
+            identity = batch.identity();
         }
     }
 
@@ -192,7 +189,7 @@
         JournalFile next = JournalFile.open(opener.open(pathOf(number)), Long.hashCode(number))
                 .journal();
         DiskBatch completeState =
-                new DiskBatch(diskId, founders, fullAcceptorRecord(), List.copyOf(records.values()), List.of());
+                new DiskBatch(identity, fullAcceptorRecord(), List.copyOf(records.values()), List.of());
         try {
             byte[] frame = ValueCodec.toBytes(completeState, JournalDisk::writeBatch);
             next.append(frame);
@@ -227,7 +224,9 @@
     }
 
     private static void writeBatch(DiskBatch batch, FieldWriter out) throws IOException {
-        out.number(FORMAT_VERSION).text(batch.diskId()).texts(batch.founders()).flag(batch.accepted() != null);
+        out.number(FORMAT_VERSION);
+        writeIdentity(batch.identity(), out);
+        out.flag(batch.accepted() != null);
         if (batch.accepted() != null) {
             AcceptorRecord next = batch.accepted();
             out.value(next.promised(), AgreementCodec::writeBallot)
@@ -239,13 +238,23 @@
         out.list(batch.records(), ValueCodec::writeKeyRecord).texts(batch.removedKeys());
     }
 
+    private static void writeIdentity(DiskIdentity identity, FieldWriter out) throws IOException {
+        boolean unchanged = identity == null;
+        out.text(unchanged ? null : identity.id()).texts(unchanged ? List.of() : identity.founders());
+    }
+
+    private static DiskIdentity readIdentity(FieldReader in, long format) throws IOException {
+        String id = in.text();
+        List<String> founders = format == FORMAT_WITHOUT_FOUNDERS ? List.of() : in.texts();
+        return id == null ? null : new DiskIdentity(id, founders);
+    }
+
     private static DiskBatch readBatch(FieldReader in) throws IOException {
         long format = in.number();
         if (format != FORMAT_VERSION && format != FORMAT_WITHOUT_FOUNDERS) {
             throw new IOException("unknown format version " + format);
         }
-        String name = in.text();
-        List<String> storedFounders = format == FORMAT_WITHOUT_FOUNDERS ? List.of() : in.texts();
+        DiskIdentity newIdentity = readIdentity(in, format);
         AcceptorRecord next = null;
         if (in.flag()) {
             next = new AcceptorRecord(
@@ -255,7 +264,7 @@
                     in.list(AgreementCodec::readVersionedItem),
                     in.flag());
         }
-        return new DiskBatch(name, storedFounders, next, in.list(ValueCodec::readKeyRecord), in.texts());
+        return new DiskBatch(newIdentity, next, in.list(ValueCodec::readKeyRecord), in.texts());
     }
 
     @Override
@@ -263,8 +272,7 @@
         close();
         items.clear();
         records.clear();
-        diskId = null;
-        founders = List.of();
+        identity = null;
         accepted = AcceptorRecord.EMPTY;
         Path movedFolder = folder.resolveSibling(folder.getFileName() + ".unreadable");
         if (Files.exists(movedFolder)) {
--- a/cdn/src/main/java/ridgemill/cdn/store/PendingChanges.java
+++ b/cdn/src/main/java/ridgemill/cdn/store/PendingChanges.java
@@ -16,8 +16,7 @@
     /** A null value marks a key whose record is removed. */
     private final Map<String, KeyRecord> records = new LinkedHashMap<>();
 
-    private String diskId;
-    private List<String> founders = List.of();
+    private DiskIdentity identity;
     private AcceptorRecord accepted;
     private boolean replaces;
 
@@ -25,9 +24,8 @@
     void add(DiskBatch batch) {
         batch.removedKeys().forEach(key -> records.put(key, null));
         batch.records().forEach(keyRecord -> records.put(keyRecord.key(), keyRecord));
-        if (batch.diskId() != null) {
-            diskId = batch.diskId();
-            founders = batch.founders();
+        if (batch.identity() != null) {
+            identity = batch.identity();
         }
         if (batch.accepted() != null) {
             accepted = batch.accepted();
@@ -40,15 +38,14 @@
     }
 
     boolean isEmpty() {
-        return accepted == null && records.isEmpty() && diskId == null;
+        return accepted == null && records.isEmpty() && identity == null;
     }
 
     /** Discards all changes, once they are on disk. */
     void clear() {
         items.clear();
         records.clear();
-        diskId = null;
-        founders = List.of();
+        identity = null;
         accepted = null;
         replaces = false;
     }
@@ -72,6 +69,6 @@
                         accepted.voters(),
                         List.copyOf(items.values()),
                         replaces);
-        return new DiskBatch(diskId, founders, mergedRecord, keptRecords, removedKeys);
+        return new DiskBatch(identity, mergedRecord, keptRecords, removedKeys);
     }
 }
--- a/cdn/src/main/java/ridgemill/cdn/store/StoreProgram.java
+++ b/cdn/src/main/java/ridgemill/cdn/store/StoreProgram.java
@@ -106,37 +106,38 @@
         if (stopped) {
             return;
         }
-        if (state.diskId() != null) {
-            startServing(state, state.diskId(), state.founders());
+        if (state.identity() != null) {
+            startServing(state, state.identity());
             return;
         }
         String diskId = Long.toHexString(ThreadLocalRandom.current().nextLong());
         List<String> founders = settings.firstStart() && !state.lost() ? settings.seedHosts() : List.of();
-        disk.submit(DiskBatch.ofDiskId(diskId, founders), written -> {
+        DiskIdentity identity = new DiskIdentity(diskId, founders);
+        disk.submit(DiskBatch.ofIdentity(identity), written -> {
             if (written) {
-                startServing(state, diskId, founders);
+                startServing(state, identity);
             } else if (!stopped) {
                 loop.schedule(() -> onDiskOpened(state), DISK_ID_RETRY_DELAY_MS, TimeUnit.MILLISECONDS);
             }
         });
     }
 
-    private void startServing(StoredState state, String diskId, List<String> founders) {
+    private void startServing(StoredState state, DiskIdentity identity) {
         LOG.log(
                 Level.INFO,
-                "event=disk_opened disk=" + diskId + " epoch="
+                "event=disk_opened disk=" + identity.id() + " epoch="
                         + state.accepted().voters().epoch() + " items="
                         + state.accepted().items().size() + " keys="
                         + state.records().size() + " founders="
-                        + founders + " lost="
+                        + identity.founders() + " lost="
                         + state.lost());
         NodeSettings node = new NodeSettings(
-                new Voter(settings.ipAddress(), diskId),
+                new Voter(settings.ipAddress(), identity.id()),
                 incarnationId,
                 settings.zone(),
                 settings.lossCounted(),
                 settings.seedHosts(),
-                founders,
+                identity.founders(),
                 settings.toleratedMachines());
         replica.start(state, node, new ConfigurationRules());
         InetSocketAddress address = new InetSocketAddress(settings.ipAddress(), settings.storePort());
--- a/cdn/src/main/java/ridgemill/cdn/store/StoreReplica.java
+++ b/cdn/src/main/java/ridgemill/cdn/store/StoreReplica.java
@@ -38,7 +38,7 @@
     private final String incarnationId;
     private AgreementNode agreement;
     private Voter self;
-    private List<String> founders = List.of();
+    private DiskIdentity identity;
 
     StoreReplica(String incarnationId, KeyLimits limits, Clock clock, DiskQueue disk, StorePeers peers) {
         this.incarnationId = incarnationId;
@@ -62,7 +62,7 @@
     /** Restores the state that was read from the disk and starts to communicate with the other stores. */
     void start(StoredState state, NodeSettings settings, ChangeRules rules) {
         self = settings.self();
-        founders = settings.founders();
+        identity = new DiskIdentity(self.diskId(), settings.founders());
         keys.restore(state.records());
         agreement = new AgreementNode(settings, this, rules);
         agreement.start(state.accepted(), monotonicMs());
@@ -133,7 +133,7 @@
 
     /** Writes the complete in-memory state to a disk that was reset. */
     void writeAll() {
-        disk.submit(new DiskBatch(self.diskId(), founders, agreement.record(), keys.all(), List.of()), written -> {});
+        disk.submit(new DiskBatch(identity, agreement.record(), keys.all(), List.of()), written -> {});
     }
 
     /** Writes a key record. With null, only waits until all earlier writes are done. */
--- a/cdn/src/test/java/ridgemill/cdn/store/JournalDiskTest.java
+++ b/cdn/src/test/java/ridgemill/cdn/store/JournalDiskTest.java
@@ -40,7 +40,7 @@
         Random random = new Random(7);
         JournalDisk disk = new JournalDisk(folder.resolve("live"));
         disk.open();
-        disk.write(DiskBatch.ofDiskId("disk", List.of()));
+        disk.write(DiskBatch.ofIdentity(new DiskIdentity("disk", List.of())));
         Map<String, byte[]> synced = PowerLoss.contents(folder.resolve("live"));
         for (int commit = 0; commit < COMMITS; commit++) {
             Map<String, byte[]> acknowledged = new HashMap<>(written);
@@ -71,7 +71,7 @@
         StoredState state = disk.open();
         Map<String, byte[]> found = new HashMap<>();
         state.records().forEach(held -> found.put(held.key(), held.answer()));
-        assertThat(state.diskId()).isEqualTo("disk");
+        assertThat(state.identity().id()).isEqualTo("disk");
         acknowledged.forEach((key, answer) -> assertThat(found.get(key))
                 .as(image + " " + key)
                 .satisfiesAnyOf(
@@ -105,20 +105,20 @@
         Path live = folder.resolve("live");
         JournalDisk disk = new JournalDisk(live);
         disk.open();
-        disk.write(DiskBatch.ofDiskId("a", List.of()));
+        disk.write(DiskBatch.ofIdentity(new DiskIdentity("a", List.of())));
         disk.close();
         byte[] old = PowerLoss.contents(live).get("journal-1");
         FaultyDisk faults = new FaultyDisk();
         JournalDisk reopened = new JournalDisk(live, faults);
         reopened.open();
         faults.setFailing(true, false);
-        assertThatThrownBy(() -> reopened.write(DiskBatch.ofDiskId("b", List.of())))
+        assertThatThrownBy(() -> reopened.write(DiskBatch.ofIdentity(new DiskIdentity("b", List.of()))))
                 .isInstanceOf(IOException.class);
         faults.setFailing(false, false);
-        reopened.write(DiskBatch.ofDiskId("b", List.of()));
+        reopened.write(DiskBatch.ofIdentity(new DiskIdentity("b", List.of())));
         reopened.close();
         Files.write(live.resolve("journal-1"), old);
-        assertThat(new JournalDisk(live).open().diskId()).isEqualTo("b");
+        assertThat(new JournalDisk(live).open().identity().id()).isEqualTo("b");
     }
 
     @Test
@@ -126,11 +126,11 @@
         Path live = folder.resolve("live");
         JournalDisk disk = new JournalDisk(live);
         disk.open();
-        disk.write(DiskBatch.ofDiskId("a", List.of()));
+        disk.write(DiskBatch.ofIdentity(new DiskIdentity("a", List.of())));
         disk.close();
         byte[] whole = PowerLoss.contents(live).get("journal-1");
         Files.write(live.resolve("journal-2"), java.util.Arrays.copyOf(whole, whole.length / 2));
-        assertThat(new JournalDisk(live).open().diskId()).isEqualTo("a");
+        assertThat(new JournalDisk(live).open().identity().id()).isEqualTo("a");
     }
 
     @Test
@@ -187,12 +187,12 @@
     void foundersAreKeptWithTheIdentifierThroughARewrite() throws Exception {
         JournalDisk disk = new JournalDisk(folder.resolve("founders"));
         disk.open();
-        disk.write(DiskBatch.ofDiskId("disk", List.of("10.0.0.1", "10.0.0.2")));
+        disk.write(DiskBatch.ofIdentity(new DiskIdentity("disk", List.of("10.0.0.1", "10.0.0.2"))));
         disk.close();
         disk.write(DiskBatch.NONE);
         disk.close();
         StoredState read = new JournalDisk(folder.resolve("founders")).open();
-        assertThat(read.diskId()).isEqualTo("disk");
-        assertThat(read.founders()).containsExactly("10.0.0.1", "10.0.0.2");
+        assertThat(read.identity().id()).isEqualTo("disk");
+        assertThat(read.identity().founders()).containsExactly("10.0.0.1", "10.0.0.2");
     }
 }
