--- a/cdn/src/test/java/ridgemill/cdn/store/JournalDiskTest.java
+++ b/cdn/src/test/java/ridgemill/cdn/store/JournalDiskTest.java
@@ -23,6 +23,8 @@
 import ridgemill.cdn.keys.KeyState;
 import ridgemill.cdn.quorum.Voter;
 import ridgemill.cdn.quorum.VoterSet;
+import ridgemill.cdn.wire.FieldWriter;
+import ridgemill.cdn.wire.ValueCodec;
 
 /** Checks the contents of the disk after a kill at any moment, and after a power loss that leaves torn files. */
 final class JournalDiskTest {
@@ -195,4 +197,29 @@
         assertThat(read.identity().id()).isEqualTo("disk");
         assertThat(read.identity().founders()).containsExactly("10.0.0.1", "10.0.0.2");
     }
+
+    /** A journal of the format before this one has no founders, and is continued in this format. */
+    @Test
+    void journalWithoutFoundersIsReadAndContinued() throws Exception {
+        Path live = folder.resolve("format-2");
+        Files.createDirectories(live);
+        byte[] frame = ValueCodec.toBytes("disk", JournalDiskTest::writeIdentifierInFormat2);
+        JournalFile old = JournalFile.open(DiskFile.of(live.resolve("journal-1")), Long.hashCode(1))
+                .journal();
+        old.append(frame);
+        old.close();
+        JournalDisk disk = new JournalDisk(live);
+        assertThat(disk.open().identity()).isEqualTo(new DiskIdentity("disk", List.of()));
+        disk.write(DiskBatch.ofRecord(new KeyRecord("after", KeyState.HELD, "claim", null, 1)));
+        disk.close();
+        StoredState read = new JournalDisk(live).open();
+        assertThat(read.identity()).isEqualTo(new DiskIdentity("disk", List.of()));
+        assertThat(read.records()).extracting(KeyRecord::key).containsExactly("after");
+    }
+
+    private static void writeIdentifierInFormat2(String diskId, FieldWriter out) throws IOException {
+        boolean hasAcceptorRecord = false;
+        out.number(2).text(diskId).flag(hasAcceptorRecord);
+        out.list(List.<KeyRecord>of(), ValueCodec::writeKeyRecord).texts(List.of());
+    }
 }
