Purges and copies can be followed: who acknowledged, applied, fetched, covered

Need: nothing on record tells the hypotheses of the incident STALE apart.

A store's reply to a purge is a message of its own with incarnation and number. The protocol of links is version 4: all processes of a system are upgraded together.

No decision is changed.

--- a/cdn-core/src/main/java/ridgemill/cdn/edge/CachedObject.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/edge/CachedObject.java
@@ -15,6 +15,8 @@
  * @param purgeCoverageSinceMs the time from which this process must have received all purges to use the copy, in
  *     milliseconds: when this process requested the object, also if another process answered with its copy, since that
  *     process had received all purges before
+ * @param fetchedFrom the instance that delivered the object, and the shared cache through which it came if there was
+ *     one, for logs
  */
 public record CachedObject(
         String key,
@@ -23,12 +25,13 @@
         List<String> tags,
         byte[] body,
         double fetchStartedMs,
-        double purgeCoverageSinceMs) {
+        double purgeCoverageSinceMs,
+        String fetchedFrom) {
 
     /** An object that this process fetched from an instance itself. */
     public CachedObject(
             String key, List<String> headers, String etag, List<String> tags, byte[] body, double fetchStartedMs) {
-        this(key, headers, etag, tags, body, fetchStartedMs, fetchStartedMs);
+        this(key, headers, etag, tags, body, fetchStartedMs, fetchStartedMs, "");
     }
 
     /** The estimated memory that an object takes besides its body, in bytes. */
@@ -63,13 +66,14 @@
 
     /** This object after a fetch from an instance, started at the given time, has revalidated it. */
     public CachedObject revalidated(double startedMs) {
-        return revalidated(startedMs, startedMs);
+        return revalidated(startedMs, startedMs, fetchedFrom);
     }
 
     /**
-     * This object after it was revalidated, with new values of {@code fetchStartedMs} and {@code purgeCoverageSinceMs}.
+     * This object after it was revalidated, with new values of {@code fetchStartedMs}, {@code purgeCoverageSinceMs} and
+     * {@code fetchedFrom}.
      */
-    public CachedObject revalidated(double startedMs, double checkMs) {
-        return new CachedObject(key, headers, etag, tags, body, startedMs, checkMs);
+    public CachedObject revalidated(double startedMs, double checkMs, String revalidatedFrom) {
+        return new CachedObject(key, headers, etag, tags, body, startedMs, checkMs, revalidatedFrom);
     }
 }
--- a/cdn-core/src/main/java/ridgemill/cdn/purge/Purge.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/purge/Purge.java
@@ -20,6 +20,11 @@
         return new Purge(id, null, null, tag);
     }
 
+    /** What this purges, for logs. */
+    public String target() {
+        return isByTag() ? "tag:" + tag : hostname + path;
+    }
+
     /** Whether this purges by tag. */
     public boolean isByTag() {
         return tag != null;
--- a/cdn-core/src/main/java/ridgemill/cdn/purge/PurgeCoverage.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/purge/PurgeCoverage.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Predicate;
 import ridgemill.cdn.quorum.Voter;
 import ridgemill.cdn.quorum.VoterSet;
 
@@ -25,6 +26,22 @@
         coveredSinceMs.put(store, nowMs);
     }
 
+    /**
+     * Since how many milliseconds the stream of each voting store is followed, and whether it is connected now, for
+     * logs.
+     */
+    public String describe(double nowMs, Predicate<Voter> isConnected) {
+        StringBuilder text = new StringBuilder("epoch=" + voters.epoch());
+        for (Voter voter : voters.members()) {
+            Double sinceMs = coveredSinceMs.get(voter);
+            text.append(' ')
+                    .append(voter)
+                    .append(sinceMs == null ? ":none" : ":" + Math.round(nowMs - sinceMs) + "ms")
+                    .append(isConnected.test(voter) ? ":connected" : ":lost");
+        }
+        return text.toString();
+    }
+
     /** Whether every purge acknowledged after a time has been received, or will be on an established connection. */
     public boolean covers(double sinceMs) {
         return voters.hasQuorum(voter -> {
--- a/cdn/src/main/java/ridgemill/cdn/proxy/CacheHeaders.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/CacheHeaders.java
@@ -14,6 +14,8 @@
     static final String MAX_AGE = "X-Ridgemill-Max-Age";
     /** The age of the returned copy at the time the request arrived, in milliseconds. */
     static final String AGE = "X-Ridgemill-Age";
+    /** The instance from which a shared cache fetched the returned copy, for logs. */
+    static final String FETCHED_FROM = "X-Ridgemill-Fetched-From";
     /** Why a shared cache refused the request. A response with this header does not come from an instance. */
     static final String REFUSAL = "X-Ridgemill-Refusal";
 
@@ -34,6 +36,7 @@
                 .remove(ROUTE_VERSION)
                 .remove(MAX_AGE)
                 .remove(AGE)
+                .remove(FETCHED_FROM)
                 .remove(REFUSAL);
     }
 }
--- a/cdn/src/main/java/ridgemill/cdn/proxy/CachedExchange.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/CachedExchange.java
@@ -8,6 +8,8 @@
 /** A read of an object that may be served from a copy. */
 final class CachedExchange extends Exchange {
 
+    private static final System.Logger LOG = System.getLogger(CachedExchange.class.getName());
+
     /** How many failed fetches of other requests a request may wait for before the next failure ends it. */
     private static final int MAX_FAILED_SHARED_FETCHES = 2;
 
@@ -68,9 +70,19 @@
         context()
                 .invariants()
                 .check(fetcher.isNotOlderThanPurges(copy, requestedAtMs), Invariant.COPY_NEWER_THAN_PURGE, copy.key());
+        if (LOG.isLoggable(System.Logger.Level.DEBUG)) {
+            LOG.log(
+                    System.Logger.Level.DEBUG,
+                    "event=copy_served request=" + request().attemptId() + ' ' + fetcher.describe(copy));
+        }
         FinalResponse response = FinalResponse.of(copy, request());
-        boolean addAge = context().isSharedCache();
-        respond(addAge ? response.addHeader(CacheHeaders.AGE, ageOnArrival(copy)) : response);
+        respond(context().isSharedCache() ? withCopyHeaders(response, copy) : response);
+    }
+
+    /** Adds what an edge proxy has to know about a copy of this shared cache. */
+    private FinalResponse withCopyHeaders(FinalResponse response, CachedObject copy) {
+        return response.addHeader(CacheHeaders.AGE, ageOnArrival(copy))
+                .addHeader(CacheHeaders.FETCHED_FROM, copy.fetchedFrom());
     }
 
     /** The fetch that this request started ended without a copy. */
--- a/cdn/src/main/java/ridgemill/cdn/proxy/ObjectFetcher.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/ObjectFetcher.java
@@ -204,8 +204,7 @@
 
     private void fetchEnded(ObjectFetch fetch, UpstreamCall.Result result) {
         remove(fetch);
-        CachedObject copy =
-                result instanceof UpstreamCall.Result.Answered answered ? toCopy(fetch, answered.response()) : null;
+        CachedObject copy = result instanceof UpstreamCall.Result.Answered answered ? toCopy(fetch, answered) : null;
         if (copy == null) {
             fetchFailed(fetch, result);
             return;
@@ -249,12 +248,15 @@
     }
 
     /** The copy that a response contains or revalidates; null if it does neither. */
-    private static CachedObject toCopy(ObjectFetch fetch, InstanceResponse response) {
+    private static CachedObject toCopy(ObjectFetch fetch, UpstreamCall.Result.Answered answered) {
+        InstanceResponse response = answered.response();
         if (response.status() == NOT_MODIFIED && fetch.storedCopy() != null) {
             String etag = response.headers().get("ETag");
             boolean same = etag == null || etag.equals(fetch.storedCopy().etag());
             return same
-                    ? fetch.storedCopy().revalidated(originFetchStartedMs(fetch, response), fetch.startedMs())
+                    ? fetch.storedCopy()
+                            .revalidated(
+                                    originFetchStartedMs(fetch, response), fetch.startedMs(), fetchedFrom(answered))
                     : null;
         }
         if (response.status() != OK || !response.isSealed()) {
@@ -269,7 +271,13 @@
                 tags(headers.get("X-Object-Tags")),
                 response.body(),
                 originFetchStartedMs(fetch, response),
-                fetch.startedMs());
+                fetch.startedMs(),
+                fetchedFrom(answered));
+    }
+
+    private static String fetchedFrom(UpstreamCall.Result.Answered answered) {
+        String instanceId = answered.response().headers().get(CacheHeaders.FETCHED_FROM);
+        return instanceId == null ? answered.responderId() : instanceId + " via " + answered.responderId();
     }
 
     /**
@@ -294,6 +302,16 @@
         return tags;
     }
 
+    /** What is known about a copy that is served now, for logs. */
+    String describe(CachedObject copy) {
+        double nowMs = context.now();
+        return "object=" + copy.key() + " etag=" + copy.etag() + " fetched_from=\"" + copy.fetchedFrom()
+                + "\" fetched_ms_ago=" + Math.round(nowMs - copy.fetchStartedMs()) + " covered_from_ms_ago="
+                + Math.round(nowMs - copy.purgeCoverageSinceMs()) + " purged_ms_ago="
+                + Math.round(nowMs - purgeLog.lastPurgedMs(copy)) + " stores=\""
+                + context.control().describePurgeCoverage() + '"';
+    }
+
     /** Removes expired purges. */
     void tick(double nowMs) {
         purgeLog.removeExpired(nowMs);
--- a/cdn/src/main/java/ridgemill/cdn/proxy/UpstreamCall.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/UpstreamCall.java
@@ -34,8 +34,12 @@
     /** The result of a call. */
     sealed interface Result {
 
-        /** A complete response of an instance that ran the request. */
-        record Answered(InstanceResponse response) implements Result {}
+        /**
+         * A complete response of an instance that ran the request.
+         *
+         * @param responderId the instance or the shared cache that sent the response
+         */
+        record Answered(InstanceResponse response, String responderId) implements Result {}
 
         /**
          * There is no response to return.
@@ -56,6 +60,7 @@
     private final Consumer<Result> callback;
     private final List<InstanceStats> tried = new ArrayList<>(2);
     private InstanceResponse lastResponse;
+    private String lastResponderId;
     private Attempt currentAttempt;
     private Timers.Timer capacityTimer;
     private boolean capacityWaitExpired;
@@ -212,6 +217,7 @@
         if (outcome == AttemptOutcome.REFUSED_BY_CACHE) {
             refusedByCache(attempt.response());
         } else if (outcome == AttemptOutcome.ANSWERED) {
+            lastResponderId = attempt.instance().instance().id();
             responseReceived(attempt.response());
         } else if (outcome == AttemptOutcome.NOT_HELD) {
             fail(RefusalReason.MEMORY, 0);
@@ -265,7 +271,7 @@
     private Result result() {
         return switch (lastResponse.status()) {
             case 408, 421, 429, 503 -> new Result.Failed(true, RefusalReason.ATTEMPTS_FAILED, 0);
-            default -> new Result.Answered(lastResponse);
+            default -> new Result.Answered(lastResponse, lastResponderId);
         };
     }
 
--- a/cdn/src/main/java/ridgemill/cdn/proxy/control/ControlClient.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/control/ControlClient.java
@@ -30,6 +30,7 @@
 import ridgemill.cdn.wire.LinkListener;
 import ridgemill.cdn.wire.LinkMessages;
 import ridgemill.cdn.wire.ReconnectingLink;
+import ridgemill.cdn.wire.StoreMessages;
 import ridgemill.gateway.net.Clock;
 import ridgemill.gateway.net.SocketKind;
 
@@ -192,10 +193,11 @@
     }
 
     @Override
-    public void updateReceived(VoterSet voters, List<Item> changed, List<Purge> purges) {
-        updateVoters(voters);
-        mergeItems(changed);
-        for (Purge purge : purges) {
+    public void updateReceived(StoreFeed feed, StoreMessages.Update update) {
+        updateVoters(update.voters());
+        mergeItems(update.items());
+        for (Purge purge : update.purges()) {
+            logApplied(feed, purge);
             for (ControlListener listener : listeners) {
                 if (purge.isByTag()) {
                     listener.tagPurged(purge.tag());
@@ -206,6 +208,15 @@
         }
     }
 
+    private static void logApplied(StoreFeed feed, Purge purge) {
+        if (LOG.isLoggable(System.Logger.Level.DEBUG)) {
+            LOG.log(
+                    System.Logger.Level.DEBUG,
+                    "event=purge_applied purge=" + purge.id() + " target=" + purge.target() + " from="
+                            + feed.position());
+        }
+    }
+
     private void mergeItems(List<Item> received) {
         if (items.mergeAll(received).isEmpty()) {
             return;
@@ -348,6 +359,12 @@
         return coverage.covers(fetchStartedMs);
     }
 
+    @Override
+    public String describePurgeCoverage() {
+        return coverage.describe(
+                clock.now(), voter -> feedOf(voter) != null && feedOf(voter).isLive());
+    }
+
     @Override
     public boolean receivesPurges() {
         return voters().hasQuorum(
--- a/cdn/src/main/java/ridgemill/cdn/proxy/control/ControlView.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/control/ControlView.java
@@ -33,6 +33,9 @@
      */
     boolean receivesPurges();
 
+    /** Which stores cover which purges at this moment, for logs. */
+    String describePurgeCoverage();
+
     /** Adds a listener for changes. */
     void addListener(ControlListener listener);
 }
--- a/cdn/src/main/java/ridgemill/cdn/proxy/control/StoreFeed.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/control/StoreFeed.java
@@ -5,7 +5,6 @@
 import java.util.function.Consumer;
 import java.util.function.LongFunction;
 import ridgemill.cdn.config.Item;
-import ridgemill.cdn.purge.Purge;
 import ridgemill.cdn.quorum.Voter;
 import ridgemill.cdn.quorum.VoterSet;
 import ridgemill.cdn.wire.CallFailure;
@@ -28,7 +27,7 @@
         void snapshotReceived(StoreFeed feed, VoterSet voters, List<Item> items);
 
         /** The store sent changes. */
-        void updateReceived(VoterSet voters, List<Item> items, List<Purge> purges);
+        void updateReceived(StoreFeed feed, StoreMessages.Update update);
     }
 
     private final Receiver receiver;
@@ -62,6 +61,11 @@
         return store;
     }
 
+    /** The store, its incarnation and the number of the last update received from it, for logs. */
+    String position() {
+        return store + "@" + incarnationId + '#' + lastNumber;
+    }
+
     void call(
             LongFunction<? extends Message.Call> message,
             long timeoutMs,
@@ -97,7 +101,7 @@
             return;
         }
         lastNumber = update.number();
-        receiver.updateReceived(update.voters(), update.items(), update.purges());
+        receiver.updateReceived(this, update);
         from.send(new StoreMessages.UpdateAcknowledged(lastNumber));
     }
 
--- a/cdn/src/main/java/ridgemill/cdn/registry/StoreClient.java
+++ b/cdn/src/main/java/ridgemill/cdn/registry/StoreClient.java
@@ -29,6 +29,7 @@
  */
 public final class StoreClient {
 
+    private static final System.Logger LOG = System.getLogger(StoreClient.class.getName());
     /** The timeout of an attempt at one store, after which the next store is asked, in milliseconds. */
     private static final long ATTEMPT_TIMEOUT_MS = 450;
     /** No attempt is started if less time than this remains, in milliseconds. */
@@ -198,7 +199,7 @@
         VoterSet targetVoters = voters;
         long leftMs = TimeUnit.NANOSECONDS.toMillis(endNanos - System.nanoTime());
         LongFunction<Message.Call> call = callId -> new StoreMessages.WritePurge(callId, targetVoters.epoch(), purge);
-        MajorityCount count = new MajorityCount(targetVoters, forwarded -> {
+        PurgeVotes count = new PurgeVotes(purge, targetVoters, forwarded -> {
             boolean retry = !forwarded && leftMs > MIN_ATTEMPT_MS + PURGE_RETRY_DELAY_MS;
             if (retry) {
                 loop.schedule(() -> purge(purge, endNanos, callback), PURGE_RETRY_DELAY_MS, TimeUnit.MILLISECONDS);
@@ -217,24 +218,26 @@
         count.failIfNoVoters();
     }
 
-    /** Counts the voters that have completed a write and reports once whether they are a majority. */
-    private static final class MajorityCount {
+    /** Counts the voters that have published a purge and reports once whether they are a majority. */
+    private static final class PurgeVotes {
 
+        private final Purge purge;
         private final VoterSet voters;
         private final Consumer<Boolean> callback;
-        private final Set<Voter> succeeded = new HashSet<>();
+        private final Map<Voter, StoreMessages.PurgePublished> published = new HashMap<>();
         private final Set<String> failed = new HashSet<>();
         private boolean decided;
 
-        MajorityCount(VoterSet voters, Consumer<Boolean> callback) {
+        PurgeVotes(Purge purge, VoterSet voters, Consumer<Boolean> callback) {
+            this.purge = purge;
             this.voters = voters;
             this.callback = callback;
         }
 
         void onReply(String address, Either<CallFailure, Message.Reply> reply) {
-            if (reply.isRight() && reply.get() instanceof StoreMessages.WriteResult written && written.durable()) {
-                succeeded.add(written.store());
-                if (voters.hasQuorum(succeeded::contains)) {
+            if (reply.isRight() && reply.get() instanceof StoreMessages.PurgePublished vote && vote.counts()) {
+                published.put(vote.store(), vote);
+                if (voters.hasQuorum(published::containsKey)) {
                     decide(true);
                 }
             } else {
@@ -258,8 +261,28 @@
         private void decide(boolean success) {
             if (!decided) {
                 decided = true;
+                log(success);
                 callback.accept(success);
             }
         }
+
+        private void log(boolean success) {
+            if (!LOG.isLoggable(System.Logger.Level.DEBUG)) {
+                return;
+            }
+            StringBuilder votes = new StringBuilder();
+            published
+                    .values()
+                    .forEach(vote -> votes.append(' ')
+                            .append(vote.store())
+                            .append('@')
+                            .append(vote.incarnationId())
+                            .append('#')
+                            .append(vote.number()));
+            LOG.log(
+                    System.Logger.Level.DEBUG,
+                    "event=purge_acknowledged acknowledged=" + success + " purge=" + purge.id() + " target="
+                            + purge.target() + " epoch=" + voters.epoch() + " published_by=[" + votes + "]");
+        }
     }
 }
--- a/cdn/src/main/java/ridgemill/cdn/store/StoreService.java
+++ b/cdn/src/main/java/ridgemill/cdn/store/StoreService.java
@@ -103,9 +103,11 @@
 
     /** Publishes a purge. The result counts only if the caller addressed the voters of this store's epoch. */
     private void purge(Link link, StoreMessages.WritePurge write) {
-        replica.updates().publishPurge(write.purge(), replica.nowMs());
+        UpdatePublisher updates = replica.updates();
+        long number = updates.publishPurge(write.purge(), replica.nowMs());
         boolean counts = replica.agreement().isVoter() && write.epoch() == replica.epoch();
-        link.send(new StoreMessages.WriteResult(write.callId(), replica.self(), counts));
+        link.send(new StoreMessages.PurgePublished(
+                write.callId(), replica.self(), counts, updates.incarnationId(), number));
     }
 
     private void sendWriteResult(Link link, Message.Call call, boolean written) {
--- a/cdn/src/main/java/ridgemill/cdn/store/UpdatePublisher.java
+++ b/cdn/src/main/java/ridgemill/cdn/store/UpdatePublisher.java
@@ -35,7 +35,9 @@
     private final String incarnationId;
     private final Supplier<StoreMessages.Snapshot> snapshot;
     private final ArrayDeque<StoreMessages.Update> retained = new ArrayDeque<>();
-    private final Set<String> purgeIds = new LinkedHashSet<>();
+    /** The numbers of the updates that published the latest purges, by the identifiers of the purges. */
+    private final Map<String, Long> purgeNumbers = new LinkedHashMap<>();
+
     private final Map<Link, Subscriber> subscribers = new LinkedHashMap<>();
     private final Set<Link> voterWatchers = new LinkedHashSet<>();
     /** Links that subscribed before any state was known to be decided. */
@@ -137,12 +139,16 @@
         links.forEach(link -> subscribe(link, "", 0, nowMs));
     }
 
-    /** Publishes a purge, unless it was published before. */
-    void publishPurge(Purge purge, long nowMs) {
-        if (purgeIds.add(purge.id())) {
-            trimPurges();
-            publish(new StoreMessages.Update(lastNumber + 1, voters, List.of(), List.of(purge)), nowMs);
+    /** Publishes a purge, unless it was published before. Returns the number of the update that published it. */
+    long publishPurge(Purge purge, long nowMs) {
+        Long publishedBefore = purgeNumbers.get(purge.id());
+        if (publishedBefore != null) {
+            return publishedBefore;
         }
+        publish(new StoreMessages.Update(lastNumber + 1, voters, List.of(), List.of(purge)), nowMs);
+        purgeNumbers.put(purge.id(), lastNumber);
+        trimPurges();
+        return lastNumber;
     }
 
     /** Logs subscribers that have not acknowledged updates for too long. */
@@ -203,8 +209,8 @@
     }
 
     private void trimPurges() {
-        if (purgeIds.size() > MAX_KNOWN_PURGES) {
-            Iterator<String> oldest = purgeIds.iterator();
+        if (purgeNumbers.size() > MAX_KNOWN_PURGES) {
+            Iterator<String> oldest = purgeNumbers.keySet().iterator();
             oldest.next();
             oldest.remove();
         }
--- a/cdn/src/main/java/ridgemill/cdn/wire/LinkMessages.java
+++ b/cdn/src/main/java/ridgemill/cdn/wire/LinkMessages.java
@@ -20,7 +20,7 @@
             implements Message {
 
         /** The protocol version of this build. */
-        public static final int PROTOCOL = 3;
+        public static final int PROTOCOL = 4;
 
         @Override
         public MessageKind kind() {
--- a/cdn/src/main/java/ridgemill/cdn/wire/MessageKind.java
+++ b/cdn/src/main/java/ridgemill/cdn/wire/MessageKind.java
@@ -33,7 +33,8 @@
     REGISTRY_OFFER_CACHE(54, RegistryMessages.AnnounceCache::read),
     PEER_UPDATE(60, RegistryMessages.PeerUpdate::read),
     PEER_UPDATE_TAKEN(61, RegistryMessages.PeerUpdateMerged::read),
-    PEER_BEATS(62, RegistryMessages.PeerHeartbeats::read);
+    PEER_BEATS(62, RegistryMessages.PeerHeartbeats::read),
+    PURGE_PUBLISHED(70, StoreMessages.PurgePublished::read);
 
     private static final MessageKind[] BY_NUMBER = new MessageKind[128];
 
--- a/cdn/src/main/java/ridgemill/cdn/wire/StoreMessages.java
+++ b/cdn/src/main/java/ridgemill/cdn/wire/StoreMessages.java
@@ -317,7 +317,7 @@
     }
 
     /**
-     * Requests a purge. The reply is {@link WriteResult}, sent once the purge has been sent to all subscribers.
+     * Requests a purge. The reply is {@link PurgePublished}, sent once the purge has been sent to all subscribers.
      *
      * @param callId the number of the call
      * @param epoch the epoch of the voters that the caller addresses; the reply of a store in another epoch does not
@@ -342,6 +342,35 @@
         }
     }
 
+    /**
+     * The reply to {@link WritePurge}.
+     *
+     * @param callId the number of the call
+     * @param store the replying store
+     * @param counts whether the store is a voter in the epoch that the call addressed
+     * @param incarnationId the incarnation of the store
+     * @param number the number of the update with which it published the purge
+     */
+    public record PurgePublished(long callId, Voter store, boolean counts, String incarnationId, long number)
+            implements Message.Reply {
+
+        @Override
+        public MessageKind kind() {
+            return MessageKind.PURGE_PUBLISHED;
+        }
+
+        @Override
+        public void write(FieldWriter out) throws IOException {
+            out.number(callId);
+            AgreementCodec.writeVoter(store, out);
+            out.flag(counts).text(incarnationId).number(number);
+        }
+
+        static PurgePublished read(FieldReader in) throws IOException {
+            return new PurgePublished(in.number(), AgreementCodec.readVoter(in), in.flag(), in.text(), in.number());
+        }
+    }
+
     /**
      * Requests a vote to run an operation. The reply is {@link KeyStatus}.
      *
--- a/cdn/src/test/java/ridgemill/cdn/proxy/FakeControl.java
+++ b/cdn/src/test/java/ridgemill/cdn/proxy/FakeControl.java
@@ -57,6 +57,11 @@
         return receivesPurges;
     }
 
+    @Override
+    public String describePurgeCoverage() {
+        return "";
+    }
+
     @Override
     public void addListener(ControlListener listener) {
         listeners.add(listener);
--- a/cdn/src/test/java/ridgemill/cdn/store/StoreProgramTest.java
+++ b/cdn/src/test/java/ridgemill/cdn/store/StoreProgramTest.java
@@ -278,7 +278,7 @@
     }
 
     private static void purge(StoreCluster.Caller caller, Purge purge) {
-        caller.call(id -> new StoreMessages.WritePurge(id, 1, purge), StoreMessages.WriteResult.class);
+        caller.call(id -> new StoreMessages.WritePurge(id, 1, purge), StoreMessages.PurgePublished.class);
     }
 
     private static StoreMessages.KeyStatus awaitVote(StoreCluster.Caller caller, String claimId) {
--- a/cdn/src/test/java/ridgemill/cdn/wire/MessageCodecTest.java
+++ b/cdn/src/test/java/ridgemill/cdn/wire/MessageCodecTest.java
@@ -71,6 +71,7 @@
                 new StoreMessages.ReadItems(2, false, 800),
                 new StoreMessages.ItemsRead(2, ChangeResult.Outcome.CONFIRMED, "", ITEMS),
                 new StoreMessages.WritePurge(3, 7, PURGE),
+                new StoreMessages.PurgePublished(3, VOTER, true, "life", 6),
                 new StoreMessages.ClaimKey(4, 7, "k", "c"),
                 new StoreMessages.PullKeys(7, "k"),
                 agreement(new AgreementMessage.Status(
