--- a/cdn/src/test/java/ridgemill/cdn/proxy/FleetFixture.java
+++ b/cdn/src/test/java/ridgemill/cdn/proxy/FleetFixture.java
@@ -138,6 +138,11 @@
         loop.submit(() -> caches.get(cache).drain(0, 0)).sync();
     }
 
+    /** The current time of all processes, in milliseconds. */
+    double now() {
+        return timers.now();
+    }
+
     /** Advances the clock; timers do not fire in between. */
     void advanceTime(double ms) {
         timers.advance(ms);
--- a/cdn/src/test/java/ridgemill/cdn/proxy/SharedCacheTest.java
+++ b/cdn/src/test/java/ridgemill/cdn/proxy/SharedCacheTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -17,6 +18,7 @@
 class SharedCacheTest {
 
     private static final int PROXIES = 3;
+    private static final double PURGE_DEADLINE_MS = 2_000;
 
     private final AtomicInteger originVersion = new AtomicInteger();
     private FleetFixture fleet;
@@ -89,6 +91,44 @@
         assertThat(read(2, "3").body()).isEqualTo("v2");
     }
 
+    @Test
+    void copyOfASharedCacheThatMissedAPurgeIsNotKeptByAProxyThatStartedAfterThePurge() throws Exception {
+        read(0, "1");
+        fleet.advanceTime(500);
+        fleet.onProxy(1, control -> control.coveredSinceMs = fleet.now());
+        read(1, "2");
+        fleet.advanceTime(PURGE_DEADLINE_MS + 1_000);
+        fleet.onCaches(control -> control.receivesPurges = false);
+        assertThat(read(1, "3").body()).isEqualTo("v2");
+    }
+
+    @Test
+    void copyOlderThanAPurgeIsNotServedIfAnotherPurgeArrivesDuringTheFetch() throws Exception {
+        CountDownLatch secondPurge = new CountDownLatch(1);
+        AtomicInteger answers = new AtomicInteger();
+        StubInstance sharedCache = new StubInstance("stub", (request, socket) -> {
+            boolean first = answers.getAndIncrement() == 0;
+            if (first) {
+                secondPurge.await();
+            }
+            String headers = "X-Response-Seal: s\r\nX-Ridgemill-Age: " + (first ? 5_000 : 0) + "\r\n";
+            return StubInstance.write(
+                    socket, StubInstance.response(request, 200, headers, first ? "purged" : "current"));
+        });
+        try (sharedCache) {
+            fleet.setSharedCaches(
+                    List.of(new CacheNode("stub", sharedCache.instance("s").address(), "z")));
+            fleet.onProxy(0, control -> control.listeners.forEach(l -> l.pathPurged("h.example", "/c/1")));
+            fleet.advanceTime(PURGE_DEADLINE_MS + 1_000);
+            ProxyFixture.Client client = fleet.client(0);
+            client.send("GET /c/1 HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: 1\r\n\r\n");
+            sharedCache.take();
+            fleet.onProxy(0, control -> control.listeners.forEach(l -> l.pathPurged("h.example", "/c/1")));
+            secondPurge.countDown();
+            assertThat(client.read().body()).isEqualTo("current");
+        }
+    }
+
     @Test
     void instancesAreUsedIfNoSharedCacheIsReachable() throws Exception {
         fleet.setSharedCaches(
