Copies are compared with every recent purge, not only with the last one

What callers saw: a copy older than a purge that this process had received.

Cause (hypothesis H3 of the incident STALE): of each path and tag only the last purge was kept. One that arrived during a fetch hid an earlier one, and the check of a shared cache's answer looked only at purges before the fetch.

A fetched copy is stored only if none is newer than it, and passed to a request only if none is newer that arrived before the request. The same rule holds for copies of instances and of shared caches, so a fetch keeps no purges of its own any more.

PurgeLogTest has the case without a fetch.

--- a/cdn-core/src/test/java/ridgemill/cdn/edge/PurgeLogTest.java
+++ b/cdn-core/src/test/java/ridgemill/cdn/edge/PurgeLogTest.java
@@ -22,6 +22,19 @@
         assertThat(log.lastPurgedMs("h/b")).isEqualTo(Double.NEGATIVE_INFINITY);
     }
 
+    @Test
+    void earlierPurgeCountsAlthoughALaterOneFollowed() {
+        log.recordPath("h/a", 5);
+        log.recordPath("h/a", 9);
+        assertThat(log.isPurged(copy, 7)).as("purged at 5").isTrue();
+        assertThat(log.isPurged(copy, 5)).as("purged at 5").isFalse();
+        assertThat(log.isPurged(copy.revalidated(6), 7)).isFalse();
+        assertThat(log.isPurged(copy.revalidated(6), 10)).as("purged at 9").isTrue();
+        log.removeExpired(8 + PurgeLog.RETENTION_MS);
+        assertThat(log.isPurged(copy, 7)).as("the first purge has expired").isFalse();
+        assertThat(log.isPurged(copy, 10)).isTrue();
+    }
+
     @Test
     void purgesAreKeptForRetentionTime() {
         log.recordPath("h/a", 100);
--- a/cdn/src/main/java/ridgemill/cdn/proxy/ObjectFetch.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/ObjectFetch.java
@@ -11,17 +11,13 @@
  */
 final class ObjectFetch {
 
-    private record PurgedTag(String tag, double atMs) {}
-
     private final String key;
     private final CachedExchange initiator;
     private final CachedObject storedCopy;
     private final double startedMs;
     private final List<CachedExchange> waiters = new ArrayList<>(2);
-    private final List<PurgedTag> purgedTags = new ArrayList<>(0);
     private UpstreamCall call;
     private Timers.Timer deadlineTimer;
-    private boolean purged;
 
     /**
      * Creates a fetch that has not started.
@@ -71,11 +67,6 @@
         call.cancel(true);
     }
 
-    /** Whether the fetched copy had been fetched earlier by another process. */
-    boolean isFromOtherProcess(CachedObject copy) {
-        return copy.fetchStartedMs() < startedMs;
-    }
-
     /** Whether any request waits for this fetch. */
     boolean hasWaiters() {
         return !waiters.isEmpty();
@@ -111,29 +102,4 @@
         waiters.clear();
         return all;
     }
-
-    /** The object was purged: the result may be used for requests that already wait, but must not be stored. */
-    void purge() {
-        purged = true;
-    }
-
-    /** Objects with this tag were purged. */
-    void purgeTag(String tag, double nowMs) {
-        purgedTags.add(new PurgedTag(tag, nowMs));
-    }
-
-    /** Whether the result may be stored. */
-    boolean isStorable(CachedObject copy) {
-        return !purged && Double.isInfinite(purgedMs(copy));
-    }
-
-    /** When the first purge by tag that covers this copy arrived during the fetch; infinite if there was none. */
-    double purgedMs(CachedObject copy) {
-        for (PurgedTag purge : purgedTags) {
-            if (copy.tags().contains(purge.tag())) {
-                return purge.atMs();
-            }
-        }
-        return Double.POSITIVE_INFINITY;
-    }
 }
--- a/cdn/src/main/java/ridgemill/cdn/proxy/ObjectFetcher.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/ObjectFetcher.java
@@ -82,8 +82,7 @@
 
     /** Whether a copy is not older than any purge of it that was received before the request was made. */
     boolean isNotOlderThanPurges(CachedObject copy, double requestedAtMs) {
-        double purgedMs = purgeLog.lastPurgedMs(copy);
-        return copy.fetchStartedMs() >= purgedMs || purgedMs >= requestedAtMs;
+        return !purgeLog.isPurged(copy, requestedAtMs);
     }
 
     private ObjectFetch fetch(CachedExchange exchange, String key, CachedObject copy, double nowMs) {
@@ -209,23 +208,14 @@
             fetchFailed(fetch, result);
             return;
         }
-        double lastPurgedMs = purgeLog.lastPurgedMs(copy);
-        if (fetch.isFromOtherProcess(copy)
-                && copy.fetchStartedMs() < lastPurgedMs
-                && lastPurgedMs < fetch.startedMs()) {
-            // The other process had not received a purge yet: the requests fetch again with a lower maximum age.
-            purgeLog.recordPath(copy.key(), lastPurgedMs);
-            fetch.takeWaiters().forEach(waiter -> waiter.sharedFetchFailed(result));
-            return;
-        }
-        CachedObject existing = cache.get(copy.key());
-        if (fetch.isStorable(copy)
-                && (existing == null || existing.purgeCoverageSinceMs() <= copy.purgeCoverageSinceMs())) {
-            cache.put(copy);
+        if (purgeLog.isPurged(copy, Double.POSITIVE_INFINITY)) {
+            // Requests that fetch again ask a shared cache for a copy that is newer than a purge by tag, too.
+            purgeLog.recordPath(copy.key(), purgeLog.lastPurgedMs(copy));
+        } else if (copy.purgeCoverageSinceMs() >= context.now() - PurgeLog.RETENTION_MS) {
+            store(copy);
         }
-        double purgedMs = fetch.purgedMs(copy);
         for (CachedExchange waiter : fetch.takeWaiters()) {
-            if (waiter.requestedAtMs() <= purgedMs) {
+            if (isNotOlderThanPurges(copy, waiter.requestedAtMs())) {
                 waiter.copyAvailable(copy);
             } else {
                 waiter.sharedFetchFailed(result);
@@ -233,6 +223,13 @@
         }
     }
 
+    private void store(CachedObject copy) {
+        CachedObject existing = cache.get(copy.key());
+        if (existing == null || existing.purgeCoverageSinceMs() <= copy.purgeCoverageSinceMs()) {
+            cache.put(copy);
+        }
+    }
+
     private void fetchFailed(ObjectFetch fetch, UpstreamCall.Result result) {
         boolean unexpectedNotModified = result instanceof UpstreamCall.Result.Answered answered
                 && answered.response().status() == NOT_MODIFIED;
@@ -323,20 +320,11 @@
         purgeLog.recordPath(key, context.now());
         cache.remove(key);
         joinable.remove(key);
-        for (ObjectFetch fetch : running) {
-            if (fetch.key().equals(key)) {
-                fetch.purge();
-            }
-        }
     }
 
     @Override
     public void tagPurged(String tag) {
         cache.removeByTag(tag);
-        double nowMs = context.now();
-        purgeLog.recordTag(tag, nowMs);
-        for (ObjectFetch fetch : running) {
-            fetch.purgeTag(tag, nowMs);
-        }
+        purgeLog.recordTag(tag, context.now());
     }
 }
