Purges are kept for as long as a fetch in progress needs them

Cause: the log dropped purges by their age alone, so the result of such a fetch could not be compared with all purges since its start.

Change: the time for which a purge is kept counts back from the start of the oldest fetch in progress, which its deadline ends.

Result: SharedCacheTest, CacheTest and PurgeLogTest pass.

--- a/cdn-core/src/main/java/ridgemill/cdn/edge/PurgeLog.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/edge/PurgeLog.java
@@ -12,7 +12,7 @@
  */
 public final class PurgeLog {
 
-    /** How long a purge is kept, in milliseconds. */
+    /** How long before the oldest fetch in progress a purge is kept, in milliseconds. */
     public static final double RETENTION_MS = 10_000;
 
     private final Map<String, Deque<Double>> pathPurgedAtMs = new HashMap<>();
@@ -61,10 +61,14 @@
         return last;
     }
 
-    /** Removes purges older than {@link #RETENTION_MS}. */
-    public void removeExpired(double nowMs) {
-        removeBefore(pathPurgedAtMs, nowMs - RETENTION_MS);
-        removeBefore(tagPurgedAtMs, nowMs - RETENTION_MS);
+    /**
+     * Removes purges that are older by more than {@link #RETENTION_MS} than the oldest fetch in progress.
+     *
+     * @param oldestFetchMs when that fetch started; the current time if there is none
+     */
+    public void removeExpired(double oldestFetchMs) {
+        removeBefore(pathPurgedAtMs, oldestFetchMs - RETENTION_MS);
+        removeBefore(tagPurgedAtMs, oldestFetchMs - RETENTION_MS);
     }
 
     private static void removeBefore(Map<String, Deque<Double>> purgedAtMs, double firstKeptMs) {
--- a/cdn/src/main/java/ridgemill/cdn/proxy/ObjectFetcher.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/ObjectFetcher.java
@@ -211,7 +211,7 @@
         if (purgeLog.isPurged(copy, Double.POSITIVE_INFINITY)) {
             // Requests that fetch again ask a shared cache for a copy that is newer than a purge by tag, too.
             purgeLog.recordPath(copy.key(), purgeLog.lastPurgedMs(copy));
-        } else if (copy.purgeCoverageSinceMs() >= context.now() - PurgeLog.RETENTION_MS) {
+        } else {
             store(copy);
         }
         for (CachedExchange waiter : fetch.takeWaiters()) {
@@ -309,9 +309,13 @@
                 + context.control().describePurgeCoverage() + '"';
     }
 
-    /** Removes expired purges. */
+    /** Removes purges that are too old for the result of any fetch. */
     void tick(double nowMs) {
-        purgeLog.removeExpired(nowMs);
+        double oldestFetchMs = nowMs;
+        for (ObjectFetch fetch : running) {
+            oldestFetchMs = Math.min(oldestFetchMs, fetch.startedMs());
+        }
+        purgeLog.removeExpired(oldestFetchMs);
     }
 
     @Override
