A copy is served only where no acknowledged purge of it can have been missed

What callers saw: an old version, for as long as cacheTtl, after a purge of it had been acknowledged.

Cause: whoever said that it knew of all purges had not been told so. A shared cache took an open link for one over which all purges had come, for up to 2 s after a cut. An edge proxy took a shared cache's answer as checked at the time of its own request, and a process that had just started had no purge on record to hold it against. A store counted as followed while it was gone. Coverage went over from one set of voters to the next without a look at their quorums.

Change: PurgeCoverage is a span with a proven end. A quorum that confirmed a time, with streams that began early enough, extends the span; voters may restart one after another; a change of voters keeps it if the joint set was confirmed. A copy is served while its time is in the span and the span ended at most purgeDeadline ago. A shared cache says until when it knew of all purges; an edge proxy counts its own coverage from there, less the longest time that an acknowledgement takes, which a registry now enforces (a vote that is read later counts no more). A purge that several voters send is applied once.

--- a/cdn-core/src/main/java/ridgemill/cdn/edge/CachedObject.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/edge/CachedObject.java
@@ -12,9 +12,9 @@
  * @param body the body
  * @param fetchStartedMs when the fetch from an instance that delivered or revalidated the object started, in
  *     milliseconds; the age counts from this time
- * @param purgeCoverageSinceMs the time from which this process must have received all purges to use the copy, in
- *     milliseconds: when this process requested the object, also if another process answered with its copy, since that
- *     process had received all purges before
+ * @param purgeCoverageSinceMs the time from which this process must know of all purges to use the copy, in
+ *     milliseconds: when the fetch from the instance started, or a later time for whose past another process has
+ *     confirmed that it knew of all of them
  * @param fetchedFrom the instance that delivered the object, and the shared cache through which it came if there was
  *     one, for logs
  */
--- a/cdn-core/src/main/java/ridgemill/cdn/edge/ObjectCache.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/edge/ObjectCache.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -96,11 +97,10 @@
         }
     }
 
-    /** Removes all objects that carry this tag. */
-    public void removeByTag(String tag) {
-        Set<String> keys = keysByTag.remove(tag);
-        if (keys != null) {
-            for (String key : keys) {
+    /** Removes all objects that carry this tag and whose fetch started before a time, in milliseconds. */
+    public void removeByTag(String tag, double fetchedBeforeMs) {
+        for (String key : List.copyOf(keysByTag.getOrDefault(tag, Set.of()))) {
+            if (get(key).fetchStartedMs() < fetchedBeforeMs) {
                 remove(key);
             }
         }
--- a/cdn-core/src/main/java/ridgemill/cdn/purge/Purge.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/purge/Purge.java
@@ -10,6 +10,12 @@
  */
 public record Purge(String id, String hostname, String path, String tag) {
 
+    /**
+     * The longest time between the first publication of a purge by a store and its acknowledgement, in milliseconds. A
+     * registry acknowledges no purge later.
+     */
+    public static final long ACKNOWLEDGEMENT_TIMEOUT_MS = 900;
+
     /** A purge of one object. */
     public static Purge ofPath(String id, String hostname, String path) {
         return new Purge(id, hostname, path, null);
--- a/cdn-core/src/test/java/ridgemill/cdn/edge/ObjectCacheTest.java
+++ b/cdn-core/src/test/java/ridgemill/cdn/edge/ObjectCacheTest.java
@@ -34,7 +34,7 @@
         for (int i = 0; i < 10_000; i++) {
             cache.put(copy("k" + random.nextInt(60), random.nextInt(30_000), "t" + random.nextInt(9)));
             if (i % 17 == 0) {
-                cache.removeByTag("t" + random.nextInt(9));
+                cache.removeByTag("t" + random.nextInt(9), 1);
             }
             long held = 0;
             for (int k = 0; k < 60; k++) {
@@ -61,11 +61,11 @@
         cache.put(copy("a", 10, "old", "both"));
         cache.put(copy("a", 10, "new", "both"));
         cache.put(copy("b", 10, "both"));
-        cache.removeByTag("old");
+        cache.removeByTag("old", 1);
         assertThat(cache.count()).isEqualTo(2);
-        cache.removeByTag("new");
+        cache.removeByTag("new", 1);
         assertThat(cache.get("a")).isNull();
-        cache.removeByTag("both");
+        cache.removeByTag("both", 1);
         assertThat(cache.count()).isZero();
         assertThat(cache.sizeBytes()).isZero();
     }
--- a/cdn/src/main/java/ridgemill/cdn/proxy/CacheHeaders.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/CacheHeaders.java
@@ -14,6 +14,11 @@
     static final String MAX_AGE = "X-Ridgemill-Max-Age";
     /** The age of the returned copy at the time the request arrived, in milliseconds. */
     static final String AGE = "X-Ridgemill-Age";
+    /**
+     * How long before the request arrived the last time was until which the shared cache knew of all acknowledged
+     * purges, in milliseconds. Absent if it knows of no such time.
+     */
+    static final String UNCONFIRMED = "X-Ridgemill-Unconfirmed";
     /** The instance from which a shared cache fetched the returned copy, for logs. */
     static final String FETCHED_FROM = "X-Ridgemill-Fetched-From";
     /** Why a shared cache refused the request. A response with this header does not come from an instance. */
@@ -37,6 +42,7 @@
                 .remove(MAX_AGE)
                 .remove(AGE)
                 .remove(FETCHED_FROM)
+                .remove(UNCONFIRMED)
                 .remove(REFUSAL);
     }
 }
--- a/cdn/src/main/java/ridgemill/cdn/proxy/CachedExchange.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/CachedExchange.java
@@ -37,9 +37,9 @@
         return service;
     }
 
-    /** The age of a copy at the time the request arrived, in milliseconds; 0 if its fetch started later. */
-    private String ageOnArrival(CachedObject copy) {
-        return Long.toString((long) Math.max(0, Math.ceil(arrivedAtMs() - copy.fetchStartedMs())));
+    /** How long before the arrival of the request a time was, in milliseconds; 0 if it was later. */
+    private String timeBeforeArrival(double atMs) {
+        return Long.toString((long) Math.max(0, Math.ceil(arrivedAtMs() - atMs)));
     }
 
     /**
@@ -81,7 +81,11 @@
 
     /** Adds what an edge proxy has to know about a copy of this shared cache. */
     private FinalResponse withCopyHeaders(FinalResponse response, CachedObject copy) {
-        return response.addHeader(CacheHeaders.AGE, ageOnArrival(copy))
+        double confirmedUntilMs = context().control().purgesConfirmedUntilMs();
+        if (confirmedUntilMs > Double.NEGATIVE_INFINITY) {
+            response.addHeader(CacheHeaders.UNCONFIRMED, timeBeforeArrival(confirmedUntilMs));
+        }
+        return response.addHeader(CacheHeaders.AGE, timeBeforeArrival(copy.fetchStartedMs()))
                 .addHeader(CacheHeaders.FETCHED_FROM, copy.fetchedFrom());
     }
 
--- a/cdn/src/main/java/ridgemill/cdn/proxy/ObjectFetch.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/ObjectFetch.java
@@ -15,6 +15,7 @@
     private final CachedExchange initiator;
     private final CachedObject storedCopy;
     private final double startedMs;
+    private final double earliestCoverageMs;
     private final List<CachedExchange> waiters = new ArrayList<>(2);
     private UpstreamCall call;
     private Timers.Timer deadlineTimer;
@@ -24,12 +25,20 @@
      *
      * @param initiator the request that started it; null for a refresh-ahead fetch
      * @param storedCopy a copy that the fetch may revalidate; null if there is none
+     * @param earliestCoverageMs the earliest time from which this process may have to know of all purges to keep the
+     *     result
      */
-    ObjectFetch(String key, CachedExchange initiator, CachedObject storedCopy, double startedMs) {
+    ObjectFetch(
+            String key,
+            CachedExchange initiator,
+            CachedObject storedCopy,
+            double startedMs,
+            double earliestCoverageMs) {
         this.key = key;
         this.initiator = initiator;
         this.storedCopy = storedCopy;
         this.startedMs = startedMs;
+        this.earliestCoverageMs = earliestCoverageMs;
         if (initiator != null) {
             waiters.add(initiator);
         }
@@ -47,6 +56,10 @@
         return startedMs;
     }
 
+    double earliestCoverageMs() {
+        return earliestCoverageMs;
+    }
+
     void setCall(UpstreamCall newCall) {
         call = newCall;
     }
--- a/cdn/src/main/java/ridgemill/cdn/proxy/ObjectFetcher.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/ObjectFetcher.java
@@ -15,6 +15,7 @@
 import ridgemill.cdn.proxy.ProxyMeters.ReadSource;
 import ridgemill.cdn.proxy.control.ControlListener;
 import ridgemill.cdn.proxy.http.Headers;
+import ridgemill.cdn.purge.Purge;
 import ridgemill.policy.RendezvousHash;
 
 /**
@@ -63,8 +64,7 @@
         ObjectFetch current = joinable.get(key);
         if (current != null
                 && current.startedMs() >= oldestMs
-                && (!context.isSharedCache() || context.control().receivesPurges())
-                && context.control().isCoveredSince(current.startedMs())) {
+                && context.control().isCoveredSince(current.earliestCoverageMs())) {
             context.meters().countRead(ReadSource.SHARED_FETCH);
             current.join(exchange);
             return current;
@@ -73,11 +73,10 @@
         return fetch(exchange, key, copy, nowMs);
     }
 
-    /** Whether a copy may be served: it is fresh, and every acknowledged purge that covers it is known here. */
+    /** Whether a copy may be served: it is fresh, and every acknowledged purge of it is known here. */
     private boolean isUsable(CachedObject copy, CachedExchange exchange, double nowMs) {
         return copy.isFresh(nowMs, exchange.route().cacheTtlMs())
-                && context.control().isCoveredSince(copy.purgeCoverageSinceMs())
-                && (!context.isSharedCache() || context.control().receivesPurges());
+                && context.control().isCoveredSince(copy.purgeCoverageSinceMs());
     }
 
     /** Whether a copy is not older than any purge of it that was received before the request was made. */
@@ -92,13 +91,22 @@
             return null;
         }
         CachedObject storedCopy = copy != null && copy.etag() != null ? copy : null;
-        ObjectFetch fetch = new ObjectFetch(key, exchange, storedCopy, nowMs);
+        ObjectFetch fetch = new ObjectFetch(key, exchange, storedCopy, nowMs, earliestCoverageMs(nowMs));
         double deadlineMs =
                 Math.max(exchange.deadlineMs(), nowMs + exchange.route().timeoutMs());
         newCall(fetch, exchange, deadlineMs, nowMs - purgeLog.lastPurgedMs(key)).start();
         return running.contains(fetch) ? fetch : null;
     }
 
+    /**
+     * The earliest time from which this process may have to know of all purges to keep the result of a fetch, see
+     * {@link #purgeCoverageSinceMs}.
+     */
+    private double earliestCoverageMs(double startedMs) {
+        double unconfirmedMs = context.settings().bounds().purgeDeadlineMs() + Purge.ACKNOWLEDGEMENT_TIMEOUT_MS;
+        return context.caches().isAvailable() ? startedMs - unconfirmedMs : startedMs;
+    }
+
     /**
      * Creates the call for a fetch of the object that a request asks for; the call has not started.
      *
@@ -187,7 +195,8 @@
         }
         // If the fetch fails, the same number of uses is needed before the next one.
         cache.resetUses(copy.key());
-        ObjectFetch fetch = new ObjectFetch(copy.key(), null, copy.etag() == null ? null : copy, nowMs);
+        CachedObject storedCopy = copy.etag() == null ? null : copy;
+        ObjectFetch fetch = new ObjectFetch(copy.key(), null, storedCopy, nowMs, earliestCoverageMs(nowMs));
         double maxAgeMs = REFRESH_MAX_AGE_FRACTION * exchange.route().cacheTtlMs();
         UpstreamCall call = newCall(fetch, exchange, nowMs + exchange.route().timeoutMs(), maxAgeMs);
         call.disableRetries();
@@ -214,8 +223,14 @@
         } else {
             store(copy);
         }
+        boolean covered = context.control().isCoveredSince(copy.purgeCoverageSinceMs());
+        if (!covered) {
+            context.meters().countUncoveredFetch();
+        }
         for (CachedExchange waiter : fetch.takeWaiters()) {
-            if (isNotOlderThanPurges(copy, waiter.requestedAtMs())) {
+            // The responder knew of all purges that were acknowledged before the fetch, but not of later ones.
+            boolean waitedFromStart = waiter.requestedAtMs() <= fetch.startedMs();
+            if ((covered || waitedFromStart) && isNotOlderThanPurges(copy, waiter.requestedAtMs())) {
                 waiter.copyAvailable(copy);
             } else {
                 waiter.sharedFetchFailed(result);
@@ -253,7 +268,9 @@
             return same
                     ? fetch.storedCopy()
                             .revalidated(
-                                    originFetchStartedMs(fetch, response), fetch.startedMs(), fetchedFrom(answered))
+                                    originFetchStartedMs(fetch, response),
+                                    purgeCoverageSinceMs(fetch, response),
+                                    fetchedFrom(answered))
                     : null;
         }
         if (response.status() != OK || !response.isSealed()) {
@@ -268,7 +285,7 @@
                 tags(headers.get("X-Object-Tags")),
                 response.body(),
                 originFetchStartedMs(fetch, response),
-                fetch.startedMs(),
+                purgeCoverageSinceMs(fetch, response),
                 fetchedFrom(answered));
     }
 
@@ -285,6 +302,17 @@
         return fetch.startedMs() - CacheHeaders.getLong(response.headers(), CacheHeaders.AGE, 0);
     }
 
+    /**
+     * The time from which this process must know of all purges to keep the result of a fetch. A shared cache states
+     * until when it knew of all acknowledged purges. A purge that was acknowledged later may have been published
+     * earlier by the time that an acknowledgement takes.
+     */
+    private static double purgeCoverageSinceMs(ObjectFetch fetch, InstanceResponse response) {
+        double originFetchStartedMs = originFetchStartedMs(fetch, response);
+        long unconfirmedMs = CacheHeaders.getLong(response.headers(), CacheHeaders.UNCONFIRMED, Long.MAX_VALUE);
+        return Math.max(originFetchStartedMs, fetch.startedMs() - unconfirmedMs - Purge.ACKNOWLEDGEMENT_TIMEOUT_MS);
+    }
+
     private static List<String> tags(String header) {
         List<String> tags = new ArrayList<>(4);
         int start = 0;
@@ -319,16 +347,19 @@
     }
 
     @Override
-    public void pathPurged(String hostname, String path) {
+    public void pathPurged(String hostname, String path, double purgedAtMs) {
         String key = hostname.toLowerCase(Locale.ROOT) + path;
-        purgeLog.recordPath(key, context.now());
-        cache.remove(key);
+        purgeLog.recordPath(key, purgedAtMs);
+        CachedObject copy = cache.get(key);
+        if (copy != null && copy.fetchStartedMs() < purgedAtMs) {
+            cache.remove(key);
+        }
         joinable.remove(key);
     }
 
     @Override
-    public void tagPurged(String tag) {
-        cache.removeByTag(tag);
-        purgeLog.recordTag(tag, context.now());
+    public void tagPurged(String tag, double purgedAtMs) {
+        cache.removeByTag(tag, purgedAtMs);
+        purgeLog.recordTag(tag, purgedAtMs);
     }
 }
--- a/cdn/src/main/java/ridgemill/cdn/proxy/ProxyContext.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/ProxyContext.java
@@ -68,6 +68,7 @@
         this.fetcher = new ObjectFetcher(this, copies);
         this.localRegion = settings.regionOf(settings.zone());
         this.caches = new SharedCaches(this);
+        meters.registerPurgeGauge(this);
     }
 
     EventLoop loop() {
--- a/cdn/src/main/java/ridgemill/cdn/proxy/ProxyMeters.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/ProxyMeters.java
@@ -22,10 +22,12 @@
     }
 
     private final MeterRegistry registry;
+    private final Counter uncoveredFetches;
     private final Map<ReadSource, Counter> reads = new EnumMap<>(ReadSource.class);
 
     ProxyMeters(MeterRegistry registry) {
         this.registry = registry;
+        uncoveredFetches = registry.counter("ridgemill.object.fetches.uncovered");
         for (ReadSource source : ReadSource.values()) {
             reads.put(
                     source,
@@ -39,6 +41,20 @@
         reads.get(source).increment();
     }
 
+    /** Counts a fetched object that serves no other request, because a purge of it may have been missed. */
+    void countUncoveredFetch() {
+        uncoveredFetches.increment();
+    }
+
+    /** Registers a gauge of how long ago it was last known that no acknowledged purge is missing. */
+    void registerPurgeGauge(ProxyContext context) {
+        Gauge.builder(
+                        "ridgemill.purges.unconfirmed.ms",
+                        context,
+                        c -> c.now() - c.control().purgesConfirmedUntilMs())
+                .register(registry);
+    }
+
     /** Creates the meters of one service. */
     ServiceMeters service(String name) {
         return new ServiceMeters(registry, name);
--- a/cdn/src/main/java/ridgemill/cdn/proxy/control/ControlClient.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/control/ControlClient.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.UUID;
+import java.util.concurrent.TimeUnit;
 import ridgemill.cdn.config.Item;
 import ridgemill.cdn.config.ItemSet;
 import ridgemill.cdn.config.RoutingTable;
@@ -24,6 +25,8 @@
 import ridgemill.cdn.membership.FleetPosition;
 import ridgemill.cdn.purge.Purge;
 import ridgemill.cdn.purge.PurgeCoverage;
+import ridgemill.cdn.purge.PurgeHistory;
+import ridgemill.cdn.purge.RecentPurge;
 import ridgemill.cdn.quorum.Voter;
 import ridgemill.cdn.quorum.VoterSet;
 import ridgemill.cdn.settings.Settings;
@@ -43,6 +46,9 @@
 
     private static final System.Logger LOG = System.getLogger(ControlClient.class.getName());
 
+    /** How often each store is asked to confirm the purges received, in milliseconds. */
+    private static final long CONFIRMATION_INTERVAL_MS = 500;
+
     private final Settings settings;
     private final EventLoop loop;
     private final SocketKind sockets;
@@ -53,7 +59,8 @@
     private final Map<String, StoreFeed> stores = new LinkedHashMap<>();
     private final ItemSet items = new ItemSet();
     private final InstanceTable instances = new InstanceTable();
-    private final PurgeCoverage coverage = new PurgeCoverage();
+    private final PurgeCoverage coverage;
+    private final PurgeHistory appliedPurges;
     private final List<ControlListener> listeners = new ArrayList<>();
     private final Map<String, List<Instance>> readyByService = new HashMap<>();
     private final Optional<CacheNode> sharedCache;
@@ -87,6 +94,8 @@
         this.loop = loop;
         this.sockets = sockets;
         this.clock = clock;
+        this.coverage = new PurgeCoverage(settings.bounds().purgeDeadlineMs());
+        this.appliedPurges = new PurgeHistory(clock.now());
         this.hello = new LinkMessages.Hello(
                 LinkMessages.Hello.PROTOCOL,
                 program,
@@ -104,6 +113,12 @@
         for (String host : settings.seedHosts()) {
             connectStore(host);
         }
+        loop.scheduleWithFixedDelay(
+                this::requestConfirmations, CONFIRMATION_INTERVAL_MS, CONFIRMATION_INTERVAL_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void requestConfirmations() {
+        stores.values().forEach(StoreFeed::requestConfirmation);
     }
 
     /** Announces this shared cache to edge proxies through every registry. */
@@ -120,7 +135,7 @@
 
     private void connectStore(String host) {
         if (!stores.containsKey(host)) {
-            StoreFeed feed = new StoreFeed(this);
+            StoreFeed feed = new StoreFeed(this, clock::now);
             stores.put(host, feed);
             feed.start(newLink(host, settings.storePort(), feed));
         }
@@ -148,10 +163,12 @@
         if (members.addCoreHosts(coreHosts)) {
             connectRegistries();
         }
-        updateVoters(voters);
+        updateVoters(voters, clock.now());
     }
 
-    private void updateVoters(VoterSet voters) {
+    /** Takes over newer voters, given a time by which their epoch had been decided. */
+    private void updateVoters(VoterSet voters, double decidedMs) {
+        coverage.setVoters(voters, decidedMs);
         if (!members.updateVoters(voters)) {
             return;
         }
@@ -159,12 +176,13 @@
                 System.Logger.Level.INFO,
                 "event=voters_known epoch=" + voters.epoch() + " voters=" + voters.voters() + " previous="
                         + voters.previous());
-        coverage.setVoters(voters);
         List<String> addresses = voters.addresses();
         addresses.forEach(this::connectStore);
         for (String host : List.copyOf(stores.keySet())) {
             if (!addresses.contains(host)) {
-                stores.remove(host).close();
+                StoreFeed removed = stores.remove(host);
+                removed.close();
+                coverage.streamEnded(removed.store());
             }
         }
     }
@@ -186,24 +204,40 @@
     }
 
     @Override
-    public void snapshotReceived(StoreFeed feed, VoterSet voters, List<Item> all) {
-        updateVoters(voters);
-        coverage.streamStarted(feed.store(), clock.now());
-        mergeItems(all);
+    public void snapshotReceived(StoreFeed feed, StoreMessages.Snapshot snapshot) {
+        double nowMs = clock.now();
+        updateVoters(snapshot.voters(), nowMs - snapshot.votersAgeMs());
+        for (RecentPurge recent : snapshot.purges()) {
+            applyPurge(feed, recent.purge(), nowMs - recent.ageMs());
+        }
+        coverage.streamStarted(feed.store(), nowMs - snapshot.purgesCompleteForMs());
+        mergeItems(snapshot.items());
     }
 
     @Override
     public void updateReceived(StoreFeed feed, StoreMessages.Update update) {
-        updateVoters(update.voters());
+        double nowMs = clock.now();
+        updateVoters(update.voters(), nowMs);
         mergeItems(update.items());
-        for (Purge purge : update.purges()) {
-            logApplied(feed, purge);
-            for (ControlListener listener : listeners) {
-                if (purge.isByTag()) {
-                    listener.tagPurged(purge.tag());
-                } else {
-                    listener.pathPurged(purge.hostname(), purge.path());
-                }
+        update.purges().forEach(purge -> applyPurge(feed, purge, nowMs));
+    }
+
+    @Override
+    public void purgesConfirmed(StoreFeed feed, StoreMessages.PurgesConfirmed confirmation) {
+        coverage.confirmed(feed.store(), confirmation.sentAtMs(), confirmation.epoch());
+    }
+
+    /** Applies a purge, given the latest time at which it may have been published, unless it was applied before. */
+    private void applyPurge(StoreFeed feed, Purge purge, double purgedAtMs) {
+        if (!appliedPurges.add(purge, clock.now())) {
+            return;
+        }
+        logApplied(feed, purge);
+        for (ControlListener listener : listeners) {
+            if (purge.isByTag()) {
+                listener.tagPurged(purge.tag(), purgedAtMs);
+            } else {
+                listener.pathPurged(purge.hostname(), purge.path(), purgedAtMs);
             }
         }
     }
@@ -355,20 +389,19 @@
     }
 
     @Override
-    public boolean isCoveredSince(double fetchStartedMs) {
-        return coverage.covers(fetchStartedMs);
+    public boolean isCoveredSince(double sinceMs) {
+        return coverage.covers(sinceMs, clock.now());
     }
 
     @Override
-    public String describePurgeCoverage() {
-        return coverage.describe(
-                clock.now(), voter -> feedOf(voter) != null && feedOf(voter).isLive());
+    public double purgesConfirmedUntilMs() {
+        return coverage.confirmedUntilMs();
     }
 
     @Override
-    public boolean receivesPurges() {
-        return voters().hasQuorum(
-                        voter -> feedOf(voter) != null && feedOf(voter).isLive());
+    public String describePurgeCoverage() {
+        return coverage.describe(
+                clock.now(), voter -> feedOf(voter) != null && feedOf(voter).isLive());
     }
 
     @Override
--- a/cdn/src/main/java/ridgemill/cdn/proxy/control/ControlListener.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/control/ControlListener.java
@@ -9,11 +9,14 @@
     /** Instances were added, started to drain, left, or became unresponsive; or the fleet changed. */
     default void instancesChanged() {}
 
-    /** Copies of an object, and results of fetches in progress, must not be served to later requests. */
-    default void pathPurged(String hostname, String path) {}
-
     /**
-     * Copies that carry a tag, and results of fetches in progress that carry it, must not be served to later requests.
+     * Copies of an object that were fetched before a time, also by fetches in progress, must not be served to later
+     * requests.
+     *
+     * @param purgedAtMs that time: the latest one at which the purge may have been published
      */
-    default void tagPurged(String tag) {}
+    default void pathPurged(String hostname, String path, double purgedAtMs) {}
+
+    /** As {@link #pathPurged}, for copies that carry a tag. */
+    default void tagPurged(String tag, double purgedAtMs) {}
 }
--- a/cdn/src/main/java/ridgemill/cdn/proxy/control/ControlView.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/control/ControlView.java
@@ -21,17 +21,15 @@
     boolean isReady();
 
     /**
-     * Whether no purge can have been missed since a copy was fetched.
+     * Whether every purge is known here that was acknowledged after a time and before the permitted delay of purges.
+     * False in a process that is partitioned, or that has just started or resumed after a pause.
      *
-     * @param fetchStartedMs when the fetch of the copy was started, on the proxy's clock
+     * @param sinceMs that time, on the proxy's clock
      */
-    boolean isCoveredSince(double fetchStartedMs);
+    boolean isCoveredSince(double sinceMs);
 
-    /**
-     * Whether this process is connected to a quorum of the stores at this moment, so that every acknowledged purge is
-     * known here. False in a process that is partitioned, or that has just resumed after a pause.
-     */
-    boolean receivesPurges();
+    /** Until when every acknowledged purge is known here, on the proxy's clock; negative infinity if unknown. */
+    double purgesConfirmedUntilMs();
 
     /** Which stores cover which purges at this moment, for logs. */
     String describePurgeCoverage();
--- a/cdn/src/main/java/ridgemill/cdn/proxy/control/StoreFeed.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/control/StoreFeed.java
@@ -1,12 +1,10 @@
 package ridgemill.cdn.proxy.control;
 
 import io.vavr.control.Either;
-import java.util.List;
 import java.util.function.Consumer;
+import java.util.function.DoubleSupplier;
 import java.util.function.LongFunction;
-import ridgemill.cdn.config.Item;
 import ridgemill.cdn.quorum.Voter;
-import ridgemill.cdn.quorum.VoterSet;
 import ridgemill.cdn.wire.CallFailure;
 import ridgemill.cdn.wire.Link;
 import ridgemill.cdn.wire.LinkListener;
@@ -23,21 +21,35 @@
     /** Receives the updates of a store. */
     interface Receiver {
 
-        /** The store sent all its items. Purges from before this moment are not sent again. */
-        void snapshotReceived(StoreFeed feed, VoterSet voters, List<Item> items);
+        /** The store sent all its items and its recent purges: its first ones, or there may be a gap before them. */
+        void snapshotReceived(StoreFeed feed, StoreMessages.Snapshot snapshot);
 
         /** The store sent changes. */
         void updateReceived(StoreFeed feed, StoreMessages.Update update);
+
+        /** All purges that the store had published when it was asked have been received. */
+        void purgesConfirmed(StoreFeed feed, StoreMessages.PurgesConfirmed confirmation);
     }
 
     private final Receiver receiver;
+    private final DoubleSupplier clock;
     private ReconnectingLink link;
     private String incarnationId = "";
     private long lastNumber;
     private Voter store;
+    /** The link over which the updates are received. */
+    private Link streamLink;
+
+    private long votersEpoch;
 
-    StoreFeed(Receiver receiver) {
+    /**
+     * Creates a feed that is not connected.
+     *
+     * @param clock the current time, in milliseconds
+     */
+    StoreFeed(Receiver receiver, DoubleSupplier clock) {
         this.receiver = receiver;
+        this.clock = clock;
     }
 
     void start(ReconnectingLink newLink) {
@@ -75,6 +87,7 @@
 
     @Override
     public void opened(Link opened) {
+        streamLink = opened;
         opened.send(new StoreMessages.Subscribe(incarnationId, lastNumber));
     }
 
@@ -84,8 +97,14 @@
             incarnationId = snapshot.incarnationId();
             lastNumber = snapshot.number();
             store = snapshot.store();
-            receiver.snapshotReceived(this, snapshot.voters(), snapshot.items());
+            receiver.snapshotReceived(this, snapshot);
             from.send(new StoreMessages.UpdateAcknowledged(lastNumber));
+            votersEpoch = snapshot.voters().epoch();
+            requestConfirmation();
+        } else if (message instanceof StoreMessages.PurgesConfirmed confirmation) {
+            if (from == streamLink && confirmation.number() == lastNumber) {
+                receiver.purgesConfirmed(this, confirmation);
+            }
         } else if (message instanceof StoreMessages.Update update) {
             applyUpdate(from, update);
         }
@@ -103,6 +122,17 @@
         lastNumber = update.number();
         receiver.updateReceived(this, update);
         from.send(new StoreMessages.UpdateAcknowledged(lastNumber));
+        if (update.voters().epoch() != votersEpoch) {
+            votersEpoch = update.voters().epoch();
+            requestConfirmation();
+        }
+    }
+
+    /** Asks the store to confirm the purges received so far. */
+    void requestConfirmation() {
+        if (store != null) {
+            link.send(new StoreMessages.ConfirmPurges(clock.getAsDouble()));
+        }
     }
 
     @Override
--- a/cdn/src/main/java/ridgemill/cdn/registry/StoreClient.java
+++ b/cdn/src/main/java/ridgemill/cdn/registry/StoreClient.java
@@ -192,14 +192,15 @@
 
     /** Requests a purge. The callback receives whether a majority of the voters has forwarded it. */
     public void purge(Purge purge, Consumer<Boolean> callback) {
-        purge(purge, System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(budgetMs), callback);
+        long timeoutMs = Math.min(budgetMs, Purge.ACKNOWLEDGEMENT_TIMEOUT_MS);
+        purge(purge, System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMs), callback);
     }
 
     private void purge(Purge purge, long endNanos, Consumer<Boolean> callback) {
         VoterSet targetVoters = voters;
         long leftMs = TimeUnit.NANOSECONDS.toMillis(endNanos - System.nanoTime());
         LongFunction<Message.Call> call = callId -> new StoreMessages.WritePurge(callId, targetVoters.epoch(), purge);
-        PurgeVotes count = new PurgeVotes(purge, targetVoters, forwarded -> {
+        PurgeVotes count = new PurgeVotes(purge, targetVoters, endNanos, forwarded -> {
             boolean retry = !forwarded && leftMs > MIN_ATTEMPT_MS + PURGE_RETRY_DELAY_MS;
             if (retry) {
                 loop.schedule(() -> purge(purge, endNanos, callback), PURGE_RETRY_DELAY_MS, TimeUnit.MILLISECONDS);
@@ -223,13 +224,20 @@
 
         private final Purge purge;
         private final VoterSet voters;
+        private final long endNanos;
         private final Consumer<Boolean> callback;
         private final Map<Voter, StoreMessages.PurgePublished> published = new HashMap<>();
         private final Set<String> failed = new HashSet<>();
         private boolean decided;
 
-        PurgeVotes(Purge purge, VoterSet voters, Consumer<Boolean> callback) {
+        /**
+         * Counts no votes yet.
+         *
+         * @param endNanos until when votes count; a process that was paused may read them later
+         */
+        PurgeVotes(Purge purge, VoterSet voters, long endNanos, Consumer<Boolean> callback) {
             this.purge = purge;
+            this.endNanos = endNanos;
             this.voters = voters;
             this.callback = callback;
         }
@@ -238,7 +246,7 @@
             if (reply.isRight() && reply.get() instanceof StoreMessages.PurgePublished vote && vote.counts()) {
                 published.put(vote.store(), vote);
                 if (voters.hasQuorum(published::containsKey)) {
-                    decide(true);
+                    decide(System.nanoTime() - endNanos <= 0);
                 }
             } else {
                 failed(address);
--- a/cdn/src/main/java/ridgemill/cdn/settings/Bounds.java
+++ b/cdn/src/main/java/ridgemill/cdn/settings/Bounds.java
@@ -10,6 +10,7 @@
 public record Bounds(Map<String, String> values) {
 
     private static final long DEFAULT_DRAIN_DEADLINE_MS = 2_000;
+    private static final long DEFAULT_PURGE_DEADLINE_MS = 2_000;
     private static final long DEFAULT_GRACE_PERIOD_MS = 6_000;
     private static final long DEFAULT_KEY_WINDOW_MS = 60_000;
     private static final long DEFAULT_RETRY_WINDOW_MS = 10_000;
@@ -24,6 +25,11 @@
         return duration("drainDeadline", DEFAULT_DRAIN_DEADLINE_MS);
     }
 
+    /** The time after the acknowledgement of a purge from which no purged copy may be served. */
+    public long purgeDeadlineMs() {
+        return duration("purgeDeadline", DEFAULT_PURGE_DEADLINE_MS);
+    }
+
     /** The time between SIGTERM and SIGKILL. */
     public long gracePeriodMs() {
         return duration("gracePeriod", DEFAULT_GRACE_PERIOD_MS);
--- a/cdn/src/main/java/ridgemill/cdn/store/StoreReplica.java
+++ b/cdn/src/main/java/ridgemill/cdn/store/StoreReplica.java
@@ -46,7 +46,7 @@
         this.disk = disk;
         this.peers = peers;
         this.keys = new KeyReplica(limits);
-        this.updates = new UpdatePublisher(incarnationId, this::snapshot);
+        this.updates = new UpdatePublisher(incarnationId, this::snapshot, nowMs());
     }
 
     /** Returns the current time in Unix milliseconds. */
@@ -91,6 +91,11 @@
         return agreement.voters().epoch();
     }
 
+    /** Returns that epoch; 0 while it is not known to be decided, since it may still be replaced by another one. */
+    long decidedEpoch() {
+        return agreement.decidedVoters().epoch() == epoch() ? epoch() : 0;
+    }
+
     @Override
     public void send(String address, AgreementMessage message) {
         peers.linkTo(address).send(new StoreMessages.Agreement(message));
@@ -155,6 +160,9 @@
                 updates.lastNumber(),
                 self,
                 agreement.decidedVoters(),
-                new ArrayList<>(agreement.decidedItems().all()));
+                updates.votersAgeMs(nowMs()),
+                new ArrayList<>(agreement.decidedItems().all()),
+                updates.recentPurges().completeForMs(nowMs()),
+                updates.recentPurges().recent(nowMs()));
     }
 }
--- a/cdn/src/main/java/ridgemill/cdn/store/StoreService.java
+++ b/cdn/src/main/java/ridgemill/cdn/store/StoreService.java
@@ -56,6 +56,8 @@
             release(link, release);
         } else if (message instanceof StoreMessages.UpdateAcknowledged acknowledged) {
             replica.updates().acknowledged(link, acknowledged.number(), replica.nowMs());
+        } else if (message instanceof StoreMessages.ConfirmPurges request) {
+            replica.updates().confirmPurges(link, request, replica.decidedEpoch());
         } else if (message instanceof StoreMessages.Subscribe subscribe) {
             replica.updates().subscribe(link, subscribe.incarnationId(), subscribe.number(), replica.nowMs());
         } else if (message instanceof StoreMessages.WatchVoters) {
--- a/cdn/src/main/java/ridgemill/cdn/store/UpdatePublisher.java
+++ b/cdn/src/main/java/ridgemill/cdn/store/UpdatePublisher.java
@@ -12,6 +12,7 @@
 import java.util.function.Supplier;
 import ridgemill.cdn.config.Item;
 import ridgemill.cdn.purge.Purge;
+import ridgemill.cdn.purge.PurgeHistory;
 import ridgemill.cdn.quorum.VoterSet;
 import ridgemill.cdn.wire.Link;
 import ridgemill.cdn.wire.StoreMessages;
@@ -39,11 +40,13 @@
     private final Map<String, Long> purgeNumbers = new LinkedHashMap<>();
 
     private final Map<Link, Subscriber> subscribers = new LinkedHashMap<>();
+    private final PurgeHistory recentPurges;
     private final Set<Link> voterWatchers = new LinkedHashSet<>();
     /** Links that subscribed before any state was known to be decided. */
     private final Set<Link> waitingForDecision = new LinkedHashSet<>();
 
     private VoterSet voters = VoterSet.UNKNOWN;
+    private double votersDecidedMs;
     private long lastNumber;
     private long retainedCharacters;
 
@@ -59,10 +62,12 @@
      *
      * @param incarnationId identifies this incarnation of the store
      * @param snapshot creates a message with all current items, see {@link #lastNumber}
+     * @param nowMs the time from which this store publishes purges
      */
-    UpdatePublisher(String incarnationId, Supplier<StoreMessages.Snapshot> snapshot) {
+    UpdatePublisher(String incarnationId, Supplier<StoreMessages.Snapshot> snapshot, long nowMs) {
         this.incarnationId = incarnationId;
         this.snapshot = snapshot;
+        this.recentPurges = new PurgeHistory(nowMs);
     }
 
     /** Returns the number of the last update. */
@@ -70,6 +75,23 @@
         return lastNumber;
     }
 
+    /** Returns the recently published purges. */
+    PurgeHistory recentPurges() {
+        return recentPurges;
+    }
+
+    /** Returns how long the voters have been known to be decided, in milliseconds. */
+    long votersAgeMs(long nowMs) {
+        return (long) (nowMs - votersDecidedMs);
+    }
+
+    /** Confirms the last update to a subscriber. Other links get no reply: they have not been sent the purges. */
+    void confirmPurges(Link link, StoreMessages.ConfirmPurges request, long epoch) {
+        if (subscribers.containsKey(link)) {
+            link.send(new StoreMessages.PurgesConfirmed(request.sentAtMs(), lastNumber, epoch));
+        }
+    }
+
     /** Returns the identifier of this incarnation. */
     String incarnationId() {
         return incarnationId;
@@ -128,6 +150,7 @@
     void publishDecided(List<Item> changed, VoterSet newest, long nowMs) {
         boolean votersChanged = newest.isNewerThan(voters);
         voters = votersChanged ? newest : voters;
+        votersDecidedMs = votersChanged ? nowMs : votersDecidedMs;
         if (votersChanged || !changed.isEmpty()) {
             publish(new StoreMessages.Update(lastNumber + 1, voters, List.copyOf(changed), List.of()), nowMs);
         }
@@ -145,6 +168,7 @@
         if (publishedBefore != null) {
             return publishedBefore;
         }
+        recentPurges.add(purge, nowMs);
         publish(new StoreMessages.Update(lastNumber + 1, voters, List.of(), List.of(purge)), nowMs);
         purgeNumbers.put(purge.id(), lastNumber);
         trimPurges();
--- a/cdn/src/main/java/ridgemill/cdn/wire/MessageKind.java
+++ b/cdn/src/main/java/ridgemill/cdn/wire/MessageKind.java
@@ -34,7 +34,9 @@
     PEER_UPDATE(60, RegistryMessages.PeerUpdate::read),
     PEER_UPDATE_TAKEN(61, RegistryMessages.PeerUpdateMerged::read),
     PEER_BEATS(62, RegistryMessages.PeerHeartbeats::read),
-    PURGE_PUBLISHED(70, StoreMessages.PurgePublished::read);
+    PURGE_PUBLISHED(70, StoreMessages.PurgePublished::read),
+    CONFIRM_PURGES(71, StoreMessages.ConfirmPurges::read),
+    PURGES_CONFIRMED(72, StoreMessages.PurgesConfirmed::read);
 
     private static final MessageKind[] BY_NUMBER = new MessageKind[128];
 
--- a/cdn/src/main/java/ridgemill/cdn/wire/StoreMessages.java
+++ b/cdn/src/main/java/ridgemill/cdn/wire/StoreMessages.java
@@ -8,6 +8,7 @@
 import ridgemill.cdn.keys.KeyRecord;
 import ridgemill.cdn.keys.KeyState;
 import ridgemill.cdn.purge.Purge;
+import ridgemill.cdn.purge.RecentPurge;
 import ridgemill.cdn.quorum.Voter;
 import ridgemill.cdn.quorum.VoterSet;
 
@@ -41,15 +42,26 @@
     }
 
     /**
-     * All items. Later updates continue from its number. Earlier purges are not included.
+     * All items and the recent purges. Later updates continue from its number.
      *
      * @param incarnationId the incarnation of the store
      * @param number the number of the last update that the snapshot contains
      * @param store the sending store
      * @param voters the voters of the newest decided state
+     * @param votersAgeMs how long ago the store had learned that these voters are decided, in milliseconds
      * @param items all decided items, including tombstones
+     * @param purgesCompleteForMs the span before this message whose purges are all included, in milliseconds
+     * @param purges the purges that this incarnation published in that span, the oldest one first
      */
-    public record Snapshot(String incarnationId, long number, Voter store, VoterSet voters, List<Item> items)
+    public record Snapshot(
+            String incarnationId,
+            long number,
+            Voter store,
+            VoterSet voters,
+            long votersAgeMs,
+            List<Item> items,
+            long purgesCompleteForMs,
+            List<RecentPurge> purges)
             implements Message {
 
         @Override
@@ -62,7 +74,10 @@
             out.text(incarnationId).number(number);
             AgreementCodec.writeVoter(store, out);
             AgreementCodec.writeVoterSet(voters, out);
-            out.list(items, ValueCodec::writeItem);
+            out.number(votersAgeMs)
+                    .list(items, ValueCodec::writeItem)
+                    .number(purgesCompleteForMs)
+                    .list(purges, ValueCodec::writeRecentPurge);
         }
 
         static Snapshot read(FieldReader in) throws IOException {
@@ -71,7 +86,59 @@
                     in.number(),
                     AgreementCodec.readVoter(in),
                     AgreementCodec.readVoterSet(in),
-                    in.list(ValueCodec::readItem));
+                    in.number(),
+                    in.list(ValueCodec::readItem),
+                    in.number(),
+                    in.list(ValueCodec::readRecentPurge));
+        }
+    }
+
+    /**
+     * Asks a store to confirm that the sender has received all purges published so far. The reply is
+     * {@link PurgesConfirmed}; a store that has sent this link no snapshot does not reply.
+     *
+     * @param sentAtMs the time on the sender's clock, in milliseconds
+     */
+    public record ConfirmPurges(double sentAtMs) implements Message {
+
+        @Override
+        public MessageKind kind() {
+            return MessageKind.CONFIRM_PURGES;
+        }
+
+        @Override
+        public void write(FieldWriter out) throws IOException {
+            out.real(sentAtMs);
+        }
+
+        static ConfirmPurges read(FieldReader in) throws IOException {
+            return new ConfirmPurges(in.real());
+        }
+    }
+
+    /**
+     * Confirms that all purges which the store had published when it received {@link ConfirmPurges} were sent before
+     * this message.
+     *
+     * @param sentAtMs the time in that message
+     * @param number the number of the last update sent
+     * @param epoch the epoch in which the store counts purges; 0 if it has accepted another one that is not known to be
+     *     decided
+     */
+    public record PurgesConfirmed(double sentAtMs, long number, long epoch) implements Message {
+
+        @Override
+        public MessageKind kind() {
+            return MessageKind.PURGES_CONFIRMED;
+        }
+
+        @Override
+        public void write(FieldWriter out) throws IOException {
+            out.real(sentAtMs).number(number).number(epoch);
+        }
+
+        static PurgesConfirmed read(FieldReader in) throws IOException {
+            return new PurgesConfirmed(in.real(), in.number(), in.number());
         }
     }
 
--- a/cdn/src/main/java/ridgemill/cdn/wire/ValueCodec.java
+++ b/cdn/src/main/java/ridgemill/cdn/wire/ValueCodec.java
@@ -12,6 +12,7 @@
 import ridgemill.cdn.keys.KeyRecord;
 import ridgemill.cdn.keys.KeyState;
 import ridgemill.cdn.purge.Purge;
+import ridgemill.cdn.purge.RecentPurge;
 
 /** Encodes and decodes the values that several messages contain. The disk of the store uses the same encoding. */
 public final class ValueCodec {
@@ -63,6 +64,17 @@
         return new Purge(in.text(), in.text(), in.text(), in.text());
     }
 
+    /** Writes a purge with its age. */
+    public static void writeRecentPurge(RecentPurge recent, FieldWriter out) throws IOException {
+        writePurge(recent.purge(), out);
+        out.number(recent.ageMs());
+    }
+
+    /** Reads a purge with its age. */
+    public static RecentPurge readRecentPurge(FieldReader in) throws IOException {
+        return new RecentPurge(readPurge(in), in.number());
+    }
+
     /** Writes a key record. */
     public static void writeKeyRecord(KeyRecord record, FieldWriter out) throws IOException {
         out.text(record.key())
--- a/cdn/src/test/java/ridgemill/cdn/proxy/CacheTest.java
+++ b/cdn/src/test/java/ridgemill/cdn/proxy/CacheTest.java
@@ -42,11 +42,11 @@
     }
 
     private void purgePath(String path) throws Exception {
-        proxy.onLoop(() -> proxy.control.listeners.forEach(l -> l.pathPurged("h.example", path)));
+        proxy.onLoop(() -> proxy.control.listeners.forEach(l -> l.pathPurged("h.example", path, proxy.timers.now())));
     }
 
     private void purgeTag(String tag) throws Exception {
-        proxy.onLoop(() -> proxy.control.listeners.forEach(l -> l.tagPurged(tag)));
+        proxy.onLoop(() -> proxy.control.listeners.forEach(l -> l.tagPurged(tag, proxy.timers.now())));
     }
 
     @Test
--- a/cdn/src/test/java/ridgemill/cdn/proxy/FakeControl.java
+++ b/cdn/src/test/java/ridgemill/cdn/proxy/FakeControl.java
@@ -18,6 +18,7 @@
     volatile List<Instance> instances = List.of();
     volatile Fleet fleet = Fleet.ALONE;
     volatile boolean receivesPurges = true;
+    volatile double confirmedUntilMs = Double.POSITIVE_INFINITY;
     volatile int connectionCap = 100;
     volatile double coveredSinceMs = Double.NEGATIVE_INFINITY;
     final List<ControlListener> listeners = new ArrayList<>();
@@ -48,13 +49,13 @@
     }
 
     @Override
-    public boolean isCoveredSince(double fetchStartedMs) {
-        return fetchStartedMs >= coveredSinceMs;
+    public boolean isCoveredSince(double sinceMs) {
+        return receivesPurges && sinceMs >= coveredSinceMs;
     }
 
     @Override
-    public boolean receivesPurges() {
-        return receivesPurges;
+    public double purgesConfirmedUntilMs() {
+        return confirmedUntilMs;
     }
 
     @Override
--- a/cdn/src/test/java/ridgemill/cdn/proxy/SharedCacheTest.java
+++ b/cdn/src/test/java/ridgemill/cdn/proxy/SharedCacheTest.java
@@ -74,10 +74,10 @@
     void copyOlderThanAPurgeIsFetchedAgainBeforeTheSharedCacheReceivesThePurge() throws Exception {
         read(0, "1");
         fleet.advanceTime(100);
-        fleet.onProxy(1, control -> control.listeners.forEach(l -> l.pathPurged("h.example", "/c/1")));
+        fleet.onProxy(1, control -> control.listeners.forEach(l -> l.pathPurged("h.example", "/c/1", fleet.now())));
         assertThat(read(1, "2").body()).isEqualTo("v2");
         fleet.advanceTime(100);
-        fleet.onProxy(2, control -> control.listeners.forEach(l -> l.tagPurged("t2")));
+        fleet.onProxy(2, control -> control.listeners.forEach(l -> l.tagPurged("t2", fleet.now())));
         assertThat(read(2, "3").body()).isEqualTo("v3");
         assertThat(read(2, "4").body()).isEqualTo("v3");
     }
@@ -118,12 +118,12 @@
         try (sharedCache) {
             fleet.setSharedCaches(
                     List.of(new CacheNode("stub", sharedCache.instance("s").address(), "z")));
-            fleet.onProxy(0, control -> control.listeners.forEach(l -> l.pathPurged("h.example", "/c/1")));
+            fleet.onProxy(0, control -> control.listeners.forEach(l -> l.pathPurged("h.example", "/c/1", fleet.now())));
             fleet.advanceTime(PURGE_DEADLINE_MS + 1_000);
             ProxyFixture.Client client = fleet.client(0);
             client.send("GET /c/1 HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: 1\r\n\r\n");
             sharedCache.take();
-            fleet.onProxy(0, control -> control.listeners.forEach(l -> l.pathPurged("h.example", "/c/1")));
+            fleet.onProxy(0, control -> control.listeners.forEach(l -> l.pathPurged("h.example", "/c/1", fleet.now())));
             secondPurge.countDown();
             assertThat(client.read().body()).isEqualTo("current");
         }
--- a/cdn/src/test/java/ridgemill/cdn/wire/MessageCodecTest.java
+++ b/cdn/src/test/java/ridgemill/cdn/wire/MessageCodecTest.java
@@ -26,6 +26,7 @@
 import ridgemill.cdn.membership.Fleet;
 import ridgemill.cdn.membership.FleetPosition;
 import ridgemill.cdn.purge.Purge;
+import ridgemill.cdn.purge.RecentPurge;
 import ridgemill.cdn.quorum.Voter;
 import ridgemill.cdn.quorum.VoterSet;
 
@@ -60,7 +61,10 @@
                 new LinkMessages.Ping(),
                 new LinkMessages.Pong(),
                 new StoreMessages.Subscribe("life", 3),
-                new StoreMessages.Snapshot("life", 4, VOTER, VOTERS, ITEMS),
+                new StoreMessages.Snapshot(
+                        "life", 4, VOTER, VOTERS, 7_000, ITEMS, 9_000, List.of(new RecentPurge(PURGE, 50))),
+                new StoreMessages.ConfirmPurges(1_234.5),
+                new StoreMessages.PurgesConfirmed(1_234.5, 6, 7),
                 new StoreMessages.Update(5, VOTERS, ITEMS, List.of(PURGE, Purge.ofTag("q", "t"))),
                 new StoreMessages.UpdateAcknowledged(5),
                 new StoreMessages.WatchVoters(),
