--- a/cdn/src/test/java/ridgemill/cdn/store/StoreProgramTest.java
+++ b/cdn/src/test/java/ridgemill/cdn/store/StoreProgramTest.java
@@ -18,6 +18,7 @@
 import ridgemill.cdn.config.ItemName;
 import ridgemill.cdn.keys.KeyState;
 import ridgemill.cdn.purge.Purge;
+import ridgemill.cdn.purge.RecentPurge;
 import ridgemill.cdn.quorum.VoterSet;
 import ridgemill.cdn.wire.StoreMessages;
 
@@ -115,6 +116,48 @@
         assertThat(otherIncarnation.take(StoreMessages.Snapshot.class).number()).isEqualTo(number + 2);
     }
 
+    @Test
+    void aLinkWithoutASnapshotGetsNoConfirmationOfPurges() throws Exception {
+        StoreCluster.Caller subscriber = cluster.caller(0);
+        subscriber.send(new StoreMessages.ConfirmPurges(1));
+        subscriber.send(new StoreMessages.Subscribe("", 0));
+        StoreMessages.Snapshot snapshot = subscriber.take(StoreMessages.Snapshot.class);
+        subscriber.send(new StoreMessages.ConfirmPurges(2));
+        assertThat(subscriber.take(StoreMessages.PurgesConfirmed.class))
+                .isEqualTo(new StoreMessages.PurgesConfirmed(2, snapshot.number(), 1));
+    }
+
+    @Test
+    void aConfirmationFollowsThePurgesPublishedBefore() throws Exception {
+        StoreCluster.Caller subscriber = cluster.caller(0);
+        subscriber.send(new StoreMessages.Subscribe("", 0));
+        long number = subscriber.take(StoreMessages.Snapshot.class).number();
+        Purge purge = Purge.ofTag("p1", "tag");
+        purge(cluster.caller(0), purge);
+        subscriber.send(new StoreMessages.ConfirmPurges(1));
+        assertThat(subscriber.take(StoreMessages.Update.class).purges()).containsExactly(purge);
+        assertThat(subscriber.take(StoreMessages.PurgesConfirmed.class).number())
+                .isEqualTo(number + 1);
+    }
+
+    @Test
+    void aSnapshotHasTheRecentPurgesOfThisIncarnation() throws Exception {
+        Purge purge = Purge.ofTag("p1", "tag");
+        purge(cluster.caller(0), purge);
+        StoreCluster.Caller subscriber = cluster.caller(0);
+        subscriber.send(new StoreMessages.Subscribe("", 0));
+        StoreMessages.Snapshot snapshot = subscriber.take(StoreMessages.Snapshot.class);
+        assertThat(snapshot.purges()).extracting(RecentPurge::purge).containsExactly(purge);
+        assertThat(snapshot.purges().get(0).ageMs()).isBetween(0L, snapshot.purgesCompleteForMs());
+        cluster.stop(0);
+        cluster.start(0, false);
+        StoreCluster.Caller later = cluster.caller(0);
+        later.send(new StoreMessages.Subscribe("", 0));
+        assertThat(later.take(StoreMessages.Snapshot.class).purges())
+                .as("the next incarnation has not published it")
+                .isEmpty();
+    }
+
     @Test
     void aFinishedKeyStaysFinishedAfterARestart() {
         StoreCluster.Caller caller = cluster.caller(0);
