A running fetch is shared by its proof, also while purges may be missed

A request could join a fetch whose answer, a shared cache's copy, had expired before it came. Confirmations were asked for twice a second, whatever purgeDeadline is.

Change: a copy carries until when its sender knew of all purges of it; the result of a fetch goes to a request if that is at most purgeDeadline before it, or if this process covers the copy. Stored copies need coverage, as before. A copy that was fetched before the fetch it answers must be fresh for whoever joined. Each store is asked four times in purgeDeadline.

Ruled out: serving a stored copy for purgeDeadline without coverage.

Result: CacheTest.requestsShareOneFetchAlsoWhilePurgesMayBeMissed and SharedCacheTest.copyThatExpiredBeforeARequestJoinedItsFetchIsNotServedToThat Request are new; tests of copies, shared caches, fleets and the whole system pass.

--- a/cdn-core/src/main/java/ridgemill/cdn/edge/CachedObject.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/edge/CachedObject.java
@@ -1,6 +1,7 @@
 package ridgemill.cdn.edge;
 
 import java.util.List;
+import ridgemill.cdn.purge.Purge;
 
 /**
  * A complete cached response of an instance.
@@ -12,9 +13,9 @@
  * @param body the body
  * @param fetchStartedMs when the fetch from an instance that delivered or revalidated the object started, in
  *     milliseconds; the age counts from this time
- * @param purgeCoverageSinceMs the time from which this process must know of all purges to use the copy, in
- *     milliseconds: when the fetch from the instance started, or a later time for whose past another process has
- *     confirmed that it knew of all of them
+ * @param knownUntilMs a time until which no acknowledged purge of the object was missed, whatever this process knows, in
+ *     milliseconds: when the fetch from the instance started, or until when the shared cache that had the copy knew of
+ *     all purges
  * @param fetchedFrom the instance that delivered the object, and the shared cache through which it came if there was
  *     one, for logs
  */
@@ -25,7 +26,7 @@
         List<String> tags,
         byte[] body,
         double fetchStartedMs,
-        double purgeCoverageSinceMs,
+        double knownUntilMs,
         String fetchedFrom) {
 
     /** An object that this process fetched from an instance itself. */
@@ -44,6 +45,15 @@
      */
     private static final int MIN_USES_FOR_REFRESH = 8;
 
+    /**
+     * The time from which this process must know of all acknowledged purges to use the object after
+     * {@link #knownUntilMs}, in milliseconds. A purge that was acknowledged after that time may have been published
+     * earlier by the time that an acknowledgement takes.
+     */
+    public double purgeCoverageSinceMs() {
+        return Math.max(fetchStartedMs, knownUntilMs - Purge.ACKNOWLEDGEMENT_TIMEOUT_MS);
+    }
+
     /** The estimated memory that this object takes, in bytes. */
     public long sizeBytes() {
         return OVERHEAD_BYTES + body.length;
@@ -70,10 +80,10 @@
     }
 
     /**
-     * This object after it was revalidated, with new values of {@code fetchStartedMs}, {@code purgeCoverageSinceMs} and
+     * This object after it was revalidated, with new values of {@code fetchStartedMs}, {@code knownUntilMs} and
      * {@code fetchedFrom}.
      */
-    public CachedObject revalidated(double startedMs, double checkMs, String revalidatedFrom) {
-        return new CachedObject(key, headers, etag, tags, body, startedMs, checkMs, revalidatedFrom);
+    public CachedObject revalidated(double startedMs, double newKnownUntilMs, String revalidatedFrom) {
+        return new CachedObject(key, headers, etag, tags, body, startedMs, newKnownUntilMs, revalidatedFrom);
     }
 }
--- a/cdn-core/src/main/java/ridgemill/cdn/purge/PurgeCoverage.java
+++ b/cdn-core/src/main/java/ridgemill/cdn/purge/PurgeCoverage.java
@@ -44,6 +44,14 @@
     private double untilMs = Double.NEGATIVE_INFINITY;
     private boolean confirmedInEpoch;
 
+    /**
+     * How long after the last confirmation copies may be used at most, in milliseconds: the permitted delay of purges,
+     * as far as the purges of that time are kept.
+     */
+    public static double maxUnconfirmedMs(double purgeDeadlineMs) {
+        return Math.min(purgeDeadlineMs, PurgeHistory.RETENTION_MS - Purge.ACKNOWLEDGEMENT_TIMEOUT_MS);
+    }
+
     /**
      * Coverage without any stream.
      *
--- a/cdn/src/main/java/ridgemill/cdn/proxy/CacheHeaders.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/CacheHeaders.java
@@ -16,7 +16,7 @@
     static final String AGE = "X-Ridgemill-Age";
     /**
      * How long before the request arrived the last time was until which the shared cache knew of all acknowledged
-     * purges, in milliseconds. Absent if it knows of no such time.
+     * purges of the returned copy, in milliseconds.
      */
     static final String UNCONFIRMED = "X-Ridgemill-Unconfirmed";
     /** The instance from which a shared cache fetched the returned copy, for logs. */
--- a/cdn/src/main/java/ridgemill/cdn/proxy/CachedExchange.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/CachedExchange.java
@@ -81,11 +81,8 @@
 
     /** Adds what an edge proxy has to know about a copy of this shared cache. */
     private FinalResponse withCopyHeaders(FinalResponse response, CachedObject copy) {
-        double confirmedUntilMs = context().control().purgesConfirmedUntilMs();
-        if (confirmedUntilMs > Double.NEGATIVE_INFINITY) {
-            response.addHeader(CacheHeaders.UNCONFIRMED, timeBeforeArrival(confirmedUntilMs));
-        }
         return response.addHeader(CacheHeaders.AGE, timeBeforeArrival(copy.fetchStartedMs()))
+                .addHeader(CacheHeaders.UNCONFIRMED, timeBeforeArrival(fetcher.knownUntilMs(copy)))
                 .addHeader(CacheHeaders.FETCHED_FROM, copy.fetchedFrom());
     }
 
--- a/cdn/src/main/java/ridgemill/cdn/proxy/ObjectFetcher.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/ObjectFetcher.java
@@ -16,6 +16,7 @@
 import ridgemill.cdn.proxy.control.ControlListener;
 import ridgemill.cdn.proxy.http.Headers;
 import ridgemill.cdn.purge.Purge;
+import ridgemill.cdn.purge.PurgeCoverage;
 import ridgemill.policy.RendezvousHash;
 
 /**
@@ -26,6 +27,8 @@
 
     private static final int OK = 200;
     private static final int NOT_MODIFIED = 304;
+    /** The fraction of the permitted delay of purges for which any fetch may be joined. */
+    private static final double UNCOVERED_JOIN_FRACTION = 0.5;
     /** The maximum age of a copy that a refresh-ahead fetch accepts from a shared cache, as a fraction of the TTL. */
     private static final double REFRESH_MAX_AGE_FRACTION = 0.5;
     /**
@@ -41,12 +44,15 @@
     private final ProxyContext context;
     private final ObjectCache cache;
     private final PurgeLog purgeLog = new PurgeLog();
+    private final double purgeDeadlineMs;
     private final Map<String, ObjectFetch> joinable = new HashMap<>();
     private final Set<ObjectFetch> running = new LinkedHashSet<>();
 
     ObjectFetcher(ProxyContext context, ObjectCache cache) {
         this.context = context;
         this.cache = cache;
+        this.purgeDeadlineMs =
+                PurgeCoverage.maxUnconfirmedMs(context.settings().bounds().purgeDeadlineMs());
     }
 
     /** Serves a request from a copy or lets it wait for a fetch. Returns that fetch; null if the request has ended. */
@@ -62,9 +68,7 @@
             return null;
         }
         ObjectFetch current = joinable.get(key);
-        if (current != null
-                && current.startedMs() >= oldestMs
-                && context.control().isCoveredSince(current.earliestCoverageMs())) {
+        if (current != null && current.startedMs() >= oldestMs && isJoinable(current, nowMs)) {
             context.meters().countRead(ReadSource.SHARED_FETCH);
             current.join(exchange);
             return current;
@@ -73,12 +77,28 @@
         return fetch(exchange, key, copy, nowMs);
     }
 
-    /** Whether a copy may be served: it is fresh, and every acknowledged purge of it is known here. */
+    /** Whether a copy may be served: it is fresh, and no acknowledged purge of it can have been missed. */
     private boolean isUsable(CachedObject copy, CachedExchange exchange, double nowMs) {
         return copy.isFresh(nowMs, exchange.route().cacheTtlMs())
                 && context.control().isCoveredSince(copy.purgeCoverageSinceMs());
     }
 
+    /**
+     * Whether the result of a fetch can be expected to serve a request that joins it now. This process has to know of
+     * all purges; else the fetch must be recent, as a shared cache may answer that it has been without some purges.
+     */
+    private boolean isJoinable(ObjectFetch fetch, double nowMs) {
+        return nowMs - fetch.startedMs() <= UNCOVERED_JOIN_FRACTION * purgeDeadlineMs
+                || context.control().isCoveredSince(fetch.earliestCoverageMs());
+    }
+
+    /** Until when every acknowledged purge of a copy is known here. */
+    double knownUntilMs(CachedObject copy) {
+        double confirmedUntilMs = context.control().purgesConfirmedUntilMs();
+        boolean covered = context.control().isCoveredSince(copy.purgeCoverageSinceMs());
+        return covered ? Math.max(copy.knownUntilMs(), confirmedUntilMs) : copy.knownUntilMs();
+    }
+
     /** Whether a copy is not older than any purge of it that was received before the request was made. */
     boolean isNotOlderThanPurges(CachedObject copy, double requestedAtMs) {
         return !purgeLog.isPurged(copy, requestedAtMs);
@@ -100,10 +120,10 @@
 
     /**
      * The earliest time from which this process may have to know of all purges to keep the result of a fetch, see
-     * {@link #purgeCoverageSinceMs}.
+     * {@link CachedObject#purgeCoverageSinceMs}.
      */
     private double earliestCoverageMs(double startedMs) {
-        double unconfirmedMs = context.settings().bounds().purgeDeadlineMs() + Purge.ACKNOWLEDGEMENT_TIMEOUT_MS;
+        double unconfirmedMs = purgeDeadlineMs + Purge.ACKNOWLEDGEMENT_TIMEOUT_MS;
         return context.caches().isAvailable() ? startedMs - unconfirmedMs : startedMs;
     }
 
@@ -223,14 +243,11 @@
         } else {
             store(copy);
         }
-        boolean covered = context.control().isCoveredSince(copy.purgeCoverageSinceMs());
-        if (!covered) {
+        if (!context.control().isCoveredSince(copy.purgeCoverageSinceMs())) {
             context.meters().countUncoveredFetch();
         }
         for (CachedExchange waiter : fetch.takeWaiters()) {
-            // The responder knew of all purges that were acknowledged before the fetch, but not of later ones.
-            boolean waitedFromStart = waiter.requestedAtMs() <= fetch.startedMs();
-            if ((covered || waitedFromStart) && isNotOlderThanPurges(copy, waiter.requestedAtMs())) {
+            if (maySatisfy(fetch, copy, waiter)) {
                 waiter.copyAvailable(copy);
             } else {
                 waiter.sharedFetchFailed(result);
@@ -238,6 +255,21 @@
         }
     }
 
+    /**
+     * Whether the result of a fetch may be passed to a request that waits for it. Whatever this process knows, no
+     * purge is missing that the responder knew of, and one that was acknowledged later is within the permitted delay.
+     */
+    private boolean maySatisfy(ObjectFetch fetch, CachedObject copy, CachedExchange waiter) {
+        double requestedAtMs = waiter.requestedAtMs();
+        boolean isNew = copy.fetchStartedMs() >= fetch.startedMs();
+        boolean isFresh = isNew
+                || requestedAtMs <= fetch.startedMs()
+                || copy.isFresh(requestedAtMs, waiter.route().cacheTtlMs());
+        boolean knowsPurges = requestedAtMs - purgeDeadlineMs <= copy.knownUntilMs()
+                || context.control().isCoveredSince(copy.purgeCoverageSinceMs());
+        return isFresh && knowsPurges && isNotOlderThanPurges(copy, requestedAtMs);
+    }
+
     private void store(CachedObject copy) {
         CachedObject existing = cache.get(copy.key());
         if (existing == null || existing.purgeCoverageSinceMs() <= copy.purgeCoverageSinceMs()) {
@@ -269,7 +301,7 @@
                     ? fetch.storedCopy()
                             .revalidated(
                                     originFetchStartedMs(fetch, response),
-                                    purgeCoverageSinceMs(fetch, response),
+                                    knownUntilMs(fetch, response),
                                     fetchedFrom(answered))
                     : null;
         }
@@ -285,7 +317,7 @@
                 tags(headers.get("X-Object-Tags")),
                 response.body(),
                 originFetchStartedMs(fetch, response),
-                purgeCoverageSinceMs(fetch, response),
+                knownUntilMs(fetch, response),
                 fetchedFrom(answered));
     }
 
@@ -302,15 +334,10 @@
         return fetch.startedMs() - CacheHeaders.getLong(response.headers(), CacheHeaders.AGE, 0);
     }
 
-    /**
-     * The time from which this process must know of all purges to keep the result of a fetch. A shared cache states
-     * until when it knew of all acknowledged purges. A purge that was acknowledged later may have been published
-     * earlier by the time that an acknowledgement takes.
-     */
-    private static double purgeCoverageSinceMs(ObjectFetch fetch, InstanceResponse response) {
-        double originFetchStartedMs = originFetchStartedMs(fetch, response);
+    /** Until when the responder knew of all purges of the object; a shared cache states it in the response. */
+    private static double knownUntilMs(ObjectFetch fetch, InstanceResponse response) {
         long unconfirmedMs = CacheHeaders.getLong(response.headers(), CacheHeaders.UNCONFIRMED, Long.MAX_VALUE);
-        return Math.max(originFetchStartedMs, fetch.startedMs() - unconfirmedMs - Purge.ACKNOWLEDGEMENT_TIMEOUT_MS);
+        return Math.max(originFetchStartedMs(fetch, response), fetch.startedMs() - unconfirmedMs);
     }
 
     private static List<String> tags(String header) {
@@ -332,7 +359,8 @@
         double nowMs = context.now();
         return "object=" + copy.key() + " etag=" + copy.etag() + " fetched_from=\"" + copy.fetchedFrom()
                 + "\" fetched_ms_ago=" + Math.round(nowMs - copy.fetchStartedMs()) + " covered_from_ms_ago="
-                + Math.round(nowMs - copy.purgeCoverageSinceMs()) + " purged_ms_ago="
+                + Math.round(nowMs - copy.purgeCoverageSinceMs()) + " known_until_ms_ago="
+                + Math.round(nowMs - copy.knownUntilMs()) + " purged_ms_ago="
                 + Math.round(nowMs - purgeLog.lastPurgedMs(copy)) + " stores=\""
                 + context.control().describePurgeCoverage() + '"';
     }
--- a/cdn/src/main/java/ridgemill/cdn/proxy/control/ControlClient.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/control/ControlClient.java
@@ -46,8 +46,8 @@
 
     private static final System.Logger LOG = System.getLogger(ControlClient.class.getName());
 
-    /** How often each store is asked to confirm the purges received, in milliseconds. */
-    private static final long CONFIRMATION_INTERVAL_MS = 500;
+    /** How often each store is asked to confirm the purges received, so that a late or lost reply does not matter. */
+    private static final long CONFIRMATIONS_PER_PURGE_DEADLINE = 4;
 
     private final Settings settings;
     private final EventLoop loop;
@@ -113,8 +113,8 @@
         for (String host : settings.seedHosts()) {
             connectStore(host);
         }
-        loop.scheduleWithFixedDelay(
-                this::requestConfirmations, CONFIRMATION_INTERVAL_MS, CONFIRMATION_INTERVAL_MS, TimeUnit.MILLISECONDS);
+        long intervalMs = settings.bounds().purgeDeadlineMs() / CONFIRMATIONS_PER_PURGE_DEADLINE;
+        loop.scheduleWithFixedDelay(this::requestConfirmations, intervalMs, intervalMs, TimeUnit.MILLISECONDS);
     }
 
     private void requestConfirmations() {
--- a/cdn/src/test/java/ridgemill/cdn/proxy/CacheTest.java
+++ b/cdn/src/test/java/ridgemill/cdn/proxy/CacheTest.java
@@ -130,6 +130,29 @@
         }
     }
 
+    @Test
+    void requestsShareOneFetchAlsoWhilePurgesMayBeMissed() throws Exception {
+        proxy.control.receivesPurges = false;
+        CountDownLatch go = new CountDownLatch(1);
+        origin.script = (request, socket) -> {
+            go.await();
+            return object("x").respond(request, socket);
+        };
+        ProxyFixture.Client[] clients = new ProxyFixture.Client[5];
+        for (int i = 0; i < clients.length; i++) {
+            clients[i] = proxy.client();
+            clients[i].send("GET /c/1 HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: " + i + "\r\n\r\n");
+        }
+        proxy.awaitInFlight(clients.length);
+        go.countDown();
+        for (ProxyFixture.Client client : clients) {
+            assertThat(client.read().status()).isEqualTo(200);
+        }
+        assertThat(origin.received).hasSize(1);
+        proxy.request("GET", "/c/1", "later", "");
+        assertThat(origin.received).as("the copy is not served to others").hasSize(2);
+    }
+
     @Test
     void requestsShareOneFetchAndOneOfThemRetriesIfItFails() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
--- a/cdn/src/test/java/ridgemill/cdn/proxy/FleetFixture.java
+++ b/cdn/src/test/java/ridgemill/cdn/proxy/FleetFixture.java
@@ -138,6 +138,11 @@
         loop.submit(() -> caches.get(cache).drain(0, 0)).sync();
     }
 
+    /** Waits until one of the proxies has this many requests in flight. */
+    void awaitInFlight(int proxy, int count) throws Exception {
+        ProxyFixture.awaitInFlight(loop, proxies.get(proxy), count);
+    }
+
     /** The current time of all processes, in milliseconds. */
     double now() {
         return timers.now();
--- a/cdn/src/test/java/ridgemill/cdn/proxy/ProxyFixture.java
+++ b/cdn/src/test/java/ridgemill/cdn/proxy/ProxyFixture.java
@@ -144,6 +144,11 @@
 
     /** Waits until this number of requests is in flight. */
     void awaitInFlight(int count) throws Exception {
+        awaitInFlight(loop, dataPath, count);
+    }
+
+    /** Waits until a process has this many requests in flight. */
+    static void awaitInFlight(EventLoop loop, DataPath dataPath, int count) throws Exception {
         long endNanos = System.nanoTime() + 10_000_000_000L;
         for (int now = loop.submit(dataPath::inFlight).get();
                 now != count;
--- a/cdn/src/test/java/ridgemill/cdn/proxy/SharedCacheTest.java
+++ b/cdn/src/test/java/ridgemill/cdn/proxy/SharedCacheTest.java
@@ -19,6 +19,7 @@
 
     private static final int PROXIES = 3;
     private static final double PURGE_DEADLINE_MS = 2_000;
+    private static final double CACHE_TTL_MS = 60_000;
 
     private final AtomicInteger originVersion = new AtomicInteger();
     private FleetFixture fleet;
@@ -129,6 +130,36 @@
         }
     }
 
+    @Test
+    void copyThatExpiredBeforeARequestJoinedItsFetchIsNotServedToThatRequest() throws Exception {
+        CountDownLatch joined = new CountDownLatch(1);
+        AtomicInteger answers = new AtomicInteger();
+        StubInstance sharedCache = new StubInstance("stub", (request, socket) -> {
+            boolean first = answers.getAndIncrement() == 0;
+            if (first) {
+                joined.await();
+            }
+            double ageMs = first ? CACHE_TTL_MS - 100 : 0;
+            String headers =
+                    "X-Response-Seal: s\r\nX-Ridgemill-Unconfirmed: 0\r\nX-Ridgemill-Age: " + (long) ageMs + "\r\n";
+            return StubInstance.write(socket, StubInstance.response(request, 200, headers, first ? "old" : "new"));
+        });
+        try (sharedCache) {
+            fleet.setSharedCaches(
+                    List.of(new CacheNode("stub", sharedCache.instance("s").address(), "z")));
+            ProxyFixture.Client before = fleet.client(0);
+            before.send("GET /c/1 HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: 1\r\n\r\n");
+            sharedCache.take();
+            fleet.advanceTime(200);
+            ProxyFixture.Client after = fleet.client(0);
+            after.send("GET /c/1 HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: 2\r\n\r\n");
+            fleet.awaitInFlight(0, 2);
+            joined.countDown();
+            assertThat(before.read().body()).isEqualTo("old");
+            assertThat(after.read().body()).isEqualTo("new");
+        }
+    }
+
     @Test
     void instancesAreUsedIfNoSharedCacheIsReachable() throws Exception {
         fleet.setSharedCaches(
