A stopped store closes connections that it had accepted before

A connection that was accepted, but whose first message had not come yet, opened its link afterwards and stayed. In a test the stopped store's event loop goes on and answers pings, so the peer never connects to its successor. A real process ends, and its connections with it.

Change: once stopped, a store closes each link as it opens.

--- a/cdn/src/main/java/ridgemill/cdn/store/StoreService.java
+++ b/cdn/src/main/java/ridgemill/cdn/store/StoreService.java
@@ -23,6 +23,7 @@
 
     private final StoreReplica replica;
     private final Set<Link> links = new LinkedHashSet<>();
+    private boolean closed;
 
     StoreService(StoreReplica replica) {
         this.replica = replica;
@@ -30,11 +31,16 @@
 
     @Override
     public void opened(Link link) {
-        links.add(link);
+        if (closed) {
+            link.close();
+        } else {
+            links.add(link);
+        }
     }
 
-    /** Closes all links. */
+    /** Closes all links, and each connection that was accepted before once it opens a link. */
     void closeLinks() {
+        closed = true;
         new ArrayList<>(links).forEach(Link::close);
     }
 
--- a/cdn/src/test/java/ridgemill/cdn/store/StoreCluster.java
+++ b/cdn/src/test/java/ridgemill/cdn/store/StoreCluster.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -150,6 +151,13 @@
         return caller;
     }
 
+    /** Opens a connection to a store over which nothing has been sent yet. */
+    Socket connect(int index) throws IOException {
+        Socket socket = new Socket(HOSTS.get(index), port);
+        socket.setSoTimeout(CALL_TIMEOUT_MS);
+        return socket;
+    }
+
     @Override
     public void close() {
         links.forEach(ReconnectingLink::close);
--- a/cdn/src/test/java/ridgemill/cdn/store/StoreProgramTest.java
+++ b/cdn/src/test/java/ridgemill/cdn/store/StoreProgramTest.java
@@ -2,6 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.List;
@@ -20,6 +23,9 @@
 import ridgemill.cdn.purge.Purge;
 import ridgemill.cdn.purge.RecentPurge;
 import ridgemill.cdn.quorum.VoterSet;
+import ridgemill.cdn.wire.LinkMessages;
+import ridgemill.cdn.wire.Message;
+import ridgemill.cdn.wire.MessageCodec;
 import ridgemill.cdn.wire.StoreMessages;
 
 /** Tests three stores over sockets. */
@@ -158,6 +164,27 @@
                 .isEmpty();
     }
 
+    @Test
+    void aStoppedStoreKeepsNoConnectionThatItHadAcceptedBefore() throws Exception {
+        try (Socket accepted = cluster.connect(0)) {
+            // Connections are accepted in order.
+            awaitVote(cluster.caller(0), "c1");
+            cluster.stop(0);
+            send(accepted, new LinkMessages.Hello(LinkMessages.Hello.PROTOCOL, "test", "test", "127.0.0.1", "life"));
+            send(accepted, new LinkMessages.Ping());
+            assertThat(accepted.getInputStream().read())
+                    .as("the end of the stream")
+                    .isEqualTo(-1);
+        }
+    }
+
+    private static void send(Socket socket, Message message) throws IOException {
+        byte[] contents = MessageCodec.encode(message);
+        DataOutputStream out = new DataOutputStream(socket.getOutputStream());
+        out.writeInt(contents.length);
+        out.write(contents);
+    }
+
     @Test
     void aFinishedKeyStaysFinishedAfterARestart() {
         StoreCluster.Caller caller = cluster.caller(0);
