Confirmations of purges are asked for ten times a second at most

Need: a purgeDeadline of a few milliseconds in a settings file would have ended the process at its start, as a timer takes no interval of 0.

Change: the interval is a quarter of purgeDeadline, but at least 100 ms. For deadlines from 400 ms on nothing changes. WholeSystemTest passes.

--- a/cdn/src/main/java/ridgemill/cdn/proxy/control/ControlClient.java
+++ b/cdn/src/main/java/ridgemill/cdn/proxy/control/ControlClient.java
@@ -49,6 +49,8 @@
     /** How often each store is asked to confirm the purges received, so that a late or lost reply does not matter. */
     private static final long CONFIRMATIONS_PER_PURGE_DEADLINE = 4;
 
+    private static final long MIN_CONFIRMATION_INTERVAL_MS = 100;
+
     private final Settings settings;
     private final EventLoop loop;
     private final SocketKind sockets;
@@ -113,7 +115,8 @@
         for (String host : settings.seedHosts()) {
             connectStore(host);
         }
-        long intervalMs = settings.bounds().purgeDeadlineMs() / CONFIRMATIONS_PER_PURGE_DEADLINE;
+        long intervalMs = Math.max(
+                MIN_CONFIRMATION_INTERVAL_MS, settings.bounds().purgeDeadlineMs() / CONFIRMATIONS_PER_PURGE_DEADLINE);
         loop.scheduleWithFixedDelay(this::requestConfirmations, intervalMs, intervalMs, TimeUnit.MILLISECONDS);
     }
 
