--- a/cdn-core/src/test/java/ridgemill/cdn/purge/PurgeCoverageTest.java
+++ b/cdn-core/src/test/java/ridgemill/cdn/purge/PurgeCoverageTest.java
@@ -22,6 +22,12 @@
         coverage.streamStarted(store, atMs);
     }
 
+    private void startAll(double atMs, Voter... stores) {
+        for (Voter store : stores) {
+            start(store, atMs);
+        }
+    }
+
     private void confirm(double atMs, long epoch, Voter... stores) {
         for (Voter store : stores) {
             coverage.confirmed(store, atMs, epoch);
@@ -45,9 +51,7 @@
     @Test
     void oneRestartKeepsCoverageAndSecondRestartEndsIt() {
         coverage.setVoters(VOTERS, 0);
-        start(A, 0);
-        start(B, 0);
-        start(C, 0);
+        startAll(0, A, B, C);
         confirm(40, 1, A, B, C);
         start(A, 50);
         confirm(55, 1, A, B, C);
@@ -67,9 +71,7 @@
     @Test
     void restartsOneAfterAnotherKeepCoverageIfPurgesBetweenThemHaveBeenAcknowledged() {
         coverage.setVoters(VOTERS, 0);
-        start(A, 0);
-        start(B, 0);
-        start(C, 0);
+        startAll(0, A, B, C);
         confirm(100, 1, A, B, C);
         for (Voter restarted : List.of(A, B, C, A, B)) {
             double atMs = coverage.confirmedUntilMs() + 1;
@@ -82,9 +84,7 @@
     @Test
     void storeThatIsGoneConfirmsNothing() {
         coverage.setVoters(VOTERS, 0);
-        start(A, 0);
-        start(B, 0);
-        start(C, 0);
+        startAll(0, A, B, C);
         confirm(100, 1, A, B);
         confirm(500, 1, B);
         assertThat(coverage.confirmedUntilMs()).isEqualTo(100);
@@ -147,9 +147,7 @@
     void coverageContinuesThroughJointSetThatWasConfirmed() {
         VoterSet joint = VOTERS.changedTo(List.of(A, B, D));
         coverage.setVoters(VOTERS, 0);
-        for (Voter store : List.of(A, B, C, D)) {
-            start(store, 0);
-        }
+        startAll(0, A, B, C, D);
         confirm(100, 1, A, B, C);
         coverage.setVoters(joint, 150);
         assertThat(coverage.covers(10, 150)).isTrue();
@@ -163,9 +161,7 @@
     void coverageStartsAnewAfterAnEpochThatWasNotConfirmed() {
         VoterSet joint = VOTERS.changedTo(List.of(A, B, D));
         coverage.setVoters(VOTERS, 0);
-        for (Voter store : List.of(A, B, C, D)) {
-            start(store, 0);
-        }
+        startAll(0, A, B, C, D);
         confirm(100, 1, A, B, C);
         coverage.setVoters(joint, 150);
         coverage.setVoters(joint.completed(), 250);
--- a/cdn/src/test/java/ridgemill/cdn/proxy/CacheTest.java
+++ b/cdn/src/test/java/ridgemill/cdn/proxy/CacheTest.java
@@ -130,6 +130,17 @@
         }
     }
 
+    /** Sends the same read from several clients and waits until all are in flight. */
+    private ProxyFixture.Client[] sendFromClients(int count) throws Exception {
+        ProxyFixture.Client[] clients = new ProxyFixture.Client[count];
+        for (int i = 0; i < count; i++) {
+            clients[i] = proxy.client();
+            clients[i].send("GET /c/1 HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: " + i + "\r\n\r\n");
+        }
+        proxy.awaitInFlight(count);
+        return clients;
+    }
+
     @Test
     void requestsShareOneFetchAlsoWhilePurgesMayBeMissed() throws Exception {
         proxy.control.receivesPurges = false;
@@ -138,12 +149,7 @@
             go.await();
             return object("x").respond(request, socket);
         };
-        ProxyFixture.Client[] clients = new ProxyFixture.Client[5];
-        for (int i = 0; i < clients.length; i++) {
-            clients[i] = proxy.client();
-            clients[i].send("GET /c/1 HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: " + i + "\r\n\r\n");
-        }
-        proxy.awaitInFlight(clients.length);
+        ProxyFixture.Client[] clients = sendFromClients(5);
         go.countDown();
         for (ProxyFixture.Client client : clients) {
             assertThat(client.read().status()).isEqualTo(200);
@@ -161,12 +167,7 @@
             origin.script = object("x");
             return false;
         };
-        ProxyFixture.Client[] clients = new ProxyFixture.Client[5];
-        for (int i = 0; i < clients.length; i++) {
-            clients[i] = proxy.client();
-            clients[i].send("GET /c/1 HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: " + i + "\r\n\r\n");
-        }
-        proxy.awaitInFlight(clients.length);
+        ProxyFixture.Client[] clients = sendFromClients(5);
         go.countDown();
         int good = 0;
         for (ProxyFixture.Client client : clients) {
